--- /dev/null
+++ b/src/base/hash.h
@@ -0,0 +1,23 @@
+// Stable 64-bit hashing (xxHash). The value is the same on every instance, so
+// it may be used in keys that instances share.
+#ifndef LYNXGLADE_BASE_HASH_H_
+#define LYNXGLADE_BASE_HASH_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lynxglade::base {
+
+// Hash of bytes under a seed.
+std::uint64_t Hash64(std::string_view bytes, std::uint64_t seed = 0) noexcept;
+
+// Hash of a pair, for rendezvous weights.
+std::uint64_t HashPair(std::string_view a, std::string_view b) noexcept;
+
+// 16 lower-case hexadecimal digits.
+std::string ToHex(std::uint64_t n);
+
+}  // namespace lynxglade::base
+
+#endif  // LYNXGLADE_BASE_HASH_H_
--- /dev/null
+++ b/src/connection/api_call.h
@@ -0,0 +1,38 @@
+// One call of the administration API, free of any HTTP library's types, so
+// that handlers are plain functions and tests need no socket.
+#ifndef LYNXGLADE_CONNECTION_API_CALL_H_
+#define LYNXGLADE_CONNECTION_API_CALL_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace lynxglade::connection {
+
+struct ApiCall {
+  std::string method;  // "GET", "POST", "PUT", "DELETE"
+  std::string path;    // without the query
+  std::map<std::string, std::string> query;
+  std::string body;
+  // The operator's key as sent ("Authorization: Bearer ..."); never logged.
+  std::string operator_key;
+};
+
+struct ApiAnswer {
+  int status = 200;
+  // JSON text.
+  std::string body;
+};
+
+// Handles one call. May block on the key-value service; called on a thread of
+// the admin server.
+using ApiHandler = std::function<ApiAnswer(const ApiCall&)>;
+
+// {"error":{"code":...,"message":...}}
+ApiAnswer ApiError(int status,
+                   const std::string& code,
+                   const std::string& message);
+
+}  // namespace lynxglade::connection
+
+#endif  // LYNXGLADE_CONNECTION_API_CALL_H_
