--- /dev/null
+++ b/src/request/relay.h
@@ -0,0 +1,182 @@
+// Carries one request from admission to the last byte.
+//
+// The relay owns the promises: an answer is delivered whole, each token once;
+// a refusal that says "not run" is true; a non-idempotent request has at most
+// one attempt that may have run. Which target, whether to retry, who may claim
+// and how an attempt is carried out come in through hooks, so the daemon, the
+// bench and the tests run the same code. See docs/notes/whole-once.md.
+#ifndef LYNXGLADE_REQUEST_RELAY_H_
+#define LYNXGLADE_REQUEST_RELAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/outcome.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "request/attempt.h"
+#include "request/request.h"
+#include "request/target.h"
+
+namespace lynxglade::request {
+
+// What the relay wants a target for.
+struct PickQuery {
+  const Request* request = nullptr;
+  AttemptKind kind = AttemptKind::kWhole;
+  // Targets that this request has already failed at; a picked one of these
+  // is taken only when the router has no other.
+  std::vector<base::TargetId> avoid;
+  // Set once tokens were delivered: only this version continues the answer.
+  std::optional<base::ModelVersion> version;
+};
+struct PickResult {
+  std::optional<Target> target;
+  // Why there is none.
+  RefusalReason reason = RefusalReason::kNoTarget;
+  std::optional<base::Duration> retry_after;
+};
+
+// Leave to run, given by admission.
+struct Admission {
+  // Set: not admitted.
+  std::optional<Refusal> refusal;
+  // Gives the place back; called once, with what the run really cost. May be
+  // empty.
+  std::function<void(const Usage&)> release;
+};
+
+// A question to the retry policy after a failed attempt.
+struct RetryQuery {
+  const Request* request = nullptr;
+  base::TargetId failed_target;
+  const AttemptReport* report = nullptr;
+  // Attempts made so far, at least 1.
+  int attempts = 1;
+};
+struct RetryVerdict {
+  bool allowed = false;
+  // Wait before the next attempt.
+  base::Duration backoff{};
+  // Not allowed: what the caller is told.
+  RefusalReason reason = RefusalReason::kRetryBudget;
+  std::optional<base::Duration> retry_after;
+};
+
+// An answer as it was delivered.
+struct Answer {
+  // Engines: the whole text, gathered also for streamed answers whose claim
+  // records it; otherwise empty when the caller streams.
+  std::string text;
+  std::string finish_reason;
+  Usage usage;
+  std::optional<PlainAnswer> plain;
+};
+
+// A claim on the single run of a non-idempotent request.
+struct Claim {
+  std::string key;
+  // Unique to this claim; tells our own write from another's.
+  std::string mark;
+  std::int64_t mod_revision = 0;
+};
+// Answer to "may this request run here?".
+struct ClaimVerdict {
+  // Set: it may, and nobody else can.
+  std::optional<Claim> claim;
+  // Set: it must not; the refusal says what is known of the earlier run.
+  std::optional<Refusal> refusal;
+  // Set: it ran before and this was its recorded answer.
+  std::optional<Answer> recorded;
+};
+
+// Everything outside the relay. All must be thread-safe. Those marked
+// "optional" may be empty.
+struct RelayHooks {
+  std::function<PickResult(const PickQuery&)> pick;
+  RunAttempt run;
+  base::Clock now;
+  base::RandomSource random;
+  // Waits; returns early with false when `cancelled` turns true.
+  std::function<bool(base::Duration, const std::function<bool()>& cancelled)>
+      sleep;
+  std::function<RetryVerdict(const RetryQuery&)> allow_retry;
+
+  // Optional. Blocks until the request may run or is refused.
+  std::function<Admission(const Request&)> admit;
+  // Optional. Asked before every attempt.
+  std::function<std::optional<Refusal>(const Request&)> check_quarantine;
+  // Optional. The target's connection broke while it ran this content.
+  std::function<void(const Request&, const base::TargetId&)> on_crash_evidence;
+  // Optional. The target delivered this content whole.
+  std::function<void(const Request&, const base::TargetId&)> on_clean_delivery;
+  // Optional. Around every attempt, for load and ejection.
+  std::function<void(const Target&, const AttemptOrder&)> on_attempt_start;
+  std::function<void(const Target&, const AttemptOrder&, const AttemptReport&)>
+      on_attempt_end;
+  // Optional. Best effort, after an attempt that may still run upstream.
+  CancelAttempt cancel;
+  // Optional. Whether prefill and decode should go to separate engines.
+  std::function<bool(const Request&)> wants_split;
+  // Both or neither. Without them non-idempotent requests are refused.
+  std::function<ClaimVerdict(const Request&)> claim_begin;
+  // `answer` is null unless the run was whole.
+  std::function<void(const Claim&, base::Outcome, const Answer* answer)>
+      claim_finish;
+};
+
+// Bounds that no policy may exceed.
+struct RelayLimits {
+  // Attempts of one request, refused ones included.
+  int max_attempts = 6;
+  // Reroutes after a target's own refusal that need no retry permission.
+  int max_free_reroutes = 2;
+};
+
+// Where the caller's answer goes. Called on the thread of Serve(), except
+// `gone`.
+struct CallerSink {
+  // Streaming callers only; false when the caller has gone. Each token of the
+  // answer comes once and in order.
+  std::function<bool(const TokenChunk&)> on_token;
+  // Whether the caller's connection has closed. May be empty. Thread-safe.
+  std::function<bool()> gone;
+};
+
+struct RelayResult {
+  // Unset: `answer` is whole.
+  std::optional<Refusal> refusal;
+  Answer answer;
+  // True when the answer is the recorded one of an earlier run. Nothing was
+  // passed to on_token.
+  bool replayed = false;
+  // Tokens passed to on_token.
+  base::Tokens delivered{0};
+  int attempts = 0;
+  // From Request::arrived to the first token.
+  std::optional<base::Duration> first_token;
+  base::TargetId last_target;
+};
+
+// Thread-safe: Serve() is called on many threads at once. Holds no lock.
+class Relay {
+ public:
+  Relay(RelayHooks hooks, RelayLimits limits);
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  // Blocks until the request is answered whole or given up on. Never throws.
+  RelayResult Serve(const Request& request, const CallerSink& sink) const;
+
+ private:
+  RelayHooks hooks_;
+  RelayLimits limits_;
+};
+
+}  // namespace lynxglade::request
+
+#endif  // LYNXGLADE_REQUEST_RELAY_H_
