--- /dev/null
+++ b/src/request/in_flight.h
@@ -0,0 +1,37 @@
+// One attempt's share of the load that this process has at a target.
+#ifndef LYNXGLADE_REQUEST_IN_FLIGHT_H_
+#define LYNXGLADE_REQUEST_IN_FLIGHT_H_
+
+#include <memory>
+
+#include "base/time.h"
+#include "request/cost.h"
+#include "request/target.h"
+
+namespace lynxglade::request {
+
+// Counts an attempt at its target from construction to destruction. Make it
+// right after the routing decision, before anything is sent, so that the next
+// decision sees it. Movable; not thread-safe itself.
+class InFlight {
+ public:
+  InFlight(const Target& target, const Cost& cost, base::Time now);
+  ~InFlight();
+  InFlight(InFlight&& other) noexcept = default;
+  InFlight& operator=(InFlight&& other) noexcept;
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+  // The prompt was processed (the first token came).
+  void PrefillDone() noexcept;
+
+ private:
+  void Release() noexcept;
+
+  std::shared_ptr<OwnLoad> own_;
+  Cost left_;
+};
+
+}  // namespace lynxglade::request
+
+#endif  // LYNXGLADE_REQUEST_IN_FLIGHT_H_
--- a/src/request/target.h
+++ b/src/request/target.h
@@ -13,6 +13,8 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "request/cost.h"
+#include "request/send_history.h"
 
 namespace lynxglade::request {
 
@@ -34,11 +36,17 @@
 };
 
 // What this process itself has under way at a target; written by every
-// request, so atomic and outside the table.
+// request, so atomic and outside the table. Change it through InFlight
+// (request/in_flight.h), which keeps its parts in step.
 struct OwnLoad {
   std::atomic<int> running{0};
   std::atomic<std::int64_t> prefill_tokens{0};
   std::atomic<std::int64_t> decode_tokens{0};
+  // Nanoseconds on the clock until which the target is ejected; 0 when not.
+  // Written by OutlierEjector.
+  std::atomic<std::int64_t> ejected_until{0};
+  // What was sent when, to correct reports that are older.
+  SendHistory history;
 };
 
 // One target. Only kServing takes new work.
