--- a/src/connection/key_value.h
+++ b/src/connection/key_value.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <stop_token>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,6 +85,8 @@
   base::Duration timeout{};
   // Returns false to end a streamed answer.
   std::function<bool(std::string_view)> on_chunk;
+  // Ends a streamed answer from another thread, where the transport can.
+  std::stop_token stop;
 };
 struct KvAnswer {
   int status = 0;
@@ -94,6 +97,9 @@
 using KvTransport =
     std::function<std::optional<KvAnswer>(const KvCall&, KvError* error)>;
 
+// Longest silence that a watch takes for a live connection.
+inline constexpr base::Duration kWatchSilence = std::chrono::seconds(30);
+
 // A client of the service. Thread-safe when its transport is; every method
 // blocks for at most `timeout` and is never called from an actor or while a
 // lock is held.
@@ -123,11 +129,13 @@
   // Blocks and hands over changes of keys under `prefix` from `from` on until
   // `on_events` returns false or the stream breaks. `on_events` is also called
   // with no events when the service reports progress. Returns the error that
-  // ended it (kNone when `on_events` did).
+  // ended it (kNone when `on_events` or `stop` did). A service that says
+  // nothing for kWatchSilence ends the watch too; the caller opens it again.
   KvError Watch(const std::string& prefix,
                 base::Revision from,
                 const std::function<bool(const std::vector<KvEvent>&,
-                                         base::Revision)>& on_events) const;
+                                         base::Revision)>& on_events,
+                std::stop_token stop = {}) const;
 
  private:
   KvTransport transport_;
