Callers' side: HTTP server, chat completions, caller terms, settings

Cause: callers need the interface that language-model clients already use, and a refusal with its reason and outcome. Change: an HTTP server over cpp-httplib whose handlers stream from a stack of their own, with bounded connection threads and an overflow answer; parsing of bodies and headers; contracts by key hash; depth-bounded JSON; settings by flags and environment variables.

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -2,7 +2,7 @@
 # Debian packages; packages.txt lists them.
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
-find_package(Boost 1.74 REQUIRED COMPONENTS log thread system)
+find_package(Boost 1.74 REQUIRED COMPONENTS context log system thread)
 find_package(nlohmann_json 3.11 REQUIRED)
 find_package(GTest REQUIRED)
 find_package(rapidcheck REQUIRED)
--- /dev/null
+++ b/src/connection/connection_threads.cc
@@ -0,0 +1,104 @@
+#include "connection/connection_threads.h"
+
+#include <utility>
+
+namespace lynxglade::connection {
+
+namespace {
+
+thread_local bool overflow_mode = false;
+
+}  // namespace
+
+ConnectionThreads::ConnectionThreads(std::size_t bound)
+    : bound_(bound), overflow_thread_([this] { OverflowLoop(); }) {}
+
+ConnectionThreads::~ConnectionThreads() {
+  Shutdown();
+}
+
+void ConnectionThreads::Run(Job job) {
+  std::lock_guard lock(mutex_);
+  if (busy_ + jobs_.size() >= bound_) {
+    ++overflowed_;
+    overflow_jobs_.push_back(std::move(job));
+    overflow_work_.notify_one();
+    return;
+  }
+  jobs_.push_back(std::move(job));
+  if (idle_ >= jobs_.size()) {
+    work_.notify_one();
+    return;
+  }
+  threads_.emplace_back([this] { WorkerLoop(); });
+}
+
+void ConnectionThreads::Shutdown() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  work_.notify_all();
+  overflow_work_.notify_all();
+  // No thread is added any more: the accept loop has ended before.
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+  if (overflow_thread_.joinable()) {
+    overflow_thread_.join();
+  }
+}
+
+std::size_t ConnectionThreads::busy() const noexcept {
+  std::lock_guard lock(mutex_);
+  return busy_;
+}
+
+std::size_t ConnectionThreads::overflowed() const noexcept {
+  std::lock_guard lock(mutex_);
+  return overflowed_;
+}
+
+bool ConnectionThreads::OverflowMode() noexcept {
+  return overflow_mode;
+}
+
+void ConnectionThreads::WorkerLoop() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    ++idle_;
+    work_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
+    --idle_;
+    if (jobs_.empty()) {
+      return;
+    }
+    Job job = std::move(jobs_.front());
+    jobs_.pop_front();
+    ++busy_;
+    lock.unlock();
+    job();
+    job = nullptr;
+    lock.lock();
+    --busy_;
+  }
+}
+
+void ConnectionThreads::OverflowLoop() {
+  overflow_mode = true;
+  std::unique_lock lock(mutex_);
+  while (true) {
+    overflow_work_.wait(
+        lock, [this] { return stopping_ || !overflow_jobs_.empty(); });
+    if (overflow_jobs_.empty()) {
+      return;
+    }
+    const Job job = std::move(overflow_jobs_.front());
+    overflow_jobs_.pop_front();
+    lock.unlock();
+    job();
+    lock.lock();
+  }
+}
+
+}  // namespace lynxglade::connection
--- /dev/null
+++ b/src/connection/http_server.cc
@@ -0,0 +1,341 @@
+#include "connection/http_server.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include <httplib.h>
+#include <boost/coroutine2/coroutine.hpp>
+#include <boost/coroutine2/protected_fixedsize_stack.hpp>
+
+#include "connection/connection_threads.h"
+#include "connection/http_limits.h"
+
+namespace lynxglade::connection {
+
+namespace {
+
+namespace coro = boost::coroutines2;
+
+// The library matches routes by a recursive regular expression; longer paths
+// would need more stack than a connection thread has.
+constexpr std::size_t kMaxPathBytes = 256;
+// The library closes a connection after that many requests.
+constexpr std::size_t kRequestsPerConnection = 100'000;
+constexpr int kHttpUriTooLong = 414;
+
+std::string ToLower(std::string text) {
+  std::ranges::transform(text, text.begin(),
+                         [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
+HttpRequest Convert(const httplib::Request& in) {
+  HttpRequest out;
+  out.method = in.method;
+  out.path = in.path;
+  const auto mark = in.target.find('?');
+  if (mark != std::string::npos) {
+    out.query_string = in.target.substr(mark + 1);
+  }
+  for (const auto& [name, value] : in.params) {
+    out.query.emplace(name, value);
+  }
+  for (const auto& [name, value] : in.headers) {
+    out.headers.emplace(ToLower(name), value);
+  }
+  out.body = in.body;
+  return out;
+}
+
+// --- One exchange -----------------------------------------------------------
+
+// Runs the handler as a coroutine: up to StartStream() inside the library's
+// handler, and from there inside its content provider.
+class CoroutineExchange final : public HttpExchange {
+ public:
+  CoroutineExchange(HttpRequest request, const HttpHandler& handler)
+      : request_(std::move(request)),
+        body_(coro::protected_fixedsize_stack(kConnectionStackBytes),
+              [this, &handler](Push& yield) {
+                yield_ = &yield;
+                handler(*this);
+              }) {}
+
+  ~CoroutineExchange() override {
+    // The headers could not be sent: let the handler see that and return.
+    gone_ = true;
+    Resume(nullptr);
+  }
+
+  // --- HttpExchange
+
+  void Send(int status,
+            const std::string& content_type,
+            const HttpHeaders& headers,
+            std::string body) override {
+    SetHead(status, content_type, headers);
+    whole_body_ = std::move(body);
+  }
+
+  bool StartStream(int status,
+                   const std::string& content_type,
+                   const HttpHeaders& headers) override {
+    SetHead(status, content_type, headers);
+    streaming_ = true;
+    (*yield_)();
+    return !gone_;
+  }
+
+  bool Write(std::string_view piece) override {
+    if (gone_ || aborted_) {
+      return false;
+    }
+    if (!sink_->write(piece.data(), piece.size())) {
+      gone_ = true;
+    }
+    return !gone_;
+  }
+
+  void Abort() override { aborted_ = true; }
+
+  const HttpRequest& request() const override { return request_; }
+  bool caller_gone() const override { return gone_; }
+
+  // --- For the server
+
+  void FillHead(httplib::Response& response) const {
+    response.status = status_;
+    for (const auto& [name, value] : headers_) {
+      response.set_header(name, value);
+    }
+  }
+  bool streaming() const { return streaming_; }
+  const std::string& content_type() const { return content_type_; }
+  std::string TakeBody() { return std::move(whole_body_); }
+
+  // Runs the rest of the handler. Returns whether the stream is whole.
+  bool Resume(httplib::DataSink* sink) {
+    sink_ = sink;
+    if (body_) {
+      body_();
+    }
+    sink_ = nullptr;
+    return !gone_ && !aborted_;
+  }
+
+ private:
+  using Pull = coro::coroutine<void>::pull_type;
+  using Push = coro::coroutine<void>::push_type;
+
+  void SetHead(int status,
+               const std::string& content_type,
+               const HttpHeaders& headers) {
+    status_ = status;
+    content_type_ = content_type;
+    headers_ = headers;
+  }
+
+  const HttpRequest request_;
+  int status_ = 500;
+  std::string content_type_ = "application/json";
+  HttpHeaders headers_;
+  std::string whole_body_;
+  bool streaming_ = false;
+  bool gone_ = false;
+  bool aborted_ = false;
+  httplib::DataSink* sink_ = nullptr;
+  Push* yield_ = nullptr;
+  // Last: starting it runs the handler, which uses all of the above.
+  Pull body_;
+};
+
+// --- The library's thread pool ----------------------------------------------
+
+class TaskQueue final : public httplib::TaskQueue {
+ public:
+  explicit TaskQueue(ConnectionThreads& threads) : threads_(threads) {}
+
+  void enqueue(std::function<void()> fn) override {
+    threads_.Run(std::move(fn));
+  }
+  void shutdown() override { threads_.Shutdown(); }
+
+ private:
+  ConnectionThreads& threads_;
+};
+
+std::unique_ptr<httplib::Server> MakeServer(const HttpServerOptions& options) {
+  if (options.certificate_file.empty()) {
+    return std::make_unique<httplib::Server>();
+  }
+  const char* client_ca =
+      options.client_ca_file.empty() ? nullptr : options.client_ca_file.c_str();
+  return std::make_unique<httplib::SSLServer>(
+      options.certificate_file.c_str(), options.key_file.c_str(), client_ca);
+}
+
+time_t WholeSeconds(base::Duration d) {
+  return std::chrono::duration_cast<std::chrono::seconds>(d).count();
+}
+
+}  // namespace
+
+std::string HttpRequest::Header(const std::string& name) const {
+  const auto it = headers.find(name);
+  return it == headers.end() ? std::string() : it->second;
+}
+
+// --- The server -------------------------------------------------------------
+
+struct HttpServer::Details {
+  Details(HttpServerOptions o, HttpHandler h)
+      : options(std::move(o)),
+        handler(std::move(h)),
+        threads(options.max_connections),
+        server(MakeServer(options)) {}
+
+  void Configure();
+  void Serve(const httplib::Request& in, httplib::Response& out);
+  httplib::Server::HandlerResponse BeforeRouting(const httplib::Request& in,
+                                                 httplib::Response& out) const;
+  void FillError(httplib::Response& out) const;
+
+  const HttpServerOptions options;
+  const HttpHandler handler;
+  ConnectionThreads threads;
+  std::unique_ptr<httplib::Server> server;
+  socket_t listening_socket = INVALID_SOCKET;
+  std::thread accept_thread;
+  std::string last_reason;
+};
+
+void HttpServer::Details::Configure() {
+  server->new_task_queue = [this] { return new TaskQueue(threads); };
+  server->set_keep_alive_max_count(kRequestsPerConnection);
+  server->set_keep_alive_timeout(WholeSeconds(options.idle_timeout));
+  server->set_write_timeout(options.write_timeout);
+  server->set_tcp_nodelay(true);
+  server->set_payload_max_length(options.max_body_bytes);
+  // Not the library's default: that sets SO_REUSEPORT, with which a second
+  // daemon on the same port would silently take half of the connections.
+  server->set_socket_options([this](socket_t fd) {
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    listening_socket = fd;
+  });
+  server->set_pre_routing_handler(
+      [this](const httplib::Request& in, httplib::Response& out) {
+        return BeforeRouting(in, out);
+      });
+  server->set_error_handler([this](const httplib::Request&,
+                                   httplib::Response& out) { FillError(out); });
+  const auto serve = [this](const httplib::Request& in,
+                            httplib::Response& out) { Serve(in, out); };
+  server->Get(".*", serve);
+  server->Post(".*", serve);
+  server->Put(".*", serve);
+  server->Patch(".*", serve);
+  server->Delete(".*", serve);
+}
+
+httplib::Server::HandlerResponse HttpServer::Details::BeforeRouting(
+    const httplib::Request& in,
+    httplib::Response& out) const {
+  if (ConnectionThreads::OverflowMode()) {
+    out.status = options.overflow.status;
+    out.set_header("Connection", "close");
+    out.set_content(options.overflow.body, options.overflow.content_type);
+    return httplib::Server::HandlerResponse::Handled;
+  }
+  if (in.path.size() > kMaxPathBytes) {
+    out.status = kHttpUriTooLong;
+    return httplib::Server::HandlerResponse::Handled;
+  }
+  return httplib::Server::HandlerResponse::Unhandled;
+}
+
+void HttpServer::Details::FillError(httplib::Response& out) const {
+  if (out.body.empty() && options.error_body) {
+    out.set_content(options.error_body(out.status), "application/json");
+  }
+}
+
+void HttpServer::Details::Serve(const httplib::Request& in,
+                                httplib::Response& out) {
+  auto exchange = std::make_shared<CoroutineExchange>(Convert(in), handler);
+  exchange->FillHead(out);
+  if (!exchange->streaming()) {
+    out.set_content(exchange->TakeBody(), exchange->content_type());
+    return;
+  }
+  out.set_chunked_content_provider(
+      exchange->content_type(),
+      [exchange](std::size_t, httplib::DataSink& sink) {
+        const bool whole = exchange->Resume(&sink);
+        if (whole) {
+          sink.done();
+        }
+        return whole;
+      });
+}
+
+HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
+    : details_(
+          std::make_unique<Details>(std::move(options), std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+std::optional<int> HttpServer::Start() {
+  Details& d = *details_;
+  if (!d.server->is_valid()) {
+    d.last_reason = "certificate or key cannot be read";
+    return std::nullopt;
+  }
+  d.Configure();
+  int port = d.options.port;
+  if (port == 0) {
+    port = d.server->bind_to_any_port(d.options.address);
+  } else if (!d.server->bind_to_port(d.options.address, port)) {
+    port = -1;
+  }
+  if (port <= 0) {
+    d.last_reason = "cannot bind " + d.options.address + ":" +
+                    std::to_string(d.options.port);
+    return std::nullopt;
+  }
+  // The library listens with a backlog of 5; asking again raises it.
+  ::listen(d.listening_socket, kListenBacklog);
+  d.accept_thread =
+      std::thread([this] { details_->server->listen_after_bind(); });
+  while (!d.server->is_running()) {
+    std::this_thread::yield();
+  }
+  return port;
+}
+
+void HttpServer::Stop() {
+  if (!details_->accept_thread.joinable()) {
+    return;
+  }
+  details_->server->stop();
+  details_->accept_thread.join();
+}
+
+std::size_t HttpServer::active_connections() const noexcept {
+  return details_->threads.busy();
+}
+
+std::size_t HttpServer::overflowed_connections() const noexcept {
+  return details_->threads.overflowed();
+}
+
+const std::string& HttpServer::last_reason() const noexcept {
+  return details_->last_reason;
+}
+
+}  // namespace lynxglade::connection
--- /dev/null
+++ b/src/process/settings.cc
@@ -0,0 +1,329 @@
+#include "process/settings.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <tclap/CmdLine.h>
+
+namespace lynxglade::process {
+
+namespace {
+
+constexpr char kEnvironmentPrefix[] = "LYNXGLADE_";
+constexpr int kMaxPort = 65535;
+
+// Takes the text into the settings; returns what is allowed when it cannot.
+using Apply =
+    std::function<std::optional<std::string>(Settings&, const std::string&)>;
+
+// One setting: its flag, its default as text, whether it must be given, and
+// how it is read.
+struct Option {
+  std::string flag;
+  std::string default_text;
+  bool required = false;
+  std::string description;
+  Apply apply;
+};
+
+// --- Readers ----------------------------------------------------------------
+
+std::optional<long> ParseWhole(const std::string& text, long low, long high) {
+  long n = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, n);
+  if (ec != std::errc() || rest != end || n < low || n > high) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+Apply ReadName(std::function<void(Settings&, std::string)> set) {
+  return [set](Settings& settings,
+               const std::string& text) -> std::optional<std::string> {
+    const bool good =
+        !text.empty() && text.size() <= 64 &&
+        std::ranges::all_of(text, [](unsigned char c) {
+          return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+        });
+    if (!good) {
+      return "1 to 64 letters, digits, '-', '_' or '.'";
+    }
+    set(settings, text);
+    return std::nullopt;
+  };
+}
+
+Apply ReadText(std::string Settings::* member) {
+  return [member](Settings& settings,
+                  const std::string& text) -> std::optional<std::string> {
+    settings.*member = text;
+    return std::nullopt;
+  };
+}
+
+Apply ReadEndpoint(Endpoint Settings::* member) {
+  return [member](Settings& settings,
+                  const std::string& text) -> std::optional<std::string> {
+    const auto endpoint = ParseEndpoint(text);
+    if (!endpoint) {
+      return "an IP address and a port, such as 127.0.0.1:8080";
+    }
+    settings.*member = *endpoint;
+    return std::nullopt;
+  };
+}
+
+Apply ReadUrl(std::string Settings::* member) {
+  return [member](Settings& settings,
+                  const std::string& text) -> std::optional<std::string> {
+    static const std::string kScheme = "http://";
+    if (!text.starts_with(kScheme) ||
+        !ParseEndpoint(text.substr(kScheme.size()))) {
+      return "http:// with an IP address and a port, such as "
+             "http://127.0.0.1:2379";
+    }
+    settings.*member = text;
+    return std::nullopt;
+  };
+}
+
+Apply ReadSeconds(base::Duration Settings::* member, long low, long high) {
+  return [=](Settings& settings,
+             const std::string& text) -> std::optional<std::string> {
+    const auto n = ParseWhole(text, low, high);
+    if (!n) {
+      return "whole seconds from " + std::to_string(low) + " to " +
+             std::to_string(high);
+    }
+    settings.*member = std::chrono::seconds(*n);
+    return std::nullopt;
+  };
+}
+
+std::optional<std::string> ReadConnections(Settings& settings,
+                                           const std::string& text) {
+  const auto n = ParseWhole(text, 1, 20'000);
+  if (!n) {
+    return "a whole number from 1 to 20000";
+  }
+  settings.max_connections = static_cast<std::size_t>(*n);
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadLogLevel(Settings& settings,
+                                        const std::string& text) {
+  if (!base::ParseLogLevel(text, &settings.log_level)) {
+    return "debug, info, warning or error";
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadRoutingPolicy(Settings& settings,
+                                             const std::string& text) {
+  if (!request::ParseRoutingPolicy(text, &settings.routing_policy)) {
+    return "default, random, round-robin, least-reported or no-affinity";
+  }
+  return std::nullopt;
+}
+
+// --- The table of settings --------------------------------------------------
+
+std::vector<Option> AllOptions() {
+  return {
+      {"instance-id", "", true, "name of this instance, new at each start",
+       ReadName([](Settings& s, std::string v) {
+         s.instance = base::InstanceId(std::move(v));
+       })},
+      {"region", "default", false, "region of this instance",
+       ReadName([](Settings& s, std::string v) {
+         s.region = base::RegionId(std::move(v));
+       })},
+      {"zone", "", true, "availability zone of this instance",
+       ReadName([](Settings& s, std::string v) {
+         s.zone = base::ZoneId(std::move(v));
+       })},
+      {"listen", "", true, "where callers connect",
+       ReadEndpoint(&Settings::listen)},
+      {"admin-listen", "", true, "where operators, health and metrics connect",
+       ReadEndpoint(&Settings::admin_listen)},
+      {"peer-listen", "", true, "where other instances connect",
+       ReadEndpoint(&Settings::peer_listen)},
+      {"kv-url", "", true, "the platform's key-value service",
+       ReadUrl(&Settings::kv_url)},
+      {"instance-list-url", "", true, "the platform's instance list",
+       ReadUrl(&Settings::instance_list_url)},
+      {"weight-store-url", "", true, "the platform's weight store",
+       ReadUrl(&Settings::weight_store_url)},
+      {"bootstrap-operator-key", "", false,
+       "operator key accepted while the configuration names no operator",
+       ReadText(&Settings::bootstrap_operator_key)},
+      {"log-level", "info", false, "debug, info, warning or error",
+       ReadLogLevel},
+      {"routing-policy", "default", false,
+       "default; the others (random, round-robin, least-reported, "
+       "no-affinity) are for comparison",
+       ReadRoutingPolicy},
+      {"max-connections", "1200", false,
+       "caller connections served at a time; further ones are refused",
+       ReadConnections},
+      {"default-deadline", "60", false,
+       "seconds until an answer is late, when neither caller nor contract says",
+       ReadSeconds(&Settings::default_deadline, 1, 3600)},
+      {"lease-ttl", "10", false,
+       "seconds for which authority over a zone's engines is held",
+       ReadSeconds(&Settings::lease_ttl, 2, 300)},
+      {"engine-idle-timeout", "60", false,
+       "seconds after which engines close an idle connection; bounds how long "
+       "an order of a paused process can stay under way",
+       ReadSeconds(&Settings::engine_idle_timeout, 1, 600)},
+      {"role-change-time", "5", false,
+       "seconds for which a role change takes an engine out of service",
+       ReadSeconds(&Settings::role_change_time, 1, 600)},
+      {"tls-certificate", "", false, "PEM certificate chain; needs --tls-key",
+       ReadText(&Settings::tls_certificate)},
+      {"tls-key", "", false, "PEM private key; needs --tls-certificate",
+       ReadText(&Settings::tls_key)},
+      {"peer-ca", "", false,
+       "PEM authority that signs peers' certificates; needs --tls-certificate",
+       ReadText(&Settings::peer_ca)},
+  };
+}
+
+std::string EnvironmentName(const std::string& flag) {
+  std::string name = kEnvironmentPrefix;
+  std::ranges::transform(flag, std::back_inserter(name), [](unsigned char c) {
+    return c == '-' ? '_' : static_cast<char>(std::toupper(c));
+  });
+  return name;
+}
+
+std::string HelpText(const Option& option) {
+  std::string text = option.description;
+  if (!option.default_text.empty()) {
+    text += " [default: " + option.default_text + "]";
+  }
+  return text + " (" + EnvironmentName(option.flag) + ")";
+}
+
+// The flag's text, else the variable's, else the default.
+std::string TextOf(const Option& option,
+                   const TCLAP::ValueArg<std::string>& arg) {
+  if (arg.isSet()) {
+    return arg.getValue();
+  }
+  const char* variable = std::getenv(EnvironmentName(option.flag).c_str());
+  return variable != nullptr ? variable : option.default_text;
+}
+
+void ApplyOption(const Option& option,
+                 const std::string& text,
+                 Settings& settings,
+                 SettingsFault& fault) {
+  const std::string name = "--" + option.flag;
+  if (text.empty()) {
+    if (option.required) {
+      fault.lines.push_back(name + " (or " + EnvironmentName(option.flag) +
+                            ") is missing: " + option.description);
+    }
+    return;
+  }
+  if (const auto allowed = option.apply(settings, text)) {
+    fault.lines.push_back(name + ": '" + text + "' is not allowed; give " +
+                          *allowed);
+  }
+}
+
+void CheckContradictions(const Settings& settings, SettingsFault& fault) {
+  if (settings.tls_certificate.empty() != settings.tls_key.empty()) {
+    fault.lines.emplace_back(
+        "--tls-certificate and --tls-key must be given together");
+  }
+  if (!settings.peer_ca.empty() && settings.tls_certificate.empty()) {
+    fault.lines.emplace_back("--peer-ca needs --tls-certificate and --tls-key");
+  }
+  const std::vector<const Endpoint*> endpoints = {
+      &settings.listen, &settings.admin_listen, &settings.peer_listen};
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    for (std::size_t j = i + 1; j < endpoints.size(); ++j) {
+      const bool same = endpoints[i]->port != 0 &&
+                        endpoints[i]->port == endpoints[j]->port &&
+                        endpoints[i]->address == endpoints[j]->address;
+      if (same) {
+        fault.lines.emplace_back(
+            "--listen, --admin-listen and --peer-listen must differ");
+        return;
+      }
+    }
+  }
+}
+
+}  // namespace
+
+std::optional<Endpoint> ParseEndpoint(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string address = text.substr(0, colon);
+  const bool bracketed =
+      address.size() > 2 && address.front() == '[' && address.back() == ']';
+  if (bracketed) {
+    address = address.substr(1, address.size() - 2);
+  }
+  in6_addr buf{};
+  if (::inet_pton(bracketed ? AF_INET6 : AF_INET, address.c_str(), &buf) != 1) {
+    return std::nullopt;
+  }
+  const auto port = ParseWhole(text.substr(colon + 1), 0, kMaxPort);
+  if (!port) {
+    return std::nullopt;
+  }
+  return Endpoint{address, static_cast<int>(*port)};
+}
+
+std::optional<Settings> ParseSettings(int argc,
+                                      const char* const* argv,
+                                      SettingsFault* last_reason) {
+  const std::vector<Option> options = AllOptions();
+  TCLAP::CmdLine command(
+      "One entry instance of lynxglade. Each flag can be given by the "
+      "environment variable named in parentheses; the flag goes first.",
+      ' ', "0.1.0");
+  command.setExceptionHandling(false);
+  // The library keeps pointers to the arguments and prints them in reverse.
+  std::deque<TCLAP::ValueArg<std::string>> args;
+  for (auto it = options.rbegin(); it != options.rend(); ++it) {
+    args.emplace_front("", it->flag, HelpText(*it), false, "", "value",
+                       command);
+  }
+  try {
+    std::vector<std::string> words(argv, argv + argc);
+    command.parse(words);
+  } catch (const TCLAP::ExitException&) {
+    last_reason->handled = true;
+    return std::nullopt;
+  } catch (const TCLAP::ArgException& e) {
+    last_reason->lines.push_back(e.argId() + ": " + e.error());
+    return std::nullopt;
+  }
+  Settings settings;
+  for (std::size_t i = 0; i < options.size(); ++i) {
+    ApplyOption(options[i], TextOf(options[i], args[i]), settings,
+                *last_reason);
+  }
+  CheckContradictions(settings, *last_reason);
+  if (!last_reason->lines.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/version/serving_configuration.h
@@ -0,0 +1,48 @@
+// The configuration as requests read it: indexed, immutable, made once for
+// each accepted revision.
+#ifndef LYNXGLADE_VERSION_SERVING_CONFIGURATION_H_
+#define LYNXGLADE_VERSION_SERVING_CONFIGURATION_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "version/configuration.h"
+
+namespace lynxglade::version {
+
+class ServingConfiguration {
+ public:
+  ServingConfiguration() = default;
+  explicit ServingConfiguration(Configuration configuration);
+
+  const Configuration& configuration() const noexcept { return configuration_; }
+
+  // Null when there is none. The pointers live as long as this object.
+  const Contract* FindContract(const base::ContractId& id) const;
+  // `key_hash` is the lower-case hexadecimal SHA-256 of a caller key.
+  const Contract* FindContractByKeyHash(const std::string& key_hash) const;
+  const ServiceSpec* FindService(const base::ServiceName& name) const;
+
+  // The contract's intent for a model, or for a plain service.
+  static const Intent* FindModel(const Contract& contract,
+                                 const base::ModelName& model);
+  static const Intent* FindPlain(const Contract& contract,
+                                 const base::ServiceName& service);
+
+  // Whether any contract serves that model.
+  bool KnowsModel(const base::ModelName& model) const;
+
+ private:
+  Configuration configuration_;
+  // Values are keys of configuration_.contracts; ids, not pointers, so that a
+  // copy of this object stays sound.
+  std::unordered_map<std::string, base::ContractId> contract_by_key_hash_;
+  std::unordered_map<base::ModelName, int> contracts_by_model_;
+};
+
+}  // namespace lynxglade::version
+
+#endif  // LYNXGLADE_VERSION_SERVING_CONFIGURATION_H_
