Settings: use the router's policy type

Cause: the router's header names its policies RoutePolicy. Change: settings.h and settings.cc take that name. Conclusion: one name for one thing.

--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -128,7 +128,7 @@
 
 std::optional<std::string> ReadRoutingPolicy(Settings& settings,
                                              const std::string& text) {
-  if (!request::ParseRoutingPolicy(text, &settings.routing_policy)) {
+  if (!request::ParseRoutePolicy(text, &settings.routing_policy)) {
     return "default, random, round-robin, least-reported or no-affinity";
   }
   return std::nullopt;
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -38,7 +38,7 @@
   // Key of the operator who may act while none is configured; may be empty.
   std::string bootstrap_operator_key;
   base::LogLevel log_level = base::LogLevel::kInfo;
-  request::RoutingPolicy routing_policy = request::RoutingPolicy::kDefault;
+  request::RoutePolicy routing_policy = request::RoutePolicy::kDefault;
   std::size_t max_connections = 1200;
   base::Duration default_deadline = std::chrono::seconds(60);
   base::Duration lease_ttl = std::chrono::seconds(10);
