Retry budget: rename AttemptKind to ExtraAttempt

Cause: request/attempt.h has an AttemptKind of another meaning, and the daemon includes both. Change: the budget's enum is ExtraAttempt (kRetry, kHedge). Measured: nothing to measure. Conclusion: both headers can be included together.

--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -20,7 +20,7 @@
 
 namespace lynxglade::request {
 
-enum class AttemptKind { kRetry, kHedge };
+enum class ExtraAttempt { kRetry, kHedge };
 
 // Why there is no further attempt; each has a counter
 // lynxglade_retry_denials_total{reason=...}.
@@ -62,7 +62,7 @@
 
   // Pays for one more attempt at `target`. False: `*denial` says which bucket
   // is empty, and nothing was taken.
-  bool TryTake(AttemptKind kind,
+  bool TryTake(ExtraAttempt kind,
                const base::ContractId& contract,
                const base::TargetId& target,
                base::Time now,
