--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -83,6 +83,8 @@
   base::Tokens resume_from{0};
   // Time for the attempt as a whole, from the call on.
   base::Duration remaining{};
+  // Longest silence of the target before the attempt counts as timed out.
+  base::Duration silence{};
   // JSON object handed to the engine as kv_transfer_params; empty: none.
   std::string kv_transfer_params;
 };
@@ -147,8 +149,8 @@
 using RunAttempt =
     std::function<AttemptReport(const AttemptOrder&, const TokenSink&)>;
 
-// Tells a target to stop an attempt that is no longer wanted. Best effort;
-// blocks for a short bounded time.
+// Tells a target to stop an attempt that is no longer wanted. Best effort; must
+// not wait for the target.
 using CancelAttempt = std::function<void(const AttemptOrder&)>;
 
 }  // namespace lynxglade::request
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -69,8 +69,8 @@
 
 // An answer as it was delivered.
 struct Answer {
-  // Engines: the whole text, gathered also for streamed answers whose claim
-  // records it; otherwise empty when the caller streams.
+  // Engines: the whole text. Empty when the caller streams, except that a
+  // claimed request's text is kept for the record.
   std::string text;
   std::string finish_reason;
   Usage usage;
@@ -122,7 +122,7 @@
   CancelAttempt cancel;
   // Optional. Whether prefill and decode should go to separate engines.
   std::function<bool(const Request&)> wants_split;
-  // Both or neither. Without them non-idempotent requests are refused.
+  // Both or neither; without them non-idempotent requests are refused.
   std::function<ClaimVerdict(const Request&)> claim_begin;
   // `answer` is null unless the run was whole.
   std::function<void(const Claim&, base::Outcome, const Answer* answer)>
@@ -135,6 +135,14 @@
   int max_attempts = 6;
   // Reroutes after a target's own refusal that need no retry permission.
   int max_free_reroutes = 2;
+  // A target may stay silent for this share of the time that is left (but at
+  // least min_silence) before the request moves on. Non-idempotent requests
+  // wait for all of it, since they may not move on.
+  double silence_share = 0.5;
+  base::Duration min_silence = std::chrono::seconds(2);
+  // Answers of non-idempotent requests up to this size are recorded with the
+  // claim, so that a repeat gets the answer itself.
+  std::size_t max_recorded_bytes = 32u << 10;
 };
 
 // Where the caller's answer goes. Called on the thread of Serve(), except
@@ -162,7 +170,8 @@
   base::TargetId last_target;
 };
 
-// Thread-safe: Serve() is called on many threads at once. Holds no lock.
+// Thread-safe: Serve() is called on many threads at once. Holds no lock. Keeps
+// Target::own of the targets it uses up to date.
 class Relay {
  public:
   Relay(RelayHooks hooks, RelayLimits limits);
--- /dev/null
+++ b/src/request/relay_delivery.cc
@@ -0,0 +1,63 @@
+#include "request/relay_delivery.h"
+
+#include <utility>
+
+namespace lynxglade::request {
+
+RelayDelivery::RelayDelivery(const Request& request,
+                             const CallerSink& sink,
+                             const base::Clock& now,
+                             std::size_t max_recorded_bytes)
+    : request_(request),
+      sink_(sink),
+      now_(now),
+      max_recorded_bytes_(max_recorded_bytes) {}
+
+RelayDelivery::Verdict RelayDelivery::Accept(const TokenChunk& chunk) {
+  const base::Tokens end = chunk.offset + chunk.count;
+  if (chunk.count.value() > 0 && end <= offset_) {
+    return Verdict::kTaken;
+  }
+  if (chunk.offset != offset_ || chunk.count.value() < 0) {
+    return Verdict::kMisfit;
+  }
+  if (!first_token_ && chunk.count.value() > 0) {
+    first_token_ = now_() - request_.arrived;
+  }
+  Gather(chunk.text);
+  if (request_.stream && sink_.on_token) {
+    if (!sink_.on_token(chunk)) {
+      refused_by_caller_ = true;
+      return Verdict::kCallerGone;
+    }
+    streamed_ += chunk.count;
+  }
+  offset_ = end;
+  return Verdict::kTaken;
+}
+
+bool RelayDelivery::CallerGone() const {
+  return refused_by_caller_ || (sink_.gone && sink_.gone());
+}
+
+std::string RelayDelivery::TakeText() noexcept {
+  return std::exchange(text_, {});
+}
+
+void RelayDelivery::Gather(std::string_view text) {
+  if (!request_.stream) {
+    text_ += text;
+    return;
+  }
+  if (!request_.non_idempotent || text_too_long_) {
+    return;
+  }
+  if (text_.size() + text.size() > max_recorded_bytes_) {
+    text_too_long_ = true;
+    text_.clear();
+    return;
+  }
+  text_ += text;
+}
+
+}  // namespace lynxglade::request
--- /dev/null
+++ b/tests/request/relay_test.cc
@@ -0,0 +1,314 @@
+#include "request/relay.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "base/random.h"
+
+namespace lynxglade::request {
+namespace {
+
+using base::Outcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// What one fake attempt does, in the order in which a real one can fail.
+enum class Fault {
+  kNone,
+  kConnectFailed,
+  kDraining,
+  kOverloaded,
+  kHalfSent,
+  kResetBeforeRun,
+  kResetAfterRun,
+  kTruncated,
+  kTimeout,
+  kCrossed,
+  kOverlap,
+  kGap,
+  kShort,
+};
+constexpr int kFaults = static_cast<int>(Fault::kShort) + 1;
+
+constexpr int kAnswerTokens = 6;
+
+std::string TokenText(int n) {
+  return "t" + std::to_string(n) + " ";
+}
+
+std::string WholeText() {
+  std::string text;
+  for (int n = 0; n < kAnswerTokens; ++n) {
+    text += TokenText(n);
+  }
+  return text;
+}
+
+// Targets that follow a script of faults and keep a journal of what they ran.
+class FakeFleet {
+ public:
+  explicit FakeFleet(std::vector<Fault> script) : script_(std::move(script)) {}
+
+  AttemptReport Run(const AttemptOrder& order, const TokenSink& sink) {
+    const Fault fault =
+        next_ < script_.size() ? script_[next_++] : Fault::kNone;
+    now_ += milliseconds(10);
+    attempts_.push_back(order.target);
+    switch (fault) {
+      case Fault::kConnectFailed:
+        return End(AttemptEnd::kConnectFailed, Outcome::kNotRun);
+      case Fault::kDraining:
+        return Refuse(TargetRefusal::kDraining);
+      case Fault::kOverloaded:
+        return Refuse(TargetRefusal::kOverloaded);
+      case Fault::kHalfSent:
+        return End(AttemptEnd::kSendFailed, Outcome::kUnknown);
+      case Fault::kResetBeforeRun:
+        return End(AttemptEnd::kReset, Outcome::kUnknown);
+      default:
+        break;
+    }
+    ++runs_;
+    switch (fault) {
+      case Fault::kResetAfterRun:
+        return End(AttemptEnd::kReset, Outcome::kUnknown);
+      case Fault::kTimeout:
+        now_ += order.silence;
+        return End(AttemptEnd::kTimeout, Outcome::kUnknown);
+      case Fault::kCrossed:
+        return End(AttemptEnd::kCrossed, Outcome::kUnknown);
+      default:
+        return Stream(order, sink, fault);
+    }
+  }
+
+  base::Time now() const { return now_; }
+  void Sleep(base::Duration d) { now_ += d; }
+  int runs() const { return runs_; }
+  int cancels() const { return cancels_; }
+  void Cancel() { ++cancels_; }
+  const std::vector<base::TargetId>& attempts() const { return attempts_; }
+
+ private:
+  static AttemptReport End(AttemptEnd end, Outcome outcome) {
+    AttemptReport report;
+    report.end = end;
+    report.outcome = outcome;
+    return report;
+  }
+
+  static AttemptReport Refuse(TargetRefusal refusal) {
+    AttemptReport report = End(AttemptEnd::kRefused, Outcome::kNotRun);
+    report.refusal = refusal;
+    return report;
+  }
+
+  AttemptReport Stream(const AttemptOrder& order,
+                       const TokenSink& sink,
+                       Fault fault) {
+    const int from = static_cast<int>(order.resume_from.value());
+    int first = from;
+    if (fault == Fault::kOverlap) {
+      first = std::max(0, from - 1);
+    } else if (fault == Fault::kGap) {
+      first = from + 1;
+    }
+    const bool cut = fault == Fault::kTruncated || fault == Fault::kShort;
+    const int last = cut ? (from + kAnswerTokens) / 2 : kAnswerTokens;
+    for (int n = first; n < last; ++n) {
+      const std::string text = TokenText(n);
+      if (!sink.on_token(TokenChunk{.text = text,
+                                    .offset = base::Tokens(n),
+                                    .count = base::Tokens(1)})) {
+        return End(AttemptEnd::kCancelledByCaller, Outcome::kRan);
+      }
+    }
+    if (fault == Fault::kTruncated) {
+      return End(AttemptEnd::kTruncated, Outcome::kRan);
+    }
+    AttemptReport report = End(AttemptEnd::kWhole, Outcome::kRan);
+    report.finish_reason = "stop";
+    report.usage.completion = base::Tokens(kAnswerTokens);
+    return report;
+  }
+
+  std::vector<Fault> script_;
+  std::size_t next_ = 0;
+  base::Time now_{seconds(1000)};
+  int runs_ = 0;
+  int cancels_ = 0;
+  std::vector<base::TargetId> attempts_;
+};
+
+// A caller that checks the order of its tokens and may go away.
+struct FakeCaller {
+  std::string text;
+  std::int64_t next = 0;
+  bool in_sequence = true;
+  std::int64_t leaves_after = 1000;
+
+  CallerSink Sink() {
+    CallerSink sink;
+    sink.on_token = [this](const TokenChunk& chunk) {
+      if (next >= leaves_after) {
+        return false;
+      }
+      in_sequence = in_sequence && chunk.offset.value() == next;
+      next = chunk.offset.value() + chunk.count.value();
+      text += chunk.text;
+      return true;
+    };
+    return sink;
+  }
+};
+
+RelayHooks HooksFor(FakeFleet& fleet) {
+  RelayHooks hooks;
+  hooks.random = base::SeededRandom(1);
+  hooks.now = [&fleet] { return fleet.now(); };
+  hooks.pick = [](const PickQuery& query) {
+    PickResult pick;
+    Target target;
+    target.id = base::TargetId("e" + std::to_string(query.avoid.size()));
+    target.version = base::ModelVersion("v1");
+    pick.target = target;
+    return pick;
+  };
+  hooks.run = [&fleet](const AttemptOrder& order, const TokenSink& sink) {
+    return fleet.Run(order, sink);
+  };
+  hooks.sleep = [&fleet](base::Duration d, const auto&) {
+    fleet.Sleep(d);
+    return true;
+  };
+  hooks.allow_retry = [](const RetryQuery&) {
+    return RetryVerdict{.allowed = true,
+                        .backoff = milliseconds(5),
+                        .reason = RefusalReason::kRetryBudget,
+                        .retry_after = std::nullopt};
+  };
+  hooks.cancel = [&fleet](const AttemptOrder&) { fleet.Cancel(); };
+  return hooks;
+}
+
+Request MakeRequest(const FakeFleet& fleet) {
+  Request request;
+  request.id = base::RequestId("r1");
+  request.arrived = fleet.now();
+  request.deadline = fleet.now() + seconds(60);
+  request.stream = true;
+  return request;
+}
+
+rc::Gen<std::vector<Fault>> Scripts() {
+  return rc::gen::container<std::vector<Fault>>(rc::gen::map(
+      rc::gen::inRange(0, kFaults), [](int n) { return Fault{n}; }));
+}
+
+// Whatever goes wrong in between, a delivered answer is whole, a caller's
+// tokens come once and in order, and "not run" is true.
+RC_GTEST_PROP(RelayProperty, WholeOnceOrTruthfullyRefused, ()) {
+  FakeFleet fleet(*Scripts());
+  FakeCaller caller;
+  caller.leaves_after = *rc::gen::element<std::int64_t>(1000, 1000, 0, 3);
+  Request request = MakeRequest(fleet);
+  request.stream = *rc::gen::arbitrary<bool>();
+  const Relay relay(HooksFor(fleet), RelayLimits{});
+
+  const RelayResult result = relay.Serve(request, caller.Sink());
+
+  RC_ASSERT(caller.in_sequence);
+  RC_ASSERT(result.attempts <= RelayLimits{}.max_attempts);
+  if (!result.refusal) {
+    const std::string& got = request.stream ? caller.text : result.answer.text;
+    RC_ASSERT(got == WholeText());
+    return;
+  }
+  RC_ASSERT(result.refusal->outcome != Outcome::kNotRun || fleet.runs() == 0);
+  if (result.refusal->reason == RefusalReason::kCallerGone) {
+    RC_ASSERT(fleet.cancels() > 0);
+  }
+}
+
+TEST(RelayTest, ResumesOnAnotherTargetAtTheNextToken) {
+  FakeFleet fleet({Fault::kTruncated});
+  FakeCaller caller;
+  const Relay relay(HooksFor(fleet), RelayLimits{});
+
+  const RelayResult result = relay.Serve(MakeRequest(fleet), caller.Sink());
+
+  EXPECT_FALSE(result.refusal);
+  EXPECT_EQ(caller.text, WholeText());
+  ASSERT_EQ(fleet.attempts().size(), 2u);
+  EXPECT_NE(fleet.attempts()[0], fleet.attempts()[1]);
+}
+
+TEST(RelayTest, AnotherVersionDoesNotContinueAnAnswer) {
+  FakeFleet fleet({Fault::kTruncated});
+  FakeCaller caller;
+  RelayHooks hooks = HooksFor(fleet);
+  hooks.pick = [](const PickQuery& query) {
+    PickResult pick;
+    pick.target.emplace();
+    pick.target->version =
+        base::ModelVersion(query.avoid.empty() ? "v1" : "v2");
+    return pick;
+  };
+  const Relay relay(hooks, RelayLimits{});
+
+  const RelayResult result = relay.Serve(MakeRequest(fleet), caller.Sink());
+
+  ASSERT_TRUE(result.refusal);
+  EXPECT_EQ(result.refusal->reason, RefusalReason::kNoTarget);
+  EXPECT_EQ(result.refusal->outcome, Outcome::kRan);
+  EXPECT_EQ(fleet.attempts().size(), 1u);
+}
+
+TEST(RelayTest, StaleViewsRerouteWithoutPermissionOnlyTwice) {
+  FakeFleet fleet(
+      {Fault::kDraining, Fault::kDraining, Fault::kDraining, Fault::kDraining});
+  FakeCaller caller;
+  RelayHooks hooks = HooksFor(fleet);
+  hooks.allow_retry = [](const RetryQuery&) { return RetryVerdict{}; };
+  const Relay relay(hooks, RelayLimits{});
+
+  const RelayResult result = relay.Serve(MakeRequest(fleet), caller.Sink());
+
+  ASSERT_TRUE(result.refusal);
+  EXPECT_EQ(result.refusal->reason, RefusalReason::kRetryBudget);
+  EXPECT_EQ(result.refusal->outcome, Outcome::kNotRun);
+  EXPECT_EQ(result.attempts, 3);
+}
+
+// A backoff past the deadline is not waited for.
+TEST(RelayTest, GivesUpAtOnceWhenTheBackoffOutlastsTheDeadline) {
+  FakeFleet fleet({Fault::kConnectFailed});
+  FakeCaller caller;
+  RelayHooks hooks = HooksFor(fleet);
+  hooks.allow_retry = [](const RetryQuery&) {
+    RetryVerdict verdict;
+    verdict.allowed = true;
+    verdict.backoff = seconds(61);
+    return verdict;
+  };
+  const Request request = MakeRequest(fleet);
+  const Relay relay(hooks, RelayLimits{});
+
+  const RelayResult result = relay.Serve(request, caller.Sink());
+
+  ASSERT_TRUE(result.refusal);
+  EXPECT_EQ(result.refusal->outcome, Outcome::kNotRun);
+  EXPECT_LT(fleet.now() - request.arrived, seconds(1));
+}
+
+}  // namespace
+}  // namespace lynxglade::request
