Relay: rename its Admission to AdmissionVerdict

Cause: request/admission.h has a class Admission, and the daemon includes both. Change: the relay's struct says what it is, like ClaimVerdict. Measured: the library builds. Conclusion: both headers can be included together.

--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -42,7 +42,7 @@
 };
 
 // Leave to run, given by admission.
-struct Admission {
+struct AdmissionVerdict {
   // Set: not admitted.
   std::optional<Refusal> refusal;
   // Gives the place back; called once, with what the run really cost. May be
@@ -107,7 +107,7 @@
   std::function<RetryVerdict(const RetryQuery&)> allow_retry;
 
   // Optional. Blocks until the request may run or is refused.
-  std::function<Admission(const Request&)> admit;
+  std::function<AdmissionVerdict(const Request&)> admit;
   // Optional. Asked before every attempt.
   std::function<std::optional<Refusal>(const Request&)> check_quarantine;
   // Optional. The target's connection broke while it ran this content.
--- a/src/request/relay_run.h
+++ b/src/request/relay_run.h
@@ -69,7 +69,7 @@
   RelayResult result_;
   bool done_ = false;
   bool misfit_ = false;
-  Admission admission_;
+  AdmissionVerdict admission_;
   std::optional<Claim> claim_;
   base::Outcome outcome_ = base::Outcome::kNotRun;
   AttemptKind kind_ = AttemptKind::kWhole;
