--- /dev/null
+++ b/bench/load/journals.cc
@@ -0,0 +1,79 @@
+#include "load/journals.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <optional>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace lynxglade::bench {
+
+namespace {
+
+using nlohmann::json;
+
+std::optional<json> Fetch(const Endpoint& target) {
+  httplib::Client client(target.address, target.port);
+  client.set_connection_timeout(std::chrono::seconds(2));
+  client.set_read_timeout(std::chrono::seconds(10));
+  const httplib::Result answer = client.Get("/journal");
+  if (!answer || answer->status != 200) {
+    return std::nullopt;
+  }
+  json parsed = json::parse(answer->body, nullptr, /*allow_exceptions=*/false);
+  if (!parsed.is_object()) {
+    return std::nullopt;
+  }
+  return parsed;
+}
+
+// Adds one stand-in's runs to the count of runs of each request.
+void CountRuns(const json& journal, std::map<std::string, int>* runs) {
+  for (const json& run : journal.value("runs", json::array())) {
+    ++(*runs)[run.value("request_id", std::string())];
+  }
+}
+
+std::uint64_t CountRoleChanges(const json& journal) {
+  const json orders = journal.value("orders", json::array());
+  return static_cast<std::uint64_t>(std::ranges::count_if(
+      orders,
+      [](const json& order) { return order.value("role_changed", false); }));
+}
+
+}  // namespace
+
+JournalFindings ReadJournals(const std::vector<Endpoint>& targets,
+                             const std::vector<TraceItem>& trace,
+                             const std::set<std::string>& not_run) {
+  JournalFindings findings;
+  std::map<std::string, int> runs;
+  for (const Endpoint& target : targets) {
+    const std::optional<json> journal = Fetch(target);
+    if (!journal) {
+      ++findings.unread;
+      continue;
+    }
+    ++findings.read;
+    CountRuns(*journal, &runs);
+    findings.role_changes += CountRoleChanges(*journal);
+  }
+  for (const auto& [id, n] : runs) {
+    findings.runs += static_cast<std::uint64_t>(n);
+  }
+  const auto runs_of = [&](const std::string& id) {
+    const auto it = runs.find(id);
+    return it == runs.end() ? 0 : it->second;
+  };
+  findings.non_idempotent_doubled = static_cast<std::uint64_t>(
+      std::ranges::count_if(trace, [&](const TraceItem& item) {
+        return item.non_idempotent && runs_of(item.id.str()) > 1;
+      }));
+  findings.untrue_not_run = static_cast<std::uint64_t>(std::ranges::count_if(
+      not_run, [&](const std::string& id) { return runs_of(id) > 0; }));
+  return findings;
+}
+
+}  // namespace lynxglade::bench
