Routing, ejection, retry budget and cost estimates

Cause: the relay needs a target for each attempt, and bounds on trying again. Change: target index built once per table; router by two draws on aged reports plus own sends, bounded prefix affinity, zones and split roles; ejector, retry budget and policy, cost estimator, in-flight counting. Conclusion: callers can be written against these headers.

--- /dev/null
+++ b/src/request/in_flight.cc
@@ -0,0 +1,50 @@
+#include "request/in_flight.h"
+
+#include <utility>
+
+namespace lynxglade::request {
+
+InFlight::InFlight(const Target& target, const Cost& cost, base::Time now)
+    : own_(target.own), left_(cost) {
+  own_->running.fetch_add(1, std::memory_order_relaxed);
+  own_->prefill_tokens.fetch_add(cost.prefill.value(),
+                                 std::memory_order_relaxed);
+  own_->decode_tokens.fetch_add(cost.decode.value(), std::memory_order_relaxed);
+  own_->history.Record(cost, now);
+}
+
+InFlight::~InFlight() {
+  Release();
+}
+
+InFlight& InFlight::operator=(InFlight&& other) noexcept {
+  if (this != &other) {
+    Release();
+    own_ = std::move(other.own_);
+    left_ = other.left_;
+  }
+  return *this;
+}
+
+void InFlight::PrefillDone() noexcept {
+  if (!own_) {
+    return;
+  }
+  own_->prefill_tokens.fetch_sub(left_.prefill.value(),
+                                 std::memory_order_relaxed);
+  left_.prefill = base::Tokens(0);
+}
+
+void InFlight::Release() noexcept {
+  if (!own_) {
+    return;
+  }
+  own_->running.fetch_sub(1, std::memory_order_relaxed);
+  own_->prefill_tokens.fetch_sub(left_.prefill.value(),
+                                 std::memory_order_relaxed);
+  own_->decode_tokens.fetch_sub(left_.decode.value(),
+                                std::memory_order_relaxed);
+  own_.reset();
+}
+
+}  // namespace lynxglade::request
--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -74,7 +74,7 @@
     base::Time filled{};
   };
 
-  Bucket MakeBucket(base::Time now) const noexcept;
+  Bucket& TouchProcess(base::Time now);
   void Fill(Bucket& bucket, double capacity, base::Time now) const noexcept;
   template <typename Map>
   Bucket& Touch(Map& buckets,
--- /dev/null
+++ b/src/request/router.cc
@@ -0,0 +1,525 @@
+#include "request/router.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "base/hash.h"
+#include "request/outlier_ejector.h"
+
+namespace lynxglade::request {
+
+namespace {
+
+// Draws before a full scan for a usable target.
+constexpr int kDraws = 3;
+
+constexpr std::array kAllPolicies = {
+    RoutePolicy::kDefault, RoutePolicy::kNoAffinity, RoutePolicy::kRandom,
+    RoutePolicy::kRoundRobin, RoutePolicy::kLeastReported};
+
+double Seconds(base::Duration d) noexcept {
+  return std::chrono::duration<double>(d).count();
+}
+
+base::Duration FromSeconds(double seconds) noexcept {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+Rates RatesOf(const Target& target) noexcept {
+  return {target.load.prefill_tokens_per_s, target.load.decode_tokens_per_s};
+}
+
+// Rendezvous weight of a target for a prefix.
+std::uint64_t HomeWeight(std::uint64_t prefix, std::uint64_t id_hash) noexcept {
+  std::uint64_t n = (prefix ^ id_hash) * 0xff51afd7ed558ccdu;
+  n ^= n >> 32;
+  n *= 0xc4ceb9fe1a85ec53u;
+  return n ^ (n >> 29);
+}
+
+// What this process has under way at the target that a report made at
+// `as_of` cannot hold yet.
+SentWork NotReported(const Target& target, base::Time now) noexcept {
+  const OwnLoad& own = *target.own;
+  const SentWork under_way{
+      std::max(0, own.running.load(std::memory_order_relaxed)),
+      {base::Tokens(std::max<std::int64_t>(
+           0, own.prefill_tokens.load(std::memory_order_relaxed))),
+       base::Tokens(std::max<std::int64_t>(
+           0, own.decode_tokens.load(std::memory_order_relaxed)))}};
+  if (under_way.requests == 0 ||
+      now - target.load.as_of >= SendHistory::kReach) {
+    return under_way;
+  }
+  const SentWork sent = own.history.SumSince(target.load.as_of, now);
+  return {std::min(under_way.requests, sent.requests),
+          {std::min(under_way.cost.prefill, sent.cost.prefill),
+           std::min(under_way.cost.decode, sent.cost.decode)}};
+}
+
+}  // namespace
+
+// A target with its estimate.
+struct Router::Candidate {
+  const Target* target = nullptr;
+  std::uint64_t id_hash = 0;
+  double wait = 0;
+  RouteReason reason = RouteReason::kSampled;
+};
+
+// One Pick in progress.
+struct Router::Search {
+  const RouteQuery& query;
+  const TargetIndex& index;
+  // Ejected targets count as usable: nothing else is left.
+  bool take_ejected = false;
+
+  bool IsUsable(const Target& target) const noexcept {
+    if (!take_ejected && OutlierEjector::IsEjected(target, query.now)) {
+      return false;
+    }
+    return std::ranges::find(query.excluded, target.id) == query.excluded.end();
+  }
+};
+
+Router::Router(RouterOptions options, base::RandomSource random)
+    : options_(options),
+      random_(std::move(random)),
+      prefixes_(options.prefix_entries) {}
+
+std::optional<RouteChoice> Router::Pick(const TargetIndex& index,
+                                        const RouteQuery& query,
+                                        RouteError* last_error) {
+  const TargetGroup* group =
+      index.Find(query.service, query.model, query.version);
+  if (group == nullptr) {
+    *last_error = index.HasService(query.service) ? RouteError::kUnknownModel
+                                                  : RouteError::kUnknownService;
+    return std::nullopt;
+  }
+  if (group->serving() == 0) {
+    *last_error = RouteError::kNoServingTarget;
+    return std::nullopt;
+  }
+  Search search{query, index, !options_.avoid_ejected};
+  std::optional<RouteChoice> choice = PickGroup(*group, search);
+  if (!choice && !search.take_ejected) {
+    search.take_ejected = true;
+    choice = PickGroup(*group, search);
+    if (choice) {
+      choice->reason = RouteReason::kAllEjected;
+    }
+  }
+  if (!choice) {
+    const bool any_left =
+        std::ranges::any_of(group->pools, [&search](const TargetPool& pool) {
+          return std::ranges::any_of(pool.members, [&search](const auto& it) {
+            return search.IsUsable(*it.target);
+          });
+        });
+    *last_error =
+        any_left ? RouteError::kRolesIncomplete : RouteError::kAllExcluded;
+    return std::nullopt;
+  }
+  if (query.prefix_hash != 0) {
+    prefixes_.Learn(query.prefix_hash, base::Hash64(choice->target->id.str()));
+  }
+  return choice;
+}
+
+void Router::LearnPrefix(std::uint64_t prefix, const base::TargetId& target) {
+  prefixes_.Learn(prefix, base::Hash64(target.str()));
+}
+
+void Router::ForgetPrefix(std::uint64_t prefix, const base::TargetId& target) {
+  prefixes_.Forget(prefix, base::Hash64(target.str()));
+}
+
+double Router::EstimateSeconds(const TargetPool& pool,
+                               const IndexedTarget& it,
+                               base::Time now) const noexcept {
+  const Target& target = *it.target;
+  double seconds = it.reported_seconds;
+  if (options_.age_reports) {
+    const double age = std::max(0.0, Seconds(now - target.load.as_of));
+    const double trust = std::exp(-age / Seconds(options_.report_trust));
+    seconds = pool.mean_seconds + (seconds - pool.mean_seconds) * trust;
+  }
+  if (options_.add_own_sends) {
+    const SentWork sent = NotReported(target, now);
+    const Rates rates = RatesOf(target);
+    const bool counts_tokens =
+        rates.prefill_tokens_per_s > 0 || rates.decode_tokens_per_s > 0;
+    seconds += counts_tokens ? WorkSeconds(sent.cost, rates)
+                             : sent.requests * pool.unit_seconds;
+  }
+  return seconds;
+}
+
+Router::Candidate Router::Judge(const TargetPool& pool,
+                                const IndexedTarget& it,
+                                RouteReason reason,
+                                base::Time now) const noexcept {
+  return {it.target, it.id_hash, EstimateSeconds(pool, it, now), reason};
+}
+
+std::optional<RouteChoice> Router::PickGroup(const TargetGroup& group,
+                                             const Search& search) {
+  if (options_.policy != RoutePolicy::kDefault &&
+      options_.policy != RoutePolicy::kNoAffinity) {
+    return PickBaseline(group, search);
+  }
+  return PickWhole(group, search);
+}
+
+std::optional<RouteChoice> Router::PickWhole(const TargetGroup& group,
+                                             const Search& search) const {
+  const auto single = [](const Candidate& it) {
+    return RouteChoice{it.target, nullptr, it.reason, FromSeconds(it.wait)};
+  };
+  const TargetPool& mixed = group.Pool(EngineRole::kMixed);
+  const TargetPool& prefill = group.Pool(EngineRole::kPrefill);
+  const TargetPool& decode = group.Pool(EngineRole::kDecode);
+  const TargetPool& plain = group.Pool(EngineRole::kPlain);
+  if (!plain.empty()) {
+    const auto it = PickFromPool(plain, search);
+    return it ? std::optional(single(*it)) : std::nullopt;
+  }
+  if (search.query.role != RoleWanted::kAny) {
+    const bool wants_prefill = search.query.role == RoleWanted::kPrefill;
+    const auto it = Better(wants_prefill ? prefill : decode, mixed, search);
+    if (it) {
+      return single(*it);
+    }
+  }
+  const auto whole = PickFromPool(mixed, search);
+  const bool may_split =
+      options_.split_roles && search.query.role == RoleWanted::kAny;
+  const auto first = may_split ? PickFromPool(prefill, search) : std::nullopt;
+  const auto second = first ? PickFromPool(decode, search) : std::nullopt;
+  const Cost& cost = search.query.cost;
+  if (first && second) {
+    const double transfer = Seconds(options_.kv_transfer_per_token) *
+                            static_cast<double>(cost.prefill.value());
+    const double split =
+        first->wait + WorkSeconds({cost.prefill, {}}, RatesOf(*first->target)) +
+        transfer + second->wait +
+        WorkSeconds({{}, cost.decode}, RatesOf(*second->target));
+    const double alone =
+        whole ? whole->wait + WorkSeconds(cost, RatesOf(*whole->target)) : 0;
+    if (!whole || split < alone) {
+      return RouteChoice{first->target, second->target, first->reason,
+                         FromSeconds(first->wait)};
+    }
+  }
+  if (whole) {
+    return single(*whole);
+  }
+  if (!options_.whole_on_any_role) {
+    return std::nullopt;
+  }
+  auto last = Better(decode, prefill, search);
+  if (!last) {
+    return std::nullopt;
+  }
+  last->reason = RouteReason::kRoleFallback;
+  return single(*last);
+}
+
+std::optional<Router::Candidate> Router::Better(const TargetPool& a,
+                                                const TargetPool& b,
+                                                const Search& search) const {
+  auto x = PickFromPool(a, search);
+  auto y = PickFromPool(b, search);
+  if (!x || (y && y->wait < x->wait)) {
+    return y;
+  }
+  return x;
+}
+
+std::optional<Router::Candidate> Router::PickFromPool(
+    const TargetPool& pool,
+    const Search& search) const {
+  if (pool.empty()) {
+    return std::nullopt;
+  }
+  if (!options_.zone_local) {
+    return PickInZones(pool, pool.zones, search);
+  }
+  const TargetPool::ZoneRange local = pool.FindZone(search.query.own_zone);
+  auto best = PickInZones(pool, std::span(&local, 1), search);
+  const double bound = Seconds(options_.zone_wait_bound);
+  if (best && best->wait <= bound) {
+    return best;
+  }
+  if (!best) {
+    // Nothing local: affinity holds over all the other zones.
+    auto other = PickInZones(pool, pool.zones, search);
+    if (other) {
+      other->reason = RouteReason::kOtherZone;
+    }
+    return other;
+  }
+  auto other = Sample(pool, local, search);
+  if (other && other->wait + Seconds(options_.zone_penalty) < best->wait) {
+    other->reason = RouteReason::kOtherZone;
+    return other;
+  }
+  return best;
+}
+
+std::optional<Router::Candidate> Router::PickInZones(
+    const TargetPool& pool,
+    std::span<const TargetPool::ZoneRange> zones,
+    const Search& search) const {
+  // One zone: skip what lies outside it. All zones: skip nothing.
+  std::optional<Candidate> sample;
+  if (zones.size() == 1) {
+    TargetPool::ZoneRange outside = zones.front();
+    std::swap(outside.begin, outside.end);
+    sample = Sample(pool, outside, search);
+  } else {
+    sample = Sample(pool, {}, search);
+  }
+  const bool affinity = options_.policy == RoutePolicy::kDefault;
+  if (!sample || !affinity || search.query.prefix_hash == 0) {
+    return sample;
+  }
+  const auto affine = Affine(pool, zones, search);
+  if (!affine) {
+    return sample;
+  }
+  const Rates rates = RatesOf(*affine->target);
+  const double saved =
+      options_.prefix_saving *
+      WorkSeconds({search.query.cost.prefill, base::Tokens(0)}, rates);
+  const double bound = Seconds(options_.affinity_slack) + saved;
+  return affine->wait <= sample->wait + bound ? affine : sample;
+}
+
+// Draws among the pool's members outside `skipped`; a range with begin behind
+// end stands for all that is not between end and begin.
+std::optional<Router::Candidate> Router::Sample(
+    const TargetPool& pool,
+    const TargetPool::ZoneRange& skipped,
+    const Search& search) const {
+  const bool inverse = skipped.begin > skipped.end;
+  const std::size_t size = pool.members.size();
+  const std::size_t n = inverse ? skipped.begin - skipped.end
+                                : size - (skipped.end - skipped.begin);
+  if (n == 0) {
+    return std::nullopt;
+  }
+  const auto member = [&](std::size_t i) -> const IndexedTarget& {
+    if (inverse) {
+      return pool.members[skipped.end + i];
+    }
+    return pool
+        .members[i < skipped.begin ? i : i + (skipped.end - skipped.begin)];
+  };
+  const auto draw = [&]() -> const IndexedTarget* {
+    for (int i = 0; i < kDraws; ++i) {
+      const auto& it = member(base::UniformBelow(random_, n));
+      if (search.IsUsable(*it.target)) {
+        return &it;
+      }
+    }
+    const std::size_t offset = base::UniformBelow(random_, n);
+    for (std::size_t i = 0; i < n; ++i) {
+      const auto& it = member((offset + i) % n);
+      if (search.IsUsable(*it.target)) {
+        return &it;
+      }
+    }
+    return nullptr;
+  };
+  const IndexedTarget* a = draw();
+  if (a == nullptr) {
+    return std::nullopt;
+  }
+  const base::Time now = search.query.now;
+  const Candidate first = Judge(pool, *a, RouteReason::kSampled, now);
+  const IndexedTarget* b = n > 1 ? draw() : a;
+  if (b == a) {
+    return first;
+  }
+  const Candidate second = Judge(pool, *b, RouteReason::kSampled, now);
+  return second.wait < first.wait ? second : first;
+}
+
+std::optional<Router::Candidate> Router::Affine(
+    const TargetPool& pool,
+    std::span<const TargetPool::ZoneRange> zones,
+    const Search& search) const {
+  const PrefixTargets recent = prefixes_.Find(search.query.prefix_hash);
+  std::optional<Candidate> best;
+  for (const std::uint64_t id_hash : recent) {
+    if (id_hash == 0) {
+      continue;
+    }
+    for (const auto& zone : zones) {
+      const auto begin =
+          pool.members.begin() + static_cast<std::ptrdiff_t>(zone.begin);
+      const auto end =
+          pool.members.begin() + static_cast<std::ptrdiff_t>(zone.end);
+      const auto it = std::ranges::lower_bound(begin, end, id_hash, {},
+                                               &IndexedTarget::id_hash);
+      if (it == end || it->id_hash != id_hash ||
+          !search.IsUsable(*it->target)) {
+        continue;
+      }
+      const Candidate found =
+          Judge(pool, *it, RouteReason::kPrefix, search.query.now);
+      if (!best || found.wait < best->wait) {
+        best = found;
+      }
+    }
+  }
+  return best ? best : Home(pool, zones, search);
+}
+
+std::optional<Router::Candidate> Router::Home(
+    const TargetPool& pool,
+    std::span<const TargetPool::ZoneRange> zones,
+    const Search& search) const {
+  const IndexedTarget* home = nullptr;
+  std::uint64_t most = 0;
+  for (const auto& zone : zones) {
+    for (std::size_t i = zone.begin; i < zone.end; ++i) {
+      const IndexedTarget& it = pool.members[i];
+      const std::uint64_t weight =
+          HomeWeight(search.query.prefix_hash, it.id_hash);
+      if (weight >= most && search.IsUsable(*it.target)) {
+        home = &it;
+        most = weight;
+      }
+    }
+  }
+  if (home == nullptr) {
+    return std::nullopt;
+  }
+  return Judge(pool, *home, RouteReason::kPrefixHome, search.query.now);
+}
+
+std::optional<RouteChoice> Router::PickBaseline(const TargetGroup& group,
+                                                const Search& search) {
+  const std::size_t n = group.serving();
+  const auto member = [&group](std::size_t i) -> const IndexedTarget& {
+    const auto pool = std::ranges::find_if(group.pools, [&i](const auto& it) {
+      if (i < it.members.size()) {
+        return true;
+      }
+      i -= it.members.size();
+      return false;
+    });
+    return pool->members[i];
+  };
+  const bool least = options_.policy == RoutePolicy::kLeastReported;
+  std::size_t start = 0;
+  if (options_.policy == RoutePolicy::kRandom) {
+    start = base::UniformBelow(random_, n);
+  } else if (options_.policy == RoutePolicy::kRoundRobin) {
+    start = turn_.fetch_add(1, std::memory_order_relaxed) % n;
+  }
+  const IndexedTarget* best = nullptr;
+  for (std::size_t i = 0; i < n; ++i) {
+    const IndexedTarget& it = member((start + i) % n);
+    if (!search.IsUsable(*it.target)) {
+      continue;
+    }
+    if (best == nullptr || it.reported_seconds < best->reported_seconds) {
+      best = &it;
+    }
+    if (!least) {
+      break;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return RouteChoice{best->target, nullptr, RouteReason::kBaseline,
+                     FromSeconds(best->reported_seconds)};
+}
+
+std::string_view ToString(RouteError error) noexcept {
+  switch (error) {
+    case RouteError::kUnknownService:
+      return "unknown_service";
+    case RouteError::kUnknownModel:
+      return "unknown_model";
+    case RouteError::kNoServingTarget:
+      return "no_serving_target";
+    case RouteError::kAllExcluded:
+      return "all_excluded";
+    case RouteError::kRolesIncomplete:
+      break;
+  }
+  return "roles_incomplete";
+}
+
+RefusalReason ToRefusalReason(RouteError error) noexcept {
+  switch (error) {
+    case RouteError::kUnknownService:
+      return RefusalReason::kUnknownService;
+    case RouteError::kUnknownModel:
+      return RefusalReason::kUnknownModel;
+    case RouteError::kAllExcluded:
+      return RefusalReason::kAttemptsExhausted;
+    case RouteError::kNoServingTarget:
+    case RouteError::kRolesIncomplete:
+      break;
+  }
+  return RefusalReason::kNoTarget;
+}
+
+std::string_view ToString(RoutePolicy policy) noexcept {
+  switch (policy) {
+    case RoutePolicy::kDefault:
+      return "default";
+    case RoutePolicy::kNoAffinity:
+      return "no_affinity";
+    case RoutePolicy::kRandom:
+      return "random";
+    case RoutePolicy::kRoundRobin:
+      return "round_robin";
+    case RoutePolicy::kLeastReported:
+      break;
+  }
+  return "least_reported";
+}
+
+bool ParseRoutePolicy(std::string_view text, RoutePolicy* policy) noexcept {
+  const auto it = std::ranges::find(kAllPolicies, text,
+                                    [](RoutePolicy p) { return ToString(p); });
+  if (it == kAllPolicies.end()) {
+    return false;
+  }
+  *policy = *it;
+  return true;
+}
+
+std::string_view ToString(RouteReason reason) noexcept {
+  switch (reason) {
+    case RouteReason::kSampled:
+      return "sampled";
+    case RouteReason::kPrefix:
+      return "prefix";
+    case RouteReason::kPrefixHome:
+      return "prefix_home";
+    case RouteReason::kOtherZone:
+      return "other_zone";
+    case RouteReason::kRoleFallback:
+      return "role_fallback";
+    case RouteReason::kAllEjected:
+      return "all_ejected";
+    case RouteReason::kBaseline:
+      break;
+  }
+  return "baseline";
+}
+
+}  // namespace lynxglade::request
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -103,7 +103,7 @@
   bool split_roles = true;
   bool avoid_ejected = true;
   // Time in which an old report loses 63% of its say.
-  base::Duration report_half_trust = std::chrono::seconds(2);
+  base::Duration report_trust = std::chrono::seconds(2);
   // Affinity gives way when the affine target's work ahead exceeds the
   // sample's by this plus `prefix_saving` of the request's prefill time.
   base::Duration affinity_slack = std::chrono::milliseconds(100);
@@ -114,6 +114,9 @@
   base::Duration zone_penalty = std::chrono::milliseconds(50);
   // Time to hand a prompt token's KV cache from a prefill to a decode engine.
   base::Duration kv_transfer_per_token = std::chrono::microseconds(5);
+  // Whether an engine of any role may run a whole request when no mixed one
+  // and no complete pair serves.
+  bool whole_on_any_role = true;
   // Prefixes remembered.
   std::size_t prefix_entries = 65536;
 };
@@ -138,7 +141,7 @@
 
   // Seconds of work ahead at a target, as this router judges it.
   double EstimateSeconds(const TargetPool& pool,
-                         const IndexedTarget& candidate,
+                         const IndexedTarget& it,
                          base::Time now) const noexcept;
 
   const RouterOptions& options() const noexcept { return options_; }
@@ -149,17 +152,32 @@
 
   std::optional<Candidate> PickFromPool(const TargetPool& pool,
                                         const Search& search) const;
-  std::optional<Candidate> SampleRange(const TargetPool& pool,
-                                       std::size_t begin,
-                                       std::size_t end,
-                                       const Search& search) const;
-  std::optional<Candidate> PickAffine(const TargetPool& pool,
-                                      const TargetPool::ZoneRange& range,
-                                      const Search& search) const;
-  std::optional<Candidate> PickBaseline(const TargetGroup& group,
-                                        const Search& search);
+  std::optional<Candidate> PickInZones(
+      const TargetPool& pool,
+      std::span<const TargetPool::ZoneRange> zones,
+      const Search& search) const;
+  std::optional<Candidate> Sample(const TargetPool& pool,
+                                  const TargetPool::ZoneRange& skipped,
+                                  const Search& search) const;
+  std::optional<Candidate> Affine(const TargetPool& pool,
+                                  std::span<const TargetPool::ZoneRange> zones,
+                                  const Search& search) const;
+  std::optional<Candidate> Home(const TargetPool& pool,
+                                std::span<const TargetPool::ZoneRange> zones,
+                                const Search& search) const;
+  std::optional<Candidate> Better(const TargetPool& a,
+                                  const TargetPool& b,
+                                  const Search& search) const;
   std::optional<RouteChoice> PickWhole(const TargetGroup& group,
                                        const Search& search) const;
+  std::optional<RouteChoice> PickGroup(const TargetGroup& group,
+                                       const Search& search);
+  std::optional<RouteChoice> PickBaseline(const TargetGroup& group,
+                                          const Search& search);
+  Candidate Judge(const TargetPool& pool,
+                  const IndexedTarget& it,
+                  RouteReason reason,
+                  base::Time now) const noexcept;
 
   const RouterOptions options_;
   const base::RandomSource random_;
--- a/src/request/target_index.h
+++ b/src/request/target_index.h
@@ -42,6 +42,8 @@
   std::vector<ZoneRange> zones;
   // Mean reported work ahead; what an old report is drawn towards.
   double mean_seconds = 0;
+  // Seconds a request takes at a target that reports no rates.
+  double unit_seconds = 0;
 
   bool empty() const noexcept { return members.empty(); }
   // The zone's members, an empty range when it has none.
