--- /dev/null
+++ b/src/process/target_registry.cc
@@ -0,0 +1,196 @@
+#include "process/target_registry.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "base/bounded_json.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using request::TargetState;
+
+constexpr int kMaxViewDepth = 4;
+
+// The state that a view item's body names; nothing when it is malformed.
+std::optional<TargetState> ReadState(const nlohmann::json& body) {
+  const auto it = body.find("state");
+  if (it == body.end() || !it->is_string()) {
+    return std::nullopt;
+  }
+  const auto& text = it->get_ref<const std::string&>();
+  for (TargetState state :
+       {TargetState::kServing, TargetState::kDraining, TargetState::kLeaving,
+        TargetState::kChanging, TargetState::kEjected}) {
+    if (text == request::ToString(state)) {
+      return state;
+    }
+  }
+  return std::nullopt;
+}
+
+void CopyRow(const TargetRow& row, request::Target& target) {
+  target.id = row.id;
+  target.service = row.service;
+  target.zone = row.zone;
+  target.address = row.address;
+  target.port = row.port;
+  target.fenced = row.fenced;
+  if (!row.engine) {
+    target.role = request::EngineRole::kPlain;
+  }
+}
+
+}  // namespace
+
+TargetRegistry::TargetRegistry()
+    : index_(std::make_shared<const request::TargetIndex>()) {}
+
+// --- What comes in ----------------------------------------------------------
+
+void TargetRegistry::SetRows(const std::vector<TargetRow>& rows) {
+  std::lock_guard lock(mutex_);
+  std::set<base::TargetId> listed;
+  for (const TargetRow& row : rows) {
+    listed.insert(row.id);
+    Record& record = records_[row.id];
+    record.row = row;
+    CopyRow(row, record.target);
+    Refresh(record);
+  }
+  std::erase_if(records_,
+                [&](const auto& it) { return !listed.contains(it.first); });
+  PublishLocked();
+}
+
+bool TargetRegistry::OnLoad(const connection::LoadReport& report) {
+  std::lock_guard lock(mutex_);
+  const auto it = records_.find(report.target);
+  if (it == records_.end()) {
+    return false;
+  }
+  Record& record = it->second;
+  const bool restarted =
+      record.reported && record.incarnation != report.incarnation;
+  const bool older =
+      record.reported && !restarted && report.sequence <= record.sequence;
+  if (older) {
+    return false;
+  }
+  record.reported = true;
+  record.incarnation = report.incarnation;
+  record.sequence = report.sequence;
+  record.reported_draining = report.draining;
+  record.refused_as.reset();
+  record.target.load = report.load;
+  bool changed = false;
+  if (record.row.engine) {
+    changed = record.target.role != report.role ||
+              record.target.model != report.model ||
+              record.target.version != report.version;
+    record.target.role = report.role;
+    record.target.model = report.model;
+    record.target.version = report.version;
+  }
+  changed = Refresh(record) || changed;
+  dirty_ = true;
+  if (changed) {
+    PublishLocked();
+  }
+  return restarted;
+}
+
+void TargetRegistry::OnTargetView(const ViewItem& item) {
+  const auto body = base::ParseBoundedJson(item.body, kMaxViewDepth);
+  const auto state =
+      body && body->is_object() ? ReadState(*body) : std::nullopt;
+  if (!state) {
+    return;
+  }
+  std::lock_guard lock(mutex_);
+  const auto it = records_.find(base::TargetId(item.key));
+  if (it == records_.end() || item.version <= it->second.view_version) {
+    return;
+  }
+  it->second.view_version = item.version;
+  it->second.viewed = *state;
+  it->second.refused_as.reset();
+  if (Refresh(it->second)) {
+    PublishLocked();
+  }
+}
+
+void TargetRegistry::OnRefusedAs(const base::TargetId& id, TargetState state) {
+  std::lock_guard lock(mutex_);
+  const auto it = records_.find(id);
+  if (it == records_.end()) {
+    return;
+  }
+  it->second.refused_as = state;
+  if (Refresh(it->second)) {
+    PublishLocked();
+  }
+}
+
+// --- What goes out ----------------------------------------------------------
+
+void TargetRegistry::Publish() {
+  std::lock_guard lock(mutex_);
+  if (dirty_) {
+    PublishLocked();
+  }
+}
+
+std::shared_ptr<const request::TargetIndex> TargetRegistry::Index() const {
+  return index_.load();
+}
+
+std::vector<TargetRow> TargetRegistry::Rows() const {
+  std::lock_guard lock(mutex_);
+  std::vector<TargetRow> rows;
+  rows.reserve(records_.size());
+  for (const auto& [id, record] : records_) {
+    rows.push_back(record.row);
+  }
+  return rows;
+}
+
+TargetState TargetRegistry::StateOf(const Record& record) noexcept {
+  if (record.row.leaving) {
+    return TargetState::kLeaving;
+  }
+  if (record.refused_as) {
+    return *record.refused_as;
+  }
+  if (record.viewed != TargetState::kServing) {
+    return record.viewed;
+  }
+  return record.reported_draining ? TargetState::kDraining
+                                  : TargetState::kServing;
+}
+
+bool TargetRegistry::Refresh(Record& record) noexcept {
+  const TargetState state = StateOf(record);
+  return std::exchange(record.target.state, state) != state;
+}
+
+void TargetRegistry::PublishLocked() {
+  auto table = std::make_shared<request::TargetTable>();
+  for (const auto& [id, record] : records_) {
+    // An engine that has not reported yet has no known model or role.
+    if (record.reported || !record.row.engine) {
+      table->targets.push_back(record.target);
+    }
+  }
+  std::ranges::sort(table->targets, {}, [](const request::Target& target) {
+    return std::pair(target.service, target.id);
+  });
+  index_.store(std::make_shared<const request::TargetIndex>(std::move(table)));
+  dirty_ = false;
+}
+
+}  // namespace lynxglade::process
