--- a/src/process/view_item.h
+++ b/src/process/view_item.h
@@ -23,7 +23,8 @@
   kLoad = 4,
   // The configuration's head revision. Key: "head".
   kConfigHead = 5,
-  // A configuration delta. Key: decimal revision.
+  // A configuration delta; version.epoch is its revision. Key: the revision
+  // modulo version::kPublishedDeltas, so that a store holds only the last ones.
   kConfigDelta = 6,
 };
 
--- a/src/version/configuration.h
+++ b/src/version/configuration.h
@@ -25,6 +25,8 @@
   double role_change_price = 1.0;
   // Whether the planner may change roles by itself.
   bool planner_enabled = false;
+
+  bool operator==(const ServiceSpec&) const = default;
 };
 
 // One standing intent of a contract on one service.
@@ -37,6 +39,8 @@
   // on a service sum to at most 1.
   double share = 0;
   int priority = 5;
+
+  bool operator==(const Intent&) const = default;
 };
 
 struct Contract {
@@ -46,6 +50,8 @@
   base::Duration default_deadline = std::chrono::seconds(60);
   // Lower-case hexadecimal SHA-256 of each caller key; empty: no key needed.
   std::vector<std::string> key_hashes;
+
+  bool operator==(const Contract&) const = default;
 };
 
 enum class OperatorRole { kReadOnly, kContract, kFleet };
@@ -57,6 +63,8 @@
   std::vector<base::ContractId> contracts;
   // SHA-256 of the operator's key.
   std::vector<std::string> key_hashes;
+
+  bool operator==(const Operator&) const = default;
 };
 
 struct Configuration {
@@ -65,6 +73,8 @@
   std::map<base::ServiceName, ServiceSpec> services;
   std::map<base::ContractId, Contract> contracts;
   std::map<base::OperatorId, Operator> operators;
+
+  bool operator==(const Configuration&) const = default;
 };
 
 }  // namespace lynxglade::version
