--- /dev/null
+++ b/tests/fakes/details/control_server.h
@@ -0,0 +1,46 @@
+// One port to control all the stand-ins of a process, up or down.
+#ifndef LYNXGLADE_FAKES_DETAILS_CONTROL_SERVER_H_
+#define LYNXGLADE_FAKES_DETAILS_CONTROL_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "fakes/details/http_server.h"
+
+namespace lynxglade::fakes {
+
+// A stand-in as its controller sees it.
+struct ControlledStandIn {
+  std::string id;
+  std::function<void(const nlohmann::json&)> apply_faults;
+  std::function<nlohmann::json()> journal;
+  // Its row of the instance list.
+  std::function<nlohmann::json()> row;
+};
+
+// POST /fault (member "id" picks one, absent: all), GET /journal, GET
+// /instances.
+class ControlServer {
+ public:
+  ControlServer(std::string address,
+                int port,
+                std::vector<ControlledStandIn> stand_ins);
+  // False when the port cannot be bound.
+  bool Start();
+  int port() const noexcept { return listener_.port(); }
+
+ private:
+  void AddRoutes(httplib::Server& server);
+  void ApplyFaults(const httplib::Request& req, httplib::Response& res);
+
+  std::vector<ControlledStandIn> stand_ins_;
+  HttpListener listener_;
+};
+
+}  // namespace lynxglade::fakes
+
+#endif  // LYNXGLADE_FAKES_DETAILS_CONTROL_SERVER_H_
--- /dev/null
+++ b/tests/fakes/engine_core.h
@@ -0,0 +1,171 @@
+// One stand-in engine without its sockets: scheduler, orders, faults, journal
+// and what it publishes, behind one lock.
+#ifndef LYNXGLADE_FAKES_ENGINE_CORE_H_
+#define LYNXGLADE_FAKES_ENGINE_CORE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "fakes/chat_wire.h"
+#include "fakes/engine_model.h"
+#include "fakes/engine_orders.h"
+#include "fakes/fault_switches.h"
+#include "fakes/kv_blocks.h"
+#include "fakes/run_journal.h"
+
+namespace lynxglade::fakes {
+
+struct EngineSettings {
+  std::string id;
+  EngineRates rates;
+  EngineLimits limits;
+  EngineOrders::Settings orders;
+  // How old a load report is when it is given out.
+  base::Duration load_lag{};
+  // The same for cache events, and the part of them that is lost.
+  base::Duration event_lag{};
+  double event_loss = 0;
+};
+
+// One request under way. Owned by its connection and by the engine.
+struct EngineSession {
+  RunId run;
+  RunIndex journal = 0;
+  std::string attempt_id;
+  base::Tokens cached{0};
+  // Where a fault ends the stream; counted from 0.
+  std::optional<std::int64_t> stop_at;
+  bool ended = false;
+  RunState how = RunState::kStarted;
+  std::condition_variable changed;
+};
+using SessionPtr = std::shared_ptr<EngineSession>;
+
+// A refusal word with its HTTP status.
+struct EngineRefusal {
+  int status = 503;
+  std::string code;
+};
+
+// Crash under way: how long the engine stays away, and what it leaves.
+struct CrashPlan {
+  base::Duration down{};
+  bool half_changed = false;
+};
+
+// Thread-safe.
+class EngineCore {
+ public:
+  EngineCore(EngineSettings settings,
+             base::Clock clock,
+             base::RandomSource random,
+             KvBlocks& blocks);
+  EngineCore(const EngineCore&) = delete;
+  EngineCore& operator=(const EngineCore&) = delete;
+
+  // Takes a request; on refusal returns null and fills `refusal`.
+  SessionPtr Begin(const ChatRequest& chat, EngineRefusal* refusal);
+  // Waits until the answer has more than `seen` tokens, has ended or `limit`
+  // has passed, and returns the tokens there are (counted from 0).
+  std::int64_t Await(EngineSession& session,
+                     std::int64_t seen,
+                     base::Duration limit);
+  bool Ended(const EngineSession& session, RunState* how) const;
+  void End(EngineSession& session, RunState how);
+  bool Cancel(const std::string& attempt_id);
+  // Exports the KV cache of a finished prefill.
+  nlohmann::json ExportKv(const ChatRequest& chat);
+
+  OrderVerdict Order(const EngineOrder& order);
+  // Makes the change under way last until `until` at least.
+  void DelayChange(base::Time until);
+  // What a change under way leads to, when it needs other weights.
+  std::optional<EngineSetup> WantedWeights() const;
+
+  // Does the work of the time since the last call; true while there is any.
+  bool Tick();
+  // The crash that is due, if any; the caller closes the sockets, then calls
+  // Crash().
+  std::optional<CrashPlan> TakeCrash();
+  void Crash(const CrashPlan& plan);
+
+  // Applies switches; members "crash", "crash_on_order" and "poison" are
+  // objects and texts of their own.
+  void ApplyFaults(const nlohmann::json& switches);
+  bool TakeFault(const std::string& name);
+  bool FaultOn(const std::string& name) const;
+  double FaultValue(const std::string& name) const;
+
+  nlohmann::json LoadJson() const;
+  nlohmann::json StateJson() const;
+  nlohmann::json EventsJson(std::int64_t since) const;
+  nlohmann::json FaultsJson() const;
+  nlohmann::json OrdersJson() const;
+  nlohmann::json RunsJson() const;
+  nlohmann::json RefusalsJson() const;
+  std::string Model() const;
+  const std::string& id() const noexcept { return settings_.id; }
+  bool fenced() const noexcept { return settings_.orders.fenced; }
+
+ private:
+  struct LoadReport {
+    base::Time at;
+    nlohmann::json body;
+  };
+  struct PublishedEvent {
+    base::Time at;
+    CacheEvent event;
+  };
+
+  std::optional<EngineRefusal> RefusalFor(const ChatRequest& chat);
+  void Watch(EngineSession& session);
+  void RequestCrash(const CrashPlan& plan);
+  void PublishLoad(base::Time now);
+  void PublishEvents(base::Time now);
+  void ResetPublished();
+  int InFlight() const;
+  std::int64_t WallMillisOf(base::Time at) const;
+  nlohmann::json LoadNow() const;
+  void EndLocked(EngineSession& session, RunState how);
+
+  const EngineSettings settings_;
+  const base::Clock clock_;
+  const base::RandomSource random_;
+  KvBlocks& blocks_;
+  // Wall time less clock time, for the journal.
+  const std::int64_t wall_offset_ms_;
+
+  mutable std::mutex mutex_;
+  EngineModel model_;
+  EngineOrders orders_;
+  FaultSwitches faults_;
+  RunJournal journal_;
+  std::map<RunId, SessionPtr> sessions_;
+  base::Time last_tick_;
+  std::string poison_;
+  CrashPlan poison_plan_;
+  std::optional<CrashPlan> order_crash_;
+  std::optional<base::Time> order_crash_at_;
+  base::Duration order_crash_after_{};
+  std::optional<CrashPlan> crash_;
+  bool crashed_ = false;
+  std::deque<LoadReport> loads_;
+  std::int64_t load_seq_ = 0;
+  std::deque<PublishedEvent> events_;
+  std::int64_t events_read_ = 0;
+};
+
+}  // namespace lynxglade::fakes
+
+#endif  // LYNXGLADE_FAKES_ENGINE_CORE_H_
--- /dev/null
+++ b/tests/fakes/engine_host.h
@@ -0,0 +1,76 @@
+// One stand-in engine with its listener and its scheduler thread.
+#ifndef LYNXGLADE_FAKES_ENGINE_HOST_H_
+#define LYNXGLADE_FAKES_ENGINE_HOST_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "fakes/engine_core.h"
+#include "fakes/kv_blocks.h"
+
+namespace lynxglade::fakes {
+
+class HttpListener;
+class WeightFetcher;
+
+struct EngineHostSettings {
+  EngineSettings engine;
+  std::string address = "127.0.0.1";
+  // 0 picks a free port.
+  int port = 0;
+  // How long a kept connection may wait for its next request.
+  base::Duration idle_timeout = std::chrono::seconds(60);
+  // "http://address:port" of the weight store; empty loads without one.
+  std::string weights_url;
+};
+
+// Thread-safe. Runs from Start() to destruction; a simulated crash closes the
+// listener and opens it again with a new incarnation.
+class EngineHost {
+ public:
+  EngineHost(EngineHostSettings settings,
+             base::RandomSource random,
+             KvBlocks& blocks);
+  ~EngineHost();
+  EngineHost(const EngineHost&) = delete;
+  EngineHost& operator=(const EngineHost&) = delete;
+
+  // False when the port cannot be bound.
+  bool Start();
+  // Applies fault switches, among them those of the listener.
+  void ApplyFaults(const nlohmann::json& switches);
+  // Everything the engine ran and was ordered.
+  nlohmann::json JournalJson() const;
+
+  EngineCore& core() noexcept { return core_; }
+  const EngineCore& core() const noexcept { return core_; }
+  const std::string& id() const noexcept { return core_.id(); }
+  int port() const;
+
+ private:
+  void Run();
+  void GoThroughCrash(const CrashPlan& plan);
+  // Sleeps, or returns early when the host stops.
+  void SleepFor(base::Duration d);
+
+  EngineHostSettings settings_;
+  EngineCore core_;
+  std::unique_ptr<HttpListener> listener_;
+  std::unique_ptr<WeightFetcher> weights_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace lynxglade::fakes
+
+#endif  // LYNXGLADE_FAKES_ENGINE_HOST_H_
