--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -28,14 +28,14 @@
   deposit(Touch(targets_, target, now), options_.capacity);
 }
 
-bool RetryBudget::TryTake(AttemptKind kind,
+bool RetryBudget::TryTake(ExtraAttempt kind,
                           const base::ContractId& contract,
                           const base::TargetId& target,
                           base::Time now,
                           RetryDenial* denial) {
   const std::scoped_lock lock(mutex_);
   const double need =
-      kOneAttempt + (kind == AttemptKind::kHedge ? options_.hedge_reserve : 0);
+      kOneAttempt + (kind == ExtraAttempt::kHedge ? options_.hedge_reserve : 0);
   Bucket& process = TouchProcess(now);
   if (process.tokens < need) {
     *denial = RetryDenial::kProcessBudget;
