--- /dev/null
+++ b/src/connection/engine_admin_codec.h
@@ -0,0 +1,27 @@
+// JSON forms of engine states and orders (docs/PROTOCOLS.md, "Orders"). Also
+// the form in which the order journal keeps a target state.
+#ifndef LYNXGLADE_CONNECTION_ENGINE_ADMIN_CODEC_H_
+#define LYNXGLADE_CONNECTION_ENGINE_ADMIN_CODEC_H_
+
+#include <optional>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "connection/engine_admin.h"
+
+namespace lynxglade::connection {
+
+nlohmann::json EncodeTargetState(const EngineTargetState& target);
+// Nothing on a missing member, a wrong type or an unknown role.
+std::optional<EngineTargetState> DecodeTargetState(const nlohmann::json& json);
+
+std::optional<EngineState> DecodeEngineState(const nlohmann::json& json);
+std::string EncodeOrder(const EngineOrder& order);
+// The answer to an order. Nothing when it is none of the protocol's.
+std::optional<OrderAnswer> DecodeOrderAnswer(int status,
+                                             const std::string& body);
+
+}  // namespace lynxglade::connection
+
+#endif  // LYNXGLADE_CONNECTION_ENGINE_ADMIN_CODEC_H_
--- a/src/process/control_system.h
+++ b/src/process/control_system.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 namespace caf {
+// The library's name. NOLINTNEXTLINE(readability-identifier-naming)
 class actor_system;
 }  // namespace caf
 
--- /dev/null
+++ b/src/process/lease_keeper.cc
@@ -0,0 +1,280 @@
+#include "process/lease_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace lynxglade::process {
+
+namespace {
+
+using Json = nlohmann::json;
+using connection::KvError;
+
+// Renewals a time to live; several may fail before the margin begins.
+constexpr int kRenewalsPerTtl = 6;
+// Looks a time to live at a lease that another instance holds.
+constexpr int kLooksPerTtl = 6;
+// A lease of the service that cannot be given back lapses by itself.
+constexpr int kMaxRevokeAttempts = 3;
+
+std::string EncodeLease(const base::InstanceId& holder,
+                        const std::string& mark) {
+  const Json json = {{"holder", holder.str()}, {"mark", mark}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string Member(const std::string& text, const char* name) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) {
+    return {};
+  }
+  const auto it = json.find(name);
+  const bool found = it != json.end() && it->is_string();
+  return found ? it->get<std::string>() : std::string();
+}
+
+}  // namespace
+
+std::string_view ToString(LeaseState state) noexcept {
+  switch (state) {
+    case LeaseState::kNone:
+      return "none";
+    case LeaseState::kAcquiring:
+      return "acquiring";
+    case LeaseState::kHeld:
+      return "held";
+    case LeaseState::kUncertain:
+      return "uncertain";
+    case LeaseState::kLost:
+      break;
+  }
+  return "lost";
+}
+
+LeaseKeeper::LeaseKeeper(LeaseSettings settings, base::RandomSource random)
+    : settings_(std::move(settings)), random_(std::move(random)) {}
+
+std::optional<LeaseCall> LeaseKeeper::Next(base::Time now) {
+  if (calling_) {
+    return std::nullopt;
+  }
+  if (revoke_lease_ && lease_.value() != 0) {
+    LeaseCall call = Start(LeaseCallKind::kRevoke, now);
+    call.lease = lease_;
+    return call;
+  }
+  if (state_ == LeaseState::kHeld ||
+      (state_ == LeaseState::kUncertain && !claim_unknown_)) {
+    return NextRenewal(now);
+  }
+  if (releasing_ && !claim_unknown_) {
+    return std::nullopt;
+  }
+  return NextClaim(now);
+}
+
+std::optional<LeaseCall> LeaseKeeper::NextRenewal(base::Time now) {
+  if (now >= expiry_) {
+    // The service may still have it, but this process can't know: once more.
+    state_ = LeaseState::kUncertain;
+  }
+  if (now < next_call_) {
+    return std::nullopt;
+  }
+  LeaseCall call = Start(LeaseCallKind::kKeepAlive, now);
+  call.lease = lease_;
+  return call;
+}
+
+std::optional<LeaseCall> LeaseKeeper::NextClaim(base::Time now) {
+  if (now < next_call_) {
+    return std::nullopt;
+  }
+  if (state_ == LeaseState::kAcquiring && lease_.value() != 0) {
+    mark_ = base::RandomHexId(random_);
+    LeaseCall call = Start(LeaseCallKind::kCreate, now);
+    call.lease = lease_;
+    call.value = EncodeLease(settings_.holder, mark_);
+    return call;
+  }
+  if (state_ == LeaseState::kAcquiring) {
+    return Start(LeaseCallKind::kGrant, now);
+  }
+  return Start(LeaseCallKind::kRead, now);
+}
+
+LeaseCall LeaseKeeper::Start(LeaseCallKind kind, base::Time now) {
+  calling_ = true;
+  call_sent_ = now;
+  LeaseCall call;
+  call.kind = kind;
+  return call;
+}
+
+void LeaseKeeper::OnRead(base::Time now,
+                         const std::optional<connection::KvRange>& range,
+                         KvError error) {
+  calling_ = false;
+  if (!range || error != KvError::kNone) {
+    next_call_ = now + Jittered(settings_.ttl / kLooksPerTtl);
+    return;
+  }
+  if (range->entries.empty()) {
+    holder_.reset();
+    if (claim_unknown_) {
+      // The create may yet arrive; without its lease it can't take effect.
+      Abandon(now, base::Duration::zero());
+    } else if (!releasing_) {
+      state_ = LeaseState::kAcquiring;
+    }
+    return;
+  }
+  const connection::KvEntry& entry = range->entries.front();
+  holder_ = LeaseHolder{base::InstanceId(Member(entry.value, "holder")),
+                        base::FencingToken(entry.create_revision.value())};
+  if (claim_unknown_ && Member(entry.value, "mark") == mark_) {
+    Adopt(now, entry.create_revision);
+    return;
+  }
+  Abandon(now, settings_.ttl / kLooksPerTtl);
+}
+
+void LeaseKeeper::OnGrant(base::Time now,
+                          const std::optional<connection::KvLeaseId>& lease,
+                          KvError error) {
+  calling_ = false;
+  if (!lease || error != KvError::kNone) {
+    // A lease that was granted without our hearing of it lapses unused.
+    Abandon(now, settings_.ttl / kLooksPerTtl);
+    return;
+  }
+  lease_ = *lease;
+  // The service counts from when it got the call, which is not before this.
+  granted_until_ = call_sent_ + settings_.ttl;
+  next_call_ = now;
+}
+
+void LeaseKeeper::OnCreate(base::Time now,
+                           const std::optional<connection::KvTxnResult>& result,
+                           KvError error) {
+  calling_ = false;
+  if (result && result->committed) {
+    Adopt(now, result->revision);
+    return;
+  }
+  if (result) {
+    Abandon(now, settings_.ttl / kLooksPerTtl);
+    return;
+  }
+  if (error == KvError::kAmbiguous || error == KvError::kBadAnswer) {
+    claim_unknown_ = true;
+    state_ = LeaseState::kUncertain;
+    next_call_ = now;
+    return;
+  }
+  Abandon(now, settings_.ttl / kLooksPerTtl);
+}
+
+void LeaseKeeper::OnKeepAlive(base::Time now,
+                              const std::optional<base::Duration>& left,
+                              KvError error) {
+  calling_ = false;
+  if (left && *left <= base::Duration::zero()) {
+    // Nothing is left to give back.
+    lease_ = connection::KvLeaseId(0);
+    Lose(now);
+    return;
+  }
+  if (left && error == KvError::kNone) {
+    state_ = LeaseState::kHeld;
+    // The service counts from when it got the call, which is not before it
+    // was sent; a shorter time to live that it tells goes before ours.
+    expiry_ = std::max(expiry_, call_sent_ + std::min(*left, settings_.ttl));
+    next_call_ = call_sent_ + settings_.ttl / kRenewalsPerTtl;
+    return;
+  }
+  state_ = now < OrderDeadline() ? LeaseState::kHeld : LeaseState::kUncertain;
+  next_call_ = now + Jittered(settings_.ttl / (2 * kRenewalsPerTtl));
+}
+
+void LeaseKeeper::OnRevoke(base::Time now, bool done) {
+  calling_ = false;
+  ++revoke_attempts_;
+  if (done || revoke_attempts_ >= kMaxRevokeAttempts) {
+    revoke_lease_ = false;
+    lease_ = connection::KvLeaseId(0);
+  }
+}
+
+void LeaseKeeper::OnGuardFailed(base::Time now) {
+  if (state_ == LeaseState::kHeld || state_ == LeaseState::kUncertain) {
+    Lose(now);
+  }
+}
+
+void LeaseKeeper::Release() {
+  if (releasing_) {
+    return;
+  }
+  releasing_ = true;
+  if (state_ == LeaseState::kHeld || state_ == LeaseState::kAcquiring ||
+      (state_ == LeaseState::kUncertain && !claim_unknown_)) {
+    state_ = LeaseState::kNone;
+  }
+  revoke_lease_ = lease_.value() != 0;
+  revoke_attempts_ = 0;
+  holder_.reset();
+}
+
+std::optional<base::FencingToken> LeaseKeeper::MayOrder(base::Time now) const {
+  if (state_ != LeaseState::kHeld || now >= OrderDeadline()) {
+    return std::nullopt;
+  }
+  return fence_;
+}
+
+base::Time LeaseKeeper::OrderDeadline() const {
+  return expiry_ - settings_.margin;
+}
+
+bool LeaseKeeper::released() const noexcept {
+  return releasing_ && !calling_ && !revoke_lease_;
+}
+
+void LeaseKeeper::Adopt(base::Time now, base::Revision create_revision) {
+  claim_unknown_ = false;
+  if (releasing_) {
+    revoke_lease_ = true;
+    state_ = LeaseState::kNone;
+    return;
+  }
+  state_ = LeaseState::kHeld;
+  fence_ = base::FencingToken(create_revision.value());
+  expiry_ = granted_until_;
+  held_since_ = now;
+  next_call_ = now;
+  holder_ = LeaseHolder{settings_.holder, fence_};
+}
+
+void LeaseKeeper::Abandon(base::Time now, base::Duration pause) {
+  claim_unknown_ = false;
+  state_ = LeaseState::kNone;
+  revoke_lease_ = lease_.value() != 0;
+  revoke_attempts_ = 0;
+  next_call_ = now + Jittered(pause);
+}
+
+void LeaseKeeper::Lose(base::Time now) {
+  expiry_ = {};
+  Abandon(now, settings_.ttl / kLooksPerTtl);
+  state_ = LeaseState::kLost;
+}
+
+base::Duration LeaseKeeper::Jittered(base::Duration d) const {
+  return std::chrono::duration_cast<base::Duration>(
+      d * (0.5 + base::UniformReal(random_) * 0.5));
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/process/load_pacer.cc
@@ -0,0 +1,26 @@
+#include "process/load_pacer.h"
+
+namespace lynxglade::process {
+
+void LoadPacer::SetRate(double loads_per_minute) noexcept {
+  loads_per_minute_ = loads_per_minute;
+}
+
+bool LoadPacer::Allows(base::Time now) const noexcept {
+  if (loads_per_minute_ <= 0) {
+    return false;
+  }
+  if (!taken_) {
+    return true;
+  }
+  const double elapsed_minutes =
+      std::chrono::duration<double, std::ratio<60>>(now - last_).count();
+  return elapsed_minutes * loads_per_minute_ >= 1.0;
+}
+
+void LoadPacer::Take(base::Time now) noexcept {
+  taken_ = true;
+  last_ = now;
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/process/order_executor.cc
@@ -0,0 +1,404 @@
+#include "process/order_executor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lynxglade::process {
+
+namespace {
+
+using connection::EnginePhase;
+using connection::EngineState;
+using connection::EngineTargetState;
+using connection::SameContent;
+
+OrderDecision Wait(WaitReason reason) {
+  OrderDecision decision;
+  decision.reason = reason;
+  return decision;
+}
+
+OrderDecision Take(OrderStep step) {
+  OrderDecision decision;
+  decision.step = step;
+  return decision;
+}
+
+OrderDecision WriteRecord(JournalRecord record) {
+  OrderDecision decision;
+  decision.step = OrderStep::kWriteRecord;
+  decision.record = std::move(record);
+  return decision;
+}
+
+bool ChangesContent(const EngineState& state,
+                    const EngineTargetState& target) noexcept {
+  return state.phase != EnginePhase::kReady ||
+         !SameContent(state.current, target);
+}
+
+// The engine has to be drained before it can take this target.
+bool NeedsDrainFirst(const EngineState& state,
+                     const EngineTargetState& target) noexcept {
+  return ChangesContent(state, target) && !state.current.draining &&
+         state.phase != EnginePhase::kHalfChanged;
+}
+
+// The decision for one situation, before its evidence is found too old.
+class Decider {
+ public:
+  Decider(const OrderSituation& situation, const ExecutorSettings& settings)
+      : in_(situation),
+        settings_(settings),
+        state_(situation.evidence->state) {}
+
+  OrderDecision Run() const {
+    if (in_.fenced && state_.fence > *in_.authority) {
+      return Wait(WaitReason::kFenceBehind);
+    }
+    if (state_.phase == EnginePhase::kChanging) {
+      return Wait(WaitReason::kChanging);
+    }
+    if (in_.record && IsOpen(in_.record->phase)) {
+      return Open();
+    }
+    return Closed();
+  }
+
+ private:
+  // An order is under way: ours, or one that an earlier holder left.
+  OrderDecision Open() const {
+    const JournalRecord& record = *in_.record;
+    if (Matches(state_, record.target) && Judgeable()) {
+      return Close(OrderPhase::kObserved);
+    }
+    if (SentByUs() && in_.sent->accepted &&
+        record.phase == OrderPhase::kIntended) {
+      JournalRecord next = Stamped(record);
+      next.phase = OrderPhase::kSent;
+      return WriteRecord(std::move(next));
+    }
+    if (NeedsDrainFirst(state_, record.target)) {
+      // It lost its drain, by a restart; start over with one.
+      return Judgeable() ? Close(OrderPhase::kFailed)
+                         : Take(OrderStep::kReadBack);
+    }
+    if (ChangesContent(state_, record.target) && state_.in_flight > 0) {
+      return Wait(WaitReason::kInFlight);
+    }
+    if (StoredButNotSent()) {
+      return SendRecord();
+    }
+    return Judgeable() ? Repeat() : Take(OrderStep::kReadBack);
+  }
+
+  // What the engine says was asked for after the last copy had left.
+  bool Judgeable() const {
+    return !in_.sent || in_.evidence->requested_at >= in_.sent->done_at;
+  }
+
+  bool SentByUs() const {
+    const JournalRecord& record = *in_.record;
+    return in_.sent && in_.sent->fence == record.fence &&
+           in_.sent->generation == record.generation &&
+           in_.sent->attempt == record.attempts;
+  }
+
+  bool StoredButNotSent() const {
+    const JournalRecord& record = *in_.record;
+    return record.fence == *in_.authority &&
+           record.phase == OrderPhase::kIntended && !SentByUs();
+  }
+
+  OrderDecision SendRecord() const {
+    OrderDecision decision = Take(OrderStep::kSend);
+    decision.record = in_.record;
+    decision.loads_weights = LoadsWeights(state_, in_.record->target);
+    if (decision.loads_weights && !in_.load_allowed) {
+      return Wait(WaitReason::kWeightStoreLimit);
+    }
+    return decision;
+  }
+
+  OrderDecision Repeat() const {
+    const JournalRecord& record = *in_.record;
+    if (record.attempts >= settings_.max_attempts) {
+      return Close(OrderPhase::kFailed);
+    }
+    if (in_.sent && in_.now < in_.sent->done_at + settings_.retry_pause) {
+      return Wait(WaitReason::kRetryPause);
+    }
+    JournalRecord next = Stamped(record);
+    next.phase = OrderPhase::kIntended;
+    ++next.attempts;
+    return WriteRecord(std::move(next));
+  }
+
+  OrderDecision Close(OrderPhase phase) const {
+    JournalRecord next = Stamped(*in_.record);
+    next.phase = phase;
+    if (phase == OrderPhase::kFailed) {
+      const bool same =
+          next.failed_content && SameContent(*next.failed_content, next.target);
+      next.failures = same ? next.failures + 1 : 1;
+      next.failed_content = next.target;
+      next.failed_incarnation = state_.incarnation;
+    } else if (next.failed_content &&
+               SameContent(*next.failed_content, next.target)) {
+      next.failures = 0;
+      next.failed_content.reset();
+    }
+    return WriteRecord(std::move(next));
+  }
+
+  // No order is under way.
+  OrderDecision Closed() const {
+    if (!in_.desired) {
+      return Wait(WaitReason::kNothingIntended);
+    }
+    const EngineTargetState next = NextTarget();
+    if (Matches(state_, next)) {
+      return Settled();
+    }
+    if (Isolated(next)) {
+      return Wait(WaitReason::kIsolated);
+    }
+    const bool replaces = ChangesContent(state_, *in_.desired);
+    if (replaces && !in_.permit_held) {
+      return ClaimPermit();
+    }
+    if (MustStayQuiet(next)) {
+      return Wait(WaitReason::kQuietTime);
+    }
+    if (ChangesContent(state_, next) && state_.in_flight > 0) {
+      return Wait(WaitReason::kInFlight);
+    }
+    return WriteRecord(NewRecord(next));
+  }
+
+  OrderDecision Settled() const {
+    if (in_.permit_held) {
+      return Take(OrderStep::kReleasePermit);
+    }
+    const bool raise = in_.fenced && in_.record &&
+                       in_.record->phase == OrderPhase::kObserved &&
+                       state_.fence < *in_.authority &&
+                       Matches(state_, in_.record->target) && !JustSent();
+    if (!raise) {
+      return Take(OrderStep::kDone);
+    }
+    OrderDecision decision = Take(OrderStep::kRaiseFence);
+    decision.record = in_.record;
+    return decision;
+  }
+
+  bool JustSent() const {
+    return in_.sent && in_.now < in_.sent->done_at + settings_.retry_pause;
+  }
+
+  // The next absolute state on the way to what is desired.
+  EngineTargetState NextTarget() const {
+    if (!ChangesContent(state_, *in_.desired)) {
+      return *in_.desired;
+    }
+    if (NeedsDrainFirst(state_, *in_.desired)) {
+      EngineTargetState drain = state_.current;
+      drain.draining = true;
+      return drain;
+    }
+    EngineTargetState change = *in_.desired;
+    change.draining = true;
+    return change;
+  }
+
+  bool Isolated(const EngineTargetState& next) const {
+    if (!in_.record || !in_.record->failed_content ||
+        in_.record->failed_incarnation != state_.incarnation) {
+      return false;
+    }
+    const JournalRecord& record = *in_.record;
+    const bool same_order = record.phase == OrderPhase::kFailed &&
+                            record.target == next &&
+                            record.attempts >= settings_.max_attempts;
+    const bool same_change = record.failures >= settings_.max_attempts &&
+                             SameContent(*record.failed_content, *in_.desired);
+    return same_order || same_change;
+  }
+
+  OrderDecision ClaimPermit() const {
+    const bool in_service =
+        state_.phase == EnginePhase::kReady && !state_.current.draining;
+    if (in_service && !in_.capacity_allows) {
+      return Wait(WaitReason::kCapacityFloor);
+    }
+    if (LoadsWeights(state_, *in_.desired) && !in_.load_allowed) {
+      return Wait(WaitReason::kWeightStoreLimit);
+    }
+    if (!in_.permit_free) {
+      return Wait(WaitReason::kPermit);
+    }
+    return Take(OrderStep::kTakePermit);
+  }
+
+  // The last order, or a copy of it, may arrive after a different one.
+  bool MustStayQuiet(const EngineTargetState& next) const {
+    const bool late_copy_matters =
+        !in_.fenced && in_.record && in_.record->target != next;
+    return late_copy_matters && (in_.now < in_.quiet_until ||
+                                 in_.evidence->requested_at < in_.quiet_until);
+  }
+
+  JournalRecord NewRecord(const EngineTargetState& target) const {
+    JournalRecord next = in_.record.value_or(JournalRecord());
+    const base::Generation last = std::max(next.generation, state_.generation);
+    next = Stamped(next);
+    next.generation = last + base::Generation(1);
+    next.target = target;
+    next.phase = OrderPhase::kIntended;
+    next.attempts = 1;
+    return next;
+  }
+
+  JournalRecord Stamped(JournalRecord record) const {
+    record.fence = *in_.authority;
+    record.holder = settings_.holder;
+    return record;
+  }
+
+  const OrderSituation& in_;
+  const ExecutorSettings& settings_;
+  const EngineState& state_;
+};
+
+bool IsAct(OrderStep step) {
+  return step == OrderStep::kWriteRecord || step == OrderStep::kSend ||
+         step == OrderStep::kTakePermit || step == OrderStep::kReleasePermit ||
+         step == OrderStep::kRaiseFence;
+}
+
+// Longest age at which evidence still carries this decision.
+base::Duration EvidenceBound(const OrderDecision& decision,
+                             const ExecutorSettings& settings) {
+  if (IsAct(decision.step)) {
+    return settings.evidence_max_age;
+  }
+  const bool idle = decision.step == OrderStep::kDone ||
+                    decision.reason == WaitReason::kNothingIntended ||
+                    decision.reason == WaitReason::kIsolated ||
+                    decision.reason == WaitReason::kPermit ||
+                    decision.reason == WaitReason::kCapacityFloor ||
+                    decision.reason == WaitReason::kWeightStoreLimit;
+  return idle ? settings.idle_interval : settings.busy_interval;
+}
+
+}  // namespace
+
+std::string_view ToString(OrderStep step) noexcept {
+  switch (step) {
+    case OrderStep::kWait:
+      return "wait";
+    case OrderStep::kDone:
+      return "done";
+    case OrderStep::kLoadJournal:
+      return "load_journal";
+    case OrderStep::kReadBack:
+      return "read_back";
+    case OrderStep::kTakePermit:
+      return "take_permit";
+    case OrderStep::kReleasePermit:
+      return "release_permit";
+    case OrderStep::kWriteRecord:
+      return "write_record";
+    case OrderStep::kSend:
+      return "send";
+    case OrderStep::kRaiseFence:
+      break;
+  }
+  return "raise_fence";
+}
+
+std::string_view ToString(WaitReason reason) noexcept {
+  switch (reason) {
+    case WaitReason::kNone:
+      return "none";
+    case WaitReason::kNoAuthority:
+      return "no_authority";
+    case WaitReason::kJournalUnreadable:
+      return "journal_unreadable";
+    case WaitReason::kFenceBehind:
+      return "fence_behind";
+    case WaitReason::kUnreachable:
+      return "unreachable";
+    case WaitReason::kChanging:
+      return "changing";
+    case WaitReason::kInFlight:
+      return "in_flight";
+    case WaitReason::kQuietTime:
+      return "quiet_time";
+    case WaitReason::kPermit:
+      return "permit";
+    case WaitReason::kCapacityFloor:
+      return "capacity_floor";
+    case WaitReason::kWeightStoreLimit:
+      return "weight_store_limit";
+    case WaitReason::kRetryPause:
+      return "retry_pause";
+    case WaitReason::kIsolated:
+      return "isolated";
+    case WaitReason::kNothingIntended:
+      break;
+  }
+  return "nothing_intended";
+}
+
+OrderDecision Decide(const OrderSituation& situation,
+                     const ExecutorSettings& settings) {
+  if (!situation.authority) {
+    return Wait(WaitReason::kNoAuthority);
+  }
+  if (!situation.journal_loaded) {
+    return situation.journal_unreadable ? Wait(WaitReason::kJournalUnreadable)
+                                        : Take(OrderStep::kLoadJournal);
+  }
+  if (situation.record && situation.record->fence > *situation.authority) {
+    return Wait(WaitReason::kFenceBehind);
+  }
+  if (situation.unreachable_since) {
+    const bool due =
+        situation.now >= situation.last_read_attempt + settings.busy_interval;
+    return due ? Take(OrderStep::kReadBack) : Wait(WaitReason::kUnreachable);
+  }
+  if (!situation.evidence) {
+    return Take(OrderStep::kReadBack);
+  }
+  OrderDecision decision = Decider(situation, settings).Run();
+  const base::Duration age = situation.now - situation.evidence->requested_at;
+  const bool too_old = age > EvidenceBound(decision, settings);
+  return too_old ? Take(OrderStep::kReadBack) : decision;
+}
+
+bool MayApply(const connection::EngineOrder& order,
+              const EngineState& state) noexcept {
+  if (state.phase == EnginePhase::kChanging || state.fence > order.fence) {
+    return false;
+  }
+  if (!ChangesContent(state, order.target)) {
+    return true;
+  }
+  return state.in_flight == 0 && !NeedsDrainFirst(state, order.target);
+}
+
+bool LoadsWeights(const EngineState& state,
+                  const EngineTargetState& target) noexcept {
+  const EngineTargetState& current = state.current;
+  return state.phase != EnginePhase::kReady || current.model != target.model ||
+         current.version != target.version ||
+         current.adapters != target.adapters;
+}
+
+bool Matches(const EngineState& state,
+             const EngineTargetState& target) noexcept {
+  return state.phase == EnginePhase::kReady && state.current == target;
+}
+
+}  // namespace lynxglade::process
