--- /dev/null
+++ b/src/main/lynxgladed.cc
@@ -0,0 +1,71 @@
+// The daemon: one entry instance.
+#include <pthread.h>
+#include <signal.h>
+
+#include <iostream>
+
+#include "base/log.h"
+#include "connection/http_limits.h"
+#include "main/daemon.h"
+#include "process/settings.h"
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitCannotStart = 1;
+constexpr int kExitBadSettings = 2;
+
+// A caller's stream holds a thread; the C library's default stack of 8 MB
+// would be reserved for each.
+void UseSmallThreadStacks() {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes,
+                            lynxglade::connection::kConnectionStackBytes);
+  pthread_setattr_default_np(&attributes);
+  pthread_attr_destroy(&attributes);
+}
+
+// Blocks the signals in this thread and all it starts, to wait for them.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using lynxglade::base::Log;
+  using lynxglade::base::LogLevel;
+
+  lynxglade::process::SettingsFault fault;
+  const auto settings = lynxglade::process::ParseSettings(argc, argv, &fault);
+  if (!settings) {
+    for (const std::string& line : fault.lines) {
+      std::cerr << "lynxgladed: " << line << "\n";
+    }
+    return fault.handled ? kExitOk : kExitBadSettings;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  const sigset_t stop_signals = BlockStopSignals();
+  UseSmallThreadStacks();
+  lynxglade::base::InitLog(settings->log_level, settings->instance.str());
+
+  lynxglade::Daemon daemon(*settings);
+  if (!daemon.Start()) {
+    Log(LogLevel::kError, "start_failed", {{"reason", daemon.last_reason()}});
+    std::cerr << "lynxgladed: " << daemon.last_reason() << "\n";
+    return kExitCannotStart;
+  }
+  Log(LogLevel::kInfo, "started", {{"zone", settings->zone.str()}});
+  int number = 0;
+  sigwait(&stop_signals, &number);
+  Log(LogLevel::kInfo, "stopping", {{"signal", number}});
+  daemon.Stop();
+  Log(LogLevel::kInfo, "stopped");
+  return kExitOk;
+}
--- a/src/process/load_poller.cc
+++ b/src/process/load_poller.cc
@@ -24,7 +24,7 @@
 void LoadPoller::Work(std::size_t worker) {
   while (true) {
     const base::Time start = base::BootClock::now();
-    const std::vector<TargetRow> rows = hooks_.targets();
+    const std::vector<ListedTarget> rows = hooks_.targets();
     for (std::size_t i = worker; i < rows.size(); i += options_.threads) {
       if (const auto report = hooks_.fetch(rows[i])) {
         hooks_.on_report(*report);
--- a/src/process/load_poller.h
+++ b/src/process/load_poller.h
@@ -24,9 +24,10 @@
 
 struct LoadPollerHooks {
   // The targets to ask, read anew each round.
-  std::function<std::vector<TargetRow>()> targets;
+  std::function<std::vector<ListedTarget>()> targets;
   // Asks one; blocks for a bounded time.
-  std::function<std::optional<connection::LoadReport>(const TargetRow&)> fetch;
+  std::function<std::optional<connection::LoadReport>(const ListedTarget&)>
+      fetch;
   // Gets each report, on a poller's thread.
   std::function<void(const connection::LoadReport&)> on_report;
 };
--- a/src/process/target_registry.cc
+++ b/src/process/target_registry.cc
@@ -1,6 +1,7 @@
 #include "process/target_registry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -33,14 +34,15 @@
   return std::nullopt;
 }
 
-void CopyRow(const TargetRow& row, request::Target& target) {
+void CopyRow(const ListedTarget& listed, request::Target& target) {
+  const connection::TargetRow& row = listed.row;
   target.id = row.id;
   target.service = row.service;
   target.zone = row.zone;
   target.address = row.address;
   target.port = row.port;
   target.fenced = row.fenced;
-  if (!row.engine) {
+  if (!listed.engine) {
     target.role = request::EngineRole::kPlain;
   }
 }
@@ -52,21 +54,30 @@
 
 // --- What comes in ----------------------------------------------------------
 
-void TargetRegistry::SetRows(const std::vector<TargetRow>& rows) {
+void TargetRegistry::SetRows(const connection::InstanceTable& list) {
   std::lock_guard lock(mutex_);
   std::set<base::TargetId> listed;
-  for (const TargetRow& row : rows) {
-    listed.insert(row.id);
-    Record& record = records_[row.id];
-    record.row = row;
-    CopyRow(row, record.target);
-    Refresh(record);
+  for (const auto* rows : {&list.engines, &list.plains}) {
+    std::ranges::transform(*rows, std::inserter(listed, listed.end()),
+                           &connection::TargetRow::id);
   }
   std::erase_if(records_,
                 [&](const auto& it) { return !listed.contains(it.first); });
+  TakeRows(list.engines, /*engines=*/true);
+  TakeRows(list.plains, /*engines=*/false);
   PublishLocked();
 }
 
+void TargetRegistry::TakeRows(const std::vector<connection::TargetRow>& rows,
+                              bool engines) {
+  for (const connection::TargetRow& row : rows) {
+    Record& record = records_[row.id];
+    record.listed = {row, engines};
+    CopyRow(record.listed, record.target);
+    Refresh(record);
+  }
+}
+
 bool TargetRegistry::OnLoad(const connection::LoadReport& report) {
   std::lock_guard lock(mutex_);
   const auto it = records_.find(report.target);
@@ -88,7 +99,7 @@
   record.refused_as.reset();
   record.target.load = report.load;
   bool changed = false;
-  if (record.row.engine) {
+  if (record.listed.engine) {
     changed = record.target.role != report.role ||
               record.target.model != report.model ||
               record.target.version != report.version;
@@ -149,18 +160,18 @@
   return index_.load();
 }
 
-std::vector<TargetRow> TargetRegistry::Rows() const {
+std::vector<ListedTarget> TargetRegistry::Rows() const {
   std::lock_guard lock(mutex_);
-  std::vector<TargetRow> rows;
+  std::vector<ListedTarget> rows;
   rows.reserve(records_.size());
   for (const auto& [id, record] : records_) {
-    rows.push_back(record.row);
+    rows.push_back(record.listed);
   }
   return rows;
 }
 
 TargetState TargetRegistry::StateOf(const Record& record) noexcept {
-  if (record.row.leaving) {
+  if (record.listed.row.leaving) {
     return TargetState::kLeaving;
   }
   if (record.refused_as) {
@@ -182,7 +193,7 @@
   auto table = std::make_shared<request::TargetTable>();
   for (const auto& [id, record] : records_) {
     // An engine that has not reported yet has no known model or role.
-    if (record.reported || !record.row.engine) {
+    if (record.reported || !record.listed.engine) {
       table->targets.push_back(record.target);
     }
   }
--- a/src/process/target_registry.h
+++ b/src/process/target_registry.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "connection/instance_list.h"
 #include "connection/load_report.h"
 #include "process/view_item.h"
 #include "request/target.h"
@@ -21,17 +22,10 @@
 namespace lynxglade::process {
 
 // A target as the platform's instance list has it.
-struct TargetRow {
-  base::TargetId id;
-  base::ServiceName service;
-  base::ZoneId zone;
-  std::string address;
-  int port = 0;
+struct ListedTarget {
+  connection::TargetRow row;
   // False for plain services.
   bool engine = true;
-  // Whether it refuses orders with an old fencing token.
-  bool fenced = false;
-  bool leaving = false;
 };
 
 // Thread-safe; a short lock a call, none for Index().
@@ -43,7 +37,7 @@
 
   // Takes the newest list: targets not in it are dropped at once; new ones are
   // added.
-  void SetRows(const std::vector<TargetRow>& rows);
+  void SetRows(const connection::InstanceTable& list);
   // Takes a report; an older one than is held is ignored. Returns whether the
   // target runs under another incarnation than before: it has crashed or was
   // restarted since.
@@ -61,11 +55,11 @@
 
   // What routing reads. Never null.
   std::shared_ptr<const request::TargetIndex> Index() const;
-  std::vector<TargetRow> Rows() const;
+  std::vector<ListedTarget> Rows() const;
 
  private:
   struct Record {
-    TargetRow row;
+    ListedTarget listed;
     request::Target target;
     std::string incarnation;
     std::uint64_t sequence = 0;
@@ -81,6 +75,7 @@
   // Updates the record's published state; true when it changed.
   static bool Refresh(Record& record) noexcept;
   void PublishLocked();
+  void TakeRows(const std::vector<connection::TargetRow>& rows, bool engines);
 
   mutable std::mutex mutex_;
   std::map<base::TargetId, Record> records_;
