Target client: attempts at engines and plain services over HTTP

Cause: the relay's attempts have to be carried out, and what a failure proves has to be decided where the bytes are seen. Change: TargetClient with kept connections, an event-stream reader that proves wholeness by ids, counts, usage and end marker, one watching thread for silence, deadlines and callers that left, and queued cancels. The request body goes out by a provider, so an overdue order is called off after connecting and before its first body byte. The relay counts its attempts with InFlight, passes the caller's leaving to admission and takes the cost estimate by a hook; the serving plane is wired to both.

--- /dev/null
+++ b/src/connection/target_client.cc
@@ -0,0 +1,183 @@
+#include "connection/target_client.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <csignal>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "connection/target_client_exchange.h"
+#include "connection/target_client_pool.h"
+#include "connection/target_client_watch.h"
+
+namespace lynxglade::connection {
+
+namespace {
+
+// A cancel that takes longer than this is worth nothing.
+constexpr base::Duration kCancelTimeout = std::chrono::milliseconds(500);
+
+// How much later than the watch the library's own time-out ends a read.
+constexpr base::Duration kWatchSlack = std::chrono::seconds(1);
+
+struct CancelItem {
+  std::string address;
+  int port = 0;
+  base::AttemptId attempt;
+};
+
+// Sends cancels one after the other on its own thread.
+class CancelSender {
+ public:
+  CancelSender(TargetConnectionPool& pool, std::size_t max_queued)
+      : pool_(pool), max_queued_(max_queued), thread_([this] { Loop(); }) {}
+  ~CancelSender() {
+    {
+      const std::lock_guard lock(mutex_);
+      ending_ = true;
+    }
+    wake_.notify_all();
+    thread_.join();
+  }
+  CancelSender(const CancelSender&) = delete;
+  CancelSender& operator=(const CancelSender&) = delete;
+
+  void Add(CancelItem item) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (queue_.size() >= max_queued_) {
+        return;
+      }
+      queue_.push_back(std::move(item));
+    }
+    wake_.notify_one();
+  }
+
+ private:
+  void Loop() {
+    while (std::optional<CancelItem> item = Next()) {
+      Send(*item);
+    }
+  }
+
+  // Blocks; nothing at the end.
+  std::optional<CancelItem> Next() {
+    std::unique_lock lock(mutex_);
+    wake_.wait(lock, [this] { return ending_ || !queue_.empty(); });
+    if (ending_) {
+      return std::nullopt;
+    }
+    CancelItem item = std::move(queue_.front());
+    queue_.pop_front();
+    return item;
+  }
+
+  void Send(const CancelItem& item) {
+    const auto client = pool_.Take(item.address, item.port, true);
+    client->set_connection_timeout(kCancelTimeout);
+    client->set_read_timeout(kCancelTimeout);
+    client->set_write_timeout(kCancelTimeout);
+    const nlohmann::json body = {{"attempt_id", item.attempt.str()}};
+    // Best effort: the closed connection cancels too.
+    client->Post("/v1/cancel", body.dump(), "application/json");
+  }
+
+  TargetConnectionPool& pool_;
+  const std::size_t max_queued_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool ending_ = false;
+  std::deque<CancelItem> queue_;
+  std::thread thread_;
+};
+
+request::AttemptReport Rejected(std::string message) {
+  request::AttemptReport report;
+  report.outcome = base::Outcome::kNotRun;
+  report.end = request::AttemptEnd::kRefused;
+  report.refusal = request::TargetRefusal::kBadRequest;
+  report.message = std::move(message);
+  return report;
+}
+
+}  // namespace
+
+struct TargetClient::Details {
+  Details(base::Clock c, const TargetClientOptions& o)
+      : clock(std::move(c)),
+        options(o),
+        pool(clock,
+             {.connect_timeout = o.connect_timeout,
+              .write_timeout = o.write_timeout,
+              .idle_timeout = o.idle_timeout,
+              .max_idle_per_target = o.max_idle_per_target}),
+        watch(clock, o.poll_period, [this] { pool.CloseIdle(); }),
+        cancels(pool, o.max_queued_cancels) {}
+
+  const base::Clock clock;
+  const TargetClientOptions options;
+  TargetConnectionPool pool;
+  AttemptWatch watch;
+  CancelSender cancels;
+};
+
+TargetClient::TargetClient(base::Clock clock, TargetClientOptions options) {
+  std::signal(SIGPIPE, SIG_IGN);
+  details_ = std::make_unique<Details>(std::move(clock), options);
+}
+
+TargetClient::~TargetClient() = default;
+
+request::AttemptReport TargetClient::Run(const request::AttemptOrder& order,
+                                         const request::TokenSink& sink) {
+  const bool plain = order.role == request::EngineRole::kPlain;
+  if (plain && !IsSendable(*order.request)) {
+    return Rejected("method, path or content type cannot be sent");
+  }
+  std::optional<std::string> body =
+      plain ? order.request->body : EngineBody(order);
+  if (!body) {
+    return Rejected("the body is no JSON object");
+  }
+  const std::size_t body_size = body->size();
+  TargetExchange exchange(order, sink, std::move(*body), details_->clock,
+                          details_->options.max_plain_body);
+  auto client = details_->pool.Take(order.address, order.port,
+                                    order.request->non_idempotent);
+  const base::Duration silence = order.silence > base::Duration::zero()
+                                     ? std::min(order.silence, order.remaining)
+                                     : order.remaining;
+  // A request without a body comes under watch with the answer's head only;
+  // until then the silence is bounded here. Otherwise the watch is sooner.
+  client->set_read_timeout(body_size == 0 ? silence : silence + kWatchSlack);
+  client->set_connection_timeout(
+      std::min(order.remaining, details_->options.connect_timeout));
+  const auto watched =
+      details_->watch.Add({.deadline = details_->clock() + order.remaining,
+                           .silence = silence,
+                           .cancelled = sink.cancelled,
+                           .stop = [&client] { client->stop(); }});
+  request::AttemptReport report = exchange.Perform(*client, *watched);
+  details_->watch.Remove(watched);
+  if (exchange.connection_clean()) {
+    details_->pool.Keep(order.address, order.port, std::move(client));
+  }
+  return report;
+}
+
+void TargetClient::Cancel(const request::AttemptOrder& order) {
+  if (order.role == request::EngineRole::kPlain) {
+    return;
+  }
+  details_->cancels.Add(
+      {.address = order.address, .port = order.port, .attempt = order.id});
+}
+
+}  // namespace lynxglade::connection
--- /dev/null
+++ b/src/connection/target_client_exchange.h
@@ -0,0 +1,94 @@
+// One HTTP exchange of an attempt, and what it proves. Private to
+// TargetClient; names library types, so it is included from .cc files only.
+#ifndef LYNXGLADE_CONNECTION_TARGET_CLIENT_EXCHANGE_H_
+#define LYNXGLADE_CONNECTION_TARGET_CLIENT_EXCHANGE_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <httplib.h>
+
+#include "base/time.h"
+#include "connection/target_client_stream.h"
+#include "connection/target_client_watch.h"
+#include "request/attempt.h"
+
+namespace lynxglade::connection {
+
+// The body that an engine gets: the request's own with the fields of the
+// attempt. Nothing when the request's body is no JSON object.
+std::optional<std::string> EngineBody(const request::AttemptOrder& order);
+
+// Whether method and path can stand in a request line as they are.
+bool IsSendable(const request::Request& request) noexcept;
+
+// Used once, on one thread.
+class TargetExchange {
+ public:
+  // All but `body` outlive this object.
+  TargetExchange(const request::AttemptOrder& order,
+                 const request::TokenSink& sink,
+                 std::string body,
+                 const base::Clock& clock,
+                 std::size_t max_plain_body);
+  TargetExchange(const TargetExchange&) = delete;
+  TargetExchange& operator=(const TargetExchange&) = delete;
+
+  // Sends the request and reads until the answer ended or broke. `watch` was
+  // made for this exchange.
+  request::AttemptReport Perform(httplib::Client& client,
+                                 WatchedAttempt& watch);
+
+  // Whether the connection may carry another request.
+  bool connection_clean() const noexcept { return connection_clean_; }
+
+ private:
+  // How far the exchange has come.
+  enum class Phase { kConnecting, kWriting, kWritten, kAnswering };
+
+  httplib::Request MakeRequest(WatchedAttempt& watch);
+  bool WriteBody(std::size_t offset,
+                 std::size_t size,
+                 httplib::DataSink& out,
+                 WatchedAttempt& watch);
+  bool TakeHead(const httplib::Response& head, WatchedAttempt& watch);
+  bool TakeBytes(std::string_view bytes, WatchedAttempt& watch);
+  bool IsPlain() const noexcept;
+  bool IsStreaming() const noexcept;
+
+  void Classify(httplib::Error error, StopReason stopped);
+  void ClassifyUnsent(httplib::Error error, StopReason stopped);
+  void ClassifyStream(bool complete, StopReason stopped);
+  void ClassifyBody(bool complete, StopReason stopped);
+  void ClassifyBroken(StopReason stopped);
+  // True when the body is the target's own word that it did not run this.
+  bool TakeRefusal();
+  void End(request::AttemptEnd end, base::Outcome outcome);
+
+  const request::AttemptOrder& order_;
+  const std::string body_;
+  const base::Clock& clock_;
+  const base::Time started_;
+  const std::size_t max_plain_body_;
+  request::TokenSink counted_sink_;
+  EngineStream stream_;
+
+  Phase phase_ = Phase::kConnecting;
+  bool overdue_ = false;
+  bool crossed_ = false;
+  bool body_too_large_ = false;
+  bool length_known_ = false;
+  int status_ = 0;
+  std::string content_type_;
+  std::string retry_after_;
+  // Answers that are no event stream.
+  std::string answer_;
+  bool connection_clean_ = false;
+  request::AttemptReport report_;
+};
+
+}  // namespace lynxglade::connection
+
+#endif  // LYNXGLADE_CONNECTION_TARGET_CLIENT_EXCHANGE_H_
--- /dev/null
+++ b/src/connection/target_client_pool.h
@@ -0,0 +1,67 @@
+// Kept connections to targets. Private to TargetClient; names library types,
+// so it is included from .cc files only.
+#ifndef LYNXGLADE_CONNECTION_TARGET_CLIENT_POOL_H_
+#define LYNXGLADE_CONNECTION_TARGET_CLIENT_POOL_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <httplib.h>
+
+#include "base/time.h"
+
+namespace lynxglade::connection {
+
+// Thread-safe. Hands each connection to one user at a time. Sockets are closed
+// outside the lock.
+class TargetConnectionPool {
+ public:
+  struct Options {
+    base::Duration connect_timeout{};
+    base::Duration write_timeout{};
+    base::Duration idle_timeout{};
+    std::size_t max_idle_per_target = 0;
+  };
+
+  TargetConnectionPool(base::Clock clock, Options options);
+  TargetConnectionPool(const TargetConnectionPool&) = delete;
+  TargetConnectionPool& operator=(const TargetConnectionPool&) = delete;
+
+  // A client for the address, connected already when a kept one is there and
+  // `fresh` is false. A kept one that was closed or has bytes waiting is thrown
+  // away.
+  std::unique_ptr<httplib::Client> Take(const std::string& address,
+                                        int port,
+                                        bool fresh);
+  // Keeps a connection on which an answer was read to its end.
+  void Keep(const std::string& address,
+            int port,
+            std::unique_ptr<httplib::Client> client);
+  // Closes what has been idle for too long.
+  void CloseIdle();
+
+ private:
+  using Endpoint = std::pair<std::string, int>;
+  struct Idle {
+    std::unique_ptr<httplib::Client> client;
+    base::Time since;
+  };
+
+  std::unique_ptr<httplib::Client> TakeIdle(const Endpoint& endpoint);
+  std::unique_ptr<httplib::Client> Make(const std::string& address,
+                                        int port) const;
+
+  const base::Clock clock_;
+  const Options options_;
+  std::mutex mutex_;
+  std::map<Endpoint, std::vector<Idle>> idle_;
+};
+
+}  // namespace lynxglade::connection
+
+#endif  // LYNXGLADE_CONNECTION_TARGET_CLIENT_POOL_H_
--- /dev/null
+++ b/src/connection/target_client_watch.cc
@@ -0,0 +1,118 @@
+#include "connection/target_client_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lynxglade::connection {
+
+namespace {
+
+// A target that sent something so recently is not silent, and its caller is
+// found gone by the next write.
+constexpr base::Duration kBriefSilence = std::chrono::milliseconds(100);
+
+}  // namespace
+
+WatchedAttempt::WatchedAttempt(Options options, base::Time now)
+    : options_(std::move(options)),
+      deadline_(options_.deadline),
+      last_sign_(now) {}
+
+void WatchedAttempt::Arm(base::Time now) noexcept {
+  last_sign_ = now;
+  armed_ = true;
+}
+
+void WatchedAttempt::Touch(base::Time now) noexcept {
+  last_sign_ = now;
+}
+
+void WatchedAttempt::EndBy(base::Time deadline) noexcept {
+  deadline_ = std::min(deadline, deadline_.load());
+}
+
+void WatchedAttempt::Retire() {
+  const std::lock_guard lock(stop_mutex_);
+  retired_ = true;
+}
+
+void WatchedAttempt::Check(base::Time now) {
+  if (!armed_ || reason_ != StopReason::kNone) {
+    return;
+  }
+  const StopReason due = Due(now);
+  if (due == StopReason::kNone) {
+    return;
+  }
+  // `stop` shuts a socket down, which does not wait for anything.
+  const std::lock_guard lock(stop_mutex_);
+  if (!retired_) {
+    reason_ = due;
+    options_.stop();
+  }
+}
+
+StopReason WatchedAttempt::Due(base::Time now) const {
+  if (now >= deadline_.load()) {
+    return StopReason::kDeadline;
+  }
+  const base::Duration silent = now - last_sign_.load();
+  if (silent >= options_.silence) {
+    return StopReason::kSilence;
+  }
+  const bool cancelled =
+      silent >= kBriefSilence && options_.cancelled && options_.cancelled();
+  return cancelled ? StopReason::kCancelled : StopReason::kNone;
+}
+
+AttemptWatch::AttemptWatch(base::Clock clock,
+                           base::Duration period,
+                           std::function<void()> on_tick)
+    : clock_(std::move(clock)),
+      period_(period),
+      on_tick_(std::move(on_tick)),
+      thread_([this] { Loop(); }) {}
+
+AttemptWatch::~AttemptWatch() {
+  {
+    const std::lock_guard lock(mutex_);
+    ending_ = true;
+  }
+  wake_.notify_all();
+  thread_.join();
+}
+
+std::shared_ptr<WatchedAttempt> AttemptWatch::Add(
+    WatchedAttempt::Options options) {
+  auto attempt = std::make_shared<WatchedAttempt>(std::move(options), clock_());
+  const std::lock_guard lock(mutex_);
+  attempts_.push_back(attempt);
+  return attempt;
+}
+
+void AttemptWatch::Remove(const std::shared_ptr<WatchedAttempt>& attempt) {
+  attempt->Retire();
+  const std::lock_guard lock(mutex_);
+  const auto it = std::ranges::find(attempts_, attempt);
+  if (it != attempts_.end()) {
+    std::swap(*it, attempts_.back());
+    attempts_.pop_back();
+  }
+}
+
+void AttemptWatch::Loop() {
+  std::unique_lock lock(mutex_);
+  while (!wake_.wait_for(lock, period_, [this] { return ending_; })) {
+    // The hooks are called without the lock.
+    const std::vector<std::shared_ptr<WatchedAttempt>> attempts = attempts_;
+    lock.unlock();
+    const base::Time now = clock_();
+    std::ranges::for_each(attempts, [now](const auto& a) { a->Check(now); });
+    if (on_tick_) {
+      on_tick_();
+    }
+    lock.lock();
+  }
+}
+
+}  // namespace lynxglade::connection
--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -136,7 +136,13 @@
   out.allow_retry = [this](const request::RetryQuery& query) {
     return AllowRetry(query);
   };
-  out.admit = [this](const Request& request) { return Admit(request); };
+  out.estimate_cost = [this](const Request& request) {
+    return costs_.Estimate(request);
+  };
+  out.admit = [this](const Request& request,
+                     const std::function<bool()>& gone) {
+    return Admit(request, gone);
+  };
   out.check_quarantine = [this](const Request& request) {
     return CheckQuarantine(request);
   };
@@ -225,12 +231,14 @@
   return choice && choice->decode != nullptr;
 }
 
-request::AdmissionVerdict ServingPlane::Admit(const Request& request) {
+request::AdmissionVerdict ServingPlane::Admit(
+    const Request& request,
+    const std::function<bool()>& gone) {
   const request::Cost cost = costs_.Estimate(request);
   AddDemand(request, cost);
   request::AdmissionVerdict verdict;
   Refusal refusal;
-  auto ticket = admission_.Admit(request, cost, &refusal);
+  auto ticket = admission_.Admit(request, cost, &refusal, gone);
   if (!ticket) {
     verdict.refusal = refusal;
     return verdict;
--- a/src/process/serving_plane.h
+++ b/src/process/serving_plane.h
@@ -101,7 +101,8 @@
 
   request::RelayHooks MakeRelayHooks(const ServingHooks& hooks);
   request::PickResult Pick(const request::PickQuery& query);
-  request::AdmissionVerdict Admit(const request::Request& request);
+  request::AdmissionVerdict Admit(const request::Request& request,
+                                  const std::function<bool()>& gone);
   std::optional<request::Refusal> CheckQuarantine(
       const request::Request& request);
   request::RetryVerdict AllowRetry(const request::RetryQuery& query);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -19,6 +19,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "request/attempt.h"
+#include "request/cost.h"
 #include "request/request.h"
 #include "request/target.h"
 
@@ -106,8 +107,14 @@
       sleep;
   std::function<RetryVerdict(const RetryQuery&)> allow_retry;
 
-  // Optional. Blocks until the request may run or is refused.
-  std::function<AdmissionVerdict(const Request&)> admit;
+  // Optional. What a run of the request is expected to cost; without it, the
+  // request's own bounds count.
+  std::function<Cost(const Request&)> estimate_cost;
+  // Optional. Blocks until the request may run or is refused; gives up once
+  // `gone` turns true.
+  std::function<AdmissionVerdict(const Request&,
+                                 const std::function<bool()>& gone)>
+      admit;
   // Optional. Asked before every attempt.
   std::function<std::optional<Refusal>(const Request&)> check_quarantine;
   // Optional. The target's connection broke while it ran this content.
--- a/src/request/relay_run.cc
+++ b/src/request/relay_run.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/units.h"
+#include "request/in_flight.h"
 
 namespace lynxglade::request {
 
@@ -11,39 +12,16 @@
 
 using base::Outcome;
 
-// Counts an attempt in the target's own load while it runs. The prompt counts
-// as prefill until the first token.
-class OwnLoadScope {
- public:
-  OwnLoadScope(const Target& target, const Request& request, AttemptKind kind)
-      : own_(*target.own),
-        prefill_(kind == AttemptKind::kDecode ? 0
-                                              : request.prompt_tokens.value()),
-        decode_(kind == AttemptKind::kPrefill
-                    ? 0
-                    : request.max_output_tokens.value()) {
-    own_.running.fetch_add(1, std::memory_order_relaxed);
-    own_.prefill_tokens.fetch_add(prefill_, std::memory_order_relaxed);
-    own_.decode_tokens.fetch_add(decode_, std::memory_order_relaxed);
-  }
-  ~OwnLoadScope() {
-    EndPrefill();
-    own_.decode_tokens.fetch_sub(decode_, std::memory_order_relaxed);
-    own_.running.fetch_sub(1, std::memory_order_relaxed);
-  }
-  OwnLoadScope(const OwnLoadScope&) = delete;
-  OwnLoadScope& operator=(const OwnLoadScope&) = delete;
-
-  void EndPrefill() noexcept {
-    own_.prefill_tokens.fetch_sub(std::exchange(prefill_, 0),
-                                  std::memory_order_relaxed);
-  }
-
- private:
-  OwnLoad& own_;
-  std::int64_t prefill_;
-  const std::int64_t decode_;
-};
+// What of the request's cost falls on a target that does only a part.
+Cost PartOf(const Cost& whole, AttemptKind kind) noexcept {
+  Cost part = whole;
+  if (kind == AttemptKind::kDecode) {
+    part.prefill = base::Tokens(0);
+  } else if (kind == AttemptKind::kPrefill) {
+    part.decode = base::Tokens(0);
+  }
+  return part;
+}
 
 // Whether an attempt with that end may go on upstream, so that a cancel helps.
 bool MayStillRun(AttemptEnd end) noexcept {
@@ -113,7 +91,7 @@
     return false;
   }
   if (hooks_.admit) {
-    admission_ = hooks_.admit(request_);
+    admission_ = hooks_.admit(request_, [this] { return Cancelled(); });
     if (admission_.refusal) {
       result_.refusal = admission_.refusal;
       return false;
@@ -241,14 +219,14 @@
   ++result_.attempts;
   result_.last_target = target.id;
   misfit_ = false;
-  OwnLoadScope own_load(target, request_, order.kind);
+  InFlight in_flight(target, PartOf(EstimateCost(), order.kind), hooks_.now());
   if (hooks_.on_attempt_start) {
     hooks_.on_attempt_start(target, order);
   }
   TokenSink sink;
   sink.cancelled = [this] { return delivery_.CallerGone(); };
   sink.on_token = [&](const TokenChunk& chunk) {
-    own_load.EndPrefill();
+    in_flight.PrefillDone();
     // A prefill engine's one token is produced again by the decode engine.
     if (order.kind == AttemptKind::kPrefill) {
       return true;
@@ -385,6 +363,12 @@
   done_ = true;
 }
 
+Cost RelayRun::EstimateCost() const {
+  return hooks_.estimate_cost ? hooks_.estimate_cost(request_)
+                              : Cost{.prefill = request_.prompt_tokens,
+                                     .decode = request_.max_output_tokens};
+}
+
 bool RelayRun::Cancelled() const {
   return delivery_.CallerGone();
 }
--- a/src/request/relay_run.h
+++ b/src/request/relay_run.h
@@ -10,6 +10,7 @@
 #include "base/outcome.h"
 #include "base/time.h"
 #include "request/attempt.h"
+#include "request/cost.h"
 #include "request/relay.h"
 #include "request/relay_delivery.h"
 #include "request/request.h"
@@ -59,6 +60,7 @@
   void GiveUp(RefusalReason reason,
               std::string message,
               std::optional<base::Duration> retry_after = std::nullopt);
+  Cost EstimateCost() const;
   bool Cancelled() const;
 
   const RelayHooks& hooks_;
--- /dev/null
+++ b/tests/connection/scripted_server.cc
@@ -0,0 +1,137 @@
+#include "connection/scripted_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <utility>
+
+namespace lynxglade::connection {
+
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kLength = "Content-Length: ";
+
+// Length of the whole request, or npos while its head is not complete.
+std::size_t RequestSize(const std::string& text) {
+  const std::size_t head = text.find(kHeadEnd);
+  if (head == std::string::npos) {
+    return std::string::npos;
+  }
+  const std::size_t at = text.find(kLength);
+  const std::size_t body =
+      at < head ? std::strtoul(text.c_str() + at + kLength.size(), nullptr, 10)
+                : 0;
+  return head + kHeadEnd.size() + body;
+}
+
+}  // namespace
+
+ScriptedServer::ScriptedServer(Handler handler) : handler_(std::move(handler)) {
+  listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (::bind(listener_, generic, size) != 0 || ::listen(listener_, 64) != 0 ||
+      ::getsockname(listener_, generic, &size) != 0) {
+    std::abort();
+  }
+  port_ = ntohs(address.sin_port);
+  acceptor_ = std::thread([this] { Accept(); });
+}
+
+ScriptedServer::~ScriptedServer() {
+  {
+    const std::lock_guard lock(mutex_);
+    ending_ = true;
+    std::ranges::for_each(fds_, [](int fd) { ::shutdown(fd, SHUT_RDWR); });
+  }
+  ::shutdown(listener_, SHUT_RDWR);
+  acceptor_.join();
+  std::ranges::for_each(talkers_, [](std::thread& t) { t.join(); });
+  std::ranges::for_each(fds_, [](int fd) { ::close(fd); });
+  ::close(listener_);
+}
+
+int ScriptedServer::connections() const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(fds_.size());
+}
+
+std::vector<std::string> ScriptedServer::requests() const {
+  const std::lock_guard lock(mutex_);
+  return requests_;
+}
+
+void ScriptedServer::Accept() {
+  while (true) {
+    const int fd = ::accept(listener_, nullptr, nullptr);
+    const std::lock_guard lock(mutex_);
+    if (fd < 0 || ending_) {
+      if (fd >= 0) {
+        ::close(fd);
+      }
+      return;
+    }
+    fds_.push_back(fd);
+    talkers_.emplace_back([this, fd] { Talk(fd); });
+  }
+}
+
+void ScriptedServer::Talk(int fd) {
+  std::string request;
+  while (ReadRequest(fd, &request)) {
+    {
+      const std::lock_guard lock(mutex_);
+      requests_.push_back(request);
+    }
+    const Reply reply = handler_(request);
+    if (!reply.bytes.empty()) {
+      ::send(fd, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
+    }
+    if (reply.then != Then::kKeep) {
+      End(fd, reply.then);
+      return;
+    }
+  }
+  ::shutdown(fd, SHUT_RDWR);
+}
+
+bool ScriptedServer::ReadRequest(int fd, std::string* request) {
+  request->clear();
+  std::array<char, 4096> buf{};
+  while (request->size() < RequestSize(*request)) {
+    const ssize_t n = ::recv(fd, buf.data(), buf.size(), 0);
+    if (n <= 0) {
+      return false;
+    }
+    request->append(buf.data(), static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
+void ScriptedServer::End(int fd, Then then) {
+  if (then == Then::kHang) {
+    // Until the peer closes.
+    char byte = 0;
+    while (::recv(fd, &byte, 1, 0) > 0) {
+    }
+  }
+  if (then == Then::kReset) {
+    // Dissolving the association sends a reset; the descriptor stays ours.
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    ::connect(fd, &none, sizeof(none));
+    return;
+  }
+  ::shutdown(fd, SHUT_RDWR);
+}
+
+}  // namespace lynxglade::connection
--- /dev/null
+++ b/tests/connection/scripted_server.h
@@ -0,0 +1,56 @@
+// A TCP server that answers HTTP requests with bytes written down in a test,
+// however broken.
+#ifndef LYNXGLADE_TESTS_CONNECTION_SCRIPTED_SERVER_H_
+#define LYNXGLADE_TESTS_CONNECTION_SCRIPTED_SERVER_H_
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lynxglade::connection {
+
+// Thread-safe. Listens on a free port of 127.0.0.1 from construction on.
+class ScriptedServer {
+ public:
+  // What happens on the connection after the bytes.
+  enum class Then { kKeep, kClose, kReset, kHang };
+  struct Reply {
+    std::string bytes;
+    Then then = Then::kKeep;
+  };
+  // Gets the whole request (head and body).
+  using Handler = std::function<Reply(const std::string& request)>;
+
+  explicit ScriptedServer(Handler handler);
+  ~ScriptedServer();
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  int port() const noexcept { return port_; }
+  int connections() const;
+  // Every request that came whole, in order of arrival.
+  std::vector<std::string> requests() const;
+
+ private:
+  void Accept();
+  void Talk(int fd);
+  // False when the peer has closed first.
+  static bool ReadRequest(int fd, std::string* request);
+  static void End(int fd, Then then);
+
+  const Handler handler_;
+  int listener_ = -1;
+  int port_ = 0;
+  mutable std::mutex mutex_;
+  bool ending_ = false;
+  std::vector<int> fds_;
+  std::vector<std::string> requests_;
+  std::vector<std::thread> talkers_;
+  std::thread acceptor_;
+};
+
+}  // namespace lynxglade::connection
+
+#endif  // LYNXGLADE_TESTS_CONNECTION_SCRIPTED_SERVER_H_
