--- /dev/null
+++ b/tests/fakes/token_bucket.h
@@ -0,0 +1,31 @@
+// A rate limit.
+#ifndef LYNXGLADE_FAKES_TOKEN_BUCKET_H_
+#define LYNXGLADE_FAKES_TOKEN_BUCKET_H_
+
+#include "base/time.h"
+
+namespace lynxglade::fakes {
+
+// Not thread-safe. Starts full.
+class TokenBucket {
+ public:
+  // `per_second` 0 means no limit; `burst` is the most that can be saved up.
+  TokenBucket(double per_second, double burst) noexcept;
+
+  bool Take(base::Time now) noexcept;
+  // How long until Take() would succeed; zero when it would now.
+  base::Duration TimeToNext(base::Time now) noexcept;
+  void set_rate(double per_second, double burst) noexcept;
+
+ private:
+  void Refill(base::Time now) noexcept;
+
+  double per_second_;
+  double burst_;
+  double tokens_;
+  base::Time last_{};
+};
+
+}  // namespace lynxglade::fakes
+
+#endif  // LYNXGLADE_FAKES_TOKEN_BUCKET_H_
