Admission, fair queue and quarantine

Cause: the relay needs a turn for each request, and a verdict on contents that crash their targets. Change: start-time fair queue with refusal by time and worth, a blocking wrapper with one condition variable per waiter, quarantine marks with their JSON form, joining of marks from other instances, release of those explained.

--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -99,7 +100,9 @@
   using Line = Ticket::Line;
 
   Line* FindLine(const base::ServiceName& service, bool make);
+  // Both need the line's lock.
   void Pump(Line& line);
+  static void Notify(Line& line, const std::vector<Dropped>& dropped);
   void Complete(Line& line, EntryId id, const std::optional<Cost>& actual);
 
   const FairQueueOptions options_;
--- a/src/request/fair_queue.h
+++ b/src/request/fair_queue.h
@@ -15,7 +15,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <unordered_map>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -85,15 +86,16 @@
                                  std::vector<Dropped>* dropped);
   // The next request to run, when one waits and concurrency allows.
   std::optional<EntryId> Dequeue(base::Time now);
-  // Drops what can no longer make its deadline. Call at NextExpiry() at the
-  // latest.
+  // Drops what can no longer make its deadline. Call before Dequeue, and at
+  // each waiting request's ExpiryOf.
   void Expire(base::Time now, std::vector<Dropped>* dropped);
   // The caller went away before the request ran.
   void Cancel(EntryId id);
   // A dequeued request ended, having cost `actual`; nullopt when not known.
   void Complete(EntryId id, const std::optional<Cost>& actual, base::Time now);
 
-  std::optional<base::Time> NextExpiry() const;
+  // When a waiting request will be dropped; nullopt when it does not wait.
+  std::optional<base::Time> ExpiryOf(EntryId id) const;
   std::size_t waiting() const noexcept { return entries_.size(); }
   int running() const noexcept { return static_cast<int>(running_.size()); }
   // Time until a request of that contract and priority would start.
@@ -104,51 +106,74 @@
 
  private:
   static constexpr int kPriorities = 10;
+
   struct Entry {
     QueueItem item;
     double work = 0;
+    base::Time expiry{};
+  };
+  // Waiting requests of one priority, in order of arrival.
+  struct Line {
+    std::set<EntryId> ids;
+    double work = 0;
   };
   struct Flow {
     double virtual_time = 0;
-    // Waiting, by urgency and order of arrival.
-    std::array<std::map<EntryId, Entry*>, kPriorities> lines;
-    std::array<double, kPriorities> line_work{};
+    std::array<Line, kPriorities> lines;
     std::size_t waiting = 0;
-    double waiting_work = 0;
+    int running = 0;
   };
   struct Running {
     base::ContractId contract;
     double work = 0;
     base::Time started{};
   };
+  // Work done while requests waited, to learn the capacity's real speed.
+  struct Busy {
+    std::optional<base::Time> since;
+    double work = 0;
+  };
 
+  static int LineOf(const QueueItem& item) noexcept;
   double ShareOf(const base::ContractId& contract) const;
+  // The contract's part of the speed, were it waiting too.
+  double SpeedOf(const base::ContractId& contract) const;
+  base::Duration RunTime(double work) const noexcept;
+  bool IsSaturated() const noexcept;
   Flow& TouchFlow(const base::ContractId& contract);
   void Remove(EntryId id);
   void Drop(EntryId id,
             RefusalReason reason,
             base::Duration retry_after,
             std::vector<Dropped>* dropped);
-  double RateOf(const base::ContractId& contract, bool joins) const;
-  base::Duration RunTime(double work) const noexcept;
+  Refusal MakeRefusal(RefusalReason reason, base::Duration retry_after) const;
   bool MakeRoom(const QueueItem& item,
                 double work,
                 std::vector<Dropped>* dropped);
   bool MakeTime(const QueueItem& item,
                 double work,
-                base::Time now,
+                base::Duration excess,
                 std::vector<Dropped>* dropped);
+  // Waiting requests of one line with less worth for their work, least first.
+  std::vector<EntryId> LessWorthy(const Line& line, double density) const;
+  double DensityOf(EntryId id) const;
+  void Learn(const Running& run, base::Time now);
 
   const FairQueueOptions options_;
   Capacity capacity_;
   std::map<base::ContractId, double> shares_;
   std::map<base::ContractId, Flow> flows_;
   std::map<EntryId, Entry> entries_;
-  std::unordered_map<std::uint64_t, Running> running_;
-  std::map<base::Time, std::map<EntryId, bool>> expiries_;
+  std::map<EntryId, Running> running_;
+  std::set<std::pair<base::Time, EntryId>> expiries_;
+  // Virtual time of the request that was given out last.
   double virtual_now_ = 0;
-  // Run time over work, learned; nullopt before the first measurement.
+  // Run time over work, and run time; learned.
   std::optional<double> run_ratio_;
+  double unit_run_s_;
+  // Work done a second while saturated; 1 if the rates are right.
+  double speed_ = 1;
+  Busy busy_;
   std::uint64_t next_id_ = 1;
 };
 
--- /dev/null
+++ b/src/request/quarantine.cc
@@ -0,0 +1,540 @@
+#include "request/quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lynxglade::request {
+
+namespace {
+
+constexpr base::Duration kSweepEvery = std::chrono::milliseconds(250);
+// Crashes of one target that are remembered.
+constexpr std::size_t kMaxCrashes = 32;
+
+bool Shares(const QuarantineMark& mark, const Evidence& evidence) {
+  return std::ranges::any_of(mark.evidence, [&evidence](const Evidence& it) {
+    return IsSameCrash(it, evidence);
+  });
+}
+
+}  // namespace
+
+Quarantine::Quarantine(QuarantineOptions options,
+                       base::InstanceId self,
+                       Publish publish)
+    : options_(options), self_(std::move(self)), publish_(std::move(publish)) {}
+
+bool Quarantine::IsQuarantined(ContentHash content, base::Time now) {
+  Outbox outbox;
+  bool is_quarantined = false;
+  {
+    const std::scoped_lock lock(mutex_);
+    Sweep(now, &outbox);
+    is_quarantined = Refresh(content, now) && marks_.at(content).quarantined;
+  }
+  Send(outbox);
+  return is_quarantined;
+}
+
+bool Quarantine::TryStart(ContentHash content,
+                          const base::TargetId& target,
+                          const base::AttemptId& attempt,
+                          base::Time now,
+                          QuarantineDenial* denial) {
+  Outbox outbox;
+  std::optional<QuarantineDenial> denied;
+  {
+    const std::scoped_lock lock(mutex_);
+    Sweep(now, &outbox);
+    const bool is_suspect = Refresh(content, now);
+    if (is_suspect) {
+      denied = Check(content, target, now);
+    }
+    if (!denied) {
+      runs_.insert_or_assign(attempt, Run{content, target, now, is_suspect});
+      if (is_suspect) {
+        Own(content, target, now, &outbox);
+      }
+    }
+  }
+  Send(outbox);
+  if (denied) {
+    *denial = *denied;
+  }
+  return !denied;
+}
+
+void Quarantine::OnDelivered(const base::AttemptId& attempt, base::Time now) {
+  Outbox outbox;
+  {
+    const std::scoped_lock lock(mutex_);
+    const auto run = EndRun(attempt, now, &outbox);
+    // Two crashes weigh more than one delivery: those marks only expire.
+    if (run && Refresh(run->content, now) &&
+        !marks_.at(run->content).quarantined) {
+      Clear(run->content, now, &outbox);
+    }
+  }
+  Send(outbox);
+}
+
+void Quarantine::OnEnded(const base::AttemptId& attempt, base::Time now) {
+  Outbox outbox;
+  {
+    const std::scoped_lock lock(mutex_);
+    EndRun(attempt, now, &outbox);
+  }
+  Send(outbox);
+}
+
+void Quarantine::OnLost(const base::AttemptId& attempt, base::Time now) {
+  Outbox outbox;
+  {
+    const std::scoped_lock lock(mutex_);
+    const auto run = EndRun(attempt, now, &outbox);
+    if (run) {
+      MakeRoom();
+      Crash& crash = CrashOf(run->target, run->started, now);
+      crash.contents.insert(run->content);
+      const auto shared = static_cast<int>(crash.contents.size());
+      for (const ContentHash it : crash.contents) {
+        for (Evidence& evidence : marks_[it].evidence) {
+          if (evidence.event == crash.event) {
+            evidence.shared = shared;
+          }
+        }
+      }
+      QuarantineMark& mark = marks_[run->content];
+      // Two attempts of one content in one crash are one crash.
+      if (std::ranges::find(mark.evidence, crash.event, &Evidence::event) ==
+          mark.evidence.end()) {
+        mark.evidence.push_back({crash.event, run->target, crash.at, shared,
+                                 crash.confirmed, false});
+      }
+      mark.owner = self_;
+      mark.owned_until = now + options_.own_rerun_for;
+      mark.expires = std::max(mark.expires, now + options_.suspect_for);
+      Judge(run->content, now);
+      Changed(run->content, now, &outbox);
+      Reconsider(now, &outbox);
+    }
+  }
+  Send(outbox);
+}
+
+void Quarantine::OnTargetCrashed(const base::TargetId& target, base::Time now) {
+  Outbox outbox;
+  {
+    const std::scoped_lock lock(mutex_);
+    auto& crashes = crashes_[target];
+    bool found = false;
+    for (Crash& it : crashes) {
+      if (now - it.at < options_.confirm_within) {
+        found = true;
+        Confirm(target, it, now, &outbox);
+      }
+    }
+    if (!found) {
+      Confirm(target, CrashOf(target, now, now), now, &outbox);
+    }
+    Reconsider(now, &outbox);
+  }
+  Send(outbox);
+}
+
+void Quarantine::OnTargetAlive(const base::TargetId& target, base::Time now) {
+  const std::scoped_lock lock(mutex_);
+  const auto crashes = crashes_.find(target);
+  if (crashes == crashes_.end()) {
+    return;
+  }
+  for (const Crash& crash : crashes->second) {
+    if (crash.confirmed) {
+      continue;
+    }
+    for (const ContentHash it : crash.contents) {
+      std::erase_if(marks_[it].evidence, [&crash](const Evidence& evidence) {
+        return evidence.event == crash.event;
+      });
+    }
+  }
+  std::erase_if(crashes->second, [](const Crash& it) { return !it.confirmed; });
+}
+
+bool Quarantine::Merge(const process::ViewItem& item, base::Time now) {
+  const auto decoded = DecodeMark(item);
+  if (!decoded) {
+    return false;
+  }
+  Outbox outbox;
+  bool changed = false;
+  {
+    const std::scoped_lock lock(mutex_);
+    const ContentHash content = decoded->content;
+    const bool is_new = !marks_.contains(content);
+    if (is_new) {
+      MakeRoom();
+    }
+    QuarantineMark& mark = marks_[content];
+    bool spread = false;
+    if (is_new) {
+      mark = decoded->mark;
+      changed = true;
+    } else {
+      changed = JoinMarks(decoded->mark, mark, &spread);
+    }
+    const bool was_quarantined = mark.quarantined;
+    Judge(content, now);
+    if (spread || mark.quarantined != was_quarantined) {
+      Changed(content, now, &outbox);
+    }
+    if (changed) {
+      Reconsider(now, &outbox);
+    }
+  }
+  Send(outbox);
+  return changed;
+}
+
+std::vector<process::ViewItem> Quarantine::Export(base::Time now) {
+  const std::scoped_lock lock(mutex_);
+  std::vector<process::ViewItem> items;
+  for (const auto& [content, mark] : marks_) {
+    if (mark.expires > now) {
+      items.push_back(EncodeMark(content, mark, self_, now));
+    }
+  }
+  return items;
+}
+
+std::vector<QuarantineEntry> Quarantine::List(base::Time now) {
+  Outbox outbox;
+  std::vector<QuarantineEntry> entries;
+  {
+    const std::scoped_lock lock(mutex_);
+    next_sweep_ = now;
+    Sweep(now, &outbox);
+    for (const auto& [content, mark] : marks_) {
+      if (mark.evidence.empty()) {
+        continue;
+      }
+      QuarantineEntry entry;
+      entry.content = content;
+      entry.quarantined = mark.quarantined;
+      entry.expires_in = mark.expires - now;
+      for (const Evidence& it : mark.evidence) {
+        entry.crashed.push_back(it.target);
+        entry.shared_with.push_back(it.shared);
+      }
+      entries.push_back(std::move(entry));
+    }
+  }
+  Send(outbox);
+  return entries;
+}
+
+bool Quarantine::Lift(ContentHash content, base::Time now) {
+  Outbox outbox;
+  {
+    const std::scoped_lock lock(mutex_);
+    if (!Refresh(content, now)) {
+      return false;
+    }
+    Clear(content, now, &outbox);
+  }
+  Send(outbox);
+  return true;
+}
+
+std::optional<QuarantineDenial> Quarantine::Check(ContentHash content,
+                                                  const base::TargetId& target,
+                                                  base::Time now) const {
+  const QuarantineMark& mark = marks_.at(content);
+  if (mark.quarantined) {
+    return QuarantineDenial::kQuarantined;
+  }
+  if (CountEvidence(mark, false).condemns()) {
+    return QuarantineDenial::kEvidencePending;
+  }
+  if (std::ranges::any_of(runs_, [content](const auto& it) {
+        return it.second.content == content;
+      })) {
+    return QuarantineDenial::kSuspectRunning;
+  }
+  if (mark.owner != self_ && !mark.owner.empty() && mark.owned_until > now) {
+    return QuarantineDenial::kSuspectElsewhere;
+  }
+  if (CrashedLately(target, now)) {
+    return QuarantineDenial::kTargetCrashedLately;
+  }
+  if (HasSuspect(target, content, now)) {
+    return QuarantineDenial::kTargetHasSuspect;
+  }
+  return std::nullopt;
+}
+
+bool Quarantine::HasSuspect(const base::TargetId& target,
+                            ContentHash content,
+                            base::Time now) const {
+  const bool here = std::ranges::any_of(runs_, [&](const auto& it) {
+    if (it.second.target != target) {
+      return false;
+    }
+    // A content may have come under suspicion after its run began.
+    const auto mark = marks_.find(it.second.content);
+    return it.second.suspect ||
+           (mark != marks_.end() && !mark->second.evidence.empty());
+  });
+  return here || std::ranges::any_of(marks_, [&](const auto& it) {
+           const QuarantineMark& mark = it.second;
+           return it.first != content && mark.rerun_at == target &&
+                  mark.owner != self_ && mark.owned_until > now;
+         });
+}
+
+bool Quarantine::CrashedLately(const base::TargetId& target,
+                               base::Time now) const {
+  const auto is_late = [&](base::Time at) {
+    return now - at < options_.crashed_lately;
+  };
+  const auto crashes = crashes_.find(target);
+  if (crashes != crashes_.end() &&
+      std::ranges::any_of(crashes->second, is_late, &Crash::at)) {
+    return true;
+  }
+  return std::ranges::any_of(marks_, [&](const auto& mark) {
+    return std::ranges::any_of(mark.second.evidence, [&](const Evidence& it) {
+      return it.target == target && is_late(it.at);
+    });
+  });
+}
+
+Quarantine::Crash& Quarantine::CrashOf(const base::TargetId& target,
+                                       base::Time started,
+                                       base::Time now) {
+  auto& crashes = crashes_[target];
+  if (!crashes.empty()) {
+    Crash& last = crashes.back();
+    const bool at_once = now - last.at < kSameCrash;
+    // A loss that is noticed late belongs to the crash that it lived through.
+    const bool noticed_late =
+        started < last.at && now - last.at < options_.confirm_within;
+    if (at_once || noticed_late) {
+      return last;
+    }
+  }
+  if (crashes.size() >= kMaxCrashes) {
+    crashes.erase(crashes.begin());
+  }
+  const std::string event = self_.str() + "/" + std::to_string(next_event_++);
+  crashes.push_back({event, now, {}, false});
+  return crashes.back();
+}
+
+void Quarantine::Confirm(const base::TargetId& target,
+                         Crash& crash,
+                         base::Time now,
+                         Outbox* outbox) {
+  if (crash.confirmed) {
+    return;
+  }
+  crash.confirmed = true;
+  for (const ContentHash content : crash.contents) {
+    QuarantineMark& mark = marks_[content];
+    const auto it =
+        std::ranges::find(mark.evidence, crash.event, &Evidence::event);
+    if (it != mark.evidence.end()) {
+      it->confirmed = true;
+      Judge(content, now);
+      Changed(content, now, outbox);
+    }
+  }
+}
+
+std::optional<Quarantine::Run> Quarantine::EndRun(
+    const base::AttemptId& attempt,
+    base::Time now,
+    Outbox* outbox) {
+  const auto it = runs_.find(attempt);
+  if (it == runs_.end()) {
+    return std::nullopt;
+  }
+  const Run run = it->second;
+  runs_.erase(it);
+  const auto mark = marks_.find(run.content);
+  if (run.suspect && mark != marks_.end() && mark->second.owner == self_) {
+    // Another instance may go next.
+    mark->second.rerun_at = base::TargetId();
+    mark->second.owned_until = now;
+    Changed(run.content, now, outbox);
+  }
+  return run;
+}
+
+void Quarantine::Own(ContentHash content,
+                     const base::TargetId& target,
+                     base::Time now,
+                     Outbox* outbox) {
+  QuarantineMark& mark = marks_.at(content);
+  mark.owner = self_;
+  mark.owned_until = now + options_.own_rerun_for;
+  mark.rerun_at = target;
+  Changed(content, now, outbox);
+}
+
+bool Quarantine::Refresh(ContentHash content, base::Time now) {
+  const auto it = marks_.find(content);
+  if (it == marks_.end()) {
+    return false;
+  }
+  if (it->second.expires <= now) {
+    marks_.erase(it);
+    return false;
+  }
+  std::erase_if(it->second.evidence, [&](const Evidence& evidence) {
+    return !evidence.confirmed && now - evidence.at >= options_.confirm_within;
+  });
+  return !it->second.evidence.empty();
+}
+
+void Quarantine::Sweep(base::Time now, Outbox* outbox) {
+  if (now < next_sweep_) {
+    return;
+  }
+  next_sweep_ = now + kSweepEvery;
+  std::erase_if(marks_,
+                [now](const auto& it) { return it.second.expires <= now; });
+  for (auto& [target, crashes] : crashes_) {
+    std::erase_if(crashes, [&](const Crash& it) {
+      const base::Duration age = now - it.at;
+      return age >=
+             (it.confirmed ? options_.suspect_for : options_.confirm_within);
+    });
+  }
+  std::erase_if(crashes_, [](const auto& it) { return it.second.empty(); });
+  // A long re-run keeps its claim on the content.
+  for (const auto& [attempt, run] : runs_) {
+    const auto it = marks_.find(run.content);
+    if (run.suspect && it != marks_.end() && it->second.owner == self_ &&
+        it->second.owned_until < now + options_.own_rerun_for / 2) {
+      Own(run.content, run.target, now, outbox);
+    }
+  }
+}
+
+void Quarantine::Judge(ContentHash content, base::Time now) {
+  QuarantineMark& mark = marks_.at(content);
+  if (!mark.quarantined && CountEvidence(mark, true).condemns()) {
+    mark.quarantined = true;
+    mark.expires = now + options_.quarantine_for;
+  }
+}
+
+void Quarantine::Reconsider(base::Time now, Outbox* outbox) {
+  for (auto& [content, mark] : marks_) {
+    const ContentHash self = content;
+    if (!mark.quarantined ||
+        !std::ranges::all_of(mark.evidence, [&](const Evidence& it) {
+          return it.explained || IsExplained(self, it);
+        })) {
+      continue;
+    }
+    for (Evidence& it : mark.evidence) {
+      it.explained = true;
+    }
+    mark.quarantined = false;
+    ++mark.epoch;
+    mark.expires = now + options_.suspect_for;
+    Changed(content, now, outbox);
+  }
+}
+
+bool Quarantine::IsExplained(ContentHash content,
+                             const Evidence& evidence) const {
+  const QuarantineMark& own = marks_.at(content);
+  const bool other_is_guilty = std::ranges::any_of(marks_, [&](const auto& it) {
+    const QuarantineMark& other = it.second;
+    return it.first != content && other.quarantined &&
+           Shares(other, evidence) &&
+           std::ranges::any_of(other.evidence, [&own](const Evidence& e) {
+             return !Shares(own, e);
+           });
+  });
+  return other_is_guilty || KeepsDying(evidence.target, content);
+}
+
+bool Quarantine::KeepsDying(const base::TargetId& target,
+                            ContentHash content) const {
+  const auto crashes = crashes_.find(target);
+  if (crashes == crashes_.end()) {
+    return false;
+  }
+  const auto is_own_fault = [&](const Crash& crash) {
+    return crash.confirmed &&
+           std::ranges::none_of(crash.contents, [&](ContentHash it) {
+             const auto mark = marks_.find(it);
+             return it == content ||
+                    (mark != marks_.end() && mark->second.quarantined);
+           });
+  };
+  const auto n = std::ranges::count_if(crashes->second, is_own_fault);
+  return static_cast<std::size_t>(n) >= options_.dying_crashes;
+}
+
+void Quarantine::Clear(ContentHash content, base::Time now, Outbox* outbox) {
+  QuarantineMark& mark = marks_.at(content);
+  // The empty mark stays until it expires, so that older ones do not return.
+  ++mark.epoch;
+  mark.evidence.clear();
+  mark.quarantined = false;
+  mark.owner = base::InstanceId();
+  mark.rerun_at = base::TargetId();
+  mark.expires = now + std::max(options_.suspect_for, options_.quarantine_for);
+  Changed(content, now, outbox);
+}
+
+void Quarantine::Changed(ContentHash content, base::Time now, Outbox* outbox) {
+  QuarantineMark& mark = marks_.at(content);
+  ++mark.counter;
+  outbox->push_back(EncodeMark(content, mark, self_, now));
+}
+
+void Quarantine::MakeRoom() {
+  if (marks_.size() < options_.max_marks) {
+    return;
+  }
+  marks_.erase(std::ranges::min_element(marks_, {}, [](const auto& it) {
+    return std::pair(it.second.quarantined, it.second.expires);
+  }));
+}
+
+void Quarantine::Send(const Outbox& outbox) const {
+  if (publish_) {
+    std::ranges::for_each(outbox, publish_);
+  }
+}
+
+bool IsTargetsFault(QuarantineDenial denial) noexcept {
+  return denial == QuarantineDenial::kTargetHasSuspect ||
+         denial == QuarantineDenial::kTargetCrashedLately;
+}
+
+std::string_view ToString(QuarantineDenial denial) noexcept {
+  switch (denial) {
+    case QuarantineDenial::kQuarantined:
+      return "quarantined";
+    case QuarantineDenial::kEvidencePending:
+      return "evidence_pending";
+    case QuarantineDenial::kSuspectRunning:
+      return "suspect_running";
+    case QuarantineDenial::kSuspectElsewhere:
+      return "suspect_elsewhere";
+    case QuarantineDenial::kTargetHasSuspect:
+      return "target_has_suspect";
+    case QuarantineDenial::kTargetCrashedLately:
+      break;
+  }
+  return "target_crashed_lately";
+}
+
+}  // namespace lynxglade::request
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -3,9 +3,10 @@
 // A content (the hash of what a target would run) that was under way at a
 // target when it crashed is a suspect. A suspect is run again one at a time,
 // at a target that did not crash lately and runs no other suspect. A second
-// crash quarantines it; a clean delivery clears it. When the guilty content of
-// a crash is found, the others' marks from that crash are taken back. Marks
-// travel to other instances, expire, and can be lifted by an operator.
+// crash quarantines it; a clean delivery clears it. A quarantined content whose
+// crashes all turn out to have another cause (a guilty content that shared
+// one, a target that keeps dying) becomes a suspect again. Marks travel to
+// other instances, expire, and can be lifted by an operator.
 // See docs/notes/retries-and-quarantine.md.
 #ifndef LYNXGLADE_REQUEST_QUARANTINE_H_
 #define LYNXGLADE_REQUEST_QUARANTINE_H_
@@ -25,12 +26,10 @@
 #include "base/time.h"
 #include "base/units.h"
 #include "process/view_item.h"
+#include "request/quarantine_mark.h"
 
 namespace lynxglade::request {
 
-// A content as quarantine knows it.
-using ContentHash = base::StrongNumber<struct ContentHashTag, std::uint64_t>;
-
 // Why a content may not run at a target now.
 enum class QuarantineDenial {
   kQuarantined,       // crashed two targets: refuse, outcome not-run
@@ -50,11 +49,14 @@
   base::Duration quarantine_for = std::chrono::hours(1);
   // A lost connection counts as a crash until this long has passed without
   // the crash being confirmed.
-  base::Duration confirm_within = std::chrono::seconds(5);
+  base::Duration confirm_within = std::chrono::seconds(10);
   // For how long the instance that saw a crash alone may re-run the content.
   base::Duration own_rerun_for = std::chrono::seconds(30);
   // For how long suspects avoid a target after it crashed.
   base::Duration crashed_lately = std::chrono::minutes(2);
+  // A target is held to keep dying by itself when it had so many crashes
+  // within suspect_for that no quarantined content had a part in.
+  std::size_t dying_crashes = 2;
   // Marks kept; beyond it the oldest suspect is dropped.
   std::size_t max_marks = 10000;
 };
@@ -115,56 +117,53 @@
   bool Lift(ContentHash content, base::Time now);
 
  private:
-  // One crash of one target as one content saw it.
-  struct Evidence {
-    std::string event;  // names the crash over instances
-    base::TargetId target;
-    base::Time at{};
-    int shared = 1;
-    bool confirmed = false;
-  };
-  struct Mark {
-    std::uint64_t epoch = 1;  // rises when the content is cleared or lifted
-    std::uint64_t counter = 0;
-    base::InstanceId owner;  // may re-run it
-    base::Time owned_until{};
-    std::vector<Evidence> evidence;
-    base::Time expires{};
-    bool quarantined = false;
-  };
   struct Run {
     ContentHash content;
     base::TargetId target;
+    base::Time started{};
     bool suspect = false;
   };
-  struct TargetRecord {
-    // The current crash: losses within the confirmation time belong to it.
+  // A crash of a target as this instance saw it.
+  struct Crash {
     std::string event;
-    base::Time event_at{};
-    base::Time crashed_at{};
-    bool crashed = false;
-    std::set<std::uint64_t> event_contents;
+    base::Time at{};
+    std::set<ContentHash> contents;
+    bool confirmed = false;
   };
   using Outbox = std::vector<process::ViewItem>;
 
-  bool MayStart(ContentHash content,
-                const base::TargetId& target,
-                base::Time now,
-                QuarantineDenial* denial);
-  void Sweep(base::Time now, Outbox* outbox);
-  void Judge(ContentHash content, Mark& mark, base::Time now, Outbox* outbox);
-  void TakeBack(const std::string& event,
-                ContentHash guilty,
-                base::Time now,
-                Outbox* outbox);
-  void Clear(ContentHash content, Mark& mark, base::Time now, Outbox* outbox);
-  void Changed(ContentHash content,
-               Mark& mark,
+  std::optional<QuarantineDenial> Check(ContentHash content,
+                                        const base::TargetId& target,
+                                        base::Time now) const;
+  bool HasSuspect(const base::TargetId& target,
+                  ContentHash content,
+                  base::Time now) const;
+  bool CrashedLately(const base::TargetId& target, base::Time now) const;
+  Crash& CrashOf(const base::TargetId& target,
+                 base::Time started,
+                 base::Time now);
+  void Confirm(const base::TargetId& target,
+               Crash& crash,
                base::Time now,
-               Outbox* outbox) const;
-  process::ViewItem Encode(ContentHash content,
-                           const Mark& mark,
-                           base::Time now) const;
+               Outbox* outbox);
+  std::optional<Run> EndRun(const base::AttemptId& attempt,
+                            base::Time now,
+                            Outbox* outbox);
+  void Own(ContentHash content,
+           const base::TargetId& target,
+           base::Time now,
+           Outbox* outbox);
+  // Drops what is out of date in one mark; returns whether any is left.
+  bool Refresh(ContentHash content, base::Time now);
+  void Sweep(base::Time now, Outbox* outbox);
+  void Judge(ContentHash content, base::Time now);
+  // Frees quarantined contents whose crashes all have another explanation.
+  void Reconsider(base::Time now, Outbox* outbox);
+  bool IsExplained(ContentHash content, const Evidence& evidence) const;
+  bool KeepsDying(const base::TargetId& target, ContentHash content) const;
+  void Clear(ContentHash content, base::Time now, Outbox* outbox);
+  void Changed(ContentHash content, base::Time now, Outbox* outbox);
+  void MakeRoom();
   void Send(const Outbox& outbox) const;
 
   const QuarantineOptions options_;
@@ -172,9 +171,10 @@
   const Publish publish_;
   std::mutex mutex_;
   std::uint64_t next_event_ = 1;
-  std::map<ContentHash, Mark> marks_;
+  base::Time next_sweep_{};
+  std::map<ContentHash, QuarantineMark> marks_;
   std::map<base::AttemptId, Run> runs_;
-  std::map<base::TargetId, TargetRecord> targets_;
+  std::map<base::TargetId, std::vector<Crash>> crashes_;
 };
 
 }  // namespace lynxglade::request
