--- a/tests/fakes/engine_core.cc
+++ b/tests/fakes/engine_core.cc
@@ -69,7 +69,8 @@
       clock_(std::move(clock)),
       random_(std::move(random)),
       blocks_(blocks),
-      wall_offset_ms_(base::WallMillis() -
+      started_ms_(base::WallMillis()),
+      wall_offset_ms_(started_ms_ -
                       base::ToMillis(clock_().time_since_epoch())),
       model_(settings_.rates, settings_.limits),
       orders_(settings_.orders),
@@ -379,7 +380,7 @@
 json EngineCore::LoadNow() const {
   const EngineCounts counts = model_.Counts();
   json body = {{"engine", settings_.id},
-               {"incarnation", orders_.incarnation()},
+               {"incarnation", IncarnationText()},
                {"seq", load_seq_},
                {"generated_at_ms", base::WallMillis()},
                {"running", counts.running},
@@ -407,7 +408,7 @@
 json EngineCore::StateJson() const {
   const std::lock_guard lock(mutex_);
   json body = {{"engine", settings_.id},
-               {"incarnation", orders_.incarnation()},
+               {"incarnation", IncarnationText()},
                {"fenced", orders_.fenced()},
                {"phase", ToString(orders_.phase())},
                {"draining", orders_.draining()},
@@ -463,7 +464,9 @@
                     {"received_ms", WallMillisOf(it.received)},
                     {"in_effect_ms",
                      it.in_effect ? json(WallMillisOf(*it.in_effect)) : json()},
-                    {"interrupted", it.interrupted}});
+                    {"interrupted", it.interrupted},
+                    {"outage", it.took_out_of_service},
+                    {"role_changed", it.role_changed}});
   }
   return list;
 }
@@ -478,6 +481,12 @@
   return journal_.RefusalsJson();
 }
 
+// Unlike the number, the text also differs between runs of the program.
+std::string EngineCore::IncarnationText() const {
+  return std::to_string(started_ms_) + "-" +
+         std::to_string(orders_.incarnation());
+}
+
 std::string EngineCore::Model() const {
   const std::lock_guard lock(mutex_);
   return orders_.setup().model;
--- a/tests/fakes/engine_core.h
+++ b/tests/fakes/engine_core.h
@@ -137,12 +137,14 @@
   int InFlight() const;
   std::int64_t WallMillisOf(base::Time at) const;
   nlohmann::json LoadNow() const;
+  std::string IncarnationText() const;
   void EndLocked(EngineSession& session, RunState how);
 
   const EngineSettings settings_;
   const base::Clock clock_;
   const base::RandomSource random_;
   KvBlocks& blocks_;
+  const std::int64_t started_ms_;
   // Wall time less clock time, for the journal.
   const std::int64_t wall_offset_ms_;
 
--- a/tests/fakes/engine_orders.cc
+++ b/tests/fakes/engine_orders.cc
@@ -52,7 +52,15 @@
   // A fence counts as seen even when its order is refused for another reason.
   highest_fence_ = std::max(highest_fence_, order.fence);
   const bool repeat = IsRepeat(order);
-  records_.push_back({order, verdict, incarnation_, now, {}, false});
+  OrderRecord record;
+  record.order = order;
+  record.verdict = verdict;
+  record.incarnation = incarnation_;
+  record.received = now;
+  record.took_out_of_service = verdict == OrderVerdict::kStarted && !repeat;
+  record.role_changed =
+      record.took_out_of_service && order.target.role != setup_.role;
+  records_.push_back(std::move(record));
   if (!IsAccepted(verdict)) {
     return verdict;
   }
--- a/tests/fakes/engine_orders.h
+++ b/tests/fakes/engine_orders.h
@@ -64,6 +64,9 @@
   std::optional<base::Time> in_effect;
   // A crash interrupted the change.
   bool interrupted = false;
+  // What it did to the engine, when it was accepted and no repeat.
+  bool took_out_of_service = false;
+  bool role_changed = false;
 };
 
 // Not thread-safe.
--- a/tests/fakes/kv_store.h
+++ b/tests/fakes/kv_store.h
@@ -91,7 +91,7 @@
   std::map<std::string, KvRecord> records_;
   std::map<connection::KvLeaseId, Lease> leases_;
   std::deque<KvChange> history_;
-  base::Revision oldest_history_{2};
+  base::Revision oldest_history_{1};
   base::Revision revision_{1};
   std::int64_t next_lease_ = 1000;
   bool changed_ = false;
