--- a/tests/fakes/fake_engines_main.cc
+++ b/tests/fakes/fake_engines_main.cc
@@ -1,5 +1,4 @@
 // Runs N stand-in model engines in one process, on consecutive ports.
-#include <algorithm>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -10,6 +9,7 @@
 #include "base/time.h"
 #include "fakes/details/control_server.h"
 #include "fakes/details/flag_set.h"
+#include "fakes/details/zones.h"
 #include "fakes/engine_host.h"
 
 namespace lynxglade::fakes {
@@ -30,7 +30,6 @@
   std::string version = "v1";
   std::string role = "mixed";
   std::string log_level = "warning";
-  std::string seed;
   double speed = 1;
   int kv_tokens = 600000;
   int cache_tokens = 200000;
@@ -120,17 +119,6 @@
   return true;
 }
 
-std::vector<std::string> SplitZones(const std::string& text) {
-  std::vector<std::string> zones;
-  std::string::size_type begin = 0;
-  while (begin <= text.size()) {
-    const auto end = std::min(text.find(',', begin), text.size());
-    zones.push_back(text.substr(begin, end - begin));
-    begin = end + 1;
-  }
-  return zones;
-}
-
 ControlledStandIn Control(EngineHost& host,
                           const Options& o,
                           const std::string& zone) {
@@ -174,8 +162,7 @@
       std::cerr << "cannot listen on port " << o.first_port + i << "\n";
       return 1;
     }
-    controls.push_back(Control(
-        *hosts.back(), o, zones[static_cast<std::size_t>(i) % zones.size()]));
+    controls.push_back(Control(*hosts.back(), o, ZoneOf(zones, i)));
   }
   ControlServer control(o.host.address, o.control_port, std::move(controls));
   if (o.control_port != 0 && !control.Start()) {
