Claims: at most one run of a non-idempotent request over all instances

Cause: a repeat of a billing receipt or a cutting plan may come through any instance, after a restart or a lost answer of the key-value service. Change: a claim is a create-if-absent with a unique mark before the first byte; it is deleted by compare-and-swap only when the run provably did not start, and otherwise records the outcome, with the answer up to 4 KiB. A claimed request runs on after its caller has left, so that a repeat gets the answer.

--- /dev/null
+++ b/src/request/claims.cc
@@ -0,0 +1,144 @@
+#include "request/claims.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "request/claim_record.h"
+
+namespace lynxglade::request {
+
+namespace {
+
+using base::Outcome;
+using Status = ClaimWriteResult::Status;
+
+ClaimVerdict Refused(RefusalReason reason,
+                     Outcome outcome,
+                     std::string message,
+                     std::optional<base::Duration> retry_after) {
+  ClaimVerdict verdict;
+  verdict.refusal = Refusal{.reason = reason,
+                            .outcome = outcome,
+                            .message = std::move(message),
+                            .retry_after = retry_after};
+  return verdict;
+}
+
+}  // namespace
+
+Claims::Claims(const connection::KeyValue& key_value,
+               base::InstanceId self,
+               base::Clock clock,
+               base::RandomSource random,
+               base::Metrics& metrics,
+               ClaimOptions options)
+    : self_(std::move(self)),
+      clock_(clock),
+      random_(random),
+      options_(options),
+      metrics_(metrics),
+      writer_(key_value,
+              std::move(clock),
+              std::move(random),
+              metrics,
+              options.writer) {}
+
+ClaimVerdict Claims::Begin(const Request& request) {
+  if (request.idempotency_key.empty()) {
+    return Refused(RefusalReason::kBadHeader, Outcome::kNotRun,
+                   "a non-idempotent request needs an Idempotency-Key",
+                   std::nullopt);
+  }
+  ClaimRecord record;
+  record.mark = base::RandomHexId(random_);
+  record.instance = self_;
+  record.request = request.id;
+  record.content_hash = request.content_hash;
+  Claim claim{.key = ClaimKey(request.contract, request.idempotency_key),
+              .mark = record.mark,
+              .mod_revision = 0,
+              .record = EncodeClaimRecord(record)};
+  const ClaimWriteResult written =
+      writer_.Write({.kind = ClaimOp::Kind::kCreate,
+                     .key = claim.key,
+                     .value = claim.record,
+                     .guard = base::Revision(0)},
+                    std::min(options_.begin_wait, request.deadline - clock_()));
+  if (written.status == Status::kWritten) {
+    Count("claimed");
+    claim.mod_revision = written.revision.value();
+    ClaimVerdict verdict;
+    verdict.claim = std::move(claim);
+    return verdict;
+  }
+  if (written.status == Status::kConflict && written.found) {
+    Count("repeat");
+    return JudgeEarlier(request, *written.found);
+  }
+  // Nothing goes to a target under this mark, whatever becomes of the write.
+  Count("unavailable");
+  return Refused(RefusalReason::kClaimUnavailable, Outcome::kNotRun,
+                 "the claim could not be written", options_.retry_after);
+}
+
+ClaimVerdict Claims::JudgeEarlier(const Request& request,
+                                  const connection::KvEntry& entry) const {
+  std::optional<ClaimRecord> earlier = DecodeClaimRecord(entry.value);
+  if (!earlier) {
+    return Refused(RefusalReason::kAlreadyClaimed, Outcome::kUnknown,
+                   "the key is claimed, by whom cannot be read", std::nullopt);
+  }
+  if (earlier->content_hash != request.content_hash) {
+    return Refused(RefusalReason::kAlreadyClaimed, Outcome::kNotRun,
+                   "the Idempotency-Key was used for another request",
+                   std::nullopt);
+  }
+  if (!earlier->done) {
+    return Refused(RefusalReason::kAlreadyClaimed, Outcome::kUnknown,
+                   "the request is under way, or its instance was lost",
+                   options_.retry_after);
+  }
+  if (earlier->answer) {
+    ClaimVerdict verdict;
+    verdict.recorded = std::move(earlier->answer);
+    return verdict;
+  }
+  return Refused(RefusalReason::kAlreadyClaimed, earlier->outcome,
+                 "the request was run before; its answer is not kept",
+                 std::nullopt);
+}
+
+void Claims::Finish(const Claim& claim, Outcome outcome, const Answer* answer) {
+  if (outcome == Outcome::kNotRun) {
+    // The refusal's "come back" holds as soon as the key is gone.
+    writer_.Write({.kind = ClaimOp::Kind::kRelease,
+                   .key = claim.key,
+                   .value = claim.record,
+                   .guard = base::Revision(claim.mod_revision)},
+                  options_.record_wait);
+    return;
+  }
+  std::optional<ClaimRecord> record = DecodeClaimRecord(claim.record);
+  if (!record) {
+    return;
+  }
+  record->done = true;
+  record->outcome = outcome;
+  if (answer != nullptr) {
+    record->answer = *answer;
+  }
+  const ClaimWriteResult written =
+      writer_.Write({.kind = ClaimOp::Kind::kRecord,
+                     .key = claim.key,
+                     .value = EncodeClaimRecord(*record),
+                     .guard = base::Revision(claim.mod_revision)},
+                    options_.record_wait);
+  Count(written.status == Status::kWritten ? "recorded" : "record_pending");
+}
+
+void Claims::Count(const char* result) {
+  metrics_.GetCounter("lynxglade_claims_total", {{"result", result}}).Add();
+}
+
+}  // namespace lynxglade::request
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -83,7 +83,10 @@
   std::string key;
   // Unique to this claim; tells our own write from another's.
   std::string mark;
+  // Revision of the key-value service at which the claim was written.
   std::int64_t mod_revision = 0;
+  // What the claim says of the request, as written.
+  std::string record;
 };
 // Answer to "may this request run here?".
 struct ClaimVerdict {
@@ -131,7 +134,8 @@
   std::function<bool(const Request&)> wants_split;
   // Both or neither; without them non-idempotent requests are refused.
   std::function<ClaimVerdict(const Request&)> claim_begin;
-  // `answer` is null unless the run was whole.
+  // `answer` is null unless the run was whole and its answer is small enough
+  // to be recorded.
   std::function<void(const Claim&, base::Outcome, const Answer* answer)>
       claim_finish;
 };
@@ -149,14 +153,15 @@
   base::Duration min_silence = std::chrono::seconds(2);
   // Answers of non-idempotent requests up to this size are recorded with the
   // claim, so that a repeat gets the answer itself.
-  std::size_t max_recorded_bytes = 32u << 10;
+  std::size_t max_recorded_bytes = 4u << 10;
 };
 
 // Where the caller's answer goes. Called on the thread of Serve(), except
 // `gone`.
 struct CallerSink {
   // Streaming callers only; false when the caller has gone. Each token of the
-  // answer comes once and in order.
+  // answer comes once and in order. A request that cannot be repeated runs on
+  // after its caller has gone, so that a repeat gets the recorded answer.
   std::function<bool(const TokenChunk&)> on_token;
   // Whether the caller's connection has closed. May be empty. Thread-safe.
   std::function<bool()> gone;
--- a/src/request/relay_delivery.cc
+++ b/src/request/relay_delivery.cc
@@ -25,21 +25,35 @@
     first_token_ = now_() - request_.arrived;
   }
   Gather(chunk.text);
-  if (request_.stream && sink_.on_token) {
-    if (!sink_.on_token(chunk)) {
-      refused_by_caller_ = true;
-      return Verdict::kCallerGone;
-    }
-    streamed_ += chunk.count;
+  if (!Stream(chunk) && !request_.non_idempotent) {
+    return Verdict::kCallerGone;
   }
   offset_ = end;
   return Verdict::kTaken;
 }
 
+bool RelayDelivery::Stream(const TokenChunk& chunk) {
+  if (!request_.stream || !sink_.on_token) {
+    return true;
+  }
+  if (refused_by_caller_ || !sink_.on_token(chunk)) {
+    refused_by_caller_ = true;
+    return false;
+  }
+  streamed_ += chunk.count;
+  return true;
+}
+
 bool RelayDelivery::CallerGone() const {
   return refused_by_caller_ || (sink_.gone && sink_.gone());
 }
 
+bool RelayDelivery::MayRecord(const Answer& answer) const noexcept {
+  const std::size_t size =
+      answer.plain ? answer.plain->body.size() : answer.text.size();
+  return !text_too_long_ && size <= max_recorded_bytes_;
+}
+
 std::string RelayDelivery::TakeText() noexcept {
   return std::exchange(text_, {});
 }
--- a/src/request/relay_delivery.h
+++ b/src/request/relay_delivery.h
@@ -36,7 +36,8 @@
   RelayDelivery(const RelayDelivery&) = delete;
   RelayDelivery& operator=(const RelayDelivery&) = delete;
 
-  // Passes on a chunk, or drops it when all of it was delivered before.
+  // Passes on a chunk, or drops it when all of it was delivered before. A
+  // request that cannot be repeated is never ended by its caller's leaving.
   Verdict Accept(const TokenChunk& chunk);
 
   // True once the caller refused a chunk or its connection closed.
@@ -52,8 +53,13 @@
   }
   // The text gathered; empty when it is streamed and not to be recorded.
   std::string TakeText() noexcept;
+  // Whether the answer (with its text taken) is complete and small enough to
+  // be recorded with a claim.
+  bool MayRecord(const Answer& answer) const noexcept;
 
  private:
+  // False when the caller has gone.
+  bool Stream(const TokenChunk& chunk);
   void Gather(std::string_view text);
 
   const Request& request_;
--- a/src/request/relay_run.cc
+++ b/src/request/relay_run.cc
@@ -132,8 +132,8 @@
 
 void RelayRun::FinishClaim() {
   if (claim_) {
-    hooks_.claim_finish(*claim_, outcome_,
-                        result_.refusal ? nullptr : &result_.answer);
+    const bool record = whole_ && delivery_.MayRecord(result_.answer);
+    hooks_.claim_finish(*claim_, outcome_, record ? &result_.answer : nullptr);
   }
 }
 
@@ -224,7 +224,11 @@
     hooks_.on_attempt_start(target, order);
   }
   TokenSink sink;
-  sink.cancelled = [this] { return delivery_.CallerGone(); };
+  // What cannot be run again is run to its end, caller or not: the answer is
+  // recorded for the caller's next try.
+  sink.cancelled = [this] {
+    return !request_.non_idempotent && delivery_.CallerGone();
+  };
   sink.on_token = [&](const TokenChunk& chunk) {
     in_flight.PrefillDone();
     // A prefill engine's one token is produced again by the decode engine.
@@ -311,7 +315,11 @@
   result_.answer.finish_reason = std::move(report.finish_reason);
   result_.answer.usage = report.usage;
   result_.answer.plain = std::move(report.plain);
+  whole_ = true;
   done_ = true;
+  if (request_.non_idempotent && delivery_.CallerGone()) {
+    GiveUp(RefusalReason::kCallerGone, "the caller has gone");
+  }
 }
 
 void RelayRun::RetryOrGiveUp(const Target& target,
--- a/src/request/relay_run.h
+++ b/src/request/relay_run.h
@@ -71,6 +71,7 @@
   RelayResult result_;
   bool done_ = false;
   bool misfit_ = false;
+  bool whole_ = false;
   AdmissionVerdict admission_;
   std::optional<Claim> claim_;
   base::Outcome outcome_ = base::Outcome::kNotRun;
--- a/tests/request/relay_test.cc
+++ b/tests/request/relay_test.cc
@@ -252,6 +252,95 @@
   EXPECT_NE(fleet.attempts()[0], fleet.attempts()[1]);
 }
 
+// An engine that resumes a little earlier than asked repeats tokens; they are
+// dropped and cost no further attempt.
+TEST(RelayTest, RepeatedTokensAreDropped) {
+  FakeFleet fleet({Fault::kTruncated, Fault::kOverlap});
+  FakeCaller caller;
+  const Relay relay(HooksFor(fleet), RelayLimits{});
+
+  const RelayResult result = relay.Serve(MakeRequest(fleet), caller.Sink());
+
+  EXPECT_FALSE(result.refusal);
+  EXPECT_EQ(caller.text, WholeText());
+  EXPECT_EQ(result.attempts, 2);
+}
+
+// A request that cannot be repeated runs on without its caller, and its answer
+// is handed to the claim.
+TEST(RelayTest, NonIdempotentRunsOnWithoutItsCaller) {
+  FakeFleet fleet({});
+  FakeCaller caller;
+  caller.leaves_after = 2;
+  std::string recorded;
+  RelayHooks hooks = HooksFor(fleet);
+  hooks.claim_begin = [](const Request&) {
+    ClaimVerdict verdict;
+    verdict.claim.emplace();
+    return verdict;
+  };
+  hooks.claim_finish = [&](const Claim&, Outcome, const Answer* answer) {
+    recorded = answer ? answer->text : "";
+  };
+  Request request = MakeRequest(fleet);
+  request.non_idempotent = true;
+  const Relay relay(hooks, RelayLimits{});
+
+  const RelayResult result = relay.Serve(request, caller.Sink());
+
+  ASSERT_TRUE(result.refusal);
+  EXPECT_EQ(result.refusal->reason, RefusalReason::kCallerGone);
+  EXPECT_EQ(result.refusal->outcome, Outcome::kRan);
+  EXPECT_EQ(recorded, WholeText());
+  EXPECT_EQ(fleet.cancels(), 0);
+}
+
+// Prefill and decode go to separate engines; when the decode engine fails, the
+// request runs whole elsewhere.
+TEST(RelayTest, SplitHandsOverTheCacheAndFallsBackToAWholeRun) {
+  for (const bool decode_fails : {false, true}) {
+    FakeFleet fleet({});
+    FakeCaller caller;
+    std::vector<AttemptKind> kinds;
+    RelayHooks hooks = HooksFor(fleet);
+    hooks.wants_split = [](const Request&) { return true; };
+    hooks.run = [&](const AttemptOrder& order, const TokenSink& sink) {
+      kinds.push_back(order.kind);
+      AttemptReport report;
+      if (order.kind == AttemptKind::kPrefill) {
+        sink.on_token({.text = "t0 ",
+                       .offset = base::Tokens(0),
+                       .count = base::Tokens(1)});
+        report.end = AttemptEnd::kWhole;
+        report.outcome = Outcome::kRan;
+        report.kv_transfer_params = "{\"remote_engine\":\"p\"}";
+        return report;
+      }
+      if (order.kind == AttemptKind::kDecode) {
+        EXPECT_EQ(order.kv_transfer_params, "{\"remote_engine\":\"p\"}");
+        if (decode_fails) {
+          report.end = AttemptEnd::kConnectFailed;
+          report.outcome = Outcome::kNotRun;
+          return report;
+        }
+      }
+      return fleet.Run(order, sink);
+    };
+    const Relay relay(hooks, RelayLimits{});
+
+    const RelayResult result = relay.Serve(MakeRequest(fleet), caller.Sink());
+
+    EXPECT_FALSE(result.refusal);
+    EXPECT_EQ(caller.text, WholeText());
+    std::vector<AttemptKind> expected = {AttemptKind::kPrefill,
+                                         AttemptKind::kDecode};
+    if (decode_fails) {
+      expected.push_back(AttemptKind::kWhole);
+    }
+    EXPECT_EQ(kinds, expected);
+  }
+}
+
 TEST(RelayTest, AnotherVersionDoesNotContinueAnAnswer) {
   FakeFleet fleet({Fault::kTruncated});
   FakeCaller caller;
