--- /dev/null
+++ b/src/version/config_store.cc
@@ -0,0 +1,447 @@
+#include "version/config_store.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <iterator>
+#include <string>
+#include <utility>
+
+namespace lynxglade::version {
+namespace {
+
+using connection::KvEntry;
+using connection::KvError;
+using connection::KvGuard;
+using connection::KvRange;
+using connection::KvWrite;
+
+constexpr std::string_view kHeadKey = "/lynxglade/config/head";
+constexpr std::string_view kDeltaPrefix = "/lynxglade/config/delta/";
+constexpr std::string_view kSnapshotPrefix = "/lynxglade/config_snapshot/";
+constexpr std::string_view kCompactionPrefix = "/lynxglade/config_compaction/";
+constexpr std::string_view kAuditPrefix = "/lynxglade/audit/";
+constexpr int kPointAttempts = 4;
+
+// Zero-padded, so that keys sort by number.
+std::string Padded(std::int64_t n) {
+  std::array<char, 16> buf{};
+  std::snprintf(buf.data(), buf.size(), "%012lld", static_cast<long long>(n));
+  return buf.data();
+}
+
+std::string BucketPrefix(std::string_view prefix, std::int64_t bucket) {
+  return std::string(prefix) + Padded(bucket) + "/";
+}
+
+std::string SnapshotPrefix(base::Revision revision) {
+  return std::string(kSnapshotPrefix) + Padded(revision.value()) + "/";
+}
+
+std::string CompactionKey(base::Revision revision) {
+  return std::string(kCompactionPrefix) + Padded(revision.value());
+}
+
+std::string PartKey(base::Revision snapshot, int part) {
+  return SnapshotPrefix(snapshot) + Padded(part);
+}
+
+void DeleteParts(base::Revision snapshot,
+                 int parts,
+                 std::vector<KvWrite>* writes) {
+  for (int i = 0; i < parts; ++i) {
+    writes->push_back({PartKey(snapshot, i), std::nullopt, {}});
+  }
+}
+
+// A reader's error is never ambiguous.
+template <typename T>
+std::optional<T> Corrupt(StoreError* last_error) {
+  *last_error = StoreError::kCorrupt;
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view ToString(StoreError error) noexcept {
+  switch (error) {
+    case StoreError::kNone:
+      return "none";
+    case StoreError::kUnavailable:
+      return "unavailable";
+    case StoreError::kRateLimited:
+      return "rate_limited";
+    case StoreError::kAmbiguous:
+      return "ambiguous";
+    case StoreError::kCorrupt:
+      return "corrupt";
+    case StoreError::kConflict:
+      return "conflict";
+    case StoreError::kTooLarge:
+      break;
+  }
+  return "too_large";
+}
+
+StoreError StoreErrorOf(KvError error) noexcept {
+  switch (error) {
+    case KvError::kNone:
+      return StoreError::kNone;
+    case KvError::kRateLimited:
+      return StoreError::kRateLimited;
+    case KvError::kAmbiguous:
+      return StoreError::kAmbiguous;
+    case KvError::kBadAnswer:
+      return StoreError::kCorrupt;
+    case KvError::kUnreachable:
+      break;
+  }
+  return StoreError::kUnavailable;
+}
+
+ConfigStore::ConfigStore(const connection::KeyValue& service,
+                         base::RandomSource random,
+                         StoreLimits limits)
+    : service_(service), random_(std::move(random)), limits_(limits) {}
+
+std::string ConfigStore::DeltaKey(base::Revision revision) const {
+  return BucketPrefix(kDeltaPrefix, revision.value() / limits_.snapshot_every) +
+         Padded(revision.value());
+}
+
+std::string ConfigStore::AuditKey(base::Revision revision) const {
+  return BucketPrefix(kAuditPrefix, revision.value() / limits_.snapshot_every) +
+         Padded(revision.value());
+}
+
+std::optional<StoredHead> ConfigStore::ReadHead(StoreError* last_error) const {
+  KvError ec = KvError::kNone;
+  const std::optional<KvRange> range = service_.Get(std::string(kHeadKey), &ec);
+  *last_error = StoreErrorOf(ec);
+  if (!range) {
+    return std::nullopt;
+  }
+  if (range->entries.empty()) {
+    return StoredHead{};
+  }
+  const KvEntry& entry = range->entries.front();
+  std::optional<ConfigHead> head = DecodeHead(entry.value);
+  if (!head) {
+    return Corrupt<StoredHead>(last_error);
+  }
+  return StoredHead{std::move(*head), entry.mod_revision};
+}
+
+std::optional<HeldConfiguration> ConfigStore::ReadSnapshot(
+    const ConfigHead& head,
+    StoreError* last_error) const {
+  *last_error = StoreError::kNone;
+  if (head.snapshot.value() == 0) {
+    return HeldConfiguration{};
+  }
+  std::string bytes;
+  for (int i = 0; i < head.snapshot_parts; ++i) {
+    KvError ec = KvError::kNone;
+    const std::optional<KvRange> range =
+        service_.Get(PartKey(head.snapshot, i), &ec);
+    if (!range) {
+      *last_error = StoreErrorOf(ec);
+      return std::nullopt;
+    }
+    if (range->entries.empty()) {
+      // Deleted since the head was read: there is a newer one.
+      return Corrupt<HeldConfiguration>(last_error);
+    }
+    bytes += range->entries.front().value;
+  }
+  CodecFault fault;
+  std::optional<HeldConfiguration> held = DecodeHeld(bytes, &fault);
+  if (!held || held->revision() != head.snapshot) {
+    return Corrupt<HeldConfiguration>(last_error);
+  }
+  return held;
+}
+
+std::optional<std::vector<std::string>> ConfigStore::ReadNumbered(
+    const std::string& prefix,
+    base::Revision from,
+    base::Revision to,
+    StoreError* last_error) const {
+  const std::int64_t first = from.value() + 1;
+  const auto key_of = [&](std::int64_t n) {
+    return BucketPrefix(prefix, n / limits_.snapshot_every) + Padded(n);
+  };
+  const std::string low = key_of(first);
+  const std::string high = key_of(to.value());
+  std::vector<std::string> values;
+  *last_error = StoreError::kNone;
+  for (std::int64_t bucket = first / limits_.snapshot_every;
+       bucket <= to.value() / limits_.snapshot_every; ++bucket) {
+    KvError ec = KvError::kNone;
+    std::optional<KvRange> range =
+        service_.List(BucketPrefix(prefix, bucket), 0, &ec);
+    if (!range) {
+      *last_error = StoreErrorOf(ec);
+      return std::nullopt;
+    }
+    std::ranges::sort(range->entries, {}, &KvEntry::key);
+    for (KvEntry& it : range->entries) {
+      if (it.key >= low && it.key <= high) {
+        values.push_back(std::move(it.value));
+      }
+    }
+  }
+  return values;
+}
+
+std::optional<std::vector<ChainedDelta>> ConfigStore::ReadDeltas(
+    base::Revision from,
+    base::Revision to,
+    StoreError* last_error) const {
+  std::vector<ChainedDelta> deltas;
+  *last_error = StoreError::kNone;
+  if (to <= from) {
+    return deltas;
+  }
+  const auto values =
+      ReadNumbered(std::string(kDeltaPrefix), from, to, last_error);
+  if (!values) {
+    return std::nullopt;
+  }
+  for (const std::string& it : *values) {
+    std::optional<ChainedDelta> delta = DecodeChained(it);
+    if (!delta) {
+      return Corrupt<std::vector<ChainedDelta>>(last_error);
+    }
+    deltas.push_back(std::move(*delta));
+  }
+  if (static_cast<std::int64_t>(deltas.size()) != (to - from).value()) {
+    return Corrupt<std::vector<ChainedDelta>>(last_error);
+  }
+  return deltas;
+}
+
+std::optional<std::vector<std::string>> ConfigStore::ReadAudits(
+    base::Revision from,
+    base::Revision to,
+    StoreError* last_error) const {
+  *last_error = StoreError::kNone;
+  if (to <= from) {
+    return std::vector<std::string>();
+  }
+  return ReadNumbered(std::string(kAuditPrefix), from, to, last_error);
+}
+
+std::optional<std::string> ConfigStore::ReadAudit(
+    base::Revision revision,
+    StoreError* last_error) const {
+  KvError ec = KvError::kNone;
+  std::optional<KvRange> range = service_.Get(AuditKey(revision), &ec);
+  *last_error = StoreErrorOf(ec);
+  if (!range) {
+    return std::nullopt;
+  }
+  return range->entries.empty() ? std::string()
+                                : std::move(range->entries.front().value);
+}
+
+bool ConfigStore::Accept(const StoredHead& base,
+                         base::Revision revision,
+                         const ChainedDelta& delta,
+                         const std::string& audit,
+                         StoreError* last_error) const {
+  const std::string stored = EncodeChained(delta);
+  if (stored.size() > kMaxDeltaBytes) {
+    *last_error = StoreError::kTooLarge;
+    return false;
+  }
+  if (revision != base.head.revision + base::Revision(1) ||
+      delta.previous_digest != base.head.digest) {
+    *last_error = StoreError::kConflict;
+    return false;
+  }
+  ConfigHead head = base.head;
+  head.revision = revision;
+  head.digest = delta.digest;
+  head.mark = base::RandomHexId(random_);
+  std::vector<KvWrite> writes = {{std::string(kHeadKey), EncodeHead(head), {}},
+                                 {DeltaKey(revision), stored, {}},
+                                 {AuditKey(revision), audit, {}}};
+  // What falls out of the kept history goes in the same call.
+  const auto expired = [&](std::int64_t kept) {
+    return base::Revision(revision.value() - kept);
+  };
+  if (const base::Revision old = expired(limits_.deltas_kept);
+      old.value() > 0 && old <= head.snapshot) {
+    writes.push_back({DeltaKey(old), std::nullopt, {}});
+  }
+  if (const base::Revision old = expired(limits_.audits_kept);
+      old.value() > 0) {
+    writes.push_back({AuditKey(old), std::nullopt, {}});
+  }
+  KvError ec = KvError::kNone;
+  const auto result =
+      service_.Commit({{std::string(kHeadKey), base.mod_revision},
+                       {DeltaKey(revision), base::Revision(0)}},
+                      writes, &ec);
+  *last_error = StoreErrorOf(ec);
+  if (result && !result->committed) {
+    *last_error = StoreError::kConflict;
+  }
+  return result && result->committed;
+}
+
+bool ConfigStore::WantsSnapshot(const ConfigHead& head) const noexcept {
+  return (head.revision - head.snapshot).value() >= limits_.snapshot_every;
+}
+
+bool ConfigStore::NeedsSnapshot(const ConfigHead& head) const noexcept {
+  // Deltas must not be deleted before a snapshot covers them.
+  return (head.revision - head.snapshot).value() >=
+         std::min(4 * limits_.snapshot_every, limits_.deltas_kept);
+}
+
+bool ConfigStore::WriteParts(const HeldConfiguration& held,
+                             int* parts,
+                             StoreError* last_error) const {
+  const std::string bytes = EncodeHeld(held);
+  const std::size_t n =
+      (bytes.size() + limits_.part_bytes - 1) / limits_.part_bytes;
+  *parts = static_cast<int>(n);
+  // Known before the parts are, so that parts of a writer that died can be
+  // found and deleted. Two writers of one revision write the same bytes.
+  KvError ec = KvError::kNone;
+  if (!service_.Commit(
+          {}, {{CompactionKey(held.revision()), std::to_string(n), {}}}, &ec)) {
+    *last_error = StoreErrorOf(ec);
+    return false;
+  }
+  for (std::size_t i = 0; i < n; ++i) {
+    const std::string part =
+        bytes.substr(i * limits_.part_bytes, limits_.part_bytes);
+    if (!service_.Commit(
+            {}, {{PartKey(held.revision(), static_cast<int>(i)), part, {}}},
+            &ec)) {
+      *last_error = StoreErrorOf(ec);
+      return false;
+    }
+  }
+  return true;
+}
+
+void ConfigStore::DropParts(base::Revision snapshot, int parts) const {
+  std::vector<KvWrite> writes = {{CompactionKey(snapshot), std::nullopt, {}}};
+  DeleteParts(snapshot, parts, &writes);
+  KvError ec = KvError::kNone;
+  service_.Commit({}, writes, &ec);
+}
+
+bool ConfigStore::PointHeadAt(const HeldConfiguration& held,
+                              int parts,
+                              StoreError* last_error) const {
+  KvError ec = KvError::kNone;
+  const auto begun = service_.List(std::string(kCompactionPrefix), 0, &ec);
+  if (!begun) {
+    *last_error = StoreErrorOf(ec);
+    return false;
+  }
+  for (int attempt = 0; attempt < kPointAttempts; ++attempt) {
+    const std::optional<StoredHead> stored = ReadHead(last_error);
+    if (!stored) {
+      return false;
+    }
+    if (stored->head.snapshot >= held.revision()) {
+      if (stored->head.snapshot > held.revision()) {
+        DropParts(held.revision(), parts);
+      }
+      return true;
+    }
+    if (stored->head.revision < held.revision()) {
+      *last_error = StoreError::kConflict;
+      return false;
+    }
+    ConfigHead head = stored->head;
+    head.snapshot = held.revision();
+    head.snapshot_parts = parts;
+    head.mark = base::RandomHexId(random_);
+    std::vector<KvWrite> writes = {
+        {std::string(kHeadKey), EncodeHead(head), {}}};
+    DeleteParts(stored->head.snapshot, stored->head.snapshot_parts, &writes);
+    for (const KvEntry& it : begun->entries) {
+      const std::int64_t revision =
+          std::atoll(it.key.c_str() + kCompactionPrefix.size());
+      if (revision < held.revision().value()) {
+        DeleteParts(base::Revision(revision), std::atoi(it.value.c_str()),
+                    &writes);
+      }
+      if (revision <= held.revision().value()) {
+        writes.push_back({it.key, std::nullopt, {}});
+      }
+    }
+    const auto result = service_.Commit(
+        {{std::string(kHeadKey), stored->mod_revision}}, writes, &ec);
+    if (result && result->committed) {
+      return true;
+    }
+    // Lost to another change, or its answer was lost: the head tells.
+    *last_error = result ? StoreError::kConflict : StoreErrorOf(ec);
+  }
+  return false;
+}
+
+bool ConfigStore::WriteSnapshot(const HeldConfiguration& held,
+                                StoreError* last_error) const {
+  *last_error = StoreError::kNone;
+  int parts = 0;
+  return WriteParts(held, &parts, last_error) &&
+         PointHeadAt(held, parts, last_error);
+}
+
+bool ConfigStore::Restore(const HeldConfiguration& held,
+                          const std::string& audit,
+                          StoreError* last_error) const {
+  const std::optional<StoredHead> stored = ReadHead(last_error);
+  if (!stored) {
+    return false;
+  }
+  if (stored->head.revision >= held.revision()) {
+    *last_error = StoreError::kConflict;
+    return false;
+  }
+  int parts = 0;
+  if (!WriteParts(held, &parts, last_error)) {
+    return false;
+  }
+  const ConfigHead head{held.revision(), held.digest, held.revision(), parts,
+                        base::RandomHexId(random_)};
+  std::vector<KvWrite> writes = {
+      {std::string(kHeadKey), EncodeHead(head), {}},
+      {AuditKey(held.revision()), audit, {}},
+      {CompactionKey(held.revision()), std::nullopt, {}}};
+  DeleteParts(stored->head.snapshot, stored->head.snapshot_parts, &writes);
+  KvError ec = KvError::kNone;
+  const auto result = service_.Commit(
+      {{std::string(kHeadKey), stored->mod_revision}}, writes, &ec);
+  *last_error = StoreErrorOf(ec);
+  if (result && !result->committed) {
+    *last_error = StoreError::kConflict;
+  }
+  return result && result->committed;
+}
+
+ConfigEvent ReadConfigEvent(const connection::KvEvent& event) {
+  ConfigEvent read;
+  const std::string& key = event.entry.key;
+  if (event.deleted) {
+    return read;
+  }
+  if (key == kHeadKey) {
+    read.head = DecodeHead(event.entry.value);
+  } else if (key.starts_with(kDeltaPrefix)) {
+    read.delta = DecodeChained(event.entry.value);
+  }
+  return read;
+}
+
+}  // namespace lynxglade::version
--- /dev/null
+++ b/src/version/config_watcher.cc
@@ -0,0 +1,195 @@
+#include "version/config_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lynxglade::version {
+namespace {
+
+using connection::KvError;
+using connection::KvEvent;
+
+// Sleeps vary by this much, so that instances do not read in step.
+constexpr double kJitter = 0.25;
+
+// Applies the deltas from what is in force up to the head. False when one did
+// not follow.
+bool TakeDeltas(const ConfigStore& store,
+                const ConfigHead& head,
+                ConfigTracker* tracker,
+                StoreError* last_error) {
+  const auto deltas =
+      store.ReadDeltas(tracker->Get()->revision, head.revision, last_error);
+  return deltas && std::ranges::all_of(*deltas, [&](const ChainedDelta& it) {
+           const OfferResult result =
+               tracker->OfferDelta(it, ConfigSource::kService);
+           return result == OfferResult::kTaken ||
+                  result == OfferResult::kKnown;
+         });
+}
+
+}  // namespace
+
+bool RefreshConfig(const ConfigStore& store,
+                   ConfigTracker* tracker,
+                   StoreError* last_error) {
+  const base::Revision held = tracker->Get()->revision;
+  const std::optional<StoredHead> stored = store.ReadHead(last_error);
+  if (!stored) {
+    return false;
+  }
+  if (stored->mod_revision.value() == 0) {
+    tracker->MarkEmpty();
+    return true;
+  }
+  const OfferResult offered =
+      tracker->OfferHead(stored->head, ConfigSource::kService, held);
+  if (offered != OfferResult::kAhead) {
+    return true;
+  }
+  if (held < stored->head.snapshot) {
+    const std::optional<HeldConfiguration> whole =
+        store.ReadSnapshot(stored->head, last_error);
+    if (!whole) {
+      return false;
+    }
+    tracker->OfferWhole(*whole, ConfigSource::kService);
+  }
+  return TakeDeltas(store, stored->head, tracker, last_error);
+}
+
+ConfigWatcher::ConfigWatcher(const connection::KeyValue& service,
+                             const ConfigStore& store,
+                             ConfigTracker& tracker,
+                             ConfigWatcherHooks hooks,
+                             base::Metrics& metrics,
+                             ConfigWatcherOptions options)
+    : service_(service),
+      store_(store),
+      tracker_(tracker),
+      hooks_(std::move(hooks)),
+      metrics_(metrics),
+      options_(options) {}
+
+ConfigWatcher::~ConfigWatcher() {
+  reader_.request_stop();
+  watcher_.request_stop();
+}
+
+void ConfigWatcher::Start() {
+  reader_ =
+      std::jthread([this](const std::stop_token& stop) { ReadLoop(stop); });
+  watcher_ =
+      std::jthread([this](const std::stop_token& stop) { WatchLoop(stop); });
+}
+
+void ConfigWatcher::Nudge() {
+  {
+    const std::scoped_lock lock(mutex_);
+    nudged_ = true;
+  }
+  wake_.notify_all();
+}
+
+void ConfigWatcher::ReadLoop(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    ReadOnce();
+    Sleep(stop, NextPeriod(), true);
+  }
+}
+
+void ConfigWatcher::ReadOnce() {
+  StoreError ec = StoreError::kNone;
+  const bool read = RefreshConfig(store_, &tracker_, &ec);
+  metrics_
+      .GetCounter("lynxglade_config_reads_total",
+                  {{"result", std::string(ToString(ec))}})
+      .Add();
+  if (!read && (!tracker_.ready() || tracker_.behind())) {
+    AskPeer();
+  }
+}
+
+void ConfigWatcher::AskPeer() {
+  if (!hooks_.fetch_from_peer) {
+    return;
+  }
+  if (const std::optional<std::string> bytes = hooks_.fetch_from_peer()) {
+    tracker_.OfferBytes(*bytes, ConfigSource::kPeer);
+  }
+}
+
+base::Duration ConfigWatcher::NextPeriod() const {
+  base::Duration period = options_.other_period;
+  if (!tracker_.ready() || tracker_.behind()) {
+    period = options_.behind_period;
+  } else if (hooks_.should_watch()) {
+    period = options_.watcher_period;
+  }
+  const double factor =
+      1.0 + kJitter * (2 * base::UniformReal(hooks_.random) - 1);
+  return std::chrono::duration_cast<base::Duration>(period * factor);
+}
+
+void ConfigWatcher::WatchLoop(const std::stop_token& stop) {
+  // 0 lets the service start the watch at its present; what lies before is
+  // the reader's to find.
+  base::Revision next{0};
+  while (!stop.stop_requested()) {
+    if (!hooks_.should_watch()) {
+      next = base::Revision(0);
+      Sleep(stop, options_.watcher_period, false);
+      continue;
+    }
+    const auto on_events = [&](const std::vector<KvEvent>& events,
+                               base::Revision revision) {
+      if (revision.value() > 0) {
+        next = revision + base::Revision(1);
+      }
+      if (!Take(events)) {
+        Nudge();
+      }
+      return hooks_.should_watch();
+    };
+    const KvError ec =
+        service_.Watch(std::string(kConfigPrefix), next, on_events, stop);
+    metrics_
+        .GetCounter("lynxglade_config_watch_ends_total",
+                    {{"reason", std::string(connection::ToString(ec))}})
+        .Add();
+    if (ec == KvError::kBadAnswer) {
+      // The start may have been compacted away; begin at the present.
+      next = base::Revision(0);
+    }
+    Nudge();
+    Sleep(stop, options_.rewatch_pause, false);
+  }
+}
+
+bool ConfigWatcher::Take(const std::vector<KvEvent>& events) {
+  // Heads after deltas: then a head that is ahead means a gap.
+  std::vector<ConfigHead> heads;
+  for (const KvEvent& it : events) {
+    ConfigEvent event = ReadConfigEvent(it);
+    if (event.delta) {
+      tracker_.OfferDelta(*event.delta, ConfigSource::kService);
+    }
+    if (event.head) {
+      heads.push_back(std::move(*event.head));
+    }
+  }
+  for (const ConfigHead& it : heads) {
+    tracker_.OfferHead(it, ConfigSource::kService);
+  }
+  return !tracker_.behind();
+}
+
+void ConfigWatcher::Sleep(const std::stop_token& stop,
+                          base::Duration time,
+                          bool nudgeable) {
+  std::unique_lock lock(mutex_);
+  wake_.wait_for(lock, stop, time,
+                 [&] { return nudgeable && std::exchange(nudged_, false); });
+}
+
+}  // namespace lynxglade::version
--- /dev/null
+++ b/src/version/operator_access.cc
@@ -0,0 +1,139 @@
+#include "version/operator_access.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "version/digest.h"
+
+namespace lynxglade::version {
+namespace {
+
+bool HasFleetOperator(const Configuration& configuration) {
+  return std::ranges::any_of(configuration.operators, [](const auto& it) {
+    return it.second.role == OperatorRole::kFleet &&
+           !it.second.key_hashes.empty();
+  });
+}
+
+// Looks at every hash, so that the time tells nothing of which one fits.
+bool OwnsKey(const Operator& op, const std::string& digest) {
+  return std::ranges::count_if(op.key_hashes, [&](const std::string& it) {
+           return EqualInConstantTime(it, digest);
+         }) > 0;
+}
+
+std::map<base::ServiceName, double> SharesOf(const Contract& contract) {
+  std::map<base::ServiceName, double> shares;
+  for (const Intent& it : contract.intents) {
+    shares[it.service] += it.share;
+  }
+  return shares;
+}
+
+bool RaisesShare(const Contract& before, const Contract& after) {
+  const auto old_shares = SharesOf(before);
+  return std::ranges::any_of(SharesOf(after), [&](const auto& it) {
+    const auto old = old_shares.find(it.first);
+    const double had = old == old_shares.end() ? 0 : old->second;
+    return it.second > had + kShareSlack;
+  });
+}
+
+int MostUrgent(const Contract& contract, const base::ServiceName& service) {
+  int most = kMaxPriority;
+  for (const Intent& it : contract.intents) {
+    if (it.service == service) {
+      most = std::min(most, it.priority);
+    }
+  }
+  return most;
+}
+
+bool RaisesUrgency(const Contract& before, const Contract& after) {
+  return std::ranges::any_of(after.intents, [&](const Intent& it) {
+    return it.priority < MostUrgent(before, it.service);
+  });
+}
+
+bool MayEditContract(const Caller& caller,
+                     const base::ContractId& id,
+                     const Edit<Contract>& edit,
+                     std::string* reason) {
+  if (!caller.MaySee(id)) {
+    *reason = "contract " + id.str() + " is not one of yours";
+    return false;
+  }
+  if (!edit.before || !edit.after) {
+    *reason = "only a fleet operator adds or removes a contract";
+    return false;
+  }
+  if (RaisesShare(*edit.before, *edit.after)) {
+    *reason = "only a fleet operator raises a share";
+    return false;
+  }
+  if (RaisesUrgency(*edit.before, *edit.after)) {
+    *reason = "only a fleet operator raises a priority";
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+bool Caller::MaySee(const base::ContractId& contract) const {
+  return role != OperatorRole::kContract ||
+         std::ranges::find(contracts, contract) != contracts.end();
+}
+
+OperatorAccess::OperatorAccess(CurrentConfiguration current,
+                               const std::string& bootstrap_key)
+    : current_(std::move(current)),
+      bootstrap_digest_(bootstrap_key.empty() ? "" : Sha256Hex(bootstrap_key)) {
+}
+
+std::optional<Caller> OperatorAccess::Recognise(const std::string& key) const {
+  if (key.empty()) {
+    return std::nullopt;
+  }
+  const std::string digest = Sha256Hex(key);
+  const std::shared_ptr<const Configuration> configuration = current_();
+  std::optional<Caller> found;
+  for (const auto& [id, op] : configuration->operators) {
+    if (OwnsKey(op, digest)) {
+      found = Caller{id, op.role, op.contracts};
+    }
+  }
+  const bool bootstrap = EqualInConstantTime(bootstrap_digest_, digest);
+  if (!found && bootstrap && !HasFleetOperator(*configuration)) {
+    found = Caller{base::OperatorId(std::string(kBootstrapOperator)),
+                   OperatorRole::kFleet,
+                   {}};
+  }
+  return found;
+}
+
+bool MayChange(const Caller& caller,
+               const ConfigDelta& delta,
+               std::string* reason) {
+  if (caller.is_fleet()) {
+    return true;
+  }
+  if (caller.role == OperatorRole::kReadOnly) {
+    *reason = "this operator may only read";
+    return false;
+  }
+  if (!delta.services.empty() || !delta.operators.empty()) {
+    *reason = "only a fleet operator changes services and operators";
+    return false;
+  }
+  return std::ranges::all_of(delta.contracts, [&](const auto& it) {
+    return MayEditContract(caller, it.first, it.second, reason);
+  });
+}
+
+bool LocksOut(const Configuration& before, const Configuration& after) {
+  return HasFleetOperator(before) && !HasFleetOperator(after);
+}
+
+}  // namespace lynxglade::version
--- /dev/null
+++ b/src/version/plan.cc
@@ -0,0 +1,302 @@
+#include "version/plan.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "version/details/json_reader.h"
+#include "version/digest.h"
+#include "version/operator_access.h"
+
+namespace lynxglade::version {
+namespace {
+
+using details::json;
+
+constexpr std::size_t kMaxPlanBytes = 950u << 10;
+constexpr std::size_t kMaxReasonBytes = 64u << 10;
+constexpr std::size_t kMaxChanges =
+    kMaxServices + kMaxContracts + kMaxOperators;
+
+std::nullopt_t Refuse(PlanFault* fault,
+                      PlanError error,
+                      std::string where,
+                      std::string message) {
+  *fault = {error, std::move(where), std::move(message)};
+  return std::nullopt;
+}
+
+std::set<base::ServiceName> ServicesOf(const Contract& contract) {
+  std::set<base::ServiceName> services;
+  std::ranges::transform(contract.intents,
+                         std::inserter(services, services.end()),
+                         &Intent::service);
+  return services;
+}
+
+// The services whose arithmetic the delta touches.
+std::set<base::ServiceName> ServicesTouched(const ConfigDelta& delta) {
+  std::set<base::ServiceName> services;
+  for (const auto& [name, edit] : delta.services) {
+    services.insert(name);
+  }
+  for (const auto& [id, edit] : delta.contracts) {
+    if (edit.before) {
+      services.merge(ServicesOf(*edit.before));
+    }
+    if (edit.after) {
+      services.merge(ServicesOf(*edit.after));
+    }
+  }
+  return services;
+}
+
+int CountTargets(const FleetFacts& fleet, const base::ServiceName& service) {
+  return static_cast<int>(
+      std::ranges::count(fleet.targets, service, &TargetFact::service));
+}
+
+json SharesToJson(const ServiceShares& shares) {
+  json lines = json::array();
+  for (const ShareLine& it : shares.lines) {
+    lines.push_back({{"contract", it.contract.str()},
+                     {"model", it.model.str()},
+                     {"version", it.version.str()},
+                     {"share", it.share},
+                     {"engines", it.engines}});
+  }
+  return {{"service", shares.service.str()},
+          {"engines", shares.engines},
+          {"sum", shares.sum},
+          {"free_engines", shares.free_engines},
+          {"lines", std::move(lines)}};
+}
+
+json TouchedToJson(const TouchedEngine& it) {
+  return {{"target", it.now.id.str()},
+          {"from",
+           {{"model", it.now.model.str()}, {"version", it.now.version.str()}}},
+          {"to", {{"model", it.model.str()}, {"version", it.version.str()}}}};
+}
+
+// The arithmetic of every touched service, and warnings that follow from it.
+struct Arithmetic {
+  json shares = json::array();
+  json touched = json::array();
+  json warnings = json::array();
+};
+
+void AddService(const Configuration& wanted,
+                const base::ServiceName& service,
+                const FleetFacts& fleet,
+                Arithmetic* all) {
+  const auto spec = wanted.services.find(service);
+  if (spec == wanted.services.end()) {
+    return;
+  }
+  const ServiceShares shares =
+      ComputeShares(wanted, service, CountTargets(fleet, service));
+  all->shares.push_back(SharesToJson(shares));
+  if (shares.engines == 0) {
+    all->warnings.push_back("no targets of " + service.str() +
+                            " are in view now");
+    return;
+  }
+  for (const ShareLine& it : shares.lines) {
+    if (it.engines == 0) {
+      all->warnings.push_back("the share of " + it.contract.str() + " on " +
+                              service.str() + " is less than one engine");
+    }
+  }
+  if (spec->second.engines) {
+    std::ranges::transform(TouchedEngines(shares, fleet.targets),
+                           std::back_inserter(all->touched), TouchedToJson);
+  }
+}
+
+Arithmetic Compute(const Configuration& wanted,
+                   const ConfigDelta& delta,
+                   const FleetFacts& fleet) {
+  Arithmetic all;
+  for (const base::ServiceName& it : ServicesTouched(delta)) {
+    AddService(wanted, it, fleet, &all);
+  }
+  return all;
+}
+
+json ChangesToJson(const std::vector<PlanChange>& changes) {
+  json array = json::array();
+  for (const PlanChange& it : changes) {
+    array.push_back(
+        {{"kind", it.kind}, {"subject", it.subject}, {"reason", it.reason}});
+  }
+  return array;
+}
+
+void WriteText(const Configuration& wanted,
+               const FleetFacts& fleet,
+               Plan* plan) {
+  Arithmetic all = Compute(wanted, plan->delta, fleet);
+  const double cost =
+      static_cast<double>(all.touched.size()) * fleet.seconds_per_change;
+  json text = {{"base", plan->base.value()},
+               {"base_digest", plan->base_digest},
+               {"delta", EncodeDelta(plan->delta)},
+               {"changes", ChangesToJson(plan->changes)},
+               {"shares", std::move(all.shares)},
+               {"engines_touched", std::move(all.touched)},
+               {"cost_engine_seconds", cost},
+               {"warnings", std::move(all.warnings)},
+               {"stated_by", plan->stated_by.str()},
+               {"note", plan->note}};
+  if (plan->rollback_to) {
+    text["rollback_to"] = plan->rollback_to->value();
+  }
+  plan->text = details::Canonical(text);
+  plan->id = base::PlanId(Sha256Hex(plan->text));
+}
+
+bool ReadChanges(details::JsonReader* reader,
+                 std::vector<PlanChange>* changes,
+                 CodecFault* fault) {
+  reader->Each(
+      "changes", json::value_t::array, kMaxChanges,
+      [&](const std::string&, const json& it, const std::string& where) {
+        details::JsonReader one(it, where, fault);
+        PlanChange& change = changes->emplace_back();
+        one.OptionalText("kind", kMaxIdBytes, &change.kind);
+        one.OptionalText("subject", kMaxIdBytes, &change.subject);
+        one.OptionalText("reason", kMaxReasonBytes, &change.reason);
+        return one.Done();
+      });
+  return reader->ok();
+}
+
+}  // namespace
+
+std::string_view ToString(PlanError error) noexcept {
+  switch (error) {
+    case PlanError::kNone:
+      return "none";
+    case PlanError::kBadStatement:
+      return "bad_statement";
+    case PlanError::kOverCommitted:
+      return "over_committed";
+    case PlanError::kNothingChanges:
+      return "nothing_changes";
+    case PlanError::kLocksOut:
+      return "locks_out";
+    case PlanError::kTooLarge:
+      return "too_large";
+    case PlanError::kNoSuchRevision:
+      return "no_such_revision";
+    case PlanError::kNotPermitted:
+      return "not_permitted";
+    case PlanError::kUnknownPlan:
+      return "unknown_plan";
+    case PlanError::kUnavailable:
+      return "unavailable";
+    case PlanError::kNotReady:
+      break;
+  }
+  return "not_ready";
+}
+
+std::optional<Plan> MakePlan(const HeldConfiguration& held,
+                             const Configuration& wanted,
+                             const Statement& statement,
+                             const base::OperatorId& stated_by,
+                             const FleetFacts& fleet,
+                             PlanFault* fault) {
+  CodecFault breach;
+  if (!CheckConfiguration(wanted, &breach)) {
+    const PlanError error = breach.error == CodecError::kOverCommitted
+                                ? PlanError::kOverCommitted
+                                : PlanError::kBadStatement;
+    return Refuse(fault, error, breach.where, breach.message);
+  }
+  if (LocksOut(*held.configuration, wanted)) {
+    return Refuse(fault, PlanError::kLocksOut, "/operators",
+                  "no fleet operator with a key would be left");
+  }
+  Plan plan;
+  plan.base = held.revision();
+  plan.base_digest = held.digest;
+  plan.delta = MakeDelta(*held.configuration, wanted);
+  if (plan.delta.empty()) {
+    return Refuse(fault, PlanError::kNothingChanges, "",
+                  "this is in force already");
+  }
+  plan.changes = DescribeDelta(plan.delta);
+  plan.stated_by = stated_by;
+  plan.note = statement.note;
+  plan.rollback_to = statement.rollback_to;
+  WriteText(wanted, fleet, &plan);
+  if (plan.text.size() > kMaxPlanBytes ||
+      EncodeChained(Chain(plan.delta, held.digest)).size() > kMaxDeltaBytes) {
+    return Refuse(fault, PlanError::kTooLarge, "",
+                  "the change is too large for one plan; state it in parts");
+  }
+  return plan;
+}
+
+std::optional<Plan> ReadPlan(std::string_view text) {
+  json value;
+  CodecFault fault;
+  if (!details::ParseObject(text, kMaxPlanBytes, &value, &fault)) {
+    return std::nullopt;
+  }
+  Plan plan;
+  std::int64_t base = 0;
+  std::string delta_text;
+  std::string stated_by;
+  details::JsonReader reader(value, "", &fault);
+  reader.Integer("base", 0, INT64_MAX, &base);
+  reader.OptionalText("base_digest", kMaxIdBytes, &plan.base_digest);
+  reader.OptionalText("delta", kMaxDeltaBytes, &delta_text);
+  reader.Id("stated_by", &stated_by);
+  reader.OptionalText("note", kMaxNoteBytes, &plan.note);
+  if (reader.Any("rollback_to") != nullptr) {
+    std::int64_t revision = 0;
+    reader.Integer("rollback_to", 0, INT64_MAX, &revision);
+    plan.rollback_to = base::Revision(revision);
+  }
+  if (!ReadChanges(&reader, &plan.changes, &fault)) {
+    return std::nullopt;
+  }
+  std::optional<ConfigDelta> delta = DecodeDelta(delta_text, &fault);
+  if (!delta) {
+    return std::nullopt;
+  }
+  plan.delta = std::move(*delta);
+  plan.base = base::Revision(base);
+  plan.stated_by = base::OperatorId(std::move(stated_by));
+  plan.text = std::string(text);
+  plan.id = base::PlanId(Sha256Hex(text));
+  return plan;
+}
+
+std::optional<Configuration> RollBack(const Configuration& held,
+                                      const std::vector<ChainedDelta>& deltas) {
+  Configuration old = held;
+  CodecFault fault;
+  const bool undone =
+      std::all_of(deltas.rbegin(), deltas.rend(), [&](const ChainedDelta& it) {
+        const std::optional<ConfigDelta> delta = DecodeDelta(it.text, &fault);
+        return delta && UndoDelta(*delta, &old);
+      });
+  if (!undone) {
+    return std::nullopt;
+  }
+  old.operators = held.operators;
+  for (auto& [id, contract] : old.contracts) {
+    const auto now = held.contracts.find(id);
+    if (now != held.contracts.end()) {
+      contract.key_hashes = now->second.key_hashes;
+    }
+  }
+  return old;
+}
+
+}  // namespace lynxglade::version
--- /dev/null
+++ b/src/version/plan_service.cc
@@ -0,0 +1,437 @@
+#include "version/plan_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+#include "version/config_watcher.h"
+#include "version/details/json_reader.h"
+
+namespace lynxglade::version {
+namespace {
+
+using connection::KvEntry;
+using connection::KvError;
+using connection::KvRange;
+using nlohmann::json;
+
+constexpr std::string_view kPlanPrefix = "/lynxglade/plans/";
+constexpr base::Revision kOne{1};
+// Rounds of read and compare-and-swap before the outcome is left unknown.
+constexpr int kSwapAttempts = 4;
+constexpr int kRefreshAttempts = 2;
+constexpr std::size_t kMaxAuditChanges = 50;
+constexpr std::int64_t kMaxChangesSince = 20;
+
+std::string PlanKey(const base::PlanId& id) {
+  return std::string(kPlanPrefix) + id.str();
+}
+
+std::nullopt_t Refuse(PlanFault* fault, PlanError error, std::string message) {
+  *fault = {error, "", std::move(message)};
+  return std::nullopt;
+}
+
+std::string PlanOf(const std::string& audit) {
+  const json value = json::parse(audit, nullptr, false);
+  return value.is_object() ? value.value("plan", std::string()) : std::string();
+}
+
+ConfirmResult Conflict(std::vector<std::string> since) {
+  return {ConfirmOutcome::kConflict, base::Revision(0),
+          "another change came first; make a new plan", std::move(since)};
+}
+
+ConfirmResult Behind() {
+  return {ConfirmOutcome::kServiceBehind,
+          base::Revision(0),
+          "the key-value service holds an older or another configuration than "
+          "is in force; see config restore",
+          {}};
+}
+
+}  // namespace
+
+std::string_view ToString(ConfirmOutcome outcome) noexcept {
+  switch (outcome) {
+    case ConfirmOutcome::kInForce:
+      return "in_force";
+    case ConfirmOutcome::kAlreadyInForce:
+      return "already_in_force";
+    case ConfirmOutcome::kConflict:
+      return "conflict";
+    case ConfirmOutcome::kUnknownPlan:
+      return "unknown_plan";
+    case ConfirmOutcome::kNotPermitted:
+      return "not_permitted";
+    case ConfirmOutcome::kUnavailable:
+      return "unavailable";
+    case ConfirmOutcome::kUnknown:
+      return "outcome_unknown";
+    case ConfirmOutcome::kServiceBehind:
+      break;
+  }
+  return "service_behind";
+}
+
+PlanService::PlanService(const connection::KeyValue& service,
+                         const ConfigStore& store,
+                         ConfigTracker& tracker,
+                         PlanServiceHooks hooks)
+    : service_(service),
+      store_(store),
+      tracker_(tracker),
+      hooks_(std::move(hooks)) {}
+
+bool PlanService::Refresh(PlanFault* fault) const {
+  StoreError ec = StoreError::kNone;
+  bool read = RefreshConfig(store_, &tracker_, &ec);
+  // Changes that came during the read are no reason to give up.
+  for (int i = 0; i < kRefreshAttempts && (!read || tracker_.behind()); ++i) {
+    read = RefreshConfig(store_, &tracker_, &ec);
+  }
+  if (!read) {
+    *fault = {PlanError::kUnavailable, "",
+              "the key-value service: " + std::string(ToString(ec))};
+    return false;
+  }
+  if (!tracker_.ready() || tracker_.behind() || tracker_.service_is_behind() ||
+      tracker_.forked()) {
+    *fault = {PlanError::kNotReady, "",
+              "this instance and the key-value service do not hold the newest "
+              "configuration that was heard of"};
+    return false;
+  }
+  return true;
+}
+
+std::optional<Configuration> PlanService::Wanted(const Statement& statement,
+                                                 PlanFault* fault) const {
+  if (statement.rollback_to) {
+    return ConfigurationAt(*statement.rollback_to, fault);
+  }
+  Configuration wanted = *tracker_.Get();
+  CodecFault breach;
+  if (!ApplyStatement(statement, &wanted, &breach)) {
+    *fault = {PlanError::kBadStatement, breach.where, breach.message};
+    return std::nullopt;
+  }
+  return wanted;
+}
+
+std::optional<Plan> PlanService::State(const Statement& statement,
+                                       const Caller& caller,
+                                       PlanFault* fault) {
+  if (!Refresh(fault)) {
+    return std::nullopt;
+  }
+  const HeldConfiguration held = tracker_.Held();
+  const std::optional<Configuration> wanted = Wanted(statement, fault);
+  if (!wanted) {
+    return std::nullopt;
+  }
+  std::optional<Plan> plan =
+      MakePlan(held, *wanted, statement, caller.id, hooks_.fleet(), fault);
+  if (!plan) {
+    return std::nullopt;
+  }
+  std::string reason;
+  if (!MayChange(caller, plan->delta, &reason)) {
+    return Refuse(fault, PlanError::kNotPermitted, reason);
+  }
+  if (!Save(*plan, fault)) {
+    return std::nullopt;
+  }
+  return plan;
+}
+
+bool PlanService::Save(const Plan& plan, PlanFault* fault) const {
+  KvError ec = KvError::kNone;
+  const auto lease = service_.GrantLease(hooks_.plan_ttl, &ec);
+  if (lease) {
+    // The key is the digest of the value: a second write of it, after an
+    // answer that was lost, changes nothing.
+    const auto put = [&] {
+      return service_.Commit({{PlanKey(plan.id), base::Revision(0)}},
+                             {{PlanKey(plan.id), plan.text, *lease}}, &ec);
+    };
+    if (put() || (ec == KvError::kAmbiguous && put())) {
+      return true;
+    }
+  }
+  Refuse(fault, PlanError::kUnavailable,
+         "the key-value service: " + std::string(connection::ToString(ec)));
+  return false;
+}
+
+std::optional<Plan> PlanService::Find(const base::PlanId& id,
+                                      PlanFault* fault) const {
+  KvError ec = KvError::kNone;
+  const std::optional<KvRange> range = service_.Get(PlanKey(id), &ec);
+  if (!range) {
+    return Refuse(
+        fault, PlanError::kUnavailable,
+        "the key-value service: " + std::string(connection::ToString(ec)));
+  }
+  std::optional<Plan> plan;
+  if (!range->entries.empty()) {
+    plan = ReadPlan(range->entries.front().value);
+  }
+  // A value that was altered has another digest than its key.
+  if (!plan || plan->id != id) {
+    return Refuse(fault, PlanError::kUnknownPlan,
+                  "there is no such plan; it may have expired");
+  }
+  return plan;
+}
+
+std::optional<std::vector<Plan>> PlanService::List(PlanFault* fault) const {
+  KvError ec = KvError::kNone;
+  const std::optional<KvRange> range =
+      service_.List(std::string(kPlanPrefix), kMaxListedPlans, &ec);
+  if (!range) {
+    return Refuse(
+        fault, PlanError::kUnavailable,
+        "the key-value service: " + std::string(connection::ToString(ec)));
+  }
+  std::vector<Plan> plans;
+  for (const KvEntry& it : range->entries) {
+    if (std::optional<Plan> plan = ReadPlan(it.value)) {
+      plans.push_back(std::move(*plan));
+    }
+  }
+  return plans;
+}
+
+std::string PlanService::AuditOf(const Plan& plan, const Caller& caller) const {
+  json changes = json::array();
+  json contracts = json::array();
+  for (const PlanChange& it : plan.changes) {
+    if (changes.size() < kMaxAuditChanges) {
+      changes.push_back(
+          {{"kind", it.kind}, {"subject", it.subject}, {"reason", it.reason}});
+    }
+  }
+  for (const auto& [id, edit] : plan.delta.contracts) {
+    contracts.push_back(id.str());
+  }
+  const bool fleet =
+      !plan.delta.services.empty() || !plan.delta.operators.empty();
+  json audit = {{"revision", plan.delta.revision.value()},
+                {"plan", plan.id.str()},
+                {"confirmed_by", caller.id.str()},
+                {"stated_by", plan.stated_by.str()},
+                {"note", plan.note},
+                {"at_ms", hooks_.wall_millis()},
+                {"changes", std::move(changes)},
+                {"changes_total", plan.changes.size()},
+                {"contracts", std::move(contracts)},
+                {"fleet", fleet}};
+  if (plan.rollback_to) {
+    audit["rollback_to"] = plan.rollback_to->value();
+  }
+  return details::Canonical(audit);
+}
+
+ConfirmResult PlanService::Confirm(const base::PlanId& id,
+                                   const Caller& caller) {
+  PlanFault fault;
+  const std::optional<Plan> plan = Find(id, &fault);
+  if (!plan) {
+    const bool unknown = fault.error == PlanError::kUnknownPlan;
+    return {
+        unknown ? ConfirmOutcome::kUnknownPlan : ConfirmOutcome::kUnavailable,
+        base::Revision(0),
+        fault.message,
+        {}};
+  }
+  std::string reason;
+  if (!MayChange(caller, plan->delta, &reason)) {
+    return {ConfirmOutcome::kNotPermitted, base::Revision(0), reason, {}};
+  }
+  return Swap(*plan, caller);
+}
+
+std::optional<ConfirmResult> PlanService::Settled(
+    const Plan& plan,
+    const StoredHead& stored,
+    base::Revision heard_before,
+    StoreError* last_error) const {
+  *last_error = StoreError::kNone;
+  const base::Revision head = stored.head.revision;
+  if (head < plan.base ||
+      (head == plan.base && stored.head.digest != plan.base_digest)) {
+    return Behind();
+  }
+  if (head < heard_before) {
+    return Behind();
+  }
+  if (head == plan.base) {
+    return std::nullopt;
+  }
+  // The audit record of the plan's revision names the plan that made it.
+  const auto audit = store_.ReadAudit(plan.base + kOne, last_error);
+  if (!audit) {
+    return std::nullopt;
+  }
+  if (PlanOf(*audit) == plan.id.str()) {
+    return ConfirmResult{ConfirmOutcome::kAlreadyInForce,
+                         plan.base + kOne,
+                         "the plan is in force",
+                         {}};
+  }
+  const base::Revision from(
+      std::max(plan.base.value(), head.value() - kMaxChangesSince));
+  auto since = store_.ReadAudits(from, head, last_error);
+  *last_error = StoreError::kNone;
+  return Conflict(since ? std::move(*since) : std::vector<std::string>());
+}
+
+ConfirmResult PlanService::Swap(const Plan& plan, const Caller& caller) {
+  const ChainedDelta delta = Chain(plan.delta, plan.base_digest);
+  const std::string audit = AuditOf(plan, caller);
+  StoreError ec = StoreError::kNone;
+  // Whether a write may be on its way: then no failure says "not in force".
+  bool sent = false;
+  for (int attempt = 0; attempt < kSwapAttempts; ++attempt) {
+    // Before the read: what is heard during it may be newer than its answer.
+    const base::Revision heard = tracker_.newest_heard();
+    const std::optional<StoredHead> stored = store_.ReadHead(&ec);
+    if (!stored) {
+      break;
+    }
+    std::optional<ConfirmResult> settled = Settled(plan, *stored, heard, &ec);
+    if (settled) {
+      // Our own write whose answer was lost is news, not a repeat.
+      if (settled->outcome == ConfirmOutcome::kAlreadyInForce && sent) {
+        return TakenEffect(plan);
+      }
+      return std::move(*settled);
+    }
+    if (ec != StoreError::kNone) {
+      break;
+    }
+    if (store_.NeedsSnapshot(stored->head)) {
+      SnapshotWhenDue();
+      ec = StoreError::kUnavailable;
+      continue;
+    }
+    // A second try after a lost answer compares with the same revision of the
+    // head, so at most one of the two takes effect.
+    if (store_.Accept(*stored, plan.delta.revision, delta, audit, &ec)) {
+      return TakenEffect(plan);
+    }
+    sent = sent || ec == StoreError::kAmbiguous;
+    if (ec != StoreError::kAmbiguous && ec != StoreError::kConflict) {
+      break;
+    }
+  }
+  return {sent ? ConfirmOutcome::kUnknown : ConfirmOutcome::kUnavailable,
+          base::Revision(0),
+          sent ? "the answer was lost and the service cannot tell now; "
+                 "confirm again, it cannot take effect twice"
+               : "not in force; the key-value service: " +
+                     std::string(ToString(ec)),
+          {}};
+}
+
+ConfirmResult PlanService::TakenEffect(const Plan& plan) {
+  const ChainedDelta delta = Chain(plan.delta, plan.base_digest);
+  const OfferResult result = tracker_.OfferDelta(delta, ConfigSource::kOwn);
+  base::Log(base::LogLevel::kInfo, "plan_in_force",
+            {{"plan", plan.id.str()},
+             {"revision", plan.delta.revision.value()},
+             {"here", ToString(result)}});
+  SnapshotWhenDue();
+  return {ConfirmOutcome::kInForce,
+          plan.delta.revision,
+          "the plan is in force",
+          {}};
+}
+
+void PlanService::SnapshotWhenDue() const {
+  StoreError ec = StoreError::kNone;
+  const std::optional<StoredHead> stored = store_.ReadHead(&ec);
+  if (!stored || !store_.WantsSnapshot(stored->head)) {
+    return;
+  }
+  PlanFault fault;
+  if (!Refresh(&fault) || !store_.WriteSnapshot(tracker_.Held(), &ec)) {
+    // The next change tries again.
+    base::Log(base::LogLevel::kWarning, "config_snapshot_failed",
+              {{"reason", ToString(ec)}});
+  }
+}
+
+std::optional<Configuration> PlanService::ConfigurationAt(
+    base::Revision revision,
+    PlanFault* fault) const {
+  const std::shared_ptr<const Configuration> held = tracker_.Get();
+  if (revision > held->revision) {
+    return Refuse(
+        fault, PlanError::kNoSuchRevision,
+        "the newest revision is " + std::to_string(held->revision.value()));
+  }
+  StoreError ec = StoreError::kNone;
+  const auto deltas = store_.ReadDeltas(revision, held->revision, &ec);
+  if (!deltas && ec != StoreError::kCorrupt) {
+    return Refuse(fault, PlanError::kUnavailable,
+                  "the key-value service: " + std::string(ToString(ec)));
+  }
+  std::optional<Configuration> old;
+  if (deltas) {
+    old = RollBack(*held, *deltas);
+  }
+  if (!old) {
+    return Refuse(fault, PlanError::kNoSuchRevision,
+                  "the changes since that revision are no longer kept");
+  }
+  return old;
+}
+
+ConfirmResult PlanService::Restore(const Caller& caller) {
+  const HeldConfiguration held = tracker_.Held();
+  const bool newest = tracker_.newest_heard() <= held.revision();
+  if (!newest || held.revision().value() == 0) {
+    return {ConfirmOutcome::kConflict,
+            base::Revision(0),
+            "this instance does not hold the newest configuration",
+            {}};
+  }
+  const std::string audit =
+      details::Canonical({{"revision", held.revision().value()},
+                          {"plan", ""},
+                          {"confirmed_by", caller.id.str()},
+                          {"note", "put back into a service that had lost it"},
+                          {"at_ms", hooks_.wall_millis()},
+                          {"changes", json::array()},
+                          {"contracts", json::array()},
+                          {"fleet", true}});
+  StoreError ec = StoreError::kNone;
+  if (store_.Restore(held, audit, &ec)) {
+    base::Log(
+        base::LogLevel::kWarning, "config_restored",
+        {{"revision", held.revision().value()}, {"operator", caller.id.str()}});
+    PlanFault fault;
+    Refresh(&fault);
+    return {ConfirmOutcome::kInForce,
+            held.revision(),
+            "the service holds the configuration in force again",
+            {}};
+  }
+  if (ec == StoreError::kConflict) {
+    return {ConfirmOutcome::kConflict,
+            base::Revision(0),
+            "the service does not hold an older configuration",
+            {}};
+  }
+  return {ec == StoreError::kAmbiguous ? ConfirmOutcome::kUnknown
+                                       : ConfirmOutcome::kUnavailable,
+          base::Revision(0),
+          "the key-value service: " + std::string(ToString(ec)),
+          {}};
+}
+
+}  // namespace lynxglade::version
--- /dev/null
+++ b/src/version/stated_change.cc
@@ -0,0 +1,276 @@
+#include "version/stated_change.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "version/details/configuration_json.h"
+#include "version/details/json_reader.h"
+
+namespace lynxglade::version {
+namespace {
+
+using details::Below;
+using details::Fail;
+using details::json;
+using details::JsonReader;
+
+// Reads the argument of one kind of change.
+using ReadChange = bool (*)(const json& value,
+                            const std::string& where,
+                            StatedChange* out,
+                            CodecFault* fault);
+
+template <typename Change, auto kMember>
+bool ReadPart(const json& value,
+              const std::string& where,
+              StatedChange* out,
+              CodecFault* fault) {
+  Change change;
+  if (!details::FromJson(value, where, &(change.*kMember), fault)) {
+    return false;
+  }
+  *out = std::move(change);
+  return true;
+}
+
+template <typename Change, auto kMember>
+bool ReadName(const json& value,
+              const std::string& where,
+              StatedChange* out,
+              CodecFault* fault) {
+  if (!value.is_string() ||
+      !details::IsId(value.get_ref<const std::string&>())) {
+    return Fail(fault, CodecError::kWrongType, where, "must be an id");
+  }
+  Change change;
+  auto& id = change.*kMember;
+  id = std::remove_reference_t<decltype(id)>(value.get<std::string>());
+  *out = std::move(change);
+  return true;
+}
+
+bool ReadUpsertIntent(const json& value,
+                      const std::string& where,
+                      StatedChange* out,
+                      CodecFault* fault) {
+  if (!value.is_object()) {
+    return Fail(fault, CodecError::kWrongType, where, "must be an object");
+  }
+  json intent = value;
+  intent.erase("contract");
+  const json contract = {{"contract", value.value("contract", json())}};
+  JsonReader reader(contract, where, fault);
+  std::string id;
+  reader.Id("contract", &id);
+  UpsertIntent change;
+  if (!reader.Done() ||
+      !details::FromJson(intent, where, &change.intent, fault)) {
+    return false;
+  }
+  change.contract = base::ContractId(std::move(id));
+  *out = std::move(change);
+  return true;
+}
+
+bool ReadRemoveIntent(const json& value,
+                      const std::string& where,
+                      StatedChange* out,
+                      CodecFault* fault) {
+  JsonReader reader(value, where, fault);
+  std::string contract;
+  std::string service;
+  std::string model;
+  reader.Id("contract", &contract);
+  reader.Id("service", &service);
+  reader.OptionalId("model", &model);
+  *out = RemoveIntent{base::ContractId(std::move(contract)),
+                      base::ServiceName(std::move(service)),
+                      base::ModelName(std::move(model))};
+  return reader.Done();
+}
+
+bool ReadSetPlanner(const json& value,
+                    const std::string& where,
+                    StatedChange* out,
+                    CodecFault* fault) {
+  JsonReader reader(value, where, fault);
+  std::string service;
+  SetPlanner change;
+  reader.Id("service", &service);
+  if (reader.Any("role_change_price") != nullptr) {
+    reader.Number("role_change_price", 0, kMaxRoleChangePrice,
+                  &change.role_change_price.emplace());
+  }
+  if (reader.Any("planner_enabled") != nullptr) {
+    reader.OptionalFlag("planner_enabled", &change.planner_enabled.emplace());
+  }
+  change.service = base::ServiceName(std::move(service));
+  *out = std::move(change);
+  return reader.Done();
+}
+
+struct Verb {
+  std::string_view name;
+  ReadChange read;
+};
+
+constexpr Verb kVerbs[] = {
+    {"upsert_contract", &ReadPart<UpsertContract, &UpsertContract::contract>},
+    {"remove_contract", &ReadName<RemoveContract, &RemoveContract::contract>},
+    {"upsert_intent", &ReadUpsertIntent},
+    {"remove_intent", &ReadRemoveIntent},
+    {"upsert_service", &ReadPart<UpsertService, &UpsertService::service>},
+    {"remove_service", &ReadName<RemoveService, &RemoveService::service>},
+    {"set_planner", &ReadSetPlanner},
+    {"upsert_operator", &ReadPart<UpsertOperator, &UpsertOperator::op>},
+    {"remove_operator", &ReadName<RemoveOperator, &RemoveOperator::op>},
+};
+
+bool ReadOneChange(const json& value,
+                   const std::string& where,
+                   StatedChange* out,
+                   CodecFault* fault) {
+  if (!value.is_object() || value.size() != 1) {
+    return Fail(fault, CodecError::kWrongType, where,
+                "must be an object with one member, the kind of change");
+  }
+  const std::string& name = value.begin().key();
+  const auto* const verb = std::ranges::find(kVerbs, name, &Verb::name);
+  if (verb == std::end(kVerbs)) {
+    return Fail(fault, CodecError::kUnknownMember, Below(where, name),
+                "no such kind of change");
+  }
+  return verb->read(value.begin().value(), Below(where, name), out, fault);
+}
+
+// Makes one change; each overload returns an empty text or what stands in
+// the way.
+struct Apply {
+  Configuration& configuration;
+
+  std::string operator()(const UpsertContract& it) const {
+    configuration.contracts.insert_or_assign(it.contract.id, it.contract);
+    return {};
+  }
+  std::string operator()(const RemoveContract& it) const {
+    return configuration.contracts.erase(it.contract) > 0
+               ? ""
+               : "there is no contract " + it.contract.str();
+  }
+  std::string operator()(const UpsertIntent& it) const {
+    const auto contract = configuration.contracts.find(it.contract);
+    if (contract == configuration.contracts.end()) {
+      return "there is no contract " + it.contract.str();
+    }
+    std::vector<Intent>& intents = contract->second.intents;
+    const auto same = Find(intents, it.intent.service, it.intent.model);
+    if (same != intents.end()) {
+      *same = it.intent;
+      return {};
+    }
+    if (intents.size() >= kMaxIntentsPerContract) {
+      return "the contract has the most intents that it may have";
+    }
+    intents.push_back(it.intent);
+    return {};
+  }
+  std::string operator()(const RemoveIntent& it) const {
+    const auto contract = configuration.contracts.find(it.contract);
+    if (contract == configuration.contracts.end()) {
+      return "there is no contract " + it.contract.str();
+    }
+    std::vector<Intent>& intents = contract->second.intents;
+    const auto same = Find(intents, it.service, it.model);
+    if (same == intents.end()) {
+      return "the contract has no such intent";
+    }
+    intents.erase(same);
+    return {};
+  }
+  std::string operator()(const UpsertService& it) const {
+    configuration.services.insert_or_assign(it.service.name, it.service);
+    return {};
+  }
+  std::string operator()(const RemoveService& it) const {
+    return configuration.services.erase(it.service) > 0
+               ? ""
+               : "there is no service " + it.service.str();
+  }
+  std::string operator()(const SetPlanner& it) const {
+    const auto service = configuration.services.find(it.service);
+    if (service == configuration.services.end()) {
+      return "there is no service " + it.service.str();
+    }
+    ServiceSpec& spec = service->second;
+    spec.role_change_price =
+        it.role_change_price.value_or(spec.role_change_price);
+    spec.planner_enabled = it.planner_enabled.value_or(spec.planner_enabled);
+    return {};
+  }
+  std::string operator()(const UpsertOperator& it) const {
+    configuration.operators.insert_or_assign(it.op.id, it.op);
+    return {};
+  }
+  std::string operator()(const RemoveOperator& it) const {
+    return configuration.operators.erase(it.op) > 0
+               ? ""
+               : "there is no operator " + it.op.str();
+  }
+
+ private:
+  static std::vector<Intent>::iterator Find(std::vector<Intent>& intents,
+                                            const base::ServiceName& service,
+                                            const base::ModelName& model) {
+    return std::ranges::find_if(intents, [&](const Intent& it) {
+      return it.service == service && it.model == model;
+    });
+  }
+};
+
+}  // namespace
+
+std::optional<Statement> ParseStatement(std::string_view text,
+                                        CodecFault* fault) {
+  json value;
+  if (!details::ParseObject(text, kMaxStatementBytes, &value, fault)) {
+    return std::nullopt;
+  }
+  Statement statement;
+  JsonReader reader(value, "", fault);
+  reader.OptionalText("note", kMaxNoteBytes, &statement.note);
+  reader.Each(
+      "changes", json::value_t::array, kMaxStatedChanges,
+      [&](const std::string&, const json& it, const std::string& where) {
+        return ReadOneChange(it, where, &statement.changes.emplace_back(),
+                             fault);
+      });
+  if (reader.Any("rollback_to") != nullptr) {
+    std::int64_t revision = 0;
+    reader.Integer("rollback_to", 0, INT64_MAX, &revision);
+    statement.rollback_to = base::Revision(revision);
+  }
+  if (!reader.Done()) {
+    return std::nullopt;
+  }
+  if (statement.changes.empty() == !statement.rollback_to) {
+    Fail(fault, CodecError::kMissing, "/changes",
+         "either changes or rollback_to");
+    return std::nullopt;
+  }
+  return statement;
+}
+
+bool ApplyStatement(const Statement& statement,
+                    Configuration* configuration,
+                    CodecFault* fault) {
+  std::size_t n = 0;
+  return std::ranges::all_of(
+      statement.changes, [&](const StatedChange& change) {
+        const std::string obstacle = std::visit(Apply{*configuration}, change);
+        const std::string where = Below("/changes", std::to_string(n++));
+        return obstacle.empty() ||
+               Fail(fault, CodecError::kBadReference, where, obstacle);
+      });
+}
+
+}  // namespace lynxglade::version
--- /dev/null
+++ b/src/version/stated_change.h
@@ -0,0 +1,95 @@
+// What an operator states: single changes to the configuration, as JSON.
+//
+//   {"note": "...", "changes": [
+//     {"upsert_contract": {contract}},   {"remove_contract": "id"},
+//     {"upsert_intent": {"contract": "id", intent...}},
+//     {"remove_intent": {"contract", "service", "model"}},
+//     {"upsert_service": {service}},     {"remove_service": "name"},
+//     {"set_planner": {"service", "role_change_price"?, "planner_enabled"?}},
+//     {"upsert_operator": {operator}},   {"remove_operator": "id"}]}
+// or {"rollback_to": revision}.
+#ifndef LYNXGLADE_VERSION_STATED_CHANGE_H_
+#define LYNXGLADE_VERSION_STATED_CHANGE_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "version/configuration.h"
+#include "version/configuration_codec.h"
+
+namespace lynxglade::version {
+
+inline constexpr std::size_t kMaxStatementBytes = 1u << 20;
+inline constexpr std::size_t kMaxStatedChanges = 2'000;
+inline constexpr std::size_t kMaxNoteBytes = 1'000;
+
+struct UpsertContract {
+  Contract contract;
+};
+struct RemoveContract {
+  base::ContractId contract;
+};
+// Adds the intent, or replaces the contract's intent for the same service and
+// model.
+struct UpsertIntent {
+  base::ContractId contract;
+  Intent intent;
+};
+struct RemoveIntent {
+  base::ContractId contract;
+  base::ServiceName service;
+  base::ModelName model;
+};
+struct UpsertService {
+  ServiceSpec service;
+};
+struct RemoveService {
+  base::ServiceName service;
+};
+struct SetPlanner {
+  base::ServiceName service;
+  std::optional<double> role_change_price;
+  std::optional<bool> planner_enabled;
+};
+struct UpsertOperator {
+  Operator op;
+};
+struct RemoveOperator {
+  base::OperatorId op;
+};
+
+using StatedChange = std::variant<UpsertContract,
+                                  RemoveContract,
+                                  UpsertIntent,
+                                  RemoveIntent,
+                                  UpsertService,
+                                  RemoveService,
+                                  SetPlanner,
+                                  UpsertOperator,
+                                  RemoveOperator>;
+
+struct Statement {
+  std::vector<StatedChange> changes;
+  std::string note;
+  // Instead of changes: go back to what was in force at this revision.
+  std::optional<base::Revision> rollback_to;
+};
+
+std::optional<Statement> ParseStatement(std::string_view text,
+                                        CodecFault* fault);
+
+// Makes the changes in order. Returns false with the place of the first that
+// cannot be made; the configuration is then of no use.
+bool ApplyStatement(const Statement& statement,
+                    Configuration* configuration,
+                    CodecFault* fault);
+
+}  // namespace lynxglade::version
+
+#endif  // LYNXGLADE_VERSION_STATED_CHANGE_H_
--- /dev/null
+++ b/tests/version/plan_test.cc
@@ -0,0 +1,391 @@
+// Plans: arithmetic, who may, racing operators, lost answers, lost service.
+#include "version/plan.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "fakes/fake_kv.h"
+#include "version/config_watcher.h"
+#include "version/plan_service.h"
+#include "version/sample.h"
+
+namespace lynxglade::version {
+namespace {
+
+using nlohmann::json;
+
+const Caller kFleetCaller{base::OperatorId("ana"), OperatorRole::kFleet, {}};
+
+// One instance: its own client, store and tracker, on a shared service.
+struct Instance {
+  Instance(fakes::FakeKv& kv, std::uint64_t seed, StoreLimits limits)
+      : client(fakes::MakeInProcessTransport(kv), std::chrono::seconds(1)),
+        store(client, base::SeededRandom(seed), limits),
+        plans(client,
+              store,
+              tracker,
+              {[] { return FleetFacts{}; }, [] { return std::int64_t{7}; }}) {}
+
+  bool Refresh() {
+    StoreError ec = StoreError::kNone;
+    return RefreshConfig(store, &tracker, &ec);
+  }
+
+  base::Metrics metrics;
+  connection::KeyValue client;
+  ConfigStore store;
+  ConfigTracker tracker{{[] { return base::Time{}; }, {}, {}}, metrics};
+  PlanService plans;
+};
+
+// Few enough that histories of a test compact and expire several times.
+constexpr StoreLimits kSmall{4, 12, 1000, 400};
+
+struct Fixture {
+  Fixture() : kv([] { return base::Time{}; }) {
+    for (std::uint64_t i = 0; i < 3; ++i) {
+      instances.push_back(std::make_unique<Instance>(kv, i + 1, kSmall));
+    }
+  }
+  Instance& at(std::size_t n) { return *instances[n]; }
+
+  // States and confirms through one instance; the new revision.
+  base::Revision Put(std::size_t n, const std::string& statement) {
+    PlanFault fault;
+    CodecFault breach;
+    const auto parsed = ParseStatement(statement, &breach);
+    EXPECT_TRUE(parsed) << breach.where << breach.message;
+    const auto plan = at(n).plans.State(*parsed, kFleetCaller, &fault);
+    EXPECT_TRUE(plan) << fault.message;
+    const auto result = at(n).plans.Confirm(plan->id, kFleetCaller);
+    EXPECT_EQ(result.outcome, ConfirmOutcome::kInForce) << result.message;
+    return result.revision;
+  }
+
+  fakes::FakeKv kv;
+  std::vector<std::unique_ptr<Instance>> instances;
+};
+
+std::string Basics() {
+  return R"({"changes":[
+    {"upsert_service":{"name":"llm","engines":true}},
+    {"upsert_contract":{"id":"archive","intents":[
+      {"service":"llm","model":"m1","share":0.5}]}},
+    {"upsert_contract":{"id":"parish"}}]})";
+}
+
+std::string ShareOf(const std::string& contract, double share) {
+  const json intent = {{"contract", contract},
+                       {"service", "llm"},
+                       {"model", "m1"},
+                       {"share", share}};
+  return json{{"changes", {{{"upsert_intent", intent}}}}}.dump();
+}
+
+// Operators state and confirm plans through any instance while answers and
+// calls are lost. Whatever they are told must be true, and the history one
+// line.
+RC_GTEST_PROP(PlanServiceTest, RacingOperatorsWithLostAnswers, ()) {
+  Fixture fixture;
+  fixture.Put(0, Basics());
+  std::vector<base::PlanId> plans;
+  // The revision that a plan took effect at, as told.
+  std::map<base::PlanId, base::Revision> told;
+  std::map<std::size_t, base::Revision> last;
+  const StoreError none = StoreError::kNone;
+
+  const auto in_force = [&](const base::PlanId& id) {
+    StoreError ec = none;
+    Instance judge(fixture.kv, 99, kSmall);
+    const auto head = judge.store.ReadHead(&ec);
+    const auto audits =
+        judge.store.ReadAudits(base::Revision(0), head->head.revision, &ec);
+    return std::ranges::count_if(*audits, [&](const std::string& it) {
+      return json::parse(it).at("plan") == id.str();
+    });
+  };
+
+  for (int step = *rc::gen::inRange(1, 40); step > 0; --step) {
+    const auto n = *rc::gen::inRange<std::size_t>(0, 3);
+    const int faults = *rc::gen::inRange(0, 8);
+    const char* const kinds[] = {"lose_answer", "lose_request", "unreachable",
+                                 "unavailable"};
+    if (faults < 4) {
+      fixture.kv.ApplyFaults({{kinds[faults], *rc::gen::inRange(1, 4)}});
+    }
+    if (plans.empty() || *rc::gen::inRange(0, 2) == 0) {
+      CodecFault breach;
+      const auto statement = ParseStatement(
+          ShareOf("parish", *rc::gen::inRange(1, 500) / 1000.0), &breach);
+      PlanFault fault;
+      if (const auto plan =
+              fixture.at(n).plans.State(*statement, kFleetCaller, &fault)) {
+        plans.push_back(plan->id);
+      }
+    } else {
+      const base::PlanId id = *rc::gen::elementOf(plans);
+      const ConfirmResult result =
+          fixture.at(n).plans.Confirm(id, kFleetCaller);
+      fixture.kv.ApplyFaults({{"lose_answer", 0},
+                              {"lose_request", 0},
+                              {"unreachable", 0},
+                              {"unavailable", 0}});
+      switch (result.outcome) {
+        case ConfirmOutcome::kInForce:
+          RC_ASSERT(!told.contains(id));
+          [[fallthrough]];
+        case ConfirmOutcome::kAlreadyInForce:
+          RC_ASSERT(in_force(id) == 1);
+          told[id] = result.revision;
+          break;
+        case ConfirmOutcome::kConflict:
+        case ConfirmOutcome::kUnavailable:
+          if (result.outcome == ConfirmOutcome::kConflict) {
+            RC_ASSERT(in_force(id) == 0);
+          }
+          break;
+        default:
+          RC_ASSERT(result.outcome == ConfirmOutcome::kUnknown);
+      }
+    }
+    const base::Revision held = fixture.at(n).tracker.Get()->revision;
+    RC_ASSERT(held >= last[n]);
+    last[n] = held;
+  }
+
+  fixture.kv.ApplyFaults({{"lose_answer", 0},
+                          {"lose_request", 0},
+                          {"unreachable", 0},
+                          {"unavailable", 0}});
+  // Every instance, and one that starts now, come to the same configuration.
+  Instance fresh(fixture.kv, 100, kSmall);
+  RC_ASSERT(fresh.Refresh());
+  for (auto& it : fixture.instances) {
+    RC_ASSERT(it->Refresh());
+    RC_ASSERT(it->tracker.Held().digest == fresh.tracker.Held().digest);
+    RC_ASSERT(*it->tracker.Get() == *fresh.tracker.Get());
+    RC_ASSERT(!it->tracker.forked());
+    RC_ASSERT(!it->tracker.service_is_behind());
+  }
+  // One audit record a revision, one plan each.
+  StoreError ec = none;
+  const base::Revision head = fresh.tracker.Get()->revision;
+  const auto audits = fresh.store.ReadAudits(base::Revision(0), head, &ec);
+  RC_ASSERT(audits.has_value());
+  std::set<std::string> seen;
+  std::int64_t revision = 0;
+  for (const std::string& it : *audits) {
+    const json audit = json::parse(it);
+    RC_ASSERT(audit.at("revision") == ++revision);
+    RC_ASSERT(seen.insert(audit.at("plan")).second);
+  }
+  RC_ASSERT(revision == head.value());
+  for (const auto& [id, at] : told) {
+    RC_ASSERT(json::parse((*audits)[static_cast<std::size_t>(at.value() - 1)])
+                  .at("plan") == id.str());
+  }
+}
+
+TEST(PlanServiceTest, SecondOperatorIsToldWhatChanged) {
+  Fixture fixture;
+  fixture.Put(0, Basics());
+  CodecFault breach;
+  PlanFault fault;
+  const auto mine = fixture.at(1).plans.State(
+      *ParseStatement(ShareOf("parish", 0.1), &breach), kFleetCaller, &fault);
+  const auto theirs = fixture.at(2).plans.State(
+      *ParseStatement(ShareOf("parish", 0.2), &breach), kFleetCaller, &fault);
+  ASSERT_TRUE(mine && theirs);
+  EXPECT_EQ(fixture.at(0).plans.Confirm(theirs->id, kFleetCaller).outcome,
+            ConfirmOutcome::kInForce);
+  const auto lost = fixture.at(1).plans.Confirm(mine->id, kFleetCaller);
+  EXPECT_EQ(lost.outcome, ConfirmOutcome::kConflict);
+  ASSERT_EQ(lost.since.size(), 1u);
+  EXPECT_EQ(json::parse(lost.since[0]).at("plan"), theirs->id.str());
+  EXPECT_EQ(fixture.at(2).plans.Confirm(theirs->id, kFleetCaller).outcome,
+            ConfirmOutcome::kAlreadyInForce);
+}
+
+TEST(PlanServiceTest, AlteredPlanIsUnknown) {
+  Fixture fixture;
+  fixture.Put(0, Basics());
+  CodecFault breach;
+  PlanFault fault;
+  const auto plan = fixture.at(0).plans.State(
+      *ParseStatement(ShareOf("parish", 0.1), &breach), kFleetCaller, &fault);
+  std::string altered = plan->text;
+  altered.replace(altered.find("0.1"), 3, "0.4");
+  connection::KvError ec = connection::KvError::kNone;
+  fixture.at(0).client.Commit(
+      {}, {{"/lynxglade/plans/" + plan->id.str(), altered, {}}}, &ec);
+  EXPECT_EQ(fixture.at(1).plans.Confirm(plan->id, kFleetCaller).outcome,
+            ConfirmOutcome::kUnknownPlan);
+}
+
+TEST(PlanServiceTest, OverCommitmentIsRefusedAtPlanTime) {
+  Fixture fixture;
+  fixture.Put(0, Basics());
+  CodecFault breach;
+  PlanFault fault;
+  EXPECT_FALSE(fixture.at(0).plans.State(
+      *ParseStatement(ShareOf("parish", 0.6), &breach), kFleetCaller, &fault));
+  EXPECT_EQ(fault.error, PlanError::kOverCommitted);
+}
+
+TEST(PlanServiceTest, ServiceThatLostChangesIsNoticedAndRestored) {
+  Fixture fixture;
+  fixture.Put(0, Basics());
+  fixture.kv.ApplyFaults({{"save_copy", true}});
+  fixture.Put(0, ShareOf("parish", 0.1));
+  fixture.Put(1, ShareOf("parish", 0.2));
+  CodecFault breach;
+  PlanFault fault;
+  const auto plan = fixture.at(1).plans.State(
+      *ParseStatement(ShareOf("parish", 0.3), &breach), kFleetCaller, &fault);
+  ASSERT_TRUE(plan);
+  fixture.kv.ApplyFaults({{"load_copy", true}});
+
+  Instance& holder = fixture.at(1);
+  const std::string digest = holder.tracker.Held().digest;
+  EXPECT_TRUE(holder.Refresh());
+  EXPECT_TRUE(holder.tracker.service_is_behind());
+  EXPECT_EQ(holder.tracker.Held().digest, digest);
+  EXPECT_FALSE(holder.plans.State(
+      *ParseStatement(ShareOf("parish", 0.4), &breach), kFleetCaller, &fault));
+  EXPECT_EQ(fault.error, PlanError::kNotReady);
+  // An instance that holds less must not put its own state back.
+  fixture.at(0).tracker.OfferHead(
+      {holder.tracker.Get()->revision, digest, {}, 0, ""}, ConfigSource::kPeer);
+  EXPECT_EQ(fixture.at(0).plans.Restore(kFleetCaller).outcome,
+            ConfirmOutcome::kConflict);
+
+  EXPECT_EQ(holder.plans.Restore(kFleetCaller).outcome,
+            ConfirmOutcome::kInForce);
+  EXPECT_FALSE(holder.tracker.service_is_behind());
+  EXPECT_EQ(fixture.Put(0, ShareOf("parish", 0.25)), base::Revision(4));
+  Instance fresh(fixture.kv, 100, kSmall);
+  EXPECT_TRUE(fresh.Refresh());
+  EXPECT_EQ(fresh.tracker.Held().digest, fixture.at(0).tracker.Held().digest);
+}
+
+TEST(PlanServiceTest, RollbackIsANewPlanAndBringsNoKeysBack) {
+  Fixture fixture;
+  fixture.Put(0, Basics());
+  const std::string hash = Sha256Hex("withdrawn");
+  fixture.Put(0, R"({"changes":[{"upsert_contract":{"id":"parish",
+      "display_name":"old","key_hashes":[")" +
+                     hash + R"("]}}]})");
+  fixture.Put(1, R"({"changes":[{"upsert_contract":{"id":"parish",
+      "display_name":"new"}}]})");
+  EXPECT_EQ(fixture.Put(2, R"({"rollback_to":2,"note":"too early"})"),
+            base::Revision(4));
+  const Contract& parish =
+      fixture.at(2).tracker.Get()->contracts.at(base::ContractId("parish"));
+  EXPECT_EQ(parish.display_name, "old");
+  EXPECT_TRUE(parish.key_hashes.empty());
+  PlanFault fault;
+  EXPECT_FALSE(fixture.at(2).plans.ConfigurationAt(base::Revision(9), &fault));
+  EXPECT_EQ(fault.error, PlanError::kNoSuchRevision);
+}
+
+RC_GTEST_PROP(ShareArithmeticTest, LargestRemainderKeepsQuota, ()) {
+  const auto parts = *rc::gen::container<std::vector<int>>(
+      *rc::gen::inRange<std::size_t>(1, 20), rc::gen::inRange(0, 1000));
+  const int sum = std::accumulate(parts.begin(), parts.end(), 0);
+  RC_PRE(sum > 0);
+  const int seats = *rc::gen::inRange(0, 500);
+  std::vector<double> shares;
+  for (const int it : parts) {
+    shares.push_back(static_cast<double>(it) / sum);
+  }
+  const std::vector<int> dealt = LargestRemainder(shares, seats);
+  RC_ASSERT(std::accumulate(dealt.begin(), dealt.end(), 0) == seats);
+  for (std::size_t i = 0; i < shares.size(); ++i) {
+    RC_ASSERT(std::abs(dealt[i] - shares[i] * seats) < 1.0 + 1e-6);
+  }
+}
+
+TEST(ShareArithmeticTest, OnlyEnginesThatRunTheWrongModelAreTouched) {
+  Configuration configuration = SampleConfiguration();
+  configuration.contracts[base::ContractId("parish")].intents = {
+      SampleIntent(0.5, "m2")};
+  std::vector<TargetFact> targets;
+  for (int i = 0; i < 10; ++i) {
+    targets.push_back(
+        {base::TargetId("e" + std::to_string(i)), base::ServiceName("llm"),
+         base::ModelName(i < 7 ? "m1" : "m2"), base::ModelVersion("v1")});
+  }
+  const ServiceShares shares =
+      ComputeShares(configuration, base::ServiceName("llm"), 10);
+  EXPECT_EQ(shares.free_engines, 0);
+  const auto touched = TouchedEngines(shares, targets);
+  ASSERT_EQ(touched.size(), 2u);
+  EXPECT_EQ(touched[0].now.model, base::ModelName("m1"));
+  EXPECT_EQ(touched[0].model, base::ModelName("m2"));
+}
+
+TEST(OperatorAccessTest, RolesBoundWhatMayChange) {
+  Configuration configuration = SampleConfiguration();
+  const base::ContractId archive("archive");
+  const Caller own{base::OperatorId("o"), OperatorRole::kContract, {archive}};
+  const Caller reader{base::OperatorId("r"), OperatorRole::kReadOnly, {}};
+  const auto allowed = [&](const Caller& caller, auto edit) {
+    Configuration next = configuration;
+    edit(next);
+    std::string reason;
+    return MayChange(caller, MakeDelta(configuration, next), &reason);
+  };
+  const auto name = [&](Configuration& it) {
+    it.contracts[archive].display_name = "x";
+  };
+  const auto lower = [&](Configuration& it) {
+    it.contracts[archive].intents[0].share = 0.4;
+  };
+  const auto raise = [&](Configuration& it) {
+    it.contracts[archive].intents[0].share = 0.6;
+  };
+  const auto urgent = [&](Configuration& it) {
+    it.contracts[archive].intents[0].priority = 0;
+  };
+  const auto other = [&](Configuration& it) {
+    it.contracts[base::ContractId("parish")].display_name = "x";
+  };
+  const auto remove = [&](Configuration& it) { it.contracts.erase(archive); };
+  const auto price = [&](Configuration& it) {
+    it.services.begin()->second.role_change_price = 9;
+  };
+  EXPECT_TRUE(allowed(own, name));
+  EXPECT_TRUE(allowed(own, lower));
+  EXPECT_FALSE(allowed(own, raise));
+  EXPECT_FALSE(allowed(own, urgent));
+  EXPECT_FALSE(allowed(own, other));
+  EXPECT_FALSE(allowed(own, remove));
+  EXPECT_FALSE(allowed(own, price));
+  EXPECT_FALSE(allowed(reader, name));
+  EXPECT_TRUE(allowed(kFleetCaller, raise));
+}
+
+TEST(OperatorAccessTest, BootstrapKeyEndsWithTheFirstFleetOperator) {
+  auto configuration = std::make_shared<Configuration>();
+  const OperatorAccess access([&] { return configuration; }, "first");
+  EXPECT_TRUE(access.Recognise("first")->is_fleet());
+  EXPECT_FALSE(access.Recognise(""));
+  EXPECT_FALSE(access.Recognise("other"));
+  const base::OperatorId ana("ana");
+  configuration->operators[ana] = {
+      ana, OperatorRole::kFleet, {}, {Sha256Hex("hers")}};
+  EXPECT_FALSE(access.Recognise("first"));
+  EXPECT_EQ(access.Recognise("hers")->id, ana);
+}
+
+}  // namespace
+}  // namespace lynxglade::version
