Stand-in engines: fewer system calls a token

With 1,000 streams the engines' process took 202% of a processor. Content events are preformatted, a write no longer polls first, and the peer is looked at only when there was nothing to write. A caller that goes away is still seen and its run cancelled (tried by curl).

--- a/tests/fakes/chat_wire.cc
+++ b/tests/fakes/chat_wire.cc
@@ -1,6 +1,7 @@
 #include "fakes/chat_wire.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "base/time.h"
@@ -123,21 +124,36 @@
   return chat;
 }
 
+// What all content events of one answer share is written once: a stand-in
+// sends tens of thousands of them a second.
 ChatWriter::ChatWriter(std::string attempt_id, std::string model)
-    : id_("chatcmpl-" + std::move(attempt_id)), model_(std::move(model)) {}
+    : id_("chatcmpl-" + std::move(attempt_id)), model_(std::move(model)) {
+  json chunk = Base("chat.completion.chunk");
+  chunk["choices"] =
+      json::array({{{"index", 0},
+                    {"delta", {{"role", "assistant"}, {"content", nullptr}}},
+                    {"finish_reason", nullptr}}});
+  const std::string event = Event(chunk);
+  constexpr std::string_view kHole = "\"content\":null";
+  const std::size_t hole = event.find(kHole);
+  before_content_ = event.substr(0, hole) + "\"content\":\"";
+  const std::size_t rest = hole + kHole.size();
+  after_content_ = '"' + event.substr(rest, event.rfind('}') - rest);
+}
 
 std::string ChatWriter::Content(PromptHash prompt,
                                 std::int64_t first,
                                 std::int64_t last) const {
-  json chunk = Base("chat.completion.chunk");
-  chunk["choices"] = json::array(
-      {{{"index", 0},
-        {"delta",
-         {{"role", "assistant"}, {"content", AnswerText(prompt, first, last)}}},
-        {"finish_reason", nullptr}}});
-  chunk["token_offset"] = first;
-  chunk["token_count"] = last - first;
-  return Event(chunk);
+  std::string event = before_content_;
+  // Tokens are digits, colons and spaces, which need no escapes.
+  event += AnswerText(prompt, first, last);
+  event += after_content_;
+  event += ",\"token_offset\":";
+  event += std::to_string(first);
+  event += ",\"token_count\":";
+  event += std::to_string(last - first);
+  event += "}\n\n";
+  return event;
 }
 
 std::string ChatWriter::End(const ChatUsage& usage) const {
--- a/tests/fakes/chat_wire.h
+++ b/tests/fakes/chat_wire.h
@@ -70,6 +70,9 @@
 
   std::string id_;
   std::string model_;
+  // A content event around its text, without its last members.
+  std::string before_content_;
+  std::string after_content_;
 };
 
 // {"error":{"code","message","outcome":"not_run"}}
--- a/tests/fakes/connection_stream.cc
+++ b/tests/fakes/connection_stream.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int kReadTimeoutMs = 30'000;
-constexpr int kWriteTimeoutMs = 30'000;
+constexpr timeval kWriteTimeout{30, 0};
 
 bool PollFor(int fd, short events, int timeout_ms) {
   pollfd entry{fd, events, 0};
@@ -34,12 +34,18 @@
 
 }  // namespace
 
+ConnectionStream::ConnectionStream(int fd) noexcept : fd_(fd) {
+  ::setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &kWriteTimeout,
+               sizeof(kWriteTimeout));
+}
+
 bool ConnectionStream::is_readable() const {
   return begin_ < end_ || PollFor(fd_, POLLIN, kReadTimeoutMs);
 }
 
 bool ConnectionStream::is_writable() const {
-  return IsAlive() && PollFor(fd_, POLLOUT, kWriteTimeoutMs);
+  // The socket blocks, with a bound on how long; no poll a write.
+  return IsAlive();
 }
 
 ssize_t ConnectionStream::read(char* ptr, std::size_t size) {
--- a/tests/fakes/details/connection_stream.h
+++ b/tests/fakes/details/connection_stream.h
@@ -13,7 +13,7 @@
 // Does not own the socket. Used by one thread.
 class ConnectionStream final : public httplib::Stream {
  public:
-  explicit ConnectionStream(int fd) noexcept : fd_(fd) {}
+  explicit ConnectionStream(int fd) noexcept;
 
   bool is_readable() const override;
   bool is_writable() const override;
--- a/tests/fakes/engine_routes.cc
+++ b/tests/fakes/engine_routes.cc
@@ -96,7 +96,8 @@
   if (broken) {
     tokens = stream.fault.after;
   }
-  if (tokens > stream.sent) {
+  const bool writes = tokens > stream.sent;
+  if (writes) {
     const std::string event =
         stream.writer.Content(stream.chat.prompt_hash, stream.sent, tokens);
     stream.sent = tokens;
@@ -109,7 +110,8 @@
   }
   RunState how = RunState::kStarted;
   if (!core.Ended(*stream.session, &how)) {
-    return OwnConnectionAlive();
+    // A write tells that the peer has gone; a wait does not.
+    return writes || OwnConnectionAlive();
   }
   if (how == RunState::kCrashed) {
     ResetOwnConnection();
