Routing measured: trust in old reports, affinity in other zones

Cause: with reports 2 s late the router's first settings let old reports weigh too much, and requests that left their zone lost every cached prefix. Change: a report loses its say with a time constant of 0.7 s instead of 2 s; past the wait bound a prefix may have its home in any zone, and plain draws come from the other zones only.

--- a/src/request/router.cc
+++ b/src/request/router.cc
@@ -1,7 +1,6 @@
 #include "request/router.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cmath>
 #include <utility>
@@ -16,10 +15,6 @@
 // Draws before a full scan for a usable target.
 constexpr int kDraws = 3;
 
-constexpr std::array kAllPolicies = {
-    RoutePolicy::kDefault, RoutePolicy::kNoAffinity, RoutePolicy::kRandom,
-    RoutePolicy::kRoundRobin, RoutePolicy::kLeastReported};
-
 double Seconds(base::Duration d) noexcept {
   return std::chrono::duration<double>(d).count();
 }
@@ -71,6 +66,14 @@
   RouteReason reason = RouteReason::kSampled;
 };
 
+// Where a sample comes from: a zone's range of the pool, or all but that.
+enum class Router::Side { kInside, kOutside };
+struct Router::Draw {
+  std::size_t begin = 0;
+  std::size_t end = 0;
+  Side side = Side::kOutside;
+};
+
 // One Pick in progress.
 struct Router::Search {
   const RouteQuery& query;
@@ -247,81 +250,81 @@
   if (pool.empty()) {
     return std::nullopt;
   }
-  if (!options_.zone_local) {
-    return PickInZones(pool, pool.zones, search);
+  const Draw anywhere;
+  if (!options_.zone_local || IsWorthLeaving(pool, search)) {
+    return PickFrom(pool, pool.zones, anywhere, search);
   }
   const TargetPool::ZoneRange local = pool.FindZone(search.query.own_zone);
-  auto best = PickInZones(pool, std::span(&local, 1), search);
-  const double bound = Seconds(options_.zone_wait_bound);
-  if (best && best->wait <= bound) {
+  const auto best =
+      PickFrom(pool, std::span(&local, 1),
+               Draw{local.begin, local.end, Side::kInside}, search);
+  if (best && best->wait <= Seconds(options_.zone_wait_bound)) {
     return best;
   }
-  if (!best) {
-    // Nothing local: affinity holds over all the other zones.
-    auto other = PickInZones(pool, pool.zones, search);
-    if (other) {
-      other->reason = RouteReason::kOtherZone;
-    }
-    return other;
+  // Over the bound a prefix may have a home in any zone.
+  auto other = PickFrom(pool, pool.zones,
+                        Draw{local.begin, local.end, Side::kOutside}, search);
+  if (!other ||
+      (best && other->wait + Seconds(options_.zone_penalty) >= best->wait)) {
+    return best;
   }
-  auto other = Sample(pool, local, search);
-  if (other && other->wait + Seconds(options_.zone_penalty) < best->wait) {
+  if (other->target->zone != search.query.own_zone) {
     other->reason = RouteReason::kOtherZone;
-    return other;
   }
-  return best;
+  return other;
 }
 
-std::optional<Router::Candidate> Router::PickInZones(
+// Whether a cached prefix would save more than the way to another zone costs.
+bool Router::IsWorthLeaving(const TargetPool& pool,
+                            const Search& search) const {
+  if (!options_.affinity_across_zones || search.query.prefix_hash == 0) {
+    return false;
+  }
+  const Rates rates = RatesOf(*pool.members.front().target);
+  return PrefixSaving(search.query.cost, rates) >
+         Seconds(options_.zone_penalty);
+}
+
+double Router::PrefixSaving(const Cost& cost,
+                            const Rates& rates) const noexcept {
+  return options_.prefix_saving *
+         WorkSeconds({cost.prefill, base::Tokens(0)}, rates);
+}
+
+std::optional<Router::Candidate> Router::PickFrom(
     const TargetPool& pool,
-    std::span<const TargetPool::ZoneRange> zones,
+    std::span<const TargetPool::ZoneRange> affine_zones,
+    const Draw& draw,
     const Search& search) const {
-  // One zone: skip what lies outside it. All zones: skip nothing.
-  std::optional<Candidate> sample;
-  if (zones.size() == 1) {
-    TargetPool::ZoneRange outside = zones.front();
-    std::swap(outside.begin, outside.end);
-    sample = Sample(pool, outside, search);
-  } else {
-    sample = Sample(pool, {}, search);
-  }
+  const auto sample = Sample(pool, draw, search);
   const bool affinity = options_.policy == RoutePolicy::kDefault;
   if (!sample || !affinity || search.query.prefix_hash == 0) {
     return sample;
   }
-  const auto affine = Affine(pool, zones, search);
+  const auto affine = Affine(pool, affine_zones, search);
   if (!affine) {
     return sample;
   }
-  const Rates rates = RatesOf(*affine->target);
-  const double saved =
-      options_.prefix_saving *
-      WorkSeconds({search.query.cost.prefill, base::Tokens(0)}, rates);
-  const double bound = Seconds(options_.affinity_slack) + saved;
+  const double bound =
+      Seconds(options_.affinity_slack) +
+      PrefixSaving(search.query.cost, RatesOf(*affine->target));
   return affine->wait <= sample->wait + bound ? affine : sample;
 }
 
-// Draws among the pool's members outside `skipped`; a range with begin behind
-// end stands for all that is not between end and begin.
-std::optional<Router::Candidate> Router::Sample(
-    const TargetPool& pool,
-    const TargetPool::ZoneRange& skipped,
-    const Search& search) const {
-  const bool inverse = skipped.begin > skipped.end;
-  const std::size_t size = pool.members.size();
-  const std::size_t n = inverse ? skipped.begin - skipped.end
-                                : size - (skipped.end - skipped.begin);
+std::optional<Router::Candidate> Router::Sample(const TargetPool& pool,
+                                                const Draw& draw,
+                                                const Search& search) const {
+  const std::size_t in_range = draw.end - draw.begin;
+  const bool inside = draw.side == Side::kInside;
+  const std::size_t n = inside ? in_range : pool.members.size() - in_range;
   if (n == 0) {
     return std::nullopt;
   }
   const auto member = [&](std::size_t i) -> const IndexedTarget& {
-    if (inverse) {
-      return pool.members[skipped.end + i];
-    }
-    return pool
-        .members[i < skipped.begin ? i : i + (skipped.end - skipped.begin)];
+    const bool after = !inside && i >= draw.begin;
+    return pool.members[inside ? draw.begin + i : i + (after ? in_range : 0)];
   };
-  const auto draw = [&]() -> const IndexedTarget* {
+  const auto draw_one = [&]() -> const IndexedTarget* {
     for (int i = 0; i < kDraws; ++i) {
       const auto& it = member(base::UniformBelow(random_, n));
       if (search.IsUsable(*it.target)) {
@@ -337,13 +340,13 @@
     }
     return nullptr;
   };
-  const IndexedTarget* a = draw();
+  const IndexedTarget* a = draw_one();
   if (a == nullptr) {
     return std::nullopt;
   }
   const base::Time now = search.query.now;
   const Candidate first = Judge(pool, *a, RouteReason::kSampled, now);
-  const IndexedTarget* b = n > 1 ? draw() : a;
+  const IndexedTarget* b = n > 1 ? draw_one() : a;
   if (b == a) {
     return first;
   }
@@ -445,81 +448,4 @@
                      FromSeconds(best->reported_seconds)};
 }
 
-std::string_view ToString(RouteError error) noexcept {
-  switch (error) {
-    case RouteError::kUnknownService:
-      return "unknown_service";
-    case RouteError::kUnknownModel:
-      return "unknown_model";
-    case RouteError::kNoServingTarget:
-      return "no_serving_target";
-    case RouteError::kAllExcluded:
-      return "all_excluded";
-    case RouteError::kRolesIncomplete:
-      break;
-  }
-  return "roles_incomplete";
-}
-
-RefusalReason ToRefusalReason(RouteError error) noexcept {
-  switch (error) {
-    case RouteError::kUnknownService:
-      return RefusalReason::kUnknownService;
-    case RouteError::kUnknownModel:
-      return RefusalReason::kUnknownModel;
-    case RouteError::kAllExcluded:
-      return RefusalReason::kAttemptsExhausted;
-    case RouteError::kNoServingTarget:
-    case RouteError::kRolesIncomplete:
-      break;
-  }
-  return RefusalReason::kNoTarget;
-}
-
-std::string_view ToString(RoutePolicy policy) noexcept {
-  switch (policy) {
-    case RoutePolicy::kDefault:
-      return "default";
-    case RoutePolicy::kNoAffinity:
-      return "no_affinity";
-    case RoutePolicy::kRandom:
-      return "random";
-    case RoutePolicy::kRoundRobin:
-      return "round_robin";
-    case RoutePolicy::kLeastReported:
-      break;
-  }
-  return "least_reported";
-}
-
-bool ParseRoutePolicy(std::string_view text, RoutePolicy* policy) noexcept {
-  const auto it = std::ranges::find(kAllPolicies, text,
-                                    [](RoutePolicy p) { return ToString(p); });
-  if (it == kAllPolicies.end()) {
-    return false;
-  }
-  *policy = *it;
-  return true;
-}
-
-std::string_view ToString(RouteReason reason) noexcept {
-  switch (reason) {
-    case RouteReason::kSampled:
-      return "sampled";
-    case RouteReason::kPrefix:
-      return "prefix";
-    case RouteReason::kPrefixHome:
-      return "prefix_home";
-    case RouteReason::kOtherZone:
-      return "other_zone";
-    case RouteReason::kRoleFallback:
-      return "role_fallback";
-    case RouteReason::kAllEjected:
-      return "all_ejected";
-    case RouteReason::kBaseline:
-      break;
-  }
-  return "baseline";
-}
-
 }  // namespace lynxglade::request
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -102,8 +102,9 @@
   bool zone_local = true;
   bool split_roles = true;
   bool avoid_ejected = true;
-  // Time in which an old report loses 63% of its say.
-  base::Duration report_trust = std::chrono::seconds(2);
+  // Time in which an old report loses 63% of its say. Measured: see
+  // docs/notes/routing.md.
+  base::Duration report_trust = std::chrono::milliseconds(700);
   // Affinity gives way when the affine target's work ahead exceeds the
   // sample's by this plus `prefix_saving` of the request's prefill time.
   base::Duration affinity_slack = std::chrono::milliseconds(100);
@@ -112,6 +113,9 @@
   // another zone must be better by.
   base::Duration zone_wait_bound = std::chrono::milliseconds(500);
   base::Duration zone_penalty = std::chrono::milliseconds(50);
+  // Whether a prefix may have its one home in another zone, where the cache
+  // saves more than zone_penalty. Off, each zone caches for itself.
+  bool affinity_across_zones = false;
   // Time to hand a prompt token's KV cache from a prefill to a decode engine.
   base::Duration kv_transfer_per_token = std::chrono::microseconds(5);
   // Whether an engine of any role may run a whole request when no mixed one
@@ -149,15 +153,20 @@
  private:
   struct Candidate;
   struct Search;
+  enum class Side;
+  struct Draw;
 
   std::optional<Candidate> PickFromPool(const TargetPool& pool,
                                         const Search& search) const;
-  std::optional<Candidate> PickInZones(
+  bool IsWorthLeaving(const TargetPool& pool, const Search& search) const;
+  double PrefixSaving(const Cost& cost, const Rates& rates) const noexcept;
+  std::optional<Candidate> PickFrom(
       const TargetPool& pool,
-      std::span<const TargetPool::ZoneRange> zones,
+      std::span<const TargetPool::ZoneRange> affine_zones,
+      const Draw& draw,
       const Search& search) const;
   std::optional<Candidate> Sample(const TargetPool& pool,
-                                  const TargetPool::ZoneRange& skipped,
+                                  const Draw& draw,
                                   const Search& search) const;
   std::optional<Candidate> Affine(const TargetPool& pool,
                                   std::span<const TargetPool::ZoneRange> zones,
