--- a/bench/load/journals.cc
+++ b/bench/load/journals.cc
@@ -29,18 +29,35 @@
   return parsed;
 }
 
+// The prefill half of a split request: it makes one token, and the request's
+// own run is the decode half.
+constexpr std::int64_t kPrefillHalfTokens = 1;
+
+bool IsRun(const json& run) {
+  return run.value("ran", true) &&
+         run.value("max_tokens", std::int64_t{0}) != kPrefillHalfTokens;
+}
+
 // Adds one stand-in's runs to the count of runs of each request.
 void CountRuns(const json& journal, std::map<std::string, int>* runs) {
   for (const json& run : journal.value("runs", json::array())) {
-    ++(*runs)[run.value("request_id", std::string())];
+    if (IsRun(run)) {
+      ++(*runs)[run.value("request_id", std::string())];
+    }
   }
 }
 
 std::uint64_t CountRoleChanges(const json& journal) {
   const json orders = journal.value("orders", json::array());
-  return static_cast<std::uint64_t>(std::ranges::count_if(
-      orders,
-      [](const json& order) { return order.value("role_changed", false); }));
+  return static_cast<std::uint64_t>(
+      std::ranges::count_if(orders, [](const json& order) {
+        return order.value("accepted", false) && order.value("outage", false);
+      }));
+}
+
+// One journal, or those of all stand-ins behind a control port.
+json JournalsOf(const json& answer) {
+  return answer.value("journals", json::array({answer}));
 }
 
 }  // namespace
@@ -56,9 +73,11 @@
       ++findings.unread;
       continue;
     }
-    ++findings.read;
-    CountRuns(*journal, &runs);
-    findings.role_changes += CountRoleChanges(*journal);
+    for (const json& one : JournalsOf(*journal)) {
+      ++findings.read;
+      CountRuns(one, &runs);
+      findings.role_changes += CountRoleChanges(one);
+    }
   }
   for (const auto& [id, n] : runs) {
     findings.runs += static_cast<std::uint64_t>(n);
--- a/bench/load/journals.h
+++ b/bench/load/journals.h
@@ -24,8 +24,9 @@
   std::uint64_t role_changes = 0;
 };
 
-// Reads GET /journal of every stand-in in `targets`. `not_run` are the ids of
-// the requests whose refusal said so.
+// Reads GET /journal of every port in `targets`: stand-ins, or control ports
+// that answer for many. `not_run` are the ids of the requests whose refusal
+// said so.
 JournalFindings ReadJournals(const std::vector<Endpoint>& targets,
                              const std::vector<TraceItem>& trace,
                              const std::set<std::string>& not_run);
