Stand-ins: cuts between a target and one zone; work wakes the scheduler

A target could be cut off from everybody or nobody, so a partition between zones could not be tried. Each target may listen on several ports, each with its own cut, and list port k leads its readers to the k-th of them. A request also waited up to 10 ms for an idle engine's next tick, and the idle time before it was counted as work for it; it now wakes the scheduler, and time is brought up to date before it is taken.

--- a/tests/fakes/details/platform_routes.h
+++ b/tests/fakes/details/platform_routes.h
@@ -14,7 +14,11 @@
 void AddKvRoutes(httplib::Server& server,
                  FakeKv& kv,
                  std::function<bool()> quiet);
-void AddInstanceListRoutes(httplib::Server& server, FakeInstanceList& list);
+// Targets' ports are given out greater by `port_offset`: callers of this list
+// use those links.
+void AddInstanceListRoutes(httplib::Server& server,
+                           FakeInstanceList& list,
+                           int port_offset);
 void AddWeightStoreRoutes(httplib::Server& server, FakeWeightStore& store);
 
 }  // namespace lynxglade::fakes
--- a/tests/fakes/engine_core.cc
+++ b/tests/fakes/engine_core.cc
@@ -66,11 +66,13 @@
 EngineCore::EngineCore(EngineSettings settings,
                        base::Clock clock,
                        base::RandomSource random,
-                       KvBlocks& blocks)
+                       KvBlocks& blocks,
+                       std::function<void()> on_work)
     : settings_(std::move(settings)),
       clock_(std::move(clock)),
       random_(std::move(random)),
       blocks_(blocks),
+      on_work_(std::move(on_work)),
       started_ms_(base::WallMillis()),
       wall_offset_ms_(started_ms_ -
                       base::ToMillis(clock_().time_since_epoch())),
@@ -84,13 +86,26 @@
 }
 
 SessionPtr EngineCore::Begin(const ChatRequest& chat, EngineRefusal* refusal) {
-  const std::lock_guard lock(mutex_);
+  SessionPtr session;
+  {
+    const std::lock_guard lock(mutex_);
+    session = Admit(chat, refusal);
+  }
+  if (session && on_work_) {
+    on_work_();
+  }
+  return session;
+}
+
+SessionPtr EngineCore::Admit(const ChatRequest& chat, EngineRefusal* refusal) {
   std::optional<EngineRefusal> why = RefusalFor(chat);
   const bool imports =
       chat.imports_kv &&
       blocks_.Holds(chat.remote_engine, chat.remote_block, chat.prompt_hash);
   std::optional<RunId> run;
   if (!why) {
+    // Time that passed before the request came must not count as its work.
+    Advance(clock_());
     run = model_.Add({chat.prompt, chat.prefix_hint, chat.priority,
                       chat.prompt_tokens, chat.max_tokens, chat.resume_from,
                       imports});
@@ -104,19 +119,7 @@
   auto session = std::make_shared<EngineSession>();
   session->run = *run;
   session->attempt_id = chat.attempt_id;
-  RunRecord record;
-  record.request_id = chat.request_id;
-  record.attempt_id = chat.attempt_id;
-  record.idempotency_key = chat.idempotency_key;
-  record.prompt_hash = chat.prompt_hash;
-  record.incarnation = orders_.incarnation();
-  record.prompt_tokens = chat.prompt_tokens.value();
-  record.max_tokens = chat.max_tokens;
-  record.resume_from = chat.resume_from;
-  record.generated = chat.resume_from;
-  record.kv_imported = imports;
-  record.queued_ms = base::WallMillis();
-  session->journal = journal_.Add(std::move(record));
+  session->journal = journal_.Add(RecordFor(chat, imports));
   if (const auto after =
           static_cast<std::int64_t>(faults_.Value("crash_after_tokens"));
       after > 0) {
@@ -131,6 +134,22 @@
   return session;
 }
 
+RunRecord EngineCore::RecordFor(const ChatRequest& chat, bool imports) const {
+  RunRecord record;
+  record.request_id = chat.request_id;
+  record.attempt_id = chat.attempt_id;
+  record.idempotency_key = chat.idempotency_key;
+  record.prompt_hash = chat.prompt_hash;
+  record.incarnation = orders_.incarnation();
+  record.prompt_tokens = chat.prompt_tokens.value();
+  record.max_tokens = chat.max_tokens;
+  record.resume_from = chat.resume_from;
+  record.generated = chat.resume_from;
+  record.kv_imported = imports;
+  record.queued_ms = base::WallMillis();
+  return record;
+}
+
 std::optional<EngineRefusal> EngineCore::RefusalFor(const ChatRequest& chat) {
   const EngineSetup& setup = orders_.setup();
   if (orders_.phase() != EnginePhase::kReady || crashed_) {
@@ -222,9 +241,7 @@
   return goal;
 }
 
-bool EngineCore::Tick() {
-  const std::lock_guard lock(mutex_);
-  const base::Time now = clock_();
+void EngineCore::Advance(base::Time now) {
   const double slow = faults_.Value("slow");
   model_.set_slowness(slow > 0 ? slow : 1);
   const base::Duration elapsed = now - std::exchange(last_tick_, now);
@@ -234,6 +251,12 @@
       Watch(*session);
     }
   }
+}
+
+bool EngineCore::Tick() {
+  const std::lock_guard lock(mutex_);
+  const base::Time now = clock_();
+  Advance(now);
   if (order_crash_at_ && now >= *order_crash_at_) {
     order_crash_at_.reset();
     RequestCrash(*std::exchange(order_crash_, std::nullopt));
--- a/tests/fakes/engine_core.h
+++ b/tests/fakes/engine_core.h
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -64,13 +65,15 @@
   bool half_changed = false;
 };
 
-// Thread-safe.
+// Thread-safe. `on_work` is called when there is work to Tick() for; it may be
+// empty.
 class EngineCore {
  public:
   EngineCore(EngineSettings settings,
              base::Clock clock,
              base::RandomSource random,
-             KvBlocks& blocks);
+             KvBlocks& blocks,
+             std::function<void()> on_work = {});
   EngineCore(const EngineCore&) = delete;
   EngineCore& operator=(const EngineCore&) = delete;
 
@@ -129,6 +132,10 @@
   };
 
   std::optional<EngineRefusal> RefusalFor(const ChatRequest& chat);
+  SessionPtr Admit(const ChatRequest& chat, EngineRefusal* refusal);
+  RunRecord RecordFor(const ChatRequest& chat, bool imports) const;
+  // Does the work of the time since the last call.
+  void Advance(base::Time now);
   void Watch(EngineSession& session);
   // Work stops at once; the sockets go after `delay`.
   void RequestCrash(const CrashPlan& plan, base::Duration delay = {});
@@ -145,6 +152,7 @@
   const base::Clock clock_;
   const base::RandomSource random_;
   KvBlocks& blocks_;
+  const std::function<void()> on_work_;
   const std::int64_t started_ms_;
   // Wall time less clock time, for the journal.
   const std::int64_t wall_offset_ms_;
--- a/tests/fakes/engine_host.cc
+++ b/tests/fakes/engine_host.cc
@@ -5,7 +5,7 @@
 
 #include "base/log.h"
 #include "fakes/details/engine_routes.h"
-#include "fakes/details/http_server.h"
+#include "fakes/details/linked_ports.h"
 #include "fakes/details/weight_fetcher.h"
 
 namespace lynxglade::fakes {
@@ -21,12 +21,19 @@
                        base::RandomSource random,
                        KvBlocks& blocks)
     : settings_(std::move(settings)),
-      core_(settings_.engine, &base::BootClock::now, std::move(random), blocks),
-      listener_(std::make_unique<HttpListener>(
-          settings_.address,
-          settings_.port,
-          settings_.idle_timeout,
-          [this](httplib::Server& server) { AddEngineRoutes(server, *this); })),
+      core_(settings_.engine,
+            &base::BootClock::now,
+            std::move(random),
+            blocks,
+            [this] { WakeUp(); }),
+      ports_(std::make_unique<LinkedPorts>(
+          LinkedPorts::Settings{settings_.address, settings_.port,
+                                settings_.links, settings_.link_stride,
+                                settings_.idle_timeout},
+          [this](httplib::Server& server) { AddEngineRoutes(server, *this); },
+          [this](const std::string& path) {
+            return path.starts_with("/v1/") && core_.FaultOn("hang");
+          })),
       weights_(std::make_unique<WeightFetcher>(settings_.weights_url,
                                                &base::BootClock::now,
                                                core_)) {}
@@ -42,11 +49,11 @@
   }
   core_.ApplyFaults({{"clear", true}});
   core_.Crash({});
-  listener_->Close();
+  ports_->Close();
 }
 
 bool EngineHost::Start() {
-  if (!listener_->Open()) {
+  if (!ports_->Open()) {
     return false;
   }
   thread_ = std::thread([this] { Run(); });
@@ -54,23 +61,12 @@
 }
 
 int EngineHost::port() const {
-  return listener_->port();
+  return ports_->port();
 }
 
 void EngineHost::ApplyFaults(const nlohmann::json& switches) {
-  core_.ApplyFaults(switches);
-  const bool clear = switches.value("clear", false);
-  if (const auto it = switches.find("refuse"); it != switches.end()) {
-    if (*it == true) {
-      listener_->StopListening();
-    } else {
-      listener_->Open();
-    }
-  } else if (clear) {
-    listener_->Open();
-  }
-  if (switches.value("reset_connections", false)) {
-    listener_->ResetConnections();
+  if (!ports_->ApplyFaults(switches)) {
+    core_.ApplyFaults(switches);
   }
 }
 
@@ -95,28 +91,37 @@
     if (const auto plan = core_.TakeCrash()) {
       GoThroughCrash(*plan);
     }
-    SleepFor(busy ? kBusyTick : kIdleTick);
+    SleepFor(busy ? kBusyTick : kIdleTick, !busy);
   }
 }
 
 void EngineHost::GoThroughCrash(const CrashPlan& plan) {
   base::Log(base::LogLevel::kInfo, "engine_crashes", {{"engine", id()}});
   // The sockets go first: no answer may leave that tells of the crash.
-  listener_->StopListening();
-  listener_->ResetConnections();
+  ports_->StopListening();
+  ports_->ResetConnections();
   core_.Crash(plan);
-  listener_->Close();
-  SleepFor(plan.down);
+  ports_->Close();
+  SleepFor(plan.down, false);
   const std::lock_guard lock(mutex_);
-  if (!stopping_ && !listener_->Open()) {
+  if (!stopping_ && !ports_->Open()) {
     base::Log(base::LogLevel::kError, "engine_cannot_reopen",
               {{"engine", id()}});
   }
 }
 
-void EngineHost::SleepFor(base::Duration d) {
+void EngineHost::SleepFor(base::Duration d, bool early) {
   std::unique_lock lock(mutex_);
-  wake_.wait_for(lock, d, [this] { return stopping_; });
+  wake_.wait_for(lock, d, [&] { return stopping_ || (early && has_work_); });
+  has_work_ = false;
+}
+
+void EngineHost::WakeUp() {
+  {
+    const std::lock_guard lock(mutex_);
+    has_work_ = true;
+  }
+  wake_.notify_all();
 }
 
 }  // namespace lynxglade::fakes
--- a/tests/fakes/engine_host.h
+++ b/tests/fakes/engine_host.h
@@ -18,7 +18,7 @@
 
 namespace lynxglade::fakes {
 
-class HttpListener;
+class LinkedPorts;
 class WeightFetcher;
 
 struct EngineHostSettings {
@@ -26,6 +26,10 @@
   std::string address = "127.0.0.1";
   // 0 picks a free port.
   int port = 0;
+  // Ports of the one engine, `link_stride` apart; each can be cut by itself,
+  // which stands for a cut between the engine and one zone.
+  int links = 1;
+  int link_stride = 100;
   // How long a kept connection may wait for its next request.
   base::Duration idle_timeout = std::chrono::seconds(60);
   // "http://address:port" of the weight store; empty loads without one.
@@ -45,7 +49,9 @@
 
   // False when the port cannot be bound.
   bool Start();
-  // Applies fault switches, among them those of the listener.
+  // Applies fault switches, among them those of the listeners. With a member
+  // "link" (from 1) "hang", "refuse" and "reset_connections" touch only that
+  // port.
   void ApplyFaults(const nlohmann::json& switches);
   // Everything the engine ran and was ordered.
   nlohmann::json JournalJson() const;
@@ -58,16 +64,18 @@
  private:
   void Run();
   void GoThroughCrash(const CrashPlan& plan);
-  // Sleeps, or returns early when the host stops.
-  void SleepFor(base::Duration d);
+  // Sleeps, or returns early when the host stops or `early` work comes.
+  void SleepFor(base::Duration d, bool early);
+  void WakeUp();
 
   EngineHostSettings settings_;
   EngineCore core_;
-  std::unique_ptr<HttpListener> listener_;
+  std::unique_ptr<LinkedPorts> ports_;
   std::unique_ptr<WeightFetcher> weights_;
   std::mutex mutex_;
   std::condition_variable wake_;
   bool stopping_ = false;
+  bool has_work_ = false;
   std::thread thread_;
 };
 
--- a/tests/fakes/engine_routes.cc
+++ b/tests/fakes/engine_routes.cc
@@ -8,6 +8,7 @@
 
 #include "base/random.h"
 #include "fakes/chat_wire.h"
+#include "fakes/details/linked_ports.h"
 
 namespace lynxglade::fakes {
 
@@ -90,6 +91,10 @@
 // sink is done.
 bool Continue(Stream& stream, httplib::DataSink& sink) {
   EngineCore& core = stream.host->core();
+  if (OwnLinkCut()) {
+    std::this_thread::sleep_for(kHold);
+    return OwnConnectionAlive();
+  }
   std::int64_t tokens = core.Await(*stream.session, stream.sent, kLook);
   const bool broken = stream.fault.kind != StreamFault::Kind::kNone &&
                       tokens >= stream.fault.after;
@@ -340,13 +345,6 @@
 }  // namespace
 
 void AddEngineRoutes(httplib::Server& server, EngineHost& host) {
-  server.set_pre_routing_handler([&host](const Request& req, Response&) {
-    // Controls answer also while the engine hangs.
-    if (req.path.starts_with("/v1/")) {
-      HoldWhile([&] { return host.core().FaultOn("hang"); });
-    }
-    return httplib::Server::HandlerResponse::Unhandled;
-  });
   AddWork(server, host);
   AddControls(server, host);
 }
--- a/tests/fakes/fake_engines_main.cc
+++ b/tests/fakes/fake_engines_main.cc
@@ -43,6 +43,9 @@
   flags.Whole("first-port", "port of the first engine", &o->first_port);
   flags.Whole("control-port", "controls of all engines; 0: none",
               &o->control_port);
+  flags.Whole("links", "ports of each, one for the callers of a zone",
+              &o->host.links);
+  flags.Whole("link-stride", "distance of these ports", &o->host.link_stride);
   flags.Text("id-prefix", "engine ids are this and a number", &o->id_prefix);
   flags.Text("address", "address to listen on", &o->host.address);
   flags.Text("service", "service of the engines", &o->service);
--- a/tests/fakes/fake_plain_main.cc
+++ b/tests/fakes/fake_plain_main.cc
@@ -32,6 +32,9 @@
   flags.Whole("first-port", "port of the first instance", &o->first_port);
   flags.Whole("control-port", "controls of all instances; 0: none",
               &o->control_port);
+  flags.Whole("links", "ports of each, one for the callers of a zone",
+              &o->host.links);
+  flags.Whole("link-stride", "distance of these ports", &o->host.link_stride);
   flags.Text("id-prefix", "ids are this and a number", &o->id_prefix);
   flags.Text("address", "address to listen on", &o->host.address);
   flags.Text("service", "the service's name", &o->host.service);
--- a/tests/fakes/fake_platform_main.cc
+++ b/tests/fakes/fake_platform_main.cc
@@ -25,6 +25,7 @@
   int kv_ports = 1;
   int list_port = 21910;
   int list_ports = 1;
+  int link_stride = 0;
   int weights_port = 21920;
   int control_port = 0;
   double writes_per_s = 500;
@@ -43,6 +44,9 @@
   flags.Whole("list-port", "first port of the instance list", &o->list_port);
   flags.Whole("list-ports", "ports of the one list, each with its own faults",
               &o->list_ports);
+  flags.Whole("link-stride",
+              "list port k gives targets' ports plus (k-1) of these",
+              &o->link_stride);
   flags.Whole("weights-port", "port of the weight store", &o->weights_port);
   flags.Whole("control-port", "controls of all; 0: none", &o->control_port);
   flags.Number("kv-writes-per-s", "0: no limit", &o->writes_per_s);
@@ -66,7 +70,8 @@
       AddKvPort(o.kv_port + i, "kv-" + std::to_string(i + 1));
     }
     for (int i = 0; i < o.list_ports; ++i) {
-      AddListPort(o.list_port + i, "list-" + std::to_string(i + 1));
+      AddListPort(o.list_port + i, "list-" + std::to_string(i + 1),
+                  i * o.link_stride);
     }
     AddWeightsPort(o.weights_port);
     controls_.push_back(
@@ -105,11 +110,11 @@
         });
   }
 
-  void AddListPort(int number, const std::string& id) {
+  void AddListPort(int number, const std::string& id, int port_offset) {
     AddPort(
         number, id,
-        [this](httplib::Server& server) {
-          AddInstanceListRoutes(server, list_);
+        [this, port_offset](httplib::Server& server) {
+          AddInstanceListRoutes(server, list_, port_offset);
         },
         [this](const nlohmann::json& faults) {
           if (faults.contains("lag_ms")) {
--- a/tests/fakes/http_server.cc
+++ b/tests/fakes/http_server.cc
@@ -28,7 +28,9 @@
 void ResetSocket(int fd) {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  ::connect(fd, &none, sizeof(none));
+  if (::connect(fd, &none, sizeof(none)) != 0) {
+    ::shutdown(fd, SHUT_RDWR);
+  }
 }
 
 // Starts one thread with a small stack for each connection.
@@ -39,15 +41,14 @@
       const std::lock_guard lock(mutex_);
       ++running_;
     }
-    auto task = std::make_unique<Task>(Task{this, std::move(fn)});
+    auto* task = new Task{this, std::move(fn)};
     pthread_attr_t attr;
     ::pthread_attr_init(&attr);
     ::pthread_attr_setstacksize(&attr, connection::kConnectionStackBytes);
     ::pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
     pthread_t thread{};
-    if (::pthread_create(&thread, &attr, &Run, task.get()) == 0) {
-      task.release();
-    } else {
+    if (::pthread_create(&thread, &attr, &Run, task) != 0) {
+      delete task;
       Finish();
     }
     ::pthread_attr_destroy(&attr);
--- a/tests/fakes/plain_host.cc
+++ b/tests/fakes/plain_host.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "fakes/chat_wire.h"
 #include "fakes/details/http_server.h"
+#include "fakes/details/linked_ports.h"
 
 namespace lynxglade::fakes {
 
@@ -63,11 +64,12 @@
 PlainHost::PlainHost(PlainHostSettings settings)
     : settings_(std::move(settings)),
       started_ms_(base::WallMillis()),
-      listener_(std::make_unique<HttpListener>(
-          settings_.address,
-          settings_.port,
-          kDefaultIdleTimeout,
-          [this](httplib::Server& server) { AddRoutes(server); })),
+      ports_(std::make_unique<LinkedPorts>(
+          LinkedPorts::Settings{settings_.address, settings_.port,
+                                settings_.links, settings_.link_stride,
+                                kDefaultIdleTimeout},
+          [this](httplib::Server& server) { AddRoutes(server); },
+          [this](const std::string&) { return Value("hang") != 0; })),
       faults_(FaultDefaults()) {}
 
 PlainHost::~PlainHost() {
@@ -79,11 +81,11 @@
   if (thread_.joinable()) {
     thread_.join();
   }
-  listener_->Close();
+  ports_->Close();
 }
 
 bool PlainHost::Start() {
-  if (!listener_->Open()) {
+  if (!ports_->Open()) {
     return false;
   }
   thread_ = std::thread([this] { CrashLoop(); });
@@ -91,15 +93,17 @@
 }
 
 int PlainHost::port() const {
-  return listener_->port();
+  return ports_->port();
 }
 
 void PlainHost::ApplyFaults(const json& switches) {
-  const bool clear = switches.value("clear", false);
+  if (ports_->ApplyFaults(switches)) {
+    return;
+  }
   {
     const std::lock_guard lock(mutex_);
     faults_.Apply(switches);
-    if (clear || switches.contains("poison")) {
+    if (switches.value("clear", false) || switches.contains("poison")) {
       poison_ = switches.value("poison", "");
     }
     const auto crash = switches.find("crash");
@@ -110,15 +114,6 @@
     }
   }
   wake_.notify_all();
-  const auto refuse = switches.find("refuse");
-  if (refuse != switches.end() && *refuse == true) {
-    listener_->StopListening();
-  } else if (refuse != switches.end() || clear) {
-    listener_->Open();
-  }
-  if (switches.value("reset_connections", false)) {
-    listener_->ResetConnections();
-  }
 }
 
 json PlainHost::JournalJson() const {
@@ -157,9 +152,6 @@
 }
 
 void PlainHost::Serve(const Request& req, Response& res) {
-  while (Value("hang") != 0 && OwnConnectionAlive()) {
-    std::this_thread::sleep_for(kHold);
-  }
   if (Take("reset_before") || !OwnConnectionAlive()) {
     ResetOwnConnection();
     return;
@@ -241,6 +233,10 @@
       std::this_thread::sleep_for(kHold);
     }
   }
+  // The call ran, and its answer waits for the cut to end.
+  while (OwnLinkCut() && OwnConnectionAlive()) {
+    std::this_thread::sleep_for(kHold);
+  }
   if (Take("reset_after") || !OwnConnectionAlive()) {
     ResetOwnConnection();
     return;
@@ -301,10 +297,10 @@
     }
     wake_.notify_all();
     lock.unlock();
-    listener_->Close();
+    ports_->Close();
     lock.lock();
     wake_.wait_for(lock, down, [this] { return stopping_; });
-    if (!stopping_ && !listener_->Open()) {
+    if (!stopping_ && !ports_->Open()) {
       base::Log(base::LogLevel::kError, "plain_cannot_reopen",
                 {{"target", settings_.id}});
     }
--- a/tests/fakes/plain_host.h
+++ b/tests/fakes/plain_host.h
@@ -25,7 +25,7 @@
 
 namespace lynxglade::fakes {
 
-class HttpListener;
+class LinkedPorts;
 
 struct PlainHostSettings {
   std::string id;
@@ -33,6 +33,9 @@
   std::string address = "127.0.0.1";
   // 0 picks a free port.
   int port = 0;
+  // Ports of the one instance, as for engines.
+  int links = 1;
+  int link_stride = 100;
   // How long each call takes.
   base::Duration work{};
   // Calls that run at once; more are refused as overloaded.
@@ -76,7 +79,7 @@
 
   const PlainHostSettings settings_;
   const std::int64_t started_ms_;
-  std::unique_ptr<HttpListener> listener_;
+  std::unique_ptr<LinkedPorts> ports_;
   mutable std::mutex mutex_;
   std::condition_variable wake_;
   FaultSwitches faults_;
--- a/tests/fakes/platform_routes.cc
+++ b/tests/fakes/platform_routes.cc
@@ -105,6 +105,16 @@
   AnswerJson(res, 200, list.Latest());
 }
 
+json Shifted(json body, int port_offset) {
+  for (json& row : body["instances"]) {
+    if (row.is_object() && row.value("kind", "") != "entry" &&
+        row.contains("port")) {
+      row["port"] = row["port"].get<int>() + port_offset;
+    }
+  }
+  return body;
+}
+
 void ChangeRow(FakeInstanceList& list, const Request& req, Response& res) {
   const json body = ParseObject(req.body);
   if (body.is_discarded()) {
@@ -145,10 +155,14 @@
   });
 }
 
-void AddInstanceListRoutes(httplib::Server& server, FakeInstanceList& list) {
-  server.Get("/v1/instances", [&list](const Request& req, Response& res) {
+void AddInstanceListRoutes(httplib::Server& server,
+                           FakeInstanceList& list,
+                           int port_offset) {
+  server.Get("/v1/instances", [&list, port_offset](const Request& req,
+                                                   Response& res) {
+    const bool latest = req.has_param("latest");
     AnswerJson(res, 200,
-               req.has_param("latest") ? list.Latest() : list.Lagging());
+               Shifted(latest ? list.Latest() : list.Lagging(), port_offset));
   });
   server.Put("/v1/instances", [&list](const Request& req, Response& res) {
     ReplaceList(list, req, res);
