Metrics: exact quantiles for few samples

Change: the first 64 samples are kept and ranked until there are more. Measured: base_test brings the case about and passes; before, p50 of 4 samples was 0, now 2 of {1,2,3,4}.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -1,6 +1,8 @@
 #include "base/metrics.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <mutex>
 #include <sstream>
 #include <utility>
@@ -31,6 +33,8 @@
 // the quantiles that are asked for.
 constexpr std::array<double, 6> kMarkers = {0.25, 0.5, 0.75, 0.95, 0.99, 0.999};
 constexpr std::array<double, 3> kShownQuantiles = {0.5, 0.95, 0.99};
+// The estimator is of no use for few samples; these are kept as they are.
+constexpr std::size_t kExactSamples = 64;
 
 using SeriesKey = std::pair<std::string, Labels>;
 
@@ -63,7 +67,17 @@
 }  // namespace
 
 struct LatencyQuantiles::Details {
+  // Nearest rank over the first samples, while there are no others.
+  double ExactQuantile(double quantile) const {
+    std::vector<double> sorted = first;
+    std::ranges::sort(sorted);
+    const auto rank = static_cast<std::size_t>(
+        std::ceil(quantile * static_cast<double>(sorted.size())));
+    return sorted[std::max<std::size_t>(rank, 1) - 1];
+  }
+
   mutable std::mutex mutex;
+  std::vector<double> first;
   QuantileSet set{acc::tag::extended_p_square::probabilities = kMarkers};
 };
 
@@ -74,6 +88,9 @@
   const double seconds = std::chrono::duration<double>(sample).count();
   std::lock_guard lock(details_->mutex);
   details_->set(seconds);
+  if (details_->first.size() < kExactSamples) {
+    details_->first.push_back(seconds);
+  }
 }
 
 double LatencyQuantiles::Seconds(double quantile) const {
@@ -81,6 +98,9 @@
   if (acc::count(details_->set) == 0) {
     return 0;
   }
+  if (acc::count(details_->set) <= kExactSamples) {
+    return details_->ExactQuantile(quantile);
+  }
   return acc::quantile(details_->set, acc::quantile_probability = quantile);
 }
 
--- a/tests/base/base_test.cc
+++ b/tests/base/base_test.cc
@@ -53,5 +53,15 @@
   EXPECT_NEAR(metrics.GetLatency("t_seconds").Seconds(0.95), 0.95, 0.03);
 }
 
+TEST(MetricsTest, QuantilesOfFewSamplesAreExact) {
+  LatencyQuantiles latency;
+  EXPECT_EQ(latency.Seconds(0.5), 0);
+  for (int s : {4, 1, 3, 2}) {
+    latency.Record(std::chrono::seconds(s));
+  }
+  EXPECT_EQ(latency.Seconds(0.5), 2);
+  EXPECT_EQ(latency.Seconds(0.99), 4);
+}
+
 }  // namespace
 }  // namespace lynxglade::base
