Views that only move forward, membership, and the service that spreads them

Instances had no way to hear of each other's facts: configuration deltas, drains, quarantine marks, load and who runs. A suspicion is answered by the suspect's next word, and an own pause is not held against others.

--- /dev/null
+++ b/src/process/membership.cc
@@ -0,0 +1,536 @@
+#include "process/membership.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace lynxglade::process {
+
+namespace {
+
+// A gap between two ticks that only a pause of this process explains.
+constexpr base::Duration kPauseGap = std::chrono::seconds(1);
+// How often links are compared with the choice of both ends.
+constexpr base::Duration kWantedCheckInterval = std::chrono::seconds(10);
+// Head start of the zone that sorts first in linking to another, so that the
+// two relays of a pair seldom dial each other at once.
+constexpr base::Duration kRelayHeadStart = std::chrono::seconds(2);
+// Attempts that failed in a row before a peer counts as out of reach.
+constexpr int kUnreachableFailures = 2;
+constexpr int kMaxBackoffDoublings = 10;
+
+}  // namespace
+
+Membership::Membership(MembershipOptions options,
+                       base::InstanceId self,
+                       InstanceFact self_fact,
+                       base::Clock clock,
+                       base::RandomSource random)
+    : options_(options),
+      self_{std::move(self), self_fact.zone},
+      self_fact_(std::move(self_fact)),
+      clock_(std::move(clock)),
+      random_(std::move(random)) {
+  last_tick_ = clock_();
+  next_probe_ = last_tick_ + Jittered(options_.probe_interval);
+  // The first own fact goes out with the first tick.
+  next_refresh_ = last_tick_;
+}
+
+void Membership::SetRows(const std::vector<InstanceRow>& rows) {
+  const base::Time now = clock_();
+  std::ranges::for_each(peers_, [](auto& it) { it.second.listed = false; });
+  for (const InstanceRow& row : rows) {
+    if (row.id == self_.id || IsSelf(row.address, row.peer_port)) {
+      continue;
+    }
+    const auto it = peers_.find(row.id);
+    if (it != peers_.end()) {
+      it->second.listed = true;
+      continue;
+    }
+    if (row.leaving || AddressTaken(row)) {
+      continue;
+    }
+    Peer peer;
+    peer.fact = {row.zone, row.address, row.peer_port};
+    peer.listed = true;
+    peer.heard = now;
+    peer.known_at = now;
+    peer.next_dial =
+        row.zone < self_.zone ? now + kRelayHeadStart : base::Time{};
+    peers_.emplace(row.id, std::move(peer));
+  }
+}
+
+void Membership::OnFact(const ViewItem& item) {
+  const base::InstanceId id(item.key);
+  if (id == self_.id) {
+    // A suspicion of ourselves, or our own earlier word echoed.
+    if (item.version > own_version_ && item.version.epoch == kRunningEpoch &&
+        !leaving_) {
+      const std::uint64_t next = item.version.sequence | 1;
+      own_version_.sequence = next + 1;
+      to_publish_.push_back(FactOf(self_.id, self_fact_, own_version_));
+    }
+    return;
+  }
+  const auto fact = DecodeInstanceFact(item.body);
+  if (!fact || IsSelf(fact->address, fact->port)) {
+    return;
+  }
+  const base::Time now = clock_();
+  const auto [it, is_new] = peers_.try_emplace(id);
+  Peer& peer = it->second;
+  if (is_new) {
+    peer.heard = now;
+    peer.next_dial = fact->zone < self_.zone ? now + kRelayHeadStart : now;
+  }
+  peer.known_at = now;
+  peer.fact = *fact;
+  const bool was_suspect = StateOfPeer(peer) == MemberState::kSuspect;
+  peer.version = item.version;
+  if (was_suspect && StateOfPeer(peer) == MemberState::kLive) {
+    // It lives by its own word, though not in our reach: the loss was
+    // answered and is not raised again before we had a link.
+    peer.lost = false;
+  }
+}
+
+void Membership::OnDialling(const base::InstanceId& peer, LinkId link) {
+  attempts_[link] = peer;
+}
+
+bool Membership::OnLinkUp(LinkId link,
+                          bool dialled,
+                          const HelloMessage& hello,
+                          std::string* reason) {
+  if (const auto it = attempts_.find(link); it != attempts_.end()) {
+    if (const auto peer = peers_.find(it->second); peer != peers_.end()) {
+      peer->second.dialling = false;
+      // Another process answered at its address.
+      if (it->second != hello.instance) {
+        ScheduleRetry(&peer->second);
+      }
+    }
+    attempts_.erase(it);
+  }
+  if (hello.instance == self_.id) {
+    *reason = "own instance";
+    return false;
+  }
+  const InstanceFact fact{hello.zone, hello.address, hello.port};
+  TakeOverAddress(hello.instance, fact);
+  const base::Time now = clock_();
+  const auto [it, is_new] = peers_.try_emplace(hello.instance);
+  Peer& peer = it->second;
+  peer.fact = fact;
+  peer.heard = now;
+  peer.known_at = now;
+  peer.lost = false;
+  peer.failures = 0;
+  peer.next_dial = {};
+  if (!peer.version) {
+    peer.version = ViewVersion{kRunningEpoch, 0};
+  }
+  // Of two links between the same two, both ends keep the one that the lesser
+  // id started.
+  const auto other = std::ranges::find_if(links_, [&](const auto& entry) {
+    return entry.second.peer == hello.instance;
+  });
+  if (other != links_.end()) {
+    // Another link in the same direction replaces the one before it, which
+    // the peer has lost already.
+    const bool same_direction = dialled == other->second.dialled;
+    const bool keep_other =
+        other->second.dialled == (self_.id < hello.instance);
+    if (!same_direction && keep_other) {
+      *reason = "second link";
+      return false;
+    }
+    other->second.unwanted_since = now - options_.unwanted_link_grace;
+  }
+  Link fresh;
+  fresh.peer = hello.instance;
+  fresh.dialled = dialled;
+  fresh.up_since = now;
+  fresh.heard = now;
+  fresh.echoed = now;
+  fresh.next_heartbeat = now;
+  links_.emplace(link, fresh);
+  return true;
+}
+
+void Membership::OnLinkDown(LinkId link) {
+  if (const auto it = attempts_.find(link); it != attempts_.end()) {
+    if (const auto peer = peers_.find(it->second); peer != peers_.end()) {
+      peer->second.dialling = false;
+      ScheduleRetry(&peer->second);
+    }
+    attempts_.erase(it);
+    return;
+  }
+  const auto it = links_.find(link);
+  if (it == links_.end()) {
+    return;
+  }
+  const base::InstanceId id = it->second.peer;
+  links_.erase(it);
+  const auto peer = peers_.find(id);
+  if (peer != peers_.end() && !IsLinked(id)) {
+    peer->second.lost = true;
+    // Healing: not all who lost the same peer try it at the same moment.
+    peer->second.next_dial = clock_() + Jittered(options_.min_backoff);
+  }
+}
+
+void Membership::OnHeard(LinkId link) {
+  const auto it = links_.find(link);
+  if (it == links_.end()) {
+    return;
+  }
+  it->second.heard = clock_();
+  if (const auto peer = peers_.find(it->second.peer); peer != peers_.end()) {
+    peer->second.heard = it->second.heard;
+  }
+}
+
+void Membership::OnHeartbeat(LinkId link, const HeartbeatMessage& message) {
+  const auto it = links_.find(link);
+  if (it == links_.end()) {
+    return;
+  }
+  it->second.received = std::max(it->second.received, message.sequence);
+  if (message.echo > it->second.last_echo) {
+    it->second.last_echo = message.echo;
+    it->second.echoed = clock_();
+  }
+}
+
+void Membership::OnPeerLeavesLink(LinkId link) {
+  const auto it = links_.find(link);
+  if (it == links_.end()) {
+    return;
+  }
+  const base::InstanceId id = it->second.peer;
+  links_.erase(it);
+  if (const auto peer = peers_.find(id); peer != peers_.end()) {
+    peer->second.lost = false;
+  }
+}
+
+MembershipActions Membership::Tick() {
+  const base::Time now = clock_();
+  ForgiveOwnPause(now);
+  MembershipActions actions;
+  CheckLinks(now, &actions);
+  CloseUnwanted(now, &actions);
+  SuspectSilent(now);
+  RefreshOwnFact(now);
+  DialChosen(now, &actions);
+  Probe(now, &actions);
+  Forget(now);
+  actions.publish = std::exchange(to_publish_, {});
+  return actions;
+}
+
+ViewItem Membership::Leave() {
+  leaving_ = true;
+  own_version_ = {kLeavingEpoch, 0};
+  return FactOf(self_.id, self_fact_, own_version_);
+}
+
+const base::InstanceId* Membership::PeerOf(LinkId link) const {
+  const auto it = links_.find(link);
+  return it == links_.end() ? nullptr : &it->second.peer;
+}
+
+std::vector<LinkId> Membership::Links() const {
+  std::vector<LinkId> ids;
+  std::ranges::transform(links_, std::back_inserter(ids),
+                         [](const auto& entry) { return entry.first; });
+  return ids;
+}
+
+std::vector<LinkId> Membership::ZoneLinks() const {
+  std::vector<LinkId> ids;
+  for (const auto& [id, link] : links_) {
+    const auto peer = peers_.find(link.peer);
+    if (peer != peers_.end() && peer->second.fact.zone == self_.zone) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+std::vector<Member> Membership::Members() const {
+  std::vector<Member> members;
+  members.push_back({self_.id, self_.zone, self_fact_.address, self_fact_.port,
+                     StateOf(own_version_), false});
+  std::ranges::transform(
+      peers_, std::back_inserter(members), [&](const auto& entry) {
+        const Peer& peer = entry.second;
+        return Member{entry.first,    peer.fact.zone,    peer.fact.address,
+                      peer.fact.port, StateOfPeer(peer), IsLinked(entry.first)};
+      });
+  return members;
+}
+
+std::vector<base::InstanceId> Membership::LiveIn(
+    const base::ZoneId& zone) const {
+  std::vector<base::InstanceId> ids;
+  for (const Member& member : Members()) {
+    if (member.zone == zone && member.state == MemberState::kLive) {
+      ids.push_back(member.id);
+    }
+  }
+  return ids;
+}
+
+bool Membership::IsSelf(const std::string& address, int port) const {
+  return address == self_fact_.address && port == self_fact_.port;
+}
+
+MemberState Membership::StateOfPeer(const Peer& peer) const {
+  // A row alone proves nothing.
+  return peer.version ? StateOf(*peer.version) : MemberState::kSuspect;
+}
+
+bool Membership::IsCandidate(const Peer& peer) const {
+  if (peer.failures >= kUnreachableFailures) {
+    return false;
+  }
+  return !peer.version || StateOf(*peer.version) == MemberState::kLive;
+}
+
+bool Membership::IsLinked(const base::InstanceId& id) const {
+  return std::ranges::any_of(
+      links_, [&](const auto& entry) { return entry.second.peer == id; });
+}
+
+std::vector<LinkCandidate> Membership::Candidates() const {
+  std::vector<LinkCandidate> candidates;
+  for (const auto& [id, peer] : peers_) {
+    if (IsCandidate(peer)) {
+      candidates.push_back({id, peer.fact.zone});
+    }
+  }
+  return candidates;
+}
+
+// Whether somebody who has shown to run is at the row's address: then the row
+// is late, or names the same instance in the platform's own words.
+bool Membership::AddressTaken(const InstanceRow& row) const {
+  return std::ranges::any_of(peers_, [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return peer.fact.address == row.address &&
+           peer.fact.port == row.peer_port && peer.version &&
+           StateOf(*peer.version) != MemberState::kGone;
+  });
+}
+
+// A greeting proves who is at an address now; whoever was there is gone.
+void Membership::TakeOverAddress(const base::InstanceId& id,
+                                 const InstanceFact& fact) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const auto next = std::next(it);
+    Peer& peer = it->second;
+    const bool replaced = it->first != id &&
+                          peer.fact.address == fact.address &&
+                          peer.fact.port == fact.port;
+    if (replaced && !peer.version && !IsLinked(it->first)) {
+      peers_.erase(it);
+    } else if (replaced && peer.version && peer.version->epoch < kGoneEpoch) {
+      peer.version = ViewVersion{kGoneEpoch, 0};
+      peer.known_at = clock_();
+      peer.lost = false;
+      to_publish_.push_back(FactOf(it->first, peer.fact, *peer.version));
+    }
+    it = next;
+  }
+}
+
+void Membership::ScheduleRetry(Peer* peer) {
+  const int doublings = std::min(peer->failures, kMaxBackoffDoublings);
+  const base::Duration backoff =
+      std::min(options_.min_backoff * (1 << doublings), options_.max_backoff);
+  ++peer->failures;
+  peer->next_dial = clock_() + Jittered(backoff);
+}
+
+// Uniform in [d/2, 3d/2).
+base::Duration Membership::Jittered(base::Duration d) {
+  const auto factor = 0.5 + base::UniformReal(random_);
+  return std::chrono::duration_cast<base::Duration>(d * factor);
+}
+
+ViewItem Membership::FactOf(const base::InstanceId& id,
+                            const InstanceFact& fact,
+                            ViewVersion version) const {
+  ViewItem item;
+  item.kind = ViewKind::kInstance;
+  item.key = id.str();
+  item.version = version;
+  item.source = self_.id;
+  item.as_of = clock_();
+  item.body = EncodeInstanceFact(fact);
+  return item;
+}
+
+// After a pause of our own every peer looks silent; the time that we slept
+// through is no evidence against them.
+void Membership::ForgiveOwnPause(base::Time now) {
+  const base::Duration gap = now - last_tick_;
+  last_tick_ = now;
+  if (gap < kPauseGap) {
+    return;
+  }
+  for (auto& [id, link] : links_) {
+    link.heard += gap;
+    link.echoed += gap;
+  }
+  for (auto& [id, peer] : peers_) {
+    peer.heard += gap;
+  }
+}
+
+void Membership::CheckLinks(base::Time now, MembershipActions* actions) {
+  std::vector<LinkId> broken;
+  for (auto& [id, link] : links_) {
+    const bool silent = now - link.heard > options_.silence_limit;
+    const bool unheard = now - link.echoed > options_.silence_limit;
+    if (silent || unheard) {
+      actions->close.push_back(
+          {id, silent ? "silent" : "heard but does not hear"});
+      broken.push_back(id);
+      continue;
+    }
+    if (now >= link.next_heartbeat) {
+      link.next_heartbeat = now + options_.heartbeat_interval;
+      actions->heartbeats.push_back({id, {++link.sent, link.received}});
+    }
+  }
+  std::ranges::for_each(broken, [&](LinkId id) { OnLinkDown(id); });
+}
+
+void Membership::CloseUnwanted(base::Time now, MembershipActions* actions) {
+  if (now >= next_wanted_check_) {
+    next_wanted_check_ = now + kWantedCheckInterval;
+    const auto candidates = Candidates();
+    const auto mine = ChooseLinks(self_, candidates, options_.links);
+    auto with_self = candidates;
+    with_self.push_back(self_);
+    for (auto& [id, link] : links_) {
+      const LinkCandidate peer{link.peer, peers_[link.peer].fact.zone};
+      const bool wanted =
+          std::ranges::find(mine, link.peer) != mine.end() ||
+          std::ranges::count(ChooseLinks(peer, with_self, options_.links),
+                             self_.id) > 0;
+      if (wanted) {
+        link.unwanted_since.reset();
+      } else if (!link.unwanted_since) {
+        link.unwanted_since = now;
+      }
+    }
+  }
+  for (auto it = links_.begin(); it != links_.end();) {
+    const auto next = std::next(it);
+    const auto& since = it->second.unwanted_since;
+    if (since && now - *since >= options_.unwanted_link_grace) {
+      actions->close.push_back({it->first, "not chosen"});
+      links_.erase(it);
+    }
+    it = next;
+  }
+}
+
+void Membership::SuspectSilent(base::Time now) {
+  for (auto& [id, peer] : peers_) {
+    const bool silent = now - peer.heard > options_.silence_limit;
+    const bool tried = peer.failures > 0;
+    if (!peer.lost || !silent || !tried || !peer.version ||
+        StateOf(*peer.version) != MemberState::kLive) {
+      continue;
+    }
+    peer.lost = false;
+    peer.version->sequence += 1;
+    to_publish_.push_back(FactOf(id, peer.fact, *peer.version));
+  }
+}
+
+void Membership::DialChosen(base::Time now, MembershipActions* actions) {
+  if (leaving_) {
+    return;
+  }
+  for (const auto& id : ChooseLinks(self_, Candidates(), options_.links)) {
+    TryDial(now, id, &peers_[id], actions);
+  }
+  // Whoever was lost is tried once, chosen or not: the answer decides whether
+  // it is suspected.
+  for (auto& [id, peer] : peers_) {
+    if (peer.lost && peer.failures == 0) {
+      TryDial(now, id, &peer, actions);
+    }
+  }
+}
+
+// One peer at a time that is out of reach or suspected: how parted zones find
+// each other again without everybody dialling everybody.
+void Membership::Probe(base::Time now, MembershipActions* actions) {
+  if (leaving_ || now < next_probe_) {
+    return;
+  }
+  next_probe_ = now + Jittered(options_.probe_interval);
+  std::vector<base::InstanceId> away;
+  for (const auto& [id, peer] : peers_) {
+    const MemberState state = StateOfPeer(peer);
+    const bool may_run =
+        state == MemberState::kLive || state == MemberState::kSuspect;
+    if (may_run && !IsCandidate(peer) && !IsLinked(id)) {
+      away.push_back(id);
+    }
+  }
+  if (away.empty()) {
+    return;
+  }
+  const auto& id = away[base::UniformBelow(random_, away.size())];
+  Peer& peer = peers_[id];
+  peer.next_dial = now;
+  TryDial(now, id, &peer, actions);
+}
+
+bool Membership::TryDial(base::Time now,
+                         const base::InstanceId& id,
+                         Peer* peer,
+                         MembershipActions* actions) {
+  const bool too_soon =
+      now < peer->next_dial || now - last_dial_ < options_.dial_spacing;
+  if (too_soon || peer->dialling || IsLinked(id)) {
+    return false;
+  }
+  last_dial_ = now;
+  peer->dialling = true;
+  actions->dial.push_back({id, peer->fact.address, peer->fact.port});
+  return true;
+}
+
+void Membership::RefreshOwnFact(base::Time now) {
+  if (leaving_ || now < next_refresh_) {
+    return;
+  }
+  next_refresh_ = now + Jittered(options_.refresh_interval);
+  own_version_.sequence += 2;
+  to_publish_.push_back(FactOf(self_.id, self_fact_, own_version_));
+}
+
+void Membership::Forget(base::Time now) {
+  std::erase_if(peers_, [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    const base::Time last_word = std::max(peer.heard, peer.known_at);
+    return !peer.listed && !peer.dialling && !IsLinked(entry.first) &&
+           now - last_word > options_.forget_after;
+  });
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/process/view_service.cc
@@ -0,0 +1,461 @@
+#include "process/view_service.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <iterator>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include <caf/all.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+#include "connection/peer_link.h"
+#include "process/gossip.h"
+#include "process/peer_messages.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using TickAtom = caf::atom_constant<caf::atom("view_tick")>;
+
+constexpr std::chrono::milliseconds kTickInterval{100};
+constexpr base::Duration kRowsInterval = std::chrono::seconds(1);
+// Link messages that may wait for the actor; further ones are dropped and
+// found again by digest.
+constexpr int kMaxWaitingMessages = 4096;
+constexpr std::string_view kInstanceRole = "instance";
+
+constexpr std::array kAllKinds{ViewKind::kInstance,   ViewKind::kTarget,
+                               ViewKind::kQuarantine, ViewKind::kLoad,
+                               ViewKind::kConfigHead, ViewKind::kConfigDelta};
+
+}  // namespace
+
+// What the actor is told. At namespace level because CAF wants their names.
+struct LinkUpEvent {
+  LinkId link = 0;
+  bool dialled = false;
+  HelloMessage hello;
+};
+struct LinkDownEvent {
+  LinkId link = 0;
+};
+struct LinkMessageEvent {
+  LinkId link = 0;
+  std::string bytes;
+};
+struct PublishEvent {
+  ViewItem item;
+};
+struct SubscribeEvent {
+  ViewKind kind = ViewKind::kInstance;
+  ViewService::Subscriber subscriber;
+};
+
+}  // namespace lynxglade::process
+
+// They stay within the process and need no serialisation.
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lynxglade::process::LinkUpEvent)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lynxglade::process::LinkDownEvent)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lynxglade::process::LinkMessageEvent)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lynxglade::process::PublishEvent)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lynxglade::process::SubscribeEvent)
+
+namespace lynxglade::process {
+
+std::string_view ToString(ViewServiceError error) noexcept {
+  switch (error) {
+    case ViewServiceError::kNone:
+      return "none";
+    case ViewServiceError::kListen:
+      return "listen";
+    case ViewServiceError::kCertificate:
+      break;
+  }
+  return "certificate";
+}
+
+// Gossip is guarded by a lock that is held for computing only; links take
+// messages without blocking. Subscribers are called outside the lock.
+struct ViewService::Details {
+  Details(caf::actor_system& sys,
+          ViewServiceOptions opts,
+          ViewServiceHooks hks,
+          base::Metrics& met)
+      : system(sys),
+        options(std::move(opts)),
+        hooks(std::move(hks)),
+        metrics(met),
+        links(LinkOptions(), LinkHooks()) {}
+
+  connection::PeerLinkOptions LinkOptions() const;
+  connection::PeerLinkHooks LinkHooks();
+  std::string JudgeHello(const std::string& bytes,
+                         const connection::PeerIdentity* identity) const;
+  GossipTransport Transport();
+  caf::behavior Behavior(caf::event_based_actor* self);
+
+  // The actor's reactions.
+  void OnTick();
+  void OnLinkMessage(const LinkMessageEvent& event);
+  void OnPublish(ViewItem item);
+  void OnSubscribe(const SubscribeEvent& event);
+  // Runs `change` on the gossip under the lock, then tells the subscribers.
+  template <typename F>
+  void Change(F&& change);
+  void TellSubscribers();
+  void UpdateGauges();
+  void RegisterGauges();
+
+  // Read by gauges, which may outlive this object.
+  struct Gauges {
+    std::array<std::atomic<double>, kViewKinds> items{};
+    std::array<std::atomic<double>, kViewKinds> newest_age_seconds{};
+    std::atomic<double> links{0};
+  };
+
+  caf::actor_system& system;
+  const ViewServiceOptions options;
+  const ViewServiceHooks hooks;
+  base::Metrics& metrics;
+  const std::shared_ptr<Gauges> gauges = std::make_shared<Gauges>();
+  caf::actor actor;
+  std::atomic<int> waiting_messages{0};
+  connection::PeerLinks links;
+
+  mutable std::mutex mutex;
+  // Set by Start.
+  std::optional<Gossip> gossip;
+  // Taken by the store, not yet told to subscribers.
+  std::vector<ViewItem> newer;
+
+  // Only on the actor's thread.
+  std::array<std::vector<Subscriber>, kViewKinds> subscribers;
+  base::Time next_rows{};
+};
+
+connection::PeerLinkOptions ViewService::Details::LinkOptions() const {
+  connection::PeerLinkOptions out;
+  out.address = options.address;
+  out.port = options.port;
+  out.tls = {options.tls.certificate, options.tls.key, options.tls.authority};
+  return out;
+}
+
+connection::PeerLinkHooks ViewService::Details::LinkHooks() {
+  connection::PeerLinkHooks out;
+  out.make_hello = [this](int port) {
+    return EncodePeerMessage(
+        HelloMessage{kPeerProtocolVersion, options.instance, options.zone,
+                     options.address, port},
+        hooks.clock());
+  };
+  out.check_hello = [this](const std::string& bytes,
+                           const connection::PeerIdentity* identity) {
+    return JudgeHello(bytes, identity);
+  };
+  out.on_up = [this](LinkId link, bool dialled, const std::string& bytes) {
+    PeerMessageError error = PeerMessageError::kNone;
+    const auto message = DecodePeerMessage(bytes, hooks.clock(), &error);
+    caf::anon_send(
+        actor, LinkUpEvent{link, dialled, std::get<HelloMessage>(*message)});
+  };
+  out.on_down = [this](LinkId link, const std::string& reason) {
+    base::Log(base::LogLevel::kInfo, "peer_link_down", {{"reason", reason}});
+    caf::anon_send(actor, LinkDownEvent{link});
+  };
+  out.on_message = [this](LinkId link, const std::string& bytes) {
+    if (waiting_messages.fetch_add(1) >= kMaxWaitingMessages) {
+      waiting_messages.fetch_sub(1);
+      metrics
+          .GetCounter("lynxglade_peer_messages_dropped_total",
+                      {{"reason", "mailbox_full"}})
+          .Add();
+      return;
+    }
+    caf::anon_send(actor, LinkMessageEvent{link, bytes});
+  };
+  return out;
+}
+
+std::string ViewService::Details::JudgeHello(
+    const std::string& bytes,
+    const connection::PeerIdentity* identity) const {
+  PeerMessageError error = PeerMessageError::kNone;
+  const auto message = DecodePeerMessage(bytes, hooks.clock(), &error);
+  const auto* hello = message ? std::get_if<HelloMessage>(&*message) : nullptr;
+  std::string refusal;
+  if (hello == nullptr) {
+    refusal = "no greeting";
+  } else if (hello->protocol != kPeerProtocolVersion) {
+    refusal = "protocol version " + std::to_string(hello->protocol) +
+              ", this instance speaks " + std::to_string(kPeerProtocolVersion);
+  } else if (identity != nullptr && identity->role != kInstanceRole) {
+    refusal = "certificate of another role";
+  } else if (identity != nullptr && identity->zone != hello->zone.str()) {
+    refusal = "certificate of another zone";
+  }
+  if (!refusal.empty()) {
+    metrics.GetCounter("lynxglade_peer_links_refused_total").Add();
+  }
+  return refusal;
+}
+
+GossipTransport ViewService::Details::Transport() {
+  GossipTransport out;
+  out.dial = [this](const std::string& address, int port) {
+    return links.Dial(address, port);
+  };
+  out.send = [this](LinkId link, std::string message, bool droppable) {
+    links.Send(link, std::move(message),
+               droppable ? connection::PeerMessageClass::kDroppable
+                         : connection::PeerMessageClass::kKeep);
+  };
+  out.close = [this](LinkId link, const std::string& reason) {
+    links.Close(link, reason);
+  };
+  return out;
+}
+
+caf::behavior ViewService::Details::Behavior(caf::event_based_actor* self) {
+  self->delayed_send(self, kTickInterval, TickAtom::value);
+  return {
+      [this, self](TickAtom) {
+        self->delayed_send(self, kTickInterval, TickAtom::value);
+        OnTick();
+      },
+      [this](const LinkUpEvent& event) {
+        Change([&](Gossip& g) {
+          g.OnLinkUp(event.link, event.dialled, event.hello);
+        });
+      },
+      [this](const LinkDownEvent& event) {
+        Change([&](Gossip& g) { g.OnLinkDown(event.link); });
+      },
+      [this](const LinkMessageEvent& event) { OnLinkMessage(event); },
+      [this](const PublishEvent& event) { OnPublish(event.item); },
+      [this](const SubscribeEvent& event) { OnSubscribe(event); },
+  };
+}
+
+void ViewService::Details::OnTick() {
+  const base::Time now = hooks.clock();
+  std::optional<std::vector<InstanceRow>> rows;
+  if (now >= next_rows) {
+    next_rows = now + kRowsInterval;
+    rows = hooks.instance_rows();
+  }
+  Change([&](Gossip& g) {
+    if (rows) {
+      g.SetRows(*rows);
+    }
+    g.Tick();
+  });
+  if (rows) {
+    UpdateGauges();
+  }
+}
+
+void ViewService::Details::OnLinkMessage(const LinkMessageEvent& event) {
+  waiting_messages.fetch_sub(1);
+  Change([&](Gossip& g) { g.OnMessage(event.link, event.bytes); });
+}
+
+void ViewService::Details::OnPublish(ViewItem item) {
+  if (item.source.empty()) {
+    item.source = options.instance;
+  }
+  if (item.as_of == base::Time{}) {
+    item.as_of = hooks.clock();
+  }
+  Change([&](Gossip& g) { g.Publish(item); });
+}
+
+void ViewService::Details::OnSubscribe(const SubscribeEvent& event) {
+  subscribers[static_cast<std::size_t>(event.kind)].push_back(event.subscriber);
+  std::vector<ViewItem> held;
+  {
+    const std::lock_guard lock(mutex);
+    held = gossip->store().Snapshot(event.kind);
+  }
+  std::ranges::for_each(held, event.subscriber);
+}
+
+template <typename F>
+void ViewService::Details::Change(F&& change) {
+  {
+    const std::lock_guard lock(mutex);
+    change(*gossip);
+  }
+  TellSubscribers();
+}
+
+void ViewService::Details::TellSubscribers() {
+  std::vector<ViewItem> items;
+  {
+    const std::lock_guard lock(mutex);
+    items.swap(newer);
+  }
+  for (const ViewItem& item : items) {
+    std::ranges::for_each(
+        subscribers[static_cast<std::size_t>(item.kind)],
+        [&](const Subscriber& subscriber) { subscriber(item); });
+  }
+}
+
+void ViewService::Details::UpdateGauges() {
+  const std::lock_guard lock(mutex);
+  const base::Time now = hooks.clock();
+  gauges->links = static_cast<double>(gossip->membership().Links().size());
+  for (const ViewKind kind : kAllKinds) {
+    const auto index = static_cast<std::size_t>(kind);
+    const auto items = gossip->store().Snapshot(kind);
+    gauges->items[index] = static_cast<double>(items.size());
+    const auto newest = std::ranges::max_element(items, {}, &ViewItem::as_of);
+    gauges->newest_age_seconds[index] =
+        newest == items.end()
+            ? 0.0
+            : std::chrono::duration<double>(now - newest->as_of).count();
+  }
+}
+
+void ViewService::Details::RegisterGauges() {
+  metrics.AddGauge("lynxglade_peer_links", {},
+                   [g = gauges] { return g->links.load(); });
+  for (const ViewKind kind : kAllKinds) {
+    const auto index = static_cast<std::size_t>(kind);
+    const base::Labels labels{{"kind", std::string(ToString(kind))}};
+    metrics.AddGauge("lynxglade_view_items", labels,
+                     [g = gauges, index] { return g->items[index].load(); });
+    metrics.AddGauge(
+        "lynxglade_view_newest_age_seconds", labels,
+        [g = gauges, index] { return g->newest_age_seconds[index].load(); });
+  }
+}
+
+ViewService::ViewService(caf::actor_system& system,
+                         ViewServiceOptions options,
+                         ViewServiceHooks hooks,
+                         base::Metrics& metrics)
+    : details_(std::make_unique<Details>(system,
+                                         std::move(options),
+                                         std::move(hooks),
+                                         metrics)) {
+  details_->RegisterGauges();
+}
+
+ViewService::~ViewService() {
+  details_->links.Stop();
+  if (details_->actor) {
+    caf::anon_send_exit(details_->actor, caf::exit_reason::user_shutdown);
+    caf::scoped_actor self{details_->system};
+    self->wait_for(details_->actor);
+  }
+}
+
+bool ViewService::Start(ViewServiceError* last_error) {
+  *last_error = ViewServiceError::kNone;
+  Details* d = details_.get();
+  // The actor comes first, because link events are sent to it. It reacts to
+  // none before the gossip is there: both are made under the lock.
+  const std::lock_guard lock(d->mutex);
+  d->actor = d->system.spawn(
+      [d](caf::event_based_actor* self) { return d->Behavior(self); });
+  connection::PeerLinkError error = connection::PeerLinkError::kNone;
+  const bool started = d->links.Start(&error);
+  GossipOptions options;
+  options.instance = d->options.instance;
+  options.fact = {d->options.zone, d->options.address, d->links.port()};
+  d->gossip.emplace(std::move(options), d->Transport(), d->hooks.clock,
+                    d->hooks.random, d->metrics,
+                    [d](const ViewItem& item) { d->newer.push_back(item); });
+  if (!started) {
+    *last_error = error == connection::PeerLinkError::kCertificate
+                      ? ViewServiceError::kCertificate
+                      : ViewServiceError::kListen;
+  }
+  return started;
+}
+
+void ViewService::Publish(ViewItem item) {
+  caf::anon_send(details_->actor, PublishEvent{std::move(item)});
+}
+
+void ViewService::Subscribe(ViewKind kind, Subscriber subscriber) {
+  caf::anon_send(details_->actor, SubscribeEvent{kind, std::move(subscriber)});
+}
+
+void ViewService::Leave() {
+  const std::lock_guard lock(details_->mutex);
+  details_->gossip->Leave();
+}
+
+bool ViewService::ReloadCertificates(ViewServiceError* last_error) {
+  const bool reloaded = details_->links.ReloadTls();
+  *last_error =
+      reloaded ? ViewServiceError::kNone : ViewServiceError::kCertificate;
+  return reloaded;
+}
+
+std::vector<ViewItem> ViewService::Snapshot(ViewKind kind) const {
+  const std::lock_guard lock(details_->mutex);
+  return details_->gossip->store().Snapshot(kind);
+}
+
+std::vector<Member> ViewService::Members() const {
+  const std::lock_guard lock(details_->mutex);
+  return details_->gossip->membership().Members();
+}
+
+std::string ViewService::InstancesJson() const {
+  using Json = nlohmann::json;
+  Json instances = Json::array();
+  for (const Member& member : Members()) {
+    instances.push_back({{"id", member.id.str()},
+                         {"zone", member.zone.str()},
+                         {"address", member.address},
+                         {"peer_port", member.peer_port},
+                         {"state", std::string(ToString(member.state))},
+                         {"linked", member.linked}});
+  }
+  Json views = Json::object();
+  const base::Time now = details_->hooks.clock();
+  for (const ViewKind kind : kAllKinds) {
+    const auto items = Snapshot(kind);
+    Json view{{"count", items.size()},
+              {"newest_age_ms", nullptr},
+              {"oldest_age_ms", nullptr}};
+    if (!items.empty()) {
+      const auto [oldest, newest] =
+          std::ranges::minmax_element(items, {}, &ViewItem::as_of);
+      view["newest_age_ms"] = base::ToMillis(now - newest->as_of);
+      view["oldest_age_ms"] = base::ToMillis(now - oldest->as_of);
+    }
+    views[std::string(ToString(kind))] = std::move(view);
+  }
+  const connection::PeerLinkCounters counters = details_->links.counters();
+  const Json out{{"instance", details_->options.instance.str()},
+                 {"zone", details_->options.zone.str()},
+                 {"instances", std::move(instances)},
+                 {"links",
+                  {{"up", details_->gauges->links.load()},
+                   {"messages_sent", counters.messages_sent},
+                   {"bytes_sent", counters.bytes_sent},
+                   {"messages_received", counters.messages_received},
+                   {"bytes_received", counters.bytes_received},
+                   {"messages_dropped", counters.messages_dropped},
+                   {"refused", counters.links_refused}}},
+                 {"views", std::move(views)}};
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+int ViewService::port() const noexcept {
+  return details_->links.port();
+}
+
+}  // namespace lynxglade::process
--- a/src/process/view_service.h
+++ b/src/process/view_service.h
@@ -19,9 +19,11 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "process/instance_row.h"
+#include "process/membership.h"
 #include "process/view_item.h"
 
 namespace caf {
+// The library's name. NOLINTNEXTLINE(readability-identifier-naming)
 class actor_system;
 }  // namespace caf
 
@@ -66,21 +68,6 @@
   std::function<std::vector<InstanceRow>()> instance_rows;
 };
 
-// How this instance sees a peer. Only kLive peers are homes of slices and are
-// used to pass facts on.
-enum class MemberState { kLive, kSuspect, kLeaving, kGone };
-std::string_view ToString(MemberState state) noexcept;
-
-struct Member {
-  base::InstanceId id;
-  base::ZoneId zone;
-  std::string address;
-  int peer_port = 0;
-  MemberState state = MemberState::kLive;
-  // Whether a link to it is up.
-  bool linked = false;
-};
-
 // Thread-safe. Destruction closes all links without a leaving notice; call
 // Leave() before it in a planned stop.
 class ViewService {
@@ -99,6 +86,8 @@
   // Listens and starts to look for peers. Call once.
   bool Start(ViewServiceError* last_error);
 
+  // The calls below need a Start() that succeeded.
+
   // Hands a fact to the local store, the subscribers and the peers. Returns
   // at once. An empty source becomes this instance; an `as_of` of zero
   // becomes now. Dropped (and counted) when the store holds a version at least
@@ -122,7 +111,9 @@
   std::vector<ViewItem> Snapshot(ViewKind kind) const;
   // Every known instance, this one included.
   std::vector<Member> Members() const;
-  // {"instances":[...],"links":...,"views":{kind:{count, oldest age, ...}}}
+  // {"instance","zone","instances":[{"id","zone","address","peer_port","state",
+  // "linked"}],"links":{"up",...},"views":{kind:{"count","newest_age_ms",
+  // "oldest_age_ms"}}} with null ages for a kind of which nothing is held.
   std::string InstancesJson() const;
   // The port listened on; 0 before Start().
   int port() const noexcept;
