--- a/tests/request/claims_test.cc
+++ b/tests/request/claims_test.cc
@@ -112,7 +112,7 @@
   connection::KeyValue kv_;
   Claims claims_;
   std::atomic<int>& runs_;
-  AttemptEnd end_ = AttemptEnd::kWhole;
+  std::atomic<AttemptEnd> end_ = AttemptEnd::kWhole;
   Relay relay_;
 };
 
