View service: Stop() ends it before its subscribers go

Cause: the daemon's subscribers are destroyed after other parts have stopped, and the actor could still call them. Change: what the destructor did is a public, repeatable Stop(). Measured: view_service_test passes. Conclusion: the daemon can stop views first.

--- a/src/process/view_service.cc
+++ b/src/process/view_service.cc
@@ -350,6 +350,10 @@
 }
 
 ViewService::~ViewService() {
+  Stop();
+}
+
+void ViewService::Stop() {
   details_->links.Stop();
   if (details_->actor) {
     caf::anon_send_exit(details_->actor, caf::exit_reason::user_shutdown);
--- a/src/process/view_service.h
+++ b/src/process/view_service.h
@@ -103,6 +103,10 @@
   // is in the links' queues. Links stay up until destruction.
   void Leave();
 
+  // Closes the links and ends the actor: no subscriber is called after it
+  // returns, and Publish() does nothing. A second call does nothing.
+  void Stop();
+
   // Reads the TLS files again; links that are up keep their keys, new ones
   // use the new files. On failure the old ones stay in use.
   bool ReloadCertificates(ViewServiceError* last_error);
