--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -4,7 +4,7 @@
 #   deployment_start NAME OUT   DEPLOYMENT_* arrays hold what was started
 #   deployment_stop             ends it all, by process id
 #
-# Settings: PORT_BASE (26000): 600 ports from there are used. LOAD_LAG_MS
+# Settings: PORT_BASE (26000): 900 ports from there are used. LOAD_LAG_MS
 # (500): age of load reports. DAEMON_FLAGS, ENGINE_FLAGS: further flags.
 
 BUILD=${BUILD:-build}
@@ -15,8 +15,13 @@
 
 LIST_URL=http://$ADDRESS:$((PORT_BASE + 10))
 PLATFORM_CONTROL=$ADDRESS:$((PORT_BASE + 30))
-ENGINE_CONTROL=$ADDRESS:$((PORT_BASE + 190))
-PLAIN_CONTROL=$ADDRESS:$((PORT_BASE + 290))
+ENGINE_CONTROL=$ADDRESS:$((PORT_BASE + 40))
+PLAIN_CONTROL=$ADDRESS:$((PORT_BASE + 41))
+ENGINE_PORT=$((PORT_BASE + 600))
+PLAIN_PORT=$((PORT_BASE + 630))
+# Each zone's entry instances reach the targets at ports of their own, this far
+# apart, so that zones can be cut off from each other.
+LINK_STRIDE=50
 
 ENTRY_PIDS=()
 STAND_IN_PIDS=()
@@ -79,11 +84,13 @@
   start_stand_in platform "$bin/fake_platform" \
     --kv-port "$PORT_BASE" --kv-ports "$zones" \
     --list-port $((PORT_BASE + 10)) --list-ports "$zones" \
-    --weights-port $((PORT_BASE + 20)) --control-port $((PORT_BASE + 30))
+    --link-stride "$LINK_STRIDE" --weights-port $((PORT_BASE + 20)) \
+    --control-port $((PORT_BASE + 30))
   # shellcheck disable=SC2086
   start_stand_in engines "$bin/fake_engines" \
-    --count "$(targets_of engine)" --first-port $((PORT_BASE + 100)) \
-    --control-port $((PORT_BASE + 190)) \
+    --count "$(targets_of engine)" --first-port "$ENGINE_PORT" \
+    --links "$zones" --link-stride "$LINK_STRIDE" \
+    --control-port "${ENGINE_CONTROL##*:}" \
     --service "$(service_field engine .name)" \
     --zone "$(zones_in_turn engine)" \
     --model "$(service_field engine .model)" \
@@ -97,8 +104,9 @@
     --load-lag-ms "$LOAD_LAG_MS" \
     --weights-url "http://$ADDRESS:$((PORT_BASE + 20))" ${ENGINE_FLAGS:-}
   start_stand_in plain "$bin/fake_plain" \
-    --count "$(targets_of plain)" --first-port $((PORT_BASE + 200)) \
-    --control-port $((PORT_BASE + 290)) --id-prefix portal- \
+    --count "$(targets_of plain)" --first-port "$PLAIN_PORT" \
+    --links "$zones" --link-stride "$LINK_STRIDE" \
+    --control-port "${PLAIN_CONTROL##*:}" --id-prefix portal- \
     --service "$(service_field plain .name)" --zone "$(zones_in_turn plain)"
 }
 
@@ -229,6 +237,40 @@
   STAND_IN_PIDS=()
 }
 
+fault() { # control-port json
+  curl -sf "http://$1/fault" -d "$2" >/dev/null
+}
+
+# set_zone_cut ZONE true|false: cuts a zone off from the platform and from the
+# targets of other zones, and their zones' instances from its targets. Links
+# between instances stay up.
+set_zone_cut() {
+  local number=$(($(zone_index "$1") + 1)) cut=$2 control id zone link
+  fault "$PLATFORM_CONTROL" "{\"id\":\"kv-$number\",\"hang\":$cut}"
+  fault "$PLATFORM_CONTROL" "{\"id\":\"list-$number\",\"hang\":$cut}"
+  for control in "$ENGINE_CONTROL" "$PLAIN_CONTROL"; do
+    while read -r id zone; do
+      for link in $(seq "${#ZONES[@]}"); do
+        [ "$zone" = "$1" ] && [ "$link" = "$number" ] && continue
+        [ "$zone" = "$1" ] || [ "$link" = "$number" ] || continue
+        fault "$control" "{\"id\":\"$id\",\"link\":$link,\"hang\":$cut}"
+      done
+    done < <(curl -sf "http://$control/instances" |
+      jq -r '.instances[] | "\(.id) \(.zone)"')
+  done
+}
+
+# An engine crashes after a third of the run; at half of it the last zone is
+# cut off for a quarter. Runs beside the load.
+inject_faults() { # seconds
+  sleep $(($1 / 3))
+  fault "$ENGINE_CONTROL" '{"id":"engine-1","crash":{"down_ms":8000}}'
+  sleep $(($1 / 6))
+  set_zone_cut "${ZONES[-1]}" true
+  sleep $(($1 / 4))
+  set_zone_cut "${ZONES[-1]}" false
+}
+
 join_by_comma() {
   local IFS=,
   echo "$*"
