--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -75,8 +75,12 @@
   local log=$1
   shift
   "$@" >"$OUT/$log.out" 2>"$OUT/$log.log" &
-  STAND_IN_PIDS+=($!)
-  wait_for 10 "$log" grep -q '^ready' "$OUT/$log.out"
+  local pid=$!
+  STAND_IN_PIDS+=("$pid")
+  until grep -q '^ready' "$OUT/$log.out"; do
+    kill -0 "$pid" 2>/dev/null || { cat "$OUT/$log.log" >&2; return 1; }
+    sleep 0.05
+  done
 }
 
 start_stand_ins() {
