Configuration between instances and the intent API

Cause: instances must tell each other accepted changes, and operators need plans and confirmations on any instance.

--- /dev/null
+++ b/src/version/config_gossip.cc
@@ -0,0 +1,200 @@
+#include "version/config_gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "version/details/json_reader.h"
+
+namespace lynxglade::version {
+namespace {
+
+using details::json;
+using details::JsonReader;
+using process::ViewItem;
+using process::ViewKind;
+
+constexpr std::string_view kHeadKey = "head";
+constexpr std::string_view kWholePrefix = "whole/";
+constexpr std::string_view kInForcePrefix = "in_force/";
+// Bounds what a peer can make this instance hold.
+constexpr std::size_t kMaxParts = kMaxConfigurationBytes / kPublishedPartBytes;
+constexpr std::size_t kMaxBodyBytes = 4 * kPublishedPartBytes;
+// Each member tells of itself at most this often, times the members there
+// are: at 340 members once in 68 s, five such facts a second for all.
+constexpr base::Duration kTellPeriodPerMember = std::chrono::milliseconds(200);
+
+std::string HeadBody(base::Revision revision, const std::string& digest) {
+  return details::Canonical(
+      {{"revision", revision.value()}, {"digest", digest}});
+}
+
+std::optional<ConfigHead> ReadHeadBody(const std::string& body) {
+  json value;
+  CodecFault fault;
+  if (!details::ParseObject(body, kMaxBodyBytes, &value, &fault)) {
+    return std::nullopt;
+  }
+  JsonReader reader(value, "", &fault);
+  std::int64_t revision = 0;
+  ConfigHead head;
+  reader.Integer("revision", 0, INT64_MAX, &revision);
+  reader.OptionalText("digest", kMaxIdBytes, &head.digest);
+  head.revision = base::Revision(revision);
+  if (!reader.Done()) {
+    return std::nullopt;
+  }
+  return head;
+}
+
+}  // namespace
+
+ConfigGossip::ConfigGossip(base::InstanceId instance,
+                           ConfigTracker& tracker,
+                           ConfigGossipHooks hooks,
+                           base::Metrics& metrics)
+    : instance_(std::move(instance)),
+      tracker_(tracker),
+      hooks_(std::move(hooks)),
+      metrics_(metrics) {}
+
+void ConfigGossip::Publish(ViewKind kind,
+                           std::string key,
+                           base::Revision revision,
+                           std::string body) {
+  ViewItem item;
+  item.kind = kind;
+  item.key = std::move(key);
+  item.version.epoch = static_cast<std::uint64_t>(revision.value());
+  item.body = std::move(body);
+  hooks_.publish(std::move(item));
+}
+
+void ConfigGossip::TellDelta(base::Revision revision,
+                             const ChainedDelta& delta) {
+  std::string body = EncodeChained(delta);
+  if (body.size() <= kPublishedDeltaBytes) {
+    Publish(ViewKind::kConfigDelta,
+            std::to_string(revision.value() % kPublishedDeltas), revision,
+            std::move(body));
+    Publish(ViewKind::kConfigHead, std::string(kHeadKey), revision,
+            HeadBody(revision, delta.digest));
+    return;
+  }
+  // Too large for one fact: peers take the whole instead.
+  metrics_.GetCounter("lynxglade_config_large_deltas_total").Add();
+  TellWhole(tracker_.Held());
+}
+
+void ConfigGossip::TellWhole(const HeldConfiguration& whole) {
+  const std::string bytes = EncodeHeld(whole);
+  const std::size_t count =
+      (bytes.size() + kPublishedPartBytes - 1) / kPublishedPartBytes;
+  for (std::size_t i = 0; i < count; ++i) {
+    Publish(ViewKind::kConfigHead,
+            std::string(kWholePrefix) + std::to_string(i), whole.revision(),
+            details::Canonical({{"count", count},
+                                {"index", i},
+                                {"text", bytes.substr(i * kPublishedPartBytes,
+                                                      kPublishedPartBytes)}}));
+  }
+  Publish(ViewKind::kConfigHead, std::string(kHeadKey), whole.revision(),
+          HeadBody(whole.revision(), whole.digest));
+}
+
+void ConfigGossip::Hear(const ViewItem& item) {
+  if (item.kind == ViewKind::kConfigDelta) {
+    if (const auto delta = DecodeChained(item.body)) {
+      tracker_.OfferDelta(*delta, ConfigSource::kPeer);
+    }
+  } else if (item.key == kHeadKey) {
+    if (const auto head = ReadHeadBody(item.body)) {
+      tracker_.OfferHead(*head, ConfigSource::kPeer);
+    }
+  } else if (item.key.starts_with(kWholePrefix)) {
+    HearPart(item);
+  }
+}
+
+void ConfigGossip::HearPart(const ViewItem& item) {
+  const base::Revision revision(static_cast<std::int64_t>(item.version.epoch));
+  if (revision <= tracker_.Get()->revision) {
+    return;
+  }
+  json value;
+  CodecFault fault;
+  if (!details::ParseObject(item.body, kMaxBodyBytes, &value, &fault)) {
+    return;
+  }
+  JsonReader reader(value, "", &fault);
+  std::int64_t count = 0;
+  std::int64_t index = 0;
+  std::string text;
+  reader.Integer("count", 1, static_cast<std::int64_t>(kMaxParts), &count);
+  reader.Integer("index", 0, count - 1, &index);
+  reader.OptionalText("text", kPublishedPartBytes, &text);
+  if (!reader.Done()) {
+    return;
+  }
+  const auto bytes = Add(revision, static_cast<std::size_t>(index),
+                         static_cast<std::size_t>(count), std::move(text));
+  if (bytes) {
+    tracker_.OfferBytes(*bytes, ConfigSource::kPeer);
+  }
+}
+
+std::optional<std::string> ConfigGossip::Add(base::Revision revision,
+                                             std::size_t index,
+                                             std::size_t count,
+                                             std::string text) {
+  const std::scoped_lock lock(mutex_);
+  if (revision < assembly_.revision) {
+    return std::nullopt;
+  }
+  if (revision > assembly_.revision || count != assembly_.count) {
+    assembly_ = {revision, count, {}};
+  }
+  assembly_.parts.insert_or_assign(index, std::move(text));
+  if (assembly_.parts.size() < count) {
+    return std::nullopt;
+  }
+  std::string bytes;
+  for (const auto& [i, part] : assembly_.parts) {
+    bytes += part;
+  }
+  assembly_.parts.clear();
+  return bytes;
+}
+
+void ConfigGossip::Tick() {
+  const HeldConfiguration held = tracker_.Held();
+  {
+    const std::scoped_lock lock(mutex_);
+    const base::Time now = hooks_.clock();
+    const auto members = static_cast<std::int64_t>(hooks_.member_count());
+    const bool due =
+        told_.value() == 0 || now - told_at_ >= kTellPeriodPerMember * members;
+    if (held.revision() <= told_ || !due) {
+      return;
+    }
+    told_ = held.revision();
+    told_at_ = now;
+  }
+  Publish(ViewKind::kConfigHead, std::string(kInForcePrefix) + instance_.str(),
+          held.revision(), HeadBody(held.revision(), held.digest));
+}
+
+std::optional<InstanceRevision> ConfigGossip::ReadInForce(
+    const ViewItem& item) {
+  if (!item.key.starts_with(kInForcePrefix)) {
+    return std::nullopt;
+  }
+  const std::optional<ConfigHead> head = ReadHeadBody(item.body);
+  if (!head) {
+    return std::nullopt;
+  }
+  return InstanceRevision{
+      base::InstanceId(item.key.substr(kInForcePrefix.size())), head->revision,
+      head->digest, item.as_of};
+}
+
+}  // namespace lynxglade::version
--- a/src/version/config_head.h
+++ b/src/version/config_head.h
@@ -14,8 +14,9 @@
 
 namespace lynxglade::version {
 
-// How many of the last deltas instances keep to pass on to peers.
-inline constexpr std::int64_t kPublishedDeltas = 64;
+// How many of the last deltas instances keep to pass on to peers: as many as
+// may lie between the newest snapshot and the head.
+inline constexpr std::int64_t kPublishedDeltas = 1024;
 
 // The newest accepted configuration. The revision is a counter of ours inside
 // the value: a service restored from an old copy cannot make it look new.
--- a/src/version/config_tracker.cc
+++ b/src/version/config_tracker.cc
@@ -175,6 +175,9 @@
     }
   }
   if (result == OfferResult::kTaken) {
+    if (hooks_.on_whole) {
+      hooks_.on_whole(whole);
+    }
     Announce(taken);
     if (taken.empty() && hooks_.on_taken) {
       hooks_.on_taken(Held());
--- a/src/version/config_tracker.h
+++ b/src/version/config_tracker.h
@@ -56,6 +56,9 @@
   std::function<void(const HeldConfiguration&)> on_taken;
   // A delta came into force, to be passed on to peers; may be empty.
   std::function<void(base::Revision, const ChainedDelta&)> on_delta;
+  // A whole configuration was taken, before deltas that follow it; may be
+  // empty.
+  std::function<void(const HeldConfiguration&)> on_whole;
 };
 
 // Thread-safe.
--- /dev/null
+++ b/src/version/configuration_plane.h
@@ -0,0 +1,98 @@
+// Everything that holds, spreads and changes the configuration in one
+// instance, put together for the daemon.
+#ifndef LYNXGLADE_VERSION_CONFIGURATION_PLANE_H_
+#define LYNXGLADE_VERSION_CONFIGURATION_PLANE_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "connection/api_call.h"
+#include "connection/key_value.h"
+#include "process/view_item.h"
+#include "version/config_store.h"
+#include "version/config_tracker.h"
+#include "version/config_watcher.h"
+#include "version/operator_access.h"
+#include "version/plan.h"
+
+namespace lynxglade::version {
+
+struct ConfigurationPlaneOptions {
+  base::InstanceId instance;
+  // May be empty: then a first fleet operator can only come with a restored
+  // service.
+  std::string bootstrap_key;
+  StoreLimits store;
+  ConfigWatcherOptions watcher;
+  // Behind for longer than this: read the service instead of waiting on for
+  // peers.
+  base::Duration peer_patience = std::chrono::milliseconds(300);
+};
+
+// All must be thread-safe; only fetch_from_peer may block.
+struct ConfigurationPlaneHooks {
+  base::Clock clock;
+  base::RandomSource random;
+  std::function<std::int64_t()> wall_millis;
+  // A configuration came into force. Called from several threads and not
+  // always in order: read Current() for the newest.
+  std::function<void()> on_change;
+  // ViewService::Publish, and Snapshot of kConfigHead.
+  std::function<void(process::ViewItem)> publish;
+  std::function<std::vector<process::ViewItem>()> head_facts;
+  std::function<std::size_t()> member_count;
+  // Whether this instance is one of the few of its zone that watch.
+  std::function<bool()> should_watch;
+  // The fleet, for the arithmetic of plans.
+  std::function<FleetFacts()> fleet;
+  // See ConfigWatcherHooks; may be empty.
+  std::function<std::optional<std::string>()> fetch_from_peer;
+};
+
+// Thread-safe.
+class ConfigurationPlane {
+ public:
+  // `service` and `metrics` must outlive this object.
+  ConfigurationPlane(const connection::KeyValue& service,
+                     ConfigurationPlaneOptions options,
+                     ConfigurationPlaneHooks hooks,
+                     base::Metrics& metrics);
+  // Stops the threads; may take as long as one call to the service.
+  ~ConfigurationPlane();
+  ConfigurationPlane(const ConfigurationPlane&) = delete;
+  ConfigurationPlane& operator=(const ConfigurationPlane&) = delete;
+
+  // Starts reading and watching. Call once, after the hooks work.
+  void Start();
+  // Facts of the kinds kConfigHead and kConfigDelta; does not block.
+  void Hear(const process::ViewItem& item);
+  // Call about once a second.
+  void Tick();
+
+  // Paths under /v1/admin/plans, /config, /contracts and /audit; recognises
+  // the operator itself. Writing needs at least the role kContract.
+  connection::ApiAnswer Handle(const connection::ApiCall& call) const;
+
+  std::shared_ptr<const Configuration> Current() const;
+  // False until a configuration is held, or none was ever accepted.
+  bool ready() const;
+  const OperatorAccess& access() const noexcept;
+  // The whole as bytes, for a peer that asks.
+  std::string HeldBytes() const;
+
+ private:
+  struct Details;
+  std::unique_ptr<Details> details_;
+};
+
+}  // namespace lynxglade::version
+
+#endif  // LYNXGLADE_VERSION_CONFIGURATION_PLANE_H_
--- a/src/version/details/json_reader.cc
+++ b/src/version/details/json_reader.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 std::string Canonical(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  return value.dump(-1, ' ', true, json::error_handler_t::replace);
 }
 
 bool Fail(CodecFault* fault,
--- a/src/version/details/json_reader.h
+++ b/src/version/details/json_reader.h
@@ -17,8 +17,8 @@
 
 using nlohmann::json;
 
-// Text for storage and for digests: members sorted, no spaces, bytes that are
-// no UTF-8 replaced.
+// Text for storage and for digests: members sorted, no spaces, ASCII only, so
+// that it may be cut anywhere; bytes that are no UTF-8 are replaced.
 std::string Canonical(const json& value);
 
 // Parses an object within a bound of bytes.
--- a/src/version/plan_service.cc
+++ b/src/version/plan_service.cc
@@ -358,10 +358,16 @@
     return;
   }
   PlanFault fault;
-  if (!Refresh(&fault) || !store_.WriteSnapshot(tracker_.Held(), &ec)) {
+  const bool current = Refresh(&fault);
+  const HeldConfiguration held = tracker_.Held();
+  if (!current || !store_.WriteSnapshot(held, &ec)) {
     // The next change tries again.
     base::Log(base::LogLevel::kWarning, "config_snapshot_failed",
               {{"reason", ToString(ec)}});
+    return;
+  }
+  if (hooks_.on_snapshot) {
+    hooks_.on_snapshot(held);
   }
 }
 
--- a/src/version/plan_service.h
+++ b/src/version/plan_service.h
@@ -58,6 +58,8 @@
   std::function<FleetFacts()> fleet;
   // For the audit trail; base::WallMillis in the daemon.
   std::function<std::int64_t()> wall_millis;
+  // This instance wrote a snapshot of the whole; may be empty.
+  std::function<void(const HeldConfiguration&)> on_snapshot;
   // How long a plan waits for its confirmation.
   base::Duration plan_ttl = std::chrono::hours(1);
 };
