lynxgladed serves: configuration, views, claims, slices joined

Cause: the daemon had no configuration, peers or claims. Next: readiness waits for targets, and a started stream may end late.

--- a/src/connection/load_report.cc
+++ b/src/connection/load_report.cc
@@ -74,6 +74,7 @@
   }
   report.incarnation = ReadText(*object, "incarnation");
   report.sequence = static_cast<std::uint64_t>(ReadWhole(*object, "seq"));
+  report.made_ms = ReadWhole(*object, "generated_at_ms");
   const std::string role = ReadText(*object, "role");
   if (!role.empty() && !request::ParseEngineRole(role, &report.role)) {
     return std::nullopt;
@@ -85,6 +86,29 @@
   return report;
 }
 
+std::string EncodeLoadReport(const LoadReport& report) {
+  const request::TargetLoad& load = report.load;
+  json object = {{"engine", report.target.str()},
+                 {"incarnation", report.incarnation},
+                 {"seq", report.sequence},
+                 {"generated_at_ms", report.made_ms},
+                 {"role", request::ToString(report.role)},
+                 {"running", load.running},
+                 {"waiting", load.waiting}};
+  if (!report.model.empty()) {
+    object["model"] = report.model.str();
+    object["version"] = report.version.str();
+    object["queued_prefill_tokens"] = load.queued_prefill.value();
+    object["running_decode_tokens"] = load.running_decode.value();
+    object["prefill_tokens_per_s"] = load.prefill_tokens_per_s;
+    object["decode_tokens_per_s"] = load.decode_tokens_per_s;
+  }
+  if (report.draining) {
+    object["draining"] = true;
+  }
+  return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<LoadReport> FetchLoadReport(const std::string& address,
                                           int port,
                                           base::Duration timeout,
--- a/src/connection/load_report.h
+++ b/src/connection/load_report.h
@@ -18,6 +18,8 @@
   std::string incarnation;
   // Rises within an incarnation.
   std::uint64_t sequence = 0;
+  // When the target made it, in Unix milliseconds by the target's clock.
+  std::int64_t made_ms = 0;
   request::EngineRole role = request::EngineRole::kMixed;
   base::ModelName model;
   base::ModelVersion version;
@@ -30,6 +32,9 @@
 std::optional<LoadReport> ParseLoadReport(std::string_view json_text,
                                           base::Time now);
 
+// JSON text that ParseLoadReport reads; only the fields that it reads.
+std::string EncodeLoadReport(const LoadReport& report);
+
 // Asks a target for its report; blocks for at most `timeout`. Nothing when it
 // does not answer or answers something else.
 std::optional<LoadReport> FetchLoadReport(const std::string& address,
--- a/src/main/daemon.cc
+++ b/src/main/daemon.cc
@@ -1,30 +1,38 @@
 #include "main/daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <iterator>
+#include <mutex>
 #include <optional>
 #include <thread>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/snapshot.h"
 #include "base/time.h"
 #include "connection/caller_front.h"
-#include "connection/chat_body.h"
-#include "connection/http_limits.h"
 #include "connection/http_server.h"
 #include "connection/instance_list.h"
+#include "connection/key_value.h"
 #include "connection/load_report.h"
 #include "connection/platform_fetch.h"
 #include "connection/target_client.h"
+#include "main/daemon_options.h"
 #include "process/admin_front.h"
-#include "process/load_poller.h"
+#include "process/control_system.h"
+#include "process/fleet_watch.h"
 #include "process/periodic_task.h"
 #include "process/serving_plane.h"
 #include "process/target_registry.h"
+#include "process/view_service.h"
+#include "request/claims.h"
 #include "request/request.h"
+#include "version/configuration_plane.h"
 #include "version/serving_configuration.h"
 
 namespace lynxglade {
@@ -33,110 +41,103 @@
 
 using connection::HttpExchange;
 using connection::HttpServer;
-using connection::HttpServerOptions;
 using request::Refusal;
 using request::RefusalReason;
 
 constexpr base::Duration kPlatformTimeout = std::chrono::seconds(1);
-constexpr base::Duration kInstanceListInterval = std::chrono::seconds(1);
+constexpr std::ptrdiff_t kWatchersPerZone = 2;
 constexpr base::Duration kRefreshInterval = std::chrono::milliseconds(200);
+constexpr base::Duration kTickInterval = std::chrono::seconds(1);
 constexpr base::Duration kLoadTimeout = std::chrono::milliseconds(500);
 // How long a planned stop keeps taking callers after it turned not ready, so
 // that the platform's balancer can see it.
 constexpr base::Duration kLeaveNotice = std::chrono::seconds(1);
 constexpr base::Duration kRetryElsewhere = std::chrono::milliseconds(100);
 
-// The library's own errors, in the form that callers know.
-std::string LibraryErrorBody(int status) {
-  const RefusalReason reason = status == 413 ? RefusalReason::kBodyTooLarge
-                                             : RefusalReason::kMalformedBody;
-  return connection::RefusalBody({reason, base::Outcome::kNotRun,
-                                  "HTTP status " + std::to_string(status),
-                                  std::nullopt});
-}
-
-HttpServerOptions CallerServerOptions(const process::Settings& settings) {
-  HttpServerOptions options;
-  options.address = settings.listen.address;
-  options.port = settings.listen.port;
-  options.max_connections = settings.max_connections;
-  options.max_body_bytes = connection::kMaxCallerBodyBytes;
-  options.certificate_file = settings.tls_certificate;
-  options.key_file = settings.tls_key;
-  options.overflow.body = connection::RefusalBody(
-      {RefusalReason::kOverloaded, base::Outcome::kNotRun,
-       "this instance serves as many connections as it may", kRetryElsewhere});
-  options.error_body = LibraryErrorBody;
-  return options;
-}
-
-HttpServerOptions AdminServerOptions(const process::Settings& settings) {
-  HttpServerOptions options;
-  options.address = settings.admin_listen.address;
-  options.port = settings.admin_listen.port;
-  options.max_connections = 64;
-  options.certificate_file = settings.tls_certificate;
-  options.key_file = settings.tls_key;
-  return options;
-}
-
-process::ServingOptions ServingOptionsOf(const process::Settings& settings) {
-  process::ServingOptions options;
-  options.instance = settings.instance;
-  options.zone = settings.zone;
-  options.router.policy = settings.routing_policy;
-  return options;
-}
-
 }  // namespace
 
 struct Daemon::Details {
   explicit Details(process::Settings s);
 
+  connection::KvTransport MakeKvTransport();
+  version::ConfigurationPlaneHooks MakeConfigurationHooks();
   process::ServingHooks MakeServingHooks();
   connection::CallerFrontHooks MakeCallerHooks();
   process::AdminFrontHooks MakeAdminHooks();
   std::vector<process::AdminRoute> MakeAdminRoutes();
-  process::LoadPollerHooks MakePollerHooks();
+  process::FleetWatchHooks MakeFleetHooks();
+  process::ViewServiceHooks MakeViewHooks();
+  void SubscribeToViews();
   void AddGauges();
 
+  version::FleetFacts Fleet() const;
+  void TakeConfiguration();
   std::optional<Refusal> Closed() const;
   std::optional<std::string> NotReady() const;
-  void RefreshInstanceList();
+  std::vector<base::InstanceId> ZoneMembers() const;
+  bool ShouldWatch() const;
+  std::size_t LiveInstances() const;
   bool StartServer(HttpServer& server);
 
   const process::Settings settings;
   std::string last_reason;
   std::atomic<bool> leaving{false};
+  std::mutex configuration_mutex;
   base::Metrics metrics;
   base::RandomSource random = base::SystemRandom();
-  base::Snapshot<version::ServingConfiguration> configuration;
+  connection::KeyValue key_value;
   connection::InstanceList instance_list;
+  process::ControlSystem control;
+  process::ViewService views;
   connection::TargetClient target_client;
+  request::Claims claims;
   process::TargetRegistry registry;
   process::ServingPlane serving;
+  base::Snapshot<version::ServingConfiguration> serving_configuration;
+  version::ConfigurationPlane configuration;
+  process::FleetWatch fleet;
   connection::CallerFront caller_front;
   process::AdminFront admin_front;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> admin_server;
-  std::unique_ptr<process::PeriodicTask> list_task;
   std::unique_ptr<process::PeriodicTask> refresh_task;
-  std::unique_ptr<process::LoadPoller> load_poller;
+  std::unique_ptr<process::PeriodicTask> tick_task;
 };
 
 // --- Putting it together ----------------------------------------------------
 
 Daemon::Details::Details(process::Settings s)
     : settings(std::move(s)),
+      key_value(MakeKvTransport(), kPlatformTimeout),
       instance_list(
           connection::MakeHttpPlatformFetch(settings.instance_list_url,
                                             kPlatformTimeout),
           base::BootClock::now),
+      views(control.actors(),
+            ViewOptionsOf(settings),
+            MakeViewHooks(),
+            metrics),
       target_client(base::BootClock::now, {}),
+      claims(key_value,
+             settings.instance,
+             base::BootClock::now,
+             random,
+             metrics,
+             {}),
       serving(ServingOptionsOf(settings),
               MakeServingHooks(),
               registry,
               metrics),
+      configuration(key_value,
+                    ConfigurationOptionsOf(settings),
+                    MakeConfigurationHooks(),
+                    metrics),
+      fleet(
+          {.instance = settings.instance, .zone = settings.zone, .poller = {}},
+          MakeFleetHooks(),
+          instance_list,
+          registry,
+          metrics),
       caller_front(MakeCallerHooks(), settings.default_deadline, metrics),
       admin_front(MakeAdminHooks(), MakeAdminRoutes(), metrics) {
   caller_server = std::make_unique<HttpServer>(
@@ -148,6 +149,66 @@
   AddGauges();
 }
 
+connection::KvTransport Daemon::Details::MakeKvTransport() {
+  return connection::MakeHttpKvTransport(
+      settings.kv_url, [this](std::string_view path) {
+        metrics
+            .GetCounter("lynxglade_kv_calls_total",
+                        {{"path", std::string(path)}})
+            .Add();
+      });
+}
+
+version::ConfigurationPlaneHooks Daemon::Details::MakeConfigurationHooks() {
+  version::ConfigurationPlaneHooks hooks;
+  hooks.clock = base::BootClock::now;
+  hooks.random = random;
+  hooks.wall_millis = base::WallMillis;
+  hooks.on_change = [this] { TakeConfiguration(); };
+  hooks.publish = [this](process::ViewItem item) {
+    views.Publish(std::move(item));
+  };
+  hooks.head_facts = [this] {
+    return views.Snapshot(process::ViewKind::kConfigHead);
+  };
+  hooks.member_count = [this] { return views.Members().size(); };
+  hooks.should_watch = [this] { return ShouldWatch(); };
+  hooks.fleet = [this] { return Fleet(); };
+  return hooks;
+}
+
+// Changes may be announced out of order; the newest is read under the lock.
+void Daemon::Details::TakeConfiguration() {
+  std::lock_guard lock(configuration_mutex);
+  const auto current = configuration.Current();
+  if (current->revision <=
+      serving_configuration.Get()->configuration().revision) {
+    return;
+  }
+  serving_configuration.Set(version::ServingConfiguration(*current));
+  serving.OnConfiguration(*current);
+  base::Log(base::LogLevel::kInfo, "configuration_in_force",
+            {{"revision", current->revision.value()}});
+}
+
+version::FleetFacts Daemon::Details::Fleet() const {
+  version::FleetFacts facts;
+  const std::chrono::duration<double> change = settings.role_change_time;
+  facts.seconds_per_change = change.count();
+  const auto index = registry.Index();
+  std::ranges::transform(index->table().targets,
+                         std::back_inserter(facts.targets),
+                         [](const request::Target& target) {
+                           version::TargetFact fact;
+                           fact.id = target.id;
+                           fact.service = target.service;
+                           fact.model = target.model;
+                           fact.version = target.version;
+                           return fact;
+                         });
+  return facts;
+}
+
 process::ServingHooks Daemon::Details::MakeServingHooks() {
   process::ServingHooks hooks;
   hooks.clock = base::BootClock::now;
@@ -159,16 +220,24 @@
   hooks.cancel = [this](const request::AttemptOrder& order) {
     target_client.Cancel(order);
   };
-  hooks.publish = [](const process::ViewItem&) {};
-  hooks.entry_instances = [this] {
-    return instance_list.Get()->entries.size();
+  hooks.claim_begin = [this](const request::Request& request) {
+    return claims.Begin(request);
+  };
+  hooks.claim_finish = [this](const request::Claim& claim,
+                              base::Outcome outcome,
+                              const request::Answer* answer) {
+    claims.Finish(claim, outcome, answer);
   };
+  hooks.publish = [this](const process::ViewItem& item) {
+    views.Publish(item);
+  };
+  hooks.entry_instances = [this] { return LiveInstances(); };
   return hooks;
 }
 
 connection::CallerFrontHooks Daemon::Details::MakeCallerHooks() {
   connection::CallerFrontHooks hooks;
-  hooks.configuration = [this] { return configuration.Get(); };
+  hooks.configuration = [this] { return serving_configuration.Get(); };
   hooks.serve = [this](const request::Request& request,
                        const request::CallerSink& sink) {
     return serving.Serve(request, sink);
@@ -181,31 +250,90 @@
 
 process::AdminFrontHooks Daemon::Details::MakeAdminHooks() {
   process::AdminFrontHooks hooks;
+  hooks.role_of_key = [this](const std::string& key) {
+    const auto caller = configuration.access().Recognise(key);
+    return caller ? std::optional(caller->role) : std::nullopt;
+  };
   hooks.not_ready = [this] { return NotReady(); };
   return hooks;
 }
 
 std::vector<process::AdminRoute> Daemon::Details::MakeAdminRoutes() {
-  return {{"/v1/admin/quarantine", version::OperatorRole::kReadOnly,
-           version::OperatorRole::kFleet,
-           [this](const connection::ApiCall& call) {
-             return serving.HandleQuarantine(call);
-           }}};
+  using version::OperatorRole;
+  const auto configure = [this](const connection::ApiCall& call) {
+    return configuration.Handle(call);
+  };
+  const auto quarantine = [this](const connection::ApiCall& call) {
+    return serving.HandleQuarantine(call);
+  };
+  // The configuration's own handlers look at each contract's operators.
+  std::vector<process::AdminRoute> routes;
+  for (const char* path : {"/v1/admin/plans", "/v1/admin/config",
+                           "/v1/admin/contracts", "/v1/admin/audit"}) {
+    routes.push_back(
+        {path, OperatorRole::kReadOnly, OperatorRole::kContract, configure});
+  }
+  routes.push_back({"/v1/admin/instances", OperatorRole::kReadOnly,
+                    OperatorRole::kFleet, [this](const connection::ApiCall&) {
+                      return connection::ApiAnswer{200, views.InstancesJson()};
+                    }});
+  routes.push_back({"/v1/admin/quarantine", OperatorRole::kReadOnly,
+                    OperatorRole::kFleet, quarantine});
+  return routes;
 }
 
-process::LoadPollerHooks Daemon::Details::MakePollerHooks() {
-  process::LoadPollerHooks hooks;
-  hooks.targets = [this] { return registry.Rows(); };
+process::FleetWatchHooks Daemon::Details::MakeFleetHooks() {
+  process::FleetWatchHooks hooks;
   hooks.fetch = [](const process::ListedTarget& target) {
     return connection::FetchLoadReport(target.row.address, target.row.port,
                                        kLoadTimeout, base::BootClock::now);
   };
-  hooks.on_report = [this](const connection::LoadReport& report) {
+  hooks.on_load = [this](const connection::LoadReport& report) {
     serving.OnLoad(report);
   };
+  hooks.publish = [this](process::ViewItem item) {
+    views.Publish(std::move(item));
+  };
+  hooks.zone_members = [this] { return ZoneMembers(); };
+  hooks.clock = base::BootClock::now;
+  return hooks;
+}
+
+process::ViewServiceHooks Daemon::Details::MakeViewHooks() {
+  process::ViewServiceHooks hooks;
+  hooks.clock = base::BootClock::now;
+  hooks.random = random;
+  hooks.instance_rows = [this] {
+    std::vector<process::InstanceRow> rows;
+    std::ranges::transform(
+        instance_list.Get()->entries, std::back_inserter(rows),
+        [](const connection::EntryRow& entry) {
+          return process::InstanceRow{entry.id, entry.zone, entry.address,
+                                      entry.peer_port, entry.leaving};
+        });
+    return rows;
+  };
   return hooks;
 }
 
+// Facts from peers go to the part that they concern.
+void Daemon::Details::SubscribeToViews() {
+  const auto to_fleet = [this](const process::ViewItem& item) {
+    fleet.Hear(item);
+  };
+  const auto to_configuration = [this](const process::ViewItem& item) {
+    configuration.Hear(item);
+  };
+  views.Subscribe(process::ViewKind::kTarget, to_fleet);
+  views.Subscribe(process::ViewKind::kLoad, to_fleet);
+  views.Subscribe(process::ViewKind::kConfigHead, to_configuration);
+  views.Subscribe(process::ViewKind::kConfigDelta, to_configuration);
+  views.Subscribe(process::ViewKind::kQuarantine,
+                  [this](const process::ViewItem& item) {
+                    serving.OnQuarantineView(item);
+                  });
+}
+
 void Daemon::Details::AddGauges() {
   metrics.AddGauge("lynxglade_requests_running", {},
                    [this] { return serving.running(); });
@@ -222,7 +350,7 @@
 // --- States -----------------------------------------------------------------
 
 std::optional<Refusal> Daemon::Details::Closed() const {
-  if (configuration.Get()->configuration().revision.value() != 0) {
+  if (configuration.ready()) {
     return std::nullopt;
   }
   return Refusal{RefusalReason::kNotReady, base::Outcome::kNotRun,
@@ -233,22 +361,39 @@
   if (leaving) {
     return "stopping";
   }
-  if (configuration.Get()->configuration().revision.value() == 0) {
+  if (!configuration.ready()) {
     return "no configuration yet";
   }
   return std::nullopt;
 }
 
-void Daemon::Details::RefreshInstanceList() {
-  connection::PlatformError error{};
-  if (instance_list.Refresh(&error)) {
-    registry.SetRows(*instance_list.Get());
-    return;
+std::vector<base::InstanceId> Daemon::Details::ZoneMembers() const {
+  std::vector<base::InstanceId> out;
+  for (const process::Member& member : views.Members()) {
+    const bool live = member.state == process::MemberState::kLive;
+    if (live && member.zone == settings.zone) {
+      out.push_back(member.id);
+    }
   }
-  metrics
-      .GetCounter("lynxglade_instance_list_failures_total",
-                  {{"reason", std::string(connection::ToString(error))}})
-      .Add();
+  return out;
+}
+
+std::size_t Daemon::Details::LiveInstances() const {
+  const auto members = views.Members();
+  return static_cast<std::size_t>(std::ranges::count(
+      members, process::MemberState::kLive, &process::Member::state));
+}
+
+// A few instances of each zone watch the key-value service for the others.
+bool Daemon::Details::ShouldWatch() const {
+  const auto rank = [this](const base::InstanceId& id) {
+    return base::HashPair(settings.zone.str(), id.str());
+  };
+  const std::uint64_t own = rank(settings.instance);
+  const auto before = std::ranges::count_if(
+      ZoneMembers(),
+      [&](const base::InstanceId& id) { return rank(id) < own; });
+  return before < kWatchersPerZone;
 }
 
 bool Daemon::Details::StartServer(HttpServer& server) {
@@ -268,24 +413,33 @@
 
 bool Daemon::Start() {
   Details& d = *details_;
-  d.list_task = std::make_unique<process::PeriodicTask>(
-      kInstanceListInterval, [&d] { d.RefreshInstanceList(); });
+  process::ViewServiceError error{};
+  if (!d.views.Start(&error)) {
+    d.last_reason = "peer link: ";
+    d.last_reason += process::ToString(error);
+    return false;
+  }
+  d.SubscribeToViews();
+  d.configuration.Start();
+  d.fleet.Start();
   d.refresh_task = std::make_unique<process::PeriodicTask>(
       kRefreshInterval, [&d] { d.serving.Refresh(); });
-  d.load_poller = std::make_unique<process::LoadPoller>(
-      process::LoadPollerOptions{}, d.MakePollerHooks());
+  d.tick_task = std::make_unique<process::PeriodicTask>(
+      kTickInterval, [&d] { d.configuration.Tick(); });
   return d.StartServer(*d.admin_server) && d.StartServer(*d.caller_server);
 }
 
 void Daemon::Stop() {
   Details& d = *details_;
   d.leaving = true;
+  d.views.Leave();
   std::this_thread::sleep_for(kLeaveNotice);
   d.serving.Stop();
   d.caller_server->Stop();
-  d.load_poller.reset();
+  d.views.Stop();
+  d.fleet.Stop();
   d.refresh_task.reset();
-  d.list_task.reset();
+  d.tick_task.reset();
   d.admin_server->Stop();
 }
 
--- /dev/null
+++ b/src/main/daemon_options.cc
@@ -0,0 +1,87 @@
+#include "main/daemon_options.h"
+
+#include <string>
+
+#include "base/time.h"
+#include "connection/chat_body.h"
+#include "connection/http_limits.h"
+#include "request/request.h"
+
+namespace lynxglade {
+
+namespace {
+
+using connection::HttpServerOptions;
+using request::RefusalReason;
+
+constexpr base::Duration kRetryElsewhere = std::chrono::milliseconds(100);
+constexpr std::size_t kAdminConnections = 64;
+constexpr int kHttpTooLarge = 413;
+
+// The library's own errors, in the form that callers know.
+std::string LibraryErrorBody(int status) {
+  const RefusalReason reason = status == kHttpTooLarge
+                                   ? RefusalReason::kBodyTooLarge
+                                   : RefusalReason::kMalformedBody;
+  return connection::RefusalBody({reason, base::Outcome::kNotRun,
+                                  "HTTP status " + std::to_string(status),
+                                  std::nullopt});
+}
+
+}  // namespace
+
+HttpServerOptions CallerServerOptions(const process::Settings& settings) {
+  HttpServerOptions options;
+  options.address = settings.listen.address;
+  options.port = settings.listen.port;
+  options.max_connections = settings.max_connections;
+  options.max_body_bytes = connection::kMaxCallerBodyBytes;
+  options.certificate_file = settings.tls_certificate;
+  options.key_file = settings.tls_key;
+  options.overflow.body = connection::RefusalBody(
+      {RefusalReason::kOverloaded, base::Outcome::kNotRun,
+       "this instance serves as many connections as it may", kRetryElsewhere});
+  options.error_body = LibraryErrorBody;
+  return options;
+}
+
+HttpServerOptions AdminServerOptions(const process::Settings& settings) {
+  HttpServerOptions options;
+  options.address = settings.admin_listen.address;
+  options.port = settings.admin_listen.port;
+  options.max_connections = kAdminConnections;
+  options.certificate_file = settings.tls_certificate;
+  options.key_file = settings.tls_key;
+  return options;
+}
+
+process::ServingOptions ServingOptionsOf(const process::Settings& settings) {
+  process::ServingOptions options;
+  options.instance = settings.instance;
+  options.zone = settings.zone;
+  options.router.policy = settings.routing_policy;
+  return options;
+}
+
+process::ViewServiceOptions ViewOptionsOf(const process::Settings& settings) {
+  process::ViewServiceOptions options;
+  options.instance = settings.instance;
+  options.zone = settings.zone;
+  options.address = settings.peer_listen.address;
+  options.port = settings.peer_listen.port;
+  if (!settings.peer_ca.empty()) {
+    options.tls = {settings.tls_certificate, settings.tls_key,
+                   settings.peer_ca};
+  }
+  return options;
+}
+
+version::ConfigurationPlaneOptions ConfigurationOptionsOf(
+    const process::Settings& settings) {
+  version::ConfigurationPlaneOptions options;
+  options.instance = settings.instance;
+  options.bootstrap_key = settings.bootstrap_operator_key;
+  return options;
+}
+
+}  // namespace lynxglade
--- /dev/null
+++ b/src/main/daemon_options.h
@@ -0,0 +1,24 @@
+// What the settings ask of each of the daemon's parts.
+#ifndef LYNXGLADE_MAIN_DAEMON_OPTIONS_H_
+#define LYNXGLADE_MAIN_DAEMON_OPTIONS_H_
+
+#include "connection/http_server.h"
+#include "process/serving_plane.h"
+#include "process/settings.h"
+#include "process/view_service.h"
+#include "version/configuration_plane.h"
+
+namespace lynxglade {
+
+connection::HttpServerOptions CallerServerOptions(
+    const process::Settings& settings);
+connection::HttpServerOptions AdminServerOptions(
+    const process::Settings& settings);
+process::ServingOptions ServingOptionsOf(const process::Settings& settings);
+process::ViewServiceOptions ViewOptionsOf(const process::Settings& settings);
+version::ConfigurationPlaneOptions ConfigurationOptionsOf(
+    const process::Settings& settings);
+
+}  // namespace lynxglade
+
+#endif  // LYNXGLADE_MAIN_DAEMON_OPTIONS_H_
--- /dev/null
+++ b/src/process/fleet_watch.cc
@@ -0,0 +1,96 @@
+#include "process/fleet_watch.h"
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
+
+namespace lynxglade::process {
+
+FleetWatch::FleetWatch(FleetWatchOptions options,
+                       FleetWatchHooks hooks,
+                       connection::InstanceList& list,
+                       TargetRegistry& registry,
+                       base::Metrics& metrics)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      list_(list),
+      registry_(registry),
+      metrics_(metrics) {}
+
+FleetWatch::~FleetWatch() {
+  Stop();
+}
+
+void FleetWatch::Start() {
+  list_task_ = std::make_unique<PeriodicTask>(options_.list_interval,
+                                              [this] { RefreshList(); });
+  LoadPollerHooks poller;
+  poller.targets = [this] { return OwnSlice(); };
+  poller.fetch = hooks_.fetch;
+  poller.on_report = [this](const connection::LoadReport& report) {
+    OnPolled(report);
+  };
+  poller_ = std::make_unique<LoadPoller>(options_.poller, std::move(poller));
+}
+
+void FleetWatch::Stop() {
+  poller_.reset();
+  list_task_.reset();
+}
+
+void FleetWatch::Hear(const ViewItem& item) {
+  if (item.kind == ViewKind::kTarget) {
+    registry_.OnTargetView(item);
+  } else if (item.kind == ViewKind::kLoad) {
+    auto report = connection::ParseLoadReport(item.body, hooks_.clock());
+    if (report) {
+      // The fact's own age is measured by receivers, without clocks of others.
+      report->load.as_of = std::min(report->load.as_of, item.as_of);
+      hooks_.on_load(*report);
+    }
+  }
+}
+
+std::vector<ListedTarget> FleetWatch::OwnSlice() const {
+  std::vector<SliceMember> members;
+  std::ranges::transform(
+      hooks_.zone_members(), std::back_inserter(members),
+      [](const base::InstanceId& id) { return SliceMember{id, 1.0}; });
+  const Slices slices(std::move(members));
+  const std::vector<ListedTarget> rows = registry_.Rows();
+  std::vector<ListedTarget> out;
+  std::ranges::copy_if(
+      rows, std::back_inserter(out), [&](const ListedTarget& listed) {
+        const bool mine = listed.row.zone == options_.zone &&
+                          slices.HomeOf(listed.row.id) == options_.instance;
+        return mine || !listed.known;
+      });
+  return out;
+}
+
+void FleetWatch::RefreshList() {
+  connection::PlatformError error{};
+  if (list_.Refresh(&error)) {
+    registry_.SetRows(*list_.Get());
+    return;
+  }
+  metrics_
+      .GetCounter("lynxglade_instance_list_failures_total",
+                  {{"reason", std::string(connection::ToString(error))}})
+      .Add();
+}
+
+void FleetWatch::OnPolled(const connection::LoadReport& report) {
+  hooks_.on_load(report);
+  ViewItem item;
+  item.kind = ViewKind::kLoad;
+  item.key = report.target.str();
+  // A target's own clock orders its reports over restarts.
+  item.version = {0, static_cast<std::uint64_t>(report.made_ms)};
+  item.as_of = report.load.as_of;
+  item.body = connection::EncodeLoadReport(report);
+  hooks_.publish(std::move(item));
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/process/fleet_watch.h
@@ -0,0 +1,87 @@
+// Keeps the registry of targets up to date.
+//
+// The instance list says which targets there are. Of the own zone's targets,
+// each instance polls its slice and tells the others of the zone. Targets of
+// other zones are known by what their zone's order holder tells, and by the
+// load that comes with answers; one that nobody told of yet is polled too.
+#ifndef LYNXGLADE_PROCESS_FLEET_WATCH_H_
+#define LYNXGLADE_PROCESS_FLEET_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/metrics.h"
+#include "base/time.h"
+#include "connection/instance_list.h"
+#include "connection/load_report.h"
+#include "process/load_poller.h"
+#include "process/periodic_task.h"
+#include "process/slices.h"
+#include "process/target_registry.h"
+#include "process/view_item.h"
+
+namespace lynxglade::process {
+
+struct FleetWatchOptions {
+  base::InstanceId instance;
+  base::ZoneId zone;
+  base::Duration list_interval = std::chrono::seconds(1);
+  LoadPollerOptions poller;
+};
+
+// All must be thread-safe.
+struct FleetWatchHooks {
+  // Asks one target; blocks for a bounded time.
+  std::function<std::optional<connection::LoadReport>(const ListedTarget&)>
+      fetch;
+  // Gets every report, polled or heard.
+  std::function<void(const connection::LoadReport&)> on_load;
+  // Tells the zone.
+  std::function<void(ViewItem)> publish;
+  // The live instances of the own zone, this one included.
+  std::function<std::vector<base::InstanceId>()> zone_members;
+  base::Clock clock;
+};
+
+// Thread-safe. All references must outlive it.
+class FleetWatch {
+ public:
+  FleetWatch(FleetWatchOptions options,
+             FleetWatchHooks hooks,
+             connection::InstanceList& list,
+             TargetRegistry& registry,
+             base::Metrics& metrics);
+  // Stops.
+  ~FleetWatch();
+  FleetWatch(const FleetWatch&) = delete;
+  FleetWatch& operator=(const FleetWatch&) = delete;
+
+  // Starts the threads.
+  void Start();
+  void Stop();
+
+  // A fact of the kind kLoad or kTarget from a peer.
+  void Hear(const ViewItem& item);
+
+  // Targets that this instance polls now.
+  std::vector<ListedTarget> OwnSlice() const;
+
+ private:
+  void RefreshList();
+  void OnPolled(const connection::LoadReport& report);
+
+  const FleetWatchOptions options_;
+  const FleetWatchHooks hooks_;
+  connection::InstanceList& list_;
+  TargetRegistry& registry_;
+  base::Metrics& metrics_;
+  std::unique_ptr<PeriodicTask> list_task_;
+  std::unique_ptr<LoadPoller> poller_;
+};
+
+}  // namespace lynxglade::process
+
+#endif  // LYNXGLADE_PROCESS_FLEET_WATCH_H_
--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -78,6 +78,20 @@
   return false;
 }
 
+RefusalReason ToRefusalReason(request::RetryDenial denial) noexcept {
+  switch (denial) {
+    case request::RetryDenial::kAttemptsUsed:
+      return RefusalReason::kAttemptsExhausted;
+    case request::RetryDenial::kDeadlineTooNear:
+      return RefusalReason::kDeadlinePassed;
+    case request::RetryDenial::kProcessBudget:
+    case request::RetryDenial::kContractBudget:
+    case request::RetryDenial::kTargetBudget:
+      break;
+  }
+  return RefusalReason::kRetryBudget;
+}
+
 bool IsLost(AttemptEnd end) noexcept {
   return end == AttemptEnd::kReset || end == AttemptEnd::kTruncated ||
          end == AttemptEnd::kSendFailed;
@@ -398,7 +412,7 @@
         .GetCounter("lynxglade_retry_denials_total",
                     {{"reason", std::string(request::ToString(denial))}})
         .Add();
-    verdict.reason = RefusalReason::kRetryBudget;
+    verdict.reason = ToRefusalReason(denial);
     verdict.retry_after = query.report->retry_after.value_or(kRetryAfter);
     return verdict;
   }
--- a/src/process/target_registry.cc
+++ b/src/process/target_registry.cc
@@ -34,6 +34,18 @@
   return std::nullopt;
 }
 
+std::string ReadText(const nlohmann::json& body, const char* name) {
+  const auto it = body.find(name);
+  return it != body.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+// What a view says that an engine runs.
+void Describe(const nlohmann::json& body, request::Target& target) {
+  request::ParseEngineRole(ReadText(body, "role"), &target.role);
+  target.model = base::ModelName(ReadText(body, "model"));
+  target.version = base::ModelVersion(ReadText(body, "version"));
+}
+
 void CopyRow(const ListedTarget& listed, request::Target& target) {
   const connection::TargetRow& row = listed.row;
   target.id = row.id;
@@ -130,7 +142,13 @@
   it->second.view_version = item.version;
   it->second.viewed = *state;
   it->second.refused_as.reset();
-  if (Refresh(it->second)) {
+  bool changed = Refresh(it->second);
+  if (!it->second.reported && it->second.listed.engine) {
+    changed = true;
+    it->second.described = true;
+    Describe(*body, it->second.target);
+  }
+  if (changed) {
     PublishLocked();
   }
 }
@@ -166,10 +184,16 @@
   rows.reserve(records_.size());
   for (const auto& [id, record] : records_) {
     rows.push_back(record.listed);
+    rows.back().known = IsKnown(record);
   }
   return rows;
 }
 
+// Of an engine that nobody told of, model and role are not known.
+bool TargetRegistry::IsKnown(const Record& record) noexcept {
+  return record.reported || record.described || !record.listed.engine;
+}
+
 TargetState TargetRegistry::StateOf(const Record& record) noexcept {
   if (record.listed.row.leaving) {
     return TargetState::kLeaving;
@@ -192,8 +216,7 @@
 void TargetRegistry::PublishLocked() {
   auto table = std::make_shared<request::TargetTable>();
   for (const auto& [id, record] : records_) {
-    // An engine that has not reported yet has no known model or role.
-    if (record.reported || !record.listed.engine) {
+    if (IsKnown(record)) {
       table->targets.push_back(record.target);
     }
   }
--- a/src/process/target_registry.h
+++ b/src/process/target_registry.h
@@ -26,6 +26,8 @@
   connection::TargetRow row;
   // False for plain services.
   bool engine = true;
+  // Somebody has said what it runs; set by Rows() only.
+  bool known = false;
 };
 
 // Thread-safe; a short lock a call, none for Index().
@@ -64,6 +66,8 @@
     std::string incarnation;
     std::uint64_t sequence = 0;
     bool reported = false;
+    // A view said what it runs; counts until the first report.
+    bool described = false;
     bool reported_draining = false;
     // From the views; kServing when nothing was heard.
     request::TargetState viewed = request::TargetState::kServing;
@@ -71,6 +75,7 @@
     std::optional<request::TargetState> refused_as;
   };
 
+  static bool IsKnown(const Record& record) noexcept;
   static request::TargetState StateOf(const Record& record) noexcept;
   // Updates the record's published state; true when it changed.
   static bool Refresh(Record& record) noexcept;
