--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -504,12 +504,17 @@
                          const base::InstanceId& id,
                          Peer* peer,
                          MembershipActions* actions) {
-  const bool too_soon =
-      now < peer->next_dial || now - last_dial_ < options_.dial_spacing;
+  const bool retry = peer->failures > 0;
+  const bool too_soon = now < peer->next_dial ||
+                        now - last_dial_ < options_.dial_spacing ||
+                        (retry && now - last_retry_ < options_.retry_spacing);
   if (too_soon || peer->dialling || IsLinked(id)) {
     return false;
   }
   last_dial_ = now;
+  if (retry) {
+    last_retry_ = now;
+  }
   peer->dialling = true;
   actions->dial.push_back({id, peer->fact.address, peer->fact.port});
   return true;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -41,8 +41,10 @@
   // Between two attempts at one peer; doubles up to the maximum, jittered.
   base::Duration min_backoff = std::chrono::milliseconds(500);
   base::Duration max_backoff = std::chrono::seconds(30);
-  // Between any two attempts of this instance.
+  // Between any two attempts of this instance, and between two at peers that
+  // did not answer before.
   base::Duration dial_spacing = std::chrono::milliseconds(50);
+  base::Duration retry_spacing = std::chrono::seconds(1);
   // Suspected and unreachable peers are tried at this mean interval, one at a
   // time.
   base::Duration probe_interval = std::chrono::seconds(5);
@@ -210,6 +212,7 @@
   bool leaving_ = false;
   base::Time last_tick_{};
   base::Time last_dial_{};
+  base::Time last_retry_{};
   base::Time next_probe_{};
   base::Time next_refresh_{};
   base::Time next_wanted_check_{};
