Readiness waits for the own zone's targets

Change: ready once the list has come and each target of the own zone said what it runs, or after 5 s; the poller looks ten times a second while it has none. Conclusion: a fresh instance no longer takes callers that it must refuse.

--- a/src/main/daemon.cc
+++ b/src/main/daemon.cc
@@ -364,6 +364,9 @@
   if (!configuration.ready()) {
     return "no configuration yet";
   }
+  if (!fleet.Ready()) {
+    return "targets are not known yet";
+  }
   return std::nullopt;
 }
 
--- a/src/process/fleet_watch.cc
+++ b/src/process/fleet_watch.cc
@@ -23,6 +23,7 @@
 }
 
 void FleetWatch::Start() {
+  started_ = hooks_.clock();
   list_task_ = std::make_unique<PeriodicTask>(options_.list_interval,
                                               [this] { RefreshList(); });
   LoadPollerHooks poller;
@@ -52,6 +53,20 @@
   }
 }
 
+bool FleetWatch::Ready() const {
+  if (list_.Get()->revision.value() == 0) {
+    return false;
+  }
+  if (hooks_.clock() - started_ >= options_.patience) {
+    return true;
+  }
+  const std::vector<ListedTarget> rows = registry_.Rows();
+  return !rows.empty() &&
+         std::ranges::all_of(rows, [&](const ListedTarget& listed) {
+           return listed.known || listed.row.zone != options_.zone;
+         });
+}
+
 std::vector<ListedTarget> FleetWatch::OwnSlice() const {
   std::vector<SliceMember> members;
   std::ranges::transform(
--- a/src/process/fleet_watch.h
+++ b/src/process/fleet_watch.h
@@ -29,6 +29,8 @@
   base::InstanceId instance;
   base::ZoneId zone;
   base::Duration list_interval = std::chrono::seconds(1);
+  // How long targets may stay silent before they no longer hold up readiness.
+  base::Duration patience = std::chrono::seconds(5);
   LoadPollerOptions poller;
 };
 
@@ -66,6 +68,10 @@
   // A fact of the kind kLoad or kTarget from a peer.
   void Hear(const ViewItem& item);
 
+  // Whether the targets of the own zone are known well enough to serve: a list
+  // has come, and each of them said what it runs or had `patience` to do so.
+  bool Ready() const;
+
   // Targets that this instance polls now.
   std::vector<ListedTarget> OwnSlice() const;
 
@@ -78,6 +84,7 @@
   connection::InstanceList& list_;
   TargetRegistry& registry_;
   base::Metrics& metrics_;
+  base::Time started_{};
   std::unique_ptr<PeriodicTask> list_task_;
   std::unique_ptr<LoadPoller> poller_;
 };
--- a/src/process/load_poller.cc
+++ b/src/process/load_poller.cc
@@ -34,7 +34,9 @@
       }
     }
     const base::Duration spent = base::BootClock::now() - start;
-    if (!Wait(std::max(options_.interval - spent, base::Duration::zero()))) {
+    const base::Duration pause =
+        rows.empty() ? options_.empty_interval : options_.interval - spent;
+    if (!Wait(std::max(pause, base::Duration::zero()))) {
       return;
     }
   }
--- a/src/process/load_poller.h
+++ b/src/process/load_poller.h
@@ -19,6 +19,8 @@
 struct LoadPollerOptions {
   // From one report of a target to the next.
   base::Duration interval = std::chrono::seconds(1);
+  // From one look for targets to the next while there are none.
+  base::Duration empty_interval = std::chrono::milliseconds(100);
   std::size_t threads = 2;
 };
 
