Caller's events name their tokens' offset and count

Ruled out: aborted streams, callers gone (no such log line). The driver counts tokens by token_count; under load the engine puts several tokens in one event, and the front dropped the count. Change: events carry token_offset and token_count, as the engines' do. Conclusion: a caller can check completeness by itself.

--- a/src/connection/caller_front.cc
+++ b/src/connection/caller_front.cc
@@ -241,7 +241,7 @@
     if (!started && !start()) {
       return false;
     }
-    return exchange.Write(ChatTokenEvent(head, chunk.text));
+    return exchange.Write(ChatTokenEvent(head, chunk));
   };
   sink.gone = [&exchange] { return exchange.caller_gone(); };
   const request::RelayResult result = hooks_.serve(request, sink);
@@ -259,7 +259,8 @@
     return;
   }
   if (result.replayed) {
-    exchange.Write(ChatTokenEvent(head, result.answer.text));
+    exchange.Write(ChatTokenEvent(head, {result.answer.text, base::Tokens(0),
+                                         result.answer.usage.completion}));
   }
   exchange.Write(ChatFinishEvent(head, result.answer.finish_reason));
   if (include_usage) {
--- a/src/connection/chat_body.cc
+++ b/src/connection/chat_body.cc
@@ -235,11 +235,14 @@
   return body;
 }
 
-std::string ChatTokenEvent(const ChatAnswerHead& head, std::string_view text) {
+std::string ChatTokenEvent(const ChatAnswerHead& head,
+                           const request::TokenChunk& tokens) {
   json chunk = Chunk(head);
   chunk["choices"] = json::array({{{"index", 0},
-                                   {"delta", {{"content", text}}},
+                                   {"delta", {{"content", tokens.text}}},
                                    {"finish_reason", nullptr}}});
+  chunk["token_offset"] = tokens.offset.value();
+  chunk["token_count"] = tokens.count.value();
   return Event(chunk);
 }
 
--- a/src/connection/chat_body.h
+++ b/src/connection/chat_body.h
@@ -46,7 +46,10 @@
 };
 
 // Server-sent events, each closed by its blank line.
-std::string ChatTokenEvent(const ChatAnswerHead& head, std::string_view text);
+// Carries token_offset and token_count beside the usual members, so that a
+// caller can check that no token is missing.
+std::string ChatTokenEvent(const ChatAnswerHead& head,
+                           const request::TokenChunk& tokens);
 std::string ChatFinishEvent(const ChatAnswerHead& head,
                             const std::string& finish_reason);
 std::string ChatUsageEvent(const ChatAnswerHead& head,
--- a/tests/connection/caller_front_test.cc
+++ b/tests/connection/caller_front_test.cc
@@ -232,6 +232,7 @@
   const RecordedExchange exchange = Chat(kStreamBody, {{"x-contract", "open"}});
   EXPECT_TRUE(exchange.written.ends_with("data: [DONE]\n\n"));
   EXPECT_EQ(exchange.written.find("usage"), std::string::npos);
+  EXPECT_NE(exchange.written.find("\"token_count\":1"), std::string::npos);
   EXPECT_FALSE(exchange.aborted);
 }
 
