--- a/src/request/claim_writer.cc
+++ b/src/request/claim_writer.cc
@@ -256,7 +256,7 @@
 
 void ClaimWriter::Settle(const Batch& batch,
                          const connection::KvTxnResult& txn) {
-  pause_ = base::Duration::zero();
+  SetPause(pause_ * 9 / 10);
   if (!txn.committed) {
     // Those that stood in the way get their verdict, the others go again.
     std::ranges::for_each(batch, [&](const EntryPtr& entry) {
@@ -276,13 +276,8 @@
     // The lease may be gone, as after the service was set back.
     lease_ = {};
   }
-  pause_ = std::clamp(pause_ * 2, options_.min_pause, options_.max_pause);
-  // Jitter keeps instances that were refused together apart.
-  const auto wait = std::chrono::duration_cast<base::Duration>(
-      pause_ * (0.5 + base::UniformReal(random_)));
   if (error == KvError::kRateLimited) {
-    const std::lock_guard lock(mutex_);
-    paused_until_ = clock_() + wait;
+    SetPause(std::max(pause_ * 3 / 2, options_.min_pause));
   }
   if (error == KvError::kAmbiguous) {
     std::ranges::for_each(
@@ -294,13 +289,27 @@
     const bool worth_waiting =
         error == KvError::kRateLimited || entry->op.kind != Kind::kCreate;
     if (worth_waiting) {
-      Retry(entry, wait);
+      // A refused call is paced for all of the queue by SetPause().
+      Retry(entry, error == KvError::kRateLimited ? base::Duration::zero()
+                                                  : options_.max_pause);
     } else {
       GiveUp(entry);
     }
   }
 }
 
+// The time between two calls grows with each refusal and shrinks with each
+// success, so that instances share what the service takes; one that only
+// backed off would starve beside others that do not.
+void ClaimWriter::SetPause(base::Duration pause) {
+  const bool none = pause < options_.min_pause / 2;
+  pause_ = none ? base::Duration::zero() : std::min(pause, options_.max_pause);
+  const auto jittered = std::chrono::duration_cast<base::Duration>(
+      pause_ * (0.5 + base::UniformReal(random_)));
+  const std::lock_guard lock(mutex_);
+  paused_until_ = clock_() + jittered;
+}
+
 // After a lost answer, the service is asked what holds: a transaction that
 // writes nothing and wants every key absent names those that are there.
 void ClaimWriter::ReadBack(const Batch& batch) {
--- a/src/request/claim_writer.h
+++ b/src/request/claim_writer.h
@@ -70,7 +70,7 @@
   // How long records and releases are tried.
   base::Duration background_for = std::chrono::minutes(10);
   base::Duration min_pause = std::chrono::milliseconds(5);
-  base::Duration max_pause = std::chrono::seconds(1);
+  base::Duration max_pause = std::chrono::milliseconds(250);
   // Claims are forgotten after between `keep_for` and `keep_for` plus
   // `lease_period`; one lease serves all claims of a period.
   base::Duration keep_for = std::chrono::hours(6);
@@ -112,6 +112,7 @@
   std::optional<connection::KvLeaseId> Lease(connection::KvError* error);
   void Settle(const Batch& batch, const connection::KvTxnResult& txn);
   void Fail(const Batch& batch, connection::KvError error);
+  void SetPause(base::Duration pause);
   void ReadBack(const Batch& batch);
   // Completes or repeats a write by what stands under its key.
   void JudgeFound(const EntryPtr& entry, const connection::KvEntry* found);
