Load driver: names what an answer lacks, lists failed requests

Failures could not be looked up in the logs either. The check names what is missing; a stream without counts is checked by finish reason, usage and end marker and counted as uncounted; the report lists failed requests by id. run-demo waits until the lagging instance list is filled.

--- a/bench/load/answer_check.h
+++ b/bench/load/answer_check.h
@@ -25,8 +25,13 @@
 
   // finish_reason, usage and the end marker came, and the tokens add up.
   bool whole() const noexcept;
+  // What is missing for whole(); empty when nothing is.
+  std::string_view Missing() const noexcept;
   // A token came twice, was left out, or the end marker was followed by more.
   bool broken() const noexcept { return broken_; }
+  // False when a chunk did not say how many tokens it has, as a recorded answer
+  // that is given again: the count cannot be checked then.
+  bool counted() const noexcept { return counted_; }
   bool has_tokens() const noexcept { return tokens_ > 0; }
   base::Time first_token() const noexcept { return first_token_; }
   // Seconds between tokens: a chunk's gap is split over its tokens.
@@ -48,6 +53,7 @@
   bool finished_ = false;
   bool done_ = false;
   bool broken_ = false;
+  bool counted_ = true;
   std::string error_code_;
   std::string error_outcome_;
 };
--- a/bench/load/caller.h
+++ b/bench/load/caller.h
@@ -37,6 +37,7 @@
   std::string code;           // error code, or the transport's error
   std::string outcome;        // as the answer said
   bool retry_told = false;    // the refusal said when to come back
+  bool counted = true;        // the stream said how many tokens each chunk has
   double first_token_s = -1;  // -1: none came
   double last_byte_s = 0;
   std::vector<double> gaps_s;
--- a/bench/load/tally.cc
+++ b/bench/load/tally.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t kMostFailedListed = 200;
+
 void AddOffer(const TraceItem& item, Counts* counts) {
   ++counts->offered;
   counts->worth_offered += item.worth.value();
@@ -56,6 +58,7 @@
   }
   totals_.gap_s.insert(totals_.gap_s.end(), result.gaps_s.begin(),
                        result.gaps_s.end());
+  totals_.uncounted += result.counted ? 0 : 1;
   if (IsWhole(result.verdict)) {
     totals_.whole_s.push_back(result.last_byte_s);
     return;
@@ -69,7 +72,12 @@
     totals_.refusals_with_retry_time += result.retry_told ? 1 : 0;
     return;
   }
-  ++totals_.failures[std::string(ToString(result.verdict)) + ":" + result.code];
+  const std::string failure =
+      std::string(ToString(result.verdict)) + ":" + result.code;
+  ++totals_.failures[failure];
+  if (totals_.failed_requests.size() < kMostFailedListed) {
+    totals_.failed_requests.push_back(failure + " " + item.id.str());
+  }
 }
 
 void Tally::FinishRepeat(const CallResult& result) {
--- a/bench/load/tally.h
+++ b/bench/load/tally.h
@@ -52,6 +52,10 @@
   std::map<std::string, std::uint64_t> outcomes;  // of all but delivered, late
   std::map<std::string, std::uint64_t> repeats;   // answers to repeats
   std::uint64_t refusals_with_retry_time = 0;
+  // Streams whose tokens could not be counted, so only their end was checked.
+  std::uint64_t uncounted = 0;
+  // Of the first failures, to look them up in the logs by request id.
+  std::vector<std::string> failed_requests;
   // Requests whose refusal said that they were not run.
   std::set<std::string> not_run;
   std::vector<double> first_token_s;
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -133,6 +133,12 @@
     entry_rows
   } | jq -s '{instances: .}' |
     curl -sf -X PUT "$LIST_URL/v1/instances" -d @- >/dev/null
+  # The list lags; it is filled before the first instance starts.
+  wait_for 10 "filled instance list" list_is_filled
+}
+
+list_is_filled() {
+  curl -sf "$LIST_URL/v1/instances" | jq -e '.instances | length > 0'
 }
 
 zone_index() { # zone
