--- a/src/process/change_permits.cc
+++ b/src/process/change_permits.cc
@@ -99,7 +99,13 @@
   const auto result = store.commit(
       {ToGuard(guard), {permit.key, permit.mod_revision}},
       {{permit.key, std::nullopt, connection::KvLeaseId(0)}}, &error);
-  return result && result->committed;
+  if (!result || result->committed) {
+    return result.has_value();
+  }
+  // Gone already, by an earlier call whose answer was lost?
+  return std::ranges::none_of(result->found, [&](const auto& entry) {
+    return entry.key == permit.key && entry.mod_revision == permit.mod_revision;
+  });
 }
 
 }  // namespace lynxglade::process
--- a/src/process/change_permits.h
+++ b/src/process/change_permits.h
@@ -52,7 +52,8 @@
                         int max_unavailable,
                         Permit* permit);
 
-// Gives it back. False: not known whether it did; list again. Blocks.
+// Gives it back. False: not known, so the call may still take effect; repeat it
+// before the permit is relied on again. Blocks.
 bool ReleasePermit(const OrderStore& store,
                    const LeaseGuard& guard,
                    const Permit& permit);
--- /dev/null
+++ b/src/process/drain_marks.cc
@@ -0,0 +1,76 @@
+#include "process/drain_marks.h"
+
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+#include "base/time.h"
+#include "process/order_coordinator.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using connection::KvError;
+
+std::string EncodeDrain(const std::string& mark) {
+  const nlohmann::json json = {{"mark", mark},
+                               {"set_at_ms", base::WallMillis()}};
+  return json.dump();
+}
+
+DrainResult FromError(KvError error) {
+  const bool unknown =
+      error == KvError::kAmbiguous || error == KvError::kBadAnswer;
+  return unknown ? DrainResult::kUnknown : DrainResult::kUnavailable;
+}
+
+}  // namespace
+
+DrainResult SetDrain(const OrderStore& store,
+                     const base::TargetId& target,
+                     const std::string& mark) {
+  const std::string key = DrainKey(target);
+  KvError error = KvError::kNone;
+  const auto before = store.get(key, &error);
+  if (!before) {
+    return DrainResult::kUnavailable;
+  }
+  if (!before->entries.empty()) {
+    return DrainResult::kUnchanged;
+  }
+  const auto result = store.commit(
+      {{key, base::Revision(0)}},
+      {{key, EncodeDrain(mark), connection::KvLeaseId(0)}}, &error);
+  if (result) {
+    return result->committed ? DrainResult::kDone : DrainResult::kConflict;
+  }
+  const DrainResult lost = FromError(error);
+  const auto after = store.get(key, &error);
+  const bool there = after && !after->entries.empty();
+  return there ? DrainResult::kDone : lost;
+}
+
+DrainResult LiftDrain(const OrderStore& store, const base::TargetId& target) {
+  const std::string key = DrainKey(target);
+  KvError error = KvError::kNone;
+  const auto before = store.get(key, &error);
+  if (!before) {
+    return DrainResult::kUnavailable;
+  }
+  if (before->entries.empty()) {
+    return DrainResult::kUnchanged;
+  }
+  const auto result =
+      store.commit({{key, before->entries.front().mod_revision}},
+                   {{key, std::nullopt, connection::KvLeaseId(0)}}, &error);
+  if (result) {
+    return result->committed ? DrainResult::kDone : DrainResult::kConflict;
+  }
+  const DrainResult lost = FromError(error);
+  const auto after = store.get(key, &error);
+  const bool gone = after && after->entries.empty();
+  return gone ? DrainResult::kDone : lost;
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/process/engine_driver.cc
@@ -0,0 +1,401 @@
+#include "process/engine_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using connection::EngineAdminError;
+using connection::EnginePhase;
+using connection::KvError;
+using request::TargetState;
+
+// Between two tries for a permit when other engines have them all.
+constexpr base::Duration kPermitRetry = std::chrono::seconds(2);
+
+}  // namespace
+
+EngineDriver::EngineDriver(ShardContext& context, EngineRow row)
+    : context_(context), row_(std::move(row)), journal_(row_.id) {
+  waiting_since_ = context_.clock();
+}
+
+void EngineDriver::Step() {
+  if (busy_ || retired_) {
+    return;
+  }
+  const base::Time now = context_.clock();
+  const auto fence = context_.lease->MayOrder(now);
+  const OrderDecision decision = Decide(Situation(now), Settings());
+  Note(decision, now);
+  if (!fence) {
+    return;
+  }
+  if (journal_.write_pending()) {
+    journal_read_needed_ ? ReadJournalBack() : CommitPending();
+    return;
+  }
+  if (permit_ && permit_leaving_) {
+    GiveBackPermit(*fence);
+    return;
+  }
+  Take(decision, *fence);
+}
+
+void EngineDriver::Take(const OrderDecision& decision,
+                        base::FencingToken fence) {
+  switch (decision.step) {
+    case OrderStep::kWait:
+    case OrderStep::kDone:
+      return;
+    case OrderStep::kLoadJournal:
+      LoadJournal();
+      return;
+    case OrderStep::kReadBack:
+      ReadBack();
+      return;
+    case OrderStep::kTakePermit:
+      ClaimPermit(fence);
+      return;
+    case OrderStep::kReleasePermit:
+      GiveBackPermit(fence);
+      return;
+    case OrderStep::kWriteRecord:
+      WriteRecord(*decision.record);
+      return;
+    case OrderStep::kSend:
+    case OrderStep::kRaiseFence:
+      Send(decision, fence);
+      return;
+  }
+}
+
+// --- What is known ----------------------------------------------------------
+
+void EngineDriver::SetRow(EngineRow row) {
+  if (row.endpoint.address != row_.endpoint.address ||
+      row.endpoint.port != row_.endpoint.port) {
+    evidence_.reset();
+  }
+  row_ = std::move(row);
+}
+
+void EngineDriver::SetDesired(
+    std::optional<connection::EngineTargetState> desired) {
+  desired_ = std::move(desired);
+}
+
+void EngineDriver::SetPermit(std::optional<Permit> permit) {
+  permit_ = std::move(permit);
+  permit_leaving_ = permit_leaving_ && permit_;
+}
+
+bool EngineDriver::examined() const noexcept {
+  return journal_.loaded() && (evidence_ || unreachable_since_);
+}
+
+std::optional<connection::EngineTargetState> EngineDriver::Content() const {
+  const auto& record = journal_.record();
+  const bool known = evidence_ && evidence_->state.phase == EnginePhase::kReady;
+  if (record && (IsOpen(record->phase) || !known)) {
+    return record->target;
+  }
+  return evidence_ ? std::optional(evidence_->state.current) : std::nullopt;
+}
+
+bool EngineDriver::Serving() const {
+  return evidence_ && !unreachable_since_ &&
+         evidence_->state.phase == EnginePhase::kReady &&
+         !evidence_->state.current.draining && !row_.leaving;
+}
+
+EngineStatus EngineDriver::Status() const {
+  EngineStatus status;
+  status.id = row_.id;
+  status.service = row_.service;
+  status.zone = row_.zone;
+  status.fenced = row_.fenced;
+  status.intended = desired_;
+  status.ordered = journal_.record();
+  status.observed = evidence_;
+  status.step = decision_.step;
+  status.reason = decision_.reason;
+  status.waiting_since = waiting_since_;
+  const base::Duration waiting = context_.clock() - waiting_since_;
+  status.overdue = decision_.step == OrderStep::kWait &&
+                   waiting > context_.settings.overdue_after;
+  status.permit = permit_ ? permit_->key : std::string();
+  const auto& record = journal_.record();
+  if (row_.leaving) {
+    status.state = TargetState::kLeaving;
+  } else if (evidence_ && evidence_->state.phase != EnginePhase::kReady) {
+    status.state = decision_.reason == WaitReason::kIsolated
+                       ? TargetState::kEjected
+                       : TargetState::kChanging;
+  } else if ((evidence_ && evidence_->state.current.draining) ||
+             (record && IsOpen(record->phase) && record->target.draining)) {
+    status.state = TargetState::kDraining;
+  }
+  return status;
+}
+
+OrderSituation EngineDriver::Situation(base::Time now) const {
+  OrderSituation situation;
+  situation.now = now;
+  situation.authority = context_.lease->MayOrder(now);
+  situation.journal_loaded = journal_.loaded();
+  situation.journal_unreadable = journal_unreadable_;
+  situation.record = journal_.record();
+  situation.evidence = evidence_;
+  situation.unreachable_since = unreachable_since_;
+  situation.last_read_attempt = last_read_attempt_;
+  situation.sent = sent_;
+  situation.desired = desired_;
+  situation.fenced = row_.fenced && (!evidence_ || evidence_->state.fenced);
+  situation.quiet_until =
+      inherited_ ? std::max(context_.quiet_until, unanswered_until_)
+                 : unanswered_until_;
+  situation.permit_held = permit_.has_value();
+  situation.permit_free = now >= permit_retry_;
+  situation.capacity_allows = capacity_allows_;
+  situation.load_allowed = context_.pacer->Allows(now);
+  return situation;
+}
+
+ExecutorSettings EngineDriver::Settings() const {
+  ExecutorSettings settings;
+  settings.holder = context_.instance;
+  settings.evidence_max_age = 4 * context_.settings.tick;
+  settings.busy_interval = 2 * context_.settings.tick;
+  settings.idle_interval = context_.settings.read_back_interval;
+  settings.retry_pause = 4 * context_.settings.tick;
+  settings.max_attempts = context_.settings.max_attempts;
+  return settings;
+}
+
+void EngineDriver::Note(const OrderDecision& decision, base::Time now) {
+  const bool still = decision.step == OrderStep::kWait &&
+                     decision_.step == OrderStep::kWait &&
+                     decision.reason == decision_.reason;
+  // Reading back in the middle of a wait doesn't end it.
+  if (decision.step == OrderStep::kReadBack) {
+    return;
+  }
+  if (!still) {
+    waiting_since_ = now;
+  }
+  decision_ = decision;
+}
+
+// --- Calls ------------------------------------------------------------------
+
+void EngineDriver::Run(BlockingCall call) {
+  busy_ = true;
+  context_.run([this, call = std::move(call)]() -> Completion {
+    return [this, done = call()] {
+      busy_ = false;
+      done();
+    };
+  });
+}
+
+void EngineDriver::LoadJournal() {
+  Run([this, store = context_.store, key = journal_.key()]() -> Completion {
+    KvError error = KvError::kNone;
+    auto range = store->get(key, &error);
+    return [this, range = std::move(range)] {
+      if (!range) {
+        return;
+      }
+      const bool there = !range->entries.empty();
+      journal_unreadable_ = !journal_.Load(
+          there ? std::optional(range->entries.front()) : std::nullopt);
+      inherited_ = there;
+      Step();
+    };
+  });
+}
+
+void EngineDriver::ReadBack() {
+  last_read_attempt_ = context_.clock();
+  Run([this, admin = context_.admin, endpoint = row_.endpoint,
+       clock = context_.clock]() -> Completion {
+    const base::Time requested_at = clock();
+    EngineAdminError error = EngineAdminError::kNone;
+    auto state = admin->read_state(endpoint, &error);
+    return [this, state = std::move(state), requested_at] {
+      if (!state) {
+        if (!unreachable_since_) {
+          unreachable_since_ = requested_at;
+        }
+        return;
+      }
+      unreachable_since_.reset();
+      evidence_ = EngineEvidence{*state, requested_at};
+      Step();
+    };
+  });
+}
+
+void EngineDriver::WriteRecord(JournalRecord record) {
+  record.mark = base::RandomHexId(context_.random);
+  journal_.Write(record, context_.lease_key, record.fence);
+  CommitPending();
+}
+
+void EngineDriver::CommitPending() {
+  // Repeats the write that is pending.
+  Run([this, store = context_.store,
+       commit = journal_.Write({}, {}, {})]() -> Completion {
+    KvError error = KvError::kNone;
+    auto result = store->commit(commit.guards, commit.writes, &error);
+    return [this, result = std::move(result), error] {
+      OnWritten(journal_.OnCommit(result, error));
+    };
+  });
+}
+
+void EngineDriver::ReadJournalBack() {
+  Run([this, store = context_.store, key = journal_.key()]() -> Completion {
+    KvError error = KvError::kNone;
+    auto range = store->get(key, &error);
+    return [this, range = std::move(range)] {
+      OnWritten(journal_.OnReadBack(range));
+    };
+  });
+}
+
+void EngineDriver::OnWritten(JournalWriteResult result) {
+  journal_read_needed_ = result == JournalWriteResult::kReadBack;
+  switch (result) {
+    case JournalWriteResult::kStored:
+      Step();
+      return;
+    case JournalWriteResult::kReadBack:
+    case JournalWriteResult::kRetry:
+      // The next tick goes on, so that a service in trouble is not pressed.
+      return;
+    case JournalWriteResult::kLeaseLost:
+      context_.lease->OnGuardFailed(context_.clock());
+      return;
+    case JournalWriteResult::kOvertaken:
+      evidence_.reset();
+      return;
+  }
+}
+
+void EngineDriver::Send(const OrderDecision& decision,
+                        base::FencingToken fence) {
+  const base::Time now = context_.clock();
+  const JournalRecord& record = *decision.record;
+  connection::EngineOrder order;
+  order.fence = fence;
+  order.order_id = row_.id.str() + "-" +
+                   std::to_string(record.generation.value()) + "-" +
+                   std::to_string(order.fence.value());
+  order.generation = record.generation;
+  order.holder = context_.instance;
+  order.target = record.target;
+  if (decision.loads_weights) {
+    context_.pacer->Take(now);
+  }
+  // The deadline is copied: it only ever moves later while the lease is held.
+  const base::Time deadline = context_.lease->OrderDeadline();
+  Run([this, admin = context_.admin, endpoint = row_.endpoint, order, deadline,
+       attempt = record.attempts, clock = context_.clock]() -> Completion {
+    EngineAdminError error = EngineAdminError::kNone;
+    const connection::MaySend may_send = [&](const auto& state) {
+      return MayApply(order, state) && clock() < deadline;
+    };
+    auto answer = admin->give_order(endpoint, order, may_send, &error);
+    return [this, order, attempt, answer = std::move(answer), error] {
+      OnSent(order, attempt, answer, error);
+    };
+  });
+}
+
+void EngineDriver::OnSent(const connection::EngineOrder& order,
+                          int attempt,
+                          const std::optional<connection::OrderAnswer>& answer,
+                          EngineAdminError error) {
+  const base::Time now = context_.clock();
+  const bool left = answer || error == EngineAdminError::kAmbiguous ||
+                    error == EngineAdminError::kBadAnswer;
+  if (left) {
+    sent_ = SentOrder{order.generation, order.fence, attempt,
+                      answer && answer->accepted, now};
+  } else {
+    evidence_.reset();
+  }
+  if (left && !answer) {
+    unanswered_until_ = now + context_.settings.engine_connection_bound +
+                        context_.settings.guard;
+  }
+  const std::string refusal =
+      answer ? std::string(connection::ToString(answer->refusal))
+             : std::string(connection::ToString(error));
+  Count(answer && answer->accepted ? "accepted" : refusal.c_str());
+  base::Log(base::LogLevel::kInfo, "order_sent",
+            {{"target", row_.id.str()},
+             {"generation", order.generation.value()},
+             {"fence", order.fence.value()},
+             {"accepted", answer && answer->accepted},
+             {"result", refusal}});
+  if (left) {
+    Step();
+  }
+}
+
+void EngineDriver::ClaimPermit(base::FencingToken fence) {
+  Permit permit;
+  permit.service = row_.service;
+  permit.target = row_.id;
+  permit.zone = row_.zone;
+  ++context_.permit_calls;
+  Run([this, store = context_.store,
+       guard = LeaseGuard{context_.lease_key, fence},
+       max = context_.settings.max_unavailable,
+       permit]() mutable -> Completion {
+    const PermitResult result = TakePermit(*store, guard, max, &permit);
+    return [this, result, permit] {
+      ++context_.permit_calls;
+      if (result == PermitResult::kTaken) {
+        permit_ = permit;
+        Step();
+        return;
+      }
+      permit_retry_ = context_.clock() + kPermitRetry;
+      if (result == PermitResult::kUnknown) {
+        context_.permits_unknown = true;
+      }
+    };
+  });
+}
+
+void EngineDriver::GiveBackPermit(base::FencingToken fence) {
+  ++context_.permit_calls;
+  Run([this, store = context_.store,
+       guard = LeaseGuard{context_.lease_key, fence},
+       permit = *permit_]() -> Completion {
+    const bool done = ReleasePermit(*store, guard, permit);
+    return [this, done] {
+      ++context_.permit_calls;
+      permit_leaving_ = !done;
+      if (done) {
+        permit_.reset();
+        Step();
+      }
+    };
+  });
+}
+
+void EngineDriver::Count(const char* result) const {
+  context_.metrics->GetCounter("lynxglade_orders_total", {{"result", result}})
+      .Add();
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/process/fleet_status.h
@@ -0,0 +1,59 @@
+// What operators see of the orders: intended, ordered, observed, and why
+// nothing moves.
+#ifndef LYNXGLADE_PROCESS_FLEET_STATUS_H_
+#define LYNXGLADE_PROCESS_FLEET_STATUS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "connection/engine_admin.h"
+#include "process/lease_keeper.h"
+#include "process/order_executor.h"
+#include "process/order_journal.h"
+#include "request/target.h"
+
+namespace lynxglade::process {
+
+struct EngineStatus {
+  base::TargetId id;
+  base::ServiceName service;
+  base::ZoneId zone;
+  bool fenced = false;
+  // False for a target of a plain service.
+  bool engine = true;
+  request::TargetState state = request::TargetState::kServing;
+  std::optional<connection::EngineTargetState> intended;
+  std::optional<JournalRecord> ordered;
+  std::optional<EngineEvidence> observed;
+  OrderStep step = OrderStep::kWait;
+  WaitReason reason = WaitReason::kNone;
+  base::Time waiting_since{};
+  // It waits longer than operators should have to.
+  bool overdue = false;
+  // Key of the permit it holds; empty when none.
+  std::string permit;
+};
+
+struct ShardStatus {
+  base::ZoneId zone;
+  int shard = 0;
+  LeaseState state = LeaseState::kNone;
+  std::optional<LeaseHolder> holder;
+  // Own lease only: when it lapses if not renewed, and until when orders may
+  // leave.
+  base::Time expiry{};
+  base::Time order_deadline{};
+  std::vector<EngineStatus> engines;
+};
+
+nlohmann::json EncodeEngineStatus(const EngineStatus& status, base::Time now);
+nlohmann::json EncodeAuthority(const ShardStatus& shard, base::Time now);
+
+}  // namespace lynxglade::process
+
+#endif  // LYNXGLADE_PROCESS_FLEET_STATUS_H_
--- a/src/process/lease_keeper.cc
+++ b/src/process/lease_keeper.cc
@@ -17,7 +17,7 @@
 // Looks a time to live at a lease that another instance holds.
 constexpr int kLooksPerTtl = 6;
 // A lease of the service that cannot be given back lapses by itself.
-constexpr int kMaxRevokeAttempts = 3;
+constexpr int kMaxRevokeAttempts = 2;
 
 std::string EncodeLease(const base::InstanceId& holder,
                         const std::string& mark) {
--- a/src/process/order_executor.cc
+++ b/src/process/order_executor.cc
@@ -31,16 +31,19 @@
   return decision;
 }
 
-bool ChangesContent(const EngineState& state,
-                    const EngineTargetState& target) noexcept {
-  return state.phase != EnginePhase::kReady ||
-         !SameContent(state.current, target);
+// Adapters come and go beside running requests; all else takes the engine out
+// of service.
+bool NeedsOutage(const EngineState& state,
+                 const EngineTargetState& target) noexcept {
+  const EngineTargetState& current = state.current;
+  return state.phase != EnginePhase::kReady || current.role != target.role ||
+         current.model != target.model || current.version != target.version;
 }
 
 // The engine has to be drained before it can take this target.
 bool NeedsDrainFirst(const EngineState& state,
                      const EngineTargetState& target) noexcept {
-  return ChangesContent(state, target) && !state.current.draining &&
+  return NeedsOutage(state, target) && !state.current.draining &&
          state.phase != EnginePhase::kHalfChanged;
 }
 
@@ -53,7 +56,7 @@
         state_(situation.evidence->state) {}
 
   OrderDecision Run() const {
-    if (in_.fenced && state_.fence > *in_.authority) {
+    if (state_.fence > *in_.authority) {
       return Wait(WaitReason::kFenceBehind);
     }
     if (state_.phase == EnginePhase::kChanging) {
@@ -83,7 +86,7 @@
       return Judgeable() ? Close(OrderPhase::kFailed)
                          : Take(OrderStep::kReadBack);
     }
-    if (ChangesContent(state_, record.target) && state_.in_flight > 0) {
+    if (NeedsOutage(state_, record.target) && state_.in_flight > 0) {
       return Wait(WaitReason::kInFlight);
     }
     if (StoredButNotSent()) {
@@ -136,17 +139,19 @@
 
   OrderDecision Close(OrderPhase phase) const {
     JournalRecord next = Stamped(*in_.record);
+    const bool taken = next.phase == OrderPhase::kSent;
+    const bool same_content =
+        next.failed_target && SameContent(*next.failed_target, next.target);
     next.phase = phase;
-    if (phase == OrderPhase::kFailed) {
-      const bool same =
-          next.failed_content && SameContent(*next.failed_content, next.target);
-      next.failures = same ? next.failures + 1 : 1;
-      next.failed_content = next.target;
-      next.failed_incarnation = state_.incarnation;
-    } else if (next.failed_content &&
-               SameContent(*next.failed_content, next.target)) {
+    if (phase == OrderPhase::kObserved && same_content) {
       next.failures = 0;
-      next.failed_content.reset();
+      next.failed_target.reset();
+    }
+    // An order that never reached the engine says nothing of the engine.
+    if (phase == OrderPhase::kFailed && taken) {
+      next.failures = same_content ? next.failures + 1 : 1;
+      next.failed_target = next.target;
+      next.failed_incarnation = state_.incarnation;
     }
     return WriteRecord(std::move(next));
   }
@@ -156,6 +161,11 @@
     if (!in_.desired) {
       return Wait(WaitReason::kNothingIntended);
     }
+    if (CanRaiseFence()) {
+      OrderDecision decision = Take(OrderStep::kRaiseFence);
+      decision.record = in_.record;
+      return decision;
+    }
     const EngineTargetState next = NextTarget();
     if (Matches(state_, next)) {
       return Settled();
@@ -163,33 +173,34 @@
     if (Isolated(next)) {
       return Wait(WaitReason::kIsolated);
     }
-    const bool replaces = ChangesContent(state_, *in_.desired);
+    const bool replaces = NeedsOutage(state_, *in_.desired);
     if (replaces && !in_.permit_held) {
       return ClaimPermit();
     }
     if (MustStayQuiet(next)) {
       return Wait(WaitReason::kQuietTime);
     }
-    if (ChangesContent(state_, next) && state_.in_flight > 0) {
+    if (NeedsOutage(state_, next) && state_.in_flight > 0) {
       return Wait(WaitReason::kInFlight);
     }
     return WriteRecord(NewRecord(next));
   }
 
   OrderDecision Settled() const {
-    if (in_.permit_held) {
-      return Take(OrderStep::kReleasePermit);
-    }
-    const bool raise = in_.fenced && in_.record &&
-                       in_.record->phase == OrderPhase::kObserved &&
-                       state_.fence < *in_.authority &&
-                       Matches(state_, in_.record->target) && !JustSent();
-    if (!raise) {
+    if (!in_.permit_held) {
       return Take(OrderStep::kDone);
     }
-    OrderDecision decision = Take(OrderStep::kRaiseFence);
-    decision.record = in_.record;
-    return decision;
+    // A drain that was given up may still arrive and take the engine out.
+    return MustStayQuiet(state_.current) ? Wait(WaitReason::kQuietTime)
+                                         : Take(OrderStep::kReleasePermit);
+  }
+
+  // Repeating the order that is in effect shuts out earlier holders' copies.
+  bool CanRaiseFence() const {
+    return in_.fenced && in_.record &&
+           in_.record->phase == OrderPhase::kObserved &&
+           state_.fence < *in_.authority &&
+           Matches(state_, in_.record->target) && !JustSent();
   }
 
   bool JustSent() const {
@@ -198,7 +209,7 @@
 
   // The next absolute state on the way to what is desired.
   EngineTargetState NextTarget() const {
-    if (!ChangesContent(state_, *in_.desired)) {
+    if (!NeedsOutage(state_, *in_.desired)) {
       return *in_.desired;
     }
     if (NeedsDrainFirst(state_, *in_.desired)) {
@@ -211,18 +222,16 @@
     return change;
   }
 
+  // Given up until the engine is restarted or something else is intended.
   bool Isolated(const EngineTargetState& next) const {
-    if (!in_.record || !in_.record->failed_content ||
-        in_.record->failed_incarnation != state_.incarnation) {
+    if (!in_.record || !in_.record->failed_target) {
       return false;
     }
     const JournalRecord& record = *in_.record;
-    const bool same_order = record.phase == OrderPhase::kFailed &&
-                            record.target == next &&
-                            record.attempts >= settings_.max_attempts;
-    const bool same_change = record.failures >= settings_.max_attempts &&
-                             SameContent(*record.failed_content, *in_.desired);
-    return same_order || same_change;
+    const EngineTargetState& failed = *record.failed_target;
+    const bool again = failed == next || SameContent(failed, *in_.desired);
+    return again && record.failures >= settings_.max_attempts &&
+           record.failed_incarnation == state_.incarnation;
   }
 
   OrderDecision ClaimPermit() const {
@@ -242,10 +251,18 @@
 
   // The last order, or a copy of it, may arrive after a different one.
   bool MustStayQuiet(const EngineTargetState& next) const {
-    const bool late_copy_matters =
-        !in_.fenced && in_.record && in_.record->target != next;
-    return late_copy_matters && (in_.now < in_.quiet_until ||
-                                 in_.evidence->requested_at < in_.quiet_until);
+    if (!in_.record || in_.record->target == next || RefusesLateCopies()) {
+      return false;
+    }
+    return in_.now < in_.quiet_until ||
+           in_.evidence->requested_at < in_.quiet_until;
+  }
+
+  // It knows our token and the last generation, so whatever is older than the
+  // next order is refused. A restart may have made it forget both.
+  bool RefusesLateCopies() const {
+    return in_.fenced && state_.fence == *in_.authority &&
+           state_.generation >= in_.record->generation;
   }
 
   JournalRecord NewRecord(const EngineTargetState& target) const {
@@ -382,7 +399,7 @@
   if (state.phase == EnginePhase::kChanging || state.fence > order.fence) {
     return false;
   }
-  if (!ChangesContent(state, order.target)) {
+  if (!NeedsOutage(state, order.target)) {
     return true;
   }
   return state.in_flight == 0 && !NeedsDrainFirst(state, order.target);
--- a/src/process/order_executor.h
+++ b/src/process/order_executor.h
@@ -52,7 +52,7 @@
   // Drained, requests still running.
   kInFlight,
   // An order of an earlier holder, or one without an answer, may still arrive
-  // at an engine that takes old fencing tokens.
+  // at an engine that would take it.
   kQuietTime,
   // The service's permits are taken by other engines.
   kPermit,
--- a/src/process/order_journal.cc
+++ b/src/process/order_journal.cc
@@ -37,9 +37,9 @@
   record.holder = base::InstanceId(json.at("holder").get<std::string>());
   record.attempts = json.at("attempts").get<int>();
   record.failures = json.at("failures").get<int>();
-  if (json.contains("failed_content")) {
-    record.failed_content =
-        connection::DecodeTargetState(json.at("failed_content"));
+  if (json.contains("failed_target")) {
+    record.failed_target =
+        connection::DecodeTargetState(json.at("failed_target"));
   }
   record.failed_incarnation = json.at("failed_incarnation").get<std::string>();
   record.mark = json.at("mark").get<std::string>();
@@ -82,9 +82,9 @@
                {"failures", record.failures},
                {"failed_incarnation", record.failed_incarnation},
                {"mark", record.mark}};
-  if (record.failed_content) {
-    json["failed_content"] =
-        connection::EncodeTargetState(*record.failed_content);
+  if (record.failed_target) {
+    json["failed_target"] =
+        connection::EncodeTargetState(*record.failed_target);
   }
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/src/process/order_journal.h
+++ b/src/process/order_journal.h
@@ -43,10 +43,10 @@
   base::InstanceId holder;
   // Times the order was sent or may have been.
   int attempts = 0;
-  // Orders to the same content that were given up in a row, and the
-  // incarnation of the engine that was left so.
+  // Orders to the same content that the engine took and that were then given
+  // up, in a row; the last of them, and the incarnation it was left in.
   int failures = 0;
-  std::optional<connection::EngineTargetState> failed_content;
+  std::optional<connection::EngineTargetState> failed_target;
   std::string failed_incarnation;
   // Of this write; tells the writer its own after a lost answer.
   std::string mark;
--- /dev/null
+++ b/tests/process/order_world.h
@@ -0,0 +1,174 @@
+// A small world for tests of orders: a key-value service, engines with the
+// stand-in's order model, and coordinators whose blocking calls and
+// completions run when the test says so. Virtual time, one thread.
+#ifndef LYNXGLADE_TESTS_PROCESS_ORDER_WORLD_H_
+#define LYNXGLADE_TESTS_PROCESS_ORDER_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/metrics.h"
+#include "base/random.h"
+#include "fakes/engine_orders.h"
+#include "process/order_coordinator.h"
+
+namespace lynxglade::process {
+
+// What becomes of the next write to the key-value service.
+enum class WriteFate { kDone, kAnswerLost, kRequestLost, kLate, kUnreachable };
+
+// In-memory compare-and-swap store with leases.
+class SimStore {
+ public:
+  explicit SimStore(base::Clock clock) : clock_(std::move(clock)) {}
+
+  OrderStore Hooks();
+  // Applies a write that was under way when its sender gave up.
+  void LandLateWrites();
+  std::optional<connection::KvEntry> Find(const std::string& key);
+  void Put(const std::string& key, const std::string& value);
+  void Delete(const std::string& key) { entries_.erase(key); }
+  std::vector<connection::KvEntry> All(const std::string& prefix);
+
+  std::deque<WriteFate> fates;
+  bool down = false;
+
+ private:
+  struct Write {
+    std::vector<connection::KvGuard> guards;
+    std::vector<connection::KvWrite> writes;
+  };
+
+  void Expire();
+  std::optional<connection::KvTxnResult> Apply(const Write& write);
+  std::optional<connection::KvTxnResult> Commit(const Write& write,
+                                                connection::KvError* error);
+
+  base::Clock clock_;
+  std::int64_t revision_ = 100;
+  std::int64_t next_lease_ = 1;
+  std::map<std::string, connection::KvEntry> entries_;
+  struct Lease {
+    base::Time expiry;
+    base::Duration ttl;
+  };
+  std::map<std::int64_t, Lease> leases_;
+  std::vector<Write> late_;
+};
+
+struct SimEngine {
+  SimEngine(std::string name,
+            bool fenced,
+            fakes::EngineOrders::Settings settings)
+      : id(std::move(name)), orders(std::move(settings)) {
+    row.id = id;
+    row.service = base::ServiceName("llm");
+    row.zone = base::ZoneId("zone-a");
+    row.endpoint.address = id.str();
+    row.fenced = fenced;
+  }
+
+  base::TargetId id;
+  EngineRow row;
+  fakes::EngineOrders orders;
+  int in_flight = 0;
+  bool down = false;
+};
+
+// What becomes of the next order that is written to its connection.
+enum class OrderFate { kDone, kAnswerLost, kHeldBack };
+
+// An order whose sender sleeps between its check and its write.
+struct HeldOrder {
+  std::string engine;
+  connection::EngineOrder order;
+  base::Time connection_ends;
+  std::int64_t incarnation = 0;
+};
+
+class OrderWorld {
+ public:
+  struct Options {
+    int holders = 2;
+    int fenced = 1;
+    int unfenced = 2;
+    base::Duration connection_bound = std::chrono::seconds(5);
+    // Engines close idle connections in time.
+    bool connections_end = true;
+  };
+
+  explicit OrderWorld(Options options);
+
+  // --- What a schedule does
+  void Advance(base::Duration d);
+  void TickHolder(std::size_t holder);
+  void RunCall(std::size_t holder);
+  void Complete(std::size_t holder);
+  // Ticks, calls and completions of one holder, several times.
+  void Run(std::size_t holder);
+  // The same of all holders.
+  void RunAll();
+  // The process goes away; a new instance takes its place.
+  void Replace(std::size_t holder);
+  void DeliverHeld();
+  void StartRequest(std::size_t engine);
+  void EndRequest(std::size_t engine);
+  void Crash(std::size_t engine, bool half_changed);
+  void SetModel(const std::string& version);
+
+  // --- What the judge says
+  // Empty while every promise held.
+  const std::string& violation() const noexcept { return violation_; }
+  // Every engine is what is intended, in service, with no permit out.
+  bool Settled();
+
+  SimStore& store() noexcept { return store_; }
+  std::vector<std::unique_ptr<SimEngine>>& engines() noexcept {
+    return engines_;
+  }
+  OrderCoordinator& holder(std::size_t n) { return *holders_[n]->coordinator; }
+  std::deque<OrderFate> order_fates;
+  int accepted_orders = 0;
+  int late_orders = 0;
+
+ private:
+  struct Holder {
+    std::deque<BlockingCall> calls;
+    std::deque<Completion> completions;
+    std::unique_ptr<OrderCoordinator> coordinator;
+  };
+
+  void Start(Holder& holder);
+  connection::EngineAdmin Admin();
+  SimEngine* FindUp(const std::string& id);
+  connection::EngineState StateOf(const SimEngine& engine) const;
+  connection::OrderAnswer Deliver(SimEngine& engine,
+                                  const connection::EngineOrder& order);
+  void Judge(const SimEngine& engine, const connection::EngineOrder& order);
+  void JudgeOutages();
+  void Fail(const std::string& text);
+
+  const Options options_;
+  base::Time now_{std::chrono::hours(1)};
+  SimStore store_;
+  base::Metrics metrics_;
+  base::RandomSource random_ = base::SeededRandom(7);
+  std::shared_ptr<version::Configuration> configuration_;
+  std::vector<std::unique_ptr<SimEngine>> engines_;
+  std::vector<std::unique_ptr<Holder>> holders_;
+  std::vector<HeldOrder> held_;
+  // Last order in effect, by engine.
+  std::map<std::string, connection::EngineOrder> last_;
+  int instances_ = 0;
+  std::string violation_;
+};
+
+}  // namespace lynxglade::process
+
+#endif  // LYNXGLADE_TESTS_PROCESS_ORDER_WORLD_H_
