--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -452,14 +452,19 @@
 bool Quarantine::IsExplained(ContentHash content,
                              const Evidence& evidence) const {
   const QuarantineMark& own = marks_.at(content);
-  const bool other_is_guilty = std::ranges::any_of(marks_, [&](const auto& it) {
-    const QuarantineMark& other = it.second;
-    return it.first != content && other.quarantined &&
-           Shares(other, evidence) &&
-           std::ranges::any_of(other.evidence, [&own](const Evidence& e) {
-             return !Shares(own, e);
-           });
-  });
+  // Guilt of another counts only where it rests on a crash of its own, of a
+  // target that does not die by itself.
+  const auto is_sound = [&](ContentHash other, const Evidence& it) {
+    return !Shares(own, it) && !KeepsDying(it.target, other);
+  };
+  const bool other_is_guilty =
+      std::ranges::any_of(marks_, [&](const auto& mark) {
+        const auto& [other, its] = mark;
+        return other != content && its.quarantined && Shares(its, evidence) &&
+               std::ranges::any_of(its.evidence, [&](const Evidence& it) {
+                 return is_sound(mark.first, it);
+               });
+      });
   return other_is_guilty || KeepsDying(evidence.target, content);
 }
 
--- a/tests/request/admission_model.cc
+++ b/tests/request/admission_model.cc
@@ -50,8 +50,8 @@
       shares[Line(it.name)] += it.share;
       // Each contract draws from its own source, so that its requests are the
       // same whoever else is there.
-      random_.push_back(base::SeededRandom(
-          options.seed * 1000 + base::Hash64(it.name) % 1000));
+      random_.push_back(base::SeededRandom(options.seed * 1000 +
+                                           base::Hash64(it.name) % 1000));
     }
     queue_.SetShares(std::move(shares));
   }
@@ -157,10 +157,12 @@
     queue_.Complete(id, offer.actual, now_);
     ContractResult& result = result_.contracts[offer.contract];
     result.work += offer.work;
-    if (now_ <= offer.deadline) {
-      ++result.in_time;
-      result.goodput += offer.worth;
+    if (now_ > offer.deadline) {
+      ++result.late;
+      return;
     }
+    ++result.in_time;
+    result.goodput += offer.worth;
   }
 
   const AdmissionModelOptions options_;
--- a/tests/request/admission_model.h
+++ b/tests/request/admission_model.h
@@ -43,6 +43,7 @@
 struct ContractResult {
   std::size_t offered = 0;
   std::size_t in_time = 0;
+  std::size_t late = 0;
   double offered_worth = 0;
   // Worth of what was delivered by its deadline.
   double goodput = 0;
