Callers that hang up while they wait are noticed

Cause: the HTTP library tells that a caller has gone only when something is written, so a caller waiting for a whole answer or a first token could not cancel anything; and the flag for it was read across threads unguarded. Change: CallerSocket finds the connection's descriptor by its addresses and asks the kernel; HttpExchange::caller_gone() is thread-safe and uses it; the relay's own flag is atomic. Conclusion: leaving callers cancel upstream also before the first byte.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include <boost/coroutine2/coroutine.hpp>
 #include <boost/coroutine2/protected_fixedsize_stack.hpp>
 
+#include "connection/caller_socket.h"
 #include "connection/connection_threads.h"
 #include "connection/http_limits.h"
 
@@ -56,8 +58,10 @@
 // handler, and from there inside its content provider.
 class CoroutineExchange final : public HttpExchange {
  public:
-  CoroutineExchange(HttpRequest request, const HttpHandler& handler)
-      : request_(std::move(request)),
+  CoroutineExchange(const httplib::Request& in, const HttpHandler& handler)
+      : request_(Convert(in)),
+        socket_({.address = in.local_addr, .port = in.local_port},
+                {.address = in.remote_addr, .port = in.remote_port}),
         body_(coro::protected_fixedsize_stack(kConnectionStackBytes),
               [this, &handler](Push& yield) {
                 yield_ = &yield;
@@ -102,7 +106,7 @@
   void Abort() override { aborted_ = true; }
 
   const HttpRequest& request() const override { return request_; }
-  bool caller_gone() const override { return gone_; }
+  bool caller_gone() const override { return gone_ || socket_.Closed(); }
 
   // --- For the server
 
@@ -139,12 +143,14 @@
   }
 
   const HttpRequest request_;
+  const CallerSocket socket_;
   int status_ = 500;
   std::string content_type_ = "application/json";
   HttpHeaders headers_;
   std::string whole_body_;
   bool streaming_ = false;
-  bool gone_ = false;
+  // Read by other threads through caller_gone().
+  std::atomic<bool> gone_{false};
   bool aborted_ = false;
   httplib::DataSink* sink_ = nullptr;
   Push* yield_ = nullptr;
@@ -265,7 +271,7 @@
 
 void HttpServer::Details::Serve(const httplib::Request& in,
                                 httplib::Response& out) {
-  auto exchange = std::make_shared<CoroutineExchange>(Convert(in), handler);
+  auto exchange = std::make_shared<CoroutineExchange>(in, handler);
   exchange->FillHead(out);
   if (!exchange->streaming()) {
     out.set_content(exchange->TakeBody(), exchange->content_type());
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -35,7 +35,7 @@
 };
 
 // One request and the answer under way. Lives for the handler's call only and
-// is used by its thread only.
+// is used by its thread only, but for caller_gone().
 class HttpExchange {
  public:
   virtual ~HttpExchange() = default;
@@ -58,6 +58,7 @@
   virtual void Abort() = 0;
 
   virtual const HttpRequest& request() const = 0;
+  // Whether the caller has closed its connection. Thread-safe.
   virtual bool caller_gone() const = 0;
 };
 
--- a/src/request/relay_delivery.h
+++ b/src/request/relay_delivery.h
@@ -3,6 +3,7 @@
 #ifndef LYNXGLADE_REQUEST_RELAY_DELIVERY_H_
 #define LYNXGLADE_REQUEST_RELAY_DELIVERY_H_
 
+#include <atomic>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -72,7 +73,8 @@
   base::Tokens offset_{0};
   base::Tokens streamed_{0};
   std::optional<base::Duration> first_token_;
-  bool refused_by_caller_ = false;
+  // Read by the thread that watches attempts.
+  std::atomic<bool> refused_by_caller_{false};
 };
 
 }  // namespace lynxglade::request
--- a/tests/connection/http_server_test.cc
+++ b/tests/connection/http_server_test.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -50,6 +51,29 @@
   EXPECT_FALSE(client.Get("/"));
 }
 
+// A caller that waits for a whole answer and hangs up is noticed before
+// anything is written to it.
+TEST(HttpServerTest, CallerThatHangsUpWhileItWaitsIsNoticed) {
+  std::promise<void> entered;
+  std::promise<void> noticed;
+  HttpServer server(SmallServer(), [&](HttpExchange& exchange) {
+    EXPECT_FALSE(exchange.caller_gone());
+    entered.set_value();
+    while (!exchange.caller_gone()) {
+      std::this_thread::yield();
+    }
+    noticed.set_value();
+  });
+  const auto port = server.Start();
+  ASSERT_TRUE(port);
+  httplib::Client client("127.0.0.1", *port);
+  auto call = std::async(std::launch::async, [&] { return client.Get("/"); });
+  entered.get_future().wait();
+  client.stop();
+  noticed.get_future().wait();
+  EXPECT_FALSE(call.get());
+}
+
 TEST(HttpServerTest, ConnectionsAboveTheBoundAreTurnedAwayAtOnce) {
   std::promise<void> release;
   const std::shared_future<void> released = release.get_future().share();
