--- /dev/null
+++ b/tests/system/process.h
@@ -0,0 +1,50 @@
+// One program of the deployment under test, started and ended by its id.
+#ifndef LYNXGLADE_SYSTEM_PROCESS_H_
+#define LYNXGLADE_SYSTEM_PROCESS_H_
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace lynxglade::system_test {
+
+// Repeats the condition until it holds; false when it did not within `bound`.
+bool WaitFor(const std::function<bool()>& condition,
+             std::chrono::milliseconds bound = std::chrono::seconds(15));
+
+// Not thread-safe. Ends and reaps its process when it goes.
+class Process {
+ public:
+  // Starts `arguments` (the program first); what it writes goes to
+  // `log`.out and `log`.log.
+  Process(std::vector<std::string> arguments, std::filesystem::path log);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Send(int signal) const;
+  void Kill();
+  // SIGTERM, then the exit code; nothing when it did not end within `bound`.
+  std::optional<int> Terminate(
+      std::chrono::milliseconds bound = std::chrono::seconds(20));
+
+  bool running();
+  std::string Output() const;
+  std::string Log() const;
+
+ private:
+  bool Reap(int options);
+
+  const std::filesystem::path log_;
+  pid_t pid_ = -1;
+  std::optional<int> status_;
+};
+
+}  // namespace lynxglade::system_test
+
+#endif  // LYNXGLADE_SYSTEM_PROCESS_H_
