Callers' and operators' servers: bounds before trust, certificates replaced live

Cause: the HTTP library reads heads, chunked and compressed bodies without a bound, and takes its certificate once. Probes against the server as it was (4 threads, stacks of 256 KiB) found, all without a key: - a Range header of 8 KB ended the process (signal 11: recursive matcher); - 200 MB of header lines took 390 MB; 200 MB in chunks were taken above a bound of 1 MB (408 MB); 389 KB of gzip became 770 MB; - a head sent byte by byte held its thread for as long as it liked (open after 16 s); one silent connection above the bound held the only thread that turns others away (next refusal not within 12 s); - forms reached handlers with an empty body, a POST without a length waited 5 s for a 400.

Change: connection/server_stream and bounded_server read each head whole under bounds on bytes, lines and seconds before the library sees it, bound bodies by wire bytes and seconds, refuse compressed bodies and ambiguous lengths, close idle connections when most threads are taken, and close floods unanswered. HttpServerOptions::screen judges key, terms and path before a body is read; caller and admin fronts use it.

Conclusion: what an unauthenticated caller can cause at these two ports is a bounded refusal; fairness among idle connections remains by eviction only.

--- /dev/null
+++ b/src/connection/bounded_server.cc
@@ -0,0 +1,241 @@
+#include "connection/bounded_server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <chrono>
+#include <string_view>
+
+namespace lynxglade::connection {
+
+namespace {
+
+using Mode = ConnectionThreads::Mode;
+using Verdict = ServerStream::Verdict;
+
+// The library closes a connection after that many requests.
+constexpr std::size_t kRequestsPerConnection = 100'000;
+// Bounds on a connection that is only to be turned away.
+constexpr base::Duration kOverflowPatience = std::chrono::seconds(1);
+constexpr base::Duration kOverflowLinger = std::chrono::milliseconds(100);
+// How long an idle connection stays while most threads are taken.
+constexpr base::Duration kCrowdedIdle = std::chrono::seconds(1);
+constexpr base::Duration kLinger = std::chrono::milliseconds(500);
+// Chunk framing may take an eighth of a body's size, and this much.
+constexpr std::size_t kFramingShare = 8;
+constexpr std::size_t kFramingBytes = 64u << 10;
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kUnsupportedMedia = 415;
+constexpr int kHeadTooLarge = 431;
+constexpr int kNotImplemented = 501;
+
+// What handlers may ask of the connection that their thread serves.
+struct Current {
+  ServerStream* stream = nullptr;
+  bool close = false;
+};
+thread_local Current current;
+
+bool IsDigits(const std::string& text) {
+  return !text.empty() && std::ranges::all_of(text, [](unsigned char c) {
+    return std::isdigit(c) != 0;
+  });
+}
+
+// Changes a head, once read, so that the library leaves the body alone.
+void PrepareHead(httplib::Request& request) {
+  request.headers.erase(kHiddenContentType);
+  const std::string type = request.get_header_value("Content-Type");
+  if (!type.empty()) {
+    request.headers.emplace(kHiddenContentType, type);
+  }
+  request.headers.erase("Content-Type");
+  request.headers.erase("Range");
+  request.ranges.clear();
+  // Without either the body is empty; the library would read to the
+  // connection's end.
+  if (!request.has_header("Content-Length") &&
+      !request.has_header("Transfer-Encoding")) {
+    request.headers.emplace("Content-Length", "0");
+  }
+}
+
+std::string_view ReasonPhrase(int status) {
+  return status == kRequestTimeout ? "Request Timeout"
+                                   : "Request Header Fields Too Large";
+}
+
+}  // namespace
+
+BoundedServer::BoundedServer(const HttpServerOptions& options,
+                             ConnectionThreads& threads)
+    : options_(options), threads_(threads) {}
+
+int BoundedServer::JudgeHead(const httplib::Request& head) {
+  const auto lengths = head.get_header_value_count("Content-Length");
+  const auto encodings = head.get_header_value_count("Transfer-Encoding");
+  if (lengths + encodings > 1) {
+    return kBadRequest;
+  }
+  if (lengths == 1 && !IsDigits(head.get_header_value("Content-Length"))) {
+    return kBadRequest;
+  }
+  if (encodings == 1 &&
+      head.get_header_value("Transfer-Encoding") != "chunked") {
+    return kNotImplemented;
+  }
+  // A few compressed kilobytes can become gigabytes.
+  const std::string coding = head.get_header_value("Content-Encoding");
+  return coding.empty() || coding == "identity" ? 0 : kUnsupportedMedia;
+}
+
+const ServerStream& BoundedServer::CurrentStream() {
+  return *current.stream;
+}
+
+void BoundedServer::CloseAfterAnswer() {
+  current.close = true;
+}
+
+int BoundedServer::StatusOfBody(int status) {
+  if (current.stream == nullptr || status != kBadRequest) {
+    return status;
+  }
+  switch (current.stream->body_verdict()) {
+    case Verdict::kTooLarge:
+      return kBodyTooLarge;
+    case Verdict::kTooSlow:
+      return kRequestTimeout;
+    case Verdict::kGood:
+    case Verdict::kClosed:
+      break;
+  }
+  return status;
+}
+
+HttpServerCounters BoundedServer::counters() const noexcept {
+  HttpServerCounters out;
+  out.overflowed = threads_.overflowed();
+  out.dropped = threads_.dropped();
+  out.handshakes_failed = handshakes_failed_;
+  out.heads_too_large = heads_too_large_;
+  out.heads_too_slow = heads_too_slow_;
+  out.bodies_too_large = bodies_too_large_;
+  out.bodies_too_slow = bodies_too_slow_;
+  out.heads_refused = heads_refused_;
+  return out;
+}
+
+// --- One connection ---------------------------------------------------------
+
+bool BoundedServer::process_and_close_socket(socket_t sock) {
+  if (ConnectionThreads::CurrentMode() != Mode::kDrop) {
+    Serve(sock);
+  }
+  ::close(sock);
+  return true;
+}
+
+void BoundedServer::Serve(socket_t sock) {
+  const bool overflow = ConnectionThreads::CurrentMode() == Mode::kOverflow;
+  if (overflow && svr_sock_ == INVALID_SOCKET) {
+    return;  // a stop does not wait for those that are turned away
+  }
+  ServerStream stream(sock, Limits());
+  if (options_.tls && !stream.Handshake(options_.tls->Context())) {
+    ++handshakes_failed_;
+    return;
+  }
+  ServeRequests(stream);
+  stream.CloseGently(overflow ? kOverflowLinger : kLinger);
+}
+
+void BoundedServer::ServeRequests(ServerStream& stream) {
+  const bool overflow = ConnectionThreads::CurrentMode() == Mode::kOverflow;
+  const std::size_t most = overflow ? 1 : kRequestsPerConnection;
+  current = {&stream, false};
+  for (std::size_t n = 0; n < most && AwaitNext(stream, n == 0); ++n) {
+    if (!ServeOne(stream, n + 1 == most)) {
+      break;
+    }
+  }
+  current = {};
+}
+
+bool BoundedServer::AwaitNext(ServerStream& stream, bool first) const {
+  const auto start = std::chrono::steady_clock::now();
+  const auto give_up = [&] {
+    const bool idle_long =
+        std::chrono::steady_clock::now() - start >= kCrowdedIdle;
+    return svr_sock_ == INVALID_SOCKET || (idle_long && threads_.crowded());
+  };
+  const bool overflow = ConnectionThreads::CurrentMode() == Mode::kOverflow;
+  const base::Duration patience =
+      first ? options_.head_timeout : options_.idle_timeout;
+  return stream.AwaitRequest(overflow ? kOverflowPatience : patience, give_up);
+}
+
+bool BoundedServer::ServeOne(ServerStream& stream, bool last) {
+  const Verdict verdict = stream.ReadHead();
+  if (verdict != Verdict::kGood) {
+    RefuseHead(stream, verdict);
+    return false;
+  }
+  bool closed = false;
+  const bool good = process_request(stream, last, closed, PrepareHead);
+  CountBody(stream.body_verdict());
+  return good && !closed && !current.close &&
+         stream.body_verdict() == Verdict::kGood;
+}
+
+void BoundedServer::RefuseHead(ServerStream& stream, Verdict verdict) {
+  if (verdict == Verdict::kClosed) {
+    return;
+  }
+  const bool slow = verdict == Verdict::kTooSlow;
+  ++(slow ? heads_too_slow_ : heads_too_large_);
+  const int status = slow ? kRequestTimeout : kHeadTooLarge;
+  const std::string body =
+      options_.error_body ? options_.error_body(status) : std::string();
+  std::string answer = "HTTP/1.1 " + std::to_string(status) + " ";
+  answer += ReasonPhrase(status);
+  answer += "\r\nConnection: close\r\nContent-Type: application/json";
+  answer += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  answer += body;
+  stream.write(answer.data(), answer.size());
+}
+
+void BoundedServer::CountBody(Verdict verdict) noexcept {
+  if (verdict == Verdict::kTooLarge) {
+    ++bodies_too_large_;
+  }
+  if (verdict == Verdict::kTooSlow) {
+    ++bodies_too_slow_;
+  }
+}
+
+ServerStreamLimits BoundedServer::Limits() const {
+  ServerStreamLimits limits;
+  limits.max_head_bytes = options_.max_head_bytes;
+  limits.max_header_lines = options_.max_header_lines;
+  limits.max_body_bytes = options_.max_body_bytes +
+                          options_.max_body_bytes / kFramingShare +
+                          kFramingBytes;
+  limits.handshake_timeout = options_.handshake_timeout;
+  limits.head_timeout = options_.head_timeout;
+  limits.body_timeout = options_.body_timeout;
+  limits.write_timeout = options_.write_timeout;
+  if (ConnectionThreads::CurrentMode() == Mode::kOverflow) {
+    limits.handshake_timeout = kOverflowPatience;
+    limits.head_timeout = kOverflowPatience;
+    limits.write_timeout = kOverflowPatience;
+  }
+  return limits;
+}
+
+}  // namespace lynxglade::connection
--- a/src/connection/caller_front.cc
+++ b/src/connection/caller_front.cc
@@ -24,6 +24,7 @@
 constexpr char kModelsPath[] = "/v1/models";
 constexpr std::string_view kPlainRoot = "/services/";
 constexpr std::int64_t kMillisPerSecond = 1000;
+constexpr std::size_t kMaxLoggedIdBytes = 128;
 
 Refusal NotRun(RefusalReason reason, std::string message) {
   return {reason, base::Outcome::kNotRun, std::move(message), std::nullopt};
@@ -44,6 +45,23 @@
   return std::to_string(std::max<std::int64_t>(seconds, 1));
 }
 
+bool IsKnownCall(const HttpRequest& http) {
+  return (http.path == kChatPath && http.method == "POST") ||
+         (http.path == kModelsPath && http.method == "GET") ||
+         http.path.starts_with(kPlainRoot);
+}
+
+Refusal NoSuchPath() {
+  return NotRun(RefusalReason::kUnknownService,
+                "no such path or method; see /v1/models");
+}
+
+// The caller's name of the request as it may stand in a log, bounded because
+// it may not have been checked yet.
+std::string LoggedId(const HttpRequest& http) {
+  return http.Header("x-request-id").substr(0, kMaxLoggedIdBytes);
+}
+
 // Splits "/services/<name>/<rest>" into the name and "/<rest>".
 std::optional<std::pair<base::ServiceName, std::string>> SplitPlainPath(
     const std::string& path) {
@@ -88,11 +106,24 @@
   } else if (http.path.starts_with(kPlainRoot)) {
     HandlePlain(exchange);
   } else {
-    Refuse(exchange, NotRun(RefusalReason::kUnknownService,
-                            "no such path or method; see /v1/models"));
+    Refuse(exchange, NoSuchPath());
   }
 }
 
+std::optional<HttpEarlyAnswer> CallerFront::Screen(const HttpRequest& head) {
+  if (const auto refusal = hooks_.closed()) {
+    return RefusalAnswer(head, *refusal);
+  }
+  if (!IsKnownCall(head)) {
+    return RefusalAnswer(head, NoSuchPath());
+  }
+  Refusal refusal;
+  const auto configuration = hooks_.configuration();
+  const bool good = ReadCallerTerms(head, hooks_.random, &refusal) &&
+                    IdentifyContract(head, *configuration, &refusal) != nullptr;
+  return good ? std::nullopt : std::optional(RefusalAnswer(head, refusal));
+}
+
 void CallerFront::HandleChat(HttpExchange& exchange) {
   const auto configuration = hooks_.configuration();
   const version::Contract* contract = nullptr;
@@ -291,14 +322,20 @@
 }
 
 void CallerFront::Refuse(HttpExchange& exchange, const Refusal& refusal) {
-  HttpHeaders headers;
+  HttpEarlyAnswer answer = RefusalAnswer(exchange.request(), refusal);
+  exchange.Send(answer.status, kJson, answer.headers, std::move(answer.body));
+}
+
+HttpEarlyAnswer CallerFront::RefusalAnswer(const HttpRequest& http,
+                                           const Refusal& refusal) {
+  HttpEarlyAnswer answer;
+  answer.status = request::HttpStatus(refusal.reason);
+  answer.body = RefusalBody(refusal);
   if (refusal.retry_after) {
-    headers["Retry-After"] = RetryAfterSeconds(*refusal.retry_after);
+    answer.headers["Retry-After"] = RetryAfterSeconds(*refusal.retry_after);
   }
-  const std::string id = exchange.request().Header("x-request-id");
-  exchange.Send(request::HttpStatus(refusal.reason), kJson, headers,
-                RefusalBody(refusal));
-  Count(refusal, id);
+  Count(refusal, LoggedId(http));
+  return answer;
 }
 
 void CallerFront::Finish(const request::Request& request,
--- a/src/connection/caller_front.h
+++ b/src/connection/caller_front.h
@@ -46,6 +46,10 @@
   // An HttpHandler.
   void Handle(HttpExchange& exchange);
 
+  // For HttpServerOptions::screen: refuses a request whose caller, terms or
+  // path are not good, so that its body need not be read.
+  std::optional<HttpEarlyAnswer> Screen(const HttpRequest& head);
+
  private:
   void HandleChat(HttpExchange& exchange);
   void HandleModels(HttpExchange& exchange);
@@ -60,6 +64,9 @@
                    bool include_usage);
   void ServeWhole(HttpExchange& exchange, const request::Request& request);
   void Refuse(HttpExchange& exchange, const request::Refusal& refusal);
+  // The answer that says so; counts and logs the refusal.
+  HttpEarlyAnswer RefusalAnswer(const HttpRequest& http,
+                                const request::Refusal& refusal);
   void Finish(const request::Request& request,
               const request::RelayResult& result);
   // Counts and logs a refusal; `request_id` may be empty.
--- a/src/connection/connection_threads.cc
+++ b/src/connection/connection_threads.cc
@@ -6,7 +6,11 @@
 
 namespace {
 
-thread_local bool overflow_mode = false;
+// Connections that may wait to be turned away with an answer.
+constexpr std::size_t kMaxOverflowJobs = 64;
+
+thread_local ConnectionThreads::Mode current_mode =
+    ConnectionThreads::Mode::kServe;
 
 }  // namespace
 
@@ -18,8 +22,14 @@
 }
 
 void ConnectionThreads::Run(Job job) {
-  std::lock_guard lock(mutex_);
+  std::unique_lock lock(mutex_);
   if (busy_ + jobs_.size() >= bound_) {
+    if (overflow_jobs_.size() >= kMaxOverflowJobs) {
+      ++dropped_;
+      lock.unlock();
+      Drop(job);
+      return;
+    }
     ++overflowed_;
     overflow_jobs_.push_back(std::move(job));
     overflow_work_.notify_one();
@@ -60,8 +70,24 @@
   return overflowed_;
 }
 
-bool ConnectionThreads::OverflowMode() noexcept {
-  return overflow_mode;
+std::size_t ConnectionThreads::dropped() const noexcept {
+  std::lock_guard lock(mutex_);
+  return dropped_;
+}
+
+bool ConnectionThreads::crowded() const noexcept {
+  std::lock_guard lock(mutex_);
+  return busy_ * 8 >= bound_ * 7;
+}
+
+ConnectionThreads::Mode ConnectionThreads::CurrentMode() noexcept {
+  return current_mode;
+}
+
+void ConnectionThreads::Drop(const Job& job) {
+  current_mode = Mode::kDrop;
+  job();
+  current_mode = Mode::kServe;
 }
 
 void ConnectionThreads::WorkerLoop() {
@@ -85,7 +111,7 @@
 }
 
 void ConnectionThreads::OverflowLoop() {
-  overflow_mode = true;
+  current_mode = Mode::kOverflow;
   std::unique_lock lock(mutex_);
   while (true) {
     overflow_work_.wait(
--- a/src/connection/connection_threads.h
+++ b/src/connection/connection_threads.h
@@ -13,11 +13,15 @@
 namespace lynxglade::connection {
 
 // Runs jobs on at most `bound` threads. A job that finds all of them taken
-// runs on one further thread with OverflowMode() true, which keeps it short.
+// runs on one further thread in overflow mode, which keeps it short. When too
+// many wait for that, a job runs at once, on the thread that brought it, in
+// drop mode, in which it must do nothing but let go.
 class ConnectionThreads {
  public:
   using Job = std::function<void()>;
 
+  enum class Mode { kServe, kOverflow, kDrop };
+
   explicit ConnectionThreads(std::size_t bound);
   // Shutdown().
   ~ConnectionThreads();
@@ -31,11 +35,15 @@
 
   std::size_t busy() const noexcept;
   std::size_t overflowed() const noexcept;
+  std::size_t dropped() const noexcept;
+  // Most threads are taken: idle connections should make room.
+  bool crowded() const noexcept;
 
-  // True on the thread that turns connections away.
-  static bool OverflowMode() noexcept;
+  // What the calling thread's job may do.
+  static Mode CurrentMode() noexcept;
 
  private:
+  static void Drop(const Job& job);
   void WorkerLoop();
   void OverflowLoop();
 
@@ -49,6 +57,7 @@
   std::size_t idle_ = 0;
   std::size_t busy_ = 0;
   std::size_t overflowed_ = 0;
+  std::size_t dropped_ = 0;
   bool stopping_ = false;
   std::thread overflow_thread_;
 };
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -11,7 +11,7 @@
 #include <boost/coroutine2/coroutine.hpp>
 #include <boost/coroutine2/protected_fixedsize_stack.hpp>
 
-#include "connection/caller_socket.h"
+#include "connection/bounded_server.h"
 #include "connection/connection_threads.h"
 #include "connection/http_limits.h"
 
@@ -24,9 +24,10 @@
 // The library matches routes by a recursive regular expression; longer paths
 // would need more stack than a connection thread has.
 constexpr std::size_t kMaxPathBytes = 256;
-// The library closes a connection after that many requests.
-constexpr std::size_t kRequestsPerConnection = 100'000;
+constexpr int kHttpBodyTooLarge = 413;
 constexpr int kHttpUriTooLong = 414;
+constexpr int kHttpInternalError = 500;
+constexpr char kJson[] = "application/json";
 
 std::string ToLower(std::string text) {
   std::ranges::transform(text, text.begin(),
@@ -48,6 +49,10 @@
   for (const auto& [name, value] : in.headers) {
     out.headers.emplace(ToLower(name), value);
   }
+  const std::string type = in.get_header_value(kHiddenContentType);
+  if (!type.empty()) {
+    out.headers.emplace("content-type", type);
+  }
   out.body = in.body;
   return out;
 }
@@ -58,10 +63,12 @@
 // handler, and from there inside its content provider.
 class CoroutineExchange final : public HttpExchange {
  public:
-  CoroutineExchange(const httplib::Request& in, const HttpHandler& handler)
-      : request_(Convert(in)),
-        socket_({.address = in.local_addr, .port = in.local_port},
-                {.address = in.remote_addr, .port = in.remote_port}),
+  // Made on the connection's thread; `stream` outlives it.
+  CoroutineExchange(HttpRequest request,
+                    const ServerStream& stream,
+                    const HttpHandler& handler)
+      : request_(std::move(request)),
+        stream_(stream),
         body_(coro::protected_fixedsize_stack(kConnectionStackBytes),
               [this, &handler](Push& yield) {
                 yield_ = &yield;
@@ -106,7 +113,7 @@
   void Abort() override { aborted_ = true; }
 
   const HttpRequest& request() const override { return request_; }
-  bool caller_gone() const override { return gone_ || socket_.Closed(); }
+  bool caller_gone() const override { return gone_ || stream_.PeerClosed(); }
 
   // --- For the server
 
@@ -143,7 +150,7 @@
   }
 
   const HttpRequest request_;
-  const CallerSocket socket_;
+  const ServerStream& stream_;
   int status_ = 500;
   std::string content_type_ = "application/json";
   HttpHeaders headers_;
@@ -173,20 +180,6 @@
   ConnectionThreads& threads_;
 };
 
-std::unique_ptr<httplib::Server> MakeServer(const HttpServerOptions& options) {
-  if (options.certificate_file.empty()) {
-    return std::make_unique<httplib::Server>();
-  }
-  const char* client_ca =
-      options.client_ca_file.empty() ? nullptr : options.client_ca_file.c_str();
-  return std::make_unique<httplib::SSLServer>(
-      options.certificate_file.c_str(), options.key_file.c_str(), client_ca);
-}
-
-time_t WholeSeconds(base::Duration d) {
-  return std::chrono::duration_cast<std::chrono::seconds>(d).count();
-}
-
 }  // namespace
 
 std::string HttpRequest::Header(const std::string& name) const {
@@ -201,77 +194,123 @@
       : options(std::move(o)),
         handler(std::move(h)),
         threads(options.max_connections),
-        server(MakeServer(options)) {}
+        server(options, threads) {}
 
   void Configure();
   void Serve(const httplib::Request& in, httplib::Response& out);
-  httplib::Server::HandlerResponse BeforeRouting(const httplib::Request& in,
-                                                 httplib::Response& out) const;
+  // Answer what is refused by its head alone; true when it was.
+  bool RefuseByHead(const httplib::Request& in, httplib::Response& out);
+  bool RefusesHead(const httplib::Request& in, httplib::Response& out);
+  bool Screen(const httplib::Request& in, httplib::Response& out);
   void FillError(httplib::Response& out) const;
 
   const HttpServerOptions options;
   const HttpHandler handler;
   ConnectionThreads threads;
-  std::unique_ptr<httplib::Server> server;
+  BoundedServer server;
   socket_t listening_socket = INVALID_SOCKET;
   std::thread accept_thread;
   std::string last_reason;
 };
 
 void HttpServer::Details::Configure() {
-  server->new_task_queue = [this] { return new TaskQueue(threads); };
-  server->set_keep_alive_max_count(kRequestsPerConnection);
-  server->set_keep_alive_timeout(WholeSeconds(options.idle_timeout));
-  server->set_write_timeout(options.write_timeout);
-  server->set_tcp_nodelay(true);
-  server->set_payload_max_length(options.max_body_bytes);
+  server.new_task_queue = [this] { return new TaskQueue(threads); };
+  server.set_tcp_nodelay(true);
+  server.set_payload_max_length(options.max_body_bytes);
   // Not the library's default: that sets SO_REUSEPORT, with which a second
   // daemon on the same port would silently take half of the connections.
-  server->set_socket_options([this](socket_t fd) {
+  server.set_socket_options([this](socket_t fd) {
     const int on = 1;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     listening_socket = fd;
   });
-  server->set_pre_routing_handler(
+  server.set_expect_100_continue_handler(
       [this](const httplib::Request& in, httplib::Response& out) {
-        return BeforeRouting(in, out);
+        return RefuseByHead(in, out) ? out.status : 100;
       });
-  server->set_error_handler([this](const httplib::Request&,
-                                   httplib::Response& out) { FillError(out); });
+  server.set_pre_routing_handler([this](const httplib::Request& in,
+                                        httplib::Response& out) {
+    return RefuseByHead(in, out) ? httplib::Server::HandlerResponse::Handled
+                                 : httplib::Server::HandlerResponse::Unhandled;
+  });
+  server.set_error_handler([this](const httplib::Request&,
+                                  httplib::Response& out) { FillError(out); });
+  // The library's own would tell the caller the exception's text.
+  server.set_exception_handler(
+      [](const httplib::Request&, httplib::Response& out,
+         const std::exception_ptr&) { out.status = kHttpInternalError; });
   const auto serve = [this](const httplib::Request& in,
                             httplib::Response& out) { Serve(in, out); };
-  server->Get(".*", serve);
-  server->Post(".*", serve);
-  server->Put(".*", serve);
-  server->Patch(".*", serve);
-  server->Delete(".*", serve);
+  server.Get(".*", serve);
+  server.Post(".*", serve);
+  server.Put(".*", serve);
+  server.Patch(".*", serve);
+  server.Delete(".*", serve);
 }
 
-httplib::Server::HandlerResponse HttpServer::Details::BeforeRouting(
-    const httplib::Request& in,
-    httplib::Response& out) const {
-  if (ConnectionThreads::OverflowMode()) {
+bool HttpServer::Details::RefuseByHead(const httplib::Request& in,
+                                       httplib::Response& out) {
+  if (ConnectionThreads::CurrentMode() != ConnectionThreads::Mode::kServe) {
     out.status = options.overflow.status;
-    out.set_header("Connection", "close");
     out.set_content(options.overflow.body, options.overflow.content_type);
-    return httplib::Server::HandlerResponse::Handled;
+  } else if (!RefusesHead(in, out)) {
+    return false;
   }
+  // The body stays unread, so nothing after it could be told from it.
+  BoundedServer::CloseAfterAnswer();
+  out.set_header("Connection", "close");
+  return true;
+}
+
+// What is wrong with the head by itself, or to `screen`.
+bool HttpServer::Details::RefusesHead(const httplib::Request& in,
+                                      httplib::Response& out) {
   if (in.path.size() > kMaxPathBytes) {
     out.status = kHttpUriTooLong;
-    return httplib::Server::HandlerResponse::Handled;
+  } else if (const int status = BoundedServer::JudgeHead(in)) {
+    out.status = status;
+  } else if (in.get_header_value<std::uint64_t>("Content-Length") >
+             options.max_body_bytes) {
+    out.status = kHttpBodyTooLarge;
+  } else if (!Screen(in, out)) {
+    return false;
   }
-  return httplib::Server::HandlerResponse::Unhandled;
+  server.CountRefusedHead();
+  return true;
+}
+
+bool HttpServer::Details::Screen(const httplib::Request& in,
+                                 httplib::Response& out) {
+  const bool has_body = in.get_header_value("Content-Length") != "0";
+  const auto answer =
+      has_body && options.screen ? options.screen(Convert(in)) : std::nullopt;
+  if (!answer) {
+    return false;
+  }
+  out.status = answer->status;
+  for (const auto& [name, value] : answer->headers) {
+    out.set_header(name, value);
+  }
+  out.set_content(answer->body, kJson);
+  return true;
 }
 
 void HttpServer::Details::FillError(httplib::Response& out) const {
+  out.status = BoundedServer::StatusOfBody(out.status);
   if (out.body.empty() && options.error_body) {
-    out.set_content(options.error_body(out.status), "application/json");
+    out.set_content(options.error_body(out.status), kJson);
   }
 }
 
 void HttpServer::Details::Serve(const httplib::Request& in,
                                 httplib::Response& out) {
-  auto exchange = std::make_shared<CoroutineExchange>(in, handler);
+  // A chunked body shows its size only now.
+  if (in.body.size() > options.max_body_bytes) {
+    out.status = kHttpBodyTooLarge;
+    return;
+  }
+  auto exchange = std::make_shared<CoroutineExchange>(
+      Convert(in), BoundedServer::CurrentStream(), handler);
   exchange->FillHead(out);
   if (!exchange->streaming()) {
     out.set_content(exchange->TakeBody(), exchange->content_type());
@@ -298,15 +337,15 @@
 
 std::optional<int> HttpServer::Start() {
   Details& d = *details_;
-  if (!d.server->is_valid()) {
-    d.last_reason = "certificate or key cannot be read";
+  if (d.options.tls && !d.options.tls->Context()) {
+    d.last_reason = "there is no certificate";
     return std::nullopt;
   }
   d.Configure();
   int port = d.options.port;
   if (port == 0) {
-    port = d.server->bind_to_any_port(d.options.address);
-  } else if (!d.server->bind_to_port(d.options.address, port)) {
+    port = d.server.bind_to_any_port(d.options.address);
+  } else if (!d.server.bind_to_port(d.options.address, port)) {
     port = -1;
   }
   if (port <= 0) {
@@ -317,8 +356,8 @@
   // The library listens with a backlog of 5; asking again raises it.
   ::listen(d.listening_socket, kListenBacklog);
   d.accept_thread =
-      std::thread([this] { details_->server->listen_after_bind(); });
-  while (!d.server->is_running()) {
+      std::thread([this] { details_->server.listen_after_bind(); });
+  while (!d.server.is_running()) {
     std::this_thread::yield();
   }
   return port;
@@ -328,7 +367,7 @@
   if (!details_->accept_thread.joinable()) {
     return;
   }
-  details_->server->stop();
+  details_->server.stop();
   details_->accept_thread.join();
 }
 
@@ -340,6 +379,10 @@
   return details_->threads.overflowed();
 }
 
+HttpServerCounters HttpServer::counters() const noexcept {
+  return details_->server.counters();
+}
+
 const std::string& HttpServer::last_reason() const noexcept {
   return details_->last_reason;
 }
--- a/src/main/daemon.cc
+++ b/src/main/daemon.cc
@@ -22,8 +22,10 @@
 #include "connection/load_report.h"
 #include "connection/platform_fetch.h"
 #include "connection/target_client.h"
+#include "connection/tls_material.h"
 #include "main/daemon_options.h"
 #include "process/admin_front.h"
+#include "process/certificate_reload.h"
 #include "process/control_system.h"
 #include "process/fleet_watch.h"
 #include "process/periodic_task.h"
@@ -48,6 +50,8 @@
 constexpr std::ptrdiff_t kWatchersPerZone = 2;
 constexpr base::Duration kRefreshInterval = std::chrono::milliseconds(200);
 constexpr base::Duration kTickInterval = std::chrono::seconds(1);
+// How often certificate files are looked at.
+constexpr base::Duration kCertificateInterval = std::chrono::seconds(3);
 constexpr base::Duration kLoadTimeout = std::chrono::milliseconds(500);
 // How long a planned stop keeps taking callers after it turned not ready, so
 // that the platform's balancer can see it.
@@ -68,7 +72,9 @@
   process::FleetWatchHooks MakeFleetHooks();
   process::ViewServiceHooks MakeViewHooks();
   void SubscribeToViews();
+  void MakeServers();
   void AddGauges();
+  void AddServerGauges(const std::string& front, const HttpServer& server);
 
   version::FleetFacts Fleet() const;
   void TakeConfiguration();
@@ -77,6 +83,8 @@
   std::vector<base::InstanceId> ZoneMembers() const;
   bool ShouldWatch() const;
   std::size_t LiveInstances() const;
+  bool ReloadPeerCertificates();
+  bool StartCertificates();
   bool StartServer(HttpServer& server);
 
   const process::Settings settings;
@@ -98,8 +106,12 @@
   process::FleetWatch fleet;
   connection::CallerFront caller_front;
   process::AdminFront admin_front;
+  // Null without TLS.
+  std::shared_ptr<connection::TlsMaterial> tls;
+  std::unique_ptr<process::CertificateReload> certificates;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> admin_server;
+  std::unique_ptr<process::PeriodicTask> certificate_task;
   std::unique_ptr<process::PeriodicTask> refresh_task;
   std::unique_ptr<process::PeriodicTask> tick_task;
 };
@@ -140,13 +152,32 @@
           metrics),
       caller_front(MakeCallerHooks(), settings.default_deadline, metrics),
       admin_front(MakeAdminHooks(), MakeAdminRoutes(), metrics) {
+  tls = TlsMaterialOf(settings);
+  if (tls) {
+    certificates = std::make_unique<process::CertificateReload>(
+        *tls, [this] { return ReloadPeerCertificates(); }, metrics);
+  }
+  MakeServers();
+  AddGauges();
+}
+
+void Daemon::Details::MakeServers() {
+  connection::HttpServerOptions callers = CallerServerOptions(settings);
+  callers.tls = tls;
+  callers.screen = [this](const connection::HttpRequest& head) {
+    return caller_front.Screen(head);
+  };
   caller_server = std::make_unique<HttpServer>(
-      CallerServerOptions(settings),
+      std::move(callers),
       [this](HttpExchange& exchange) { caller_front.Handle(exchange); });
+  connection::HttpServerOptions operators = AdminServerOptions(settings);
+  operators.tls = tls;
+  operators.screen = [this](const connection::HttpRequest& head) {
+    return admin_front.Screen(head);
+  };
   admin_server = std::make_unique<HttpServer>(
-      AdminServerOptions(settings),
+      std::move(operators),
       [this](HttpExchange& exchange) { admin_front.Handle(exchange); });
-  AddGauges();
 }
 
 connection::KvTransport Daemon::Details::MakeKvTransport() {
@@ -339,12 +370,31 @@
                    [this] { return serving.running(); });
   metrics.AddGauge("lynxglade_requests_waiting", {},
                    [this] { return static_cast<double>(serving.waiting()); });
-  metrics.AddGauge("lynxglade_caller_connections", {}, [this] {
-    return static_cast<double>(caller_server->active_connections());
-  });
-  metrics.AddGauge("lynxglade_caller_connections_refused", {}, [this] {
-    return static_cast<double>(caller_server->overflowed_connections());
+  AddServerGauges("callers", *caller_server);
+  AddServerGauges("operators", *admin_server);
+}
+
+void Daemon::Details::AddServerGauges(const std::string& front,
+                                      const HttpServer& server) {
+  using connection::HttpServerCounters;
+  metrics.AddGauge("lynxglade_connections", {{"front", front}}, [&server] {
+    return static_cast<double>(server.active_connections());
   });
+  const auto add = [&](const char* reason,
+                       std::uint64_t HttpServerCounters::* member) {
+    metrics.AddGauge("lynxglade_connections_turned_away",
+                     {{"front", front}, {"reason", reason}}, [&server, member] {
+                       return static_cast<double>(server.counters().*member);
+                     });
+  };
+  add("too_many", &HttpServerCounters::overflowed);
+  add("far_too_many", &HttpServerCounters::dropped);
+  add("handshake", &HttpServerCounters::handshakes_failed);
+  add("head_too_large", &HttpServerCounters::heads_too_large);
+  add("head_too_slow", &HttpServerCounters::heads_too_slow);
+  add("head_refused", &HttpServerCounters::heads_refused);
+  add("body_too_large", &HttpServerCounters::bodies_too_large);
+  add("body_too_slow", &HttpServerCounters::bodies_too_slow);
 }
 
 // --- States -----------------------------------------------------------------
@@ -399,6 +449,26 @@
   return before < kWatchersPerZone;
 }
 
+bool Daemon::Details::ReloadPeerCertificates() {
+  process::ViewServiceError error{};
+  return settings.peer_ca.empty() || views.ReloadCertificates(&error);
+}
+
+bool Daemon::Details::StartCertificates() {
+  if (!certificates) {
+    return true;
+  }
+  connection::TlsMaterialError error{};
+  if (!certificates->LoadFirst(&error)) {
+    last_reason = "--tls-certificate and --tls-key: ";
+    last_reason += connection::ToString(error);
+    return false;
+  }
+  certificate_task = std::make_unique<process::PeriodicTask>(
+      kCertificateInterval, [this] { certificates->ReloadIfChanged(); });
+  return true;
+}
+
 bool Daemon::Details::StartServer(HttpServer& server) {
   if (server.Start()) {
     return true;
@@ -416,6 +486,9 @@
 
 bool Daemon::Start() {
   Details& d = *details_;
+  if (!d.StartCertificates()) {
+    return false;
+  }
   process::ViewServiceError error{};
   if (!d.views.Start(&error)) {
     d.last_reason = "peer link: ";
@@ -432,6 +505,12 @@
   return d.StartServer(*d.admin_server) && d.StartServer(*d.caller_server);
 }
 
+void Daemon::Reload() {
+  if (details_->certificates) {
+    details_->certificates->Reload();
+  }
+}
+
 void Daemon::Stop() {
   Details& d = *details_;
   d.leaving = true;
@@ -441,6 +520,7 @@
   d.caller_server->Stop();
   d.views.Stop();
   d.fleet.Stop();
+  d.certificate_task.reset();
   d.refresh_task.reset();
   d.tick_task.reset();
   d.admin_server->Stop();
--- a/src/main/daemon.h
+++ b/src/main/daemon.h
@@ -24,6 +24,10 @@
   // every running request end, close the ports. Cuts off nothing.
   void Stop();
 
+  // Reads certificates and keys again; what cannot be used is logged, and the
+  // former stays.
+  void Reload();
+
   const std::string& last_reason() const noexcept;
 
  private:
--- a/src/main/daemon_options.cc
+++ b/src/main/daemon_options.cc
@@ -1,6 +1,8 @@
 #include "main/daemon_options.h"
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "connection/chat_body.h"
@@ -17,6 +19,7 @@
 constexpr base::Duration kRetryElsewhere = std::chrono::milliseconds(100);
 constexpr std::size_t kAdminConnections = 64;
 constexpr int kHttpTooLarge = 413;
+constexpr std::int64_t kMillisPerSecond = 1000;
 
 // The library's own errors, in the form that callers know.
 std::string LibraryErrorBody(int status) {
@@ -36,8 +39,6 @@
   options.port = settings.listen.port;
   options.max_connections = settings.max_connections;
   options.max_body_bytes = connection::kMaxCallerBodyBytes;
-  options.certificate_file = settings.tls_certificate;
-  options.key_file = settings.tls_key;
   options.overflow.body = connection::RefusalBody(
       {RefusalReason::kOverloaded, base::Outcome::kNotRun,
        "this instance serves as many connections as it may", kRetryElsewhere});
@@ -50,11 +51,20 @@
   options.address = settings.admin_listen.address;
   options.port = settings.admin_listen.port;
   options.max_connections = kAdminConnections;
-  options.certificate_file = settings.tls_certificate;
-  options.key_file = settings.tls_key;
   return options;
 }
 
+std::unique_ptr<connection::TlsMaterial> TlsMaterialOf(
+    const process::Settings& settings) {
+  if (settings.tls_certificate.empty()) {
+    return nullptr;
+  }
+  return std::make_unique<connection::TlsMaterial>(
+      connection::TlsFiles{settings.tls_certificate, settings.tls_key, {}},
+      [] { return base::WallMillis() / kMillisPerSecond; },
+      std::vector<std::string>{settings.peer_ca});
+}
+
 process::ServingOptions ServingOptionsOf(const process::Settings& settings) {
   process::ServingOptions options;
   options.instance = settings.instance;
--- a/src/main/daemon_options.h
+++ b/src/main/daemon_options.h
@@ -2,7 +2,10 @@
 #ifndef LYNXGLADE_MAIN_DAEMON_OPTIONS_H_
 #define LYNXGLADE_MAIN_DAEMON_OPTIONS_H_
 
+#include <memory>
+
 #include "connection/http_server.h"
+#include "connection/tls_material.h"
 #include "process/serving_plane.h"
 #include "process/settings.h"
 #include "process/view_service.h"
@@ -14,6 +17,9 @@
     const process::Settings& settings);
 connection::HttpServerOptions AdminServerOptions(
     const process::Settings& settings);
+// Null without --tls-certificate; nothing is read yet.
+std::unique_ptr<connection::TlsMaterial> TlsMaterialOf(
+    const process::Settings& settings);
 process::ServingOptions ServingOptionsOf(const process::Settings& settings);
 process::ViewServiceOptions ViewOptionsOf(const process::Settings& settings);
 version::ConfigurationPlaneOptions ConfigurationOptionsOf(
--- a/src/main/lynxgladed.cc
+++ b/src/main/lynxgladed.cc
@@ -27,15 +27,25 @@
 }
 
 // Blocks the signals in this thread and all it starts, to wait for them.
-sigset_t BlockStopSignals() {
+sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
 
+// Reloads at each SIGHUP; returns the signal that ends the process.
+int WaitForStop(const sigset_t& signals, lynxglade::Daemon& daemon) {
+  int number = 0;
+  while (sigwait(&signals, &number) == 0 && number == SIGHUP) {
+    daemon.Reload();
+  }
+  return number;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -51,7 +61,7 @@
     return fault.handled ? kExitOk : kExitBadSettings;
   }
   signal(SIGPIPE, SIG_IGN);
-  const sigset_t stop_signals = BlockStopSignals();
+  const sigset_t signals = BlockSignals();
   UseSmallThreadStacks();
   lynxglade::base::InitLog(settings->log_level, settings->instance.str());
 
@@ -62,8 +72,7 @@
     return kExitCannotStart;
   }
   Log(LogLevel::kInfo, "started", {{"zone", settings->zone.str()}});
-  int number = 0;
-  sigwait(&stop_signals, &number);
+  const int number = WaitForStop(signals, daemon);
   Log(LogLevel::kInfo, "stopping", {{"signal", number}});
   daemon.Stop();
   Log(LogLevel::kInfo, "stopped");
--- a/src/process/admin_front.cc
+++ b/src/process/admin_front.cc
@@ -66,30 +66,53 @@
   }
 }
 
+std::optional<connection::HttpEarlyAnswer> AdminFront::Screen(
+    const HttpRequest& head) const {
+  ApiAnswer refusal;
+  if (!head.path.starts_with(kAdminRoot)) {
+    refusal = ApiError(404, "not_found", "nothing here takes a body");
+  } else if (Admit(ToApiCall(head), &refusal) != nullptr) {
+    return std::nullopt;
+  }
+  return connection::HttpEarlyAnswer{refusal.status, {}, refusal.body};
+}
+
 ApiAnswer AdminFront::HandleAdmin(const ApiCall& call) const {
+  ApiAnswer refusal;
+  const AdminRoute* route = Admit(call, &refusal);
+  return route == nullptr ? refusal : route->handle(call);
+}
+
+const AdminRoute* AdminFront::Admit(const ApiCall& call,
+                                    ApiAnswer* refusal) const {
   const auto role = hooks_.role_of_key(call.operator_key);
   if (!role) {
-    metrics_
-        .GetCounter("lynxglade_admin_refusals_total",
-                    {{"reason", "unauthenticated"}})
-        .Add();
-    return ApiError(401, "unauthenticated", "the operator key is not known");
+    *refusal = Refused(
+        "unauthenticated",
+        ApiError(401, "unauthenticated", "the operator key is not known"));
+    return nullptr;
   }
   const AdminRoute* route = FindRoute(call.path);
   if (route == nullptr) {
-    return ApiError(404, "not_found", "no such path");
+    *refusal = ApiError(404, "not_found", "no such path");
+    return nullptr;
   }
   const version::OperatorRole needed =
       call.method == "GET" ? route->read_role : route->write_role;
   if (*role < needed) {
-    metrics_
-        .GetCounter("lynxglade_admin_refusals_total",
-                    {{"reason", "role_too_low"}})
-        .Add();
-    return ApiError(403, "role_too_low",
-                    "the operator's role does not allow it");
+    *refusal = Refused(
+        "role_too_low",
+        ApiError(403, "role_too_low", "the operator's role does not allow it"));
+    return nullptr;
   }
-  return route->handle(call);
+  return route;
+}
+
+ApiAnswer AdminFront::Refused(const std::string& reason,
+                              ApiAnswer answer) const {
+  metrics_.GetCounter("lynxglade_admin_refusals_total", {{"reason", reason}})
+      .Add();
+  return answer;
 }
 
 const AdminRoute* AdminFront::FindRoute(const std::string& path) const {
--- a/src/process/admin_front.h
+++ b/src/process/admin_front.h
@@ -44,7 +44,17 @@
   // An HttpHandler.
   void Handle(connection::HttpExchange& exchange) const;
 
+  // For HttpServerOptions::screen: refuses what the operator may not do, so
+  // that its body need not be read.
+  std::optional<connection::HttpEarlyAnswer> Screen(
+      const connection::HttpRequest& head) const;
+
  private:
+  // The route, null when `refusal` says why the call may not be made.
+  const AdminRoute* Admit(const connection::ApiCall& call,
+                          connection::ApiAnswer* refusal) const;
+  connection::ApiAnswer Refused(const std::string& reason,
+                                connection::ApiAnswer answer) const;
   connection::ApiAnswer HandleAdmin(const connection::ApiCall& call) const;
   const AdminRoute* FindRoute(const std::string& path) const;
 
--- a/tests/connection/peer_link_test.cc
+++ b/tests/connection/peer_link_test.cc
@@ -220,6 +220,28 @@
   EXPECT_TRUE(b.up.empty());
 }
 
+TEST_F(PeerLinkTlsTest, RefusesExpiredPeersAndThoseThatNameNoZone) {
+  authority_.Issue("late", "urn:lynxglade:scl-a:instance", {-7200, -3600});
+  End late("hello l",
+           {authority_.CertificateFile("late"), authority_.KeyFile("late"),
+            authority_.authority_file()});
+  End nameless("hello n", Files("n", "urn:other:scl-a:instance"));
+  End b("hello b", Files("b", "urn:lynxglade:scl-b:instance"));
+  ASSERT_TRUE(late.Start());
+  ASSERT_TRUE(nameless.Start());
+  ASSERT_TRUE(b.Start());
+  late.links().Dial("127.0.0.1", b.links().port());
+  nameless.links().Dial("127.0.0.1", b.links().port());
+  EXPECT_TRUE(late.WaitFor([&] { return late.down_reasons.size() == 1; }));
+  EXPECT_TRUE(
+      nameless.WaitFor([&] { return nameless.down_reasons.size() == 1; }));
+  // The refused end also finds the other way closed.
+  b.links().Dial("127.0.0.1", late.links().port());
+  EXPECT_TRUE(b.WaitFor([&] { return b.down_reasons.size() == 1; }));
+  b.links().Stop();
+  EXPECT_TRUE(b.up.empty());
+}
+
 TEST_F(PeerLinkTlsTest, TakesReplacedCertificatesWithoutRestart) {
   End a("hello a", Files("a", "urn:lynxglade:scl-a:instance"));
   End b("hello b", Files("b", "urn:lynxglade:scl-b:instance"));
--- /dev/null
+++ b/tests/connection/raw_client.h
@@ -0,0 +1,32 @@
+// A TCP client that sends exactly the bytes it is given, for requests that no
+// library would send.
+#ifndef LYNXGLADE_TESTS_CONNECTION_RAW_CLIENT_H_
+#define LYNXGLADE_TESTS_CONNECTION_RAW_CLIENT_H_
+
+#include <string>
+#include <string_view>
+
+namespace lynxglade::tests {
+
+class RawClient {
+ public:
+  // Connects to 127.0.0.1.
+  explicit RawClient(int port);
+  ~RawClient();
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  // False once the server has closed the connection.
+  bool Send(std::string_view bytes);
+  // Everything up to the end of the connection.
+  std::string ReadToEnd();
+  // Everything up to the end of one answer's head.
+  std::string ReadHead();
+
+ private:
+  int socket_;
+};
+
+}  // namespace lynxglade::tests
+
+#endif  // LYNXGLADE_TESTS_CONNECTION_RAW_CLIENT_H_
--- a/tests/connection/test_certificates.cc
+++ b/tests/connection/test_certificates.cc
@@ -18,8 +18,6 @@
 using CertificatePtr = std::unique_ptr<X509, decltype(&X509_free)>;
 using FilePtr = std::unique_ptr<std::FILE, int (*)(std::FILE*)>;
 
-constexpr long kValiditySeconds = 3600;
-
 void Check(bool ok, const char* what) {
   if (!ok) {
     throw std::runtime_error(what);
@@ -38,13 +36,15 @@
   return key;
 }
 
-CertificatePtr MakeCertificate(const char* common_name, EVP_PKEY* key) {
+CertificatePtr MakeCertificate(const char* common_name,
+                               EVP_PKEY* key,
+                               Validity validity = {}) {
   static long serial = 1;
   CertificatePtr cert(X509_new(), &X509_free);
   X509_set_version(cert.get(), X509_VERSION_3);
   ASN1_INTEGER_set(X509_get_serialNumber(cert.get()), serial++);
-  X509_gmtime_adj(X509_getm_notBefore(cert.get()), -kValiditySeconds);
-  X509_gmtime_adj(X509_getm_notAfter(cert.get()), kValiditySeconds);
+  X509_gmtime_adj(X509_getm_notBefore(cert.get()), validity.from);
+  X509_gmtime_adj(X509_getm_notAfter(cert.get()), validity.to);
   X509_set_pubkey(cert.get(), key);
   X509_NAME_add_entry_by_txt(
       X509_get_subject_name(cert.get()), "CN", MBSTRING_ASC,
@@ -94,9 +94,12 @@
   return details_->file;
 }
 
-void TestAuthority::Issue(const std::string& name, const std::string& uri) {
+void TestAuthority::Issue(const std::string& name,
+                          const std::string& uri,
+                          Validity validity) {
   const KeyPtr key = MakeKey();
-  const CertificatePtr cert = MakeCertificate(name.c_str(), key.get());
+  const CertificatePtr cert =
+      MakeCertificate(name.c_str(), key.get(), validity);
   X509_set_issuer_name(cert.get(),
                        X509_get_subject_name(details_->certificate.get()));
   AddExtension(cert.get(), NID_subject_alt_name, "URI:" + uri);
--- a/tests/connection/test_certificates.h
+++ b/tests/connection/test_certificates.h
@@ -7,6 +7,12 @@
 
 namespace lynxglade::tests {
 
+// Validity in seconds from now.
+struct Validity {
+  long from = -3600;
+  long to = 3600;
+};
+
 // A certificate authority that writes PEM files into a directory of its own,
 // which its destructor removes.
 class TestAuthority {
@@ -20,7 +26,9 @@
   const std::string& authority_file() const noexcept;
   // Issues a certificate with this URI as alternative name and writes
   // <name>.crt and <name>.key; former files of the name are replaced.
-  void Issue(const std::string& name, const std::string& uri);
+  void Issue(const std::string& name,
+             const std::string& uri,
+             Validity validity = {});
   std::string CertificateFile(const std::string& name) const;
   std::string KeyFile(const std::string& name) const;
 
