Attempts: the latest first byte is its own bound

Cause: an attempt's time may reach past the deadline so that an answer that has begun can end, but a process that wakes must still not start a run late. Change: AttemptOrder::start_within bounds the first byte of the body. Conclusion: the relay can give a run time to end without letting it start late.

--- a/src/connection/target_client_exchange.cc
+++ b/src/connection/target_client_exchange.cc
@@ -177,7 +177,10 @@
   if (phase_ == Phase::kConnecting) {
     const base::Time now = clock_();
     // The process may have been paused since the order was made.
-    overdue_ = now - started_ >= order_.remaining;
+    const base::Duration limit = order_.start_within > base::Duration::zero()
+                                     ? order_.start_within
+                                     : order_.remaining;
+    overdue_ = now - started_ >= limit;
     if (overdue_) {
       return false;
     }
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -83,6 +83,10 @@
   base::Tokens resume_from{0};
   // Time for the attempt as a whole, from the call on.
   base::Duration remaining{};
+  // Time within which the first byte of the body has to leave, from the call
+  // on; a process that was paused for longer calls the attempt off as not run.
+  // Zero: `remaining`.
+  base::Duration start_within{};
   // Longest silence of the target before the attempt counts as timed out.
   base::Duration silence{};
   // JSON object handed to the engine as kv_transfer_params; empty: none.
