Each instance's revision is a kind of fact of its own; limits of the views fit

Cause: a trial with four daemons showed one instance missing from config status: the views keep four facts of kind config_head, and the revisions that instances hold were of that kind. Parts of a whole were larger than a fact may be once escaped. Change: kConfigInForce, which expires and is said again; room for the head and all parts; smaller parts; as many deltas kept as instances pass on. Stating a plan survives a lost answer of the lease it takes.

--- a/src/main/daemon.cc
+++ b/src/main/daemon.cc
@@ -199,8 +199,8 @@
   hooks.publish = [this](process::ViewItem item) {
     views.Publish(std::move(item));
   };
-  hooks.head_facts = [this] {
-    return views.Snapshot(process::ViewKind::kConfigHead);
+  hooks.in_force_facts = [this] {
+    return views.Snapshot(process::ViewKind::kConfigInForce);
   };
   hooks.member_count = [this] { return views.Members().size(); };
   hooks.should_watch = [this] { return ShouldWatch(); };
--- a/src/process/gossip.cc
+++ b/src/process/gossip.cc
@@ -33,6 +33,7 @@
       return StateOf(item.version) != MemberState::kLive;
     case ViewKind::kTarget:
     case ViewKind::kLoad:
+    case ViewKind::kConfigInForce:
       break;
   }
   return false;
--- a/src/process/view_item.h
+++ b/src/process/view_item.h
@@ -22,12 +22,14 @@
   // A target's load report, aged. Key: target id.
   kLoad = 4,
   // The configuration's head; version.epoch is its revision. Keys: "head" the
-  // newest accepted, "whole/<n>" a part of the newest snapshot,
-  // "in_force/<instance>" what that instance holds.
+  // newest accepted, "whole/<n>" a part of the newest snapshot.
   kConfigHead = 5,
   // A configuration delta; version.epoch is its revision. Key: the revision
   // modulo version::kPublishedDeltas, so that a store holds only the last ones.
   kConfigDelta = 6,
+  // The configuration that an instance holds; version.epoch is its revision.
+  // Key: instance id.
+  kConfigInForce = 7,
 };
 
 // Order of facts under one key: the greater epoch wins, then the greater
--- a/src/process/view_service.cc
+++ b/src/process/view_service.cc
@@ -30,9 +30,10 @@
 constexpr int kMaxWaitingMessages = 4096;
 constexpr std::string_view kInstanceRole = "instance";
 
-constexpr std::array kAllKinds{ViewKind::kInstance,   ViewKind::kTarget,
-                               ViewKind::kQuarantine, ViewKind::kLoad,
-                               ViewKind::kConfigHead, ViewKind::kConfigDelta};
+constexpr std::array kAllKinds{ViewKind::kInstance,     ViewKind::kTarget,
+                               ViewKind::kQuarantine,   ViewKind::kLoad,
+                               ViewKind::kConfigHead,   ViewKind::kConfigDelta,
+                               ViewKind::kConfigInForce};
 
 }  // namespace
 
--- a/src/process/view_store.cc
+++ b/src/process/view_store.cc
@@ -59,9 +59,11 @@
     case ViewKind::kConfigHead:
       return "config_head";
     case ViewKind::kConfigDelta:
+      return "config_delta";
+    case ViewKind::kConfigInForce:
       break;
   }
-  return "config_delta";
+  return "config_in_force";
 }
 
 ViewRules DefaultViewRules() {
@@ -73,8 +75,10 @@
   rules[IndexOf(ViewKind::kTarget)] = {{}, 32768, false};
   rules[IndexOf(ViewKind::kQuarantine)] = {hours(24), 8192, true};
   rules[IndexOf(ViewKind::kLoad)] = {seconds(60), 32768, false};
-  rules[IndexOf(ViewKind::kConfigHead)] = {{}, 4, false};
-  rules[IndexOf(ViewKind::kConfigDelta)] = {{}, 512, true};
+  // The head and the parts of a whole of the largest size.
+  rules[IndexOf(ViewKind::kConfigHead)] = {{}, 2048, false};
+  rules[IndexOf(ViewKind::kConfigDelta)] = {{}, 1024, true};
+  rules[IndexOf(ViewKind::kConfigInForce)] = {minutes(15), 4096, true};
   return rules;
 }
 
--- a/src/process/view_store.h
+++ b/src/process/view_store.h
@@ -25,7 +25,7 @@
 
 inline constexpr std::size_t kDigestBuckets = 128;
 // Kinds are numbered from 1.
-inline constexpr std::size_t kViewKinds = 7;
+inline constexpr std::size_t kViewKinds = 8;
 
 // "instance", "target", ... as counters and operators see it.
 std::string_view ToString(ViewKind kind) noexcept;
--- a/src/version/config_gossip.cc
+++ b/src/version/config_gossip.cc
@@ -15,10 +15,11 @@
 
 constexpr std::string_view kHeadKey = "head";
 constexpr std::string_view kWholePrefix = "whole/";
-constexpr std::string_view kInForcePrefix = "in_force/";
 // Bounds what a peer can make this instance hold.
 constexpr std::size_t kMaxParts = kMaxConfigurationBytes / kPublishedPartBytes;
 constexpr std::size_t kMaxBodyBytes = 4 * kPublishedPartBytes;
+// Facts of what an instance holds expire; said again in time.
+constexpr base::Duration kTellAgain = std::chrono::minutes(5);
 // Each member tells of itself at most this often, times the members there
 // are: at 340 members once in 68 s, five such facts a second for all.
 constexpr base::Duration kTellPeriodPerMember = std::chrono::milliseconds(200);
@@ -28,6 +29,10 @@
       {{"revision", revision.value()}, {"digest", digest}});
 }
 
+process::ViewVersion VersionOf(base::Revision revision) {
+  return {static_cast<std::uint64_t>(revision.value()), 0};
+}
+
 std::optional<ConfigHead> ReadHeadBody(const std::string& body) {
   json value;
   CodecFault fault;
@@ -59,12 +64,12 @@
 
 void ConfigGossip::Publish(ViewKind kind,
                            std::string key,
-                           base::Revision revision,
+                           process::ViewVersion version,
                            std::string body) {
   ViewItem item;
   item.kind = kind;
   item.key = std::move(key);
-  item.version.epoch = static_cast<std::uint64_t>(revision.value());
+  item.version = version;
   item.body = std::move(body);
   hooks_.publish(std::move(item));
 }
@@ -74,9 +79,9 @@
   std::string body = EncodeChained(delta);
   if (body.size() <= kPublishedDeltaBytes) {
     Publish(ViewKind::kConfigDelta,
-            std::to_string(revision.value() % kPublishedDeltas), revision,
-            std::move(body));
-    Publish(ViewKind::kConfigHead, std::string(kHeadKey), revision,
+            std::to_string(revision.value() % kPublishedDeltas),
+            VersionOf(revision), std::move(body));
+    Publish(ViewKind::kConfigHead, std::string(kHeadKey), VersionOf(revision),
             HeadBody(revision, delta.digest));
     return;
   }
@@ -91,13 +96,15 @@
       (bytes.size() + kPublishedPartBytes - 1) / kPublishedPartBytes;
   for (std::size_t i = 0; i < count; ++i) {
     Publish(ViewKind::kConfigHead,
-            std::string(kWholePrefix) + std::to_string(i), whole.revision(),
+            std::string(kWholePrefix) + std::to_string(i),
+            VersionOf(whole.revision()),
             details::Canonical({{"count", count},
                                 {"index", i},
                                 {"text", bytes.substr(i * kPublishedPartBytes,
                                                       kPublishedPartBytes)}}));
   }
-  Publish(ViewKind::kConfigHead, std::string(kHeadKey), whole.revision(),
+  Publish(ViewKind::kConfigHead, std::string(kHeadKey),
+          VersionOf(whole.revision()),
           HeadBody(whole.revision(), whole.digest));
 }
 
@@ -167,34 +174,36 @@
 
 void ConfigGossip::Tick() {
   const HeldConfiguration held = tracker_.Held();
+  const base::Time now = hooks_.clock();
+  const auto members = static_cast<std::int64_t>(hooks_.member_count());
   {
     const std::scoped_lock lock(mutex_);
-    const base::Time now = hooks_.clock();
-    const auto members = static_cast<std::int64_t>(hooks_.member_count());
-    const bool due =
-        told_.value() == 0 || now - told_at_ >= kTellPeriodPerMember * members;
-    if (held.revision() <= told_ || !due) {
+    const base::Duration since = now - told_at_;
+    const bool first = told_.value() == 0 && held.revision().value() > 0;
+    const bool changed =
+        held.revision() > told_ && since >= kTellPeriodPerMember * members;
+    const bool again = told_.value() > 0 && since >= kTellAgain;
+    if (!first && !changed && !again) {
       return;
     }
     told_ = held.revision();
     told_at_ = now;
   }
-  Publish(ViewKind::kConfigHead, std::string(kInForcePrefix) + instance_.str(),
-          held.revision(), HeadBody(held.revision(), held.digest));
+  process::ViewVersion version = VersionOf(held.revision());
+  version.sequence =
+      static_cast<std::uint64_t>(base::ToMillis(now.time_since_epoch()));
+  Publish(ViewKind::kConfigInForce, instance_.str(), version,
+          HeadBody(held.revision(), held.digest));
 }
 
 std::optional<InstanceRevision> ConfigGossip::ReadInForce(
     const ViewItem& item) {
-  if (!item.key.starts_with(kInForcePrefix)) {
-    return std::nullopt;
-  }
   const std::optional<ConfigHead> head = ReadHeadBody(item.body);
   if (!head) {
     return std::nullopt;
   }
-  return InstanceRevision{
-      base::InstanceId(item.key.substr(kInForcePrefix.size())), head->revision,
-      head->digest, item.as_of};
+  return InstanceRevision{base::InstanceId(item.key), head->revision,
+                          head->digest, item.as_of};
 }
 
 }  // namespace lynxglade::version
--- a/src/version/config_gossip.h
+++ b/src/version/config_gossip.h
@@ -25,9 +25,10 @@
 namespace lynxglade::version {
 
 // Bytes of a whole in one fact, and of the largest delta that is passed on as
-// such; both fit a peer message. After a greater delta the whole goes out.
-inline constexpr std::size_t kPublishedPartBytes = 48u << 10;
-inline constexpr std::size_t kPublishedDeltaBytes = 96u << 10;
+// such; both fit one fact of a peer message, also when half of a part has to
+// be escaped. After a greater delta the whole goes out.
+inline constexpr std::size_t kPublishedPartBytes = 24u << 10;
+inline constexpr std::size_t kPublishedDeltaBytes = 60u << 10;
 
 // What an instance says it holds.
 struct InstanceRevision {
@@ -64,10 +65,11 @@
   void Hear(const process::ViewItem& item);
 
   // Call about once a second: says what this instance holds, when that changed
-  // and not more often than the number of members allows.
+  // or was last said long ago, and not more often than the number of members
+  // allows.
   void Tick();
 
-  // Reads "in_force/..." facts.
+  // Reads facts of the kind kConfigInForce.
   static std::optional<InstanceRevision> ReadInForce(
       const process::ViewItem& item);
 
@@ -87,7 +89,7 @@
                                  std::string text);
   void Publish(process::ViewKind kind,
                std::string key,
-               base::Revision revision,
+               process::ViewVersion version,
                std::string body);
 
   const base::InstanceId instance_;
--- a/src/version/configuration_plane.cc
+++ b/src/version/configuration_plane.cc
@@ -84,7 +84,7 @@
 
 std::vector<InstanceRevision> ConfigurationPlane::Details::Instances() const {
   std::vector<InstanceRevision> rows;
-  for (const process::ViewItem& it : hooks.head_facts()) {
+  for (const process::ViewItem& it : hooks.in_force_facts()) {
     if (auto row = ConfigGossip::ReadInForce(it)) {
       rows.push_back(std::move(*row));
     }
--- a/src/version/configuration_plane.h
+++ b/src/version/configuration_plane.h
@@ -45,9 +45,9 @@
   // A configuration came into force. Called from several threads and not
   // always in order: read Current() for the newest.
   std::function<void()> on_change;
-  // ViewService::Publish, and Snapshot of kConfigHead.
+  // ViewService::Publish, and Snapshot of kConfigInForce.
   std::function<void(process::ViewItem)> publish;
-  std::function<std::vector<process::ViewItem>()> head_facts;
+  std::function<std::vector<process::ViewItem>()> in_force_facts;
   std::function<std::size_t()> member_count;
   // Whether this instance is one of the few of its zone that watch.
   std::function<bool()> should_watch;
--- a/src/version/plan_service.cc
+++ b/src/version/plan_service.cc
@@ -22,6 +22,7 @@
 // Rounds of read and compare-and-swap before the outcome is left unknown.
 constexpr int kSwapAttempts = 4;
 constexpr int kRefreshAttempts = 2;
+constexpr int kSaveAttempts = 4;
 constexpr std::size_t kMaxAuditChanges = 50;
 constexpr std::int64_t kMaxChangesSince = 20;
 
@@ -148,18 +149,22 @@
 }
 
 bool PlanService::Save(const Plan& plan, PlanFault* fault) const {
+  // Neither step takes effect twice: a lease whose answer was lost runs out
+  // unused, and the key is the digest of the value.
   KvError ec = KvError::kNone;
-  const auto lease = service_.GrantLease(hooks_.plan_ttl, &ec);
-  if (lease) {
-    // The key is the digest of the value: a second write of it, after an
-    // answer that was lost, changes nothing.
-    const auto put = [&] {
-      return service_.Commit({{PlanKey(plan.id), base::Revision(0)}},
-                             {{PlanKey(plan.id), plan.text, *lease}}, &ec);
-    };
-    if (put() || (ec == KvError::kAmbiguous && put())) {
+  std::optional<connection::KvLeaseId> lease;
+  for (int i = 0; i < kSaveAttempts; ++i) {
+    if (!lease) {
+      lease = service_.GrantLease(hooks_.plan_ttl, &ec);
+    }
+    if (lease &&
+        service_.Commit({{PlanKey(plan.id), base::Revision(0)}},
+                        {{PlanKey(plan.id), plan.text, *lease}}, &ec)) {
       return true;
     }
+    if (ec != KvError::kAmbiguous) {
+      break;
+    }
   }
   Refuse(fault, PlanError::kUnavailable,
          "the key-value service: " + std::string(connection::ToString(ec)));
--- a/tests/version/config_gossip_test.cc
+++ b/tests/version/config_gossip_test.cc
@@ -105,6 +105,44 @@
   RC_ASSERT(*fresh.tracker.Get() == *teller.tracker.Get());
 }
 
+TEST(ConfigGossipTest, InstanceSaysWhatItHoldsAtABoundedRate) {
+  base::Metrics metrics;
+  ConfigTracker tracker{{[] { return base::Time{}; }, {}, {}, {}}, metrics};
+  base::Time now{std::chrono::hours(1)};
+  std::vector<ViewItem> said;
+  ConfigGossip gossip(
+      base::InstanceId("i1"), tracker,
+      {[&] { return now; }, [&](ViewItem it) { said.push_back(std::move(it)); },
+       [] { return std::size_t{100}; }},
+      metrics);
+  const auto change = [&] {
+    const HeldConfiguration held = tracker.Held();
+    Configuration next = *held.configuration;
+    next.services[base::ServiceName(std::to_string(said.size()))].name =
+        base::ServiceName(std::to_string(said.size()));
+    tracker.OfferDelta(Chain(MakeDelta(*held.configuration, next), held.digest),
+                       ConfigSource::kOwn);
+  };
+  gossip.Tick();
+  EXPECT_TRUE(said.empty());
+  change();
+  gossip.Tick();
+  ASSERT_EQ(said.size(), 1u);
+  change();
+  gossip.Tick();
+  EXPECT_EQ(said.size(), 1u);
+  now += std::chrono::seconds(20);
+  gossip.Tick();
+  ASSERT_EQ(said.size(), 2u);
+  EXPECT_EQ(ConfigGossip::ReadInForce(said[1])->revision, base::Revision(2));
+  EXPECT_EQ(ConfigGossip::ReadInForce(said[1])->instance.str(), "i1");
+  // The fact expires unless it is said again, as a newer version.
+  now += std::chrono::minutes(5);
+  gossip.Tick();
+  ASSERT_EQ(said.size(), 3u);
+  EXPECT_GT(said[2].version, said[1].version);
+}
+
 // Planes with their threads, on one service and one bus of facts.
 class Fleet {
  public:
@@ -172,7 +210,7 @@
       changed_.notify_all();
     };
     hooks.publish = [this, i](const ViewItem& item) { Spread(i, item); };
-    hooks.head_facts = [] { return std::vector<ViewItem>(); };
+    hooks.in_force_facts = [] { return std::vector<ViewItem>(); };
     hooks.member_count = [this] { return planes_.size(); };
     // The first watches, the rest hear from it.
     hooks.should_watch = [i] { return i == 0; };
