measure-overhead: enough engines for 1,000 streams at once

With 18 engines the instance's admission (16 requests an engine) let 288 of 1,000 streams run at once; the others waited up to 44 s, rightly, but then the figure was not about 1,000 streams.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -4,7 +4,7 @@
 #   deployment_start NAME OUT   DEPLOYMENT_* arrays hold what was started
 #   deployment_stop             ends it all, by process id
 #
-# Settings: PORT_BASE (26000): 900 ports from there are used. LOAD_LAG_MS
+# Settings: PORT_BASE (26000): 1000 ports from there are used. LOAD_LAG_MS
 # (500): age of load reports. DAEMON_FLAGS, ENGINE_FLAGS: further flags.
 
 BUILD=${BUILD:-build}
@@ -18,7 +18,7 @@
 ENGINE_CONTROL=$ADDRESS:$((PORT_BASE + 40))
 PLAIN_CONTROL=$ADDRESS:$((PORT_BASE + 41))
 ENGINE_PORT=$((PORT_BASE + 600))
-PLAIN_PORT=$((PORT_BASE + 630))
+PLAIN_PORT=$((PORT_BASE + 800))
 # Each zone's entry instances reach the targets at ports of their own, this far
 # apart, so that zones can be cut off from each other.
 LINK_STRIDE=50
@@ -132,7 +132,8 @@
     curl -sf "http://$PLAIN_CONTROL/instances" | jq -c '.instances[]'
     entry_rows
   } | jq -s '{instances: .}' |
-    curl -sf -X PUT "$LIST_URL/v1/instances" -d @- >/dev/null
+    curl -sf -X PUT -H "Content-Type: application/json" -d @- \
+      "$LIST_URL/v1/instances" >/dev/null
   # The list lags; it is filled before the first instance starts.
   wait_for 10 "filled instance list" list_is_filled
 }
@@ -185,6 +186,7 @@
 
 operator_call() { # method path [body on standard input]
   curl -sS -X "$1" -H "Authorization: Bearer $OPERATOR_KEY" \
+    -H "Content-Type: application/json" \
     "http://${ADMINS[0]}$2" "${@:3}"
 }
 
