Claims: expiry and a lost lease tested; limits noted

Cause: how long claims are kept, and what a service set back to an older copy does to the writer, were stated but not tested. Change: two cases on a test clock; the note names what a set-back service forgets.

--- a/tests/request/claims_test.cc
+++ b/tests/request/claims_test.cc
@@ -266,6 +266,56 @@
   EXPECT_GE(answered, kKeys);
 }
 
+// A writer and its service on a clock that only the test moves.
+struct WriterOnATestClock {
+  std::atomic<base::Time> now{base::Time(seconds(1000))};
+  fakes::FakeKv service{[this] { return now.load(); }};
+  connection::KeyValue kv{fakes::MakeInProcessTransport(service), kKvTimeout};
+  base::Metrics metrics;
+  ClaimWriter writer{kv, [this] { return now.load(); }, base::SystemRandom(),
+                     metrics, ClaimWriterOptions{}};
+
+  ClaimWriteResult::Status Create(const std::string& key) {
+    return writer
+        .Write({.kind = ClaimOp::Kind::kCreate,
+                .key = key,
+                .value = base::RandomHexId(base::SystemRandom()),
+                .guard = base::Revision(0)},
+               seconds(30))
+        .status;
+  }
+  int Leases() const { return service.StatsJson()["leases"]; }
+  void Advance(base::Duration d) { now = now.load() + d; }
+};
+
+TEST(ClaimWriterTest, ClaimsOfAPeriodShareALeaseAndExpireWithIt) {
+  using Status = ClaimWriteResult::Status;
+  const ClaimWriterOptions defaults;
+  WriterOnATestClock it;
+  EXPECT_EQ(it.Create("/a"), Status::kWritten);
+  EXPECT_EQ(it.Create("/b"), Status::kWritten);
+  EXPECT_EQ(it.Leases(), 1);
+  it.Advance(defaults.lease_period);
+  EXPECT_EQ(it.Create("/c"), Status::kWritten);
+  EXPECT_EQ(it.Leases(), 2);
+  // The first two are kept for as long as promised, and no longer.
+  it.Advance(defaults.keep_for - seconds(2));
+  EXPECT_EQ(it.Create("/a"), Status::kConflict);
+  it.Advance(seconds(3));
+  EXPECT_EQ(it.Create("/a"), Status::kWritten);
+}
+
+// A service that was set back to an older copy has forgotten the lease.
+TEST(ClaimWriterTest, LostLeaseIsReplaced) {
+  using Status = ClaimWriteResult::Status;
+  WriterOnATestClock it;
+  it.service.ApplyFaults({{"save_copy", true}});
+  EXPECT_EQ(it.Create("/a"), Status::kWritten);
+  it.service.ApplyFaults({{"load_copy", true}});
+  EXPECT_EQ(it.Create("/b"), Status::kUnavailable);
+  EXPECT_EQ(it.Create("/c"), Status::kWritten);
+}
+
 // What is asked for while a transaction is under way goes into the next one;
 // a key that is taken already does not fail the others of its batch.
 TEST(ClaimWriterTest, BatchesAndJudgesEachWriteByItself) {
