Relay: no run starts after the deadline

Cause: an attempt's time is about to reach past the deadline for answers that have begun. Change: MakeOrder gives the time until the deadline as start_within. Result: relay_test, relay_engines_test and target_client_test pass. Conclusion: a paused process that wakes late still sends nothing.

--- a/src/request/relay_run.cc
+++ b/src/request/relay_run.cc
@@ -211,6 +211,8 @@
   if (kind_ == AttemptKind::kDecode) {
     order.kv_transfer_params = kv_transfer_params_;
   }
+  // Past the deadline only an answer that has begun goes on.
+  order.start_within = request_.deadline - hooks_.now();
   return order;
 }
 
