Quarantine held to its bound over instances, and proved

Cause: property tests with several instances found three ways past the bound. A fresh run at one instance was unknown to the one that re-ran the content; a claim on the re-run was lost to an equal or newer mark of an instance that ran nothing; and two contents that crashed together freed each other. Change: an instance claims its running copies when it hears of a suspicion, a claim in use goes before one that is not, Tick renews claims, and only a crash of a re-run alone explains another content's crash. An idle contract's credit in the fair queue has a test, too.

--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -51,7 +51,8 @@
       denied = Check(content, target, now);
     }
     if (!denied) {
-      runs_.insert_or_assign(attempt, Run{content, target, now, is_suspect});
+      runs_.insert_or_assign(attempt,
+                             Run{content, target, now, is_suspect, is_suspect});
       if (is_suspect) {
         Own(content, target, now, &outbox);
       }
@@ -109,13 +110,14 @@
       if (std::ranges::find(mark.evidence, crash.event, &Evidence::event) ==
           mark.evidence.end()) {
         mark.evidence.push_back({crash.event, run->target, crash.at, shared,
-                                 crash.confirmed, false});
+                                 crash.confirmed, run->rerun, false});
       }
       mark.owner = self_;
       mark.owned_until = now + options_.own_rerun_for;
       mark.expires = std::max(mark.expires, now + options_.suspect_for);
       Judge(run->content, now);
       Changed(run->content, now, &outbox);
+      ClaimRuns(run->content, now, &outbox);
       Reconsider(now, &outbox);
     }
   }
@@ -161,6 +163,15 @@
   std::erase_if(crashes->second, [](const Crash& it) { return !it.confirmed; });
 }
 
+void Quarantine::Tick(base::Time now) {
+  Outbox outbox;
+  {
+    const std::scoped_lock lock(mutex_);
+    Sweep(now, &outbox);
+  }
+  Send(outbox);
+}
+
 bool Quarantine::Merge(const process::ViewItem& item, base::Time now) {
   const auto decoded = DecodeMark(item);
   if (!decoded) {
@@ -181,7 +192,7 @@
       mark = decoded->mark;
       changed = true;
     } else {
-      changed = JoinMarks(decoded->mark, mark, &spread);
+      changed = JoinMarks(decoded->mark, now, mark, &spread);
     }
     const bool was_quarantined = mark.quarantined;
     Judge(content, now);
@@ -189,6 +200,7 @@
       Changed(content, now, &outbox);
     }
     if (changed) {
+      ClaimRuns(content, now, &outbox);
       Reconsider(now, &outbox);
     }
   }
@@ -382,6 +394,20 @@
   Changed(content, now, outbox);
 }
 
+void Quarantine::ClaimRuns(ContentHash content,
+                           base::Time now,
+                           Outbox* outbox) {
+  if (marks_.at(content).evidence.empty()) {
+    return;
+  }
+  // Once a run, or two instances would claim against each other for ever.
+  for (auto& [attempt, run] : runs_) {
+    if (run.content == content && !std::exchange(run.suspect, true)) {
+      Own(content, run.target, now, outbox);
+    }
+  }
+}
+
 bool Quarantine::Refresh(ContentHash content, base::Time now) {
   const auto it = marks_.find(content);
   if (it == marks_.end()) {
@@ -452,10 +478,14 @@
 bool Quarantine::IsExplained(ContentHash content,
                              const Evidence& evidence) const {
   const QuarantineMark& own = marks_.at(content);
-  // Guilt of another counts only where it rests on a crash of its own, of a
-  // target that does not die by itself.
+  // Guilt of another counts only where it rests on a re-run alone, at a target
+  // that does not die by itself, and this content was not alone there, too.
   const auto is_sound = [&](ContentHash other, const Evidence& it) {
-    return !Shares(own, it) && !KeepsDying(it.target, other);
+    const bool own_is_alone =
+        std::ranges::any_of(own.evidence, [&it](const Evidence& mine) {
+          return mine.alone && IsSameCrash(mine, it);
+        });
+    return it.alone && !own_is_alone && !KeepsDying(it.target, other);
   };
   const bool other_is_guilty =
       std::ranges::any_of(marks_, [&](const auto& mark) {
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -107,6 +107,10 @@
   // The target was seen running on as before: takes the losses there back.
   void OnTargetAlive(const base::TargetId& target, base::Time now);
 
+  // Call about once a second: keeps this instance's claim on the suspects that
+  // it runs, and drops what expired.
+  void Tick(base::Time now);
+
   // Another instance's mark. Returns whether it changed anything.
   bool Merge(const process::ViewItem& item, base::Time now);
   // Every mark, for an instance that joins.
@@ -121,7 +125,9 @@
     ContentHash content;
     base::TargetId target;
     base::Time started{};
+    // Under suspicion now, and already when it began.
     bool suspect = false;
+    bool rerun = false;
   };
   // A crash of a target as this instance saw it.
   struct Crash {
@@ -153,6 +159,8 @@
            const base::TargetId& target,
            base::Time now,
            Outbox* outbox);
+  // Tells other instances of runs here that began before the suspicion.
+  void ClaimRuns(ContentHash content, base::Time now, Outbox* outbox);
   // Drops what is out of date in one mark; returns whether any is left.
   bool Refresh(ContentHash content, base::Time now);
   void Sweep(base::Time now, Outbox* outbox);
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -33,6 +33,7 @@
           {"age_ms", base::ToMillis(now - it.at)},
           {"shared", it.shared},
           {"confirmed", it.confirmed},
+          {"alone", it.alone},
           {"explained", it.explained}};
 }
 
@@ -43,6 +44,7 @@
   it.at = as_of - Millis(json, "age_ms");
   it.shared = json.value("shared", 1);
   it.confirmed = json.value("confirmed", false);
+  it.alone = json.value("alone", false);
   it.explained = json.value("explained", false);
   return it;
 }
@@ -65,6 +67,24 @@
   return mark;
 }
 
+// Whether the mark's owner is running the content.
+bool IsRunning(const QuarantineMark& mark, base::Time now) {
+  return !mark.rerun_at.empty() && mark.owned_until > now;
+}
+
+// Whether their claim on the re-run replaces mine: an owner's own newer word
+// does; else a claim that is being used goes before one that is not.
+bool TakesClaim(const QuarantineMark& theirs,
+                const QuarantineMark& mine,
+                base::Time now) {
+  const bool newer = theirs.counter > mine.counter;
+  const bool running = IsRunning(theirs, now);
+  if (theirs.owner != mine.owner && running != IsRunning(mine, now)) {
+    return running;
+  }
+  return newer;
+}
+
 }  // namespace
 
 bool IsSameCrash(const Evidence& a, const Evidence& b) noexcept {
@@ -140,6 +160,7 @@
 }
 
 bool JoinMarks(const QuarantineMark& theirs,
+               base::Time now,
                QuarantineMark& mine,
                bool* spread) {
   *spread = false;
@@ -169,13 +190,16 @@
   }
   const std::size_t added = theirs.evidence.size() - in_both;
   *spread = *spread || mine.evidence.size() - added > in_both;
-  if (theirs.counter > mine.counter) {
+  if (TakesClaim(theirs, mine, now)) {
     mine.owner = theirs.owner;
     mine.owned_until = theirs.owned_until;
     mine.rerun_at = theirs.rerun_at;
-    mine.counter = theirs.counter;
     changed = true;
+  } else if (theirs.owner != mine.owner && theirs.counter >= mine.counter &&
+             IsRunning(mine, now)) {
+    *spread = true;
   }
+  mine.counter = std::max(mine.counter, theirs.counter);
   changed = changed || (theirs.quarantined && !mine.quarantined);
   mine.quarantined = mine.quarantined || theirs.quarantined;
   mine.expires = std::max(mine.expires, theirs.expires);
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -26,6 +26,8 @@
   // Contents that were under way there, this one included.
   int shared = 1;
   bool confirmed = false;
+  // It was a re-run, with no other suspect at the target.
+  bool alone = false;
   // Another cause was found.
   bool explained = false;
 };
@@ -80,6 +82,7 @@
 // joint mark holds more than theirs did, so that they must hear of it.
 // Returns whether `mine` changed.
 bool JoinMarks(const QuarantineMark& theirs,
+               base::Time now,
                QuarantineMark& mine,
                bool* spread);
 
--- a/tests/request/fair_queue_test.cc
+++ b/tests/request/fair_queue_test.cc
@@ -137,6 +137,41 @@
   }
 }
 
+TEST(FairQueueTest, AnIdleContractSavesUpNothing) {
+  FairQueue queue;
+  queue.SetCapacity({1, kRates});
+  Refusal refusal;
+  std::vector<Dropped> dropped;
+  std::map<EntryId, std::string> owner;
+  const auto offer = [&](const std::string& contract) {
+    owner[*queue.Enqueue(Item(contract, 100), kNow, &refusal, &dropped)] =
+        contract;
+  };
+  const auto run_one = [&] {
+    const EntryId id = *queue.Dequeue(kNow);
+    queue.Complete(id, std::nullopt, kNow);
+    return owner[id];
+  };
+  offer("b");
+  for (int i = 0; i < 60; ++i) {
+    offer("a");
+  }
+  // b runs once and is idle while a goes on.
+  int runs_of_b = 0;
+  for (int i = 0; i < 40; ++i) {
+    runs_of_b += run_one() == "b" ? 1 : 0;
+  }
+  ASSERT_EQ(runs_of_b, 1);
+  for (int i = 0; i < 20; ++i) {
+    offer("b");
+  }
+  for (int i = 0; i < 10; ++i) {
+    runs_of_b += run_one() == "b" ? 1 : 0;
+  }
+  EXPECT_LE(runs_of_b, 1 + 6);
+  EXPECT_GE(runs_of_b, 1 + 4);
+}
+
 TEST(FairQueueTest, TheMostUrgentGoesFirstWithinAContract) {
   FairQueue queue;
   queue.SetCapacity({1, kRates});
--- /dev/null
+++ b/tests/request/quarantine_test.cc
@@ -0,0 +1,375 @@
+#include "request/quarantine.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lynxglade::request {
+namespace {
+
+constexpr base::Time kNow = base::Time() + std::chrono::hours(1);
+constexpr ContentHash kPoison(666);
+constexpr std::size_t kDying = 0;
+
+// Instances, targets and callers, stepped in an order drawn by RapidCheck.
+// Target kDying crashes by itself; kPoison crashes what runs it.
+class World {
+ public:
+  World(std::size_t instances, std::size_t targets)
+      : targets_(targets), inbox_(instances) {
+    for (std::size_t i = 0; i < instances; ++i) {
+      instances_.push_back(std::make_unique<Quarantine>(
+          QuarantineOptions(), base::InstanceId("i" + std::to_string(i)),
+          [this, i](const process::ViewItem& item) { Spread(i, item); }));
+    }
+  }
+
+  // A caller sends the content through an instance, which tries targets in
+  // random order. Returns whether it started.
+  bool Send(std::size_t instance, ContentHash content) {
+    std::vector<std::size_t> order(targets_);
+    std::iota(order.begin(), order.end(), 0);
+    const auto first = *rc::gen::inRange<std::size_t>(0, targets_);
+    std::ranges::rotate(order,
+                        order.begin() + static_cast<std::ptrdiff_t>(first));
+    for (const std::size_t target : order) {
+      const base::AttemptId attempt("a" + std::to_string(next_attempt_++));
+      QuarantineDenial denial{};
+      if (instances_[instance]->TryStart(content, IdOf(target), attempt, now,
+                                         &denial)) {
+        runs_.push_back({attempt, instance, target, content});
+        return true;
+      }
+      if (!IsTargetsFault(denial)) {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  // The n-th run ends: a poison by crashing its target, others clean.
+  void Finish(std::size_t n) {
+    const Run run = runs_[n];
+    if (run.content == kPoison) {
+      Crash(run.target);
+      return;
+    }
+    runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(n));
+    instances_[run.instance]->OnDelivered(run.attempt, now);
+  }
+
+  void Crash(std::size_t target) {
+    std::set<std::size_t> witnesses;
+    std::set<ContentHash> contents;
+    for (const Run& it : runs_) {
+      if (it.target == target) {
+        instances_[it.instance]->OnLost(it.attempt, now);
+        witnesses.insert(it.instance);
+        contents.insert(it.content);
+      }
+    }
+    std::erase_if(runs_, [&](const Run& it) { return it.target == target; });
+    for (const std::size_t it : witnesses) {
+      instances_[it]->OnTargetCrashed(IdOf(target), now);
+    }
+    for (const ContentHash it : contents) {
+      ++crashes_[it];
+    }
+  }
+
+  // Delivers marks, in order or not; some twice.
+  void Deliver(std::size_t instance, std::size_t most) {
+    auto& inbox = inbox_[instance];
+    for (std::size_t i = 0; i < most && !inbox.empty(); ++i) {
+      const auto n = *rc::gen::inRange<std::size_t>(0, inbox.size());
+      const process::ViewItem item = inbox[n];
+      if (*rc::gen::inRange(0, 5) < 4) {
+        inbox.erase(inbox.begin() + static_cast<std::ptrdiff_t>(n));
+      }
+      instances_[instance]->Merge(item, now);
+    }
+  }
+  void DeliverAll() {
+    const auto is_waiting = [](const auto& it) { return !it.empty(); };
+    while (std::ranges::any_of(inbox_, is_waiting)) {
+      for (std::size_t i = 0; i < instances_.size(); ++i) {
+        Deliver(i, inbox_[i].size());
+      }
+    }
+  }
+
+  bool IsQuarantinedAnywhere(ContentHash content) {
+    return std::ranges::any_of(instances_, [&](const auto& it) {
+      return it->IsQuarantined(content, now);
+    });
+  }
+
+  void Tick() {
+    for (const auto& it : instances_) {
+      it->Tick(now);
+    }
+  }
+
+  std::size_t running() const { return runs_.size(); }
+  std::size_t running(ContentHash content) const {
+    return static_cast<std::size_t>(
+        std::ranges::count(runs_, content, &Run::content));
+  }
+  std::size_t instances() const { return instances_.size(); }
+  Quarantine& at(std::size_t i) { return *instances_[i]; }
+  // Crashes that the content was part of.
+  std::size_t crashes(ContentHash content) { return crashes_[content]; }
+
+  base::Time now = kNow;
+
+ private:
+  struct Run {
+    base::AttemptId attempt;
+    std::size_t instance = 0;
+    std::size_t target = 0;
+    ContentHash content;
+  };
+
+  static base::TargetId IdOf(std::size_t target) {
+    return base::TargetId("t" + std::to_string(target));
+  }
+
+  void Spread(std::size_t from, const process::ViewItem& item) {
+    for (std::size_t i = 0; i < inbox_.size(); ++i) {
+      if (i != from) {
+        inbox_[i].push_back(item);
+      }
+    }
+  }
+
+  const std::size_t targets_;
+  std::vector<std::unique_ptr<Quarantine>> instances_;
+  std::vector<std::deque<process::ViewItem>> inbox_;
+  std::vector<Run> runs_;
+  std::map<ContentHash, std::size_t> crashes_;
+  int next_attempt_ = 0;
+};
+
+constexpr std::uint64_t kInnocents = 8;
+
+// Random traffic. `poison_at_once`: runs of the poison that may be under way
+// together.
+void RunTraffic(World& world, std::size_t poison_at_once, bool spread_at_once) {
+  const int steps = *rc::gen::inRange(20, 250);
+  for (int step = 0; step < steps; ++step) {
+    world.now += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+    world.Tick();
+    const auto instance = *rc::gen::inRange<std::size_t>(0, world.instances());
+    const int action = *rc::gen::inRange(0, 20);
+    if (action < 8) {
+      const ContentHash content(
+          1 + *rc::gen::inRange<std::uint64_t>(0, kInnocents));
+      world.Send(instance, content);
+    } else if (action < 10) {
+      // A caller that goes on sending it.
+      if (world.running(kPoison) < poison_at_once) {
+        world.Send(instance, kPoison);
+      }
+    } else if (action < 17 && world.running() > 0) {
+      world.Finish(*rc::gen::inRange<std::size_t>(0, world.running()));
+    } else if (action == 18) {
+      world.Crash(kDying);
+    }
+    if (spread_at_once) {
+      world.DeliverAll();
+    } else {
+      world.Deliver(instance, 3);
+    }
+  }
+}
+
+// Also where two or three run at once: then no further run starts beside them.
+RC_GTEST_PROP(QuarantineTest,
+              APoisonCrashesTwoTargetsOrThoseThatRunAtOnce,
+              ()) {
+  World world(*rc::gen::inRange<std::size_t>(1, 4), 5);
+  const auto at_once = *rc::gen::inRange<std::size_t>(1, 4);
+  RunTraffic(world, at_once, true);
+  RC_CLASSIFY(world.crashes(kPoison) >= 2, "crashed two");
+  RC_ASSERT(world.crashes(kPoison) <= std::max<std::size_t>(2, at_once));
+}
+
+RC_GTEST_PROP(QuarantineTest, InnocentsOfADyingTargetAreNeverQuarantined, ()) {
+  World world(*rc::gen::inRange<std::size_t>(1, 4), 5);
+  RunTraffic(world, 0, *rc::gen::arbitrary<bool>());
+  for (std::uint64_t i = 1; i <= kInnocents; ++i) {
+    RC_ASSERT(!world.IsQuarantinedAnywhere(ContentHash(i)));
+  }
+}
+
+RC_GTEST_PROP(QuarantineTest,
+              InnocentsBesidePoisonAndADyingTargetAreFreed,
+              ()) {
+  World world(1, 5);
+  RunTraffic(world, 1, true);
+  // The dying target goes on dying, and the poison goes on being sent.
+  for (int i = 0; i < 40; ++i) {
+    world.now += std::chrono::milliseconds(2500);
+    if (world.running(kPoison) == 0) {
+      world.Send(0, kPoison);
+    }
+    while (world.running() > 0) {
+      world.Finish(0);
+    }
+    world.at(0).OnTargetCrashed(base::TargetId("t0"), world.now);
+  }
+  RC_ASSERT(world.crashes(kPoison) <= 2u);
+  for (std::uint64_t i = 1; i <= kInnocents; ++i) {
+    RC_ASSERT(!world.IsQuarantinedAnywhere(ContentHash(i)));
+  }
+}
+
+struct Fixture {
+  std::vector<process::ViewItem> published;
+  Quarantine quarantine{
+      QuarantineOptions(), base::InstanceId("self"),
+      [this](const process::ViewItem& item) { published.push_back(item); }};
+  QuarantineDenial denial{};
+
+  bool Start(std::uint64_t content,
+             const char* target,
+             const char* attempt,
+             base::Time now) {
+    return quarantine.TryStart(ContentHash(content), base::TargetId(target),
+                               base::AttemptId(attempt), now, &denial);
+  }
+  void Crash(const char* target, const char* attempt, base::Time now) {
+    quarantine.OnLost(base::AttemptId(attempt), now);
+    quarantine.OnTargetCrashed(base::TargetId(target), now);
+  }
+  // Two crashes at two targets.
+  void Condemn(std::uint64_t content, base::Time now) {
+    ASSERT_TRUE(Start(content, "t1", "first", now));
+    Crash("t1", "first", now);
+    ASSERT_TRUE(Start(content, "t2", "second", now));
+    Crash("t2", "second", now);
+  }
+};
+
+TEST(QuarantineTest, ASuspectRunsAloneAwayFromWhatCrashed) {
+  Fixture f;
+  ASSERT_TRUE(f.Start(1, "t1", "a1", kNow));
+  ASSERT_TRUE(f.Start(2, "t1", "a2", kNow));
+  f.quarantine.OnLost(base::AttemptId("a1"), kNow);
+  f.Crash("t1", "a2", kNow);
+  EXPECT_FALSE(f.Start(1, "t1", "b", kNow));
+  EXPECT_EQ(f.denial, QuarantineDenial::kTargetCrashedLately);
+  EXPECT_TRUE(f.Start(1, "t2", "b", kNow));
+  EXPECT_FALSE(f.Start(1, "t3", "c", kNow));
+  EXPECT_EQ(f.denial, QuarantineDenial::kSuspectRunning);
+  EXPECT_FALSE(f.Start(2, "t2", "c", kNow));
+  EXPECT_EQ(f.denial, QuarantineDenial::kTargetHasSuspect);
+  EXPECT_TRUE(f.Start(2, "t3", "c", kNow));
+  const auto list = f.quarantine.List(kNow);
+  ASSERT_EQ(list.size(), 2u);
+  EXPECT_EQ(list[0].shared_with, std::vector<int>{2});
+  // The guilty one is found; the other is cleared by its delivery.
+  f.Crash("t2", "b", kNow);
+  EXPECT_TRUE(f.quarantine.IsQuarantined(ContentHash(1), kNow));
+  f.quarantine.OnDelivered(base::AttemptId("c"), kNow);
+  EXPECT_EQ(f.quarantine.List(kNow).size(), 1u);
+  EXPECT_TRUE(f.Start(2, "t3", "d", kNow));
+  EXPECT_TRUE(f.Start(2, "t3", "e", kNow)) << "no suspect any more";
+}
+
+TEST(QuarantineTest, LossesThatAreNotCrashesCondemnNobody) {
+  Fixture f;
+  // A partition: connections break at both, the targets live on.
+  ASSERT_TRUE(f.Start(1, "t1", "a", kNow));
+  f.quarantine.OnLost(base::AttemptId("a"), kNow);
+  ASSERT_TRUE(f.Start(1, "t2", "b", kNow));
+  f.quarantine.OnLost(base::AttemptId("b"), kNow);
+  EXPECT_FALSE(f.Start(1, "t3", "c", kNow));
+  EXPECT_EQ(f.denial, QuarantineDenial::kEvidencePending);
+  f.quarantine.OnTargetAlive(base::TargetId("t1"), kNow);
+  EXPECT_TRUE(f.Start(1, "t3", "c", kNow)) << "one suspicion is left";
+  f.quarantine.OnEnded(base::AttemptId("c"), kNow);
+  // The other was never confirmed.
+  const base::Time later = kNow + QuarantineOptions().confirm_within;
+  EXPECT_TRUE(f.Start(1, "t2", "d", later));
+  EXPECT_TRUE(f.Start(1, "t2", "e", later));
+}
+
+TEST(QuarantineTest, MarksSurviveTheInstanceExpireAndAreLiftedEverywhere) {
+  Fixture one;
+  one.Condemn(1, kNow);
+  // The mark reaches another instance; the first one dies.
+  Fixture two;
+  for (const auto& it : one.published) {
+    two.quarantine.Merge(it, kNow);
+  }
+  EXPECT_FALSE(two.Start(1, "t3", "x", kNow));
+  EXPECT_EQ(two.denial, QuarantineDenial::kQuarantined);
+  // A third hears of it when it joins.
+  Fixture three;
+  for (const auto& it : two.quarantine.Export(kNow)) {
+    EXPECT_TRUE(three.quarantine.Merge(it, kNow));
+  }
+  EXPECT_TRUE(three.quarantine.IsQuarantined(ContentHash(1), kNow));
+  const base::Time late = kNow + QuarantineOptions().quarantine_for;
+  EXPECT_FALSE(three.quarantine.IsQuarantined(ContentHash(1), late));
+
+  two.published.clear();
+  EXPECT_TRUE(two.quarantine.Lift(ContentHash(1), kNow));
+  EXPECT_FALSE(two.quarantine.Lift(ContentHash(1), kNow));
+  ASSERT_FALSE(two.published.empty());
+  const auto old_mark = one.published.back();
+  for (Fixture* it : {&one, &two}) {
+    it->quarantine.Merge(two.published.back(), kNow);
+    // What was said before the lift does not come back.
+    EXPECT_FALSE(it->quarantine.Merge(old_mark, kNow));
+    EXPECT_TRUE(it->Start(1, "t3", "y", kNow));
+  }
+}
+
+TEST(QuarantineTest, TwoInstancesThatSawACrashEachAddUp) {
+  Fixture one;
+  std::vector<process::ViewItem> heard;
+  Quarantine other({}, base::InstanceId("other"),
+                   [&heard](const auto& item) { heard.push_back(item); });
+  QuarantineDenial denial{};
+  ASSERT_TRUE(one.Start(1, "t1", "a", kNow));
+  ASSERT_TRUE(other.TryStart(ContentHash(1), base::TargetId("t2"),
+                             base::AttemptId("b"), kNow, &denial));
+  one.Crash("t1", "a", kNow);
+  other.OnLost(base::AttemptId("b"), kNow);
+  other.OnTargetCrashed(base::TargetId("t2"), kNow);
+  one.quarantine.Merge(heard.back(), kNow);
+  EXPECT_TRUE(one.quarantine.IsQuarantined(ContentHash(1), kNow));
+  // The joint mark goes back, so that the other instance knows, too.
+  EXPECT_TRUE(other.Merge(one.published.back(), kNow));
+  EXPECT_TRUE(other.IsQuarantined(ContentHash(1), kNow));
+}
+
+TEST(QuarantineTest, RejectsMarksThatAreNotWellFormed) {
+  Fixture f;
+  process::ViewItem item;
+  item.kind = process::ViewKind::kQuarantine;
+  item.key = "00000000000000zz";
+  item.body = "{}";
+  EXPECT_FALSE(f.quarantine.Merge(item, kNow));
+  item.key = "000000000000000a";
+  for (const char* body : {"", "[]", "{\"owner\":7}", "{\"evidence\":[3]}",
+                           "{\"expires_ms\":\"x\"}"}) {
+    item.body = body;
+    EXPECT_FALSE(f.quarantine.Merge(item, kNow)) << body;
+  }
+  EXPECT_TRUE(f.quarantine.List(kNow).empty());
+}
+
+}  // namespace
+}  // namespace lynxglade::request
