Answers that began are finished late, not cut off

A late answer is late; a cut one is lost. Change: an answer that has begun by its deadline may end within 30 s more (RelayLimits::late_grace); one that has not is given up at the deadline, at once, by the watch that polls callers. Silence stays bounded by the deadline. Tried first with the grace counted into a non-idempotent request's silence: relay_engines_test then waited 30 s for each stuck engine and timed out. Conclusion: no stream is cut at its deadline while tokens flow.

--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -58,6 +58,9 @@
   const AttemptReport* report = nullptr;
   // Attempts made so far, at least 1.
   int attempts = 1;
+  // When the request is given up: its deadline, or later once its answer has
+  // begun.
+  base::Time limit{};
 };
 struct RetryVerdict {
   bool allowed = false;
@@ -151,6 +154,9 @@
   // wait for all of it, since they may not move on.
   double silence_share = 0.5;
   base::Duration min_silence = std::chrono::seconds(2);
+  // An answer that has begun by the deadline, and a run that cannot be
+  // repeated, may end this much later: late is better than cut off.
+  base::Duration late_grace = std::chrono::seconds(30);
   // Answers of non-idempotent requests up to this size are recorded with the
   // claim, so that a repeat gets the answer itself.
   std::size_t max_recorded_bytes = 4u << 10;
--- a/src/request/relay_run.cc
+++ b/src/request/relay_run.cc
@@ -156,7 +156,7 @@
     GiveUp(RefusalReason::kCallerGone, "the caller has gone");
     return true;
   }
-  if (hooks_.now() >= request_.deadline) {
+  if (Overdue()) {
     GiveUp(RefusalReason::kDeadlinePassed, "the deadline has passed");
     return true;
   }
@@ -192,9 +192,10 @@
 }
 
 AttemptOrder RelayRun::MakeOrder(const Target& target) const {
-  const base::Duration remaining = request_.deadline - hooks_.now();
+  const base::Time now = hooks_.now();
+  const base::Duration to_deadline = request_.deadline - now;
   const auto share = std::chrono::duration_cast<base::Duration>(
-      remaining * limits_.silence_share);
+      to_deadline * limits_.silence_share);
   AttemptOrder order;
   order.request = &request_;
   order.id = base::AttemptId(base::RandomHexId(hooks_.random));
@@ -204,10 +205,9 @@
   order.port = target.port;
   order.role = target.role;
   order.resume_from = delivery_.offset();
-  order.remaining = remaining;
-  order.silence = request_.non_idempotent
-                      ? remaining
-                      : std::max(share, limits_.min_silence);
+  order.remaining = to_deadline + limits_.late_grace;
+  order.silence = std::max(request_.non_idempotent ? to_deadline : share,
+                           limits_.min_silence);
   if (kind_ == AttemptKind::kDecode) {
     order.kv_transfer_params = kv_transfer_params_;
   }
@@ -229,7 +229,7 @@
   // What cannot be run again is run to its end, caller or not: the answer is
   // recorded for the caller's next try.
   sink.cancelled = [this] {
-    return !request_.non_idempotent && delivery_.CallerGone();
+    return Overdue() || (!request_.non_idempotent && delivery_.CallerGone());
   };
   sink.on_token = [&](const TokenChunk& chunk) {
     in_flight.PrefillDone();
@@ -237,6 +237,7 @@
     if (order.kind == AttemptKind::kPrefill) {
       return true;
     }
+    begun_ = true;
     const RelayDelivery::Verdict verdict = delivery_.Accept(chunk);
     misfit_ = verdict == RelayDelivery::Verdict::kMisfit;
     return verdict == RelayDelivery::Verdict::kTaken;
@@ -251,6 +252,13 @@
     report.message = "tokens out of sequence";
     return report;
   }
+  const bool overdue =
+      report.end == AttemptEnd::kCancelledByCaller && !delivery_.CallerGone();
+  if (overdue) {
+    report.end = AttemptEnd::kTimeout;
+    report.message = "no answer began by the deadline";
+    return report;
+  }
   const bool counts_tokens = report.end == AttemptEnd::kWhole &&
                              order.kind != AttemptKind::kPrefill &&
                              !report.plain;
@@ -338,13 +346,14 @@
       hooks_.allow_retry(RetryQuery{.request = &request_,
                                     .failed_target = target.id,
                                     .report = &report,
-                                    .attempts = result_.attempts});
+                                    .attempts = result_.attempts,
+                                    .limit = Limit()});
   if (!verdict.allowed) {
     GiveUp(verdict.reason, DescribeFailure(report), verdict.retry_after);
     return;
   }
   // A wait that ends after the deadline would only delay the refusal.
-  if (hooks_.now() + verdict.backoff >= request_.deadline) {
+  if (hooks_.now() + verdict.backoff >= Limit()) {
     GiveUp(RefusalReason::kDeadlinePassed, DescribeFailure(report));
     return;
   }
@@ -379,6 +388,14 @@
                                      .decode = request_.max_output_tokens};
 }
 
+bool RelayRun::Overdue() const {
+  return hooks_.now() >= Limit();
+}
+
+base::Time RelayRun::Limit() const {
+  return begun_ ? request_.deadline + limits_.late_grace : request_.deadline;
+}
+
 bool RelayRun::Cancelled() const {
   return delivery_.CallerGone();
 }
--- a/src/request/relay_run.h
+++ b/src/request/relay_run.h
@@ -2,6 +2,7 @@
 #ifndef LYNXGLADE_REQUEST_RELAY_RUN_H_
 #define LYNXGLADE_REQUEST_RELAY_RUN_H_
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <vector>
@@ -62,6 +63,11 @@
               std::optional<base::Duration> retry_after = std::nullopt);
   Cost EstimateCost() const;
   bool Cancelled() const;
+  // Whether the time for the answer to begin or, once begun, to end is over.
+  // Thread-safe.
+  bool Overdue() const;
+  // When the request is given up, as things stand.
+  base::Time Limit() const;
 
   const RelayHooks& hooks_;
   const RelayLimits& limits_;
@@ -71,6 +77,8 @@
   RelayResult result_;
   bool done_ = false;
   bool misfit_ = false;
+  // A token of the answer has come; read by the thread that watches attempts.
+  std::atomic<bool> begun_{false};
   bool whole_ = false;
   AdmissionVerdict admission_;
   std::optional<Claim> claim_;
--- a/tests/request/relay_test.cc
+++ b/tests/request/relay_test.cc
@@ -378,6 +378,57 @@
   EXPECT_EQ(result.attempts, 3);
 }
 
+// Runs `before` tokens, lets the deadline pass, and goes on to four tokens
+// unless it is told to stop.
+RunAttempt RunPastTheDeadline(base::Time* now, int before) {
+  return [now, before](const AttemptOrder& order, const TokenSink& sink) {
+    AttemptReport report;
+    report.outcome = Outcome::kRan;
+    for (int i = 0; i < 4; ++i) {
+      if (i == before) {
+        *now = order.request->deadline + seconds(1);
+      }
+      if (sink.cancelled()) {
+        report.end = AttemptEnd::kCancelledByCaller;
+        return report;
+      }
+      sink.on_token({"t", base::Tokens(i), base::Tokens(1)});
+    }
+    report.end = AttemptEnd::kWhole;
+    report.usage.completion = base::Tokens(4);
+    return report;
+  };
+}
+
+TEST(RelayTest, AnswerThatBeganInTimeIsFinishedLateAndNotCutOff) {
+  FakeFleet fleet({});
+  FakeCaller caller;
+  RelayHooks hooks = HooksFor(fleet);
+  const Request request = MakeRequest(fleet);
+  base::Time now = request.arrived;
+  hooks.now = [&now] { return now; };
+  hooks.run = RunPastTheDeadline(&now, 1);
+  const RelayResult result =
+      Relay(hooks, RelayLimits{}).Serve(request, caller.Sink());
+  EXPECT_FALSE(result.refusal);
+  EXPECT_EQ(result.delivered, base::Tokens(4));
+}
+
+TEST(RelayTest, AnswerThatHasNotBegunByTheDeadlineIsGivenUp) {
+  FakeFleet fleet({});
+  FakeCaller caller;
+  RelayHooks hooks = HooksFor(fleet);
+  const Request request = MakeRequest(fleet);
+  base::Time now = request.arrived;
+  hooks.now = [&now] { return now; };
+  hooks.run = RunPastTheDeadline(&now, 0);
+  const RelayResult result =
+      Relay(hooks, RelayLimits{}).Serve(request, caller.Sink());
+  ASSERT_TRUE(result.refusal);
+  EXPECT_EQ(result.refusal->reason, RefusalReason::kDeadlinePassed);
+  EXPECT_EQ(result.delivered, base::Tokens(0));
+}
+
 // A backoff past the deadline is not waited for.
 TEST(RelayTest, GivesUpAtOnceWhenTheBackoffOutlastsTheDeadline) {
   FakeFleet fleet({Fault::kConnectFailed});
