Slopes of the configuration; plans and reads that stay small

Cause: at 1,700 contracts a plan held the share of every contract on every service it touched and was refused as too large; reading one missed delta listed a whole bucket of them.

--- a/src/main/ctl_render.cc
+++ b/src/main/ctl_render.cc
@@ -96,7 +96,9 @@
     text += "\nshares of " + TextOf(At(it, "/service")) + ": " +
             TextOf(At(it, "/engines")) + " targets, sum " +
             TextOf(At(it, "/sum")) + ", free " +
-            TextOf(At(it, "/free_engines")) + "\n" +
+            TextOf(At(it, "/free_engines")) + "; other contracts: share " +
+            TextOf(At(it, "/others/share")) + ", " +
+            TextOf(At(it, "/others/engines")) + " engines\n" +
             Table(At(it, "/lines"), {{"CONTRACT", "/contract"},
                                      {"MODEL", "/model"},
                                      {"VERSION", "/version"},
--- a/src/version/config_store.cc
+++ b/src/version/config_store.cc
@@ -164,35 +164,74 @@
 }
 
 std::optional<std::vector<std::string>> ConfigStore::ReadNumbered(
-    const std::string& prefix,
+    std::string_view prefix,
     base::Revision from,
     base::Revision to,
     StoreError* last_error) const {
-  const std::int64_t first = from.value() + 1;
-  const auto key_of = [&](std::int64_t n) {
-    return BucketPrefix(prefix, n / limits_.snapshot_every) + Padded(n);
-  };
-  const std::string low = key_of(first);
-  const std::string high = key_of(to.value());
   std::vector<std::string> values;
   *last_error = StoreError::kNone;
-  for (std::int64_t bucket = first / limits_.snapshot_every;
-       bucket <= to.value() / limits_.snapshot_every; ++bucket) {
+  std::int64_t next = from.value() + 1;
+  while (next <= to.value()) {
+    const std::int64_t bucket = next / limits_.snapshot_every;
+    const std::int64_t last =
+        std::min(to.value(), (bucket + 1) * limits_.snapshot_every - 1);
+    // A listing brings the whole bucket; a few values are read one by one, and
+    // so is a bucket that is too large for one answer.
+    const bool few = last - next < limits_.few_values;
+    const bool read =
+        (!few && ReadBucket(prefix, next, last, &values, last_error)) ||
+        ReadOneByOne(prefix, next, last, &values, last_error);
+    if (!read) {
+      return std::nullopt;
+    }
+    next = last + 1;
+  }
+  return values;
+}
+
+bool ConfigStore::ReadBucket(std::string_view prefix,
+                             std::int64_t first,
+                             std::int64_t last,
+                             std::vector<std::string>* values,
+                             StoreError* last_error) const {
+  const std::string bucket =
+      BucketPrefix(prefix, first / limits_.snapshot_every);
+  const std::string low = bucket + Padded(first);
+  const std::string high = bucket + Padded(last);
+  KvError ec = KvError::kNone;
+  std::optional<KvRange> range = service_.List(bucket, 0, &ec);
+  *last_error = StoreErrorOf(ec);
+  if (!range) {
+    return false;
+  }
+  std::ranges::sort(range->entries, {}, &KvEntry::key);
+  for (KvEntry& it : range->entries) {
+    if (it.key >= low && it.key <= high) {
+      values->push_back(std::move(it.value));
+    }
+  }
+  return true;
+}
+
+bool ConfigStore::ReadOneByOne(std::string_view prefix,
+                               std::int64_t first,
+                               std::int64_t last,
+                               std::vector<std::string>* values,
+                               StoreError* last_error) const {
+  const std::string bucket =
+      BucketPrefix(prefix, first / limits_.snapshot_every);
+  for (std::int64_t n = first; n <= last; ++n) {
     KvError ec = KvError::kNone;
-    std::optional<KvRange> range =
-        service_.List(BucketPrefix(prefix, bucket), 0, &ec);
+    std::optional<KvRange> range = service_.Get(bucket + Padded(n), &ec);
+    *last_error = StoreErrorOf(ec);
     if (!range) {
-      *last_error = StoreErrorOf(ec);
-      return std::nullopt;
+      return false;
     }
-    std::ranges::sort(range->entries, {}, &KvEntry::key);
-    for (KvEntry& it : range->entries) {
-      if (it.key >= low && it.key <= high) {
-        values.push_back(std::move(it.value));
-      }
+    if (!range->entries.empty()) {
+      values->push_back(std::move(range->entries.front().value));
     }
   }
-  return values;
+  return true;
 }
 
 std::optional<std::vector<ChainedDelta>> ConfigStore::ReadDeltas(
@@ -204,8 +243,7 @@
   if (to <= from) {
     return deltas;
   }
-  const auto values =
-      ReadNumbered(std::string(kDeltaPrefix), from, to, last_error);
+  const auto values = ReadNumbered(kDeltaPrefix, from, to, last_error);
   if (!values) {
     return std::nullopt;
   }
@@ -230,7 +268,7 @@
   if (to <= from) {
     return std::vector<std::string>();
   }
-  return ReadNumbered(std::string(kAuditPrefix), from, to, last_error);
+  return ReadNumbered(kAuditPrefix, from, to, last_error);
 }
 
 std::optional<std::string> ConfigStore::ReadAudit(
@@ -297,9 +335,10 @@
 }
 
 bool ConfigStore::NeedsSnapshot(const ConfigHead& head) const noexcept {
-  // Deltas must not be deleted before a snapshot covers them.
+  // Deltas must not be deleted before a snapshot covers them, nor leave the
+  // views of peers.
   return (head.revision - head.snapshot).value() >=
-         std::min(4 * limits_.snapshot_every, limits_.deltas_kept);
+         std::min(2 * limits_.snapshot_every, limits_.deltas_kept);
 }
 
 bool ConfigStore::WriteParts(const HeldConfiguration& held,
--- a/src/version/config_store.h
+++ b/src/version/config_store.h
@@ -54,13 +54,16 @@
 };
 
 struct StoreLimits {
-  // Deltas between two snapshots.
-  std::int64_t snapshot_every = 256;
+  // Deltas between two snapshots; half of kPublishedDeltas, so that peers hold
+  // all deltas since the newest one.
+  std::int64_t snapshot_every = 512;
   // Deltas kept for rollbacks: about a day of the largest fleet.
   std::int64_t deltas_kept = 8'192;
   std::int64_t audits_kept = 50'000;
   // Bytes of a snapshot part; a value may have a megabyte.
   std::size_t part_bytes = 700u << 10;
+  // Up to as many deltas or audit records are read one by one.
+  std::int64_t few_values = 8;
 };
 
 // What a watch event or a listing showed.
@@ -84,8 +87,8 @@
   // The snapshot of the head: one call a part.
   std::optional<HeldConfiguration> ReadSnapshot(const ConfigHead& head,
                                                 StoreError* last_error) const;
-  // The deltas after `from` up to `to`, in order: one call a bucket of
-  // `snapshot_every`.
+  // The deltas after `from` up to `to`, in order: one call each for a few, one
+  // call a bucket of `snapshot_every` for more.
   std::optional<std::vector<ChainedDelta>> ReadDeltas(
       base::Revision from,
       base::Revision to,
@@ -135,10 +138,21 @@
   std::string DeltaKey(base::Revision revision) const;
   std::string AuditKey(base::Revision revision) const;
   std::optional<std::vector<std::string>> ReadNumbered(
-      const std::string& prefix,
+      std::string_view prefix,
       base::Revision from,
       base::Revision to,
       StoreError* last_error) const;
+  // Both append the values from `first` to `last`, which lie in one bucket.
+  bool ReadBucket(std::string_view prefix,
+                  std::int64_t first,
+                  std::int64_t last,
+                  std::vector<std::string>* values,
+                  StoreError* last_error) const;
+  bool ReadOneByOne(std::string_view prefix,
+                    std::int64_t first,
+                    std::int64_t last,
+                    std::vector<std::string>* values,
+                    StoreError* last_error) const;
 
   const connection::KeyValue& service_;
   const base::RandomSource random_;
--- a/src/version/plan.cc
+++ b/src/version/plan.cc
@@ -57,9 +57,20 @@
       std::ranges::count(fleet.targets, service, &TargetFact::service));
 }
 
-json SharesToJson(const ServiceShares& shares) {
+// Lines of the contracts that change, and the sum of all others: a plan stays
+// small on a service that a thousand contracts share.
+json SharesToJson(const ServiceShares& shares, const ConfigDelta& delta) {
   json lines = json::array();
+  int others = 0;
+  int other_engines = 0;
+  double other_share = 0;
   for (const ShareLine& it : shares.lines) {
+    if (!delta.contracts.contains(it.contract)) {
+      ++others;
+      other_engines += it.engines;
+      other_share += it.share;
+      continue;
+    }
     lines.push_back({{"contract", it.contract.str()},
                      {"model", it.model.str()},
                      {"version", it.version.str()},
@@ -70,7 +81,11 @@
           {"engines", shares.engines},
           {"sum", shares.sum},
           {"free_engines", shares.free_engines},
-          {"lines", std::move(lines)}};
+          {"lines", std::move(lines)},
+          {"others",
+           {{"lines", others},
+            {"share", other_share},
+            {"engines", other_engines}}}};
 }
 
 json TouchedToJson(const TouchedEngine& it) {
@@ -88,6 +103,7 @@
 };
 
 void AddService(const Configuration& wanted,
+                const ConfigDelta& delta,
                 const base::ServiceName& service,
                 const FleetFacts& fleet,
                 Arithmetic* all) {
@@ -97,14 +113,14 @@
   }
   const ServiceShares shares =
       ComputeShares(wanted, service, CountTargets(fleet, service));
-  all->shares.push_back(SharesToJson(shares));
+  all->shares.push_back(SharesToJson(shares, delta));
   if (shares.engines == 0) {
     all->warnings.push_back("no targets of " + service.str() +
                             " are in view now");
     return;
   }
   for (const ShareLine& it : shares.lines) {
-    if (it.engines == 0) {
+    if (it.engines == 0 && delta.contracts.contains(it.contract)) {
       all->warnings.push_back("the share of " + it.contract.str() + " on " +
                               service.str() + " is less than one engine");
     }
@@ -120,7 +136,7 @@
                    const FleetFacts& fleet) {
   Arithmetic all;
   for (const base::ServiceName& it : ServicesTouched(delta)) {
-    AddService(wanted, it, fleet, &all);
+    AddService(wanted, delta, it, fleet, &all);
   }
   return all;
 }
