--- a/src/process/role_planner.cc
+++ b/src/process/role_planner.cc
@@ -54,6 +54,13 @@
   return counts;
 }
 
+bool CanSpare(const std::vector<PlannedEngine>& fleet, EngineRole role) {
+  return std::ranges::any_of(fleet, [&](const PlannedEngine& engine) {
+    return engine.movable && engine.role == role &&
+           engine.state == TargetState::kServing;
+  });
+}
+
 // The engine whose change disturbs least: one that checks fences, in the zone
 // with the most engines of the role, with the least under way.
 base::TargetId PickEngine(const std::vector<PlannedEngine>& fleet,
@@ -66,8 +73,8 @@
     by_zone[engine.zone] += in_role(engine) ? 1 : 0;
   });
   const auto rank = [&](const PlannedEngine& engine) {
-    return std::tuple(!in_role(engine), !engine.fenced, -by_zone[engine.zone],
-                      engine.running, engine.id);
+    return std::tuple(!in_role(engine) || !engine.movable, !engine.fenced,
+                      -by_zone[engine.zone], engine.running, engine.id);
   };
   return std::ranges::min_element(fleet, {}, rank)->id;
 }
@@ -233,7 +240,7 @@
 
   std::optional<Valuation> best;
   for (const EngineRole from : kRoles) {
-    if (counts.Of(from) <= options_.least_per_role) {
+    if (counts.Of(from) <= options_.least_per_role || !CanSpare(fleet, from)) {
       continue;
     }
     for (const EngineRole to : kRoles) {
@@ -299,6 +306,11 @@
   return value;
 }
 
+void RolePlanner::ForgetWishes() noexcept {
+  wishes_.clear();
+  pending_.reset();
+}
+
 std::optional<RoleReason> RolePlanner::Hold(
     const std::vector<PlannedEngine>& fleet) {
   std::erase_if(wishes_, [&](const auto& wish) {
--- a/src/process/role_planner.h
+++ b/src/process/role_planner.h
@@ -87,6 +87,8 @@
   bool fenced = true;
   // Requests under way at it, as last known.
   int running = 0;
+  // Whether this planner may change it; others count, but are left alone.
+  bool movable = true;
 };
 
 struct RoleMove {
@@ -140,6 +142,10 @@
   RoleDecision Decide(const EngineRates& rates,
                       const std::vector<PlannedEngine>& fleet);
 
+  // Drops all wishes, as when others have come to decide; what was learnt of
+  // demand stays.
+  void ForgetWishes() noexcept;
+
   // The roles wished for; engines not named keep theirs.
   const std::map<base::TargetId, request::EngineRole>& wishes() const noexcept {
     return wishes_;
--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -280,6 +280,7 @@
   ++demand.requests;
   demand.prefill += cost.prefill;
   demand.decode += cost.decode;
+  demand.worth += request.worth;
 }
 
 std::optional<Refusal> ServingPlane::CheckQuarantine(const Request& request) {
--- a/src/process/serving_plane.h
+++ b/src/process/serving_plane.h
@@ -62,6 +62,7 @@
   std::uint64_t requests = 0;
   base::Tokens prefill{0};
   base::Tokens decode{0};
+  base::Worth worth{0};
 };
 
 // Thread-safe. `registry` and `metrics` must outlive it.
