Settings: the routing policies that the flag names are taken

The code's names have underscores, the flag's text and help hyphens; nothing tested the names. Scripts no longer look for a stand-in's output before it is there.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -74,7 +74,8 @@
 start_stand_in() { # log command...
   local log=$1
   shift
-  "$@" >"$OUT/$log.out" 2>"$OUT/$log.log" &
+  : >"$OUT/$log.out"
+  "$@" >>"$OUT/$log.out" 2>"$OUT/$log.log" &
   local pid=$!
   STAND_IN_PIDS+=("$pid")
   until grep -q '^ready' "$OUT/$log.out"; do
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -128,7 +128,10 @@
 
 std::optional<std::string> ReadRoutingPolicy(Settings& settings,
                                              const std::string& text) {
-  if (!request::ParseRoutePolicy(text, &settings.routing_policy)) {
+  // Names in the code have underscores, flags have hyphens.
+  std::string name = text;
+  std::ranges::replace(name, '-', '_');
+  if (!request::ParseRoutePolicy(name, &settings.routing_policy)) {
     return "default, random, round-robin, least-reported or no-affinity";
   }
   return std::nullopt;
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -75,6 +75,16 @@
   }
 }
 
+TEST(SettingsTest, EveryRoutingPolicyThatIsNamedIsTaken) {
+  for (const char* policy :
+       {"default", "random", "round-robin", "least-reported", "no-affinity"}) {
+    auto args = GoodArguments();
+    args.insert(args.end(), {"--routing-policy", policy});
+    SettingsFault fault;
+    EXPECT_TRUE(Parse(args, &fault)) << policy;
+  }
+}
+
 TEST(SettingsTest, MissingSettingsAreAllNamed) {
   SettingsFault fault;
   EXPECT_FALSE(Parse({"lynxgladed", "--zone", "z1"}, &fault));
