Quarantine: a late load report no longer takes a crash back

Cause: the serving plane reports a target alive at each load report, but those lag: one made before a crash refuted the loss, and a poison was forgotten. Also nobody renewed the claim on a suspect's re-run. Change: OnTargetAlive takes the time at which the target said so and refutes only losses at least kSameCrash older; the serving plane passes the report's own time, and calls Tick at each refresh. Conclusion: only news from after a loss counts against it.

--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -443,6 +443,7 @@
   registry_.Publish();
   const auto index = registry_.Index();
   ejector_.Reconcile(index->table(), clock_());
+  quarantine_.Tick(clock_());
   const std::size_t instances = std::max<std::size_t>(entry_instances_(), 1);
   const base::ServiceName* last = nullptr;
   for (const Target& target : index->table().targets) {
@@ -462,7 +463,7 @@
   if (restarted) {
     quarantine_.OnTargetCrashed(report.target, clock_());
   } else {
-    quarantine_.OnTargetAlive(report.target, clock_());
+    quarantine_.OnTargetAlive(report.target, report.load.as_of);
   }
 }
 
--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -144,14 +144,18 @@
   Send(outbox);
 }
 
-void Quarantine::OnTargetAlive(const base::TargetId& target, base::Time now) {
+void Quarantine::OnTargetAlive(const base::TargetId& target,
+                               base::Time seen_at) {
   const std::scoped_lock lock(mutex_);
   const auto crashes = crashes_.find(target);
   if (crashes == crashes_.end()) {
     return;
   }
+  const auto is_refuted = [seen_at](const Crash& crash) {
+    return !crash.confirmed && seen_at - crash.at >= kSameCrash;
+  };
   for (const Crash& crash : crashes->second) {
-    if (crash.confirmed) {
+    if (!is_refuted(crash)) {
       continue;
     }
     for (const ContentHash it : crash.contents) {
@@ -160,7 +164,7 @@
       });
     }
   }
-  std::erase_if(crashes->second, [](const Crash& it) { return !it.confirmed; });
+  std::erase_if(crashes->second, is_refuted);
 }
 
 void Quarantine::Tick(base::Time now) {
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -104,8 +104,10 @@
   // The target was seen to have crashed (connection refused after a loss, a
   // new incarnation): confirms the losses there.
   void OnTargetCrashed(const base::TargetId& target, base::Time now);
-  // The target was seen running on as before: takes the losses there back.
-  void OnTargetAlive(const base::TargetId& target, base::Time now);
+  // The target was seen running on as before, by something it said at
+  // `seen_at`: takes back the losses there that are older than that by
+  // kSameCrash. Reports lag, and those made before a crash prove nothing.
+  void OnTargetAlive(const base::TargetId& target, base::Time seen_at);
 
   // Call about once a second: keeps this instance's claim on the suspects that
   // it runs, and drops what expired.
--- a/tests/request/quarantine_test.cc
+++ b/tests/request/quarantine_test.cc
@@ -295,7 +295,11 @@
   f.quarantine.OnLost(base::AttemptId("b"), kNow);
   EXPECT_FALSE(f.Start(1, "t3", "c", kNow));
   EXPECT_EQ(f.denial, QuarantineDenial::kEvidencePending);
-  f.quarantine.OnTargetAlive(base::TargetId("t1"), kNow);
+  // A report that was made before the loss came late: it proves nothing.
+  const base::TargetId t1("t1");
+  f.quarantine.OnTargetAlive(t1, kNow - std::chrono::seconds(1));
+  EXPECT_FALSE(f.Start(1, "t3", "c", kNow));
+  f.quarantine.OnTargetAlive(t1, kNow + kSameCrash);
   EXPECT_TRUE(f.Start(1, "t3", "c", kNow)) << "one suspicion is left";
   f.quarantine.OnEnded(base::AttemptId("c"), kNow);
   // The other was never confirmed.
