--- a/src/process/gossip.cc
+++ b/src/process/gossip.cc
@@ -15,13 +15,23 @@
 constexpr std::size_t kSummaryEntriesPerMessage = 2000;
 // Encoded size of a fact beyond its key and body, at most.
 constexpr std::size_t kItemOverheadBytes = kMaxPeerIdBytes + 48;
+// Load reports go out together, because a message has a price of its own.
+constexpr base::Duration kLoadFlushInterval = std::chrono::milliseconds(900);
 // The budget for load reports saves up at most this much time.
 constexpr double kLoadBurstSeconds = 2.0;
 
+// Upper bound, for the size of batches.
 std::size_t SizeOf(const ViewItem& item) {
   return item.key.size() + item.body.size() + kItemOverheadBytes;
 }
 
+// About what a load report takes in a message.
+std::size_t EncodedSize(const ViewItem& item) {
+  constexpr std::size_t kNumbers = 20;
+  return item.key.size() + item.body.size() + item.source.str().size() +
+         kNumbers;
+}
+
 // Facts that are worth a message of their own.
 bool IsUrgent(const ViewItem& item) {
   switch (item.kind) {
@@ -267,6 +277,9 @@
 // Spends each link's part of the budget on the reports that have waited
 // longest; one that was replaced while it waited goes out in its newest form.
 void Gossip::FlushLoads(base::Time now) {
+  if (now - last_load_flush_ < kLoadFlushInterval) {
+    return;
+  }
   const double elapsed = Seconds(now - std::exchange(last_load_flush_, now));
   const double rate =
       options_.load_bytes_per_second /
@@ -278,8 +291,7 @@
     auto it = outbox.loads.begin();
     for (; it != outbox.loads.end() && outbox.load_budget > 0; ++it) {
       if (const ViewItem* item = store_.Find(*it)) {
-        outbox.load_budget -=
-            static_cast<double>(item->key.size() + item->body.size());
+        outbox.load_budget -= static_cast<double>(EncodedSize(*item));
         batch.push_back(*item);
       }
     }
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -41,7 +41,7 @@
   base::Duration batch_interval = std::chrono::milliseconds(200);
   // Mean time between two comparisons with a random link.
   base::Duration digest_interval = std::chrono::seconds(30);
-  // Body bytes a second of load reports over all links together.
+  // Bytes a second of load reports over all links together.
   double load_bytes_per_second = 1000;
   std::size_t max_batch_bytes = 48u << 10;
 };
--- a/src/process/link_choice.h
+++ b/src/process/link_choice.h
@@ -21,7 +21,7 @@
 
 struct LinkChoiceOptions {
   // Links that each member starts within its zone.
-  std::size_t zone_links = 3;
+  std::size_t zone_links = 2;
   // Relays between each pair of zones.
   std::size_t zone_relays = 2;
 };
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -11,6 +11,8 @@
 
 // A gap between two ticks that only a pause of this process explains.
 constexpr base::Duration kPauseGap = std::chrono::seconds(1);
+// How often the choice of links is worked out again from the members.
+constexpr base::Duration kChoiceInterval = std::chrono::milliseconds(500);
 // How often links are compared with the choice of both ends.
 constexpr base::Duration kWantedCheckInterval = std::chrono::seconds(10);
 // Head start of the zone that sorts first in linking to another, so that the
@@ -463,8 +465,15 @@
   if (leaving_) {
     return;
   }
-  for (const auto& id : ChooseLinks(self_, Candidates(), options_.links)) {
-    TryDial(now, id, &peers_[id], actions);
+  if (now >= next_choice_) {
+    next_choice_ = now + kChoiceInterval;
+    chosen_ = ChooseLinks(self_, Candidates(), options_.links);
+  }
+  for (const auto& id : chosen_) {
+    const auto it = peers_.find(id);
+    if (it != peers_.end()) {
+      TryDial(now, id, &it->second, actions);
+    }
   }
   // Whoever was lost is tried once, chosen or not: the answer decides whether
   // it is suspected.
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -216,6 +216,8 @@
   base::Time next_probe_{};
   base::Time next_refresh_{};
   base::Time next_wanted_check_{};
+  base::Time next_choice_{};
+  std::vector<base::InstanceId> chosen_;
 };
 
 }  // namespace lynxglade::process
--- a/tests/process/fake_network.h
+++ b/tests/process/fake_network.h
@@ -59,6 +59,7 @@
   const std::vector<base::Time>& dials() const { return dials_; }
   // Bytes that a node has sent.
   std::uint64_t BytesSent(std::size_t node) const;
+  std::uint64_t MessagesSent(std::size_t node) const;
 
  private:
   struct Node {
@@ -68,6 +69,7 @@
     bool alive = true;
     bool paused = false;
     std::uint64_t bytes_sent = 0;
+    std::uint64_t messages_sent = 0;
     base::Metrics metrics;
     std::unique_ptr<process::Gossip> gossip;
     std::map<process::ViewName, process::ViewVersion> newest;
@@ -109,6 +111,7 @@
   std::map<process::LinkId, End> ends_;
   std::multimap<base::Time, Event> events_;
   std::vector<base::Time> dials_;
+  base::Time next_rows_{};
   process::LinkId next_link_ = 1;
   int next_port_ = 1000;
   int steps_back_ = 0;
