View service test waits for what it compares

LeavingNoticeReachesThePeers counted instance facts at one instance after waiting only for one of the three to be known, and failed once in a loaded run (2 in place of 3). It now waits until every instance knows all three before the stop; what it demands after that is unchanged.

--- a/tests/process/view_service_test.cc
+++ b/tests/process/view_service_test.cc
@@ -138,6 +138,8 @@
   Add("c", "scl-b");
   for (const auto& node : nodes_) {
     ASSERT_TRUE(node->WaitForState("a", MemberState::kLive));
+    ASSERT_TRUE(node->WaitForState("b", MemberState::kLive));
+    ASSERT_TRUE(node->WaitForState("c", MemberState::kLive));
   }
   nodes_[0]->service().Leave();
   EXPECT_TRUE(nodes_[1]->WaitForState("a", MemberState::kLeaving));
