View actor spawned with an argument; message test knows the seventh kind

The message test used 7 as a kind that does not exist, which has since defined; it now uses the number after the last kind, and the round trip covers the seventh.

--- a/src/process/view_service.cc
+++ b/src/process/view_service.cc
@@ -369,8 +369,12 @@
   // The actor comes first, because link events are sent to it. It reacts to
   // none before the gossip is there: both are made under the lock.
   const std::lock_guard lock(d->mutex);
-  d->actor = d->system.spawn(
-      [d](caf::event_based_actor* self) { return d->Behavior(self); });
+  // The pointer is an argument in place of a capture: for a function without
+  // arguments the library binds a reference to a null pointer.
+  d->actor =
+      d->system.spawn([](caf::event_based_actor* self,
+                         Details* details) { return details->Behavior(self); },
+                      d);
   connection::PeerLinkError error = connection::PeerLinkError::kNone;
   const bool started = d->links.Start(&error);
   GossipOptions options;
--- a/tests/process/peer_messages_test.cc
+++ b/tests/process/peer_messages_test.cc
@@ -70,7 +70,7 @@
   EXPECT_EQ(ErrorOf({3, item, item}), PeerMessageError::kNone);
   EXPECT_EQ(ErrorOf({3, item, 5}), PeerMessageError::kBadField);
   json bad_kind = item;
-  bad_kind[0] = 7;
+  bad_kind[0] = static_cast<int>(ViewKind::kConfigInForce) + 1;
   EXPECT_EQ(ErrorOf({3, bad_kind}), PeerMessageError::kBadField);
   json long_key = item;
   long_key[1] = std::string(kMaxViewKeyBytes + 1, 'k');
@@ -84,7 +84,7 @@
 RC_GTEST_PROP(PeerMessagesProperty, FactsKeepTheirAgeAndContent, ()) {
   const auto age = milliseconds(*rc::gen::inRange(0, 1'000'000'000));
   const ViewItem item{
-      static_cast<ViewKind>(*rc::gen::inRange(1, 7)),
+      static_cast<ViewKind>(*rc::gen::inRange(1, 8)),
       *rc::gen::container<std::string>(rc::gen::inRange('a', 'z')),
       {*rc::gen::arbitrary<std::uint64_t>(),
        *rc::gen::arbitrary<std::uint64_t>()},
