--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -208,7 +208,13 @@
   const Request& request = *query.request;
   const auto index = registry_.Index();
   request::RouteError error{};
-  const auto choice = Route(*index, query, RoleOf(query.kind), &error);
+  auto choice = Route(*index, query, RoleOf(query.kind), &error);
+  if (!choice && error == request::RouteError::kAllExcluded) {
+    // Better one that failed before than none.
+    request::PickQuery any = query;
+    any.avoid.clear();
+    choice = Route(*index, any, RoleOf(query.kind), &error);
+  }
   request::PickResult result;
   if (!choice) {
     result.reason = request::ToRefusalReason(error);
