--- a/tests/process/order_interleaving_test.cc
+++ b/tests/process/order_interleaving_test.cc
@@ -20,6 +20,7 @@
   kRunAll,
   kShortTime,
   kLongTime,
+  kNearLapse,
   kReplace,
   kWriteFate,
   kOrderFate,
@@ -30,7 +31,6 @@
   kCrash,
   kOutage,
   kNewModel,
-  kCount,
 };
 
 struct Action {
@@ -50,6 +50,7 @@
                                                     {12, Move::kRunAll},
                                                     {14, Move::kShortTime},
                                                     {2, Move::kLongTime},
+                                                    {3, Move::kNearLapse},
                                                     {1, Move::kReplace},
                                                     {3, Move::kWriteFate},
                                                     {4, Move::kOrderFate},
@@ -58,8 +59,8 @@
                                                     {4, Move::kStartRequest},
                                                     {6, Move::kEndRequest},
                                                     {1, Move::kCrash},
-                                                    {1, Move::kOutage},
-                                                    {2, Move::kNewModel}}),
+                                                    {6, Move::kOutage},
+                                                    {4, Move::kNewModel}}),
                     rc::gen::inRange(0u, 1000u)),
       [](const std::pair<Move, unsigned>& it) {
         return Action{it.first, it.second};
@@ -76,15 +77,17 @@
     case Move::kTick:
       return world->TickHolder(holder);
     case Move::kCall:
-      return world->RunCall(holder);
+      return world->RunCall(holder, arg / holders);
     case Move::kComplete:
-      return world->Complete(holder);
+      return world->Complete(holder, arg / holders);
     case Move::kRunAll:
       return world->RunAll();
     case Move::kShortTime:
       return world->Advance(milliseconds(arg));
     case Move::kLongTime:
       return world->Advance(seconds(arg % 60));
+    case Move::kNearLapse:
+      return world->ApproachLapse(milliseconds(arg * 8) - seconds(2));
     case Move::kReplace:
       return world->Replace(holder);
     case Move::kWriteFate:
@@ -104,12 +107,10 @@
     case Move::kCrash:
       return world->Crash(engine, arg % 2 == 0);
     case Move::kOutage:
-      world->store().down = !world->store().down;
+      world->store().down = arg % 4 == 0;
       return;
     case Move::kNewModel:
       return world->SetModel(std::to_string(1 + arg % 3));
-    case Move::kCount:
-      return;
   }
 }
 
--- a/tests/process/order_world.cc
+++ b/tests/process/order_world.cc
@@ -25,6 +25,15 @@
   return connection::EnginePhase::kHalfChanged;
 }
 
+template <typename T>
+T TakeOne(std::size_t pick, std::deque<T>* queue) {
+  const auto it =
+      queue->begin() + static_cast<std::ptrdiff_t>(pick % queue->size());
+  T taken = std::move(*it);
+  queue->erase(it);
+  return taken;
+}
+
 fakes::EngineSetup Setup(const std::string& version) {
   return {request::EngineRole::kMixed, "m", version, {}};
 }
@@ -160,6 +169,11 @@
     entry.mod_revision = revision;
     entry.lease = w.lease;
   }
+  for (const auto& w : write.writes) {
+    if (w.value && on_put) {
+      on_put(w.key, *w.value);
+    }
+  }
   result.committed = true;
   result.revision = revision;
   return result;
@@ -184,6 +198,12 @@
   Apply({{}, {{key, value, connection::KvLeaseId(0)}}});
 }
 
+std::optional<base::Time> SimStore::ExpiryOf(const std::string& key) {
+  const auto entry = Find(key);
+  return entry ? std::optional(leases_[entry->lease.value()].expiry)
+               : std::nullopt;
+}
+
 std::vector<connection::KvEntry> SimStore::All(const std::string& prefix) {
   Expire();
   std::vector<connection::KvEntry> out;
@@ -200,6 +220,9 @@
 OrderWorld::OrderWorld(Options options)
     : options_(options), store_([this] { return now_; }) {
   SetModel("1");
+  store_.on_put = [this](const std::string& key, const std::string& value) {
+    JudgeRecord(key, value);
+  };
   for (int i = 0; i < options_.fenced + options_.unfenced; ++i) {
     const bool fenced = i < options_.fenced;
     fakes::EngineOrders::Settings settings;
@@ -263,25 +286,31 @@
   holders_[holder]->coordinator->Tick();
 }
 
-void OrderWorld::RunCall(std::size_t holder) {
+void OrderWorld::RunCall(std::size_t holder, std::size_t pick) {
   Holder& it = *holders_[holder];
   if (!it.calls.empty()) {
-    const BlockingCall call = std::move(it.calls.front());
-    it.calls.pop_front();
+    const BlockingCall call = TakeOne(pick, &it.calls);
     it.completions.push_back(call());
     JudgeOutages();
   }
 }
 
-void OrderWorld::Complete(std::size_t holder) {
+void OrderWorld::Complete(std::size_t holder, std::size_t pick) {
   Holder& it = *holders_[holder];
   if (!it.completions.empty()) {
-    const Completion done = std::move(it.completions.front());
-    it.completions.pop_front();
+    const Completion done = TakeOne(pick, &it.completions);
     done();
   }
 }
 
+void OrderWorld::ApproachLapse(base::Duration before) {
+  const auto expiry = store_.ExpiryOf(LeaseKey(base::ZoneId("zone-a"), 0));
+  store_.down = true;
+  if (expiry && *expiry - before > now_) {
+    Advance(*expiry - before - now_);
+  }
+}
+
 void OrderWorld::Run(std::size_t holder) {
   constexpr int kRounds = 30;
   TickHolder(holder);
@@ -437,7 +466,10 @@
 void OrderWorld::Judge(const SimEngine& engine,
                        const connection::EngineOrder& order) {
   const auto lease = store_.Find(LeaseKey(base::ZoneId("zone-a"), 0));
-  if (!lease || lease->create_revision.value() != order.fence.value()) {
+  const bool held =
+      lease && lease->create_revision.value() == order.fence.value() &&
+      lease->value.find('"' + order.holder.str() + '"') != std::string::npos;
+  if (!held) {
     Fail("order of a lost authority took effect on " + engine.id.str());
   }
   auto& last = last_[engine.id.str()];
@@ -449,6 +481,18 @@
   last = order;
 }
 
+void OrderWorld::JudgeRecord(const std::string& key, const std::string& value) {
+  const auto record = DecodeRecord(value);
+  if (!key.starts_with("/lynxglade/journal/")) {
+    return;
+  }
+  const auto lease = store_.Find(LeaseKey(base::ZoneId("zone-a"), 0));
+  if (!record || !lease ||
+      lease->create_revision.value() != record->fence.value()) {
+    Fail("record written without authority: " + key);
+  }
+}
+
 void OrderWorld::JudgeOutages() {
   const auto out = std::ranges::count_if(engines_, [](const auto& engine) {
     return engine->orders.draining() ||
--- a/tests/process/order_world.h
+++ b/tests/process/order_world.h
@@ -34,10 +34,14 @@
   std::optional<connection::KvEntry> Find(const std::string& key);
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key) { entries_.erase(key); }
+  // When the key vanishes if its lease is not renewed.
+  std::optional<base::Time> ExpiryOf(const std::string& key);
   std::vector<connection::KvEntry> All(const std::string& prefix);
 
   std::deque<WriteFate> fates;
   bool down = false;
+  // Sees every value that is stored.
+  std::function<void(const std::string& key, const std::string& value)> on_put;
 
  private:
   struct Write {
@@ -108,12 +112,15 @@
   // --- What a schedule does
   void Advance(base::Duration d);
   void TickHolder(std::size_t holder);
-  void RunCall(std::size_t holder);
-  void Complete(std::size_t holder);
+  // Calls run and come back in any order; `pick` names one.
+  void RunCall(std::size_t holder, std::size_t pick = 0);
+  void Complete(std::size_t holder, std::size_t pick = 0);
   // Ticks, calls and completions of one holder, several times.
   void Run(std::size_t holder);
   // The same of all holders.
   void RunAll();
+  // Cuts the service off and lets time pass until the lease is about to lapse.
+  void ApproachLapse(base::Duration before);
   // The process goes away; a new instance takes its place.
   void Replace(std::size_t holder);
   void DeliverHeld();
@@ -152,6 +159,7 @@
                                   const connection::EngineOrder& order);
   void Judge(const SimEngine& engine, const connection::EngineOrder& order);
   void JudgeOutages();
+  void JudgeRecord(const std::string& key, const std::string& value);
   void Fail(const std::string& text);
 
   const Options options_;
