Orders and the role planner wired into the daemon

Cause: order service and role planning stood beside the daemon. Change: OrdersPart owns both, the weight store's limit and the hooks between them; routes for fleet, drains and planner; a planned stop gives leases back first. Conclusion: every plane runs in the daemon.

--- a/src/main/daemon.cc
+++ b/src/main/daemon.cc
@@ -24,6 +24,7 @@
 #include "connection/target_client.h"
 #include "connection/tls_material.h"
 #include "main/daemon_options.h"
+#include "main/orders_part.h"
 #include "process/admin_front.h"
 #include "process/certificate_reload.h"
 #include "process/control_system.h"
@@ -70,6 +71,7 @@
   process::AdminFrontHooks MakeAdminHooks();
   std::vector<process::AdminRoute> MakeAdminRoutes();
   process::FleetWatchHooks MakeFleetHooks();
+  OrdersHooks MakeOrdersHooks();
   process::ViewServiceHooks MakeViewHooks();
   void SubscribeToViews();
   void MakeServers();
@@ -104,6 +106,8 @@
   base::Snapshot<version::ServingConfiguration> serving_configuration;
   version::ConfigurationPlane configuration;
   process::FleetWatch fleet;
+  // From Start() to Stop().
+  std::unique_ptr<OrdersPart> orders;
   connection::CallerFront caller_front;
   process::AdminFront admin_front;
   // Null without TLS.
@@ -308,11 +312,39 @@
                     OperatorRole::kFleet, [this](const connection::ApiCall&) {
                       return connection::ApiAnswer{200, views.InstancesJson()};
                     }});
+  for (const char* path : {"/v1/admin/fleet", "/v1/admin/targets"}) {
+    routes.push_back({path, OperatorRole::kReadOnly, OperatorRole::kFleet,
+                      [this](const connection::ApiCall& call) {
+                        return orders->HandleFleet(call);
+                      }});
+  }
+  routes.push_back({"/v1/admin/planner", OperatorRole::kReadOnly,
+                    OperatorRole::kFleet,
+                    [this](const connection::ApiCall& call) {
+                      return orders->HandlePlanner(call);
+                    }});
   routes.push_back({"/v1/admin/quarantine", OperatorRole::kReadOnly,
                     OperatorRole::kFleet, quarantine});
   return routes;
 }
 
+OrdersHooks Daemon::Details::MakeOrdersHooks() {
+  OrdersHooks hooks;
+  hooks.configuration = [this] { return configuration.Current(); };
+  hooks.offered = [this] {
+    std::map<base::ServiceName, process::OfferedTotals> out;
+    for (const auto& [service, demand] : serving.DemandByService()) {
+      out[service] = {demand.prefill, demand.decode, demand.worth};
+    }
+    return out;
+  };
+  hooks.entry_instances = [this] { return LiveInstances(); };
+  hooks.publish = [this](process::ViewItem item) {
+    views.Publish(std::move(item));
+  };
+  return hooks;
+}
+
 process::FleetWatchHooks Daemon::Details::MakeFleetHooks() {
   process::FleetWatchHooks hooks;
   hooks.fetch = [](const process::ListedTarget& target) {
@@ -355,7 +387,11 @@
   const auto to_configuration = [this](const process::ViewItem& item) {
     configuration.Hear(item);
   };
-  views.Subscribe(process::ViewKind::kTarget, to_fleet);
+  views.Subscribe(process::ViewKind::kTarget,
+                  [this](const process::ViewItem& item) {
+                    fleet.Hear(item);
+                    orders->Hear(item);
+                  });
   views.Subscribe(process::ViewKind::kLoad, to_fleet);
   views.Subscribe(process::ViewKind::kConfigHead, to_configuration);
   views.Subscribe(process::ViewKind::kConfigDelta, to_configuration);
@@ -495,6 +531,9 @@
     d.last_reason += process::ToString(error);
     return false;
   }
+  d.orders = std::make_unique<OrdersPart>(d.settings, d.control, d.key_value,
+                                          d.registry, d.MakeOrdersHooks(),
+                                          d.random, d.metrics);
   d.SubscribeToViews();
   d.configuration.Start();
   d.fleet.Start();
@@ -515,6 +554,7 @@
   Details& d = *details_;
   d.leaving = true;
   d.views.Leave();
+  d.orders->Stop();
   std::this_thread::sleep_for(kLeaveNotice);
   d.serving.Stop();
   d.caller_server->Stop();
--- /dev/null
+++ b/src/main/orders_part.h
@@ -0,0 +1,84 @@
+// The daemon's orders part: authority over the zone's engines, the role
+// planner, and what both need to know.
+#ifndef LYNXGLADE_MAIN_ORDERS_PART_H_
+#define LYNXGLADE_MAIN_ORDERS_PART_H_
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "connection/api_call.h"
+#include "connection/key_value.h"
+#include "connection/weight_store.h"
+#include "process/control_system.h"
+#include "process/order_service.h"
+#include "process/periodic_task.h"
+#include "process/role_planning.h"
+#include "process/settings.h"
+#include "process/target_registry.h"
+#include "process/view_item.h"
+#include "version/configuration.h"
+
+namespace lynxglade {
+
+// All must be thread-safe and must not block.
+struct OrdersHooks {
+  std::function<std::shared_ptr<const version::Configuration>()> configuration;
+  // What this instance's callers asked of each service since its start.
+  std::function<std::map<base::ServiceName, process::OfferedTotals>()> offered;
+  std::function<std::size_t()> entry_instances;
+  std::function<void(process::ViewItem)> publish;
+};
+
+// Lives as long as the daemon. Thread-safe.
+class OrdersPart {
+ public:
+  // All references must outlive it. Starts the work.
+  OrdersPart(const process::Settings& settings,
+             process::ControlSystem& control,
+             const connection::KeyValue& key_value,
+             const process::TargetRegistry& registry,
+             OrdersHooks hooks,
+             base::RandomSource random,
+             base::Metrics& metrics);
+  OrdersPart(const OrdersPart&) = delete;
+  OrdersPart& operator=(const OrdersPart&) = delete;
+
+  // Gives the leases back. Blocks for a few calls' time-outs at most.
+  void Stop();
+
+  // A fact of the kind kTarget from a peer.
+  void Hear(const process::ViewItem& item);
+
+  // GET /v1/admin/fleet, POST /v1/admin/targets/<id>/drain|undrain.
+  connection::ApiAnswer HandleFleet(const connection::ApiCall& call);
+  // GET /v1/admin/planner.
+  connection::ApiAnswer HandlePlanner(const connection::ApiCall& call) const;
+
+ private:
+  process::RolePlanningHooks MakePlanningHooks();
+  process::OrderHooks MakeOrderHooks();
+  std::vector<process::EngineRow> EngineRows() const;
+  void ReadWeightLimits();
+
+  const OrdersHooks hooks_;
+  const process::TargetRegistry& registry_;
+  base::Metrics& metrics_;
+  connection::WeightStore weight_store_;
+  std::atomic<int> loads_per_minute_{0};
+  process::RolePlanning planning_;
+  process::OrderService orders_;
+  process::PeriodicTask planning_task_;
+  process::PeriodicTask weight_task_;
+};
+
+}  // namespace lynxglade
+
+#endif  // LYNXGLADE_MAIN_ORDERS_PART_H_
