--- a/bench/views_cost.cc
+++ b/bench/views_cost.cc
@@ -34,9 +34,10 @@
 constexpr int kSecondsPerDelta = 11;
 constexpr std::size_t kDeltaBytes = 1000;
 constexpr std::size_t kTargetBytes = 150;
-// Each home reports this many targets' loads every second.
+// Each home reports this many targets' loads every second, each of the size of
+// an engine's encoded report.
 constexpr int kTargetsPerHome = 35;
-constexpr std::size_t kLoadBytes = 60;
+constexpr std::size_t kLoadBytes = 290;
 
 struct Totals {
   std::vector<std::uint64_t> bytes;
--- a/src/process/view_service.cc
+++ b/src/process/view_service.cc
@@ -111,6 +111,8 @@
   void Change(F&& change);
   void TellSubscribers();
   void UpdateGauges();
+  // Count and ages of one kind's facts.
+  nlohmann::json ViewJson(ViewKind kind) const;
   void RegisterGauges();
 
   // Read by gauges, which may outlive this object.
@@ -315,16 +317,26 @@
   gauges->links = static_cast<double>(gossip->membership().Links().size());
   for (const ViewKind kind : kAllKinds) {
     const auto index = static_cast<std::size_t>(kind);
-    const auto items = gossip->store().Snapshot(kind);
-    gauges->items[index] = static_cast<double>(items.size());
-    const auto newest = std::ranges::max_element(items, {}, &ViewItem::as_of);
+    const auto ages = gossip->store().Ages(kind);
+    gauges->items[index] = static_cast<double>(gossip->store().count(kind));
     gauges->newest_age_seconds[index] =
-        newest == items.end()
-            ? 0.0
-            : std::chrono::duration<double>(now - newest->as_of).count();
+        ages ? std::chrono::duration<double>(now - ages->newest).count() : 0.0;
   }
 }
 
+nlohmann::json ViewService::Details::ViewJson(ViewKind kind) const {
+  const std::lock_guard lock(mutex);
+  const base::Time now = hooks.clock();
+  nlohmann::json view{{"count", gossip->store().count(kind)},
+                      {"newest_age_ms", nullptr},
+                      {"oldest_age_ms", nullptr}};
+  if (const auto ages = gossip->store().Ages(kind)) {
+    view["newest_age_ms"] = base::ToMillis(now - ages->newest);
+    view["oldest_age_ms"] = base::ToMillis(now - ages->oldest);
+  }
+  return view;
+}
+
 void ViewService::Details::RegisterGauges() {
   metrics.AddGauge("lynxglade_peer_links", {},
                    [g = gauges] { return g->links.load(); });
@@ -433,19 +445,8 @@
                          {"linked", member.linked}});
   }
   Json views = Json::object();
-  const base::Time now = details_->hooks.clock();
   for (const ViewKind kind : kAllKinds) {
-    const auto items = Snapshot(kind);
-    Json view{{"count", items.size()},
-              {"newest_age_ms", nullptr},
-              {"oldest_age_ms", nullptr}};
-    if (!items.empty()) {
-      const auto [oldest, newest] =
-          std::ranges::minmax_element(items, {}, &ViewItem::as_of);
-      view["newest_age_ms"] = base::ToMillis(now - newest->as_of);
-      view["oldest_age_ms"] = base::ToMillis(now - oldest->as_of);
-    }
-    views[std::string(ToString(kind))] = std::move(view);
+    views[std::string(ToString(kind))] = details_->ViewJson(kind);
   }
   const connection::PeerLinkCounters counters = details_->links.counters();
   const Json out{{"instance", details_->options.instance.str()},
--- a/src/process/view_store.cc
+++ b/src/process/view_store.cc
@@ -154,6 +154,16 @@
   return entries_[IndexOf(kind)].size();
 }
 
+std::optional<ViewAges> ViewStore::Ages(ViewKind kind) const {
+  const Entries& entries = entries_[IndexOf(kind)];
+  if (entries.empty()) {
+    return std::nullopt;
+  }
+  const auto [oldest, newest] = std::ranges::minmax_element(
+      entries, {}, [](const auto& entry) { return entry.second.item.as_of; });
+  return ViewAges{newest->second.item.as_of, oldest->second.item.as_of};
+}
+
 DigestMessage ViewStore::Digest() const {
   return {{bucket_hashes_.begin(), bucket_hashes_.end()}};
 }
--- a/src/process/view_store.h
+++ b/src/process/view_store.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,6 +63,12 @@
   auto operator<=>(const ViewName&) const = default;
 };
 
+// When the facts of a kind were made.
+struct ViewAges {
+  base::Time newest{};
+  base::Time oldest{};
+};
+
 // Not thread-safe.
 class ViewStore {
  public:
@@ -80,6 +87,8 @@
   // In the order of keys.
   std::vector<ViewItem> Snapshot(ViewKind kind) const;
   std::size_t count(ViewKind kind) const noexcept;
+  // Nothing when no fact of the kind is held.
+  std::optional<ViewAges> Ages(ViewKind kind) const;
 
   DigestMessage Digest() const;
   // Buckets in which `other` differs from this store, in full.
