--- a/tests/connection/scripted_server.cc
+++ b/tests/connection/scripted_server.cc
@@ -128,8 +128,9 @@
     // Dissolving the association sends a reset; the descriptor stays ours.
     sockaddr none{};
     none.sa_family = AF_UNSPEC;
-    ::connect(fd, &none, sizeof(none));
-    return;
+    if (::connect(fd, &none, sizeof(none)) == 0) {
+      return;
+    }
   }
   ::shutdown(fd, SHUT_RDWR);
 }
--- a/tests/request/claims_test.cc
+++ b/tests/request/claims_test.cc
@@ -132,11 +132,11 @@
     instances.resize(std::max(instances.size(), i + 1));
     instances[i].reset();
     instances[i] = std::make_unique<Instance>(
-        kv, "i" + std::to_string(i) + "-" + std::to_string(++starts), runs);
+        kv, "i" + std::to_string(i) + "-" + std::to_string(++starts_), runs);
   }
 
  private:
-  int starts = 0;
+  int starts_ = 0;
 };
 
 // A caller repeats one request through any instance, while answers of the
