Fuzz targets for all that is decoded from outside, and what they found

Cause: peers, callers, operators, engines and the platform send text that is decoded in ten places, and none had met input that no honest sender writes.

Change: fuzz/ has a libFuzzer target each for caller bodies and headers, statements, configuration records, claims, engine events, engine states, load reports, the instance list and peer messages, with checks beyond crashes (what is written is read; a refusal has a reason; a keyed contract is reached by its key only; no key in a refusal; how a stream is cut does not matter). Corpora made by hand are in fuzz/corpus. scripts/fuzz builds with clang, address and undefined-behaviour sanitizers, and runs a fixed count from a fixed seed.

Found and mended, each with a case in hostile_numbers_test: - token counts of an engine's stream overflowed (undefined behaviour); - real numbers such as 1e300 in load reports, engine states and quarantine marks were cast out of range; negative counts reached routing; - in_flight came out as 0, which ends a drain; - {"accepted":1} threw out of the order client, which would end the process (found in review of the target); - an engine's incarnation of 100,000 nested arrays would have been written by recursion on a small stack; statements were parsed without a bound on depth; - the load of an engine without a model was lost between instances. base::WholeMember reads whole numbers that fit and nothing else.

A first form of the mark's reading took a wrong type for a default; quarantine_test caught it, so it is strict again.

--- a/cmake/LynxTargets.cmake
+++ b/cmake/LynxTargets.cmake
@@ -10,6 +10,11 @@
   add_compile_options(-fsanitize=thread -fno-omit-frame-pointer)
   add_link_options(-fsanitize=thread)
 endif()
+if(LYNXGLADE_FUZZ)
+  add_compile_options(-fsanitize=fuzzer-no-link,address,undefined
+                      -fno-omit-frame-pointer -fno-sanitize-recover=undefined)
+  add_link_options(-fsanitize=address,undefined)
+endif()
 
 # lynx_library(NAME SOURCES a.cc ... LINK libs ...)
 # Headers are included from the source root: "request/router.h".
--- /dev/null
+++ b/fuzz/caller_body.cc
@@ -0,0 +1,31 @@
+// Chat bodies of callers: what is taken reaches engines as sound JSON.
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "connection/chat_body.h"
+#include "fuzz/check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace lynxglade;
+  const std::string body(fuzz::TextOf(data, size));
+  std::string reason;
+  const auto call = connection::ParseChatCall(body, &reason);
+  if (!call) {
+    fuzz::Check(!reason.empty(), "a refusal has a reason");
+    return 0;
+  }
+  fuzz::Check(call->prompt_tokens.value() >= 0, "prompt is counted");
+  fuzz::Check(call->max_output_tokens.value() > 0, "output is bounded");
+  const auto sent = nlohmann::json::parse(
+      connection::WithEngineFields(call->engine_body, request::Priority(3),
+                                   call->prefix_hash),
+      nullptr, /*allow_exceptions=*/false);
+  fuzz::Check(sent.is_object(), "the engine gets an object");
+  fuzz::Check(sent.value("stream", nlohmann::json()) == true,
+              "the engine streams");
+  fuzz::Check(sent.value("model", nlohmann::json()).is_string(),
+              "the engine gets a model");
+  return 0;
+}
--- /dev/null
+++ b/fuzz/claim_record.cc
@@ -0,0 +1,20 @@
+// Claims as the key-value service returns them.
+#include "request/claim_record.h"
+#include "fuzz/check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace lynxglade;
+  const auto record = request::DecodeClaimRecord(fuzz::TextOf(data, size));
+  if (!record) {
+    return 0;
+  }
+  fuzz::Check(!record->mark.empty(), "a claim has a mark");
+  fuzz::Check(record->outcome != base::Outcome::kNotRun,
+              "no claim says not run");
+  const std::string text = request::EncodeClaimRecord(*record);
+  const auto again = request::DecodeClaimRecord(text);
+  fuzz::Check(again.has_value(), "what is written is read");
+  fuzz::Check(request::EncodeClaimRecord(*again) == text, "and means the same");
+  return 0;
+}
--- /dev/null
+++ b/fuzz/engine_events.cc
@@ -0,0 +1,57 @@
+// An engine's event stream: how the bytes are cut does not matter, and a
+// stream taken for whole has the tokens that its usage counts. The first byte
+// is the size of the pieces.
+#include <string>
+
+#include "connection/target_client_stream.h"
+#include "fuzz/check.h"
+
+namespace {
+
+using namespace lynxglade;
+using connection::EngineStream;
+
+struct Result {
+  EngineStream::State state;
+  bool whole;
+  std::int64_t tokens;
+  std::string text;
+
+  bool operator==(const Result&) const = default;
+};
+
+Result Run(std::string_view bytes, std::size_t piece) {
+  std::string text;
+  request::TokenSink sink;
+  sink.on_token = [&text](const request::TokenChunk& chunk) {
+    fuzz::Check(chunk.offset.value() >= 0 && chunk.count.value() > 0,
+                "chunks are in range");
+    text += chunk.text;
+    return true;
+  };
+  EngineStream stream(base::AttemptId("a-1"), base::Tokens(0), sink);
+  bool wanted = true;
+  while (wanted && !bytes.empty()) {
+    wanted = stream.Feed(bytes.substr(0, piece));
+    bytes.remove_prefix(std::min(piece, bytes.size()));
+  }
+  fuzz::Check(stream.tokens().value() >= 0, "tokens are counted");
+  if (stream.IsWhole()) {
+    fuzz::Check(stream.usage()->completion == stream.tokens(), "whole");
+  }
+  return {stream.state(), stream.IsWhole(), stream.tokens().value(), text};
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  if (size == 0) {
+    return 0;
+  }
+  const std::string_view bytes = fuzz::TextOf(data, size).substr(1);
+  const std::size_t piece = data[0] % 32 + 1;
+  fuzz::Check(Run(bytes, bytes.size() + 1) == Run(bytes, piece),
+              "pieces do not matter");
+  return 0;
+}
--- a/src/base/bounded_json.cc
+++ b/src/base/bounded_json.cc
@@ -21,4 +21,20 @@
   return parsed;
 }
 
+std::optional<std::int64_t> WholeMember(const nlohmann::json& object,
+                                        const char* name,
+                                        std::int64_t low,
+                                        std::int64_t high) {
+  const auto it = object.find(name);
+  if (it == object.end() || !it->is_number_integer()) {
+    return std::nullopt;
+  }
+  if (it->is_number_unsigned() &&
+      it->get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX)) {
+    return std::nullopt;
+  }
+  const auto n = it->get<std::int64_t>();
+  return n >= low && n <= high ? std::optional(n) : std::nullopt;
+}
+
 }  // namespace lynxglade::base
--- a/src/connection/engine_admin.cc
+++ b/src/connection/engine_admin.cc
@@ -6,6 +6,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "base/bounded_json.h"
 #include "connection/engine_admin_codec.h"
 
 namespace lynxglade::connection {
@@ -74,7 +75,8 @@
     *last_error = EngineAdminError::kBadAnswer;
     return std::nullopt;
   }
-  auto state = DecodeEngineState(Json::parse(result->body, nullptr, false));
+  auto state =
+      DecodeEngineState(base::ParseBoundedJson(result->body).value_or(Json()));
   *last_error = state ? EngineAdminError::kNone : EngineAdminError::kBadAnswer;
   return state;
 }
--- a/src/connection/engine_admin_codec.cc
+++ b/src/connection/engine_admin_codec.cc
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 #include <array>
+#include <climits>
+#include <cstdint>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "base/bounded_json.h"
+
 namespace lynxglade::connection {
 
 namespace {
@@ -70,17 +74,27 @@
   EngineState state;
   // Engines give it as text or as a number.
   const Json& incarnation = json.at("incarnation");
+  if (!incarnation.is_string() && !incarnation.is_number()) {
+    return std::nullopt;
+  }
+  // A count that does not fit must not come out as "none in flight".
+  const auto in_flight = base::WholeMember(json, "in_flight", 0, INT_MAX);
+  const auto generation = base::WholeMember(json, "generation", 0, INT64_MAX);
+  const auto fence = base::WholeMember(json, "fence", 0, INT64_MAX);
+  const auto seq = base::WholeMember(json, "seq", 0, INT64_MAX);
+  if (!in_flight || !generation || !fence || !seq) {
+    return std::nullopt;
+  }
   state.incarnation = incarnation.is_string() ? incarnation.get<std::string>()
                                               : incarnation.dump();
   state.fenced = json.at("fenced").get<bool>();
   state.phase = *phase;
-  state.in_flight = json.at("in_flight").get<int>();
+  state.in_flight = static_cast<int>(*in_flight);
   state.current = *std::move(current);
-  state.generation =
-      base::Generation(json.at("generation").get<std::int64_t>());
-  state.fence = base::FencingToken(json.at("fence").get<std::int64_t>());
+  state.generation = base::Generation(*generation);
+  state.fence = base::FencingToken(*fence);
   state.order_id = json.at("order_id").get<std::string>();
-  state.seq = json.at("seq").get<std::uint64_t>();
+  state.seq = static_cast<std::uint64_t>(*seq);
   return state;
 }
 
@@ -113,9 +127,10 @@
 
 std::optional<OrderAnswer> DecodeOrderAnswer(int status,
                                              const std::string& body) {
-  const Json json = Json::parse(body, nullptr, false);
+  const Json json = base::ParseBoundedJson(body).value_or(Json());
   if (status == kHttpOk || status == kHttpAccepted) {
-    const bool accepted = json.is_object() && json.value("accepted", false);
+    const bool accepted =
+        json.is_object() && json.value("accepted", Json()) == Json(true);
     return accepted ? std::optional(OrderAnswer{true, OrderRefusal::kNone})
                     : std::nullopt;
   }
--- a/src/connection/load_report.cc
+++ b/src/connection/load_report.cc
@@ -1,6 +1,8 @@
 #include "connection/load_report.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <type_traits>
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -18,14 +20,31 @@
 constexpr std::int64_t kMaxAgeMs = 30'000;
 constexpr int kMaxDepth = 4;
 
-std::int64_t ReadWhole(const json& object, const char* name) {
+// Greater than what any target can have or do; sums stay far from overflow.
+constexpr std::int64_t kMaxCount = 1'000'000'000;
+constexpr double kMaxRate = 1e12;
+
+// A number of things; some targets write whole numbers as reals. What cannot
+// be, becomes the nearest that can.
+std::int64_t ReadCount(const json& object, const char* name) {
   const auto it = object.find(name);
-  return it != object.end() && it->is_number() ? it->get<std::int64_t>() : 0;
+  if (it == object.end() || !it->is_number()) {
+    return 0;
+  }
+  const double n = std::clamp(it->get<double>(), 0.0, double{kMaxCount});
+  return static_cast<std::int64_t>(n);
 }
 
-double ReadReal(const json& object, const char* name) {
+double ReadRate(const json& object, const char* name) {
   const auto it = object.find(name);
-  return it != object.end() && it->is_number() ? it->get<double>() : 0;
+  return it != object.end() && it->is_number()
+             ? std::clamp(it->get<double>(), 0.0, kMaxRate)
+             : 0;
+}
+
+// Sequences and times; nothing is computed with those that do not fit.
+std::int64_t ReadWhole(const json& object, const char* name) {
+  return base::WholeMember(object, name, 0, INT64_MAX).value_or(0);
 }
 
 std::string ReadText(const json& object, const char* name) {
@@ -47,14 +66,14 @@
 
 request::TargetLoad ReadLoad(const json& object, base::Time now) {
   request::TargetLoad load;
-  load.running = static_cast<int>(ReadWhole(object, "running"));
-  load.waiting = static_cast<int>(ReadWhole(object, "waiting"));
+  load.running = static_cast<int>(ReadCount(object, "running"));
+  load.waiting = static_cast<int>(ReadCount(object, "waiting"));
   load.queued_prefill =
-      base::Tokens(ReadWhole(object, "queued_prefill_tokens"));
+      base::Tokens(ReadCount(object, "queued_prefill_tokens"));
   load.running_decode =
-      base::Tokens(ReadWhole(object, "running_decode_tokens"));
-  load.prefill_tokens_per_s = ReadReal(object, "prefill_tokens_per_s");
-  load.decode_tokens_per_s = ReadReal(object, "decode_tokens_per_s");
+      base::Tokens(ReadCount(object, "running_decode_tokens"));
+  load.prefill_tokens_per_s = ReadRate(object, "prefill_tokens_per_s");
+  load.decode_tokens_per_s = ReadRate(object, "decode_tokens_per_s");
   load.as_of = AsOf(object, now);
   return load;
 }
@@ -95,14 +114,18 @@
                  {"role", request::ToString(report.role)},
                  {"running", load.running},
                  {"waiting", load.waiting}};
-  if (!report.model.empty()) {
-    object["model"] = report.model.str();
-    object["version"] = report.version.str();
-    object["queued_prefill_tokens"] = load.queued_prefill.value();
-    object["running_decode_tokens"] = load.running_decode.value();
-    object["prefill_tokens_per_s"] = load.prefill_tokens_per_s;
-    object["decode_tokens_per_s"] = load.decode_tokens_per_s;
-  }
+  // Left out is what reads as the same: plain services have none of these.
+  const auto add = [&object](const char* name, const auto& value) {
+    if (value != std::decay_t<decltype(value)>{}) {
+      object[name] = value;
+    }
+  };
+  add("model", report.model.str());
+  add("version", report.version.str());
+  add("queued_prefill_tokens", load.queued_prefill.value());
+  add("running_decode_tokens", load.running_decode.value());
+  add("prefill_tokens_per_s", load.prefill_tokens_per_s);
+  add("decode_tokens_per_s", load.decode_tokens_per_s);
   if (report.draining) {
     object["draining"] = true;
   }
--- a/src/connection/target_client_stream.cc
+++ b/src/connection/target_client_stream.cc
@@ -15,13 +15,14 @@
 constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kEndMarker = "[DONE]";
 
-// The member if it is a whole number, else `fallback`.
-std::int64_t IntegerOr(const json& object,
-                       const char* name,
-                       std::int64_t fallback) {
-  const auto it = object.find(name);
-  return it != object.end() && it->is_number_integer() ? it->get<std::int64_t>()
-                                                       : fallback;
+// Greater than any answer; sums of two stay far from overflow.
+constexpr std::int64_t kMaxTokens = 1'000'000'000;
+
+// The member if it is a possible count of tokens, else `fallback`.
+std::int64_t TokensOr(const json& object,
+                      const char* name,
+                      std::int64_t fallback) {
+  return base::WholeMember(object, name, 0, kMaxTokens).value_or(fallback);
 }
 
 // The member if it is text, else empty.
@@ -141,15 +142,19 @@
   const json* delta = Find(choice, "delta", json::value_t::object);
   const std::string_view text =
       delta ? TextOr(*delta, "content") : std::string_view();
-  const std::int64_t count = IntegerOr(event, "token_count", 0);
+  const std::int64_t count = TokensOr(event, "token_count", 0);
   if (text.empty() && count == 0) {
     return;
   }
-  const std::int64_t offset = IntegerOr(event, "token_offset", -1);
+  const std::int64_t offset = TokensOr(event, "token_offset", -1);
   if (offset < 0 || count <= 0) {
     Fail(State::kBad, "chunk without token offset and count");
     return;
   }
+  if (tokens_.value() + count > kMaxTokens) {
+    Fail(State::kBad, "more tokens than an answer can have");
+    return;
+  }
   const request::TokenChunk chunk{.text = text,
                                   .offset = base::Tokens(offset),
                                   .count = base::Tokens(count)};
@@ -162,11 +167,11 @@
 
 void EngineStream::TakeUsage(const json& usage) {
   request::Usage seen;
-  seen.prompt = base::Tokens(IntegerOr(usage, "prompt_tokens", 0));
-  seen.completion = base::Tokens(IntegerOr(usage, "completion_tokens", -1));
+  seen.prompt = base::Tokens(TokensOr(usage, "prompt_tokens", 0));
+  seen.completion = base::Tokens(TokensOr(usage, "completion_tokens", -1));
   if (const json* details =
           Find(usage, "prompt_tokens_details", json::value_t::object)) {
-    seen.cached = base::Tokens(IntegerOr(*details, "cached_tokens", 0));
+    seen.cached = base::Tokens(TokensOr(*details, "cached_tokens", 0));
   }
   usage_ = seen;
 }
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/bounded_json.h"
 #include "base/hash.h"
 
 namespace lynxglade::request {
@@ -18,13 +19,23 @@
 // Limits of what is taken from another instance.
 constexpr std::size_t kMaxBody = 16384;
 constexpr std::size_t kMaxEvidence = 16;
+constexpr std::int64_t kMaxShared = 1'000'000;
 constexpr std::int64_t kMaxMillis = std::int64_t{1000} * 60 * 60 * 24 * 30;
 // Low bits of a sequence tell sources with equal counters apart.
 constexpr int kSourceBits = 16;
 
+// A member brought into its range; throws when it is no number.
+std::int64_t Clamped(const Json& json,
+                     const char* name,
+                     std::int64_t low,
+                     std::int64_t high) {
+  const double n = json.value(name, static_cast<double>(low));
+  return static_cast<std::int64_t>(
+      std::clamp(n, static_cast<double>(low), static_cast<double>(high)));
+}
+
 base::Duration Millis(const Json& json, const char* name) {
-  const auto n = json.value(name, std::int64_t{0});
-  return std::chrono::milliseconds(std::clamp<std::int64_t>(n, 0, kMaxMillis));
+  return std::chrono::milliseconds(Clamped(json, name, 0, kMaxMillis));
 }
 
 Json ToJson(const Evidence& it, base::Time now) {
@@ -42,7 +53,7 @@
   it.event = json.value("event", "");
   it.target = base::TargetId(json.value("target", ""));
   it.at = as_of - Millis(json, "age_ms");
-  it.shared = json.value("shared", 1);
+  it.shared = static_cast<int>(Clamped(json, "shared", 1, kMaxShared));
   it.confirmed = json.value("confirmed", false);
   it.alone = json.value("alone", false);
   it.explained = json.value("explained", false);
@@ -147,7 +158,7 @@
   std::uint64_t content = 0;
   const char* end = item.key.data() + item.key.size();
   const auto [rest, ec] = std::from_chars(item.key.data(), end, content, 16);
-  const Json json = Json::parse(item.body, nullptr, false);
+  const Json json = base::ParseBoundedJson(item.body).value_or(Json());
   if (ec != std::errc() || rest != end || !json.is_object()) {
     return std::nullopt;
   }
--- a/src/version/details/json_reader.cc
+++ b/src/version/details/json_reader.cc
@@ -4,6 +4,10 @@
 #include <cmath>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
+#include "base/bounded_json.h"
+
 namespace lynxglade::version::details {
 namespace {
 
@@ -48,10 +52,12 @@
     return Fail(fault, CodecError::kTooLarge, "",
                 "at most " + std::to_string(max_bytes) + " bytes");
   }
-  *value = json::parse(text, nullptr, false);
-  if (value->is_discarded()) {
-    return Fail(fault, CodecError::kNotJson, "", "not JSON");
+  auto parsed = base::ParseBoundedJson(text);
+  if (!parsed) {
+    return Fail(fault, CodecError::kNotJson, "",
+                "not JSON, or nests too deeply");
   }
+  *value = *std::move(parsed);
   if (!value->is_object()) {
     return Fail(fault, CodecError::kWrongType, "", "must be an object");
   }
