Readiness waits until admission knows the targets' capacity

Cause: found by system_stops_test: /readyz turned 200 when the targets were known, but admission takes their capacity at the next refresh, up to 200 ms later, and refused all callers meanwhile (no capacity for this service now). Ruled out: targets missing from the table; the list and load reports had come. Change: the refresh task says that capacity is known; readiness asks for that. Conclusion: a replacement takes callers only once it can serve them.

--- a/src/main/daemon.cc
+++ b/src/main/daemon.cc
@@ -85,6 +85,7 @@
   std::vector<base::InstanceId> ZoneMembers() const;
   bool ShouldWatch() const;
   std::size_t LiveInstances() const;
+  void RefreshCapacity();
   bool ReloadPeerCertificates();
   bool StartCertificates();
   bool StartServer(HttpServer& server);
@@ -92,6 +93,8 @@
   const process::Settings settings;
   std::string last_reason;
   std::atomic<bool> leaving{false};
+  // Admission has seen the targets that the fleet watch waits for.
+  std::atomic<bool> capacity_known{false};
   std::mutex configuration_mutex;
   base::Metrics metrics;
   base::RandomSource random = base::SystemRandom();
@@ -450,7 +453,7 @@
   if (!configuration.ready()) {
     return "no configuration yet";
   }
-  if (!fleet.Ready()) {
+  if (!capacity_known) {
     return "targets are not known yet";
   }
   return std::nullopt;
@@ -473,6 +476,12 @@
       members, process::MemberState::kLive, &process::Member::state));
 }
 
+void Daemon::Details::RefreshCapacity() {
+  const bool targets_known = fleet.Ready();
+  serving.Refresh();
+  capacity_known = capacity_known || targets_known;
+}
+
 // A few instances of each zone watch the key-value service for the others.
 bool Daemon::Details::ShouldWatch() const {
   const auto rank = [this](const base::InstanceId& id) {
@@ -538,7 +547,7 @@
   d.configuration.Start();
   d.fleet.Start();
   d.refresh_task = std::make_unique<process::PeriodicTask>(
-      kRefreshInterval, [&d] { d.serving.Refresh(); });
+      kRefreshInterval, [&d] { d.RefreshCapacity(); });
   d.tick_task = std::make_unique<process::PeriodicTask>(
       kTickInterval, [&d] { d.configuration.Tick(); });
   return d.StartServer(*d.admin_server) && d.StartServer(*d.caller_server);
