What an instance holds back costs no retry budget

Cause: found by system_poison_test: a content whose crashes are not confirmed yet is held back before anything is sent, and each hold-back was paid from its contract's retry budget; innocent requests of that contract were then refused retry_budget. Conclusion: nothing that was not sent is counted as load.

--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -317,7 +317,7 @@
   report.outcome = base::Outcome::kNotRun;
   report.end = AttemptEnd::kRefused;
   report.refusal = request::IsTargetsFault(denial) ? TargetRefusal::kChanging
-                                                   : TargetRefusal::kOther;
+                                                   : TargetRefusal::kHeldBack;
   report.message = "held back: ";
   report.message += request::ToString(denial);
   report.retry_after = kRetryAfter;
@@ -410,10 +410,12 @@
   request::RetryDenial denial{};
   const auto delay = retry_policy_.NextDelay(query.attempts, now,
                                              query.request->deadline, &denial);
-  const bool paid =
-      delay && retry_budget_.TryTake(request::ExtraAttempt::kRetry,
-                                     query.request->contract,
-                                     query.failed_target, now, &denial);
+  // Nothing was sent, so the next try is no more load than the first.
+  const bool free = query.report->refusal == TargetRefusal::kHeldBack;
+  const bool paid = delay && (free || retry_budget_.TryTake(
+                                          request::ExtraAttempt::kRetry,
+                                          query.request->contract,
+                                          query.failed_target, now, &denial));
   if (!paid) {
     metrics_
         .GetCounter("lynxglade_retry_denials_total",
--- a/src/request/attempt.cc
+++ b/src/request/attempt.cc
@@ -54,6 +54,8 @@
       return "not_loaded";
     case TargetRefusal::kBadRequest:
       return "bad_request";
+    case TargetRefusal::kHeldBack:
+      return "held_back";
     case TargetRefusal::kOther:
       break;
   }
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -64,6 +64,8 @@
   kNotLoaded,
   // The request itself is at fault; every other target would say the same.
   kBadRequest,
+  // This instance held the request back before anything was sent.
+  kHeldBack,
   kOther,
 };
 std::string_view ToString(TargetRefusal refusal) noexcept;
