--- a/tests/system/caller.cc
+++ b/tests/system/caller.cc
@@ -249,6 +249,7 @@
     }
     Reply reply = Send(port, make_(next_++));
     ++ended_;
+    whole_ += reply.verdict == Verdict::kWhole ? 1 : 0;
     std::lock_guard lock(mutex_);
     replies_.push_back(std::move(reply));
   }
--- a/tests/system/caller.h
+++ b/tests/system/caller.h
@@ -75,6 +75,7 @@
   // Lets the calls under way end and returns all replies.
   std::vector<Reply> Stop();
   int ended() const noexcept { return ended_; }
+  int whole() const noexcept { return whole_; }
 
  private:
   void WatchReadiness();
@@ -86,6 +87,7 @@
   std::atomic<bool> watching_{true};
   std::atomic<int> next_{0};
   std::atomic<int> ended_{0};
+  std::atomic<int> whole_{0};
   std::mutex mutex_;
   std::vector<int> ready_;
   std::vector<Reply> replies_;
