Orders: own threads for the service's calls, overdue waits told, two zones

Cause: engines that swallow packets could hold every call thread for their time-outs and delay the renewal of the lease behind them.

--- a/src/process/engine_driver.cc
+++ b/src/process/engine_driver.cc
@@ -125,9 +125,7 @@
   status.step = decision_.step;
   status.reason = decision_.reason;
   status.waiting_since = waiting_since_;
-  const base::Duration waiting = context_.clock() - waiting_since_;
-  status.overdue = decision_.step == OrderStep::kWait &&
-                   waiting > context_.settings.overdue_after;
+  status.overdue = Overdue();
   status.permit = permit_ ? permit_->key : std::string();
   const auto& record = journal_.record();
   if (row_.leaving) {
@@ -143,6 +141,13 @@
   return status;
 }
 
+bool EngineDriver::Overdue() const {
+  const base::Duration waiting = context_.clock() - waiting_since_;
+  return decision_.step == OrderStep::kWait &&
+         decision_.reason != WaitReason::kNothingIntended &&
+         waiting > context_.settings.overdue_after;
+}
+
 OrderSituation EngineDriver::Situation(base::Time now) const {
   OrderSituation situation;
   situation.now = now;
@@ -187,15 +192,25 @@
   }
   if (!still) {
     waiting_since_ = now;
+    overdue_told_ = false;
   }
   decision_ = decision;
+  if (Overdue() && !overdue_told_) {
+    overdue_told_ = true;
+    const std::string reason(ToString(decision.reason));
+    base::Log(base::LogLevel::kWarning, "order_overdue",
+              {{"target", row_.id.str()}, {"reason", reason}});
+    context_.metrics
+        ->GetCounter("lynxglade_orders_overdue_total", {{"reason", reason}})
+        .Add();
+  }
 }
 
 // --- Calls ------------------------------------------------------------------
 
-void EngineDriver::Run(BlockingCall call) {
+void EngineDriver::Run(const CallRunner& runner, BlockingCall call) {
   busy_ = true;
-  context_.run([this, call = std::move(call)]() -> Completion {
+  runner([this, call = std::move(call)]() -> Completion {
     return [this, done = call()] {
       busy_ = false;
       done();
@@ -204,41 +219,43 @@
 }
 
 void EngineDriver::LoadJournal() {
-  Run([this, store = context_.store, key = journal_.key()]() -> Completion {
-    KvError error = KvError::kNone;
-    auto range = store->get(key, &error);
-    return [this, range = std::move(range)] {
-      if (!range) {
-        return;
-      }
-      const bool there = !range->entries.empty();
-      journal_unreadable_ = !journal_.Load(
-          there ? std::optional(range->entries.front()) : std::nullopt);
-      inherited_ = there;
-      Step();
-    };
-  });
+  Run(context_.run_store,
+      [this, store = context_.store, key = journal_.key()]() -> Completion {
+        KvError error = KvError::kNone;
+        auto range = store->get(key, &error);
+        return [this, range = std::move(range)] {
+          if (!range) {
+            return;
+          }
+          const bool there = !range->entries.empty();
+          journal_unreadable_ = !journal_.Load(
+              there ? std::optional(range->entries.front()) : std::nullopt);
+          inherited_ = there;
+          Step();
+        };
+      });
 }
 
 void EngineDriver::ReadBack() {
   last_read_attempt_ = context_.clock();
-  Run([this, admin = context_.admin, endpoint = row_.endpoint,
+  Run(context_.run_engine,
+      [this, admin = context_.admin, endpoint = row_.endpoint,
        clock = context_.clock]() -> Completion {
-    const base::Time requested_at = clock();
-    EngineAdminError error = EngineAdminError::kNone;
-    auto state = admin->read_state(endpoint, &error);
-    return [this, state = std::move(state), requested_at] {
-      if (!state) {
-        if (!unreachable_since_) {
-          unreachable_since_ = requested_at;
-        }
-        return;
-      }
-      unreachable_since_.reset();
-      evidence_ = EngineEvidence{*state, requested_at};
-      Step();
-    };
-  });
+        const base::Time requested_at = clock();
+        EngineAdminError error = EngineAdminError::kNone;
+        auto state = admin->read_state(endpoint, &error);
+        return [this, state = std::move(state), requested_at] {
+          if (!state) {
+            if (!unreachable_since_) {
+              unreachable_since_ = requested_at;
+            }
+            return;
+          }
+          unreachable_since_.reset();
+          evidence_ = EngineEvidence{*state, requested_at};
+          Step();
+        };
+      });
 }
 
 void EngineDriver::WriteRecord(JournalRecord record) {
@@ -249,24 +266,26 @@
 
 void EngineDriver::CommitPending() {
   // Repeats the write that is pending.
-  Run([this, store = context_.store,
+  Run(context_.run_store,
+      [this, store = context_.store,
        commit = journal_.Write({}, {}, {})]() -> Completion {
-    KvError error = KvError::kNone;
-    auto result = store->commit(commit.guards, commit.writes, &error);
-    return [this, result = std::move(result), error] {
-      OnWritten(journal_.OnCommit(result, error));
-    };
-  });
+        KvError error = KvError::kNone;
+        auto result = store->commit(commit.guards, commit.writes, &error);
+        return [this, result = std::move(result), error] {
+          OnWritten(journal_.OnCommit(result, error));
+        };
+      });
 }
 
 void EngineDriver::ReadJournalBack() {
-  Run([this, store = context_.store, key = journal_.key()]() -> Completion {
-    KvError error = KvError::kNone;
-    auto range = store->get(key, &error);
-    return [this, range = std::move(range)] {
-      OnWritten(journal_.OnReadBack(range));
-    };
-  });
+  Run(context_.run_store,
+      [this, store = context_.store, key = journal_.key()]() -> Completion {
+        KvError error = KvError::kNone;
+        auto range = store->get(key, &error);
+        return [this, range = std::move(range)] {
+          OnWritten(journal_.OnReadBack(range));
+        };
+      });
 }
 
 void EngineDriver::OnWritten(JournalWriteResult result) {
@@ -305,17 +324,18 @@
   }
   // The deadline is copied: it only ever moves later while the lease is held.
   const base::Time deadline = context_.lease->OrderDeadline();
-  Run([this, admin = context_.admin, endpoint = row_.endpoint, order, deadline,
+  Run(context_.run_engine,
+      [this, admin = context_.admin, endpoint = row_.endpoint, order, deadline,
        attempt = record.attempts, clock = context_.clock]() -> Completion {
-    EngineAdminError error = EngineAdminError::kNone;
-    const connection::MaySend may_send = [&](const auto& state) {
-      return MayApply(order, state) && clock() < deadline;
-    };
-    auto answer = admin->give_order(endpoint, order, may_send, &error);
-    return [this, order, attempt, answer = std::move(answer), error] {
-      OnSent(order, attempt, answer, error);
-    };
-  });
+        EngineAdminError error = EngineAdminError::kNone;
+        const connection::MaySend may_send = [&](const auto& state) {
+          return MayApply(order, state) && clock() < deadline;
+        };
+        auto answer = admin->give_order(endpoint, order, may_send, &error);
+        return [this, order, attempt, answer = std::move(answer), error] {
+          OnSent(order, attempt, answer, error);
+        };
+      });
 }
 
 void EngineDriver::OnSent(const connection::EngineOrder& order,
@@ -345,52 +365,69 @@
              {"fence", order.fence.value()},
              {"accepted", answer && answer->accepted},
              {"result", refusal}});
+  if (answer && answer->accepted) {
+    CountChange(order.target);
+  }
   if (left) {
     Step();
   }
 }
 
+void EngineDriver::CountChange(
+    const connection::EngineTargetState& target) const {
+  if (!evidence_ || connection::SameContent(evidence_->state.current, target)) {
+    return;
+  }
+  const bool role = evidence_->state.current.role != target.role;
+  context_.metrics
+      ->GetCounter("lynxglade_engine_changes_total",
+                   {{"kind", role ? "role" : "weights"}})
+      .Add();
+}
+
 void EngineDriver::ClaimPermit(base::FencingToken fence) {
   Permit permit;
   permit.service = row_.service;
   permit.target = row_.id;
   permit.zone = row_.zone;
   ++context_.permit_calls;
-  Run([this, store = context_.store,
+  Run(context_.run_store,
+      [this, store = context_.store,
        guard = LeaseGuard{context_.lease_key, fence},
        max = context_.settings.max_unavailable,
        permit]() mutable -> Completion {
-    const PermitResult result = TakePermit(*store, guard, max, &permit);
-    return [this, result, permit] {
-      ++context_.permit_calls;
-      if (result == PermitResult::kTaken) {
-        permit_ = permit;
-        Step();
-        return;
-      }
-      permit_retry_ = context_.clock() + kPermitRetry;
-      if (result == PermitResult::kUnknown) {
-        context_.permits_unknown = true;
-      }
-    };
-  });
+        const PermitResult result = TakePermit(*store, guard, max, &permit);
+        return [this, result, permit] {
+          ++context_.permit_calls;
+          if (result == PermitResult::kTaken) {
+            permit_ = permit;
+            Step();
+            return;
+          }
+          permit_retry_ = context_.clock() + kPermitRetry;
+          if (result == PermitResult::kUnknown) {
+            context_.permits_unknown = true;
+          }
+        };
+      });
 }
 
 void EngineDriver::GiveBackPermit(base::FencingToken fence) {
   ++context_.permit_calls;
-  Run([this, store = context_.store,
+  Run(context_.run_store,
+      [this, store = context_.store,
        guard = LeaseGuard{context_.lease_key, fence},
        permit = *permit_]() -> Completion {
-    const bool done = ReleasePermit(*store, guard, permit);
-    return [this, done] {
-      ++context_.permit_calls;
-      permit_leaving_ = !done;
-      if (done) {
-        permit_.reset();
-        Step();
-      }
-    };
-  });
+        const bool done = ReleasePermit(*store, guard, permit);
+        return [this, done] {
+          ++context_.permit_calls;
+          permit_leaving_ = !done;
+          if (done) {
+            permit_.reset();
+            Step();
+          }
+        };
+      });
 }
 
 void EngineDriver::Count(const char* result) const {
--- a/src/process/engine_driver.h
+++ b/src/process/engine_driver.h
@@ -36,7 +36,10 @@
   base::RandomSource random;
   std::shared_ptr<const OrderStore> store;
   std::shared_ptr<const connection::EngineAdmin> admin;
-  CallRunner run;
+  // Calls to the key-value service and to engines, apart, so that an engine
+  // that does not answer never holds up a renewal of the lease.
+  CallRunner run_store;
+  CallRunner run_engine;
   LeaseKeeper* lease = nullptr;
   LoadPacer* pacer = nullptr;
   base::Metrics* metrics = nullptr;
@@ -76,6 +79,8 @@
   // It takes new work, by its own last word.
   bool Serving() const;
   EngineStatus Status() const;
+  // It waits longer than operators should have to.
+  bool Overdue() const;
 
  private:
   OrderSituation Situation(base::Time now) const;
@@ -98,7 +103,8 @@
   void GiveBackPermit(base::FencingToken fence);
 
   // Runs `call`; its completion runs after the driver is free again.
-  void Run(BlockingCall call);
+  void Run(const CallRunner& runner, BlockingCall call);
+  void CountChange(const connection::EngineTargetState& target) const;
   void Count(const char* result) const;
 
   ShardContext& context_;
@@ -125,6 +131,7 @@
   bool retired_ = false;
   OrderDecision decision_;
   base::Time waiting_since_{};
+  bool overdue_told_ = false;
 };
 
 }  // namespace lynxglade::process
--- a/src/process/order_actor.cc
+++ b/src/process/order_actor.cc
@@ -46,7 +46,8 @@
 }
 
 caf::behavior RunOrders(OrderActor* self, OrderActorOptions options) {
-  options.dependencies.run = MakeRunner(self, options.pool);
+  options.dependencies.run_store = MakeRunner(self, options.store_pool);
+  options.dependencies.run_engine = MakeRunner(self, options.engine_pool);
   self->state.coordinator = std::make_unique<OrderCoordinator>(
       options.instance, options.zone, options.shard, options.settings,
       std::move(options.dependencies));
--- a/src/process/order_actor.h
+++ b/src/process/order_actor.h
@@ -20,10 +20,11 @@
   base::ZoneId zone;
   int shard = 0;
   OrderSettings settings;
-  // All but `run`, which the actor makes from `pool`.
+  // All but the runners, which the actor makes from the pools.
   CoordinatorDependencies dependencies;
   // Outlive the actor.
-  CallPool* pool = nullptr;
+  CallPool* store_pool = nullptr;
+  CallPool* engine_pool = nullptr;
   base::Snapshot<ShardStatus>* status = nullptr;
   // Fulfilled when the lease is given back and nothing is under way.
   std::shared_ptr<std::promise<void>> stopped;
--- a/src/process/order_coordinator.cc
+++ b/src/process/order_coordinator.cc
@@ -67,7 +67,8 @@
   context_.random = std::move(dependencies.random);
   context_.store = std::move(dependencies.store);
   context_.admin = std::move(dependencies.admin);
-  context_.run = std::move(dependencies.run);
+  context_.run_store = std::move(dependencies.run_store);
+  context_.run_engine = std::move(dependencies.run_engine);
   context_.lease = &lease_;
   context_.pacer = &pacer_;
   context_.metrics = dependencies.metrics;
@@ -136,8 +137,9 @@
 
 void OrderCoordinator::MakeLeaseCall(const LeaseCall& call) {
   lease_call_ = true;
-  context_.run([this, call, store = context_.store, key = context_.lease_key,
-                ttl = context_.settings.lease_ttl]() -> Completion {
+  context_.run_store([this, call, store = context_.store,
+                      key = context_.lease_key,
+                      ttl = context_.settings.lease_ttl]() -> Completion {
     KvError error = KvError::kNone;
     Completion tell;
     switch (call.kind) {
@@ -250,7 +252,7 @@
   }
   drains_call_ = true;
   drains_due_ = now + kDrainsInterval;
-  context_.run([this, store = context_.store]() -> Completion {
+  context_.run_store([this, store = context_.store]() -> Completion {
     KvError error = KvError::kNone;
     auto range = store->list(kDrainPrefix, &error);
     return [this, range = std::move(range)] {
@@ -274,8 +276,8 @@
   }
   permits_call_ = true;
   permits_due_ = now + kPermitsInterval;
-  context_.run([this, store = context_.store,
-                calls = context_.permit_calls]() -> Completion {
+  context_.run_store([this, store = context_.store,
+                      calls = context_.permit_calls]() -> Completion {
     KvError error = KvError::kNone;
     auto permits = ListPermits(*store, &error);
     return [this, permits = std::move(permits), calls] {
@@ -320,13 +322,14 @@
   }
   permits_call_ = true;
   const LeaseGuard guard{context_.lease_key, *authority_};
-  context_.run([this, store = context_.store, guard, permit]() -> Completion {
-    ReleasePermit(*store, guard, permit);
-    return [this] {
-      permits_call_ = false;
-      context_.permits_unknown = true;
-    };
-  });
+  context_.run_store(
+      [this, store = context_.store, guard, permit]() -> Completion {
+        ReleasePermit(*store, guard, permit);
+        return [this] {
+          permits_call_ = false;
+          context_.permits_unknown = true;
+        };
+      });
 }
 
 // --- What is wanted ---------------------------------------------------------
--- a/src/process/order_coordinator.h
+++ b/src/process/order_coordinator.h
@@ -34,7 +34,9 @@
 struct CoordinatorDependencies {
   std::shared_ptr<const OrderStore> store;
   std::shared_ptr<const connection::EngineAdmin> admin;
-  CallRunner run;
+  // Calls to the key-value service, and to engines.
+  CallRunner run_store;
+  CallRunner run_engine;
   base::Clock clock;
   base::RandomSource random;
   // Must outlive the coordinator.
--- a/src/process/order_executor.cc
+++ b/src/process/order_executor.cc
@@ -382,7 +382,7 @@
   }
   if (situation.unreachable_since) {
     const bool due =
-        situation.now >= situation.last_read_attempt + settings.busy_interval;
+        situation.now >= situation.last_read_attempt + settings.idle_interval;
     return due ? Take(OrderStep::kReadBack) : Wait(WaitReason::kUnreachable);
   }
   if (!situation.evidence) {
--- a/src/process/order_hooks.h
+++ b/src/process/order_hooks.h
@@ -55,8 +55,8 @@
   int max_unavailable = 1;
   // Leases (and actors) a zone; must be the same on all instances.
   int shards = 1;
-  // Threads for blocking calls.
-  int io_threads = 3;
+  // Threads for calls to engines; two more call the key-value service.
+  int engine_threads = 4;
 };
 
 // Where the service learns of the world. All may be called on any thread and
--- a/src/process/order_service.cc
+++ b/src/process/order_service.cc
@@ -30,6 +30,8 @@
 constexpr int kMethodNotAllowed = 405;
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
+// Two, so that a renewal of the lease need not wait for a slow list.
+constexpr int kStoreThreads = 2;
 
 enum class DrainVerb { kDrain, kUndrain };
 
@@ -98,7 +100,8 @@
   base::ZoneId zone;
   OrderHooks hooks;
   std::shared_ptr<const OrderStore> store;
-  std::unique_ptr<CallPool> pool;
+  std::unique_ptr<CallPool> store_pool;
+  std::unique_ptr<CallPool> engine_pool;
   std::vector<std::unique_ptr<Shard>> shards;
   std::once_flag stop_once;
 
@@ -115,7 +118,8 @@
 void OrderService::Details::Start(ControlSystem& control,
                                   const OrderSettings& settings,
                                   const CoordinatorDependencies& dependencies) {
-  pool = std::make_unique<CallPool>(settings.io_threads);
+  store_pool = std::make_unique<CallPool>(kStoreThreads);
+  engine_pool = std::make_unique<CallPool>(settings.engine_threads);
   for (int i = 0; i < std::max(settings.shards, 1); ++i) {
     auto shard = std::make_unique<Shard>();
     OrderActorOptions options;
@@ -124,7 +128,8 @@
     options.shard = i;
     options.settings = settings;
     options.dependencies = dependencies;
-    options.pool = pool.get();
+    options.store_pool = store_pool.get();
+    options.engine_pool = engine_pool.get();
     options.status = &shard->status;
     options.stopped = std::make_shared<std::promise<void>>();
     shard->stopped = options.stopped->get_future();
@@ -218,7 +223,8 @@
       shard->stopped.wait();
       shard->actor = nullptr;
     }
-    details_->pool.reset();
+    details_->store_pool.reset();
+    details_->engine_pool.reset();
   });
 }
 
--- a/tests/process/order_interleaving_test.cc
+++ b/tests/process/order_interleaving_test.cc
@@ -143,7 +143,8 @@
 RC_GTEST_PROP(OrderInterleavingTest, NoLostAuthorityActsAndWorkIsFinished, ()) {
   constexpr int kActions = 400;
   OrderWorld::Options options;
-  options.holders = *rc::gen::inRange(2, 4);
+  options.zones = *rc::gen::inRange(1, 3);
+  options.holders = *rc::gen::inRange(2, 5);
   options.fenced = *rc::gen::inRange(0, 3);
   options.unfenced = 2;
   const auto actions =
--- a/tests/process/order_world.cc
+++ b/tests/process/order_world.cc
@@ -231,9 +231,11 @@
     settings.change_time = kChangeTime;
     engines_.push_back(
         std::make_unique<SimEngine>("e" + std::to_string(i), fenced, settings));
+    engines_.back()->row.zone = ZoneOf(engines_.size() - 1);
   }
   for (int i = 0; i < options_.holders; ++i) {
     holders_.push_back(std::make_unique<Holder>());
+    holders_.back()->zone = ZoneOf(holders_.size() - 1);
     Start(*holders_.back());
   }
 }
@@ -245,9 +247,10 @@
   CoordinatorDependencies deps;
   deps.store = std::make_shared<const OrderStore>(store_.Hooks());
   deps.admin = std::make_shared<const connection::EngineAdmin>(Admin());
-  deps.run = [&holder](BlockingCall call) {
+  deps.run_store = [&holder](BlockingCall call) {
     holder.calls.push_back(std::move(call));
   };
+  deps.run_engine = deps.run_store;
   deps.clock = [this] { return now_; };
   deps.random = random_;
   deps.metrics = &metrics_;
@@ -264,8 +267,18 @@
   deps.hooks.weight_loads_per_minute = [] { return 60; };
   deps.hooks.publish = [](const ViewItem&) {};
   holder.coordinator = std::make_unique<OrderCoordinator>(
-      base::InstanceId("i" + std::to_string(++instances_)),
-      base::ZoneId("zone-a"), 0, settings, std::move(deps));
+      base::InstanceId("i" + std::to_string(++instances_)), holder.zone, 0,
+      settings, std::move(deps));
+}
+
+base::ZoneId OrderWorld::ZoneOf(std::size_t n) const {
+  return base::ZoneId(
+      "zone-" + std::to_string(n % static_cast<std::size_t>(options_.zones)));
+}
+
+std::optional<connection::KvEntry> OrderWorld::LeaseOf(
+    const SimEngine& engine) {
+  return store_.Find(LeaseKey(engine.row.zone, 0));
 }
 
 void OrderWorld::Replace(std::size_t holder) {
@@ -304,7 +317,7 @@
 }
 
 void OrderWorld::ApproachLapse(base::Duration before) {
-  const auto expiry = store_.ExpiryOf(LeaseKey(base::ZoneId("zone-a"), 0));
+  const auto expiry = store_.ExpiryOf(LeaseKey(ZoneOf(0), 0));
   store_.down = true;
   if (expiry && *expiry - before > now_) {
     Advance(*expiry - before - now_);
@@ -465,7 +478,7 @@
 
 void OrderWorld::Judge(const SimEngine& engine,
                        const connection::EngineOrder& order) {
-  const auto lease = store_.Find(LeaseKey(base::ZoneId("zone-a"), 0));
+  const auto lease = LeaseOf(engine);
   const bool held =
       lease && lease->create_revision.value() == order.fence.value() &&
       lease->value.find('"' + order.holder.str() + '"') != std::string::npos;
@@ -482,11 +495,13 @@
 }
 
 void OrderWorld::JudgeRecord(const std::string& key, const std::string& value) {
-  const auto record = DecodeRecord(value);
-  if (!key.starts_with("/lynxglade/journal/")) {
+  const auto engine = std::ranges::find_if(
+      engines_, [&](const auto& it) { return JournalKey(it->id) == key; });
+  if (engine == engines_.end()) {
     return;
   }
-  const auto lease = store_.Find(LeaseKey(base::ZoneId("zone-a"), 0));
+  const auto record = DecodeRecord(value);
+  const auto lease = LeaseOf(**engine);
   if (!record || !lease ||
       lease->create_revision.value() != record->fence.value()) {
     Fail("record written without authority: " + key);
--- a/tests/process/order_world.h
+++ b/tests/process/order_world.h
@@ -73,7 +73,6 @@
       : id(std::move(name)), orders(std::move(settings)) {
     row.id = id;
     row.service = base::ServiceName("llm");
-    row.zone = base::ZoneId("zone-a");
     row.endpoint.address = id.str();
     row.fenced = fenced;
   }
@@ -99,6 +98,8 @@
 class OrderWorld {
  public:
   struct Options {
+    // Holders and engines are dealt out to the zones in turn.
+    int zones = 1;
     int holders = 2;
     int fenced = 1;
     int unfenced = 2;
@@ -146,12 +147,15 @@
 
  private:
   struct Holder {
+    base::ZoneId zone;
     std::deque<BlockingCall> calls;
     std::deque<Completion> completions;
     std::unique_ptr<OrderCoordinator> coordinator;
   };
 
   void Start(Holder& holder);
+  base::ZoneId ZoneOf(std::size_t n) const;
+  std::optional<connection::KvEntry> LeaseOf(const SimEngine& engine);
   connection::EngineAdmin Admin();
   SimEngine* FindUp(const std::string& id);
   connection::EngineState StateOf(const SimEngine& engine) const;
