Lease and engine time-outs that leave time for orders

Change: defaults 30 s and 10 s; a lease shorter than the idle time-out plus 5 s is refused as a contradiction that names both flags.

--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -18,6 +18,8 @@
 
 constexpr char kEnvironmentPrefix[] = "LYNXGLADE_";
 constexpr int kMaxPort = 65535;
+// What a lease must leave for giving orders.
+constexpr base::Duration kLeastOrderTime = std::chrono::seconds(5);
 
 // Takes the text into the settings; returns what is allowed when it cannot.
 using Apply =
@@ -180,10 +182,10 @@
       {"default-deadline", "60", false,
        "seconds until an answer is late, when neither caller nor contract says",
        ReadSeconds(&Settings::default_deadline, 1, 3600)},
-      {"lease-ttl", "10", false,
+      {"lease-ttl", "30", false,
        "seconds for which authority over a zone's engines is held",
        ReadSeconds(&Settings::lease_ttl, 2, 300)},
-      {"engine-idle-timeout", "60", false,
+      {"engine-idle-timeout", "10", false,
        "seconds after which engines close an idle connection; bounds how long "
        "an order of a paused process can stay under way",
        ReadSeconds(&Settings::engine_idle_timeout, 1, 600)},
@@ -252,6 +254,12 @@
   if (!settings.peer_ca.empty() && settings.tls_certificate.empty()) {
     fault.lines.emplace_back("--peer-ca needs --tls-certificate and --tls-key");
   }
+  if (settings.lease_ttl < settings.engine_idle_timeout + kLeastOrderTime) {
+    fault.lines.emplace_back(
+        "--lease-ttl must exceed --engine-idle-timeout by at least 5 seconds: "
+        "no order is given in the part of a lease in which an earlier one may "
+        "still be under way");
+  }
   const std::vector<const Endpoint*> endpoints = {
       &settings.listen, &settings.admin_listen, &settings.peer_listen};
   for (std::size_t i = 0; i < endpoints.size(); ++i) {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -41,8 +41,8 @@
   request::RoutePolicy routing_policy = request::RoutePolicy::kDefault;
   std::size_t max_connections = 1200;
   base::Duration default_deadline = std::chrono::seconds(60);
-  base::Duration lease_ttl = std::chrono::seconds(10);
-  base::Duration engine_idle_timeout = std::chrono::seconds(60);
+  base::Duration lease_ttl = std::chrono::seconds(30);
+  base::Duration engine_idle_timeout = std::chrono::seconds(10);
   base::Duration role_change_time = std::chrono::seconds(5);
   std::string tls_certificate;
   std::string tls_key;
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -45,7 +45,7 @@
   ASSERT_TRUE(settings) << (fault.lines.empty() ? "" : fault.lines[0]);
   EXPECT_EQ(settings->zone.str(), "z1");
   EXPECT_EQ(settings->max_connections, 17u);
-  EXPECT_EQ(settings->lease_ttl, std::chrono::seconds(10));
+  EXPECT_EQ(settings->lease_ttl, std::chrono::seconds(30));
   EXPECT_EQ(settings->listen.port, 1);
 }
 
@@ -61,6 +61,7 @@
       {{"--lease-ttl", "1s"}, "--lease-ttl", "whole seconds"},
       {{"--routing-policy", "best"}, "--routing-policy", "round-robin"},
       {{"--tls-key", "k.pem"}, "--tls-certificate", "together"},
+      {{"--lease-ttl", "14"}, "--engine-idle-timeout", "at least 5 seconds"},
       {{"--peer-ca", "ca.pem"}, "--peer-ca", "--tls-certificate"},
   };
   for (const Case& it : cases) {
