--- a/src/main/daemon.cc
+++ b/src/main/daemon.cc
@@ -23,6 +23,7 @@
 #include "connection/platform_fetch.h"
 #include "connection/target_client.h"
 #include "connection/tls_material.h"
+#include "main/check_report.h"
 #include "main/daemon_options.h"
 #include "main/orders_part.h"
 #include "process/admin_front.h"
@@ -328,6 +329,9 @@
                     }});
   routes.push_back({"/v1/admin/quarantine", OperatorRole::kReadOnly,
                     OperatorRole::kFleet, quarantine});
+  routes.push_back(
+      {"/v1/admin/check", OperatorRole::kReadOnly, OperatorRole::kFleet,
+       MakeCheckHandler(settings, PlatformServices(settings, key_value))});
   return routes;
 }
 
