--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -144,7 +144,7 @@
       *reason = "second link";
       return false;
     }
-    other->second.unwanted_since = now - options_.unwanted_link_grace;
+    other->second.replaced = true;
   }
   Link fresh;
   fresh.peer = hello.instance;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -169,6 +169,8 @@
     std::uint64_t last_echo = 0;
     // Since when neither side chooses the link.
     std::optional<base::Time> unwanted_since;
+    // Another link to the same peer is kept in its place.
+    bool replaced = false;
   };
 
   bool IsSelf(const std::string& address, int port) const;
--- a/src/process/membership_tick.cc
+++ b/src/process/membership_tick.cc
@@ -92,7 +92,8 @@
   for (auto it = links_.begin(); it != links_.end();) {
     const auto next = std::next(it);
     const auto& since = it->second.unwanted_since;
-    if (since && now - *since >= options_.unwanted_link_grace) {
+    const bool unwanted = since && now - *since >= options_.unwanted_link_grace;
+    if (unwanted || it->second.replaced) {
       actions->close.push_back({it->first, "not chosen"});
       links_.erase(it);
     }
--- a/tests/process/fake_network.cc
+++ b/tests/process/fake_network.cc
@@ -60,6 +60,10 @@
         auto& newest = node->newest[{item.kind, item.key}];
         steps_back_ += item.version < newest ? 1 : 0;
         newest = item.version;
+        if (item.kind == process::ViewKind::kInstance &&
+            process::StateOf(item.version) == process::MemberState::kSuspect) {
+          suspicions_.emplace(item.key, item.version.sequence);
+        }
       });
 }
 
--- a/tests/process/fake_network.h
+++ b/tests/process/fake_network.h
@@ -55,6 +55,10 @@
   std::string Contents(std::size_t node) const;
   // Times at which a node took a fact that was not newer than what it held.
   int steps_back() const { return steps_back_; }
+  // Every suspicion that any node has taken: whom, and its sequence.
+  const std::set<std::pair<std::string, std::uint64_t>>& suspicions() const {
+    return suspicions_;
+  }
   // Attempts to link, each with its time.
   const std::vector<base::Time>& dials() const { return dials_; }
   // Bytes that a node has sent.
@@ -111,6 +115,7 @@
   std::map<process::LinkId, End> ends_;
   std::multimap<base::Time, Event> events_;
   std::vector<base::Time> dials_;
+  std::set<std::pair<std::string, std::uint64_t>> suspicions_;
   base::Time next_rows_{};
   process::LinkId next_link_ = 1;
   int next_port_ = 1000;
--- a/tests/process/gossip_test.cc
+++ b/tests/process/gossip_test.cc
@@ -218,6 +218,40 @@
     EXPECT_EQ(net.StateSeenBy(i, "a-0"), MemberState::kLive) << i;
     EXPECT_EQ(net.StateSeenBy(i, "a-1"), MemberState::kLive) << i;
   }
+  // Each of the two may suspect the other once, and no more after the answer.
+  EXPECT_LE(net.suspicions().size(), 2u);
+}
+
+TEST(Gossip, AnAnswerToOneSuspicionCountsForAllWhoLostTheSamePeer) {
+  FakeNetwork net(8);
+  Fill(&net, 1, 5);
+  net.Run(seconds(30));
+  for (const std::size_t other : {1, 2, 3}) {
+    net.Cut(0, other);
+  }
+  net.Run(minutes(2));
+  // a-0 once, and each of the three once by a-0.
+  EXPECT_LE(net.suspicions().size(), 4u);
+  for (const std::size_t i : Range(0, 5)) {
+    EXPECT_EQ(net.StateSeenBy(i, "a-0"), MemberState::kLive) << i;
+  }
+}
+
+TEST(Gossip, APauseOfAllAtOnceIsNotTakenForSilence) {
+  FakeNetwork net(7);
+  Fill(&net, 2, 3);
+  net.Run(seconds(30));
+  const std::size_t dials = net.dials().size();
+  for (const std::size_t i : Range(0, 6)) {
+    net.Pause(i);
+  }
+  net.Run(seconds(60));
+  for (const std::size_t i : Range(0, 6)) {
+    net.Resume(i);
+  }
+  net.Run(seconds(10));
+  EXPECT_EQ(net.dials().size(), dials);
+  EXPECT_TRUE(net.suspicions().empty());
 }
 
 TEST(Gossip, ALeavingNoticeIsHeardAtOnceAndNotUndone) {
@@ -244,13 +278,17 @@
   constexpr int kSeconds = 30;
   for (std::uint64_t s = 0; s < kSeconds; ++s) {
     for (int target = 0; target < 100; ++target) {
-      net.node(0).Publish(Fact(net, ViewKind::kLoad, std::to_string(target),
-                               {1, s}, std::string(60, 'x')));
+      const auto from = static_cast<std::size_t>(target % 3);
+      net.node(from).Publish(Fact(net, ViewKind::kLoad, std::to_string(target),
+                                  {1, s}, std::string(60, 'x')));
     }
     net.Run(seconds(1));
   }
-  EXPECT_GT(net.node(1).store().count(ViewKind::kLoad), 0u);
-  EXPECT_EQ(net.node(3).store().count(ViewKind::kLoad), 0u);
+  // What node 1 holds beyond its own 33 came from the others of its zone.
+  EXPECT_GT(net.node(1).store().count(ViewKind::kLoad), 33u);
+  for (const std::size_t other_zone : {3, 4, 5}) {
+    EXPECT_EQ(net.node(other_zone).store().count(ViewKind::kLoad), 0u);
+  }
   EXPECT_LT(net.BytesSent(0) - before, kSeconds * 3000u);
 }
 
