Coroutine stacks are cleared of the address sanitizer's marks

Cause: http_server_test crashed under the address sanitizer (seen in AbortedStreamIsSeenAsBroken): a stack that a coroutine was switched away from was unmapped with its marks, and what was mapped there next tripped over them. Change: the stack allocator clears the marks before it unmaps, in sanitizer builds only.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -9,10 +9,10 @@
 
 #include <httplib.h>
 #include <boost/coroutine2/coroutine.hpp>
-#include <boost/coroutine2/protected_fixedsize_stack.hpp>
 
 #include "connection/bounded_server.h"
 #include "connection/connection_threads.h"
+#include "connection/coroutine_stack.h"
 #include "connection/http_limits.h"
 
 namespace lynxglade::connection {
@@ -69,7 +69,7 @@
                     const HttpHandler& handler)
       : request_(std::move(request)),
         stream_(stream),
-        body_(coro::protected_fixedsize_stack(kConnectionStackBytes),
+        body_(CoroutineStack(kConnectionStackBytes),
               [this, &handler](Push& yield) {
                 yield_ = &yield;
                 handler(*this);
