--- a/src/connection/chat_body.cc
+++ b/src/connection/chat_body.cc
@@ -179,8 +179,12 @@
 
 json RefusalObject(const request::Refusal& refusal) {
   const int status = request::HttpStatus(refusal.reason);
+  const std::string message =
+      refusal.target_message.empty()
+          ? refusal.message
+          : refusal.message + ": " + refusal.target_message;
   json error = {
-      {"message", refusal.message},
+      {"message", message},
       {"type", status < 500 ? "invalid_request_error" : "service_unavailable"},
       {"code", request::ToString(refusal.reason)},
       {"outcome", base::ToString(refusal.outcome)}};
--- a/src/connection/target_client_exchange.cc
+++ b/src/connection/target_client_exchange.cc
@@ -384,7 +384,7 @@
           : TargetRefusal::kOther;
   const auto message = error.find("message");
   if (message != error.end() && message->is_string()) {
-    report_.message = message->get<std::string>().substr(0, kMaxMessage);
+    report_.target_message = message->get<std::string>().substr(0, kMaxMessage);
   }
   report_.retry_after = ParseRetryAfter(error, retry_after_);
   return true;
--- a/src/connection/target_client_stream.cc
+++ b/src/connection/target_client_stream.cc
@@ -108,7 +108,10 @@
     return;
   }
   if (const json* error = Find(*event, "error", json::value_t::object)) {
-    Fail(State::kBad, std::string(TextOr(*error, "code")));
+    // Its text may repeat the request, so only a known code is kept.
+    const auto code = request::ParseTargetRefusal(TextOr(*error, "code"));
+    Fail(State::kBad,
+         "the engine's own error: " + std::string(request::ToString(code)));
     return;
   }
   if (TextOr(*event, "id") != expected_id_) {
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -113,9 +113,13 @@
   base::Outcome outcome = base::Outcome::kUnknown;
   AttemptEnd end = AttemptEnd::kBadAnswer;
 
-  // kRefused only: the target's reason, its text and when to come back.
+  // kRefused only: the target's reason and when to come back.
   TargetRefusal refusal = TargetRefusal::kNone;
+  // Our own words on what went wrong.
   std::string message;
+  // The target's own words, which may repeat the request: for its caller only,
+  // never for logs.
+  std::string target_message;
   std::optional<base::Duration> retry_after;
 
   // Tokens handed to the sink by this attempt.
--- a/src/request/relay_run.cc
+++ b/src/request/relay_run.cc
@@ -44,7 +44,11 @@
 std::string DescribeFailure(const AttemptReport& report) {
   std::string text = "last attempt: ";
   text += ToString(report.end);
-  if (!report.message.empty()) {
+  if (report.refusal != TargetRefusal::kNone) {
+    text += " (";
+    text += ToString(report.refusal);
+    text += ")";
+  } else if (!report.message.empty()) {
     text += " (" + report.message + ")";
   }
   return text;
@@ -301,7 +305,10 @@
     return;
   }
   if (report.refusal == TargetRefusal::kBadRequest) {
-    GiveUp(RefusalReason::kTargetRejected, std::move(report.message));
+    GiveUp(RefusalReason::kTargetRejected,
+           report.message.empty() ? "the target rejected the request"
+                                  : std::move(report.message));
+    result_.refusal->target_message = std::move(report.target_message);
     return;
   }
   if (request_.non_idempotent && report.outcome != Outcome::kNotRun) {
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -57,6 +57,9 @@
   std::string message;
   // When to come back, where that helps.
   std::optional<base::Duration> retry_after;
+  // The target's own words, which may repeat the request: for its caller only,
+  // never for logs.
+  std::string target_message = {};
 };
 
 // 0 is the most urgent.
--- a/tests/connection/caller_front_test.cc
+++ b/tests/connection/caller_front_test.cc
@@ -8,6 +8,7 @@
 #include <rapidcheck/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "base/log.h"
 #include "base/secret_hash.h"
 #include "connection/chat_body.h"
 
@@ -213,6 +214,22 @@
   EXPECT_EQ(other.written.find("sesame"), std::string::npos);
 }
 
+TEST_F(CallerFrontTest, TargetsWordsGoToTheCallerButNotIntoTheLog) {
+  base::InitLog(base::LogLevel::kDebug, "i");
+  testing::internal::CaptureStderr();
+  result_.refusal = request::Refusal{request::RefusalReason::kTargetRejected,
+                                     base::Outcome::kNotRun, "rejected",
+                                     std::nullopt, "its prompt"};
+  const RecordedExchange exchange =
+      Chat(R"({"model":"m1","messages":[{"role":"user",
+               "content":"its prompt"}]})",
+           {{"x-contract", "open"}});
+  const std::string log = testing::internal::GetCapturedStderr();
+  EXPECT_NE(exchange.written.find("rejected: its prompt"), std::string::npos);
+  EXPECT_NE(log.find("request_refused"), std::string::npos) << log;
+  EXPECT_EQ(log.find("its prompt"), std::string::npos) << log;
+}
+
 TEST_F(CallerFrontTest, WholeAnswerHasTextUsageAndId) {
   result_.answer.text = "ab";
   result_.answer.finish_reason = "stop";
--- a/tests/connection/target_client_test.cc
+++ b/tests/connection/target_client_test.cc
@@ -188,6 +188,12 @@
   EXPECT_EQ(refused.end, AttemptEnd::kRefused);
   EXPECT_EQ(refused.refusal, request::TargetRefusal::kDraining);
   EXPECT_EQ(refused.outcome, Outcome::kNotRun);
+  // Its words may repeat the prompt and are kept apart from what is logged.
+  const AttemptReport wordy = RunAgainst(
+      {Sized(400, R"({"error":{"code":"bad_request","outcome":"not_run",
+               "message":"a prompt"}})")});
+  EXPECT_EQ(wordy.target_message, "a prompt");
+  EXPECT_EQ(wordy.message, "");
 
   const std::vector<Reply> doubtful = {
       {Sized(500, kNotRunBody)},
