--- a/tests/process/order_interleaving_test.cc
+++ b/tests/process/order_interleaving_test.cc
@@ -58,7 +58,7 @@
                                                     {4, Move::kDeliverHeld},
                                                     {4, Move::kStartRequest},
                                                     {6, Move::kEndRequest},
-                                                    {1, Move::kCrash},
+                                                    {2, Move::kCrash},
                                                     {6, Move::kOutage},
                                                     {4, Move::kNewModel}}),
                     rc::gen::inRange(0u, 1000u)),
@@ -105,7 +105,9 @@
     case Move::kEndRequest:
       return world->EndRequest(engine);
     case Move::kCrash:
-      return world->Crash(engine, arg % 2 == 0);
+      world->Crash(engine, arg % 2 == 0);
+      // It comes back without its drain and takes work at once.
+      return world->StartRequest(engine);
     case Move::kOutage:
       world->store().down = arg % 4 == 0;
       return;
@@ -203,6 +205,25 @@
   EXPECT_EQ(SleeperWakes(/*fenced=*/true, /*connections_end=*/false), "");
 }
 
+// A drain is held back on its connection, given again and observed. The change
+// that follows waits until the first copy has arrived or died.
+TEST(OrderAuthorityTest, DifferentOrderWaitsForCopiesThatMayArrive) {
+  OrderWorld::Options options;
+  options.fenced = 0;
+  options.unfenced = 1;
+  OrderWorld world(options);
+  RunAlone(0, seconds(5), &world);
+  world.order_fates.push_back(OrderFate::kHeldBack);
+  world.SetModel("2");
+  RunAlone(0, seconds(4), &world);
+  EXPECT_EQ(world.accepted_orders, 1);
+  RunAlone(0, seconds(30), &world);
+  world.DeliverHeld();
+  EXPECT_TRUE(world.Settled());
+  EXPECT_EQ(world.accepted_orders, 3);
+  EXPECT_EQ(world.violation(), "");
+}
+
 // The window that stays open, docs/notes/authority.md: an engine that takes
 // old fencing tokens and keeps a silent connection for ever.
 TEST(OrderAuthorityTest, UnfencedEngineThatKeepsConnectionsIsExposed) {
