Peer links: bounds on unproved connections and on what a flooding peer holds

Cause: accepted connections were bounded only once their handshakes were over, so silent ones held sockets without bound until their timeouts; and 4,096 messages of up to 256 KB might wait for the view actor, a gigabyte.

Change: PeerLinkOptions::max_unproved (128) counts from the accept on, further ones are closed at once; waiting messages are bounded to 16 MiB as well.

Messages of one flooding peer still displace others' in the mailbox; digests bring them back.

--- a/src/connection/peer_link.h
+++ b/src/connection/peer_link.h
@@ -45,6 +45,9 @@
   PeerLinkTls tls;
   // Further links are refused before they cost more than a socket.
   std::size_t max_links = 256;
+  // Accepted connections whose TLS and WebSocket handshakes are not over;
+  // further ones are closed at once.
+  std::size_t max_unproved = 128;
   // Bytes that wait for one slow peer; beyond it the oldest droppable message
   // goes first.
   std::size_t max_queue_bytes = 512u << 10;
--- a/src/connection/peer_link_endpoint.h
+++ b/src/connection/peer_link_endpoint.h
@@ -210,6 +210,17 @@
   }
 
   void InstallServerHandlers() {
+    // Counted from the accept on: a handshake that does not come holds a
+    // socket until its timeout.
+    server_.set_tcp_pre_init_handler([this](websocketpp::connection_hdl hdl) {
+      if (++unproved_ > options_.max_unproved) {
+        ++links_refused_;
+        boost::system::error_code ec;
+        server_.get_con_from_hdl(hdl)->get_raw_socket().close(ec);
+      }
+    });
+    server_.set_fail_handler(
+        [this](websocketpp::connection_hdl) { ForgetUnproved(); });
     server_.set_tcp_post_init_handler([this](websocketpp::connection_hdl hdl) {
       SetNoDelay(server_.get_con_from_hdl(hdl));
     });
@@ -219,12 +230,19 @@
     server_.set_open_handler([this](websocketpp::connection_hdl hdl) {
       ConnectionPtr con = server_.get_con_from_hdl(hdl);
       const PeerLinkId id = next_link_.fetch_add(1);
+      ForgetUnproved();
       Adopt(id, con);
       links_.emplace(id, Link(con, false, options_.max_queue_bytes));
       Greet(id);
     });
   }
 
+  void ForgetUnproved() {
+    if (unproved_ > 0) {
+      --unproved_;
+    }
+  }
+
   static void SetNoDelay(const ConnectionPtr& con) {
     boost::system::error_code ec;
     con->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
@@ -472,6 +490,8 @@
   std::atomic<std::uint64_t> links_refused_{0};
   // Only on the I/O thread once that runs.
   bool stopping_ = false;
+  // Accepted connections whose handshake is not over.
+  std::size_t unproved_ = 0;
   std::map<PeerLinkId, Link> links_;
   std::thread thread_;
 };
--- a/src/process/view_service.cc
+++ b/src/process/view_service.cc
@@ -28,6 +28,7 @@
 // Link messages that may wait for the actor; further ones are dropped and
 // found again by digest.
 constexpr int kMaxWaitingMessages = 4096;
+constexpr std::size_t kMaxWaitingBytes = 16u << 20;
 constexpr std::string_view kInstanceRole = "instance";
 
 constexpr std::array kAllKinds{ViewKind::kInstance,     ViewKind::kTarget,
@@ -129,6 +130,7 @@
   const std::shared_ptr<Gauges> gauges = std::make_shared<Gauges>();
   caf::actor actor;
   std::atomic<int> waiting_messages{0};
+  std::atomic<std::size_t> waiting_bytes{0};
   connection::PeerLinks links;
 
   mutable std::mutex mutex;
@@ -173,7 +175,9 @@
     caf::anon_send(actor, LinkDownEvent{link});
   };
   out.on_message = [this](LinkId link, const std::string& bytes) {
-    if (waiting_messages.fetch_add(1) >= kMaxWaitingMessages) {
+    const bool full = waiting_messages.fetch_add(1) >= kMaxWaitingMessages ||
+                      waiting_bytes.load() + bytes.size() > kMaxWaitingBytes;
+    if (full) {
       waiting_messages.fetch_sub(1);
       metrics
           .GetCounter("lynxglade_peer_messages_dropped_total",
@@ -181,6 +185,7 @@
           .Add();
       return;
     }
+    waiting_bytes.fetch_add(bytes.size());
     caf::anon_send(actor, LinkMessageEvent{link, bytes});
   };
   return out;
@@ -266,6 +271,7 @@
 
 void ViewService::Details::OnLinkMessage(const LinkMessageEvent& event) {
   waiting_messages.fetch_sub(1);
+  waiting_bytes.fetch_sub(event.bytes.size());
   Change([&](Gossip& g) { g.OnMessage(event.link, event.bytes); });
 }
 
--- a/tests/connection/peer_link_test.cc
+++ b/tests/connection/peer_link_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 
 #include "connection/http_limits.h"
 #include "connection/peer_link_queue.h"
+#include "connection/raw_client.h"
 #include "connection/test_certificates.h"
 
 namespace lynxglade::connection {
@@ -138,6 +140,27 @@
   EXPECT_EQ(b.links().counters().links_refused, 1u);
 }
 
+// Connections that never shake hands hold their sockets until a timeout; there
+// may be only so many, and they do not keep peers out for longer.
+TEST(PeerLink, SilentConnectionsAreBoundedAndPeersStillGetIn) {
+  End a("hello a");
+  End b("hello b");
+  ASSERT_TRUE(a.Start());
+  ASSERT_TRUE(b.Start());
+  std::vector<std::unique_ptr<tests::RawClient>> silent;
+  for (int i = 0; i < 300; ++i) {
+    silent.push_back(std::make_unique<tests::RawClient>(b.links().port()));
+  }
+  // The last one is above the bound, so it is closed at once.
+  EXPECT_EQ(silent.back()->ReadToEnd(), "");
+  EXPECT_GE(b.links().counters().links_refused, 100u);
+  silent.clear();
+  EXPECT_TRUE(a.WaitFor([&] {
+    a.links().Dial("127.0.0.1", b.links().port());
+    return !a.up.empty();
+  }));
+}
+
 TEST(PeerLink, ReportsAnAttemptThatFindsNobody) {
   End a("hello a");
   End gone("hello b");
