--- a/bench/load/caller.cc
+++ b/bench/load/caller.cc
@@ -150,6 +150,7 @@
 
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
+  const base::Time sent = base::BootClock::now();
   const bool ended = client.send(request, response, error);
   CallResult result;
   result.last_byte_s = SecondsBetween(due, base::BootClock::now());
@@ -157,7 +158,11 @@
   if (is_stream && result.status == kOk) {
     JudgeStream(item, check, due, &result);
   } else if (!ended) {
-    result.code = httplib::to_string(error);
+    // The library names a time-out and a broken connection alike.
+    const bool gave_up =
+        error == httplib::Error::Read &&
+        base::BootClock::now() - sent >= item.deadline + patience;
+    result.code = gave_up ? "gave_up_waiting" : httplib::to_string(error);
     result.verdict = whole.empty() ? Verdict::kLost : Verdict::kCut;
   } else if (result.status != kOk) {
     result.verdict = Verdict::kRefused;
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -5,7 +5,8 @@
 #   deployment_stop             ends it all, by process id
 #
 # Settings: PORT_BASE (26000): 1000 ports from there are used. LOAD_LAG_MS
-# (500): age of load reports. DAEMON_FLAGS, ENGINE_FLAGS: further flags.
+# (500): age of load reports. PLANNER (false): whether the role planner may
+# change roles. DAEMON_FLAGS, ENGINE_FLAGS: further flags.
 
 BUILD=${BUILD:-build}
 PORT_BASE=${PORT_BASE:-26000}
@@ -182,7 +183,7 @@
              intents: [$services[] | {service: .name, share: $contract.share,
                priority: $contract.priority}
                + (if .kind == "engine" then {model, version} else {} end)]}}])
-    )}' --arg planner "${PLANNER:-true}" "$DEPLOYMENT_FILE"
+    )}' --arg planner "${PLANNER:-false}" "$DEPLOYMENT_FILE"
 }
 
 operator_call() { # method path [body on standard input]
