--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -107,7 +107,7 @@
     --stream-rate "$(service_field engine .stream_tokens_per_s)" \
     --kv-rate "$(service_field engine .kv_tokens_per_s)" \
     --change-ms "$(service_field engine '.change_s * 1000 | floor')" \
-    --load-lag-ms "$LOAD_LAG_MS" \
+    --load-lag-ms "$LOAD_LAG_MS" --idle-timeout-ms 8000 \
     --weights-url "http://$ADDRESS:$((PORT_BASE + 20))" ${ENGINE_FLAGS:-}
   start_stand_in plain "$bin/fake_plain" \
     --count "$(targets_of plain)" --first-port "$PLAIN_PORT" \
