--- a/tests/system/deployment.cc
+++ b/tests/system/deployment.cc
@@ -268,7 +268,7 @@
 int Deployment::AddInstance(int zone) {
   const int n = static_cast<int>(instances_.size());
   const int base = ports_.base();
-  std::vector<std::string> arguments = {LYNXGLADED,
+  std::vector<std::string> arguments = {DaemonProgram(),
                                         "--instance-id",
                                         InstanceName(n),
                                         "--zone",
@@ -464,6 +464,12 @@
             200);
 }
 
+json Deployment::EngineState(int n) const {
+  const json state =
+      HttpCall(ports_.base() + kTargetPorts + n, "GET", "/v1/state").body;
+  return state.is_object() ? state : json::object();
+}
+
 std::vector<json> Deployment::EngineRuns() const {
   return RunsAt(ports_.base() + kEngineControl);
 }
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -106,6 +106,8 @@
   void CutFromZones(int zone, bool cut) const;
   void SetListState(const std::string& id, const std::string& state) const;
 
+  // GET /v1/state of the n-th engine, from 0; empty while it does not answer.
+  nlohmann::json EngineState(int n) const;
   std::vector<nlohmann::json> EngineRuns() const;
   std::vector<nlohmann::json> PlainRuns() const;
   std::vector<nlohmann::json> EngineJournals() const;
