--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -7,6 +7,8 @@
 # Settings: PORT_BASE (26000): 1000 ports from there are used. LOAD_LAG_MS
 # (500): age of load reports. PLANNER (false): whether the role planner may
 # change roles. DAEMON_FLAGS, ENGINE_FLAGS: further flags.
+# For large deployments: DEPLOYMENT_DIR, ENGINE_PORT, PLAIN_PORT, LINK_STRIDE,
+# START_PATIENCE (15): seconds that each step of the start may take.
 
 BUILD=${BUILD:-build}
 PORT_BASE=${PORT_BASE:-26000}
@@ -18,11 +20,13 @@
 PLATFORM_CONTROL=$ADDRESS:$((PORT_BASE + 30))
 ENGINE_CONTROL=$ADDRESS:$((PORT_BASE + 40))
 PLAIN_CONTROL=$ADDRESS:$((PORT_BASE + 41))
-ENGINE_PORT=$((PORT_BASE + 600))
-PLAIN_PORT=$((PORT_BASE + 800))
+DEPLOYMENT_DIR=${DEPLOYMENT_DIR:-bench/deployments}
+START_PATIENCE=${START_PATIENCE:-15}
+ENGINE_PORT=${ENGINE_PORT:-$((PORT_BASE + 600))}
+PLAIN_PORT=${PLAIN_PORT:-$((PORT_BASE + 800))}
 # Each zone's entry instances reach the targets at ports of their own, this far
 # apart, so that zones can be cut off from each other.
-LINK_STRIDE=50
+LINK_STRIDE=${LINK_STRIDE:-50}
 
 ENTRY_PIDS=()
 STAND_IN_PIDS=()
@@ -208,7 +212,7 @@
 ready() { curl -sf "http://$1/readyz"; }
 
 deployment_read() { # name
-  DEPLOYMENT_FILE=bench/deployments/$1.json
+  DEPLOYMENT_FILE=$DEPLOYMENT_DIR/$1.json
   [ -f "$DEPLOYMENT_FILE" ] || { echo "no deployment $1" >&2; return 2; }
   REGION=$(jq -r .region "$DEPLOYMENT_FILE")
   mapfile -t ZONES < <(jq -r '.zones[]' "$DEPLOYMENT_FILE")
@@ -230,11 +234,11 @@
     start_entry "$i"
   done
   for i in "${!ADMINS[@]}"; do
-    wait_for 15 "entry-$((i + 1))" curl -sf "http://${ADMINS[$i]}/healthz"
+    wait_for "$START_PATIENCE" "entry-$((i + 1))" curl -sf "http://${ADMINS[$i]}/healthz"
   done
-  wait_for 15 "configuration" configure
+  wait_for "$START_PATIENCE" "configuration" configure
   for i in "${!ADMINS[@]}"; do
-    wait_for 15 "ready entry-$((i + 1))" ready "${ADMINS[$i]}"
+    wait_for "$START_PATIENCE" "ready entry-$((i + 1))" ready "${ADMINS[$i]}"
   done
 }
 
--- a/src/process/gossip.cc
+++ b/src/process/gossip.cc
@@ -111,6 +111,8 @@
   if (membership_.PeerOf(link) == nullptr) {
     return;
   }
+  metrics_.GetCounter("lynxglade_peer_messages_received_total").Add();
+  metrics_.GetCounter("lynxglade_peer_bytes_received_total").Add(bytes.size());
   PeerMessageError error = PeerMessageError::kNone;
   const auto message = DecodePeerMessage(bytes, clock_(), &error);
   if (!message) {
