Fleet of 12,000: no index for each first report, no reading of a known list

Cause: each target that became known made a new routing index, so a start cost 9.7 s of processor time at 4,000 engines, growing with the square; and the instance list was parsed and the index made anew each second (17.7 ms and 8.9 ms at 4,000), changed or not. Change: in a large fleet a target that becomes known waits for the next Publish() (200 ms) unless it adds a sixteenth; changes of state are published at once as before.

--- a/src/connection/instance_list.cc
+++ b/src/connection/instance_list.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/hash.h"
 #include "base/log.h"
 
 namespace lynxglade::connection {
@@ -120,7 +121,11 @@
   if (!body) {
     return false;
   }
-  std::optional<InstanceTable> table = ParseInstanceTable(*body);
+  // Mostly the list is the one that is held; reading it costs far more than
+  // its hash.
+  const std::uint64_t hash = base::Hash64(*body);
+  std::optional<InstanceTable> table =
+      hash == body_hash_ ? *table_.Get() : ParseInstanceTable(*body);
   if (!table) {
     *last_error = PlatformError::kBadAnswer;
     return false;
@@ -133,6 +138,7 @@
     *last_error = PlatformError::kOlder;
     return false;
   }
+  body_hash_ = hash;
   table->as_of = asked;
   table_.Set(std::move(*table));
   return true;
--- a/src/connection/instance_list.h
+++ b/src/connection/instance_list.h
@@ -41,6 +41,8 @@
   bool leaving = false;
   // Engines only: refuses orders of an older fencing token.
   bool fenced = false;
+
+  bool operator==(const TargetRow&) const = default;
 };
 
 struct InstanceTable {
@@ -85,6 +87,8 @@
   const PlatformFetch fetch_;
   const base::Clock clock_;
   base::Snapshot<InstanceTable> table_;
+  // Of the text that `table_` was read from. Refresh() only.
+  std::optional<std::uint64_t> body_hash_;
   std::atomic<std::uint64_t> older_lists_{0};
 };
 
--- a/src/process/target_registry.cc
+++ b/src/process/target_registry.cc
@@ -16,6 +16,9 @@
 using request::TargetState;
 
 constexpr int kMaxViewDepth = 4;
+// Targets that become known one by one make a new index at once while they
+// add at least this part to it, so that 12,000 of them do not make 12,000.
+constexpr std::size_t kAdditionPart = 16;
 
 // The state that a view item's body names; nothing when it is malformed.
 std::optional<TargetState> ReadState(const nlohmann::json& body) {
@@ -73,21 +76,29 @@
     std::ranges::transform(*rows, std::inserter(listed, listed.end()),
                            &connection::TargetRow::id);
   }
-  std::erase_if(records_,
-                [&](const auto& it) { return !listed.contains(it.first); });
-  TakeRows(list.engines, /*engines=*/true);
-  TakeRows(list.plains, /*engines=*/false);
-  PublishLocked();
+  const std::size_t gone = std::erase_if(
+      records_, [&](const auto& it) { return !listed.contains(it.first); });
+  const bool engines = TakeRows(list.engines, /*engines=*/true);
+  const bool plains = TakeRows(list.plains, /*engines=*/false);
+  if (gone > 0 || engines || plains) {
+    PublishLocked();
+  }
 }
 
-void TargetRegistry::TakeRows(const std::vector<connection::TargetRow>& rows,
+bool TargetRegistry::TakeRows(const std::vector<connection::TargetRow>& rows,
                               bool engines) {
+  bool changed = false;
   for (const connection::TargetRow& row : rows) {
     Record& record = records_[row.id];
+    if (record.listed.row == row && record.listed.engine == engines) {
+      continue;
+    }
+    changed = true;
     record.listed = {row, engines};
     CopyRow(record.listed, record.target);
     Refresh(record);
   }
+  return changed;
 }
 
 bool TargetRegistry::OnLoad(const connection::LoadReport& report) {
@@ -104,6 +115,7 @@
   if (older) {
     return false;
   }
+  const bool first = !IsKnown(record);
   record.reported = true;
   record.incarnation = report.incarnation;
   record.sequence = report.sequence;
@@ -122,7 +134,7 @@
   changed = Refresh(record) || changed;
   dirty_ = true;
   if (changed) {
-    PublishLocked();
+    PublishChange(first);
   }
   return restarted;
 }
@@ -142,6 +154,7 @@
   it->second.view_version = item.version;
   it->second.viewed = *state;
   it->second.refused_as.reset();
+  const bool first = !IsKnown(it->second);
   bool changed = Refresh(it->second);
   if (!it->second.reported && it->second.listed.engine) {
     changed = true;
@@ -149,7 +162,7 @@
     Describe(*body, it->second.target);
   }
   if (changed) {
-    PublishLocked();
+    PublishChange(first);
   }
 }
 
@@ -213,6 +226,14 @@
   return std::exchange(record.target.state, state) != state;
 }
 
+void TargetRegistry::PublishChange(bool first) {
+  dirty_ = true;
+  const std::size_t held = index_.load()->table().targets.size();
+  if (!first || ++additions_ * kAdditionPart >= held) {
+    PublishLocked();
+  }
+}
+
 void TargetRegistry::PublishLocked() {
   auto table = std::make_shared<request::TargetTable>();
   for (const auto& [id, record] : records_) {
@@ -225,6 +246,7 @@
   });
   index_.store(std::make_shared<const request::TargetIndex>(std::move(table)));
   dirty_ = false;
+  additions_ = 0;
 }
 
 }  // namespace lynxglade::process
--- a/src/process/target_registry.h
+++ b/src/process/target_registry.h
@@ -4,6 +4,7 @@
 #define LYNXGLADE_PROCESS_TARGET_REGISTRY_H_
 
 #include <atomic>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -80,11 +81,17 @@
   // Updates the record's published state; true when it changed.
   static bool Refresh(Record& record) noexcept;
   void PublishLocked();
-  void TakeRows(const std::vector<connection::TargetRow>& rows, bool engines);
+  // A change of state is published at once; a target that became known
+  // (`first`) may wait for Publish() in a large fleet.
+  void PublishChange(bool first);
+  // Returns whether any row is new or differs.
+  bool TakeRows(const std::vector<connection::TargetRow>& rows, bool engines);
 
   mutable std::mutex mutex_;
   std::map<base::TargetId, Record> records_;
   bool dirty_ = false;
+  // Targets that became known since the index was made.
+  std::size_t additions_ = 0;
   std::atomic<std::shared_ptr<const request::TargetIndex>> index_;
 };
 
