Load driver: a repeat that ran does not belie the first refusal

The cause was the check: a non-idempotent request refused as not_run (claim_unavailable) and sent again under the same key and request id through another instance may run, which makes the first answer no lie. A request now counts as refused not_run only when every answer said so, and the report lists the ids that are found to have run.

--- a/bench/load/driver.cc
+++ b/bench/load/driver.cc
@@ -78,7 +78,8 @@
     tally_->Finish(item, Call(NextEntry(), options_.workload, item, body, due,
                               options_.patience));
     if (item.repeated) {
-      tally_->FinishRepeat(Call(NextEntry(), options_.workload, item, body,
+      tally_->FinishRepeat(item,
+                           Call(NextEntry(), options_.workload, item, body,
                                 base::BootClock::now(), options_.patience));
     }
   }
--- a/bench/load/journals.cc
+++ b/bench/load/journals.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <map>
 #include <optional>
 
@@ -90,8 +91,9 @@
       std::ranges::count_if(trace, [&](const TraceItem& item) {
         return item.non_idempotent && runs_of(item.id.str()) > 1;
       }));
-  findings.untrue_not_run = static_cast<std::uint64_t>(std::ranges::count_if(
-      not_run, [&](const std::string& id) { return runs_of(id) > 0; }));
+  std::ranges::copy_if(not_run, std::back_inserter(findings.untrue_ids),
+                       [&](const std::string& id) { return runs_of(id) > 0; });
+  findings.untrue_not_run = findings.untrue_ids.size();
   return findings;
 }
 
--- a/bench/load/journals.h
+++ b/bench/load/journals.h
@@ -20,6 +20,8 @@
   std::uint64_t non_idempotent_doubled = 0;
   // Requests refused as "not_run" that a stand-in ran: broken promises.
   std::uint64_t untrue_not_run = 0;
+  // Their ids, to look them up.
+  std::vector<std::string> untrue_ids;
   // Orders that took an engine out of service, for any reason.
   std::uint64_t role_changes = 0;
 };
--- a/bench/load/report.cc
+++ b/bench/load/report.cc
@@ -94,6 +94,7 @@
         {"runs", journals.runs},
         {"role_changes", journals.role_changes},
         {"non_idempotent_doubled", journals.non_idempotent_doubled},
+        {"untrue_ids", journals.untrue_ids},
         {"untrue_not_run", journals.untrue_not_run}}}};
   return report.dump(2) + "\n";
 }
--- a/bench/load/tally.cc
+++ b/bench/load/tally.cc
@@ -80,8 +80,13 @@
   }
 }
 
-void Tally::FinishRepeat(const CallResult& result) {
+void Tally::FinishRepeat(const TraceItem& item, const CallResult& result) {
   const std::lock_guard lock(mutex_);
+  // What the first answer said is no longer a claim about the journal when
+  // the repeat, which has the same request id, may have run.
+  if (result.outcome != "not_run") {
+    totals_.not_run.erase(item.id.str());
+  }
   ++totals_.repeats[IsWhole(result.verdict) ? "answered"
                                             : std::string(result.code)];
 }
--- a/bench/load/tally.h
+++ b/bench/load/tally.h
@@ -56,7 +56,7 @@
   std::uint64_t uncounted = 0;
   // Of the first failures, to look them up in the logs by request id.
   std::vector<std::string> failed_requests;
-  // Requests whose refusal said that they were not run.
+  // Requests of which every answer said that they were not run.
   std::set<std::string> not_run;
   std::vector<double> first_token_s;
   std::vector<double> gap_s;
@@ -78,7 +78,7 @@
   void Offer(const TraceItem& item);
   void Finish(const TraceItem& item, const CallResult& result);
   // The answer to a non-idempotent request that was sent again.
-  void FinishRepeat(const CallResult& result);
+  void FinishRepeat(const TraceItem& item, const CallResult& result);
   void NoteSendLag(double seconds);
   void NoteUnsent(const TraceItem& item);
 
