--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr char kEnvironmentPrefix[] = "LYNXGLADE_";
+constexpr std::string_view kUrlScheme = "http://";
 constexpr int kMaxPort = 65535;
 // What a lease must leave for giving orders.
 constexpr base::Duration kLeastOrderTime = std::chrono::seconds(5);
@@ -86,9 +88,8 @@
 Apply ReadUrl(std::string Settings::* member) {
   return [member](Settings& settings,
                   const std::string& text) -> std::optional<std::string> {
-    static const std::string kScheme = "http://";
-    if (!text.starts_with(kScheme) ||
-        !ParseEndpoint(text.substr(kScheme.size()))) {
+    if (!text.starts_with(kUrlScheme) ||
+        !ParseEndpoint(text.substr(kUrlScheme.size()))) {
       return "http:// with an IP address and a port, such as "
              "http://127.0.0.1:2379";
     }
