A new instance of a cut-off zone learns targets and peers from its zone

Cause: a lynxgladed that starts while the instance list is out of reach knew neither targets nor peers, though its zone's other instances held both.

Change: a view kind "listed", one fact a target under the revision of the list in which the row was first seen so, with tombstones; told by the two watchers of each zone and only where it differs from the facts held.

Conclusion: a zone cut off from the platform can replace its instances.

--- a/src/main/daemon_hooks.cc
+++ b/src/main/daemon_hooks.cc
@@ -254,6 +254,10 @@
     views.Publish(std::move(item));
   };
   hooks.zone_members = [this] { return ZoneMembers(); };
+  hooks.should_tell = [this] { return ShouldWatch(); };
+  hooks.listed_facts = [this] {
+    return views.Snapshot(process::ViewKind::kListed);
+  };
   hooks.clock = base::BootClock::now;
   return hooks;
 }
@@ -270,7 +274,11 @@
           return process::InstanceRow{entry.id, entry.zone, entry.address,
                                       entry.peer_port, entry.leaving};
         });
-    return rows;
+    const bool names_peers =
+        std::ranges::any_of(rows, [this](const process::InstanceRow& row) {
+          return row.id != settings.instance;
+        });
+    return names_peers ? rows : SeedRows(settings);
   };
   return hooks;
 }
@@ -289,6 +297,7 @@
                     orders->Hear(item);
                   });
   views.Subscribe(process::ViewKind::kLoad, to_fleet);
+  views.Subscribe(process::ViewKind::kListed, to_fleet);
   views.Subscribe(process::ViewKind::kConfigHead, to_configuration);
   views.Subscribe(process::ViewKind::kConfigDelta, to_configuration);
   views.Subscribe(process::ViewKind::kQuarantine,
--- a/src/main/daemon_options.cc
+++ b/src/main/daemon_options.cc
@@ -1,6 +1,8 @@
 #include "main/daemon_options.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -94,4 +96,17 @@
   return options;
 }
 
+std::vector<process::InstanceRow> SeedRows(const process::Settings& settings) {
+  std::vector<process::InstanceRow> rows;
+  std::ranges::transform(
+      settings.seed_peers, std::back_inserter(rows),
+      [&](const process::Endpoint& seed) {
+        const std::string id =
+            "seed-" + seed.address + "-" + std::to_string(seed.port);
+        return process::InstanceRow{base::InstanceId(id), settings.zone,
+                                    seed.address, seed.port, false};
+      });
+  return rows;
+}
+
 }  // namespace lynxglade
--- a/src/process/fleet_watch.cc
+++ b/src/process/fleet_watch.cc
@@ -43,6 +43,8 @@
 void FleetWatch::Hear(const ViewItem& item) {
   if (item.kind == ViewKind::kTarget) {
     registry_.OnTargetView(item);
+  } else if (item.kind == ViewKind::kListed) {
+    facts_changed_ = true;
   } else if (item.kind == ViewKind::kLoad) {
     auto report = connection::ParseLoadReport(item.body, hooks_.clock());
     if (report) {
@@ -54,7 +56,7 @@
 }
 
 bool FleetWatch::Ready() const {
-  if (list_.Get()->revision.value() == 0) {
+  if (!list_known_) {
     return false;
   }
   if (hooks_.clock() - started_ >= options_.patience) {
@@ -86,14 +88,43 @@
 
 void FleetWatch::RefreshList() {
   connection::PlatformError error{};
-  if (list_.Refresh(&error)) {
-    registry_.SetRows(*list_.Get());
+  const bool confirmed = list_.Refresh(&error);
+  if (!confirmed) {
+    metrics_
+        .GetCounter("lynxglade_instance_list_failures_total",
+                    {{"reason", std::string(connection::ToString(error))}})
+        .Add();
+  }
+  const bool changed = facts_changed_.exchange(false);
+  if (changed) {
+    facts_ = hooks_.listed_facts();
+    told_ = base::Revision(0);
+  }
+  if (confirmed || changed) {
+    registry_.SetRows(*WithNewerFacts(list_.Get(), facts_));
+  }
+  if (confirmed) {
+    TellOfList();
+  }
+  // Facts come in batches; as long as they do, more may be missing.
+  if (!list_known_) {
+    const bool whole_from_peers = !changed && !registry_.Rows().empty();
+    list_known_ = list_.Get()->revision.value() > 0 || whole_from_peers;
+  }
+}
+
+void FleetWatch::TellOfList() {
+  const connection::InstanceList::Handle list = list_.Get();
+  if (hooks_.clock() - started_ < options_.publish_after ||
+      !hooks_.should_tell() || list->revision == told_) {
     return;
   }
-  metrics_
-      .GetCounter("lynxglade_instance_list_failures_total",
-                  {{"reason", std::string(connection::ToString(error))}})
-      .Add();
+  const std::vector<ViewItem> news =
+      FactsToPublish(*list, facts_, options_.publish_limit);
+  std::ranges::for_each(news, hooks_.publish);
+  if (news.empty()) {
+    told_ = list->revision;
+  }
 }
 
 void FleetWatch::OnPolled(const connection::LoadReport& report) {
--- a/src/process/fleet_watch.h
+++ b/src/process/fleet_watch.h
@@ -4,9 +4,15 @@
 // each instance polls its slice and tells the others of the zone. Targets of
 // other zones are known by what their zone's order holder tells, and by the
 // load that comes with answers; one that nobody told of yet is polled too.
+//
+// A few instances of each zone tell the others what the list says; rows that
+// are newer than the own list are taken from there, also when the own list
+// never came.
 #ifndef LYNXGLADE_PROCESS_FLEET_WATCH_H_
 #define LYNXGLADE_PROCESS_FLEET_WATCH_H_
 
+#include <atomic>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +21,7 @@
 #include "base/ids.h"
 #include "base/metrics.h"
 #include "base/time.h"
+#include "base/units.h"
 #include "connection/instance_list.h"
 #include "connection/load_report.h"
 #include "process/load_poller.h"
@@ -31,6 +38,10 @@
   base::Duration list_interval = std::chrono::seconds(1);
   // How long targets may stay silent before they no longer hold up readiness.
   base::Duration patience = std::chrono::seconds(5);
+  // A new instance first hears what peers hold before it tells of the list.
+  base::Duration publish_after = std::chrono::seconds(15);
+  // Rows told at each refresh, at most.
+  std::size_t publish_limit = 256;
   LoadPollerOptions poller;
 };
 
@@ -45,6 +56,10 @@
   std::function<void(ViewItem)> publish;
   // The live instances of the own zone, this one included.
   std::function<std::vector<base::InstanceId>()> zone_members;
+  // Whether this instance is one of those that tell of the list.
+  std::function<bool()> should_tell;
+  // All facts of the kind kListed.
+  std::function<std::vector<ViewItem>()> listed_facts;
   base::Clock clock;
 };
 
@@ -65,11 +80,12 @@
   void Start();
   void Stop();
 
-  // A fact of the kind kLoad or kTarget from a peer.
+  // A fact of the kind kLoad, kTarget or kListed from a peer.
   void Hear(const ViewItem& item);
 
   // Whether the targets of the own zone are known well enough to serve: a list
-  // has come, and each of them said what it runs or had `patience` to do so.
+  // has come, from the platform or whole from peers, and each of them said what
+  // it runs or had `patience` to do so.
   bool Ready() const;
 
   // Targets that this instance polls now.
@@ -77,6 +93,7 @@
 
  private:
   void RefreshList();
+  void TellOfList();
   void OnPolled(const connection::LoadReport& report);
 
   const FleetWatchOptions options_;
@@ -85,6 +102,13 @@
   TargetRegistry& registry_;
   base::Metrics& metrics_;
   base::Time started_{};
+  // Facts of the kind kListed came since they were last read.
+  std::atomic<bool> facts_changed_{false};
+  std::atomic<bool> list_known_{false};
+  // Only on the list's thread: the facts as last read, and the revision of the
+  // list of which nothing is left to tell.
+  std::vector<ViewItem> facts_;
+  base::Revision told_{0};
   std::unique_ptr<PeriodicTask> list_task_;
   std::unique_ptr<LoadPoller> poller_;
 };
--- a/src/process/gossip.cc
+++ b/src/process/gossip.cc
@@ -44,6 +44,7 @@
     case ViewKind::kTarget:
     case ViewKind::kLoad:
     case ViewKind::kConfigInForce:
+    case ViewKind::kListed:
       break;
   }
   return false;
--- a/src/process/peer_messages.cc
+++ b/src/process/peer_messages.cc
@@ -151,7 +151,7 @@
   FieldReader reader(fields, 0);
   ViewItem item;
   const auto kind =
-      reader.Unsigned(static_cast<std::uint64_t>(ViewKind::kConfigInForce));
+      reader.Unsigned(static_cast<std::uint64_t>(ViewKind::kListed));
   item.kind = static_cast<ViewKind>(kind);
   item.key = reader.Text(kMaxViewKeyBytes);
   item.version.epoch = reader.Unsigned();
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -20,6 +21,7 @@
 constexpr char kEnvironmentPrefix[] = "LYNXGLADE_";
 constexpr std::string_view kUrlScheme = "http://";
 constexpr int kMaxPort = 65535;
+constexpr std::size_t kMaxSeedPeers = 32;
 // What a lease must leave for giving orders.
 constexpr base::Duration kLeastOrderTime = std::chrono::seconds(5);
 
@@ -85,6 +87,23 @@
   };
 }
 
+std::optional<std::string> ReadSeedPeers(Settings& settings,
+                                         const std::string& text) {
+  std::istringstream parts(text);
+  std::vector<Endpoint> peers;
+  for (std::string part; std::getline(parts, part, ',');) {
+    const auto endpoint = ParseEndpoint(part);
+    if (!endpoint || endpoint->port == 0 || peers.size() == kMaxSeedPeers) {
+      return "up to " + std::to_string(kMaxSeedPeers) +
+             " IP addresses and ports with commas between, such as "
+             "10.0.0.1:7003,10.0.0.2:7003";
+    }
+    peers.push_back(*endpoint);
+  }
+  settings.seed_peers = std::move(peers);
+  return std::nullopt;
+}
+
 Apply ReadUrl(std::string Settings::* member) {
   return [member](Settings& settings,
                   const std::string& text) -> std::optional<std::string> {
@@ -162,6 +181,10 @@
        ReadEndpoint(&Settings::admin_listen)},
       {"peer-listen", "", true, "where other instances connect",
        ReadEndpoint(&Settings::peer_listen)},
+      {"seed-peers", "", false,
+       "where other instances of the zone listen for peers; tried while the "
+       "instance list names none",
+       ReadSeedPeers},
       {"kv-url", "", true, "the platform's key-value service",
        ReadUrl(&Settings::kv_url)},
       {"instance-list-url", "", true, "the platform's instance list",
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -31,6 +31,8 @@
   Endpoint listen;
   Endpoint admin_listen;
   Endpoint peer_listen;
+  // Where to look for peers while the instance list names none.
+  std::vector<Endpoint> seed_peers;
   // "http://address:port" of the platform's services.
   std::string kv_url;
   std::string instance_list_url;
--- a/src/process/target_registry.h
+++ b/src/process/target_registry.h
@@ -16,21 +16,13 @@
 #include "base/time.h"
 #include "connection/instance_list.h"
 #include "connection/load_report.h"
+#include "process/listed_rows.h"
 #include "process/view_item.h"
 #include "request/target.h"
 #include "request/target_index.h"
 
 namespace lynxglade::process {
 
-// A target as the platform's instance list has it.
-struct ListedTarget {
-  connection::TargetRow row;
-  // False for plain services.
-  bool engine = true;
-  // Somebody has said what it runs; set by Rows() only.
-  bool known = false;
-};
-
 // Thread-safe; a short lock a call, none for Index().
 class TargetRegistry {
  public:
--- a/src/process/view_item.h
+++ b/src/process/view_item.h
@@ -30,6 +30,9 @@
   // The configuration that an instance holds; version.epoch is its revision.
   // Key: instance id.
   kConfigInForce = 7,
+  // A target's row in the platform's instance list (listed_rows.h);
+  // version.epoch is the list's revision. Key: target id.
+  kListed = 8,
 };
 
 // Order of facts under one key: the greater epoch wins, then the greater
--- a/src/process/view_service.cc
+++ b/src/process/view_service.cc
@@ -31,10 +31,10 @@
 constexpr std::size_t kMaxWaitingBytes = 16u << 20;
 constexpr std::string_view kInstanceRole = "instance";
 
-constexpr std::array kAllKinds{ViewKind::kInstance,     ViewKind::kTarget,
-                               ViewKind::kQuarantine,   ViewKind::kLoad,
-                               ViewKind::kConfigHead,   ViewKind::kConfigDelta,
-                               ViewKind::kConfigInForce};
+constexpr std::array kAllKinds{ViewKind::kInstance,      ViewKind::kTarget,
+                               ViewKind::kQuarantine,    ViewKind::kLoad,
+                               ViewKind::kConfigHead,    ViewKind::kConfigDelta,
+                               ViewKind::kConfigInForce, ViewKind::kListed};
 
 }  // namespace
 
--- a/src/process/view_store.cc
+++ b/src/process/view_store.cc
@@ -61,9 +61,11 @@
     case ViewKind::kConfigDelta:
       return "config_delta";
     case ViewKind::kConfigInForce:
+      return "config_in_force";
+    case ViewKind::kListed:
       break;
   }
-  return "config_in_force";
+  return "listed";
 }
 
 ViewRules DefaultViewRules() {
@@ -79,6 +81,8 @@
   rules[IndexOf(ViewKind::kConfigHead)] = {{}, 2048, false};
   rules[IndexOf(ViewKind::kConfigDelta)] = {{}, 1024, true};
   rules[IndexOf(ViewKind::kConfigInForce)] = {minutes(15), 4096, true};
+  // Tombstones, which no list renews, are the first to make room.
+  rules[IndexOf(ViewKind::kListed)] = {{}, 32768, true};
   return rules;
 }
 
--- a/src/process/view_store.h
+++ b/src/process/view_store.h
@@ -26,7 +26,7 @@
 
 inline constexpr std::size_t kDigestBuckets = 128;
 // Kinds are numbered from 1.
-inline constexpr std::size_t kViewKinds = 8;
+inline constexpr std::size_t kViewKinds = 9;
 
 // "instance", "target", ... as counters and operators see it.
 std::string_view ToString(ViewKind kind) noexcept;
--- /dev/null
+++ b/tests/process/listed_rows_test.cc
@@ -0,0 +1,160 @@
+#include "process/listed_rows.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "process/view_store.h"
+
+namespace lynxglade::process {
+namespace {
+
+using connection::InstanceTable;
+using Handle = std::shared_ptr<const InstanceTable>;
+
+ListedTarget Engine(const std::string& id, int port = 1) {
+  ListedTarget out;
+  out.row = {base::TargetId(id),
+             base::ServiceName("llm"),
+             base::ZoneId("a"),
+             "127.0.0.1",
+             port,
+             false,
+             true};
+  return out;
+}
+
+Handle List(std::int64_t revision, const std::vector<ListedTarget>& targets) {
+  InstanceTable out;
+  out.revision = base::Revision(revision);
+  std::ranges::transform(targets, std::back_inserter(out.engines),
+                         &ListedTarget::row);
+  return std::make_shared<const InstanceTable>(std::move(out));
+}
+
+// The list's engines with their ports.
+std::map<std::string, int> PortsOf(const InstanceTable& list) {
+  std::map<std::string, int> out;
+  std::ranges::transform(list.engines, std::inserter(out, out.end()),
+                         [](const connection::TargetRow& row) {
+                           return std::pair(row.id.str(), row.port);
+                         });
+  return out;
+}
+
+TEST(ListedRowsTest, AFactHoldsAllOfARow) {
+  ListedTarget plain = Engine("p", 7);
+  plain.engine = false;
+  plain.row.fenced = false;
+  plain.row.leaving = true;
+  const auto list =
+      WithNewerFacts(List(0, {}), {ListedFact(Engine("e"), base::Revision(3)),
+                                   ListedFact(plain, base::Revision(4))});
+  EXPECT_EQ(list->revision.value(), 4);
+  ASSERT_EQ(list->engines.size(), 1u);
+  EXPECT_EQ(list->engines[0].service.str(), "llm");
+  EXPECT_EQ(list->engines[0].zone.str(), "a");
+  EXPECT_EQ(list->engines[0].address, "127.0.0.1");
+  EXPECT_TRUE(list->engines[0].fenced);
+  EXPECT_FALSE(list->engines[0].leaving);
+  ASSERT_EQ(list->plains.size(), 1u);
+  EXPECT_EQ(list->plains[0].port, 7);
+  EXPECT_TRUE(list->plains[0].leaving);
+  EXPECT_FALSE(list->plains[0].fenced);
+}
+
+TEST(ListedRowsTest, OnlyNewerFactsTakeTheListsPlace) {
+  const std::vector<ViewItem> facts = {
+      ListedFact(Engine("changed", 2), base::Revision(6)),
+      ListedFact(Engine("old", 2), base::Revision(5)),
+      UnlistedFact(base::TargetId("gone"), base::Revision(6)),
+      UnlistedFact(base::TargetId("back"), base::Revision(4)),
+      ListedFact(Engine("dropped"), base::Revision(5)),
+      ListedFact(Engine("new"), base::Revision(7))};
+  const std::vector<ListedTarget> rows = {Engine("changed"), Engine("old"),
+                                          Engine("gone"), Engine("back")};
+  const auto list = WithNewerFacts(List(5, rows), facts);
+  EXPECT_EQ(list->revision.value(), 7);
+  EXPECT_EQ(PortsOf(*list),
+            (std::map<std::string, int>{
+                {"changed", 2}, {"old", 1}, {"back", 1}, {"new", 1}}));
+  // The platform's list as new as all that was told: it stands as it is.
+  const Handle newest = List(7, rows);
+  EXPECT_EQ(WithNewerFacts(newest, facts), newest);
+}
+
+TEST(ListedRowsTest, WhatIsNoRowIsPassedOver) {
+  ViewItem fact = ListedFact(Engine("e"), base::Revision(3));
+  const auto taken = [&](const std::string& body, std::uint64_t epoch) {
+    fact.body = body;
+    fact.version.epoch = epoch;
+    return WithNewerFacts(List(0, {}), {fact})->revision.value() > 0;
+  };
+  const std::string good = fact.body;
+  EXPECT_TRUE(taken(good, 3));
+  EXPECT_FALSE(taken(good, ~std::uint64_t{0}));
+  EXPECT_FALSE(taken("[]", 3));
+  EXPECT_FALSE(taken("{", 3));
+  EXPECT_FALSE(taken(R"({"a":"127.0.0.1","p":70000,"s":"llm","z":"a"})", 3));
+  EXPECT_FALSE(taken(R"({"a":"127.0.0.1","p":7,"z":"a"})", 3));
+}
+
+TEST(ListedRowsTest, RowsThatPeersWouldRefuseAndDoublesAreNotTold) {
+  const ListedTarget big = Engine(std::string(kMaxViewKeyBytes + 1, 'e'));
+  const auto list = List(1, {big, Engine("e", 1), Engine("e", 2)});
+  const auto told = FactsToPublish(*list, {}, 100);
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_TRUE(FactsToPublish(
+                  *list, {ListedFact(Engine("e", 1), base::Revision(1))}, 100)
+                  .empty());
+  EXPECT_TRUE(FactsToPublish(*List(0, {Engine("e")}), {}, 100).empty());
+}
+
+// Lists of growing revisions, some of them never read, told through a store a
+// few rows at a time by two who read at different times: who has no list sees
+// the newest that was told, nothing is told twice, nothing goes backwards.
+RC_GTEST_PROP(ListedRowsProperty, TheStoreFollowsTheList, ()) {
+  ViewStore store(DefaultViewRules(),
+                  [] { return base::Time{std::chrono::hours(1)}; });
+  const auto held = [&] { return store.Snapshot(ViewKind::kListed); };
+  const auto tell = [&](const InstanceTable& list) {
+    std::size_t told = 0;
+    for (auto news = FactsToPublish(list, held(), 2); !news.empty();
+         news = FactsToPublish(list, held(), 2)) {
+      for (const ViewItem& fact : news) {
+        RC_ASSERT(store.Merge(fact) == MergeResult::kNewer);
+      }
+      told += news.size();
+    }
+    return told;
+  };
+  Handle before = List(0, {});
+  for (std::int64_t revision = 1; revision < 12; ++revision) {
+    std::vector<ListedTarget> rows;
+    for (int i = 0; i < 5; ++i) {
+      // 0: not listed.
+      if (const int port = *rc::gen::inRange(0, 3); port != 0) {
+        rows.push_back(Engine(std::to_string(i), port));
+      }
+    }
+    const Handle list = List(revision, rows);
+    if (*rc::gen::arbitrary<bool>()) {
+      tell(*list);
+      RC_ASSERT(PortsOf(*WithNewerFacts(List(0, {}), held())) ==
+                PortsOf(*list));
+      // A second reader has nothing to add, one that lags changes nothing.
+      RC_ASSERT(tell(*list) == 0u);
+      RC_ASSERT(PortsOf(*WithNewerFacts(before, held())) == PortsOf(*list));
+      before = list;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace lynxglade::process
--- a/tests/process/membership_test.cc
+++ b/tests/process/membership_test.cc
@@ -124,5 +124,26 @@
   EXPECT_EQ(members_.Tick().dial.size(), 1u);
 }
 
+// A row under a made-up id says only where to look.
+TEST_F(MembershipTest, TheGreetingReplacesARowThatNamedOnlyAnAddress) {
+  const std::vector<InstanceRow> rows = {
+      {base::InstanceId("made-up"), base::ZoneId("z"), "10.0.0.2", 9, false}};
+  members_.SetRows(rows);
+  now_ += seconds(1);
+  const auto dial = members_.Tick().dial;
+  ASSERT_EQ(dial.size(), 1u);
+  EXPECT_EQ(dial[0].address, "10.0.0.2");
+  members_.OnDialling(dial[0].peer, kLink);
+  LinkUp(kLink, true, "p");
+  ASSERT_TRUE(accepted_);
+  members_.SetRows(rows);
+  const auto known = members_.Members();
+  ASSERT_EQ(known.size(), 2u);
+  EXPECT_EQ(known[1].id.str(), "p");
+  EXPECT_EQ(known[1].state, MemberState::kLive);
+  now_ += seconds(1);
+  EXPECT_TRUE(members_.Tick().dial.empty());
+}
+
 }  // namespace
 }  // namespace lynxglade::process
--- a/tests/process/peer_messages_test.cc
+++ b/tests/process/peer_messages_test.cc
@@ -70,7 +70,7 @@
   EXPECT_EQ(ErrorOf({3, item, item}), PeerMessageError::kNone);
   EXPECT_EQ(ErrorOf({3, item, 5}), PeerMessageError::kBadField);
   json bad_kind = item;
-  bad_kind[0] = static_cast<int>(ViewKind::kConfigInForce) + 1;
+  bad_kind[0] = static_cast<int>(ViewKind::kListed) + 1;
   EXPECT_EQ(ErrorOf({3, bad_kind}), PeerMessageError::kBadField);
   json long_key = item;
   long_key[1] = std::string(kMaxViewKeyBytes + 1, 'k');
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -60,6 +60,8 @@
       {{"--max-connections", "0"}, "--max-connections", "1 to 20000"},
       {{"--lease-ttl", "1s"}, "--lease-ttl", "whole seconds"},
       {{"--routing-policy", "best"}, "--routing-policy", "round-robin"},
+      {{"--seed-peers", "127.0.0.1:7,peer:8"}, "--seed-peers", "IP addresses"},
+      {{"--seed-peers", "127.0.0.1:0"}, "--seed-peers", "IP addresses"},
       {{"--tls-key", "k.pem"}, "--tls-certificate", "together"},
       {{"--lease-ttl", "14"}, "--engine-idle-timeout", "at least 5 seconds"},
       {{"--peer-ca", "ca.pem"}, "--peer-ca", "--tls-certificate"},
--- a/tests/system/deployment.cc
+++ b/tests/system/deployment.cc
@@ -265,7 +265,7 @@
   return process;
 }
 
-int Deployment::AddInstance(int zone) {
+int Deployment::AddInstance(int zone, const std::vector<std::string>& flags) {
   const int n = static_cast<int>(instances_.size());
   const int base = ports_.base();
   std::vector<std::string> arguments = {DaemonProgram(),
@@ -278,7 +278,7 @@
                                         "--admin-listen",
                                         Endpoint(admin_port(n)),
                                         "--peer-listen",
-                                        Endpoint(base + kPeerPorts + n),
+                                        PeerEndpoint(n),
                                         "--kv-url",
                                         Url(base + kKvPort + zone),
                                         "--instance-list-url",
@@ -288,6 +288,7 @@
                                         "--bootstrap-operator-key",
                                         kOperatorKey};
   Append(options_.daemon_flags, &arguments);
+  Append(flags, &arguments);
   auto instance = std::make_unique<Instance>();
   instance->zone = zone;
   instance->process = std::make_unique<Process>(std::move(arguments),
@@ -364,6 +365,10 @@
   return ports_.base() + kAdminPorts + n;
 }
 
+std::string Deployment::PeerEndpoint(int n) const {
+  return Endpoint(ports_.base() + kPeerPorts + n);
+}
+
 std::vector<Load::Entry> Deployment::Entries() const {
   std::vector<Load::Entry> out;
   for (int n = 0; n < static_cast<int>(instances_.size()); ++n) {
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -71,7 +71,7 @@
   Deployment& operator=(const Deployment&) = delete;
 
   // Starts a daemon in a zone (from 0), lists it and returns its number.
-  int AddInstance(int zone = 0);
+  int AddInstance(int zone = 0, const std::vector<std::string>& flags = {});
   // Starts instances, states the first configuration and waits until every
   // instance serves all targets. Fails the test otherwise.
   void Start(int instances_per_zone);
@@ -81,6 +81,8 @@
   Process& instance(int n) { return *instances_[n]->process; }
   int caller_port(int n) const;
   int admin_port(int n) const;
+  // Where it listens for peers.
+  std::string PeerEndpoint(int n) const;
   std::vector<Load::Entry> Entries() const;
 
   // The administration API of an instance.
