--- a/src/request/fair_queue.cc
+++ b/src/request/fair_queue.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <iterator>
 #include <limits>
 #include <string>
@@ -13,8 +12,6 @@
 
 constexpr double kLeastWork = 1e-6;
 constexpr double kLeastShare = 1e-6;
-// Mean deviations added to a run time, so that few runs end late.
-constexpr double kDeviations = 2;
 // Saturated time from which a measurement of speed counts, and its bounds.
 constexpr base::Duration kSpeedWindow = std::chrono::seconds(1);
 constexpr double kMinSpeed = 0.05;
@@ -125,8 +122,7 @@
   virtual_now_ = next->virtual_time;
   next->virtual_time += entry.work / ShareOf(entry.item.contract);
   ++next->running;
-  running_.emplace(id,
-                   Running{entry.item.contract, entry.work, entry.work, now});
+  running_.emplace(id, Running{entry.item.contract, entry.work, now});
   if (!IsSaturated()) {
     busy_ = {};
   } else if (!busy_.since) {
@@ -234,11 +230,7 @@
 }
 
 base::Duration FairQueue::RunTime(double work) const noexcept {
-  // Long enough for most: estimates are often too low, and work that ends late
-  // is worth nothing.
-  return run_ratio_
-             ? FromSeconds(work * (*run_ratio_ + kDeviations * run_deviation_))
-             : base::Duration::zero();
+  return run_ratio_ ? FromSeconds(work * *run_ratio_) : base::Duration::zero();
 }
 
 bool FairQueue::IsSaturated() const noexcept {
@@ -370,14 +362,9 @@
 void FairQueue::Learn(const Running& run, base::Time now) {
   const double weight = options_.smoothing;
   const double seconds = Seconds(now - run.started);
-  const double ratio = seconds / run.estimate;
-  if (run_ratio_) {
-    const double off = std::abs(ratio - *run_ratio_);
-    run_deviation_ += weight * (off - run_deviation_);
-    *run_ratio_ += weight * (ratio - *run_ratio_);
-  } else {
-    run_ratio_ = ratio;
-  }
+  const double ratio = seconds / run.work;
+  run_ratio_ =
+      run_ratio_ ? *run_ratio_ + weight * (ratio - *run_ratio_) : ratio;
   unit_run_s_ += weight * (seconds - unit_run_s_);
   if (!busy_.since) {
     return;
--- a/src/request/fair_queue.h
+++ b/src/request/fair_queue.h
@@ -125,8 +125,6 @@
   };
   struct Running {
     base::ContractId contract;
-    double estimate = 0;
-    // The estimate, then what it really was.
     double work = 0;
     base::Time started{};
   };
@@ -170,10 +168,8 @@
   std::set<std::pair<base::Time, EntryId>> expiries_;
   // Virtual time of the request that was given out last.
   double virtual_now_ = 0;
-  // Run time over estimated work with its mean deviation, and run time;
-  // learned.
+  // Run time over work, and run time; learned.
   std::optional<double> run_ratio_;
-  double run_deviation_ = 0;
   double unit_run_s_;
   // Work done a second while saturated; 1 if the rates are right.
   double speed_ = 1;
