Engine bodies: the attempt's own step alone adds what engines are told

Cause: the caller front wrote stream, stream_options, priority and prefix_hint into every body as text, and EngineBody wrote the same four again for each attempt; the front also wrote the whole body out twice, once to hash it. Change: WithEngineFields and the front's stream fields are gone; the content hash is taken of the body that is kept. The hash's input and what engines get are as before. The fuzz target of caller bodies now checks the body that EngineBody makes, with the same checks. Speed was not measured. Conclusion: one place decides what an engine is told.

--- a/fuzz/caller_body.cc
+++ b/fuzz/caller_body.cc
@@ -4,7 +4,10 @@
 #include <nlohmann/json.hpp>
 
 #include "connection/chat_body.h"
+#include "connection/target_client_exchange.h"
 #include "fuzz/check.h"
+#include "request/attempt.h"
+#include "request/request.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
@@ -18,10 +21,15 @@
   }
   fuzz::Check(call->prompt_tokens.value() >= 0, "prompt is counted");
   fuzz::Check(call->max_output_tokens.value() > 0, "output is bounded");
-  const auto sent = nlohmann::json::parse(
-      connection::WithEngineFields(call->engine_body, request::Priority(3),
-                                   call->prefix_hash),
-      nullptr, /*allow_exceptions=*/false);
+  request::Request request;
+  request.body = call->engine_body;
+  request.prefix_hash = call->prefix_hash;
+  request::AttemptOrder order;
+  order.request = &request;
+  const auto engine_body = connection::EngineBody(order);
+  fuzz::Check(engine_body.has_value(), "a body for engines is made");
+  const auto sent = nlohmann::json::parse(*engine_body, nullptr,
+                                          /*allow_exceptions=*/false);
   fuzz::Check(sent.is_object(), "the engine gets an object");
   fuzz::Check(sent.value("stream", nlohmann::json()) == true,
               "the engine streams");
--- a/src/connection/caller_front.cc
+++ b/src/connection/caller_front.cc
@@ -157,8 +157,7 @@
   if (exchange.request().Header("x-priority").empty()) {
     request->priority = request::Priority(intent->priority);
   }
-  request->body = WithEngineFields(call->engine_body, request->priority,
-                                   request->prefix_hash);
+  request->body = call->engine_body;
   if (request->stream) {
     ServeStream(exchange, *request, call->include_usage);
   } else {
--- a/src/connection/chat_body.cc
+++ b/src/connection/chat_body.cc
@@ -221,24 +221,11 @@
   parsed->erase("user");
   parsed->erase("max_completion_tokens");
   (*parsed)["max_tokens"] = call.max_output_tokens.value();
-  call.content_hash = base::Hash64(Dump(*parsed));
-  (*parsed)["stream"] = true;
-  (*parsed)["stream_options"] = {{"include_usage", true}};
   call.engine_body = Dump(*parsed);
+  call.content_hash = base::Hash64(call.engine_body);
   return call;
 }
 
-std::string WithEngineFields(const std::string& engine_body,
-                             request::Priority priority,
-                             std::uint64_t prefix_hash) {
-  // The body is an object of several members: add two before its end.
-  std::string body = engine_body;
-  body.pop_back();
-  body += ",\"priority\":" + std::to_string(priority.value());
-  body += ",\"prefix_hint\":\"" + base::ToHex(prefix_hash) + "\"}";
-  return body;
-}
-
 std::string ChatTokenEvent(const ChatAnswerHead& head,
                            const request::TokenChunk& tokens) {
   json chunk = Chunk(head);
--- a/src/connection/chat_body.h
+++ b/src/connection/chat_body.h
@@ -32,12 +32,6 @@
 std::optional<ChatCall> ParseChatCall(const std::string& body,
                                       std::string* last_reason);
 
-// Adds what engines are told by this system (urgency, prefix hint) to a call's
-// body. `engine_body` must come from ParseChatCall.
-std::string WithEngineFields(const std::string& engine_body,
-                             request::Priority priority,
-                             std::uint64_t prefix_hash);
-
 // Identity of an answer, the same in all of its events.
 struct ChatAnswerHead {
   std::string id;
