Stage orders: authority by a key in the store, the split of engines by a plan

Cause: 6 of 18 engines read prompts and 12 generated, so that reading bound and decode engines read prompts between tokens. Change: OrderAuthority (key under the instance's lease, quiet time, read back before each order), StagePlan, StageOrders.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -15,11 +15,14 @@
 #include "base/random.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
+#include "platform/engine_orders.h"
 #include "platform/store_client.h"
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
 #include "process/instance_presence.h"
+#include "process/order_authority.h"
 #include "process/prefix_follower.h"
+#include "process/stage_orders.h"
 #include "request/passthrough/relay.h"
 
 namespace lynxglade {
@@ -58,7 +61,11 @@
 constexpr base::Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr base::Duration kLeavePatience = std::chrono::milliseconds(500);
 // The instances' own keys change rarely.
-constexpr base::Duration kPresenceWatch = std::chrono::seconds(15);
+constexpr base::Duration kOwnKeysWatch = std::chrono::seconds(15);
+// Everything the instances themselves write.
+constexpr char kOwnPrefix[] = "lynxglade/";
+// Without a request for so long, engines may change all at once.
+constexpr base::Duration kIdleAfter = std::chrono::seconds(3);
 
 Tcp::endpoint EndpointOf(const process::Endpoint& endpoint) {
   return {asio::ip::make_address(endpoint.address),
@@ -90,7 +97,7 @@
   request::passthrough::RelayParts MakeRelayParts();
   process::PrefixFollowerHooks ConfigurationHooks();
   process::PrefixFollowerHooks TargetHooks();
-  process::PrefixFollowerHooks PresenceHooks();
+  process::PrefixFollowerHooks OwnKeysHooks();
   PrefixFollower MakeFollower(process::PrefixFollowerOptions options,
                               process::PrefixFollowerHooks hooks);
 
@@ -108,9 +115,12 @@
   request::passthrough::EngineChoice choice;
   request::passthrough::RetryAllowance allowance;
   process::InstancePresence presence;
+  process::OrderAuthority authority;
+  process::StageOrders stage_orders;
+  base::Time last_request{};
   PrefixFollower configuration_follower;
   PrefixFollower target_follower;
-  PrefixFollower presence_follower;
+  PrefixFollower own_keys_follower;
   request::passthrough::Relay relay;
   CallerServer callers;
   CallerServer health;
@@ -126,15 +136,28 @@
                  .allowance = static_cast<double>(s.retry_allowance),
                  .window = s.retry_window}),
       presence(loop, store, {.instance = s.instance}, clock),
+      authority(store, presence, {.quiet = s.order_quiet}, clock, random),
+      stage_orders(
+          loop,
+          engines,
+          authority,
+          platform::MakeOrderHooks(loop, channels),
+          {.instance = s.instance},
+          [this] {
+            return routes ? routes->ModelServices()
+                          : std::vector<base::ServiceName>();
+          },
+          [this] { return clock() - last_request > kIdleAfter; },
+          clock,
+          metrics),
       configuration_follower(
           MakeFollower({.prefix = platform::kConfigurationKey},
                        ConfigurationHooks())),
       target_follower(
           MakeFollower({.prefix = platform::kTargetsPrefix}, TargetHooks())),
-      presence_follower(
-          MakeFollower({.prefix = process::InstancePresenceOptions().prefix,
-                        .watch_wait = kPresenceWatch},
-                       PresenceHooks())),
+      own_keys_follower(
+          MakeFollower({.prefix = kOwnPrefix, .watch_wait = kOwnKeysWatch},
+                       OwnKeysHooks())),
       relay(MakeRelayParts()),
       callers(
           loop,
@@ -142,6 +165,7 @@
            .max_connections = s.max_connections},
           [this] { return Bounds(); },
           [this](std::shared_ptr<CallerRequest> request, CallerReply& reply) {
+            last_request = clock();
             return relay.Serve(std::move(request), reply);
           },
           clock,
@@ -184,13 +208,18 @@
   };
 }
 
-process::PrefixFollowerHooks EntryDaemon::Details::PresenceHooks() {
+process::PrefixFollowerHooks EntryDaemon::Details::OwnKeysHooks() {
   return {
       .on_list =
           [this](const std::vector<StoreItem>& items) {
             presence.OnList(items);
+            authority.OnList(items);
+          },
+      .on_change =
+          [this](const StoreItem& it) {
+            presence.OnChange(it);
+            authority.OnChange(it);
           },
-      .on_change = [this](const StoreItem& it) { presence.OnChange(it); },
       .on_returned = [] {},
   };
 }
@@ -344,6 +373,7 @@
   callers.BeginDrain();
   const base::Time begun = clock();
   const base::Time last = begun + settings.stop_grace - kExitMargin;
+  stage_orders.Stop();
   Spawn(presence.Leave());
   asio::steady_timer timer(loop);
   while (clock() < last) {
@@ -382,8 +412,9 @@
   }
   details_->Spawn(details_->configuration_follower.Run());
   details_->Spawn(details_->target_follower.Run());
-  details_->Spawn(details_->presence_follower.Run());
+  details_->Spawn(details_->own_keys_follower.Run());
   details_->Spawn(details_->presence.Run());
+  details_->Spawn(details_->stage_orders.Run());
   details_->Spawn(details_->Housekeep());
   details_->Spawn(details_->WaitForStop());
   return true;
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -95,6 +95,11 @@
                                kMaxConnections)},
       {"stop-grace", "8", false, "seconds from SIGTERM to the end, at most",
        ReadWhole<seconds>(&EntrySettings::stop_grace, 1, kMaxSeconds)},
+      {"order-quiet-ms", "4500", false,
+       "milliseconds from taking authority over the engines to the first "
+       "order; more than the platform's bound on turns between holders",
+       ReadWhole<std::chrono::milliseconds>(&EntrySettings::order_quiet, 1,
+                                            600'000)},
       {"retry-ratio", "0.2", false,
        "arrivals at targets beyond the first of each request, for each "
        "request, that all instances together may make",
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -27,6 +27,8 @@
   std::size_t max_connections = 1500;
   // From SIGTERM to the end, at most.
   base::Duration stop_grace = std::chrono::seconds(8);
+  // From taking authority over the engines to the first order.
+  base::Duration order_quiet = std::chrono::milliseconds(4500);
   // What the fleet of instances may send beyond the first arrival of each
   // request, in a sliding window.
   double retry_ratio = 0.2;
--- a/src/process/instance_presence.cc
+++ b/src/process/instance_presence.cc
@@ -30,7 +30,8 @@
 Awaitable<void> InstancePresence::Run() {
   while (!stopped_) {
     co_await Renew();
-    asio::steady_timer timer(loop_, options_.renew_every);
+    asio::steady_timer timer(
+        loop_, key_written_ ? options_.renew_every : options_.retry_every);
     ErrorCode ec;
     co_await timer.async_wait(Into(ec));
   }
@@ -73,13 +74,18 @@
 void InstancePresence::OnList(const std::vector<StoreItem>& items) {
   keys_.clear();
   for (const StoreItem& item : items) {
-    keys_.insert(item.key);
+    if (item.key.starts_with(options_.prefix)) {
+      keys_.insert(item.key);
+    }
   }
   listed_ = true;
   NoteCount();
 }
 
 void InstancePresence::OnChange(const StoreItem& item) {
+  if (!item.key.starts_with(options_.prefix)) {
+    return;
+  }
   if (item.deleted) {
     keys_.erase(item.key);
   } else {
--- a/src/process/instance_presence.h
+++ b/src/process/instance_presence.h
@@ -25,6 +25,8 @@
   // A dead instance is counted for this long at most.
   base::Duration lease_ttl = std::chrono::seconds(10);
   base::Duration renew_every = std::chrono::seconds(3);
+  // While there is no lease or no key.
+  base::Duration retry_every = std::chrono::milliseconds(500);
   // Assumed before the first list.
   int assumed_instances = 16;
   // A count that was higher so long ago still holds: instances that the store
@@ -52,6 +54,11 @@
   void OnList(const std::vector<StoreItem>& items);
   void OnChange(const StoreItem& item);
 
+  // The lease of this instance, once it has one.
+  const std::optional<LeaseId>& lease() const noexcept { return lease_; }
+  const base::InstanceId& instance() const noexcept {
+    return options_.instance;
+  }
   // Instances that may be up, this one included; at least 1.
   int Count() const;
 
--- /dev/null
+++ b/src/process/order_authority.cc
@@ -0,0 +1,119 @@
+#include "process/order_authority.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using base::Log;
+using base::LogLevel;
+using connection::event::Awaitable;
+
+}  // namespace
+
+OrderAuthority::OrderAuthority(StorePort& store,
+                               const InstancePresence& presence,
+                               OrderAuthorityOptions options,
+                               base::Clock clock,
+                               base::RandomSource random)
+    : store_(store),
+      presence_(presence),
+      options_(std::move(options)),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      mark_(presence.instance().str() + '/' + base::RandomHexId(random_)) {}
+
+void OrderAuthority::OnList(const std::vector<StoreItem>& items) {
+  listed_ = true;
+  const auto it = std::ranges::find(items, options_.key, &StoreItem::key);
+  if (it != items.end()) {
+    Set(*it);
+    return;
+  }
+  StoreItem vacant;
+  vacant.deleted = true;
+  Set(vacant);
+}
+
+void OrderAuthority::OnChange(const StoreItem& item) {
+  if (item.key == options_.key) {
+    Set(item);
+  }
+}
+
+void OrderAuthority::Set(const StoreItem& item) {
+  const bool was_ours = holder_ && IsOurs(*holder_);
+  if (item.deleted) {
+    holder_.reset();
+    claim_at_ =
+        clock_() + std::chrono::duration_cast<base::Duration>(
+                       options_.claim_spread * base::UniformReal(random_));
+  } else {
+    holder_ = item;
+  }
+  const bool is_ours = holder_ && IsOurs(*holder_);
+  if (is_ours && !was_ours) {
+    held_since_ = clock_();
+  }
+  if (is_ours != was_ours) {
+    Log(LogLevel::kInfo, is_ours ? "orders_taken" : "orders_lost",
+        {{"revision", item.revision.value()},
+         {"holder", item.deleted ? std::string() : item.value}});
+  }
+}
+
+// Whether the write took effect is read from the key, not from the answer,
+// which may be lost.
+Awaitable<void> OrderAuthority::Claim() {
+  const auto lease = presence_.lease();
+  if (!listed_ || holder_ || !lease || clock_() < claim_at_) {
+    co_return;
+  }
+  claim_at_ = clock_() + options_.claim_spread;
+  StoreFault fault{};
+  const auto written =
+      co_await store_.Create(options_.key, mark_, *lease, &fault);
+  if (!written && fault != StoreFault::kConflict) {
+    Log(LogLevel::kInfo, "orders_claim_failed", {{"fault", ToString(fault)}});
+  }
+}
+
+std::optional<base::FencingToken> OrderAuthority::Held() const {
+  if (!holder_ || !IsOurs(*holder_) ||
+      clock_() < held_since_ + options_.quiet) {
+    return std::nullopt;
+  }
+  return base::FencingToken(holder_->revision.value());
+}
+
+Awaitable<std::optional<base::FencingToken>> OrderAuthority::Confirm(
+    base::Time* until) {
+  const auto token = Held();
+  if (!token) {
+    co_return std::nullopt;
+  }
+  // The time before the read counts: the answer may have been under way.
+  const base::Time asked = clock_();
+  StoreFault fault{};
+  const auto item = co_await store_.Get(options_.key, &fault);
+  const bool ours = item && !item->deleted && IsOurs(*item) &&
+                    item->revision.value() == token->value();
+  if (!ours) {
+    Log(LogLevel::kWarning, "orders_not_confirmed",
+        {{"fault", item ? std::string_view("not_ours") : ToString(fault)},
+         {"token", token->value()}});
+    co_return std::nullopt;
+  }
+  *until = asked + options_.order_within;
+  co_return token;
+}
+
+bool OrderAuthority::IsOurs(const StoreItem& item) const noexcept {
+  return item.value == mark_;
+}
+
+}  // namespace lynxglade::process
--- a/src/process/prefix_follower.cc
+++ b/src/process/prefix_follower.cc
@@ -30,6 +30,8 @@
       return "history_gone";
     case StoreFault::kNoLease:
       return "no_lease";
+    case StoreFault::kConflict:
+      return "conflict";
     case StoreFault::kMalformed:
       break;
   }
--- /dev/null
+++ b/src/process/stage_orders.cc
@@ -0,0 +1,141 @@
+#include "process/stage_orders.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using base::Log;
+using base::LogLevel;
+using connection::event::Awaitable;
+using connection::event::ErrorCode;
+using connection::event::Into;
+using request::passthrough::EngineHandle;
+using request::passthrough::EngineStage;
+namespace asio = connection::event::asio;
+
+std::string_view NameOf(EngineStage stage) noexcept {
+  return stage == EngineStage::kPrefill ? "prefill" : "decode";
+}
+
+}  // namespace
+
+std::string_view ToString(OrderResult result) noexcept {
+  switch (result) {
+    case OrderResult::kTaken:
+      return "taken";
+    case OrderResult::kConflict:
+      return "conflict";
+    case OrderResult::kFenced:
+      return "fenced";
+    case OrderResult::kRefused:
+      return "refused";
+    case OrderResult::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+StageOrders::StageOrders(
+    asio::io_context& loop,
+    const request::passthrough::EngineTable& engines,
+    OrderAuthority& authority,
+    OrderHooks hooks,
+    StageOrdersOptions options,
+    std::function<std::vector<base::ServiceName>()> services,
+    std::function<bool()> idle,
+    base::Clock clock,
+    base::Metrics& metrics)
+    : loop_(loop),
+      engines_(engines),
+      authority_(authority),
+      hooks_(std::move(hooks)),
+      options_(std::move(options)),
+      services_(std::move(services)),
+      idle_(std::move(idle)),
+      clock_(std::move(clock)),
+      metrics_(metrics) {}
+
+Awaitable<void> StageOrders::Run() {
+  asio::steady_timer timer(loop_);
+  while (!stopped_) {
+    co_await authority_.Claim();
+    co_await Round();
+    timer.expires_after(options_.period);
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
+  }
+}
+
+Awaitable<void> StageOrders::Round() {
+  if (!authority_.Held()) {
+    co_return;
+  }
+  const base::Time now = clock_();
+  std::erase_if(settling_, [now](const auto& it) { return it.second <= now; });
+  for (const base::ServiceName& service : services_()) {
+    for (const StageChange& change : Due(service)) {
+      if (stopped_) {
+        co_return;
+      }
+      co_await Give(change);
+    }
+  }
+}
+
+// Engines that are changing count as what they will be, so that none is
+// ordered to make up for them.
+std::vector<StageChange> StageOrders::Due(
+    const base::ServiceName& service) const {
+  const bool idle = idle_();
+  if (!idle && !settling_.empty()) {
+    return {};
+  }
+  std::vector<StageChange> changes =
+      PlanStages(engines_.OfService(service), idle, options_.plan);
+  std::erase_if(changes, [this](const StageChange& it) {
+    return settling_.contains(it.engine->entry.id);
+  });
+  return changes;
+}
+
+Awaitable<void> StageOrders::Give(StageChange change) {
+  const EngineHandle engine = change.engine;
+  const auto report = co_await hooks_.report(engine);
+  if (!report || report->changing || report->stage == change.to) {
+    co_return;
+  }
+  base::Time until{};
+  const auto token = co_await authority_.Confirm(&until);
+  if (!token || clock_() >= until) {
+    co_return;
+  }
+  settling_[engine->entry.id] = clock_() + options_.settle_unknown;
+  // A named object: this compiler destroys an aggregate that is made within a
+  // co_await expression twice.
+  StageOrder order;
+  order.stage = change.to;
+  order.holder = options_.instance.str();
+  order.token = *token;
+  order.if_orders = report->orders;
+  const OrderResult result = co_await hooks_.order(engine, std::move(order));
+  if (result != OrderResult::kUnknown) {
+    settling_[engine->entry.id] = clock_() + options_.settle;
+  }
+  metrics_
+      .GetCounter("lynxglade_stage_orders_total",
+                  {{"result", std::string(ToString(result))}})
+      .Add();
+  Log(LogLevel::kInfo, "stage_order",
+      {{"target", engine->entry.id.str()},
+       {"stage", NameOf(change.to)},
+       {"token", token->value()},
+       {"if_orders", report->orders},
+       {"result", ToString(result)}});
+}
+
+}  // namespace lynxglade::process
--- a/src/process/store_port.h
+++ b/src/process/store_port.h
@@ -30,6 +30,8 @@
   kHistoryGone,
   // The lease has ended.
   kNoLease,
+  // The condition of a write did not hold.
+  kConflict,
   // An answer that cannot be read.
   kMalformed,
 };
@@ -72,6 +74,14 @@
   virtual Result<LeaseId> KeepLease(LeaseId lease, StoreFault* fault) = 0;
   // Ends the lease and removes its keys.
   virtual Result<LeaseId> EndLease(LeaseId lease, StoreFault* fault) = 0;
+  // The key as it is now; an item marked deleted if there is none.
+  virtual Result<StoreItem> Get(std::string key, StoreFault* fault) = 0;
+  // Writes a key that does not exist yet and goes when the lease ends;
+  // kConflict if it exists.
+  virtual Result<base::Revision> Create(std::string key,
+                                        std::string value,
+                                        LeaseId lease,
+                                        StoreFault* fault) = 0;
   // Writes a key that goes when the lease ends.
   virtual Result<base::Revision> Put(std::string key,
                                      std::string value,
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -91,6 +91,11 @@
   return std::chrono::duration<double, std::milli>(d).count();
 }
 
+// -1 for what has not happened, in log lines.
+std::int64_t MillisOrNone(const std::optional<base::Duration>& d) {
+  return d ? base::ToMillis(*d) : -1;
+}
+
 std::optional<Tcp::endpoint> EndpointOf(const Engine& engine) {
   ErrorCode ec;
   const auto address = asio::ip::make_address(engine.entry.ip, ec);
@@ -321,6 +326,7 @@
   current_ = nullptr;
   if (source) {
     NoteSuccess(*pick.reader);
+    prompt_read_at_ = Elapsed();
   } else if (!Stopped()) {
     NoteFailure(*pick.reader);
     parts_.metrics.GetCounter("lynxglade_prompt_reads_failed_total").Add();
@@ -467,6 +473,7 @@
 Awaitable<bool> RelayRun::PassPiece(Exchange& exchange,
                                     std::string_view bytes) {
   if (!reply_.begun()) {
+    first_bytes_at_ = Elapsed();
     reply_.Begin(HeadForCaller(exchange.head()));
   }
   co_return co_await reply_.SendPiece(bytes);
@@ -606,6 +613,10 @@
   };
 }
 
+base::Duration RelayRun::Elapsed() const {
+  return parts_.clock() - request_->arrived;
+}
+
 base::Duration RelayRun::TimeLeft() const {
   return deadline_ - parts_.clock();
 }
@@ -631,7 +642,9 @@
        {"targets_age_ms", base::ToMillis(parts_.view_age())},
        {"configuration", table_->version()},
        {"end", ToString(end)},
-       {"ms", base::ToMillis(parts_.clock() - request_->arrived)}});
+       {"prompt_read_ms", MillisOrNone(prompt_read_at_)},
+       {"first_bytes_ms", MillisOrNone(first_bytes_at_)},
+       {"ms", base::ToMillis(Elapsed())}});
 }
 
 void RelayRun::LogEnd() const {
@@ -644,7 +657,7 @@
        {"status", status_},
        {"runs", runs_},
        {"rejections", rejections_},
-       {"ms", base::ToMillis(parts_.clock() - request_->arrived)},
+       {"ms", base::ToMillis(Elapsed())},
        {"time_left_ms", base::ToMillis(TimeLeft())}});
 }
 
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -94,6 +94,7 @@
   void NoteLoad(Engine& engine, const AnswerFacts& facts);
   connection::event::OutgoingRequest Message(const SendTerms& terms) const;
   connection::event::AnswerFilter AnswerFilter() const;
+  base::Duration Elapsed() const;
   base::Duration TimeLeft() const;
   bool Stopped() const noexcept;
   void LogAttempt(const EnginePick& pick, AttemptEnd end) const;
@@ -129,7 +130,10 @@
     std::string body;
   };
   std::optional<KeptAnswer> kept_;
-  // For the log line.
+  // For the log lines: when the prompt was read and when the answer's first
+  // bytes came, both since the request's arrival.
+  std::optional<base::Duration> prompt_read_at_;
+  std::optional<base::Duration> first_bytes_at_;
   unsigned status_ = 0;
   std::string_view ended_by_ = "answer";
 };
--- a/src/request/passthrough/route_table.cc
+++ b/src/request/passthrough/route_table.cc
@@ -63,6 +63,17 @@
   return it == services_.end() ? nullptr : &it->second;
 }
 
+std::vector<base::ServiceName> RouteTable::ModelServices() const {
+  std::vector<base::ServiceName> names;
+  for (const auto& [name, service] : services_) {
+    if (service.is_language_model) {
+      names.push_back(name);
+    }
+  }
+  std::ranges::sort(names);
+  return names;
+}
+
 const base::ServiceName* RouteTable::PickService(const Route& route,
                                                  std::uint64_t point) noexcept {
   const std::uint64_t total = std::accumulate(
--- a/src/request/passthrough/route_table.h
+++ b/src/request/passthrough/route_table.h
@@ -84,6 +84,8 @@
   const Route* Find(std::string_view host, std::string_view path) const;
   // Null for a service the configuration does not name.
   const ServiceTerms* FindService(const base::ServiceName& name) const;
+  // Services of language model engines, in order of their names.
+  std::vector<base::ServiceName> ModelServices() const;
   // Splits a route by weight. `point` is a hash of the request, so that a
   // request's attempts stay with one service. Null if no share has weight.
   static const base::ServiceName* PickService(const Route& route,
