Choice: shared parts live at prefill engines, no long reads at decode engines

Cause: decode engines were homes of shared parts that they had not read; a read of up to 50,000 tokens there held up each of their streams by 400 ms pauses.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -142,7 +142,7 @@
           engines,
           authority,
           platform::MakeOrderHooks(loop, channels),
-          {.instance = s.instance},
+          {.instance = s.instance, .plan = {.decode_share = s.decode_share}},
           [this] {
             return routes ? routes->ModelServices()
                           : std::vector<base::ServiceName>();
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -56,14 +56,17 @@
   };
 }
 
-Allowed ReadRatio(EntrySettings& settings, const std::string& text) {
-  char* end = nullptr;
-  const double ratio = std::strtod(text.c_str(), &end);
-  if (end != text.c_str() + text.size() || !(ratio >= 0 && ratio <= 10)) {
-    return "a number from 0 to 10";
-  }
-  settings.retry_ratio = ratio;
-  return std::nullopt;
+Apply ReadNumber(double EntrySettings::* member, double low, double high) {
+  return [=](EntrySettings& settings, const std::string& text) -> Allowed {
+    char* end = nullptr;
+    const double n = std::strtod(text.c_str(), &end);
+    if (end != text.c_str() + text.size() || !(n >= low && n <= high)) {
+      return "a number from " + std::to_string(low) + " to " +
+             std::to_string(high);
+    }
+    settings.*member = n;
+    return std::nullopt;
+  };
 }
 
 Allowed ReadLogLevel(EntrySettings& settings, const std::string& text) {
@@ -103,7 +106,10 @@
       {"retry-ratio", "0.2", false,
        "arrivals at targets beyond the first of each request, for each "
        "request, that all instances together may make",
-       ReadRatio},
+       ReadNumber(&EntrySettings::retry_ratio, 0, 10)},
+      {"decode-share", "0.25", false,
+       "part of a zone's engines that generate; the others read prompts",
+       ReadNumber(&EntrySettings::decode_share, 0, 1)},
       {"retry-allowance", "50", false, "and so many more",
        ReadWhole<std::int64_t>(&EntrySettings::retry_allowance, 0, 1'000'000)},
       {"retry-window", "10", false, "in so many seconds",
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -1,7 +1,6 @@
 #include "request/passthrough/engine_choice.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 #include "base/hash.h"
@@ -18,18 +17,6 @@
   return engine.entry.stage == EngineStage::kPrefill;
 }
 
-// Weighted rendezvous: the greatest -weight / ln(u) wins, with u uniform in
-// (0, 1) by the hash of engine and part.
-double RendezvousScore(const Engine& engine, const std::string& part) {
-  constexpr double kTwoTo64 = 18446744073709551616.0;
-  // A prefill engine reads twice as fast and generates nothing beside it.
-  constexpr double kPrefillWeight = 2;
-  const double u =
-      (static_cast<double>(base::HashPair(engine.entry.id.str(), part)) + 1) /
-      (kTwoTo64 + 2);
-  return -(IsPrefill(engine) ? kPrefillWeight : 1) / std::log(u);
-}
-
 }  // namespace
 
 EngineChoice::EngineChoice(EngineChoiceOptions options,
@@ -107,31 +94,42 @@
   }
   const double least_ms =
       options_.running_ms * Load(*least, now) + ZoneMs(*least);
+  std::vector<EngineHandle> readers;
+  if (pairs) {
+    std::ranges::copy_if(usable, std::back_inserter(readers),
+                         [](const EngineHandle& it) { return IsPrefill(*it); });
+  }
   const PromptPart* shared = prompt.Shared();
-  const Engine* home = shared ? Home(usable, shared->id) : nullptr;
+  const Engine* home =
+      shared ? Home(readers.empty() ? decoders : readers, shared->id) : nullptr;
   EnginePick best;
   best.expected_ms = std::numeric_limits<double>::infinity();
-  for (const EngineHandle& engine : usable) {
-    if (IsPrefill(*engine) && !pairs) {
-      continue;
-    }
+  for (const EngineHandle& engine : decoders) {
     const std::int64_t unread = UnreadTokens(*engine, home, prompt, now);
-    double ms = static_cast<double>(engine->unread_tokens + unread) /
-                    ReadRate(*engine) +
-                options_.running_ms * Load(*engine, now) + ZoneMs(*engine);
-    if (IsPrefill(*engine)) {
-      ms += options_.handoff_ms + least_ms;
+    const double ms = ReadMs(*engine, unread, now);
+    const bool disturbs = unread > options_.most_read_at_decoder;
+    if (ms < best.expected_ms && (!disturbs || readers.empty())) {
+      best = {engine, nullptr, unread, ms};
     }
+  }
+  for (const EngineHandle& engine : readers) {
+    const std::int64_t unread = UnreadTokens(*engine, home, prompt, now);
+    const double ms =
+        ReadMs(*engine, unread, now) + options_.handoff_ms + least_ms;
     if (ms < best.expected_ms) {
-      best.runner = IsPrefill(*engine) ? least : engine;
-      best.reader = IsPrefill(*engine) ? engine : nullptr;
-      best.unread_tokens = unread;
-      best.expected_ms = ms;
+      best = {least, engine, unread, ms};
     }
   }
   return best;
 }
 
+double EngineChoice::ReadMs(const Engine& engine,
+                            std::int64_t unread,
+                            base::Time now) const noexcept {
+  return static_cast<double>(engine.unread_tokens + unread) / ReadRate(engine) +
+         options_.running_ms * Load(engine, now) + ZoneMs(engine);
+}
+
 // Of two engines that look alike either may be taken, so that instances with
 // the same picture do not all choose the same one.
 EngineHandle EngineChoice::LeastLoaded(const std::vector<EngineHandle>& usable,
@@ -174,7 +172,7 @@
                                  const std::string& part) const {
   const auto it =
       std::ranges::max_element(engines, {}, [&](const EngineHandle& engine) {
-        return RendezvousScore(*engine, part);
+        return base::HashPair(engine->entry.id.str(), part);
       });
   return it == engines.end() ? nullptr : it->get();
 }
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -2,8 +2,8 @@
 //
 // For a prompt, each engine is judged by when it would begin to generate: the
 // prompt it has yet to read for others, then what it has to read of this one.
-// Shared parts count as read at their home, the engine that all instances
-// agree on without a message (weighted rendezvous hashing), and where this
+// Shared parts count as read at their home, the prefill engine that all
+// instances agree on without a message (rendezvous hashing), and where this
 // instance sent them lately. A prefill engine reads at full speed, but the KV
 // cache then has to move to a decode engine. Plain requests go to the target
 // with the fewest requests.
@@ -31,6 +31,12 @@
   double prefill_tokens_per_ms = 45;
   // A decode engine reads at this part of that speed (users' protocol page).
   double decode_read_factor = 0.5;
+  // A decode engine reads a prompt in chunks of about this many tokens (a
+  // quarter of the users' 4,096), and each chunk holds up every request that
+  // it generates for. Where a prefill engine can read, longer prompts are not
+  // read at a decode engine: while one read 50,000 tokens, the pauses of all
+  // its streams grew from 60 ms to 400 ms.
+  std::int64_t most_read_at_decoder = 1024;
   // What a prompt costs besides its tokens when its KV cache moves between
   // engines: the extra call, the set-up and the transfer.
   double handoff_ms = 20;
@@ -97,6 +103,10 @@
                                    base::Time now) const;
   const Engine* Home(const std::vector<EngineHandle>& engines,
                      const std::string& part) const;
+  // Until the engine has read so many tokens, after what it has to read.
+  double ReadMs(const Engine& engine,
+                std::int64_t unread,
+                base::Time now) const noexcept;
   double ReadRate(const Engine& engine) const noexcept;
   double ZoneMs(const Engine& engine) const noexcept;
   // Requests at the engine, as far as is known here.
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -472,10 +472,14 @@
 
 Awaitable<bool> RelayRun::PassPiece(Exchange& exchange,
                                     std::string_view bytes) {
+  const base::Duration now = Elapsed();
   if (!reply_.begun()) {
-    first_bytes_at_ = Elapsed();
+    first_bytes_at_ = now;
     reply_.Begin(HeadForCaller(exchange.head()));
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_bytes_at_);
   }
+  last_bytes_at_ = now;
   co_return co_await reply_.SendPiece(bytes);
 }
 
@@ -644,6 +648,7 @@
        {"end", ToString(end)},
        {"prompt_read_ms", MillisOrNone(prompt_read_at_)},
        {"first_bytes_ms", MillisOrNone(first_bytes_at_)},
+       {"longest_pause_ms", base::ToMillis(longest_pause_)},
        {"ms", base::ToMillis(Elapsed())}});
 }
 
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -134,6 +134,8 @@
   // bytes came, both since the request's arrival.
   std::optional<base::Duration> prompt_read_at_;
   std::optional<base::Duration> first_bytes_at_;
+  base::Duration last_bytes_at_{};
+  base::Duration longest_pause_{};
   unsigned status_ = 0;
   std::string_view ended_by_ = "answer";
 };
