Retries: each arrival beyond a request's first is paid for

Ruled out: the first reading, which is free, and lost count of instances. Change: an attempt is paid for by what it adds; KV cache that waits goes to another decode engine before the prompt is read again.

--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -234,72 +234,107 @@
   AttemptEnd end = AttemptEnd::kNotRun;
   while (true) {
     const EnginePick pick = Pick();
-    if (!pick.runner) {
+    if (!pick.runner || !Pay(pick, end)) {
       break;
     }
-    const bool first = runs_ == 0 && rejections_ == 0;
+    const bool first = runs_ == 0 && rejections_ == 0 && !source_;
     if (first && pick.expected_ms > Millis(TimeLeft())) {
       co_await Refuse(EndReason::kHopeless);
       co_return;
     }
     end = co_await Attempt(pick);
     LogAttempt(pick, end);
-    if (end == AttemptEnd::kFinished) {
-      co_return;
-    }
-    if (!MayGoOn(end)) {
+    if (end == AttemptEnd::kFinished || !MayGoOn(end)) {
       break;
     }
   }
-  co_await Finish(end);
+  if (end != AttemptEnd::kFinished) {
+    co_await Finish(end);
+  }
+  co_await FreeSource();
 }
 
+// KV cache that waits goes with the request to another engine.
 EnginePick RelayRun::Pick() {
+  const auto& engines = parts_.engines.OfService(service_);
+  if (source_) {
+    EnginePick pick;
+    pick.runner = parts_.choice.PickDecoder(engines, *source_->engine, tried_,
+                                            parts_.clock());
+    pick.reader = source_->engine;
+    return pick;
+  }
   const bool pairs = failed_reads_ <= kMaxFailedReads && runs_ == 0;
-  return parts_.choice.Pick(parts_.engines.OfService(service_), terms_.prompt,
-                            tried_, pairs, parts_.clock());
+  return parts_.choice.Pick(engines, terms_.prompt, tried_, pairs,
+                            parts_.clock());
 }
 
-Awaitable<AttemptEnd> RelayRun::Attempt(const EnginePick& pick) {
-  if (!pick.reader) {
-    parts_.choice.Remember(*pick.runner, terms_.prompt, parts_.clock());
-    co_return co_await RunAt(pick, std::nullopt);
+bool RelayRun::Pay(const EnginePick& pick, AttemptEnd after) {
+  const bool reads = pick.reader && !source_;
+  const int arrivals = (runs_ + rejections_ > 0 ? 1 : 0) +
+                       (reads && accepted_reads_ > 0 ? 1 : 0);
+  if (arrivals == 0) {
+    return true;
   }
-  parts_.choice.Remember(*pick.reader, terms_.prompt, parts_.clock());
-  const std::optional<KvSource> source = co_await ReadPrompt(pick);
-  if (Stopped()) {
-    if (source) {
-      co_await Free(*source);
+  const bool paid = parts_.allowance.TryTake(
+      service_, arrivals, parts_.instances(), parts_.clock());
+  parts_.metrics
+      .GetCounter(
+          paid ? "lynxglade_retries_total" : "lynxglade_retry_denials_total",
+          {{paid ? "after" : "reason",
+            paid ? std::string(ToString(after)) : "allowance"}})
+      .Add();
+  return paid;
+}
+
+Awaitable<AttemptEnd> RelayRun::Attempt(EnginePick pick) {
+  parts_.choice.Remember(pick.reader ? *pick.reader : *pick.runner,
+                         terms_.prompt, parts_.clock());
+  if (pick.reader && !source_) {
+    const bool read = co_await ReadPrompt(pick);
+    if (Stopped()) {
+      co_return AttemptEnd::kStopped;
+    }
+    if (!read) {
+      ++failed_reads_;
+      co_return AttemptEnd::kNotRun;
+    }
+    // Loads have changed while the prompt was read.
+    pick = Pick();
+    if (!pick.runner) {
+      co_return AttemptEnd::kNotRun;
     }
-    co_return AttemptEnd::kStopped;
-  }
-  if (!source) {
-    ++failed_reads_;
-    co_return AttemptEnd::kNotRun;
   }
-  // Loads have changed while the prompt was read.
-  EnginePick now = pick;
-  now.runner =
-      parts_.choice.PickDecoder(parts_.engines.OfService(service_),
-                                *source->engine, tried_, parts_.clock());
-  now.unread_tokens = 0;
-  if (!now.runner) {
-    co_await Free(*source);
-    co_return AttemptEnd::kNotRun;
+  const int rejections_before = rejections_;
+  const AttemptEnd end = co_await RunAt(pick);
+  if (source_ && rejections_ > rejections_before) {
+    co_await NoteRejectedFetch(*pick.runner);
   }
-  const AttemptEnd end = co_await RunAt(now, source);
-  if (end == AttemptEnd::kNotRun) {
-    ++failed_reads_;
-    co_await Free(*source);
+  if (end != AttemptEnd::kNotRun) {
+    // Fetched, or bound to a run of unknown outcome.
+    source_.reset();
   }
   co_return end;
 }
 
-Awaitable<std::optional<KvSource>> RelayRun::ReadPrompt(
-    const EnginePick& pick) {
+// An engine with free slots that rejects a run cannot have the cache.
+Awaitable<void> RelayRun::NoteRejectedFetch(const Engine& runner) {
+  const bool full =
+      runner.reported.running + runner.reported.waiting >= runner.entry.slots;
+  if (full) {
+    co_return;
+  }
+  ++failed_reads_;
+  tried_.push_back(source_->engine->entry.id);
+  NoteFailure(*source_->engine);
+  parts_.metrics.GetCounter("lynxglade_kv_fetches_rejected_total").Add();
+  co_await FreeSource();
+}
+
+Awaitable<bool> RelayRun::ReadPrompt(const EnginePick& pick) {
   const auto endpoint = EndpointOf(*pick.reader);
   if (!endpoint) {
-    co_return std::nullopt;
+    co_return false;
   }
   EngineUse use(pick.reader, pick.unread_tokens);
   SendTerms terms;
@@ -309,9 +344,9 @@
   terms.read_only = true;
   Exchange exchange(parts_.channels);
   current_ = &exchange;
-  ExchangeState state = co_await exchange.Start(
+  const ExchangeState state = co_await exchange.Start(
       *endpoint, Message(terms), AnswerFilter(), /*careful=*/false);
-  std::optional<KvSource> source;
+  bool rejected = false;
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
     const AnswerFacts facts = parts_.protocol.read_answer(exchange.head());
     NoteLoad(*pick.reader, facts);
@@ -320,24 +355,34 @@
                       exchange.head().result() == http::status::ok;
     const auto handle = good ? parts_.protocol.read_handle(body) : std::nullopt;
     if (handle) {
-      source = KvSource{pick.reader, *handle};
+      source_ = KvSource{pick.reader, *handle};
     }
+    rejected = !handle;
   }
   current_ = nullptr;
-  if (source) {
-    NoteSuccess(*pick.reader);
+  if (source_) {
+    ++accepted_reads_;
     prompt_read_at_ = Elapsed();
-  } else if (!Stopped()) {
+    co_return true;
+  }
+  if (!Stopped()) {
     NoteFailure(*pick.reader);
     parts_.metrics.GetCounter("lynxglade_prompt_reads_failed_total").Add();
-    // The first read is no extra arrival, one that is rejected is.
+  }
+  // The first read that is accepted is no extra arrival; what is rejected or
+  // unanswered is.
+  if (rejected || exchange.sent()) {
     parts_.allowance.Charge(service_, parts_.clock());
   }
-  co_return source;
+  co_return false;
 }
 
-// The KV cache would hold memory until its time runs out.
-Awaitable<void> RelayRun::Free(KvSource source) {
+// The cache would hold memory until its time runs out.
+Awaitable<void> RelayRun::FreeSource() {
+  if (!source_) {
+    co_return;
+  }
+  const KvSource source = *std::exchange(source_, std::nullopt);
   const auto endpoint = EndpointOf(*source.engine);
   if (!endpoint) {
     co_return;
@@ -349,8 +394,7 @@
   co_await exchange.Rest(kMaxSideAnswerBytes);
 }
 
-Awaitable<AttemptEnd> RelayRun::RunAt(const EnginePick& pick,
-                                      const std::optional<KvSource>& source) {
+Awaitable<AttemptEnd> RelayRun::RunAt(const EnginePick& pick) {
   const EngineHandle target = pick.runner;
   const auto endpoint = EndpointOf(*target);
   tried_.push_back(target->entry.id);
@@ -362,7 +406,7 @@
   terms.target = target;
   terms.time_left = TimeLeft();
   terms.priority = route_->priority;
-  terms.source = source;
+  terms.source = source_;
   terms.last_event_id =
       events_.last_id().empty() ? terms_.last_event_id : events_.last_id();
   Exchange exchange(parts_.channels);
@@ -499,34 +543,19 @@
   return reply_.begun() ? AttemptEnd::kTorn : AttemptEnd::kUnknown;
 }
 
-bool RelayRun::MayGoOn(AttemptEnd end) {
+bool RelayRun::MayGoOn(AttemptEnd end) const {
   if (end == AttemptEnd::kStopped || Stopped() ||
       TimeLeft() < options_.least_time_left) {
     return false;
   }
-  const bool not_run = end == AttemptEnd::kNotRun;
-  if (not_run && rejections_ > options_.max_rejections) {
-    return false;
-  }
-  if (!not_run && (!route_->MayRepeat() || runs_ >= route_->max_attempts)) {
-    return false;
+  if (end == AttemptEnd::kNotRun) {
+    return rejections_ <= options_.max_rejections &&
+           failed_reads_ <= kMaxFailedReads + 1;
   }
   if (end == AttemptEnd::kTorn && !route_->resumable) {
     return false;
   }
-  const bool arrived_before = runs_ + rejections_ > 0;
-  if (!arrived_before) {
-    return true;
-  }
-  const bool paid =
-      parts_.allowance.TryTake(service_, parts_.instances(), parts_.clock());
-  parts_.metrics
-      .GetCounter(
-          paid ? "lynxglade_retries_total" : "lynxglade_retry_denials_total",
-          {{paid ? "after" : "reason",
-            paid ? std::string(ToString(end)) : "allowance"}})
-      .Add();
-  return paid;
+  return route_->MayRepeat() && runs_ < route_->max_attempts;
 }
 
 Awaitable<void> RelayRun::Finish(AttemptEnd end) {
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -70,12 +70,17 @@
   // Attempts until one is final.
   Awaitable<void> RunAttempts();
   EnginePick Pick();
-  Awaitable<AttemptEnd> Attempt(const EnginePick& pick);
-  // Has the prompt read; nothing if that failed.
-  Awaitable<std::optional<KvSource>> ReadPrompt(const EnginePick& pick);
-  Awaitable<void> Free(KvSource source);
-  Awaitable<AttemptEnd> RunAt(const EnginePick& pick,
-                              const std::optional<KvSource>& source);
+  // Pays for the arrivals that an attempt adds beyond the request's first.
+  bool Pay(const EnginePick& pick, AttemptEnd after);
+  Awaitable<AttemptEnd> Attempt(EnginePick pick);
+  // Has the prompt read and sets source_; false if that failed.
+  Awaitable<bool> ReadPrompt(const EnginePick& pick);
+  // Gives back KV cache that no engine will fetch.
+  Awaitable<void> FreeSource();
+  // A run that was to fetch KV cache was rejected: by an engine that is full,
+  // or since the cache is not to be had.
+  Awaitable<void> NoteRejectedFetch(const Engine& runner);
+  Awaitable<AttemptEnd> RunAt(const EnginePick& pick);
   Awaitable<AttemptEnd> TakeAnswer(Exchange& exchange,
                                    const EngineHandle& target);
   Awaitable<AttemptEnd> TakeHeld(Exchange& exchange,
@@ -84,8 +89,8 @@
                                    const EngineHandle& target);
   Awaitable<bool> PassPiece(Exchange& exchange, std::string_view bytes);
   AttemptEnd EndOfBroken(Exchange& exchange, const EngineHandle& target);
-  // Whether another attempt may follow, and is paid for.
-  bool MayGoOn(AttemptEnd end);
+  // Whether another attempt may follow.
+  bool MayGoOn(AttemptEnd end) const;
   Awaitable<void> Finish(AttemptEnd end);
   Awaitable<void> Refuse(EndReason reason);
   Awaitable<void> SendKept();
@@ -121,6 +126,10 @@
   int runs_ = 0;
   int rejections_ = 0;
   int failed_reads_ = 0;
+  // Calls to have the prompt read that an engine accepted; the first is free.
+  int accepted_reads_ = 0;
+  // KV cache of this request's prompt that waits to be fetched.
+  std::optional<KvSource> source_;
   bool outcome_unknown_ = false;
   EventSplitter events_;
   // A failure that a target answered with, for the caller if no other attempt
--- a/src/request/passthrough/retry_allowance.cc
+++ b/src/request/passthrough/retry_allowance.cc
@@ -13,6 +13,7 @@
 }
 
 bool RetryAllowance::TryTake(const base::ServiceName& service,
+                             int arrivals,
                              int instances,
                              base::Time now) {
   Window& window = Trimmed(service, now);
@@ -20,10 +21,11 @@
       options_.ratio * static_cast<double>(window.requests.size());
   const double share = options_.allowance / std::max(instances, 1);
   const double spent = static_cast<double>(window.extra.size());
-  if (spent + 1 > options_.safety * (earned + share)) {
+  if (spent + arrivals > options_.safety * (earned + share)) {
     return false;
   }
-  window.extra.push_back(now);
+  window.extra.insert(window.extra.end(), static_cast<std::size_t>(arrivals),
+                      now);
   return true;
 }
 
--- a/src/request/passthrough/retry_allowance.h
+++ b/src/request/passthrough/retry_allowance.h
@@ -33,8 +33,12 @@
 
   // A request for the service was taken from a caller.
   void OnRequest(const base::ServiceName& service, base::Time now);
-  // Pays for one more arrival; false if the share is used up.
-  bool TryTake(const base::ServiceName& service, int instances, base::Time now);
+  // Pays for so many more arrivals; false, and nothing is taken, if the share
+  // does not cover them.
+  bool TryTake(const base::ServiceName& service,
+               int arrivals,
+               int instances,
+               base::Time now);
   // An arrival that could not be foreseen (a target rejected a side call).
   void Charge(const base::ServiceName& service, base::Time now);
 
