--- /dev/null
+++ b/tests/process/fake_store_port.h
@@ -0,0 +1,91 @@
+// The platform's store in memory, for tests on one event loop.
+#ifndef LYNXGLADE_TESTS_PROCESS_FAKE_STORE_PORT_H_
+#define LYNXGLADE_TESTS_PROCESS_FAKE_STORE_PORT_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "process/store_port.h"
+
+namespace lynxglade::process {
+
+// Runs the loop until `done`, or fails the test after a generous time.
+void RunUntil(connection::event::asio::io_context& loop,
+              const std::function<bool()>& done);
+
+// Runs what is ready now, without waiting.
+void RunReady(connection::event::asio::io_context& loop);
+
+class FakeStorePort : public StorePort {
+ public:
+  explicit FakeStorePort(connection::event::asio::io_context& loop);
+
+  // --- The platform's side.
+  void Write(const std::string& key,
+             const std::string& value,
+             LeaseId lease = LeaseId(0));
+  void Remove(const std::string& key);
+  // The lease ends and its keys go.
+  void Expire(LeaseId lease);
+  // Watches from before now get kHistoryGone.
+  void Compact();
+  // While set, each call fails so.
+  void Fail(std::optional<StoreFault> fault);
+  // Waiting watches end now, as cut connections.
+  void CutWatches();
+  // The next write takes effect and its answer is lost.
+  void LoseNextAnswer() { lose_next_answer_ = true; }
+
+  int lists() const noexcept { return lists_; }
+  const std::map<std::string, StoreItem>& items() const noexcept {
+    return items_;
+  }
+
+  // --- The port.
+  Result<StoreItems> List(std::string prefix, StoreFault* fault) override;
+  Result<StoreItems> Watch(std::string prefix,
+                           base::Revision after,
+                           base::Duration wait,
+                           StoreFault* fault) override;
+  Result<LeaseId> OpenLease(base::Duration ttl, StoreFault* fault) override;
+  Result<LeaseId> KeepLease(LeaseId lease, StoreFault* fault) override;
+  Result<LeaseId> EndLease(LeaseId lease, StoreFault* fault) override;
+  Result<StoreItem> Get(std::string key, StoreFault* fault) override;
+  Result<base::Revision> Create(std::string key,
+                                std::string value,
+                                LeaseId lease,
+                                StoreFault* fault) override;
+  Result<base::Revision> Put(std::string key,
+                             std::string value,
+                             LeaseId lease,
+                             StoreFault* fault) override;
+
+ private:
+  bool Failing(StoreFault* fault) const;
+  StoreItems ChangesAfter(const std::string& prefix,
+                          base::Revision after) const;
+  void Wake();
+
+  connection::event::asio::io_context& loop_;
+  std::map<std::string, StoreItem> items_;
+  std::map<std::string, LeaseId> lease_of_;
+  std::vector<StoreItem> history_;
+  std::set<std::int64_t> leases_;
+  std::int64_t revision_ = 1;
+  std::int64_t next_lease_ = 1;
+  base::Revision compacted_{0};
+  std::optional<StoreFault> failing_;
+  bool lose_next_answer_ = false;
+  int cuts_ = 0;
+  int lists_ = 0;
+  connection::event::asio::steady_timer changed_;
+};
+
+}  // namespace lynxglade::process
+
+#endif  // LYNXGLADE_TESTS_PROCESS_FAKE_STORE_PORT_H_
--- /dev/null
+++ b/tests/process/instance_presence_test.cc
@@ -0,0 +1,87 @@
+#include "process/instance_presence.h"
+
+#include <gtest/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "process/fake_store_port.h"
+
+namespace lynxglade::process {
+namespace {
+
+namespace asio = connection::event::asio;
+
+constexpr char kKey[] = "lynxglade/instances/me";
+
+class InstancePresenceTest : public testing::Test {
+ protected:
+  InstancePresenceTest()
+      : store_(loop_),
+        presence_(loop_,
+                  store_,
+                  {.instance = base::InstanceId("me"),
+                   .renew_every = std::chrono::milliseconds(1),
+                   .retry_every = std::chrono::milliseconds(1)},
+                  [this] { return now_; }) {
+    asio::co_spawn(loop_, presence_.Run(), asio::detached);
+  }
+
+  void Show() {
+    std::vector<StoreItem> items;
+    for (const auto& [key, item] : store_.items()) {
+      items.push_back(item);
+    }
+    presence_.OnList(items);
+  }
+
+  base::Time now_ = base::Time() + std::chrono::hours(1);
+  asio::io_context loop_;
+  FakeStorePort store_;
+  InstancePresence presence_;
+};
+
+TEST_F(InstancePresenceTest, WritesItsKeyUnderItsLease) {
+  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  store_.Expire(*presence_.lease());
+  EXPECT_FALSE(store_.items().contains(kKey));
+  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+}
+
+TEST_F(InstancePresenceTest, AKeyThatWasTakenAwayIsWrittenAgain) {
+  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  store_.Remove(kKey);
+  Show();
+  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+}
+
+TEST_F(InstancePresenceTest, ManyAreAssumedUntilTheyAreCounted) {
+  EXPECT_EQ(presence_.Count(), InstancePresenceOptions().assumed_instances);
+  store_.Write("lynxglade/instances/a", "a");
+  store_.Write("lynxglade/instances/b", "b");
+  store_.Write("lynxglade/orders/holder", "a");
+  Show();
+  EXPECT_EQ(presence_.Count(), 2);
+}
+
+// Instances whose keys vanish may go on serving: what they may spend is not
+// dealt out anew at once.
+TEST_F(InstancePresenceTest, TheCountFallsOnlyAfterAWhile) {
+  store_.Write("lynxglade/instances/a", "a");
+  store_.Write("lynxglade/instances/b", "b");
+  Show();
+  store_.Remove("lynxglade/instances/a");
+  Show();
+  EXPECT_EQ(presence_.Count(), 2);
+  now_ += std::chrono::seconds(16);
+  Show();
+  EXPECT_EQ(presence_.Count(), 1);
+}
+
+TEST_F(InstancePresenceTest, LeavingRemovesTheKeyAtOnce) {
+  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  asio::co_spawn(loop_, presence_.Leave(), asio::detached);
+  RunUntil(loop_, [this] { return !store_.items().contains(kKey); });
+}
+
+}  // namespace
+}  // namespace lynxglade::process
--- /dev/null
+++ b/tests/process/order_authority_test.cc
@@ -0,0 +1,163 @@
+#include "process/order_authority.h"
+
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "process/fake_store_port.h"
+
+namespace lynxglade::process {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = connection::event::asio;
+
+constexpr char kKey[] = "lynxglade/orders/holder";
+
+// One instance: presence with its lease, and authority. What the store holds
+// is shown to it by hand, so that a test can show it late.
+struct Contender {
+  Contender(asio::io_context& loop,
+            FakeStorePort& store,
+            const std::string& name,
+            const base::Clock& clock)
+      : presence(loop, store, {.instance = base::InstanceId(name)}, clock),
+        authority(store,
+                  presence,
+                  {.claim_spread = base::Duration(0)},
+                  clock,
+                  base::SeededRandom(std::hash<std::string>()(name))) {}
+
+  InstancePresence presence;
+  OrderAuthority authority;
+};
+
+class OrderAuthorityTest : public testing::Test {
+ protected:
+  OrderAuthorityTest()
+      : store_(loop_),
+        one_(loop_, store_, "one", clock_),
+        two_(loop_, store_, "two", clock_) {
+    for (Contender* it : {&one_, &two_}) {
+      asio::co_spawn(loop_, it->presence.Run(), asio::detached);
+      RunUntil(loop_, [it] { return it->presence.lease().has_value(); });
+    }
+    Show(one_);
+    Show(two_);
+  }
+
+  void Show(Contender& contender) {
+    std::vector<StoreItem> items;
+    for (const auto& [key, item] : store_.items()) {
+      items.push_back(item);
+    }
+    contender.authority.OnList(items);
+  }
+
+  void Claim(Contender& contender) {
+    bool done = false;
+    asio::co_spawn(loop_, contender.authority.Claim(),
+                   [&done](std::exception_ptr) { done = true; });
+    RunUntil(loop_, [&done] { return done; });
+  }
+
+  std::optional<base::FencingToken> Confirm(Contender& contender) {
+    bool done = false;
+    std::optional<base::FencingToken> token;
+    asio::co_spawn(
+        loop_, contender.authority.Confirm(&until_),
+        [&](std::exception_ptr, const std::optional<base::FencingToken>& it) {
+          token = it;
+          done = true;
+        });
+    RunUntil(loop_, [&done] { return done; });
+    return token;
+  }
+
+  // `contender` takes the key and its quiet time passes.
+  void Take(Contender& contender) {
+    Claim(contender);
+    Show(contender);
+    now_ += milliseconds(4500);
+  }
+
+  base::Time now_ = base::Time() + std::chrono::hours(1);
+  const base::Clock clock_ = [this] { return now_; };
+  asio::io_context loop_;
+  FakeStorePort store_;
+  Contender one_;
+  Contender two_;
+  base::Time until_{};
+};
+
+TEST_F(OrderAuthorityTest, TheHolderOrdersAfterTheQuietTime) {
+  Claim(one_);
+  Show(one_);
+  EXPECT_FALSE(one_.authority.Held());
+  now_ += milliseconds(4499);
+  EXPECT_FALSE(one_.authority.Held());
+  now_ += milliseconds(1);
+  ASSERT_TRUE(one_.authority.Held());
+  EXPECT_EQ(Confirm(one_)->value(), store_.items().at(kKey).revision.value());
+  EXPECT_EQ(until_, now_ + milliseconds(300));
+}
+
+TEST_F(OrderAuthorityTest, OnlyOneOfTwoTakesTheKey) {
+  Claim(one_);
+  Claim(two_);
+  Show(one_);
+  Show(two_);
+  now_ += milliseconds(4500);
+  EXPECT_TRUE(one_.authority.Held());
+  EXPECT_FALSE(two_.authority.Held());
+}
+
+TEST_F(OrderAuthorityTest, AClaimWhoseAnswerIsLostIsFoundInTheKey) {
+  store_.LoseNextAnswer();
+  Take(one_);
+  EXPECT_TRUE(Confirm(one_));
+}
+
+// The store takes the keys of an instance away and tells it nothing: what it
+// last heard says that it holds, reading back says that it does not.
+TEST_F(OrderAuthorityTest, AKeyThatWasTakenAwayUnseenConfirmsNothing) {
+  Take(one_);
+  store_.Remove(kKey);
+  EXPECT_TRUE(one_.authority.Held());
+  EXPECT_FALSE(Confirm(one_));
+  Show(two_);
+  Take(two_);
+  EXPECT_FALSE(Confirm(one_));
+  EXPECT_TRUE(Confirm(two_));
+}
+
+TEST_F(OrderAuthorityTest, AStoreThatIsAwayConfirmsNothing) {
+  Take(one_);
+  store_.Fail(StoreFault::kTimeout);
+  EXPECT_FALSE(Confirm(one_));
+}
+
+// A restart under the same name is another holder: its mark differs.
+TEST_F(OrderAuthorityTest, ARestartedInstanceDoesNotTakeItselfForTheHolder) {
+  Take(one_);
+  Contender again(loop_, store_, "one", clock_);
+  store_.Write(kKey, "one/ffff");
+  Show(again);
+  now_ += milliseconds(4500);
+  EXPECT_FALSE(again.authority.Held());
+}
+
+TEST_F(OrderAuthorityTest, TokensOfLaterHoldersAreHigher) {
+  Take(one_);
+  const auto first = Confirm(one_);
+  store_.Expire(*one_.presence.lease());
+  Show(two_);
+  Take(two_);
+  EXPECT_GT(*Confirm(two_), *first);
+}
+
+}  // namespace
+}  // namespace lynxglade::process
--- /dev/null
+++ b/tests/process/prefix_follower_test.cc
@@ -0,0 +1,113 @@
+#include "process/prefix_follower.h"
+
+#include <map>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "process/fake_store_port.h"
+
+namespace lynxglade::process {
+namespace {
+
+namespace asio = connection::event::asio;
+
+class PrefixFollowerTest : public testing::Test {
+ protected:
+  PrefixFollowerTest()
+      : store_(loop_),
+        follower_(loop_,
+                  store_,
+                  {.prefix = "servers/",
+                   .first_pause = std::chrono::milliseconds(1),
+                   .longest_pause = std::chrono::milliseconds(1)},
+                  {.on_list =
+                       [this](const std::vector<StoreItem>& items) {
+                         seen_.clear();
+                         for (const StoreItem& item : items) {
+                           seen_[item.key] = item.value;
+                         }
+                       },
+                   .on_change =
+                       [this](const StoreItem& item) {
+                         if (item.deleted) {
+                           seen_.erase(item.key);
+                         } else {
+                           seen_[item.key] = item.value;
+                         }
+                       },
+                   .on_returned = [this] { ++returned_; }},
+                  base::BootClock::now,
+                  base::SeededRandom(1),
+                  metrics_) {}
+
+  void Start() {
+    asio::co_spawn(loop_, follower_.Run(), asio::detached);
+    RunUntil(loop_, [this] { return follower_.Age().has_value(); });
+  }
+
+  asio::io_context loop_;
+  base::Metrics metrics_;
+  FakeStorePort store_;
+  PrefixFollower follower_;
+  std::map<std::string, std::string> seen_;
+  int returned_ = 0;
+};
+
+TEST_F(PrefixFollowerTest, ListsThenFollowsChanges) {
+  store_.Write("servers/a", "1");
+  store_.Write("other/x", "1");
+  Start();
+  EXPECT_EQ(seen_, (std::map<std::string, std::string>{{"servers/a", "1"}}));
+  store_.Write("servers/b", "2");
+  store_.Remove("servers/a");
+  RunUntil(loop_, [this] { return seen_.contains("servers/b"); });
+  RunUntil(loop_, [this] { return !seen_.contains("servers/a"); });
+  EXPECT_EQ(store_.lists(), 1);
+  EXPECT_EQ(returned_, 0);
+}
+
+// A key that went while the history was dropped is not kept for ever, and a
+// watch that was merely cut is no outage: nothing gets a grace.
+TEST_F(PrefixFollowerTest, ListsAgainWhenTheHistoryIsGone) {
+  store_.Write("servers/a", "1");
+  Start();
+  store_.Remove("servers/a");
+  store_.Compact();
+  RunUntil(loop_, [this] { return store_.lists() == 2; });
+  RunUntil(loop_, [this] { return seen_.empty(); });
+  EXPECT_EQ(returned_, 0);
+}
+
+TEST_F(PrefixFollowerTest, ACutWatchIsNoOutage) {
+  Start();
+  store_.CutWatches();
+  RunUntil(loop_, [this] { return store_.lists() == 2; });
+  EXPECT_EQ(returned_, 0);
+}
+
+TEST_F(PrefixFollowerTest, SaysWhenTheStoreIsBack) {
+  store_.Write("servers/a", "1");
+  Start();
+  store_.Fail(StoreFault::kBusy);
+  RunUntil(loop_, [this] { return store_.lists() >= 3; });
+  EXPECT_TRUE(seen_.contains("servers/a"));
+  store_.Fail(std::nullopt);
+  RunUntil(loop_, [this] { return returned_ == 1; });
+}
+
+TEST_F(PrefixFollowerTest, AnswersThatDoNotComeAreAnOutage) {
+  Start();
+  store_.Fail(StoreFault::kTimeout);
+  RunUntil(loop_, [this] { return store_.lists() >= 2; });
+  store_.Fail(std::nullopt);
+  RunUntil(loop_, [this] { return returned_ == 1; });
+  EXPECT_GT(metrics_.CounterValue("lynxglade_store_faults_total",
+                                  {{"call", "watch"}, {"fault", "timeout"}}),
+            0U);
+}
+
+}  // namespace
+}  // namespace lynxglade::process
--- /dev/null
+++ b/tests/process/stage_orders_test.cc
@@ -0,0 +1,171 @@
+#include "process/stage_orders.h"
+
+#include <map>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "process/fake_store_port.h"
+
+namespace lynxglade::process {
+namespace {
+
+using connection::event::Awaitable;
+using request::passthrough::EngineEntry;
+using request::passthrough::EngineHandle;
+using request::passthrough::EngineStage;
+using request::passthrough::EngineTable;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace asio = connection::event::asio;
+
+const base::ServiceName kService("llm");
+
+// Engines that take orders, and one holder of the authority over them.
+class StageOrdersTest : public testing::Test {
+ protected:
+  StageOrdersTest()
+      : store_(loop_),
+        presence_(loop_, store_, {.instance = base::InstanceId("me")}, clock_),
+        authority_(
+            store_,
+            presence_,
+            {.quiet = base::Duration(0), .claim_spread = base::Duration(0)},
+            clock_,
+            base::SeededRandom(1)),
+        orders_(
+            loop_,
+            table_,
+            authority_,
+            {.report = [this](EngineHandle it)
+                 -> Awaitable<std::optional<EngineReport>> {
+               co_return reports_[it->entry.id.str()];
+             },
+             .order = [this](EngineHandle it,
+                             StageOrder order) -> Awaitable<OrderResult> {
+               given_.push_back({it->entry.id.str(), order});
+               if (answer_ == OrderResult::kTaken) {
+                 EngineReport& report = reports_[it->entry.id.str()];
+                 report.stage = order.stage;
+                 ++report.orders;
+                 EngineEntry entry = it->entry;
+                 entry.stage = order.stage;
+                 table_.Put(entry);
+               }
+               co_return answer_;
+             }},
+            {.instance = base::InstanceId("me"), .period = milliseconds(1)},
+            [] { return std::vector<base::ServiceName>{kService}; },
+            [this] { return idle_; },
+            clock_,
+            metrics_) {
+    asio::co_spawn(loop_, presence_.Run(), asio::detached);
+    RunUntil(loop_, [this] { return presence_.lease().has_value(); });
+    authority_.OnList({});
+    for (int i = 0; i < 6; ++i) {
+      EngineEntry entry;
+      entry.id = base::TargetId("e" + std::to_string(i));
+      entry.service = kService;
+      entry.zone = base::ZoneId("a");
+      table_.Put(entry);
+      reports_[entry.id.str()] = EngineReport{};
+    }
+  }
+
+  void Start() {
+    asio::co_spawn(loop_, orders_.Run(), asio::detached);
+    RunUntil(loop_, [this] { return !store_.items().empty(); });
+    ShowHolder();
+  }
+  void ShowHolder() {
+    RunUntil(loop_, [this] {
+      return store_.items().contains("lynxglade/orders/holder");
+    });
+    authority_.OnChange(store_.items().at("lynxglade/orders/holder"));
+  }
+  void RunRounds(int n) {
+    for (int i = 0; i < n; ++i) {
+      asio::steady_timer timer(loop_, milliseconds(2));
+      bool fired = false;
+      timer.async_wait([&fired](const auto&) { fired = true; });
+      RunUntil(loop_, [&fired] { return fired; });
+    }
+  }
+
+  base::Time now_ = base::Time() + std::chrono::hours(1);
+  const base::Clock clock_ = [this] { return now_; };
+  asio::io_context loop_;
+  base::Metrics metrics_;
+  FakeStorePort store_;
+  EngineTable table_{base::Duration(0)};
+  InstancePresence presence_;
+  OrderAuthority authority_;
+  std::map<std::string, EngineReport> reports_;
+  std::vector<std::pair<std::string, StageOrder>> given_;
+  OrderResult answer_ = OrderResult::kTaken;
+  bool idle_ = true;
+  StageOrders orders_;
+};
+
+TEST_F(StageOrdersTest, BringsAnIdleFleetToItsSplit) {
+  Start();
+  RunUntil(loop_, [this] { return given_.size() == 4; });
+  RunRounds(5);
+  EXPECT_EQ(given_.size(), 4U);
+  EXPECT_EQ(given_[0].second.holder, "me");
+  EXPECT_GT(given_[0].second.token.value(), 0);
+}
+
+TEST_F(StageOrdersTest, UnderLoadTheNextWaitsUntilTheLastHasSettled) {
+  idle_ = false;
+  Start();
+  RunUntil(loop_, [this] { return given_.size() == 1; });
+  RunRounds(5);
+  EXPECT_EQ(given_.size(), 1U);
+  now_ += seconds(6);
+  RunUntil(loop_, [this] { return given_.size() == 2; });
+}
+
+// Engines have carried out an order twelve seconds after it was sent, and
+// after newer ones; an order is tied to the count of orders before it, and
+// its repeat waits.
+TEST_F(StageOrdersTest, AnOrderWithoutAnAnswerIsNotRepeatedSoon) {
+  answer_ = OrderResult::kUnknown;
+  Start();
+  RunUntil(loop_, [this] { return given_.size() == 4; });
+  now_ += seconds(14);
+  RunRounds(5);
+  EXPECT_EQ(given_.size(), 4U);
+  now_ += seconds(1);
+  RunUntil(loop_, [this] { return given_.size() == 8; });
+  EXPECT_EQ(given_.back().second.if_orders, 0);
+}
+
+TEST_F(StageOrdersTest, WithoutTheKeyNoOrderLeaves) {
+  Start();
+  RunUntil(loop_, [this] { return given_.size() == 4; });
+  store_.Remove("lynxglade/orders/holder");
+  EngineEntry fresh = table_.Find(base::TargetId("e0"))->entry;
+  fresh.stage = EngineStage::kPrefill;
+  table_.Put(fresh);
+  EngineEntry other = table_.Find(base::TargetId("e5"))->entry;
+  other.stage = EngineStage::kPrefill;
+  table_.Put(other);
+  now_ += seconds(60);
+  RunRounds(5);
+  EXPECT_EQ(given_.size(), 4U);
+}
+
+TEST_F(StageOrdersTest, AnEngineThatIsChangingIsLeftAlone) {
+  for (auto& [id, report] : reports_) {
+    report.changing = true;
+  }
+  Start();
+  RunRounds(5);
+  EXPECT_TRUE(given_.empty());
+}
+
+}  // namespace
+}  // namespace lynxglade::process
--- /dev/null
+++ b/tests/request/passthrough/engine_choice_test.cc
@@ -0,0 +1,200 @@
+#include "request/passthrough/engine_choice.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lynxglade::request::passthrough {
+namespace {
+
+using std::chrono::milliseconds;
+
+const base::Time kNow = base::Time() + std::chrono::hours(1);
+
+EngineHandle MakeEngine(const std::string& id,
+                        EngineStage stage,
+                        const std::string& zone = "a") {
+  auto engine = std::make_shared<Engine>();
+  engine->entry.id = base::TargetId(id);
+  engine->entry.zone = base::ZoneId(zone);
+  engine->entry.slots = 64;
+  engine->entry.stage = stage;
+  return engine;
+}
+
+std::vector<EngineHandle> Fleet(int prefill, int decode) {
+  std::vector<EngineHandle> fleet;
+  for (int i = 0; i < prefill; ++i) {
+    fleet.push_back(MakeEngine("p" + std::to_string(i), EngineStage::kPrefill));
+  }
+  for (int i = 0; i < decode; ++i) {
+    fleet.push_back(MakeEngine("d" + std::to_string(i), EngineStage::kDecode));
+  }
+  return fleet;
+}
+
+// An album of the users' sheet: a long shared part and a part of its own.
+Prompt Album(const std::string& shared) {
+  return Prompt{{{shared, 13'300}, {"own", 3'720}}, 13};
+}
+
+EngineChoice MakeChoice(std::uint64_t seed = 1) {
+  EngineChoiceOptions options;
+  options.zone = base::ZoneId("a");
+  return EngineChoice(options, base::SeededRandom(seed));
+}
+
+TEST(EngineChoice, LongPromptsAreReadAtPrefillEngines) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(4, 2);
+  const EnginePick pick = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  ASSERT_NE(pick.reader, nullptr);
+  EXPECT_EQ(pick.reader->entry.stage, EngineStage::kPrefill);
+  EXPECT_EQ(pick.runner->entry.stage, EngineStage::kDecode);
+}
+
+// The load this answers: albums whose shared parts were taken to be cached at
+// decode engines, where reading one held up each stream for 400 ms a piece.
+TEST(EngineChoice, ADecodeEngineNeverReadsALongPromptWhileAnotherCan) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(2, 6);
+  for (const EngineHandle& engine : fleet) {
+    if (engine->entry.stage == EngineStage::kPrefill) {
+      engine->unread_tokens = 400'000;
+    }
+  }
+  for (int i = 0; i < 200; ++i) {
+    const EnginePick pick =
+        choice.Pick(fleet, Album(std::to_string(i)), {}, true, kNow);
+    EXPECT_NE(pick.reader, nullptr);
+  }
+}
+
+TEST(EngineChoice, WithoutPrefillEnginesADecodeEngineReads) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(0, 3);
+  const EnginePick pick = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  ASSERT_NE(pick.runner, nullptr);
+  EXPECT_EQ(pick.reader, nullptr);
+}
+
+TEST(EngineChoice, WithoutDecodeEnginesNothingRuns) {
+  EngineChoice choice = MakeChoice();
+  EXPECT_EQ(choice.Pick(Fleet(3, 0), Album("x"), {}, true, kNow).runner,
+            nullptr);
+}
+
+TEST(EngineChoice, DrainingAndTriedEnginesAreLeftOut) {
+  EngineChoice choice = MakeChoice();
+  auto fleet = Fleet(0, 3);
+  fleet[0]->entry.draining = true;
+  const EnginePick pick =
+      choice.Pick(fleet, Prompt{}, {fleet[1]->entry.id}, true, kNow);
+  EXPECT_EQ(pick.runner, fleet[2]);
+}
+
+TEST(EngineChoice, AnEngineThatFailedIsUsedOnlyIfAllDid) {
+  EngineChoice choice = MakeChoice();
+  auto fleet = Fleet(0, 2);
+  fleet[0]->avoid_until = kNow + milliseconds(500);
+  EXPECT_EQ(choice.Pick(fleet, Prompt{}, {}, true, kNow).runner, fleet[1]);
+  fleet[1]->avoid_until = kNow + milliseconds(500);
+  EXPECT_NE(choice.Pick(fleet, Prompt{}, {}, true, kNow).runner, nullptr);
+}
+
+// All instances agree on a part's home without a message.
+RC_GTEST_PROP(EngineChoice, IdleInstancesSendAPartToTheSameEngine, ()) {
+  const auto fleet = Fleet(*rc::gen::inRange(1, 12), 2);
+  const auto part = *rc::gen::nonEmpty<std::string>();
+  EngineChoice one = MakeChoice(1);
+  EngineChoice two = MakeChoice(2);
+  RC_ASSERT(one.Pick(fleet, Album(part), {}, true, kNow).reader ==
+            two.Pick(fleet, Album(part), {}, true, kNow).reader);
+}
+
+// The loss of an engine moves only the parts that lived there.
+RC_GTEST_PROP(EngineChoice, PartsOfOtherEnginesStayWhenOneLeaves, ()) {
+  auto fleet = Fleet(*rc::gen::inRange(2, 12), 2);
+  const auto part = *rc::gen::nonEmpty<std::string>();
+  const EngineHandle before =
+      MakeChoice().Pick(fleet, Album(part), {}, true, kNow).reader;
+  const auto left = *rc::gen::inRange<std::size_t>(0, fleet.size() - 2);
+  RC_PRE(fleet[left] != before);
+  fleet[left]->entry.draining = true;
+  RC_ASSERT(MakeChoice().Pick(fleet, Album(part), {}, true, kNow).reader ==
+            before);
+}
+
+TEST(EngineChoice, SharedPartsSpreadOverTheReaders) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(12, 6);
+  std::map<EngineHandle, int> parts;
+  constexpr int kParts = 164;
+  for (int i = 0; i < kParts; ++i) {
+    ++parts[choice
+                .Pick(fleet, Album("part" + std::to_string(i)), {}, true, kNow)
+                .reader];
+  }
+  EXPECT_EQ(parts.size(), 12U);
+  const auto most = std::ranges::max_element(
+      parts, {}, [](const auto& row) { return row.second; });
+  EXPECT_LT(most->second, 3 * kParts / 12);
+}
+
+// A home with work for a second is passed over, although the next engine has
+// to read the shared part.
+TEST(EngineChoice, ABusyHomeIsPassedOver) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(4, 2);
+  const EngineHandle home =
+      choice.Pick(fleet, Album("x"), {}, true, kNow).reader;
+  home->unread_tokens = 45'000;
+  const EnginePick pick = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  EXPECT_NE(pick.reader, home);
+  EXPECT_EQ(pick.unread_tokens, 13'300 + 3'720);
+}
+
+TEST(EngineChoice, WhereAPartWasSentLatelyItCountsAsCached) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(4, 2);
+  const EngineHandle home =
+      choice.Pick(fleet, Album("x"), {}, true, kNow).reader;
+  home->unread_tokens = 45'000;
+  const EngineHandle second =
+      choice.Pick(fleet, Album("x"), {}, true, kNow).reader;
+  choice.Remember(*second, Album("x"), kNow);
+  const EnginePick again = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  EXPECT_EQ(again.reader, second);
+  EXPECT_EQ(again.unread_tokens, 3'720);
+  const EnginePick later =
+      choice.Pick(fleet, Album("x"), {}, true, kNow + std::chrono::minutes(1));
+  EXPECT_EQ(later.unread_tokens, 13'300 + 3'720);
+}
+
+TEST(EngineChoice, AnotherEngineOfTheReadersZoneGenerates) {
+  EngineChoice choice = MakeChoice();
+  const std::vector<EngineHandle> fleet = {
+      MakeEngine("p", EngineStage::kPrefill, "b"),
+      MakeEngine("d0", EngineStage::kDecode, "a"),
+      MakeEngine("d1", EngineStage::kDecode, "b")};
+  EXPECT_EQ(choice.PickDecoder(fleet, *fleet[0], {}, kNow), fleet[2]);
+  EXPECT_EQ(choice.PickDecoder(fleet, *fleet[0], {fleet[2]->entry.id}, kNow),
+            fleet[1]);
+}
+
+// Requests of a plain service go where the fewest are, reports included.
+TEST(EngineChoice, PlainRequestsGoToTheLeastLoaded) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(0, 3);
+  fleet[0]->in_flight = 5;
+  fleet[1]->reported = {6, 2, 6};
+  fleet[1]->reported_at = kNow;
+  EXPECT_EQ(choice.Pick(fleet, Prompt{}, {}, true, kNow).runner, fleet[2]);
+}
+
+}  // namespace
+}  // namespace lynxglade::request::passthrough
