--- /dev/null
+++ b/tests/connection/event/caller_server_test.cc
@@ -0,0 +1,183 @@
+#include "connection/event/caller_server.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "connection/event/loop_thread.h"
+#include "connection/raw_client.h"
+
+namespace lynxglade::connection::event {
+namespace {
+
+using tests::RawClient;
+
+// Answers each request with its body and notes it.
+class CallerServerTest : public testing::Test {
+ protected:
+  CallerServerTest()
+      : server_(
+            loop_,
+            {.endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+             .max_buffered_bytes = 1000},
+            [this] { return bounds_; },
+            [this](std::shared_ptr<CallerRequest> request,
+                   CallerReply& reply) -> Awaitable<void> {
+              bodies_.push_back(request->body);
+              if (hold_) {
+                co_await Hold(reply);
+                co_return;
+              }
+              AnswerHead head;
+              head.status = 200;
+              co_await reply.SendWhole(std::move(head), request->body);
+            },
+            base::BootClock::now,
+            metrics_) {
+    std::string reason;
+    EXPECT_TRUE(server_.Start(&reason)) << reason;
+    thread_.emplace(loop_);
+  }
+  ~CallerServerTest() override { thread_.reset(); }
+
+  // Waits for the caller to leave.
+  Awaitable<void> Hold(CallerReply& reply) {
+    asio::steady_timer timer(loop_, asio::steady_timer::time_point::max());
+    reply.OnGone([&timer] { timer.cancel(); });
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
+    gone_ = reply.gone();
+  }
+
+  std::string Exchange(const std::string& bytes) {
+    RawClient client(server_.port());
+    client.Send(bytes);
+    return client.ReadToEnd();
+  }
+  // The status of the answer to bytes after which the server closes.
+  std::string Status(const std::string& bytes) {
+    return Exchange(bytes).substr(0, 12);
+  }
+
+  CallerBounds bounds_{.max_header_bytes = 512,
+                       .max_body_bytes = 100,
+                       .header_timeout = std::chrono::seconds(20),
+                       .idle_timeout = std::chrono::seconds(20)};
+  asio::io_context loop_;
+  base::Metrics metrics_;
+  std::vector<std::string> bodies_;
+  bool hold_ = false;
+  bool gone_ = false;
+  CallerServer server_;
+  std::optional<LoopThread> thread_;
+};
+
+TEST_F(CallerServerTest, ServesRequestsThatComeTogether) {
+  const std::string answers = Exchange(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+      "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+      "Connection: close\r\n\r\ncd");
+  EXPECT_LT(answers.find("ab"), answers.find("cd"));
+  EXPECT_EQ(bodies_, (std::vector<std::string>{"ab", "cd"}));
+}
+
+TEST_F(CallerServerTest, JoinsChunkedBodies) {
+  const std::string answer = Exchange(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+  EXPECT_TRUE(answer.ends_with("abc"));
+}
+
+TEST_F(CallerServerTest, AsksForABodyThatIsHeldBack) {
+  RawClient client(server_.port());
+  client.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+      "Expect: 100-continue\r\nConnection: close\r\n\r\n");
+  EXPECT_TRUE(client.ReadHead().starts_with("HTTP/1.1 100"));
+  client.Send("ab");
+  EXPECT_TRUE(client.ReadToEnd().ends_with("ab"));
+}
+
+// Each of these could be read as one request or as two.
+TEST_F(CallerServerTest, RefusesRequestsWhoseEndIsInDoubt) {
+  const std::vector<std::string> heads = {
+      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+      "Content-Length: 5\r\nContent-Length: 6\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+      "Transfer-Encoding: identity\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Content-Length: -1\r\n",
+      "Content-Length: 1x\r\n",
+      "Content-Length : 5\r\n",
+  };
+  for (const std::string& head : heads) {
+    EXPECT_EQ(Status("POST /a HTTP/1.1\r\nHost: h\r\n" + head +
+                     "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"),
+              "HTTP/1.1 400")
+        << head;
+  }
+  EXPECT_TRUE(bodies_.empty());
+}
+
+TEST_F(CallerServerTest, RefusesWhatIsTooLarge) {
+  EXPECT_EQ(Status("POST /a HTTP/1.1\r\nHost: h\r\nX: " +
+                   std::string(600, 'x') + "\r\n\r\n"),
+            "HTTP/1.1 431");
+  EXPECT_EQ(
+      Status("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"),
+      "HTTP/1.1 413");
+  EXPECT_TRUE(bodies_.empty());
+}
+
+TEST_F(CallerServerTest, RefusesAHeadThatDoesNotCome) {
+  thread_->Do([this] {
+    bounds_.header_timeout = std::chrono::milliseconds(20);
+    return true;
+  });
+  EXPECT_EQ(Status("POST /a HTT"), "HTTP/1.1 408");
+}
+
+TEST_F(CallerServerTest, ClosesAnIdleConnectionWithoutAWord) {
+  thread_->Do([this] {
+    bounds_.idle_timeout = std::chrono::milliseconds(20);
+    return true;
+  });
+  EXPECT_EQ(Exchange(""), "");
+}
+
+TEST_F(CallerServerTest, NoticesThatTheCallerLeaves) {
+  thread_->Do([this] { return hold_ = true; });
+  {
+    RawClient client(server_.port());
+    client.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    thread_->Await([this] { return server_.busy() == 1; });
+  }
+  thread_->Await([this] { return gone_; });
+}
+
+TEST_F(CallerServerTest, AnswersWhileStoppingEndTheConnection) {
+  thread_->Do([this] {
+    server_.BeginDrain();
+    return true;
+  });
+  const std::string answer = Exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(CallerServerTest, ClosesIdleConnectionsWhenAsked) {
+  RawClient client(server_.port());
+  client.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(client.ReadHead().starts_with("HTTP/1.1 200"));
+  thread_->Await([this] {
+    server_.CloseIdle();
+    return server_.connections() == 0;
+  });
+  EXPECT_EQ(client.ReadToEnd(), "");
+}
+
+}  // namespace
+}  // namespace lynxglade::connection::event
--- /dev/null
+++ b/tests/platform/relay_test.cc
@@ -0,0 +1,559 @@
+// The whole path on loopback: caller, relay, the users' protocol, and targets
+// that answer with bytes written down here.
+#include "request/passthrough/relay.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "connection/event/loop_thread.h"
+#include "connection/raw_client.h"
+#include "connection/scripted_server.h"
+#include "platform/target_protocol.h"
+
+namespace lynxglade::platform {
+namespace {
+
+using connection::ScriptedServer;
+using connection::event::CallerBounds;
+using connection::event::CallerReply;
+using connection::event::CallerRequest;
+using connection::event::CallerServer;
+using connection::event::LoopThread;
+using connection::event::Tcp;
+using request::passthrough::EngineEntry;
+using request::passthrough::EngineStage;
+using request::passthrough::Route;
+using request::passthrough::RouteKind;
+using request::passthrough::RouteTable;
+using request::passthrough::ServiceTerms;
+using tests::RawClient;
+using Reply = ScriptedServer::Reply;
+using Then = ScriptedServer::Then;
+namespace asio = connection::event::asio;
+
+constexpr char kProofLine[] = "Lynxglade-Instance-Signature: s\r\n";
+
+std::string Header(const std::string& request, const std::string& name) {
+  const std::size_t at = request.find("\r\n" + name + ": ");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + name.size() + 4;
+  return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+std::string Echo(const std::string& request) {
+  return "Lynxglade-Attempt-Id: " + Header(request, "Lynxglade-Attempt-Id") +
+         "\r\n";
+}
+
+Reply Answer(const std::string& request,
+             const std::string& status,
+             const std::string& body,
+             const std::string& more = kProofLine) {
+  return {"HTTP/1.1 " + status + "\r\n" + Echo(request) + more +
+          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+}
+
+Reply Ok(const std::string& request) {
+  return Answer(request, "200 OK", "fine");
+}
+
+Reply NotRun(const std::string& request) {
+  return Answer(request, "503 Service Unavailable", "",
+                "Lynxglade-Not-Executed: 1\r\n");
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+std::string Chunk(const std::string& bytes) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx", bytes.size());
+  return std::string(size.data()) + "\r\n" + bytes + "\r\n";
+}
+
+std::string StreamHead(const std::string& request) {
+  return "HTTP/1.1 200 OK\r\n" + Echo(request) + kProofLine +
+         "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n";
+}
+
+// Events first..last of a stream, with or without its end.
+Reply Stream(const std::string& request, int first, int last, Then then) {
+  std::string bytes = StreamHead(request);
+  for (int id = first; id <= last; ++id) {
+    bytes += Chunk(Event(id));
+  }
+  if (then == Then::kKeep) {
+    bytes += "0\r\n\r\n";
+  }
+  return {bytes, then};
+}
+
+Route MakeRoute(const std::string& prefix, RouteKind kind, int attempts) {
+  Route route;
+  route.name = prefix;
+  route.host = "h";
+  route.path_prefix = prefix;
+  route.kind = kind;
+  route.max_attempts = attempts;
+  route.timeout = std::chrono::seconds(20);
+  route.shares = {{base::ServiceName("s"), 1}};
+  return route;
+}
+
+std::shared_ptr<const RouteTable> MakeRoutes() {
+  Route resumable = MakeRoute("/resumable/", RouteKind::kStream, 2);
+  resumable.resumable = true;
+  return std::make_shared<const RouteTable>(
+      1,
+      std::vector<Route>{MakeRoute("/safe/", RouteKind::kIdempotent, 2),
+                         MakeRoute("/unsafe/", RouteKind::kNonIdempotent, 1),
+                         MakeRoute("/stream/", RouteKind::kStream, 1),
+                         resumable},
+      std::vector<ServiceTerms>{}, request::passthrough::CallerLimits{});
+}
+
+class RelayTest : public testing::Test {
+ protected:
+  void StartRelay() {
+    relay_ = std::make_unique<request::passthrough::Relay>(
+        request::passthrough::RelayParts{
+            .loop = loop_,
+            .channels = channels_,
+            .engines = engines_,
+            .choice = choice_,
+            .allowance = allowance_,
+            .metrics = metrics_,
+            .clock = base::BootClock::now,
+            .random = base::SeededRandom(1),
+            .protocol = MakeTargetProtocol(),
+            .routes = [this] { return routes_; },
+            .instances = [] { return 1; },
+            .view_age = [] { return base::Duration(0); }});
+    server_ = std::make_unique<CallerServer>(
+        loop_,
+        connection::event::CallerServerOptions{
+            .endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(), 0)},
+        [] { return CallerBounds(); },
+        [this](std::shared_ptr<CallerRequest> request, CallerReply& reply) {
+          return relay_->Serve(std::move(request), reply);
+        },
+        base::BootClock::now, metrics_);
+    std::string reason;
+    ASSERT_TRUE(server_->Start(&reason)) << reason;
+    thread_.emplace(loop_);
+  }
+  ~RelayTest() override { thread_.reset(); }
+
+  // A target whose handler gets the request; ids count up from t0.
+  ScriptedServer& AddTarget(ScriptedServer::Handler handler,
+                            EngineStage stage = EngineStage::kDecode) {
+    targets_.push_back(std::make_unique<ScriptedServer>(std::move(handler)));
+    EngineEntry entry;
+    entry.id = base::TargetId("t" + std::to_string(targets_.size() - 1));
+    entry.service = base::ServiceName("s");
+    entry.ip = "127.0.0.1";
+    entry.port = static_cast<std::uint16_t>(targets_.back()->port());
+    entry.zone = base::ZoneId("a");
+    entry.slots = 8;
+    entry.stage = stage;
+    engines_.Put(entry);
+    return *targets_.back();
+  }
+
+  static std::string Request(const std::string& path,
+                             const std::string& more = {}) {
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: h\r\nLynxglade-Attempt-Id: r1\r\n"
+           "Lynxglade-Deadline-Ms: 5000\r\nContent-Length: 3\r\n"
+           "Connection: close\r\n" +
+           more + "\r\nabc";
+  }
+
+  // Everything the caller gets.
+  std::string Call(const std::string& request) {
+    if (!thread_) {
+      StartRelay();
+    }
+    RawClient client(server_->port());
+    client.Send(request);
+    return client.ReadToEnd();
+  }
+
+  std::size_t Arrivals() const {
+    std::size_t n = 0;
+    for (const auto& target : targets_) {
+      n += target->requests().size();
+    }
+    return n;
+  }
+
+  asio::io_context loop_;
+  base::Metrics metrics_;
+  connection::event::ChannelPool channels_{loop_, base::BootClock::now};
+  request::passthrough::EngineTable engines_{base::Duration(0)};
+  request::passthrough::EngineChoice choice_{{.zone = base::ZoneId("a")},
+                                             base::SeededRandom(1)};
+  request::passthrough::RetryAllowance allowance_{{}};
+  std::shared_ptr<const RouteTable> routes_ = MakeRoutes();
+  std::vector<std::unique_ptr<ScriptedServer>> targets_;
+  std::unique_ptr<request::passthrough::Relay> relay_;
+  std::unique_ptr<CallerServer> server_;
+  std::optional<LoopThread> thread_;
+};
+
+bool IsStatus(const std::string& answer, const std::string& status) {
+  return answer.starts_with("HTTP/1.1 " + status);
+}
+
+TEST_F(RelayTest, PassesRequestAndAnswerOn) {
+  ScriptedServer& target = AddTarget(Ok);
+  const std::string answer =
+      Call(Request("/safe/x?q=1", "Lynxglade-Stage: prefill\r\nX-Own: 7\r\n"));
+  EXPECT_TRUE(IsStatus(answer, "200"));
+  EXPECT_NE(answer.find(kProofLine), std::string::npos);
+  EXPECT_TRUE(answer.ends_with("\r\n\r\nfine"));
+  ASSERT_EQ(target.requests().size(), 1U);
+  const std::string seen = target.requests()[0];
+  EXPECT_TRUE(seen.starts_with("POST /safe/x?q=1 HTTP/1.1\r\n"));
+  EXPECT_TRUE(seen.ends_with("\r\n\r\nabc"));
+  EXPECT_EQ(Header(seen, "Lynxglade-Attempt-Id"), "r1");
+  EXPECT_EQ(Header(seen, "Lynxglade-Expect-Instance"), "t0");
+  EXPECT_EQ(Header(seen, "X-Own"), "7");
+  // What only the system may set does not come from a caller.
+  EXPECT_EQ(Header(seen, "Lynxglade-Stage"), "");
+  EXPECT_EQ(Header(seen, "Connection"), "");
+  const int left = std::stoi(Header(seen, "Lynxglade-Deadline-Ms"));
+  EXPECT_GT(left, 0);
+  EXPECT_LE(left, 5000);
+}
+
+TEST_F(RelayTest, RefusesWhatItCannotRoute) {
+  AddTarget(Ok);
+  EXPECT_TRUE(IsStatus(Call(Request("/nowhere/x")), "404"));
+  thread_->Do([this] {
+    routes_.reset();
+    return true;
+  });
+  const std::string answer = Call(Request("/safe/x"));
+  EXPECT_TRUE(IsStatus(answer, "503"));
+  EXPECT_NE(answer.find("Retry-After: 0."), std::string::npos);
+  EXPECT_EQ(Arrivals(), 0U);
+}
+
+TEST_F(RelayTest, WithoutATargetTellsWhenToComeBack) {
+  const std::string answer = Call(Request("/unsafe/x"));
+  EXPECT_TRUE(IsStatus(answer, "503"));
+  EXPECT_NE(answer.find("Retry-After: 0."), std::string::npos);
+}
+
+// --- What may be repeated
+
+TEST_F(RelayTest, ARequestThatWasNotRunGoesToAnotherTarget) {
+  AddTarget(NotRun);
+  AddTarget(NotRun);
+  AddTarget(Ok);
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "200"));
+}
+
+TEST_F(RelayTest, WhereNoTargetRunsItTheRefusalSaysSo) {
+  AddTarget(NotRun);
+  AddTarget(NotRun);
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "503"));
+  EXPECT_EQ(Arrivals(), 2U);
+}
+
+TEST_F(RelayTest, AnUnsafeRequestOfUnknownOutcomeIsNeverSentAgain) {
+  for (int i = 0; i < 2; ++i) {
+    AddTarget([](const std::string&) { return Reply{"", Then::kReset}; });
+  }
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "502"));
+  EXPECT_EQ(Arrivals(), 1U);
+}
+
+TEST_F(RelayTest, AnIdempotentRequestOfUnknownOutcomeIsSentAgain) {
+  std::atomic<int> calls = 0;
+  for (int i = 0; i < 2; ++i) {
+    AddTarget([&calls](const std::string& request) {
+      return ++calls == 1 ? Reply{"", Then::kReset} : Ok(request);
+    });
+  }
+  EXPECT_TRUE(IsStatus(Call(Request("/safe/x")), "200"));
+  EXPECT_EQ(Arrivals(), 2U);
+}
+
+TEST_F(RelayTest, AttemptsAreBounded) {
+  for (int i = 0; i < 4; ++i) {
+    AddTarget([](const std::string&) { return Reply{"", Then::kReset}; });
+  }
+  EXPECT_TRUE(IsStatus(Call(Request("/safe/x")), "502"));
+  EXPECT_EQ(Arrivals(), 2U);
+}
+
+TEST_F(RelayTest, WithoutAllowanceNothingIsSentAgain) {
+  for (int i = 0; i < 200; ++i) {
+    allowance_.Charge(base::ServiceName("s"), base::BootClock::now());
+  }
+  AddTarget(NotRun);
+  AddTarget(NotRun);
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "503"));
+  EXPECT_EQ(Arrivals(), 1U);
+}
+
+TEST_F(RelayTest, ATargetsFailureIsPassedOnIfNoOtherDoesBetter) {
+  const auto failing = [](const std::string& request) {
+    return Answer(request, "500 Internal Server Error", "oh");
+  };
+  AddTarget(failing);
+  AddTarget(failing);
+  const std::string answer = Call(Request("/safe/x"));
+  EXPECT_TRUE(IsStatus(answer, "500"));
+  EXPECT_TRUE(answer.ends_with("oh"));
+  EXPECT_EQ(Arrivals(), 2U);
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "500"));
+  EXPECT_EQ(Arrivals(), 3U);
+}
+
+TEST_F(RelayTest, AnotherTargetAtTheAddressRunsNothing) {
+  AddTarget([](const std::string& request) {
+    return Answer(request, "421 Misdirected Request", "",
+                  "Lynxglade-Instance-Id: other\r\n");
+  });
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "503"));
+}
+
+// --- Answers that are not what they seem
+
+TEST_F(RelayTest, ASuccessWithoutProofIsNotPassedOn) {
+  AddTarget([](const std::string& request) {
+    return Answer(request, "200 OK", "fine", "");
+  });
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "502"));
+}
+
+TEST_F(RelayTest, AnEncodedBodyIsNotPassedOn) {
+  AddTarget([](const std::string& request) {
+    return Answer(request, "200 OK", "fine",
+                  std::string(kProofLine) + "Content-Encoding: gzip\r\n");
+  });
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "502"));
+}
+
+TEST_F(RelayTest, ATornAnswerIsNotPassedOn) {
+  AddTarget([](const std::string& request) {
+    return Reply{"HTTP/1.1 200 OK\r\n" + Echo(request) + kProofLine +
+                     "Content-Length: 10\r\n\r\nfin",
+                 Then::kClose};
+  });
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "502"));
+}
+
+TEST_F(RelayTest, BytesThatAreNoAnswerAreNotPassedOn) {
+  AddTarget([](const std::string&) {
+    return Reply{"no answer at all\r\n\r\n", Then::kClose};
+  });
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "502"));
+}
+
+TEST_F(RelayTest, AnAnswerWithoutLengthEndsWithItsConnection) {
+  std::atomic<bool> reset = false;
+  AddTarget([&reset](const std::string& request) {
+    return Reply{"HTTP/1.1 200 OK\r\n" + Echo(request) + kProofLine +
+                     "Connection: close\r\n\r\nfine",
+                 reset ? Then::kReset : Then::kClose};
+  });
+  const std::string answer = Call(Request("/unsafe/x"));
+  EXPECT_TRUE(IsStatus(answer, "200"));
+  EXPECT_TRUE(answer.ends_with("\r\n\r\nfine"));
+  reset = true;
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "502"));
+}
+
+// An extra answer to an earlier request stands where the next is due.
+TEST_F(RelayTest, AnswersToOtherRequestsArePassedOver) {
+  std::atomic<int> calls = 0;
+  AddTarget([&calls](const std::string& request) {
+    Reply reply = Ok(request);
+    if (++calls == 2) {
+      reply.bytes = "HTTP/1.1 200 OK\r\nLynxglade-Attempt-Id: r0\r\n" +
+                    std::string(kProofLine) + "Content-Length: 5\r\n\r\nwrong" +
+                    reply.bytes;
+    }
+    return reply;
+  });
+  EXPECT_TRUE(Call(Request("/safe/x")).ends_with("fine"));
+  EXPECT_TRUE(Call(Request("/safe/x")).ends_with("fine"));
+  EXPECT_EQ(targets_[0]->connections(), 1);
+}
+
+TEST_F(RelayTest, AConnectionWithBytesAfterTheAnswerIsNotUsedAgain) {
+  AddTarget([](const std::string& request) {
+    Reply reply = Ok(request);
+    reply.bytes += "HTTP/1.1 200 OK\r\n";
+    return reply;
+  });
+  EXPECT_TRUE(Call(Request("/unsafe/x")).ends_with("fine"));
+  EXPECT_TRUE(Call(Request("/unsafe/x")).ends_with("fine"));
+  EXPECT_EQ(targets_[0]->connections(), 2);
+}
+
+TEST_F(RelayTest, AConnectionThatTheTargetClosedIsNotUsedAgain) {
+  AddTarget([](const std::string& request) {
+    Reply reply = Ok(request);
+    reply.then = Then::kClose;
+    return reply;
+  });
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_TRUE(Call(Request("/unsafe/x")).ends_with("fine"));
+  }
+}
+
+// --- Streams
+
+TEST_F(RelayTest, PassesAStreamOn) {
+  AddTarget([](const std::string& request) {
+    return Stream(request, 1, 3, Then::kKeep);
+  });
+  const std::string answer = Call(Request("/stream/x"));
+  EXPECT_TRUE(IsStatus(answer, "200"));
+  EXPECT_NE(answer.find(Event(3)), std::string::npos);
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+}
+
+TEST_F(RelayTest, ATornStreamDoesNotLookComplete) {
+  for (int i = 0; i < 2; ++i) {
+    AddTarget([](const std::string& request) {
+      return Stream(request, 1, 2, Then::kReset);
+    });
+  }
+  EXPECT_FALSE(Call(Request("/stream/x")).ends_with("0\r\n\r\n"));
+  EXPECT_EQ(Arrivals(), 1U);
+}
+
+TEST_F(RelayTest, AResumableStreamGoesOnAtAnotherTarget) {
+  std::atomic<int> calls = 0;
+  const auto handler = [&calls](const std::string& request) {
+    if (++calls == 1) {
+      Reply reply = Stream(request, 1, 2, Then::kClose);
+      reply.bytes += Chunk("id: 3\nda");
+      return reply;
+    }
+    EXPECT_EQ(Header(request, "Last-Event-Id"), "2");
+    return Stream(request, 3, 4, Then::kKeep);
+  };
+  AddTarget(handler);
+  AddTarget(handler);
+  const std::string answer = Call(Request("/resumable/x"));
+  std::string events;
+  for (int id = 1; id <= 4; ++id) {
+    const std::size_t at = answer.find(Event(id));
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_EQ(answer.find(Event(id), at + 1), std::string::npos);
+  }
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+  EXPECT_EQ(Arrivals(), 2U);
+}
+
+TEST_F(RelayTest, AResumableStreamThatCannotGoOnDoesNotLookComplete) {
+  std::atomic<int> calls = 0;
+  const auto handler = [&calls](const std::string& request) {
+    return ++calls == 1 ? Stream(request, 1, 2, Then::kReset) : NotRun(request);
+  };
+  AddTarget(handler);
+  AddTarget(handler);
+  EXPECT_FALSE(Call(Request("/resumable/x")).ends_with("0\r\n\r\n"));
+}
+
+// --- Time
+
+TEST_F(RelayTest, ARequestThatMayHaveRunEndsWithoutAPromise) {
+  AddTarget([](const std::string&) { return Reply{"", Then::kHang}; });
+  const std::string request =
+      "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nLynxglade-Attempt-Id: r1\r\n"
+      "Lynxglade-Deadline-Ms: 50\r\nContent-Length: 0\r\n"
+      "Connection: close\r\n\r\n";
+  EXPECT_TRUE(IsStatus(Call(request), "504"));
+}
+
+TEST_F(RelayTest, ATargetIsLeftWhenTheCallerLeaves) {
+  AddTarget([](const std::string&) { return Reply{"", Then::kHang}; });
+  StartRelay();
+  const auto engine = engines_.Find(base::TargetId("t0"));
+  {
+    RawClient client(server_->port());
+    client.Send(Request("/unsafe/x"));
+    thread_->Await([&] { return engine->in_flight == 1; });
+  }
+  thread_->Await([&] { return engine->in_flight == 0; });
+}
+
+// --- Prompts that one engine reads and another runs
+
+constexpr char kPromptLines[] =
+    "Lynxglade-Model: m\r\nLynxglade-Token-Usage: 17020,13\r\n"
+    "Lynxglade-Prefix-Hash: aa:13300,bb:3720\r\n";
+
+Reply Read(const std::string& request) {
+  return Answer(request, "200 OK",
+                R"({"kvHandle":"k1","tokens":17020,"version":1})", "");
+}
+
+TEST_F(RelayTest, APromptIsReadAtOneEngineAndRunAtAnother) {
+  ScriptedServer& reader = AddTarget(Read, EngineStage::kPrefill);
+  ScriptedServer& runner = AddTarget([](const std::string& request) {
+    return Stream(request, 1, 2, Then::kKeep);
+  });
+  EXPECT_TRUE(Call(Request("/stream/x", kPromptLines)).ends_with("0\r\n\r\n"));
+  ASSERT_EQ(reader.requests().size(), 1U);
+  ASSERT_EQ(runner.requests().size(), 1U);
+  EXPECT_EQ(Header(reader.requests()[0], "Lynxglade-Stage"), "prefill");
+  EXPECT_EQ(Header(runner.requests()[0], "Lynxglade-Stage"), "");
+  EXPECT_EQ(Header(runner.requests()[0], "Lynxglade-Kv-Source"),
+            "127.0.0.1:" + std::to_string(reader.port()) + "/k1");
+  EXPECT_EQ(Header(runner.requests()[0], "Lynxglade-Prefix-Hash"),
+            "aa:13300,bb:3720");
+}
+
+// An engine with free slots that rejects cannot have the cache: the prompt is
+// read elsewhere, and the handle is given back.
+TEST_F(RelayTest, ACacheThatCannotBeFetchedIsReadAgainElsewhere) {
+  AddTarget(Read, EngineStage::kPrefill);
+  AddTarget(Read, EngineStage::kPrefill);
+  std::atomic<int> runs = 0;
+  for (int i = 0; i < 2; ++i) {
+    AddTarget([&runs](const std::string& request) {
+      return ++runs == 1 ? NotRun(request) : Stream(request, 1, 2, Then::kKeep);
+    });
+  }
+  EXPECT_TRUE(Call(Request("/stream/x", kPromptLines)).ends_with("0\r\n\r\n"));
+  int reads = 0;
+  int freed = 0;
+  for (int i = 0; i < 2; ++i) {
+    for (const std::string& request : targets_[i]->requests()) {
+      reads += request.starts_with("POST") ? 1 : 0;
+      freed += request.starts_with("DELETE /kv-handle/k1 ") ? 1 : 0;
+    }
+  }
+  EXPECT_EQ(reads, 2);
+  EXPECT_EQ(freed, 1);
+}
+
+TEST_F(RelayTest, WhereNoEngineReadsTheRunnerDoes) {
+  AddTarget(NotRun, EngineStage::kPrefill);
+  ScriptedServer& runner = AddTarget([](const std::string& request) {
+    return Stream(request, 1, 2, Then::kKeep);
+  });
+  EXPECT_TRUE(Call(Request("/stream/x", kPromptLines)).ends_with("0\r\n\r\n"));
+  EXPECT_EQ(Header(runner.requests()[0], "Lynxglade-Kv-Source"), "");
+}
+
+}  // namespace
+}  // namespace lynxglade::platform
