--- a/src/connection/event/caller_reply.cc
+++ b/src/connection/event/caller_reply.cc
@@ -1,10 +1,14 @@
 #include "connection/event/caller_reply.h"
 
+#include <tuple>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "connection/event/socket_probe.h"
+
 namespace lynxglade::connection::event {
 
 namespace {
@@ -87,8 +91,8 @@
 void CallerReply::Abort() noexcept {
   ErrorCode ignored;
   // A reset, so that an answer that ends with its connection looks torn, too.
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket_.close(ignored);
+  std::ignore = socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  CloseSocket(socket_);
 }
 
 void CallerReply::MarkGone() {
--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -1,8 +1,10 @@
 #include "connection/event/caller_server.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <string_view>
+#include <tuple>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -174,8 +176,7 @@
       break;
     }
   }
-  socket_.shutdown(Tcp::socket::shutdown_send, ec);
-  socket_.close(ec);
+  ShutdownAndClose(socket_);
 }
 
 Awaitable<std::shared_ptr<CallerRequest>> CallerServer::Session::Read() {
@@ -335,8 +336,7 @@
       return;
     }
     self->timed_out_ = fault;
-    ErrorCode ignored;
-    self->socket_.cancel(ignored);
+    CancelWaits(self->socket_);
   });
 }
 
@@ -353,8 +353,7 @@
   if (!idle_) {
     return;
   }
-  ErrorCode ignored;
-  socket_.cancel(ignored);
+  CancelWaits(socket_);
 }
 
 CallerServer::CallerServer(asio::io_context& loop,
@@ -382,16 +381,16 @@
     }
     return static_cast<bool>(ec);
   };
-  acceptor_.open(options_.endpoint.protocol(), ec);
+  std::ignore = acceptor_.open(options_.endpoint.protocol(), ec);
   if (failed()) {
     return false;
   }
-  acceptor_.set_option(Tcp::acceptor::reuse_address(true), ec);
-  acceptor_.bind(options_.endpoint, ec);
+  std::ignore = acceptor_.set_option(Tcp::acceptor::reuse_address(true), ec);
+  std::ignore = acceptor_.bind(options_.endpoint, ec);
   if (failed()) {
     return false;
   }
-  acceptor_.listen(options_.backlog, ec);
+  std::ignore = acceptor_.listen(options_.backlog, ec);
   if (failed()) {
     return false;
   }
--- a/src/connection/event/caller_server.h
+++ b/src/connection/event/caller_server.h
@@ -32,8 +32,8 @@
 
 // What a caller may send and how long it may take; asked for each request.
 struct CallerBounds {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
   base::Duration header_timeout = std::chrono::seconds(3);
   // Between requests, and between the pieces of a body.
   base::Duration idle_timeout = std::chrono::seconds(15);
@@ -51,7 +51,7 @@
   // the target of each, too.
   std::size_t max_connections = 1500;
   // Bodies that are being read, of all connections together.
-  std::size_t max_buffered_bytes = 64 * 1024 * 1024;
+  std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
 };
 
 // Not thread-safe: lives on the event loop.
--- a/src/connection/event/channel_pool.cc
+++ b/src/connection/event/channel_pool.cc
@@ -35,8 +35,7 @@
   asio::steady_timer timer(loop_, options_.connect_timeout);
   timer.async_wait([channel](const ErrorCode& ec) {
     if (!ec) {
-      ErrorCode ignored;
-      channel->socket.close(ignored);
+      CloseSocket(channel->socket);
     }
   });
   ++opened_;
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -1,18 +1,21 @@
 #include "connection/event/exchange.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <optional>
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "base/whole_number.h"
+#include "connection/event/socket_probe.h"
+
 namespace lynxglade::connection::event {
 
 namespace {
 
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr std::int64_t kMaxIdleSeconds = std::int64_t{24} * 3600;
 // Bodies are passed on piece by piece. (An empty limit is taken for zero by
 // this version of the library.)
 constexpr std::uint64_t kNoBodyLimit = std::uint64_t{1} << 62;
@@ -26,14 +29,13 @@
   if (at == std::string_view::npos) {
     return std::nullopt;
   }
-  int seconds = 0;
-  const char* begin = text.data() + at + kTimeout.size();
-  const auto [end, ec] =
-      std::from_chars(begin, text.data() + text.size(), seconds);
-  if (ec != std::errc()) {
+  const std::string_view rest = text.substr(at + kTimeout.size());
+  const auto seconds = base::ParseWhole(
+      rest.substr(0, rest.find_first_not_of("0123456789")), 0, kMaxIdleSeconds);
+  if (!seconds) {
     return std::nullopt;
   }
-  return std::chrono::seconds(seconds);
+  return std::chrono::seconds(*seconds);
 }
 
 }  // namespace
@@ -206,8 +208,7 @@
   }
   state_ = ExchangeState::kBroken;
   if (channel_) {
-    ErrorCode ignored;
-    channel_->socket.close(ignored);
+    CloseSocket(channel_->socket);
     channel_.reset();
   }
   return state_;
@@ -219,8 +220,7 @@
   }
   state_ = ExchangeState::kCancelled;
   if (channel_) {
-    ErrorCode ignored;
-    channel_->socket.close(ignored);
+    CloseSocket(channel_->socket);
   }
 }
 
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -48,7 +48,7 @@
 // Not thread-safe: lives on the event loop. One request each.
 class Exchange {
  public:
-  Exchange(ChannelPool& pool, ExchangeOptions options = {});
+  explicit Exchange(ChannelPool& pool, ExchangeOptions options = {});
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
--- a/src/connection/event/socket_probe.cc
+++ b/src/connection/event/socket_probe.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <tuple>
 
 namespace lynxglade::connection::event {
 
@@ -43,10 +44,26 @@
   return Peek(socket) == Input::kEnd;
 }
 
+void CloseSocket(Tcp::socket& socket) noexcept {
+  ErrorCode ec;
+  std::ignore = socket.close(ec);
+}
+
+void ShutdownAndClose(Tcp::socket& socket) noexcept {
+  ErrorCode ec;
+  std::ignore = socket.shutdown(Tcp::socket::shutdown_send, ec);
+  CloseSocket(socket);
+}
+
+void CancelWaits(Tcp::socket& socket) noexcept {
+  ErrorCode ec;
+  std::ignore = socket.cancel(ec);
+}
+
 void TuneSocket(Tcp::socket& socket, base::Duration user_timeout) noexcept {
   ErrorCode ec;
-  socket.set_option(Tcp::no_delay(true), ec);
-  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  std::ignore = socket.set_option(Tcp::no_delay(true), ec);
+  std::ignore = socket.set_option(asio::socket_base::keep_alive(true), ec);
   SetTcpOption(socket, TCP_KEEPIDLE, kProbeAfterSeconds);
   SetTcpOption(socket, TCP_KEEPINTVL, kProbeEverySeconds);
   SetTcpOption(socket, TCP_KEEPCNT, kProbesLost);
--- a/src/connection/event/socket_probe.h
+++ b/src/connection/event/socket_probe.h
@@ -14,6 +14,13 @@
 // Whether the other end has closed and no unread byte stands before that.
 bool PeerClosed(Tcp::socket& socket) noexcept;
 
+// Close without a word: what an error could say does not matter any more.
+void CloseSocket(Tcp::socket& socket) noexcept;
+// Ends the sending side and closes.
+void ShutdownAndClose(Tcp::socket& socket) noexcept;
+// Ends what waits on the socket, which stays open.
+void CancelWaits(Tcp::socket& socket) noexcept;
+
 // Ends a silent connection by keep-alive probes and TCP_USER_TIMEOUT, and
 // turns Nagle's delay off. Errors are of no consequence: the deadline holds.
 void TuneSocket(Tcp::socket& socket, base::Duration user_timeout) noexcept;
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -72,9 +72,9 @@
 
 const std::vector<EngineHandle>& EngineTable::OfService(
     const base::ServiceName& service) const {
-  static const std::vector<EngineHandle> kNone;
+  static const std::vector<EngineHandle> none;
   const auto it = by_service_.find(service);
-  return it == by_service_.end() ? kNone : it->second;
+  return it == by_service_.end() ? none : it->second;
 }
 
 // Requests in flight hold the engine itself; it must not look serving there.
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -36,7 +36,7 @@
   base::Duration avoid_most = std::chrono::seconds(4);
   // An answer that is no stream is held until it is whole, so that a torn one
   // never reaches the caller; beyond this size it is passed on piece by piece.
-  std::size_t max_held_bytes = 256 * 1024;
+  std::size_t max_held_bytes = std::size_t{256} * 1024;
   // Before it is worth sending a request again.
   base::Duration least_time_left = std::chrono::milliseconds(30);
   // What refused callers are told to wait: this plus up to as much again, so
@@ -68,7 +68,7 @@
 // Not thread-safe: lives on the event loop.
 class Relay {
  public:
-  Relay(RelayParts parts, RelayOptions options = {});
+  explicit Relay(RelayParts parts, RelayOptions options = {});
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -37,7 +37,7 @@
 constexpr unsigned kFirstFailure = 400;
 constexpr unsigned kFirstServerFailure = 500;
 // An answer of a target to a call that frees KV cache, or to a read-only call.
-constexpr std::size_t kMaxSideAnswerBytes = 64 * 1024;
+constexpr std::size_t kMaxSideAnswerBytes = std::size_t{64} * 1024;
 constexpr base::Duration kFreePatience = std::chrono::milliseconds(500);
 // Times a prompt's separate reading may fail before the run goes without.
 constexpr int kMaxFailedReads = 1;
--- a/src/request/passthrough/route_table.h
+++ b/src/request/passthrough/route_table.h
@@ -53,8 +53,8 @@
 
 // What a caller may send, and how long it may take.
 struct CallerLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
   base::Duration header_timeout = std::chrono::seconds(3);
   base::Duration idle_timeout = std::chrono::seconds(15);
 };
