--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -11,6 +11,15 @@
 
 namespace {
 
+double ToMillis(base::Duration d) {
+  return std::chrono::duration<double, std::milli>(d).count();
+}
+
+base::Duration FromMillis(double ms) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
 bool IsPrefill(const Engine& engine) noexcept {
   return engine.entry.stage == EngineStage::kPrefill;
 }
@@ -22,18 +31,16 @@
     : options_(std::move(options)), random_(std::move(random)) {}
 
 EnginePick EngineChoice::Pick(const std::vector<EngineHandle>& engines,
-                              const Prompt& prompt,
-                              const std::vector<base::TargetId>& tried,
-                              bool pairs,
-                              base::Time now) {
-  const std::vector<EngineHandle> usable = Usable(engines, tried, now);
+                              const ChoiceQuery& query) {
+  const std::vector<EngineHandle> usable =
+      Usable(engines, query.tried, query.now);
   if (usable.empty()) {
     return {};
   }
-  if (prompt.empty()) {
-    return PickPlain(usable, now);
+  if (query.prompt.empty()) {
+    return PickPlain(usable, query.now);
   }
-  return PickForPrompt(usable, prompt, pairs, now);
+  return PickForPrompt(usable, query);
 }
 
 EngineHandle EngineChoice::PickDecoder(const std::vector<EngineHandle>& engines,
@@ -63,9 +70,8 @@
 }
 
 EnginePick EngineChoice::PickForPrompt(const std::vector<EngineHandle>& usable,
-                                       const Prompt& prompt,
-                                       bool pairs,
-                                       base::Time now) {
+                                       const ChoiceQuery& query) {
+  const base::Time now = query.now;
   std::vector<EngineHandle> decoders;
   std::ranges::copy_if(usable, std::back_inserter(decoders),
                        [](const EngineHandle& it) { return !IsPrefill(*it); });
@@ -76,17 +82,16 @@
   const double least_ms =
       options_.running_ms * Load(*least, now) + ZoneMs(*least);
   std::vector<EngineHandle> readers;
-  if (pairs) {
+  if (query.pairs) {
     std::ranges::copy_if(usable, std::back_inserter(readers),
                          [](const EngineHandle& it) { return IsPrefill(*it); });
   }
   const EngineHandle home =
-      HomeOf(readers.empty() ? decoders : readers, prompt);
+      HomeOf(readers.empty() ? decoders : readers, query.prompt);
   EnginePick best;
   best.expected_ms = std::numeric_limits<double>::infinity();
   for (const EngineHandle& engine : decoders) {
-    EnginePick pick =
-        Reading(engine, readers.empty() ? home : nullptr, prompt, now);
+    EnginePick pick = Reading(engine, readers.empty() ? home : nullptr, query);
     const bool disturbs = pick.unread_tokens > options_.most_read_at_decoder;
     if (pick.expected_ms < best.expected_ms && (!disturbs || readers.empty())) {
       pick.runner = engine;
@@ -94,7 +99,7 @@
     }
   }
   for (const EngineHandle& engine : readers) {
-    EnginePick pick = Reading(engine, home, prompt, now);
+    EnginePick pick = Reading(engine, home, query);
     pick.expected_ms += options_.handoff_ms + least_ms;
     if (pick.expected_ms < best.expected_ms) {
       pick.runner = least;
@@ -107,8 +112,9 @@
 
 EnginePick EngineChoice::Reading(const EngineHandle& engine,
                                  const EngineHandle& home,
-                                 const Prompt& prompt,
-                                 base::Time now) const {
+                                 const ChoiceQuery& query) const {
+  const Prompt& prompt = query.prompt;
+  const double wait_ms = WaitMs(*engine, query.priority, query.now);
   EnginePick pick;
   pick.unread_tokens = home ? prompt.OwnTokens() : prompt.TotalTokens();
   double read_ms = static_cast<double>(pick.unread_tokens) / ReadRate(*engine);
@@ -119,24 +125,32 @@
                                        static_cast<double>(shared) /
                                        ReadRate(*engine);
   }
-  pick.read_time = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double, std::milli>(read_ms));
-  pick.expected_ms = WaitMs(*engine, now) + read_ms + ZoneMs(*engine) +
-                     options_.running_ms * Load(*engine, now);
+  pick.read_time = FromMillis(read_ms);
+  pick.wait = FromMillis(wait_ms);
+  pick.expected_ms = wait_ms + read_ms + ZoneMs(*engine) +
+                     options_.running_ms * Load(*engine, query.now);
   return pick;
 }
 
-double EngineChoice::WaitMs(const Engine& engine, base::Time now) const {
-  using Millis = std::chrono::duration<double, std::milli>;
-  const double own =
-      static_cast<double>(engine.unread_tokens) / ReadRate(engine);
-  const double overdue = engine.reads_due.empty()
-                             ? 0
-                             : Millis(now - *engine.reads_due.begin()).count();
-  const double age = Millis(now - engine.waited_at).count();
-  const double met = Millis(engine.waited).count() *
-                     std::exp(-age / Millis(options_.wait_life).count());
-  return std::max({own, overdue, met});
+// What waits behind this request does not count.
+double EngineChoice::WaitMs(const Engine& engine,
+                            int priority,
+                            base::Time now) const {
+  std::int64_t unread = 0;
+  double longest = 0;
+  for (const auto& [other, queue] : engine.reads) {
+    if (other > priority) {
+      break;
+    }
+    unread += queue.unread_tokens;
+    const double overdue =
+        queue.due.empty() ? 0 : ToMillis(now - *queue.due.begin());
+    const double met =
+        ToMillis(queue.waited) * std::exp(-ToMillis(now - queue.waited_at) /
+                                          ToMillis(options_.wait_life));
+    longest = std::max({longest, overdue, met});
+  }
+  return std::max(longest, static_cast<double>(unread) / ReadRate(engine));
 }
 
 // Of two engines that look alike either may be taken, so that instances with
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -62,6 +62,18 @@
   base::Duration report_lifetime = std::chrono::seconds(1);
 };
 
+// What is to be run, and where it may be.
+struct ChoiceQuery {
+  const Prompt& prompt;
+  // 0 is the most urgent.
+  int priority = 0;
+  // Targets that are left out.
+  const std::vector<base::TargetId>& tried;
+  // Whether one engine may read the prompt and another run the request.
+  bool pairs = true;
+  base::Time now{};
+};
+
 // The engines chosen for one attempt.
 struct EnginePick {
   // Runs the request; null: no target may take it.
@@ -74,6 +86,8 @@
   // that takes if nothing else is read first.
   std::int64_t unread_tokens = 0;
   base::Duration read_time{};
+  // How long the prompt is expected to wait for others to be read.
+  base::Duration wait{};
   // When generation is expected to begin, from now.
   double expected_ms = 0;
 };
@@ -85,13 +99,9 @@
   EngineChoice(const EngineChoice&) = delete;
   EngineChoice& operator=(const EngineChoice&) = delete;
 
-  // Chooses among `engines` (one service), leaving out those in `tried`.
-  // `pairs` allows a separate reader.
+  // Chooses among `engines`, those of one service.
   EnginePick Pick(const std::vector<EngineHandle>& engines,
-                  const Prompt& prompt,
-                  const std::vector<base::TargetId>& tried,
-                  bool pairs,
-                  base::Time now);
+                  const ChoiceQuery& query);
 
   // The engine to run a request whose KV cache waits at `reader`.
   EngineHandle PickDecoder(const std::vector<EngineHandle>& engines,
@@ -102,9 +112,7 @@
  private:
   EnginePick PickPlain(const std::vector<EngineHandle>& usable, base::Time now);
   EnginePick PickForPrompt(const std::vector<EngineHandle>& usable,
-                           const Prompt& prompt,
-                           bool pairs,
-                           base::Time now);
+                           const ChoiceQuery& query);
   EngineHandle LeastLoaded(const std::vector<EngineHandle>& usable,
                            base::Time now) const;
   std::vector<EngineHandle> Usable(const std::vector<EngineHandle>& engines,
@@ -116,10 +124,9 @@
   // Reading at `engine`; the pick's engines are left open.
   EnginePick Reading(const EngineHandle& engine,
                      const EngineHandle& home,
-                     const Prompt& prompt,
-                     base::Time now) const;
+                     const ChoiceQuery& query) const;
   // Until the engine begins to read what is sent now.
-  double WaitMs(const Engine& engine, base::Time now) const;
+  double WaitMs(const Engine& engine, int priority, base::Time now) const;
   double ReadRate(const Engine& engine) const noexcept;
   double ZoneMs(const Engine& engine) const noexcept;
   // Requests at the engine, as far as is known here.
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -44,20 +44,25 @@
   int slots = 0;
 };
 
+// The prompts of one priority that this instance has an engine read.
+struct ReadQueue {
+  std::int64_t unread_tokens = 0;
+  // When each read under way would end if nothing else were to be read first.
+  std::multiset<base::Time> due;
+  // How long the last read waited for others, and when it ended.
+  base::Duration waited{};
+  base::Time waited_at{};
+};
+
 // One target with this instance's own sends. Handles are shared: a request in
 // flight keeps its target's state past the entry's end.
 struct Engine {
   EngineEntry entry;
   // Requests of this instance at the target.
   int in_flight = 0;
-  // Prompt tokens of this instance that the target has not read yet.
-  std::int64_t unread_tokens = 0;
-  // When each read of a prompt under way here would end if nothing else were
-  // to be read first.
-  std::multiset<base::Time> reads_due;
-  // How long the last read here waited for others, and when it ended.
-  base::Duration waited{};
-  base::Time waited_at{};
+  // By priority, 0 first: an engine reads the prompts of a more urgent request
+  // before those of others.
+  std::map<int, ReadQueue> reads;
   // The newest report, and how many requests were sent since.
   ReportedLoad reported;
   base::Time reported_at{};
--- a/src/request/passthrough/engine_use.h
+++ b/src/request/passthrough/engine_use.h
@@ -18,15 +18,19 @@
   // `unread_tokens` are to be read there, which takes `read_time` if nothing
   // else is; none for what has no prompt to read.
   EngineUse(EngineHandle engine,
+            int priority,
             std::int64_t unread_tokens,
             base::Duration read_time,
             base::Time now)
-      : engine_(std::move(engine)), unread_(unread_tokens) {
+      : engine_(std::move(engine)),
+        priority_(priority),
+        unread_(unread_tokens) {
     ++engine_->in_flight;
-    engine_->unread_tokens += unread_;
     if (unread_ > 0) {
+      ReadQueue& queue = engine_->reads[priority_];
+      queue.unread_tokens += unread_;
       due_ = now + read_time;
-      engine_->reads_due.insert(*due_);
+      queue.due.insert(*due_);
     }
   }
   ~EngineUse() {
@@ -39,23 +43,26 @@
   // The target has read the prompt.
   void PromptRead(base::Time now) {
     if (due_) {
-      engine_->waited = std::max(now - *due_, base::Duration::zero());
-      engine_->waited_at = now;
+      ReadQueue& queue = engine_->reads[priority_];
+      queue.waited = std::max(now - *due_, base::Duration::zero());
+      queue.waited_at = now;
     }
     Forget();
   }
 
  private:
   void Forget() {
-    engine_->unread_tokens -= std::exchange(unread_, 0);
     if (due_) {
-      engine_->reads_due.erase(engine_->reads_due.find(*due_));
+      ReadQueue& queue = engine_->reads[priority_];
+      queue.unread_tokens -= unread_;
+      queue.due.erase(queue.due.find(*due_));
       due_.reset();
     }
   }
 
   const EngineHandle engine_;
-  std::int64_t unread_;
+  const int priority_;
+  const std::int64_t unread_;
   std::optional<base::Time> due_;
 };
 
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -30,6 +30,9 @@
   // Targets that may reject a request before it is refused. Each costs the
   // fleet's retry allowance one arrival.
   int max_rejections = 2;
+  // Longest expected wait before a prompt is read, in parts of the route's
+  // goal for the first byte; with a longer one the caller is told to come back.
+  double most_wait_of_goal = 1;
   // A target that could not be reached or broke off gets no new work for so
   // long, and twice as long for each further failure in a row.
   base::Duration avoid_first = std::chrono::milliseconds(500);
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -238,7 +238,7 @@
       break;
     }
     const bool first = runs_ == 0 && rejections_ == 0 && !source_;
-    if (first && pick.expected_ms > Millis(TimeLeft())) {
+    if (first && IsHopeless(pick)) {
       co_await Refuse(EndReason::kHopeless);
       co_return;
     }
@@ -254,6 +254,18 @@
   co_await FreeSource();
 }
 
+// A prompt that would begin to be read after its answer is due is late for
+// certain, and so is all that waits behind it. Its own size does not count:
+// large prompts are as welcome as small ones.
+bool RelayRun::IsHopeless(const EnginePick& pick) const {
+  if (pick.expected_ms > Millis(TimeLeft())) {
+    return true;
+  }
+  const base::Duration goal = route_->target_latency;
+  return goal > base::Duration::zero() &&
+         Millis(pick.wait) > options_.most_wait_of_goal * Millis(goal);
+}
+
 // KV cache that waits goes with the request to another engine.
 EnginePick RelayRun::Pick() {
   const auto& engines = parts_.engines.OfService(service_);
@@ -265,8 +277,11 @@
     return pick;
   }
   const bool pairs = failed_reads_ <= kMaxFailedReads && runs_ == 0;
-  return parts_.choice.Pick(engines, terms_.prompt, tried_, pairs,
-                            parts_.clock());
+  return parts_.choice.Pick(engines, {.prompt = terms_.prompt,
+                                      .priority = route_->priority,
+                                      .tried = tried_,
+                                      .pairs = pairs,
+                                      .now = parts_.clock()});
 }
 
 bool RelayRun::Pay(const EnginePick& pick, AttemptEnd after) {
@@ -334,8 +349,8 @@
   if (!endpoint) {
     co_return false;
   }
-  EngineUse use(pick.reader, pick.unread_tokens, pick.read_time,
-                parts_.clock());
+  EngineUse use(pick.reader, route_->priority, pick.unread_tokens,
+                pick.read_time, parts_.clock());
   SendTerms terms;
   terms.target = pick.reader;
   terms.time_left = TimeLeft();
@@ -403,8 +418,8 @@
     co_return AttemptEnd::kNotRun;
   }
   const bool reads = !source_;
-  EngineUse use(target, reads ? pick.unread_tokens : 0, pick.read_time,
-                parts_.clock());
+  EngineUse use(target, route_->priority, reads ? pick.unread_tokens : 0,
+                pick.read_time, parts_.clock());
   SendTerms terms;
   terms.target = target;
   terms.time_left = TimeLeft();
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -70,6 +70,8 @@
   // Attempts until one is final.
   Awaitable<void> RunAttempts();
   EnginePick Pick();
+  // Whether the request is better refused now than run.
+  bool IsHopeless(const EnginePick& pick) const;
   // Pays for the arrivals that an attempt adds beyond the request's first.
   bool Pay(const EnginePick& pick, AttemptEnd after);
   Awaitable<AttemptEnd> Attempt(EnginePick pick);
--- a/tests/request/passthrough/engine_choice_test.cc
+++ b/tests/request/passthrough/engine_choice_test.cc
@@ -44,6 +44,20 @@
   return Prompt{{{shared, 13'300}, {"own", 3'720}}, 13};
 }
 
+// The least urgent of the users' routes.
+constexpr int kPriority = 2;
+
+EnginePick Ask(EngineChoice& choice,
+               const std::vector<EngineHandle>& fleet,
+               const Prompt& prompt,
+               base::Time now = kNow,
+               const std::vector<base::TargetId>& tried = {},
+               int priority = kPriority) {
+  return choice.Pick(
+      fleet,
+      {.prompt = prompt, .priority = priority, .tried = tried, .now = now});
+}
+
 EngineChoice MakeChoice(std::uint64_t seed = 1) {
   EngineChoiceOptions options;
   options.zone = base::ZoneId("a");
@@ -53,7 +67,7 @@
 TEST(EngineChoice, LongPromptsAreReadAtPrefillEngines) {
   EngineChoice choice = MakeChoice();
   const auto fleet = Fleet(4, 2);
-  const EnginePick pick = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  const EnginePick pick = Ask(choice, fleet, Album("x"));
   ASSERT_NE(pick.reader, nullptr);
   EXPECT_EQ(pick.reader->entry.stage, EngineStage::kPrefill);
   EXPECT_EQ(pick.runner->entry.stage, EngineStage::kDecode);
@@ -66,12 +80,11 @@
   const auto fleet = Fleet(2, 6);
   for (const EngineHandle& engine : fleet) {
     if (engine->entry.stage == EngineStage::kPrefill) {
-      engine->unread_tokens = 400'000;
+      engine->reads[kPriority].unread_tokens = 400'000;
     }
   }
   for (int i = 0; i < 200; ++i) {
-    const EnginePick pick =
-        choice.Pick(fleet, Album(std::to_string(i)), {}, true, kNow);
+    const EnginePick pick = Ask(choice, fleet, Album(std::to_string(i)));
     EXPECT_NE(pick.reader, nullptr);
   }
 }
@@ -79,15 +92,14 @@
 TEST(EngineChoice, WithoutPrefillEnginesADecodeEngineReads) {
   EngineChoice choice = MakeChoice();
   const auto fleet = Fleet(0, 3);
-  const EnginePick pick = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  const EnginePick pick = Ask(choice, fleet, Album("x"));
   ASSERT_NE(pick.runner, nullptr);
   EXPECT_EQ(pick.reader, nullptr);
 }
 
 TEST(EngineChoice, WithoutDecodeEnginesNothingRuns) {
   EngineChoice choice = MakeChoice();
-  EXPECT_EQ(choice.Pick(Fleet(3, 0), Album("x"), {}, true, kNow).runner,
-            nullptr);
+  EXPECT_EQ(Ask(choice, Fleet(3, 0), Album("x")).runner, nullptr);
 }
 
 TEST(EngineChoice, DrainingAndTriedEnginesAreLeftOut) {
@@ -95,7 +107,7 @@
   auto fleet = Fleet(0, 3);
   fleet[0]->entry.draining = true;
   const EnginePick pick =
-      choice.Pick(fleet, Prompt{}, {fleet[1]->entry.id}, true, kNow);
+      Ask(choice, fleet, Prompt{}, kNow, {fleet[1]->entry.id});
   EXPECT_EQ(pick.runner, fleet[2]);
 }
 
@@ -103,9 +115,9 @@
   EngineChoice choice = MakeChoice();
   auto fleet = Fleet(0, 2);
   fleet[0]->avoid_until = kNow + milliseconds(500);
-  EXPECT_EQ(choice.Pick(fleet, Prompt{}, {}, true, kNow).runner, fleet[1]);
+  EXPECT_EQ(Ask(choice, fleet, Prompt{}).runner, fleet[1]);
   fleet[1]->avoid_until = kNow + milliseconds(500);
-  EXPECT_NE(choice.Pick(fleet, Prompt{}, {}, true, kNow).runner, nullptr);
+  EXPECT_NE(Ask(choice, fleet, Prompt{}).runner, nullptr);
 }
 
 // All instances agree on a part's home without a message.
@@ -114,21 +126,20 @@
   const auto part = *rc::gen::nonEmpty<std::string>();
   EngineChoice one = MakeChoice(1);
   EngineChoice two = MakeChoice(2);
-  RC_ASSERT(one.Pick(fleet, Album(part), {}, true, kNow).reader ==
-            two.Pick(fleet, Album(part), {}, true, kNow).reader);
+  RC_ASSERT(Ask(one, fleet, Album(part)).reader ==
+            Ask(two, fleet, Album(part)).reader);
 }
 
 // The loss of an engine moves only the parts that lived there.
 RC_GTEST_PROP(EngineChoice, PartsOfOtherEnginesStayWhenOneLeaves, ()) {
   auto fleet = Fleet(*rc::gen::inRange(2, 12), 2);
   const auto part = *rc::gen::nonEmpty<std::string>();
-  const EngineHandle before =
-      MakeChoice().Pick(fleet, Album(part), {}, true, kNow).reader;
+  EngineChoice choice = MakeChoice();
+  const EngineHandle before = Ask(choice, fleet, Album(part)).reader;
   const auto left = *rc::gen::inRange<std::size_t>(0, fleet.size() - 2);
   RC_PRE(fleet[left] != before);
   fleet[left]->entry.draining = true;
-  RC_ASSERT(MakeChoice().Pick(fleet, Album(part), {}, true, kNow).reader ==
-            before);
+  RC_ASSERT(Ask(choice, fleet, Album(part)).reader == before);
 }
 
 TEST(EngineChoice, SharedPartsSpreadOverTheReaders) {
@@ -137,9 +148,7 @@
   std::map<EngineHandle, int> parts;
   constexpr int kParts = 164;
   for (int i = 0; i < kParts; ++i) {
-    ++parts[choice
-                .Pick(fleet, Album("part" + std::to_string(i)), {}, true, kNow)
-                .reader];
+    ++parts[Ask(choice, fleet, Album("part" + std::to_string(i))).reader];
   }
   EXPECT_EQ(parts.size(), 12U);
   const auto most = std::ranges::max_element(
@@ -152,11 +161,11 @@
 TEST(EngineChoice, ABusyHomeIsPassedOverAndFetchedFrom) {
   EngineChoice choice = MakeChoice();
   const auto fleet = Fleet(4, 2);
-  const EnginePick calm = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  const EnginePick calm = Ask(choice, fleet, Album("x"));
   EXPECT_EQ(calm.fetch_from, nullptr);
   EXPECT_EQ(calm.unread_tokens, 3'720);
-  calm.reader->unread_tokens = 90'000;
-  const EnginePick busy = choice.Pick(fleet, Album("x"), {}, true, kNow);
+  calm.reader->reads[kPriority].unread_tokens = 90'000;
+  const EnginePick busy = Ask(choice, fleet, Album("x"));
   EXPECT_NE(busy.reader, calm.reader);
   EXPECT_EQ(busy.fetch_from, calm.reader);
 }
@@ -167,10 +176,9 @@
 TEST(EngineChoice, AHomeThatIsALittleBusierKeepsItsParts) {
   EngineChoice choice = MakeChoice();
   const auto fleet = Fleet(4, 2);
-  const EngineHandle home =
-      choice.Pick(fleet, Album("x"), {}, true, kNow).reader;
-  home->unread_tokens = 13'300;
-  EXPECT_EQ(choice.Pick(fleet, Album("x"), {}, true, kNow).reader, home);
+  const EngineHandle home = Ask(choice, fleet, Album("x")).reader;
+  home->reads[kPriority].unread_tokens = 13'300;
+  EXPECT_EQ(Ask(choice, fleet, Album("x")).reader, home);
 }
 
 // Reads of other instances show in the wait that this instance's own met, for
@@ -178,39 +186,52 @@
 TEST(EngineChoice, WaitsThatReadsMetCountForAMoment) {
   EngineChoice choice = MakeChoice();
   const auto fleet = Fleet(4, 2);
-  const EngineHandle home =
-      choice.Pick(fleet, Album("x"), {}, true, kNow).reader;
-  home->waited = std::chrono::seconds(2);
-  home->waited_at = kNow;
-  EXPECT_NE(choice.Pick(fleet, Album("x"), {}, true, kNow).reader, home);
+  const EngineHandle home = Ask(choice, fleet, Album("x")).reader;
+  home->reads[kPriority].waited = std::chrono::seconds(2);
+  home->reads[kPriority].waited_at = kNow;
+  EXPECT_NE(Ask(choice, fleet, Album("x")).reader, home);
   EXPECT_EQ(
-      choice.Pick(fleet, Album("x"), {}, true, kNow + std::chrono::seconds(2))
-          .reader,
+      Ask(choice, fleet, Album("x"), kNow + std::chrono::seconds(2)).reader,
       home);
 }
 
 TEST(EngineChoice, AnOverdueReadSaysThatItsEngineIsBusy) {
   EngineChoice choice = MakeChoice();
   const auto fleet = Fleet(4, 2);
-  const EngineHandle home =
-      choice.Pick(fleet, Album("x"), {}, true, kNow).reader;
-  home->reads_due.insert(kNow - std::chrono::seconds(2));
-  EXPECT_NE(choice.Pick(fleet, Album("x"), {}, true, kNow).reader, home);
+  const EngineHandle home = Ask(choice, fleet, Album("x")).reader;
+  home->reads[kPriority].due.insert(kNow - std::chrono::seconds(2));
+  EXPECT_NE(Ask(choice, fleet, Album("x")).reader, home);
+}
+
+// An engine reads urgent prompts first: what waits behind a request does not
+// hold it up, and what goes before it does.
+TEST(EngineChoice, OnlyPromptsAsUrgentCountAsAhead) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(1, 1);
+  ReadQueue& queue = fleet[0]->reads[1];
+  queue.waited = milliseconds(700);
+  queue.waited_at = kNow;
+  EXPECT_EQ(Ask(choice, fleet, Album("x"), kNow, {}, 0).wait,
+            base::Duration(0));
+  EXPECT_EQ(Ask(choice, fleet, Album("x"), kNow, {}, 1).wait,
+            milliseconds(700));
+  EXPECT_EQ(Ask(choice, fleet, Album("x"), kNow, {}, 2).wait,
+            milliseconds(700));
 }
 
 TEST(EngineChoice, ATargetInUseIsCountedAndItsWaitLearnt) {
   const EngineHandle engine = MakeEngine("p", EngineStage::kPrefill);
   {
-    EngineUse use(engine, 1'000, milliseconds(20), kNow);
+    EngineUse use(engine, kPriority, 1'000, milliseconds(20), kNow);
     EXPECT_EQ(engine->in_flight, 1);
-    EXPECT_EQ(engine->unread_tokens, 1'000);
-    EXPECT_EQ(engine->reads_due.size(), 1U);
+    EXPECT_EQ(engine->reads[kPriority].unread_tokens, 1'000);
+    EXPECT_EQ(engine->reads[kPriority].due.size(), 1U);
     use.PromptRead(kNow + milliseconds(50));
-    EXPECT_EQ(engine->unread_tokens, 0);
-    EXPECT_EQ(engine->waited, milliseconds(30));
+    EXPECT_EQ(engine->reads[kPriority].unread_tokens, 0);
+    EXPECT_EQ(engine->reads[kPriority].waited, milliseconds(30));
   }
   EXPECT_EQ(engine->in_flight, 0);
-  EXPECT_TRUE(engine->reads_due.empty());
+  EXPECT_TRUE(engine->reads[kPriority].due.empty());
 }
 
 TEST(EngineChoice, AnotherEngineOfTheReadersZoneGenerates) {
@@ -231,7 +252,7 @@
   fleet[0]->in_flight = 5;
   fleet[1]->reported = {6, 2, 6};
   fleet[1]->reported_at = kNow;
-  EXPECT_EQ(choice.Pick(fleet, Prompt{}, {}, true, kNow).runner, fleet[2]);
+  EXPECT_EQ(Ask(choice, fleet, Prompt{}).runner, fleet[2]);
 }
 
 }  // namespace
