Store: own keys polled from stale lists, changes gathered, authority known from its claim

Ruled out: renewals (a tenth of a call each). Change: own keys are polled every 4 s from lists that may be stale; 300 ms between watches; a watch waits 3 s. Authority is taken from the answer to the claim and not lost to an old list; reading back before an order tells.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -60,8 +60,9 @@
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(300);
 constexpr base::Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr base::Duration kLeavePatience = std::chrono::milliseconds(500);
-// The instances' own keys change rarely.
-constexpr base::Duration kOwnKeysWatch = std::chrono::seconds(15);
+// The instances' own keys say how many there are and whether authority over
+// the engines is vacant; neither is urgent.
+constexpr base::Duration kOwnKeysPoll = std::chrono::seconds(4);
 // Everything the instances themselves write.
 constexpr char kOwnPrefix[] = "lynxglade/";
 // Without a request for so long, engines may change all at once.
@@ -156,7 +157,7 @@
       target_follower(
           MakeFollower({.prefix = platform::kTargetsPrefix}, TargetHooks())),
       own_keys_follower(
-          MakeFollower({.prefix = kOwnPrefix, .watch_wait = kOwnKeysWatch},
+          MakeFollower({.prefix = kOwnPrefix, .poll_every = kOwnKeysPoll},
                        OwnKeysHooks())),
       relay(MakeRelayParts()),
       callers(
--- a/src/process/order_authority.cc
+++ b/src/process/order_authority.cc
@@ -27,24 +27,34 @@
       random_(std::move(random)),
       mark_(presence.instance().str() + '/' + base::RandomHexId(random_)) {}
 
+// Lists may be seconds old. One that does not show this instance's key does not
+// take the authority away: reading the key back before an order tells.
 void OrderAuthority::OnList(const std::vector<StoreItem>& items) {
   listed_ = true;
   const auto it = std::ranges::find(items, options_.key, &StoreItem::key);
   if (it != items.end()) {
-    Set(*it);
+    OnChange(*it);
     return;
   }
-  StoreItem vacant;
-  vacant.deleted = true;
-  Set(vacant);
+  if (!holder_ || !IsOurs(*holder_)) {
+    SetVacant();
+  }
 }
 
 void OrderAuthority::OnChange(const StoreItem& item) {
-  if (item.key == options_.key) {
+  const bool older = holder_ && item.revision < holder_->revision;
+  if (item.key == options_.key && !older) {
     Set(item);
   }
 }
 
+void OrderAuthority::SetVacant() {
+  StoreItem vacant;
+  vacant.key = options_.key;
+  vacant.deleted = true;
+  Set(vacant);
+}
+
 void OrderAuthority::Set(const StoreItem& item) {
   const bool was_ours = holder_ && IsOurs(*holder_);
   if (item.deleted) {
@@ -66,8 +76,7 @@
   }
 }
 
-// Whether the write took effect is read from the key, not from the answer,
-// which may be lost.
+// Where the answer is lost, the next list tells whether the write took effect.
 Awaitable<void> OrderAuthority::Claim() {
   const auto lease = presence_.lease();
   if (!listed_ || holder_ || !lease || clock_() < claim_at_) {
@@ -77,9 +86,19 @@
   StoreFault fault{};
   const auto written =
       co_await store_.Create(options_.key, mark_, *lease, &fault);
-  if (!written && fault != StoreFault::kConflict) {
+  if (written) {
+    StoreItem item;
+    item.key = options_.key;
+    item.value = mark_;
+    item.revision = *written;
+    Set(item);
+    co_return;
+  }
+  if (fault != StoreFault::kConflict) {
     Log(LogLevel::kInfo, "orders_claim_failed", {{"fault", ToString(fault)}});
   }
+  // Another holds it; the next list says who.
+  claim_at_ = clock_() + options_.claim_pause;
 }
 
 std::optional<base::FencingToken> OrderAuthority::Held() const {
@@ -106,6 +125,10 @@
     Log(LogLevel::kWarning, "orders_not_confirmed",
         {{"fault", item ? std::string_view("not_ours") : ToString(fault)},
          {"token", token->value()}});
+    if (item) {
+      SetVacant();
+      OnChange(*item);
+    }
     co_return std::nullopt;
   }
   *until = asked + options_.order_within;
--- a/src/process/order_authority.h
+++ b/src/process/order_authority.h
@@ -31,6 +31,8 @@
   // A vacant key is tried for after up to this, at random, so that instances
   // do not all write at once.
   base::Duration claim_spread = std::chrono::milliseconds(400);
+  // After a claim that failed, until the keys have been listed again.
+  base::Duration claim_pause = std::chrono::seconds(4);
 };
 
 // Not thread-safe: lives on the event loop.
@@ -60,6 +62,7 @@
  private:
   bool IsOurs(const StoreItem& item) const noexcept;
   void Set(const StoreItem& item);
+  void SetVacant();
 
   StorePort& store_;
   const InstancePresence& presence_;
--- a/src/process/prefix_follower.cc
+++ b/src/process/prefix_follower.cc
@@ -56,7 +56,9 @@
 Awaitable<void> PrefixFollower::Run() {
   while (!stopped_) {
     const bool listed = co_await List();
-    if (listed) {
+    if (listed && options_.poll_every) {
+      co_await Sleep(*options_.poll_every);
+    } else if (listed) {
       co_await Watch();
     }
     if (!stopped_ && failures_in_a_row_ > 0) {
@@ -67,7 +69,9 @@
 
 Awaitable<bool> PrefixFollower::List() {
   StoreFault fault{};
-  const auto listed = co_await store_.List(options_.prefix, &fault);
+  const auto freshness = options_.poll_every ? StorePort::Freshness::kStale
+                                             : StorePort::Freshness::kCurrent;
+  const auto listed = co_await store_.List(options_.prefix, freshness, &fault);
   if (!listed) {
     NoteFault("list", fault);
     away_ = true;
@@ -98,6 +102,9 @@
     heard_ = clock_();
     at_ = std::max(at_, changes->at);
     std::ranges::for_each(changes->items, hooks_.on_change);
+    if (!changes->items.empty()) {
+      co_await Sleep(options_.gather);
+    }
   }
 }
 
@@ -108,7 +115,11 @@
       std::min(options_.first_pause * (1 << doublings), options_.longest_pause);
   const auto pause = std::chrono::duration_cast<base::Duration>(
       least * (1 + base::UniformReal(random_)));
-  asio::steady_timer timer(loop_, pause);
+  co_await Sleep(pause);
+}
+
+Awaitable<void> PrefixFollower::Sleep(base::Duration wait) {
+  asio::steady_timer timer(loop_, wait);
   ErrorCode ec;
   co_await timer.async_wait(Into(ec));
 }
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -20,11 +20,17 @@
   std::string prefix;
   // A watch that hears nothing returns after this; a silent connection is
   // noticed a little later. Each return is a call that counts.
-  base::Duration watch_wait = std::chrono::milliseconds(2000);
+  base::Duration watch_wait = std::chrono::milliseconds(3000);
+  // After changes, before the next watch: what changes meanwhile comes in one
+  // answer. When many targets change at once this is most of what all
+  // instances ask of the store.
+  base::Duration gather = std::chrono::milliseconds(300);
+  // If set, nothing is watched: a list that may be stale is read so often.
+  std::optional<base::Duration> poll_every;
   // Between tries while the store fails: from the first to the second, with
   // up to as much again at random, so that instances do not return together.
-  base::Duration first_pause = std::chrono::milliseconds(50);
-  base::Duration longest_pause = std::chrono::milliseconds(500);
+  base::Duration first_pause = std::chrono::milliseconds(100);
+  base::Duration longest_pause = std::chrono::milliseconds(800);
 };
 
 struct PrefixFollowerHooks {
@@ -60,6 +66,8 @@
  private:
   // Lists; false if the store failed.
   connection::event::Awaitable<bool> List();
+  // Waits for the next poll.
+  connection::event::Awaitable<void> Sleep(base::Duration wait);
   // Watches until something breaks.
   connection::event::Awaitable<void> Watch();
   connection::event::Awaitable<void> Pause();
--- a/tests/process/order_authority_test.cc
+++ b/tests/process/order_authority_test.cc
@@ -134,6 +134,24 @@
   EXPECT_TRUE(Confirm(two_));
 }
 
+// Lists may be seconds old: one from before the claim takes nothing away, and
+// the quiet time does not begin again.
+TEST_F(OrderAuthorityTest, AnOldListDoesNotTakeTheAuthorityAway) {
+  Take(one_);
+  one_.authority.OnList({});
+  EXPECT_TRUE(one_.authority.Held());
+  EXPECT_TRUE(Confirm(one_));
+}
+
+TEST_F(OrderAuthorityTest, AVacantKeyIsClaimedAgainAfterItWasLost) {
+  Take(one_);
+  store_.Remove(kKey);
+  EXPECT_FALSE(Confirm(one_));
+  EXPECT_FALSE(one_.authority.Held());
+  Take(one_);
+  EXPECT_TRUE(Confirm(one_));
+}
+
 TEST_F(OrderAuthorityTest, AStoreThatIsAwayConfirmsNothing) {
   Take(one_);
   store_.Fail(StoreFault::kTimeout);
--- a/tests/process/prefix_follower_test.cc
+++ b/tests/process/prefix_follower_test.cc
@@ -21,6 +21,7 @@
         follower_(loop_,
                   store_,
                   {.prefix = "servers/",
+                   .gather = std::chrono::milliseconds(1),
                    .first_pause = std::chrono::milliseconds(1),
                    .longest_pause = std::chrono::milliseconds(1)},
                   {.on_list =
@@ -109,5 +110,26 @@
             0U);
 }
 
+TEST_F(PrefixFollowerTest, PollsWhereThatIsAskedFor) {
+  PrefixFollower poller(
+      loop_, store_,
+      {.prefix = "servers/", .poll_every = std::chrono::milliseconds(1)},
+      {.on_list =
+           [this](const std::vector<StoreItem>& items) {
+             seen_.clear();
+             for (const StoreItem& item : items) {
+               seen_[item.key] = item.value;
+             }
+           },
+       .on_change = [](const StoreItem&) { FAIL(); },
+       .on_returned = [] {}},
+      base::BootClock::now, base::SeededRandom(1), metrics_);
+  asio::co_spawn(loop_, poller.Run(), asio::detached);
+  store_.Write("servers/a", "1");
+  RunUntil(loop_, [this] { return seen_.contains("servers/a"); });
+  store_.Remove("servers/a");
+  RunUntil(loop_, [this] { return seen_.empty(); });
+}
+
 }  // namespace
 }  // namespace lynxglade::process
