Store: 800 ms between watches that brought changes

Cause: events of targets wake every instance's watch; at 74 instances that is most of what is asked. The drain bound is 2 s, so 800 ms leave more than half.

--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -24,7 +24,7 @@
   // After changes, before the next watch: what changes meanwhile comes in one
   // answer. When many targets change at once this is most of what all
   // instances ask of the store.
-  base::Duration gather = std::chrono::milliseconds(300);
+  base::Duration gather = std::chrono::milliseconds(800);
   // If set, nothing is watched: a list that may be stale is read so often.
   std::optional<base::Duration> poll_every;
   // Between tries while the store fails: from the first to the second, with
