--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -91,6 +91,7 @@
   bool Ready() const;
   Awaitable<void> ServeHealth(std::shared_ptr<CallerRequest> request,
                               CallerReply& reply);
+  void AddGauges();
   Awaitable<void> Housekeep();
   Awaitable<void> WaitForStop();
   Awaitable<void> Drain();
@@ -254,8 +255,15 @@
         {{"revision", item.revision.value()}, {"reason", reason}});
     return;
   }
-  const bool older = routes && table->version() <= routes->version();
-  if (older) {
+  // A list that is read again shows the one in force.
+  if (routes && table->version() == routes->version()) {
+    return;
+  }
+  if (routes && table->version() < routes->version()) {
+    Log(LogLevel::kInfo, "configuration_not_newer",
+        {{"version", table->version()},
+         {"revision", item.revision.value()},
+         {"in_force", routes->version()}});
     return;
   }
   Log(LogLevel::kInfo, "configuration_in_force",
@@ -340,6 +348,30 @@
   co_await reply.SendWhole(std::move(head), body);
 }
 
+// Read when the page is rendered, on the event loop.
+void EntryDaemon::Details::AddGauges() {
+  const auto seconds = [](const PrefixFollower& follower) {
+    const auto age = follower.Age();
+    return age ? std::chrono::duration<double>(*age).count() : -1;
+  };
+  metrics.AddGauge("lynxglade_targets_known", {},
+                   [this] { return static_cast<double>(engines.size()); });
+  metrics.AddGauge("lynxglade_instances_assumed", {},
+                   [this] { return static_cast<double>(presence.Count()); });
+  metrics.AddGauge("lynxglade_targets_age_seconds", {},
+                   [this, seconds] { return seconds(target_follower); });
+  metrics.AddGauge("lynxglade_configuration_age_seconds", {},
+                   [this, seconds] { return seconds(configuration_follower); });
+  metrics.AddGauge("lynxglade_configuration_version", {}, [this] {
+    return routes ? static_cast<double>(routes->version()) : -1;
+  });
+  metrics.AddGauge("lynxglade_connections_opened", {},
+                   [this] { return static_cast<double>(channels.opened()); });
+  metrics.AddGauge("lynxglade_callers_connected", {}, [this] {
+    return static_cast<double>(callers.connections());
+  });
+}
+
 Awaitable<void> EntryDaemon::Details::Housekeep() {
   asio::steady_timer timer(loop);
   while (true) {
@@ -398,7 +430,9 @@
 }
 
 EntryDaemon::EntryDaemon(const process::EntrySettings& settings)
-    : details_(std::make_unique<Details>(settings)) {}
+    : details_(std::make_unique<Details>(settings)) {
+  details_->AddGauges();
+}
 
 EntryDaemon::~EntryDaemon() = default;
 
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -703,6 +703,11 @@
 }
 
 void RelayRun::LogEnd() const {
+  parts_.metrics.GetLatency("lynxglade_answer_seconds").Record(Elapsed());
+  if (first_bytes_at_) {
+    parts_.metrics.GetLatency("lynxglade_first_bytes_seconds")
+        .Record(*first_bytes_at_);
+  }
   Log(LogLevel::kInfo, "request_end",
       {{"request", terms_.request_id},
        {"route", route_ ? route_->name : std::string()},
--- /dev/null
+++ b/tests/system/scripted_store.h
@@ -0,0 +1,64 @@
+// The users' key-value store, as far as an entry instance uses it, for tests
+// with the real daemon: its HTTP and JSON, written without lynxglade's own
+// client or transport.
+#ifndef LYNXGLADE_SYSTEM_SCRIPTED_STORE_H_
+#define LYNXGLADE_SYSTEM_SCRIPTED_STORE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "connection/scripted_server.h"
+
+namespace lynxglade::system_test {
+
+// Thread-safe.
+class ScriptedStore {
+ public:
+  ScriptedStore();
+  ~ScriptedStore();
+  ScriptedStore(const ScriptedStore&) = delete;
+  ScriptedStore& operator=(const ScriptedStore&) = delete;
+
+  int port() const noexcept { return server_.port(); }
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  bool Has(const std::string& key);
+
+ private:
+  using Reply = connection::ScriptedServer::Reply;
+
+  Reply Answer(const std::string& request);
+  nlohmann::json Range(const std::string& prefix);
+  nlohmann::json Watch(const std::string& prefix, std::int64_t after);
+  Reply Key(const std::string& key);
+  nlohmann::json Transaction(const nlohmann::json& body);
+  nlohmann::json Item(const std::string& key);
+  // With the lock held.
+  void Note(const std::string& key, bool deleted);
+
+  struct Change {
+    std::int64_t revision;
+    std::string key;
+    bool deleted;
+  };
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool ending_ = false;
+  std::int64_t revision_ = 1;
+  std::map<std::string, std::string> values_;
+  std::map<std::string, std::int64_t> revisions_;
+  std::vector<Change> history_;
+  // Last: its threads use the rest.
+  connection::ScriptedServer server_;
+};
+
+}  // namespace lynxglade::system_test
+
+#endif  // LYNXGLADE_SYSTEM_SCRIPTED_STORE_H_
