Retries: a connection that was not made costs no retry budget

Ruled out: what the instance holds back, which was free already; the attempts that broke off, which are paid. Change: what never left the process is free.

--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -410,8 +410,7 @@
   request::RetryDenial denial{};
   const auto delay = retry_policy_.NextDelay(query.attempts, now,
                                              query.request->deadline, &denial);
-  // Nothing was sent, so the next try is no more load than the first.
-  const bool free = query.report->refusal == TargetRefusal::kHeldBack;
+  const bool free = request::NothingWasSent(*query.report);
   const bool paid = delay && (free || retry_budget_.TryTake(
                                           request::ExtraAttempt::kRetry,
                                           query.request->contract,
--- a/src/request/attempt.cc
+++ b/src/request/attempt.cc
@@ -68,4 +68,9 @@
   return it == kRefusals.end() ? TargetRefusal::kOther : *it;
 }
 
+bool NothingWasSent(const AttemptReport& report) noexcept {
+  return report.end == AttemptEnd::kConnectFailed ||
+         report.refusal == TargetRefusal::kHeldBack;
+}
+
 }  // namespace lynxglade::request
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -137,6 +137,10 @@
   std::optional<base::Duration> first_token;
 };
 
+// Whether not one byte of the attempt left this process, so that the next one
+// is no more load for the targets than the first.
+bool NothingWasSent(const AttemptReport& report) noexcept;
+
 // A run of tokens. `text` is valid during the call only.
 struct TokenChunk {
   std::string_view text;
--- a/tests/request/retry_budget_test.cc
+++ b/tests/request/retry_budget_test.cc
@@ -7,6 +7,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "request/attempt.h"
+
 #include "request/outlier_ejector.h"
 
 namespace lynxglade::request {
@@ -217,5 +219,25 @@
   EXPECT_TRUE(ejection);
 }
 
+// The load this answers: two engines of eight crash within seconds of an
+// instance's start, while the buckets hold little; callers whose connections
+// to them fail go elsewhere, at no cost to the budget.
+TEST(RetryBudgetTest, OnlyWhatLeftTheProcessIsPaidFor) {
+  AttemptReport report;
+  report.end = AttemptEnd::kConnectFailed;
+  EXPECT_TRUE(NothingWasSent(report));
+  report.end = AttemptEnd::kRefused;
+  report.refusal = TargetRefusal::kHeldBack;
+  EXPECT_TRUE(NothingWasSent(report));
+  report.refusal = TargetRefusal::kOverloaded;
+  EXPECT_FALSE(NothingWasSent(report));
+  report.refusal = TargetRefusal::kNone;
+  for (AttemptEnd end : {AttemptEnd::kSendFailed, AttemptEnd::kReset,
+                         AttemptEnd::kTruncated, AttemptEnd::kTimeout}) {
+    report.end = end;
+    EXPECT_FALSE(NothingWasSent(report));
+  }
+}
+
 }  // namespace
 }  // namespace lynxglade::request
