Read-through: addresses, text views and list indexing in one place

Found in the change itself: a target's endpoint and address were made in three files, the library's text view in three; each list of targets was indexed once per entry; each request's head was copied to learn whether its connection stays; a send was a coroutine that never waits; a constant and two results were unused.

--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -26,7 +26,6 @@
 constexpr base::Duration kCallerUserTimeout = std::chrono::seconds(5);
 // After an accept that failed (no descriptors), before the next.
 constexpr base::Duration kAcceptPause = std::chrono::milliseconds(50);
-constexpr unsigned kContinue = 100;
 
 using BodyParser = http::request_parser<http::string_body>;
 
@@ -197,6 +196,7 @@
     co_return nullptr;
   }
   auto request = std::make_shared<CallerRequest>();
+  request->keep_alive = parser.keep_alive();
   auto message = parser.release();
   request->body = std::move(message.body());
   request->head = std::move(message.base());
@@ -274,18 +274,18 @@
   }
   http::response<http::empty_body> message(http::status::continue_,
                                            head.version());
-  static_assert(kContinue == static_cast<unsigned>(http::status::continue_));
   ErrorCode ec;
   co_await http::async_write(socket_, message, Into(ec));
 }
 
 Awaitable<bool> CallerServer::Session::Serve(
     std::shared_ptr<CallerRequest> request) {
-  const auto reply = std::make_shared<CallerReply>(
-      socket_, request->head.version(),
-      request->head.method() == http::verb::head,
-      [this, keep = http::message<true, http::empty_body>(request->head)
-                        .keep_alive()] { return shared_->draining || !keep; });
+  const auto reply =
+      std::make_shared<CallerReply>(socket_, request->head.version(),
+                                    request->head.method() == http::verb::head,
+                                    [this, keep = request->keep_alive] {
+                                      return shared_->draining || !keep;
+                                    });
   WatchForClose(reply);
   ++shared_->busy;
   co_await shared_->handler(std::move(request), *reply);
--- a/src/connection/event/caller_server.h
+++ b/src/connection/event/caller_server.h
@@ -24,6 +24,8 @@
 struct CallerRequest {
   RequestHead head;
   std::string body;
+  // The caller means to send more on the connection.
+  bool keep_alive = false;
   // The caller's IP number.
   std::string caller;
   // When the first byte of the head was there.
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -23,8 +23,7 @@
 // The idle time a Keep-Alive header allows ("timeout=5").
 std::optional<base::Duration> IdleLimitOf(const ResponseHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
-  const std::string_view text(head[http::field::keep_alive].data(),
-                              head[http::field::keep_alive].size());
+  const std::string_view text = View(head[http::field::keep_alive]);
   const std::size_t at = text.find(kTimeout);
   if (at == std::string_view::npos) {
     return std::nullopt;
@@ -66,9 +65,10 @@
       co_return state_;
     }
   }
-  if (co_await Send(std::move(request)) == ExchangeState::kCancelled) {
+  if (state_ == ExchangeState::kCancelled) {
     co_return state_;
   }
+  Send(std::move(request));
   const bool got_head = co_await ReadHead(is_answer);
   if (got_head) {
     state_ = ExchangeState::kHead;
@@ -80,17 +80,13 @@
 }
 
 // Starts the write and does not wait for its end: the answer may come first.
-Awaitable<ExchangeState> Exchange::Send(OutgoingRequest request) {
-  if (state_ == ExchangeState::kCancelled) {
-    co_return state_;
-  }
+void Exchange::Send(OutgoingRequest request) {
   state_ = ExchangeState::kBroken;
   sending_ = std::make_shared<Sending>(std::move(request));
   http::async_write(
       channel_->socket, sending_->request,
       [sending = sending_, channel = channel_](
           const ErrorCode& ec, std::size_t) { sending->written = !ec; });
-  co_return state_;
 }
 
 Awaitable<bool> Exchange::ReadHead(const AnswerFilter& is_answer) {
@@ -202,16 +198,15 @@
   channel_.reset();
 }
 
-ExchangeState Exchange::Fail() {
+void Exchange::Fail() {
   if (state_ == ExchangeState::kCancelled) {
-    return state_;
+    return;
   }
   state_ = ExchangeState::kBroken;
   if (channel_) {
     CloseSocket(channel_->socket);
     channel_.reset();
   }
-  return state_;
 }
 
 void Exchange::Cancel() noexcept {
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -76,13 +76,13 @@
   struct Sending;
   using Parser = http::response_parser<http::buffer_body>;
 
-  Awaitable<ExchangeState> Send(OutgoingRequest request);
+  void Send(OutgoingRequest request);
   Awaitable<bool> ReadHead(const AnswerFilter& is_answer);
   Awaitable<bool> SkipBody();
   bool IsOurs(const AnswerFilter& is_answer, int skipped) const;
   void MakeParser();
   void Finish();
-  ExchangeState Fail();
+  void Fail();
 
   ChannelPool& pool_;
   const ExchangeOptions options_;
--- a/src/connection/event/http_types.h
+++ b/src/connection/event/http_types.h
@@ -3,6 +3,7 @@
 #define LYNXGLADE_CONNECTION_EVENT_HTTP_TYPES_H_
 
 // Asio's coroutine headers use std::exchange without including it.
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -30,6 +31,11 @@
 using ResponseHead = http::response_header<>;
 using RequestHead = http::request_header<>;
 
+// The library's view of text as the standard's.
+inline std::string_view View(boost::beast::string_view text) noexcept {
+  return {text.data(), text.size()};
+}
+
 // Completes a coroutine's step with an error code in place of an exception.
 inline auto Into(ErrorCode& ec) {
   return asio::redirect_error(asio::use_awaitable, ec);
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -40,6 +40,7 @@
 using connection::event::ErrorCode;
 using connection::event::Into;
 using connection::event::Tcp;
+using connection::event::View;
 using process::PrefixFollower;
 using process::StoreItem;
 namespace asio = connection::event::asio;
@@ -56,7 +57,6 @@
 // Kept of the grace for the end of the process itself.
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(300);
 constexpr base::Duration kDrainPoll = std::chrono::milliseconds(50);
-constexpr base::Duration kLeavePatience = std::chrono::milliseconds(500);
 // The instances' own keys say how many there are and whether authority over
 // the engines is vacant; neither is urgent.
 constexpr base::Duration kOwnKeysPoll = std::chrono::seconds(4);
@@ -70,10 +70,6 @@
           static_cast<std::uint16_t>(endpoint.port)};
 }
 
-std::string_view View(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
 }  // namespace
 
 struct EntryDaemon::Details {
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -8,25 +8,12 @@
 EngineTable::EngineTable(base::Duration grace) : grace_(grace) {}
 
 void EngineTable::Put(const EngineEntry& entry) {
-  missing_.erase(entry.id);
-  EngineHandle& engine = engines_[entry.id];
-  if (!engine) {
-    engine = std::make_shared<Engine>();
-  }
-  engine->entry = entry;
+  Keep(entry);
   Index();
 }
 
 void EngineTable::Remove(const base::TargetId& id, base::Time now) {
-  if (!engines_.contains(id)) {
-    return;
-  }
-  const base::Time grace_end = returned_at_ + grace_;
-  if (returned_at_ != base::Time{} && now < grace_end) {
-    missing_.emplace(id, grace_end);
-    return;
-  }
-  Drop(id);
+  Lose(id, now);
   Index();
 }
 
@@ -35,7 +22,7 @@
   std::set<base::TargetId> listed;
   for (const EngineEntry& entry : entries) {
     listed.insert(entry.id);
-    Put(entry);
+    Keep(entry);
   }
   std::vector<base::TargetId> gone;
   for (const auto& [id, engine] : engines_) {
@@ -43,8 +30,29 @@
       gone.push_back(id);
     }
   }
-  std::ranges::for_each(gone,
-                        [&](const base::TargetId& id) { Remove(id, now); });
+  std::ranges::for_each(gone, [&](const base::TargetId& id) { Lose(id, now); });
+  Index();
+}
+
+void EngineTable::Keep(const EngineEntry& entry) {
+  missing_.erase(entry.id);
+  EngineHandle& engine = engines_[entry.id];
+  if (!engine) {
+    engine = std::make_shared<Engine>();
+  }
+  engine->entry = entry;
+}
+
+void EngineTable::Lose(const base::TargetId& id, base::Time now) {
+  if (!engines_.contains(id)) {
+    return;
+  }
+  const base::Time grace_end = returned_at_ + grace_;
+  if (returned_at_ != base::Time{} && now < grace_end) {
+    missing_.emplace(id, grace_end);
+    return;
+  }
+  Drop(id);
 }
 
 void EngineTable::OnStoreReturned(base::Time now) noexcept {
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -100,6 +100,9 @@
   std::size_t size() const noexcept { return engines_.size(); }
 
  private:
+  // The steps of Put() and Remove(); Index() has to follow.
+  void Keep(const EngineEntry& entry);
+  void Lose(const base::TargetId& id, base::Time now);
   void Drop(const base::TargetId& id);
   void Index();
 
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "connection/event/hop_headers.h"
+#include "request/passthrough/engine_address.h"
 #include "request/passthrough/engine_use.h"
 #include "request/passthrough/relay_run.h"
 
@@ -14,13 +15,10 @@
 using connection::event::AnswerHead;
 using connection::event::Awaitable;
 using connection::event::CancelAfter;
-using connection::event::ErrorCode;
 using connection::event::Exchange;
 using connection::event::ExchangeState;
 using connection::event::OutgoingRequest;
 using connection::event::ResponseHead;
-using connection::event::Tcp;
-namespace asio = connection::event::asio;
 namespace http = connection::event::http;
 
 constexpr unsigned kHttp11 = 11;
@@ -39,15 +37,6 @@
   return answer;
 }
 
-std::optional<Tcp::endpoint> EndpointOf(const Engine& engine) {
-  ErrorCode ec;
-  const auto address = asio::ip::make_address(engine.entry.ip, ec);
-  if (ec) {
-    return std::nullopt;
-  }
-  return Tcp::endpoint(address, engine.entry.port);
-}
-
 }  // namespace
 
 // An engine with free slots that rejects a run cannot have the cache.
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -16,6 +16,7 @@
 using base::LogLevel;
 using connection::event::Awaitable;
 using connection::event::ErrorCode;
+using connection::event::View;
 namespace http = connection::event::http;
 
 // Times a prompt's separate reading may fail before the run goes without.
@@ -25,10 +26,6 @@
   return target.substr(0, target.find('?'));
 }
 
-std::string_view View(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
 double Millis(base::Duration d) {
   return std::chrono::duration<double, std::milli>(d).count();
 }
