--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -112,6 +112,8 @@
   CallerServer health;
   asio::signal_set signals{loop, SIGTERM, SIGINT, SIGHUP};
   bool stopping = false;
+  // New requests are refused: they might not be finished before the end.
+  bool refusing = false;
 };
 
 EntryDaemon::Details::Details(const process::EntrySettings& s)
@@ -200,6 +202,7 @@
           .random = random,
           .protocol = platform::MakeTargetProtocol(),
           .routes = [this] { return views.routes(); },
+          .accepts = [this] { return !refusing; },
           .instances = [this] { return presence.Count(); },
           .view_age =
               [this] {
@@ -306,6 +309,8 @@
   while (clock() < last) {
     const bool noticed = clock() - begun >= kBalancerNotices;
     if (noticed) {
+      // A balancer with too few other instances still sends requests here.
+      refusing = true;
       callers.CloseIdle();
     }
     if (noticed && callers.connections() == 0) {
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -62,6 +62,8 @@
   TargetProtocol protocol;
   // The configuration in force, or null before the first.
   std::function<std::shared_ptr<const RouteTable>()> routes;
+  // False once this instance stops and could no longer finish a new request.
+  std::function<bool()> accepts;
   // Instances that may be up, this one included.
   std::function<int()> instances;
   // How old the view of the targets is.
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -28,6 +28,7 @@
 };
 
 constexpr std::array kRefusals{
+    Refusal{EndReason::kStopping, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoConfiguration, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoRoute, 404, "Not Found", false},
     Refusal{EndReason::kMalformedTerms, 400, "Bad Request", false},
@@ -55,6 +56,8 @@
 
 std::string_view ToString(EndReason reason) noexcept {
   switch (reason) {
+    case EndReason::kStopping:
+      return "stopping";
     case EndReason::kNoConfiguration:
       return "no_configuration";
     case EndReason::kNoRoute:
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -65,6 +65,9 @@
 }
 
 std::optional<EndReason> RelayRun::Admit() {
+  if (!parts_.accepts()) {
+    return EndReason::kStopping;
+  }
   table_ = parts_.routes();
   if (!table_) {
     return EndReason::kNoConfiguration;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -19,6 +19,7 @@
 // Why a request ended without a target's answer; each has a counter
 // lynxglade_refusals_total{reason=...}.
 enum class EndReason {
+  kStopping,
   kNoConfiguration,
   kNoRoute,
   kMalformedTerms,
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -136,6 +136,7 @@
             .random = base::SeededRandom(1),
             .protocol = MakeTargetProtocol(),
             .routes = [this] { return routes_; },
+            .accepts = [this] { return accepts_; },
             .instances = [] { return 1; },
             .view_age = [] { return base::Duration(0); }});
     server_ = std::make_unique<CallerServer>(
@@ -203,6 +204,7 @@
   request::passthrough::EngineChoice choice_{{.zone = base::ZoneId("a")},
                                              base::SeededRandom(1)};
   request::passthrough::RetryAllowance allowance_{{}};
+  bool accepts_ = true;
   std::shared_ptr<const RouteTable> routes_ = MakeRoutes();
   std::vector<std::unique_ptr<ScriptedServer>> targets_;
   std::unique_ptr<request::passthrough::Relay> relay_;
@@ -249,6 +251,18 @@
   EXPECT_EQ(Arrivals(), 0U);
 }
 
+// The load this answers: most instances of a zone restart at once, so that the
+// balancer sends a stopping one requests until its last second; what it took
+// then was cut off with the process.
+TEST_F(RelayTest, AnInstanceThatCannotFinishARequestRefusesItAtOnce) {
+  AddTarget(Ok);
+  accepts_ = false;
+  const std::string answer = Call(Request("/unsafe/x"));
+  EXPECT_TRUE(IsStatus(answer, "503"));
+  EXPECT_NE(answer.find("Retry-After: 0."), std::string::npos);
+  EXPECT_EQ(Arrivals(), 0U);
+}
+
 TEST_F(RelayTest, WithoutATargetTellsWhenToComeBack) {
   const std::string answer = Call(Request("/unsafe/x"));
   EXPECT_TRUE(IsStatus(answer, "503"));
