--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "connection/event/sleep.h"
 #include "connection/event/socket_probe.h"
 
 namespace lynxglade::connection::event {
@@ -406,8 +407,7 @@
       co_return;
     }
     if (ec) {
-      asio::steady_timer pause(shared_->loop, kAcceptPause);
-      co_await pause.async_wait(Into(ec));
+      co_await SleepFor(shared_->loop, kAcceptPause);
       continue;
     }
     if (shared_->sessions.size() >= options_.max_connections) {
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <iostream>
 #include <utility>
 #include <vector>
 
@@ -15,7 +14,9 @@
 #include "base/random.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
+#include "connection/event/sleep.h"
 #include "main/entry_views.h"
+#include "main/exit_status.h"
 #include "platform/engine_orders.h"
 #include "platform/store_client.h"
 #include "platform/store_documents.h"
@@ -39,6 +40,7 @@
 using connection::event::CallerServer;
 using connection::event::ErrorCode;
 using connection::event::Into;
+using connection::event::SleepFor;
 using connection::event::Tcp;
 using connection::event::View;
 using process::PrefixFollower;
@@ -46,10 +48,6 @@
 namespace asio = connection::event::asio;
 namespace http = connection::event::http;
 
-constexpr int kExitOk = 0;
-constexpr int kExitCannotStart = 1;
-constexpr int kExitBadSettings = 2;
-
 constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
 // After SIGTERM, before idle callers are closed: the balancer asks once a
 // second and takes an instance out after two misses.
@@ -182,11 +180,7 @@
             presence.OnList(items);
             authority.OnList(items);
           },
-      .on_change =
-          [this](const StoreItem& it) {
-            presence.OnChange(it);
-            authority.OnChange(it);
-          },
+      .on_change = [](const StoreItem&) {},
       .on_returned = [] {},
   };
 }
@@ -270,11 +264,8 @@
 }
 
 Awaitable<void> EntryDaemon::Details::Housekeep() {
-  asio::steady_timer timer(loop);
   while (true) {
-    timer.expires_after(kHousekeepingPeriod);
-    ErrorCode ec;
-    co_await timer.async_wait(Into(ec));
+    co_await SleepFor(loop, kHousekeepingPeriod);
     views.engines().Expire(clock());
     channels.Sweep();
   }
@@ -305,7 +296,6 @@
   const base::Time last = begun + settings.stop_grace - kExitMargin;
   stage_orders.Stop();
   Spawn(presence.Leave());
-  asio::steady_timer timer(loop);
   while (clock() < last) {
     const bool noticed = clock() - begun >= kBalancerNotices;
     if (noticed) {
@@ -316,9 +306,7 @@
     if (noticed && callers.connections() == 0) {
       break;
     }
-    timer.expires_after(kDrainPoll);
-    ErrorCode ec;
-    co_await timer.async_wait(Into(ec));
+    co_await SleepFor(loop, kDrainPoll);
   }
   Log(LogLevel::kInfo, "stop_done",
       {{"busy", callers.busy()}, {"ms", base::ToMillis(clock() - begun)}});
@@ -362,10 +350,7 @@
   process::SettingsFault fault;
   const auto settings = process::ParseEntrySettings(argc, argv, &fault);
   if (!settings) {
-    for (const std::string& line : fault.lines) {
-      std::cerr << "lynxgladed: " << line << "\n";
-    }
-    return fault.handled ? kExitOk : kExitBadSettings;
+    return ReportBadSettings(fault);
   }
   base::InitLog(settings->log_level, settings->instance.str(),
                 base::LogOutput::kStandardOutput);
--- a/src/main/lynxgladed.cc
+++ b/src/main/lynxgladed.cc
@@ -10,14 +10,11 @@
 #include "connection/http_limits.h"
 #include "main/daemon.h"
 #include "main/entry_daemon.h"
+#include "main/exit_status.h"
 #include "process/settings.h"
 
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitCannotStart = 1;
-constexpr int kExitBadSettings = 2;
-
 // A caller's stream holds a thread; the C library's default stack of 8 MB
 // would be reserved for each.
 void UseSmallThreadStacks() {
@@ -61,10 +58,7 @@
   lynxglade::process::SettingsFault fault;
   const auto settings = lynxglade::process::ParseSettings(argc, argv, &fault);
   if (!settings) {
-    for (const std::string& line : fault.lines) {
-      std::cerr << "lynxgladed: " << line << "\n";
-    }
-    return fault.handled ? kExitOk : kExitBadSettings;
+    return lynxglade::ReportBadSettings(fault);
   }
   signal(SIGPIPE, SIG_IGN);
   const sigset_t signals = BlockSignals();
@@ -75,12 +69,12 @@
   if (!daemon.Start()) {
     Log(LogLevel::kError, "start_failed", {{"reason", daemon.last_reason()}});
     std::cerr << "lynxgladed: " << daemon.last_reason() << "\n";
-    return kExitCannotStart;
+    return lynxglade::kExitCannotStart;
   }
   Log(LogLevel::kInfo, "started", {{"zone", settings->zone.str()}});
   const int number = WaitForStop(signals, daemon);
   Log(LogLevel::kInfo, "stopping", {{"signal", number}});
   daemon.Stop();
   Log(LogLevel::kInfo, "stopped");
-  return kExitOk;
+  return lynxglade::kExitOk;
 }
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -29,33 +29,6 @@
   };
 }
 
-Apply ReadEndpoint(Endpoint EntrySettings::* member) {
-  return [member](EntrySettings& settings, const std::string& text) -> Allowed {
-    const auto endpoint = ParseEndpoint(text);
-    if (!endpoint) {
-      return "an IP address and a port, such as 127.0.0.1:8080";
-    }
-    settings.*member = *endpoint;
-    return std::nullopt;
-  };
-}
-
-// A whole number of `Unit`, into any member that can be made of it.
-template <typename Unit, typename T>
-Apply ReadWhole(T EntrySettings::* member,
-                std::int64_t low,
-                std::int64_t high) {
-  return [=](EntrySettings& settings, const std::string& text) -> Allowed {
-    const auto n = base::ParseWhole(text, low, high);
-    if (!n) {
-      return "a whole number from " + std::to_string(low) + " to " +
-             std::to_string(high);
-    }
-    settings.*member = static_cast<T>(Unit(*n));
-    return std::nullopt;
-  };
-}
-
 Apply ReadNumber(double EntrySettings::* member, double low, double high) {
   return [=](EntrySettings& settings, const std::string& text) -> Allowed {
     char* end = nullptr;
@@ -69,13 +42,6 @@
   };
 }
 
-Allowed ReadLogLevel(EntrySettings& settings, const std::string& text) {
-  if (!base::ParseLogLevel(text, &settings.log_level)) {
-    return "debug, info, warning or error";
-  }
-  return std::nullopt;
-}
-
 std::vector<Option> AllOptions() {
   using std::chrono::seconds;
   return {
@@ -91,7 +57,7 @@
       {"store", "", true, "the platform's key-value store",
        ReadEndpoint(&EntrySettings::store)},
       {"log-level", "info", false, "debug, info, warning or error",
-       ReadLogLevel},
+       ReadLogLevel(&EntrySettings::log_level)},
       {"max-connections", "1500", false,
        "caller connections at a time; further ones are closed",
        ReadWhole<std::int64_t>(&EntrySettings::max_connections, 1,
--- a/src/process/instance_presence.cc
+++ b/src/process/instance_presence.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "connection/event/sleep.h"
 
 namespace lynxglade::process {
 
@@ -12,8 +13,7 @@
 using base::Log;
 using base::LogLevel;
 using connection::event::Awaitable;
-using connection::event::ErrorCode;
-using connection::event::Into;
+using connection::event::SleepFor;
 namespace asio = connection::event::asio;
 
 }  // namespace
@@ -30,10 +30,8 @@
 Awaitable<void> InstancePresence::Run() {
   while (!stopped_) {
     co_await Renew();
-    asio::steady_timer timer(
+    co_await SleepFor(
         loop_, key_written_ ? options_.renew_every : options_.retry_every);
-    ErrorCode ec;
-    co_await timer.async_wait(Into(ec));
   }
 }
 
@@ -82,18 +80,6 @@
   NoteCount();
 }
 
-void InstancePresence::OnChange(const StoreItem& item) {
-  if (!item.key.starts_with(options_.prefix)) {
-    return;
-  }
-  if (item.deleted) {
-    keys_.erase(item.key);
-  } else {
-    keys_.insert(item.key);
-  }
-  NoteCount();
-}
-
 void InstancePresence::NoteCount() {
   const int n = static_cast<int>(keys_.size());
   const base::Time now = clock_();
--- a/src/process/instance_presence.h
+++ b/src/process/instance_presence.h
@@ -50,9 +50,8 @@
   connection::event::Awaitable<void> Leave();
   void Stop() noexcept { stopped_ = true; }
 
-  // For a follower of the prefix.
+  // For a follower of the prefix that polls it.
   void OnList(const std::vector<StoreItem>& items);
-  void OnChange(const StoreItem& item);
 
   // The lease of this instance, once it has one.
   const std::optional<LeaseId>& lease() const noexcept { return lease_; }
--- a/src/process/option_table.h
+++ b/src/process/option_table.h
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <cstdlib>
 #include <deque>
 #include <functional>
@@ -15,10 +17,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 #include <tclap/CmdLine.h>
 
+#include "base/log.h"
+#include "base/whole_number.h"
+#include "process/endpoint.h"
 #include "process/settings_fault.h"
 
 namespace lynxglade::process {
@@ -86,6 +92,51 @@
   }
 }
 
+// --- Readers that tables share ----------------------------------------------
+
+// An IP number and a port.
+template <typename S>
+Apply<S> ReadEndpoint(Endpoint S::* member) {
+  return [member](S& settings,
+                  const std::string& text) -> std::optional<std::string> {
+    const auto endpoint = ParseEndpoint(text);
+    if (!endpoint) {
+      return "an IP address and a port, such as 127.0.0.1:8080";
+    }
+    settings.*member = *endpoint;
+    return std::nullopt;
+  };
+}
+
+// A whole number of `Unit`, into any member that can be made of it.
+template <typename Unit, typename S, typename T>
+Apply<S> ReadWhole(T S::* member, std::int64_t low, std::int64_t high) {
+  return
+      [=](S& settings, const std::string& text) -> std::optional<std::string> {
+        const auto n = base::ParseWhole(text, low, high);
+        if (!n) {
+          constexpr bool kSeconds = std::is_same_v<Unit, std::chrono::seconds>;
+          return std::string(kSeconds ? "whole seconds" : "a whole number") +
+                 " from " + std::to_string(low) + " to " + std::to_string(high);
+        }
+        settings.*member = static_cast<T>(Unit(*n));
+        return std::nullopt;
+      };
+}
+
+template <typename S>
+Apply<S> ReadLogLevel(base::LogLevel S::* member) {
+  return [member](S& settings,
+                  const std::string& text) -> std::optional<std::string> {
+    if (!base::ParseLogLevel(text, &(settings.*member))) {
+      return "debug, info, warning or error";
+    }
+    return std::nullopt;
+  };
+}
+
+// --- Reading a command line --------------------------------------------------
+
 // "--flag=value" as the two words that the library takes.
 inline std::vector<std::string> SplitAtEquals(int argc,
                                               const char* const* argv) {
--- a/src/process/order_authority.cc
+++ b/src/process/order_authority.cc
@@ -33,7 +33,7 @@
   listed_ = true;
   const auto it = std::ranges::find(items, options_.key, &StoreItem::key);
   if (it != items.end()) {
-    OnChange(*it);
+    Hear(*it);
     return;
   }
   if (!holder_ || !IsOurs(*holder_)) {
@@ -41,7 +41,7 @@
   }
 }
 
-void OrderAuthority::OnChange(const StoreItem& item) {
+void OrderAuthority::Hear(const StoreItem& item) {
   const bool older = holder_ && item.revision < holder_->revision;
   if (item.key == options_.key && !older) {
     Set(item);
@@ -127,7 +127,7 @@
          {"token", token->value()}});
     if (item) {
       SetVacant();
-      OnChange(*item);
+      Hear(*item);
     }
     co_return std::nullopt;
   }
--- a/src/process/order_authority.h
+++ b/src/process/order_authority.h
@@ -46,9 +46,8 @@
   OrderAuthority(const OrderAuthority&) = delete;
   OrderAuthority& operator=(const OrderAuthority&) = delete;
 
-  // For a follower of the key's prefix.
+  // For a follower of the key's prefix that polls it.
   void OnList(const std::vector<StoreItem>& items);
-  void OnChange(const StoreItem& item);
 
   // Tries for a vacant key. Call every few hundred milliseconds.
   connection::event::Awaitable<void> Claim();
@@ -61,6 +60,8 @@
 
  private:
   bool IsOurs(const StoreItem& item) const noexcept;
+  // What was heard of the key, unless something newer was.
+  void Hear(const StoreItem& item);
   void Set(const StoreItem& item);
   void SetVacant();
 
--- a/src/process/prefix_follower.cc
+++ b/src/process/prefix_follower.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "connection/event/sleep.h"
 
 namespace lynxglade::process {
 
@@ -12,8 +13,7 @@
 using base::Log;
 using base::LogLevel;
 using connection::event::Awaitable;
-using connection::event::ErrorCode;
-using connection::event::Into;
+using connection::event::SleepFor;
 namespace asio = connection::event::asio;
 
 }  // namespace
@@ -57,7 +57,7 @@
   while (!stopped_) {
     const bool listed = co_await List();
     if (listed && options_.poll_every) {
-      co_await Sleep(*options_.poll_every);
+      co_await SleepFor(loop_, *options_.poll_every);
     } else if (listed) {
       co_await Watch();
     }
@@ -103,7 +103,7 @@
     at_ = std::max(at_, changes->at);
     std::ranges::for_each(changes->items, hooks_.on_change);
     if (!changes->items.empty()) {
-      co_await Sleep(options_.gather);
+      co_await SleepFor(loop_, options_.gather);
     }
   }
 }
@@ -115,13 +115,7 @@
       std::min(options_.first_pause * (1 << doublings), options_.longest_pause);
   const auto pause = std::chrono::duration_cast<base::Duration>(
       least * (1 + base::UniformReal(random_)));
-  co_await Sleep(pause);
-}
-
-Awaitable<void> PrefixFollower::Sleep(base::Duration wait) {
-  asio::steady_timer timer(loop_, wait);
-  ErrorCode ec;
-  co_await timer.async_wait(Into(ec));
+  co_await SleepFor(loop_, pause);
 }
 
 void PrefixFollower::NoteFault(const char* call, StoreFault fault) {
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -36,7 +36,7 @@
 struct PrefixFollowerHooks {
   // The whole list.
   std::function<void(const std::vector<StoreItem>&)> on_list;
-  // One change, in order.
+  // One change, in order; never while the prefix is polled.
   std::function<void(const StoreItem&)> on_change;
   // The store answers after it was away (not after a watch that was merely
   // cut); called before on_list.
@@ -66,8 +66,6 @@
  private:
   // Lists; false if the store failed.
   connection::event::Awaitable<bool> List();
-  // Waits for the next poll.
-  connection::event::Awaitable<void> Sleep(base::Duration wait);
   // Watches until something breaks.
   connection::event::Awaitable<void> Watch();
   connection::event::Awaitable<void> Pause();
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -48,18 +48,6 @@
   };
 }
 
-Apply ReadEndpoint(Endpoint Settings::* member) {
-  return [member](Settings& settings,
-                  const std::string& text) -> std::optional<std::string> {
-    const auto endpoint = ParseEndpoint(text);
-    if (!endpoint) {
-      return "an IP address and a port, such as 127.0.0.1:8080";
-    }
-    settings.*member = *endpoint;
-    return std::nullopt;
-  };
-}
-
 std::optional<std::string> ReadSeedPeers(Settings& settings,
                                          const std::string& text) {
   std::istringstream parts(text);
@@ -90,37 +78,6 @@
   };
 }
 
-Apply ReadSeconds(base::Duration Settings::* member, long low, long high) {
-  return [=](Settings& settings,
-             const std::string& text) -> std::optional<std::string> {
-    const auto n = base::ParseWhole(text, low, high);
-    if (!n) {
-      return "whole seconds from " + std::to_string(low) + " to " +
-             std::to_string(high);
-    }
-    settings.*member = std::chrono::seconds(*n);
-    return std::nullopt;
-  };
-}
-
-std::optional<std::string> ReadConnections(Settings& settings,
-                                           const std::string& text) {
-  const auto n = base::ParseWhole(text, 1, 20'000);
-  if (!n) {
-    return "a whole number from 1 to 20000";
-  }
-  settings.max_connections = static_cast<std::size_t>(*n);
-  return std::nullopt;
-}
-
-std::optional<std::string> ReadLogLevel(Settings& settings,
-                                        const std::string& text) {
-  if (!base::ParseLogLevel(text, &settings.log_level)) {
-    return "debug, info, warning or error";
-  }
-  return std::nullopt;
-}
-
 std::optional<std::string> ReadRoutingPolicy(Settings& settings,
                                              const std::string& text) {
   // Names in the code have underscores, flags have hyphens.
@@ -168,27 +125,27 @@
        "operator key accepted while the configuration names no operator",
        ReadText(&Settings::bootstrap_operator_key)},
       {"log-level", "info", false, "debug, info, warning or error",
-       ReadLogLevel},
+       ReadLogLevel(&Settings::log_level)},
       {"routing-policy", "default", false,
        "default; the others (random, round-robin, least-reported, "
        "no-affinity) are for comparison",
        ReadRoutingPolicy},
       {"max-connections", "1200", false,
        "caller connections served at a time; further ones are refused",
-       ReadConnections},
+       ReadWhole<std::int64_t>(&Settings::max_connections, 1, 20'000)},
       {"default-deadline", "60", false,
        "seconds until an answer is late, when neither caller nor contract says",
-       ReadSeconds(&Settings::default_deadline, 1, 3600)},
+       ReadWhole<std::chrono::seconds>(&Settings::default_deadline, 1, 3600)},
       {"lease-ttl", "30", false,
        "seconds for which authority over a zone's engines is held",
-       ReadSeconds(&Settings::lease_ttl, 2, 300)},
+       ReadWhole<std::chrono::seconds>(&Settings::lease_ttl, 2, 300)},
       {"engine-idle-timeout", "10", false,
        "seconds after which engines close an idle connection; bounds how long "
        "an order of a paused process can stay under way",
-       ReadSeconds(&Settings::engine_idle_timeout, 1, 600)},
+       ReadWhole<std::chrono::seconds>(&Settings::engine_idle_timeout, 1, 600)},
       {"role-change-time", "5", false,
        "seconds for which a role change takes an engine out of service",
-       ReadSeconds(&Settings::role_change_time, 1, 600)},
+       ReadWhole<std::chrono::seconds>(&Settings::role_change_time, 1, 600)},
       {"tls-certificate", "", false, "PEM certificate chain; needs --tls-key",
        ReadText(&Settings::tls_certificate)},
       {"tls-key", "", false, "PEM private key; needs --tls-certificate",
--- a/src/process/stage_orders.cc
+++ b/src/process/stage_orders.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "connection/event/sleep.h"
 
 namespace lynxglade::process {
 
@@ -12,16 +13,10 @@
 using base::Log;
 using base::LogLevel;
 using connection::event::Awaitable;
-using connection::event::ErrorCode;
-using connection::event::Into;
+using connection::event::SleepFor;
 using request::passthrough::EngineHandle;
-using request::passthrough::EngineStage;
 namespace asio = connection::event::asio;
 
-std::string_view NameOf(EngineStage stage) noexcept {
-  return stage == EngineStage::kPrefill ? "prefill" : "decode";
-}
-
 }  // namespace
 
 std::string_view ToString(OrderResult result) noexcept {
@@ -61,13 +56,10 @@
       metrics_(metrics) {}
 
 Awaitable<void> StageOrders::Run() {
-  asio::steady_timer timer(loop_);
   while (!stopped_) {
     co_await authority_.Claim();
     co_await Round();
-    timer.expires_after(options_.period);
-    ErrorCode ec;
-    co_await timer.async_wait(Into(ec));
+    co_await SleepFor(loop_, options_.period);
   }
 }
 
@@ -132,7 +124,7 @@
       .Add();
   Log(LogLevel::kInfo, "stage_order",
       {{"target", engine->entry.id.str()},
-       {"stage", NameOf(change.to)},
+       {"stage", ToString(change.to)},
        {"token", token->value()},
        {"if_orders", report->orders},
        {"result", ToString(result)}});
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -11,13 +11,15 @@
 
 namespace {
 
-double ToMillis(base::Duration d) {
-  return std::chrono::duration<double, std::milli>(d).count();
+// Milliseconds with their fraction, the unit of the options' costs.
+using FineMillis = std::chrono::duration<double, std::milli>;
+
+double InMillis(base::Duration d) {
+  return FineMillis(d).count();
 }
 
 base::Duration FromMillis(double ms) {
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double, std::milli>(ms));
+  return std::chrono::duration_cast<base::Duration>(FineMillis(ms));
 }
 
 bool IsPrefill(const Engine& engine) noexcept {
@@ -31,7 +33,7 @@
     : options_(std::move(options)), random_(std::move(random)) {}
 
 EnginePick EngineChoice::Pick(const std::vector<EngineHandle>& engines,
-                              const ChoiceQuery& query) {
+                              const ChoiceQuery& query) const {
   const std::vector<EngineHandle> usable = Usable(engines, query);
   if (usable.empty()) {
     return {};
@@ -61,14 +63,14 @@
 }
 
 EnginePick EngineChoice::PickPlain(const std::vector<EngineHandle>& usable,
-                                   base::Time now) {
+                                   base::Time now) const {
   EnginePick pick;
   pick.runner = LeastLoaded(usable, now);
   return pick;
 }
 
 EnginePick EngineChoice::PickForPrompt(const std::vector<EngineHandle>& usable,
-                                       const ChoiceQuery& query) {
+                                       const ChoiceQuery& query) const {
   const base::Time now = query.now;
   std::vector<EngineHandle> decoders;
   std::ranges::copy_if(usable, std::back_inserter(decoders),
@@ -87,19 +89,19 @@
   const EngineHandle home =
       HomeOf(readers.empty() ? decoders : readers, query.prompt);
   EnginePick best;
-  best.expected_ms = std::numeric_limits<double>::infinity();
+  best.expected = base::Duration::max();
   for (const EngineHandle& engine : decoders) {
     EnginePick pick = Reading(engine, readers.empty() ? home : nullptr, query);
     const bool disturbs = pick.unread_tokens > options_.most_read_at_decoder;
-    if (pick.expected_ms < best.expected_ms && (!disturbs || readers.empty())) {
+    if (pick.expected < best.expected && (!disturbs || readers.empty())) {
       pick.runner = engine;
       best = pick;
     }
   }
   for (const EngineHandle& engine : readers) {
     EnginePick pick = Reading(engine, home, query);
-    pick.expected_ms += options_.handoff_ms + least_ms;
-    if (pick.expected_ms < best.expected_ms) {
+    pick.expected += FromMillis(options_.handoff_ms + least_ms);
+    if (pick.expected < best.expected) {
       pick.runner = least;
       pick.reader = engine;
       best = pick;
@@ -125,8 +127,8 @@
   }
   pick.read_time = FromMillis(read_ms);
   pick.wait = FromMillis(wait_ms);
-  pick.expected_ms = wait_ms + read_ms + ZoneMs(*engine) +
-                     options_.running_ms * Load(*engine, query.now);
+  pick.expected = FromMillis(wait_ms + read_ms + ZoneMs(*engine) +
+                             options_.running_ms * Load(*engine, query.now));
   return pick;
 }
 
@@ -142,10 +144,10 @@
     }
     unread += queue.unread_tokens;
     const double overdue =
-        queue.due.empty() ? 0 : ToMillis(now - *queue.due.begin());
+        queue.due.empty() ? 0 : InMillis(now - *queue.due.begin());
     const double met =
-        ToMillis(queue.waited) * std::exp(-ToMillis(now - queue.waited_at) /
-                                          ToMillis(options_.wait_life));
+        InMillis(queue.waited) * std::exp(-InMillis(now - queue.waited_at) /
+                                          InMillis(options_.wait_life));
     longest = std::max({longest, overdue, met});
   }
   return std::max(longest, static_cast<double>(unread) / ReadRate(engine));
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -93,7 +93,7 @@
   // How long the prompt is expected to wait for others to be read.
   base::Duration wait{};
   // When generation is expected to begin, from now.
-  double expected_ms = 0;
+  base::Duration expected{};
 };
 
 // Not thread-safe: lives on the event loop.
@@ -105,7 +105,7 @@
 
   // Chooses among `engines`, those of one service.
   EnginePick Pick(const std::vector<EngineHandle>& engines,
-                  const ChoiceQuery& query);
+                  const ChoiceQuery& query) const;
 
   // The engine to run a request whose KV cache waits at `reader`.
   EngineHandle PickDecoder(const std::vector<EngineHandle>& engines,
@@ -113,9 +113,10 @@
                            const ChoiceQuery& query) const;
 
  private:
-  EnginePick PickPlain(const std::vector<EngineHandle>& usable, base::Time now);
+  EnginePick PickPlain(const std::vector<EngineHandle>& usable,
+                       base::Time now) const;
   EnginePick PickForPrompt(const std::vector<EngineHandle>& usable,
-                           const ChoiceQuery& query);
+                           const ChoiceQuery& query) const;
   EngineHandle LeastLoaded(const std::vector<EngineHandle>& usable,
                            base::Time now) const;
   std::vector<EngineHandle> Usable(const std::vector<EngineHandle>& engines,
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -5,6 +5,10 @@
 
 namespace lynxglade::request::passthrough {
 
+std::string_view ToString(EngineStage stage) noexcept {
+  return stage == EngineStage::kPrefill ? "prefill" : "decode";
+}
+
 EngineTable::EngineTable(base::Duration grace) : grace_(grace) {}
 
 void EngineTable::Put(const EngineEntry& entry) {
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -22,6 +23,7 @@
 // What an engine does with a prompt. Plain targets are kDecode: they run
 // whatever they are sent.
 enum class EngineStage { kPrefill, kDecode };
+std::string_view ToString(EngineStage stage) noexcept;
 
 // A target as its entry in the store describes it.
 struct EngineEntry {
--- a/src/request/passthrough/prompt.h
+++ b/src/request/passthrough/prompt.h
@@ -19,7 +19,6 @@
 // it are shared. No parts: not a prompt for a model.
 struct Prompt {
   std::vector<PromptPart> parts;
-  std::int64_t max_output_tokens = 0;
 
   bool empty() const noexcept { return parts.empty(); }
   // The deepest part that other requests share, or null.
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "connection/event/call.h"
 #include "connection/event/hop_headers.h"
 #include "request/passthrough/engine_address.h"
 #include "request/passthrough/engine_use.h"
@@ -14,7 +15,7 @@
 
 using connection::event::AnswerHead;
 using connection::event::Awaitable;
-using connection::event::CancelAfter;
+using connection::event::Call;
 using connection::event::Exchange;
 using connection::event::ExchangeState;
 using connection::event::OutgoingRequest;
@@ -112,11 +113,10 @@
   if (!endpoint) {
     co_return;
   }
-  Exchange exchange(parts_.channels);
-  const CancelAfter bound(parts_.loop, exchange, kFreePatience);
-  co_await exchange.Start(*endpoint, parts_.protocol.free_handle(source), {},
-                          /*careful=*/false);
-  co_await exchange.Rest(kMaxSideAnswerBytes);
+  // What cannot be freed is given up by its engine when its time runs out.
+  co_await Call(parts_.loop, parts_.channels, *endpoint,
+                parts_.protocol.free_handle(source), {.timeout = kFreePatience},
+                nullptr);
 }
 
 Awaitable<AttemptEnd> RelayRun::RunAt(const EnginePick& pick) {
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -139,7 +139,7 @@
        {"fetch_from",
         pick.fetch_from ? pick.fetch_from->entry.id.str() : std::string()},
        {"unread_tokens", pick.unread_tokens},
-       {"expected_ms", static_cast<std::int64_t>(pick.expected_ms)},
+       {"expected_ms", base::ToMillis(pick.expected)},
        {"in_flight", runner.in_flight},
        {"targets_age_ms", base::ToMillis(parts_.view_age())},
        {"configuration", table_->version()},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -26,10 +26,6 @@
   return target.substr(0, target.find('?'));
 }
 
-double Millis(base::Duration d) {
-  return std::chrono::duration<double, std::milli>(d).count();
-}
-
 }  // namespace
 
 RelayRun::RelayRun(RelayParts& parts,
@@ -144,12 +140,12 @@
 // certain, and so is all that waits behind it. Its own size does not count:
 // large prompts are as welcome as small ones.
 bool RelayRun::IsHopeless(const EnginePick& pick) const {
-  if (pick.expected_ms > Millis(TimeLeft())) {
+  if (pick.expected > TimeLeft()) {
     return true;
   }
   const base::Duration goal = route_->target_latency;
   return goal > base::Duration::zero() &&
-         Millis(pick.wait) > options_.most_wait_of_goal * Millis(goal);
+         pick.wait > options_.most_wait_of_goal * goal;
 }
 
 // KV cache that waits goes with the request to another engine.
--- a/src/request/passthrough/route_table.h
+++ b/src/request/passthrough/route_table.h
@@ -62,7 +62,6 @@
 // What the configuration says of a service's targets.
 struct ServiceTerms {
   base::ServiceName name;
-  std::string health_path;
   // Concurrent connections one target takes, from all instances together.
   int max_connections = 0;
   // Its targets are engines that can be ordered to read prompts or to generate.
--- a/tests/process/stage_orders_test.cc
+++ b/tests/process/stage_orders_test.cc
@@ -83,7 +83,7 @@
     RunUntil(loop_, [this] {
       return store_.items().contains("lynxglade/orders/holder");
     });
-    authority_.OnChange(store_.items().at("lynxglade/orders/holder"));
+    authority_.OnList({store_.items().at("lynxglade/orders/holder")});
   }
   void RunRounds(int n) {
     for (int i = 0; i < n; ++i) {
--- a/tests/request/passthrough/engine_choice_test.cc
+++ b/tests/request/passthrough/engine_choice_test.cc
@@ -41,7 +41,7 @@
 
 // An album of the users' sheet: a long shared part and a part of its own.
 Prompt Album(const std::string& shared) {
-  return Prompt{{{shared, 13'300}, {"own", 3'720}}, 13};
+  return Prompt{{{shared, 13'300}, {"own", 3'720}}};
 }
 
 // The least urgent of the users' routes.
