Shared parts are fetched from where they were

Ruled out: eviction (parts asked for every few seconds stay), concurrent first reads (413 parts, 413 first reads). Change: a module of its own says where a part is to be and where it is: an engine that joined or took up its stage within 15 s fetches from the home before it, also from one that is leaving; runners that read fetch, too.

--- a/src/main/entry_views.cc
+++ b/src/main/entry_views.cc
@@ -94,7 +94,7 @@
        {"zone", entry->zone.str()},
        {"draining", entry->draining},
        {"revision", item.revision.value()}});
-  engines_.Put(*entry);
+  engines_.Put(*entry, clock_());
 }
 
 void EntryViews::OnTargetList(const std::vector<StoreItem>& items) {
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -5,7 +5,7 @@
 #include <iterator>
 #include <limits>
 
-#include "base/hash.h"
+#include "request/passthrough/part_places.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -41,7 +41,7 @@
   if (query.prompt.empty()) {
     return PickPlain(usable, query.now);
   }
-  return PickForPrompt(usable, query);
+  return PickForPrompt(engines, usable, query);
 }
 
 EngineHandle EngineChoice::PickDecoder(const std::vector<EngineHandle>& engines,
@@ -69,7 +69,8 @@
   return pick;
 }
 
-EnginePick EngineChoice::PickForPrompt(const std::vector<EngineHandle>& usable,
+EnginePick EngineChoice::PickForPrompt(const std::vector<EngineHandle>& engines,
+                                       const std::vector<EngineHandle>& usable,
                                        const ChoiceQuery& query) const {
   const base::Time now = query.now;
   std::vector<EngineHandle> decoders;
@@ -82,16 +83,19 @@
   const double least_ms =
       options_.running_ms * Load(*least, now) + ZoneMs(*least);
   std::vector<EngineHandle> readers;
-  if (query.pairs) {
-    std::ranges::copy_if(usable, std::back_inserter(readers),
-                         [](const EngineHandle& it) { return IsPrefill(*it); });
+  std::ranges::copy_if(usable, std::back_inserter(readers),
+                       [](const EngineHandle& it) { return IsPrefill(*it); });
+  const PartPlaces places =
+      FindPlaces(readers.empty() ? decoders : readers, engines, query.prompt,
+                 options_.settling, now);
+  if (!query.pairs) {
+    readers.clear();
   }
-  const EngineHandle home =
-      HomeOf(readers.empty() ? decoders : readers, query.prompt);
   EnginePick best;
   best.expected = base::Duration::max();
   for (const EngineHandle& engine : decoders) {
-    EnginePick pick = Reading(engine, readers.empty() ? home : nullptr, query);
+    EnginePick pick =
+        Reading(engine, readers.empty() ? places : PartPlaces(), query);
     const bool disturbs = pick.unread_tokens > options_.most_read_at_decoder;
     if (pick.expected < best.expected && (!disturbs || readers.empty())) {
       pick.runner = engine;
@@ -99,7 +103,7 @@
     }
   }
   for (const EngineHandle& engine : readers) {
-    EnginePick pick = Reading(engine, home, query);
+    EnginePick pick = Reading(engine, places, query);
     pick.expected += FromMillis(options_.handoff_ms + least_ms);
     if (pick.expected < best.expected) {
       pick.runner = least;
@@ -111,19 +115,21 @@
 }
 
 EnginePick EngineChoice::Reading(const EngineHandle& engine,
-                                 const EngineHandle& home,
+                                 const PartPlaces& places,
                                  const ChoiceQuery& query) const {
   const Prompt& prompt = query.prompt;
   const double wait_ms = WaitMs(*engine, query.priority, query.now);
   EnginePick pick;
-  pick.unread_tokens = home ? prompt.OwnTokens() : prompt.TotalTokens();
+  pick.unread_tokens = places.home ? prompt.OwnTokens() : prompt.TotalTokens();
   double read_ms = static_cast<double>(pick.unread_tokens) / ReadRate(*engine);
-  if (home && engine != home) {
+  if (places.holder && engine != places.holder) {
+    pick.fetch_from = places.holder;
+    read_ms += options_.fetch_ms;
+  }
+  if (places.home && engine != places.home) {
     const std::int64_t shared = prompt.TotalTokens() - prompt.OwnTokens();
-    pick.fetch_from = home;
-    read_ms += options_.fetch_ms + options_.away_from_home *
-                                       static_cast<double>(shared) /
-                                       ReadRate(*engine);
+    read_ms += options_.away_from_home * static_cast<double>(shared) /
+               ReadRate(*engine);
   }
   pick.read_time = FromMillis(read_ms);
   pick.wait = FromMillis(wait_ms);
@@ -191,19 +197,6 @@
   return any_runner ? sound : open;
 }
 
-// The highest score; a part's home stays when other engines come or go.
-EngineHandle EngineChoice::HomeOf(const std::vector<EngineHandle>& engines,
-                                  const Prompt& prompt) {
-  const PromptPart* shared = prompt.Shared();
-  if (!shared || engines.empty()) {
-    return nullptr;
-  }
-  return *std::ranges::max_element(
-      engines, {}, [shared](const EngineHandle& engine) {
-        return base::HashPair(engine->entry.id.str(), shared->id);
-      });
-}
-
 double EngineChoice::ReadRate(const Engine& engine) const noexcept {
   return options_.prefill_tokens_per_ms *
          (IsPrefill(engine) ? 1 : options_.decode_read_factor);
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -22,6 +22,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "request/passthrough/engine_table.h"
+#include "request/passthrough/part_places.h"
 #include "request/passthrough/prompt.h"
 
 namespace lynxglade::request::passthrough {
@@ -51,6 +52,10 @@
   // and 5 earned 0.54, 0.72, 0.75, 0.74, 0.75 and 0.74; a second home for each
   // part 0.71 to 0.74.
   double away_from_home = 2;
+  // An engine that joined, or took up its stage, this recently still fetches
+  // the parts it is home to from where they were. Long enough for most parts
+  // to be asked for once (the users' are, every one to ten seconds).
+  base::Duration settling = std::chrono::seconds(15);
   // A wait that a read met says less of the next one the longer ago it was.
   base::Duration wait_life = std::chrono::milliseconds(400);
   // What a request at an engine costs the next one, by longer steps: a step
@@ -115,18 +120,16 @@
  private:
   EnginePick PickPlain(const std::vector<EngineHandle>& usable,
                        base::Time now) const;
-  EnginePick PickForPrompt(const std::vector<EngineHandle>& usable,
+  EnginePick PickForPrompt(const std::vector<EngineHandle>& engines,
+                           const std::vector<EngineHandle>& usable,
                            const ChoiceQuery& query) const;
   EngineHandle LeastLoaded(const std::vector<EngineHandle>& usable,
                            base::Time now) const;
   std::vector<EngineHandle> Usable(const std::vector<EngineHandle>& engines,
                                    const ChoiceQuery& query) const;
-  // Where a prompt's shared parts live; null if it shares none.
-  static EngineHandle HomeOf(const std::vector<EngineHandle>& engines,
-                             const Prompt& prompt);
   // Reading at `engine`; the pick's engines are left open.
   EnginePick Reading(const EngineHandle& engine,
-                     const EngineHandle& home,
+                     const PartPlaces& places,
                      const ChoiceQuery& query) const;
   // Until the engine begins to read what is sent now.
   double WaitMs(const Engine& engine, int priority, base::Time now) const;
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -11,8 +11,8 @@
 
 EngineTable::EngineTable(base::Duration grace) : grace_(grace) {}
 
-void EngineTable::Put(const EngineEntry& entry) {
-  Keep(entry);
+void EngineTable::Put(const EngineEntry& entry, base::Time now) {
+  Keep(entry, now);
   Index();
 }
 
@@ -23,10 +23,11 @@
 
 void EngineTable::Replace(const std::vector<EngineEntry>& entries,
                           base::Time now) {
+  const base::Time joined = engines_.empty() ? base::Time{} : now;
   std::set<base::TargetId> listed;
   for (const EngineEntry& entry : entries) {
     listed.insert(entry.id);
-    Keep(entry);
+    Keep(entry, joined);
   }
   std::vector<base::TargetId> gone;
   for (const auto& [id, engine] : engines_) {
@@ -38,11 +39,14 @@
   Index();
 }
 
-void EngineTable::Keep(const EngineEntry& entry) {
+void EngineTable::Keep(const EngineEntry& entry, base::Time joined) {
   missing_.erase(entry.id);
   EngineHandle& engine = engines_[entry.id];
   if (!engine) {
     engine = std::make_shared<Engine>();
+    engine->staged_at = joined;
+  } else if (engine->entry.stage != entry.stage) {
+    engine->staged_at = joined;
   }
   engine->entry = entry;
 }
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -61,6 +61,9 @@
 // flight keeps its target's state past the entry's end.
 struct Engine {
   EngineEntry entry;
+  // When it joined or last changed its stage, as seen here; long ago for what
+  // was there when this instance began.
+  base::Time staged_at{};
   // Requests of this instance at the target.
   int in_flight = 0;
   // By priority, 0 first: an engine reads the prompts of a more urgent request
@@ -82,7 +85,7 @@
   EngineTable& operator=(const EngineTable&) = delete;
 
   // One entry was written. A new lifetime of a target has a new id.
-  void Put(const EngineEntry& entry);
+  void Put(const EngineEntry& entry, base::Time now);
   // An entry vanished: dropped now, or at the end of the grace if the store
   // has only just come back.
   void Remove(const base::TargetId& id, base::Time now);
@@ -102,7 +105,7 @@
 
  private:
   // The steps of Put() and Remove(); Index() has to follow.
-  void Keep(const EngineEntry& entry);
+  void Keep(const EngineEntry& entry, base::Time joined);
   void Lose(const base::TargetId& id, base::Time now);
   void Drop(const base::TargetId& id);
   void Index();
--- /dev/null
+++ b/src/request/passthrough/part_places.cc
@@ -0,0 +1,50 @@
+#include "request/passthrough/part_places.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "base/hash.h"
+
+namespace lynxglade::request::passthrough {
+
+namespace {
+
+// The highest score; a part's home stays when other engines come or go. Null
+// if there is no engine.
+EngineHandle Highest(const std::vector<EngineHandle>& engines,
+                     const PromptPart& part) {
+  const auto it = std::ranges::max_element(
+      engines, {}, [&part](const EngineHandle& engine) {
+        return base::HashPair(engine->entry.id.str(), part.id);
+      });
+  return it == engines.end() ? nullptr : *it;
+}
+
+}  // namespace
+
+PartPlaces FindPlaces(const std::vector<EngineHandle>& usable,
+                      const std::vector<EngineHandle>& engines,
+                      const Prompt& prompt,
+                      base::Duration settling,
+                      base::Time now) {
+  const PromptPart* shared = prompt.Shared();
+  if (!shared || usable.empty()) {
+    return {};
+  }
+  PartPlaces places;
+  places.home = Highest(usable, *shared);
+  const EngineStage stage = places.home->entry.stage;
+  std::vector<EngineHandle> settled;
+  std::ranges::copy_if(
+      engines, std::back_inserter(settled), [&](const EngineHandle& it) {
+        return it->entry.stage == stage && it->staged_at + settling <= now &&
+               !it->health.Avoided(now);
+      });
+  places.holder = Highest(settled, *shared);
+  if (!places.holder) {
+    places.holder = places.home;
+  }
+  return places;
+}
+
+}  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -138,6 +138,8 @@
        {"reader", pick.reader ? pick.reader->entry.id.str() : std::string()},
        {"fetch_from",
         pick.fetch_from ? pick.fetch_from->entry.id.str() : std::string()},
+       {"shared_part",
+        terms_.prompt.Shared() ? terms_.prompt.Shared()->id : std::string()},
        {"unread_tokens", pick.unread_tokens},
        {"expected_ms", base::ToMillis(pick.expected)},
        {"in_flight", runner.in_flight},
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -166,7 +166,7 @@
     entry.zone = base::ZoneId("a");
     entry.slots = 8;
     entry.stage = stage;
-    engines_.Put(entry);
+    engines_.Put(entry, base::Time());
     return *targets_.back();
   }
 
--- a/tests/process/stage_orders_test.cc
+++ b/tests/process/stage_orders_test.cc
@@ -52,7 +52,7 @@
                  ++report.orders;
                  EngineEntry entry = it->entry;
                  entry.stage = order.stage;
-                 table_.Put(entry);
+                 table_.Put(entry, now_);
                }
                co_return answer_;
              }},
@@ -69,7 +69,7 @@
       entry.id = base::TargetId("e" + std::to_string(i));
       entry.service = kService;
       entry.zone = base::ZoneId("a");
-      table_.Put(entry);
+      table_.Put(entry, now_);
       reports_[entry.id.str()] = EngineReport{};
     }
   }
@@ -150,10 +150,10 @@
   store_.Write("lynxglade/orders/holder", "other/1");
   EngineEntry fresh = table_.Find(base::TargetId("e0"))->entry;
   fresh.stage = EngineStage::kPrefill;
-  table_.Put(fresh);
+  table_.Put(fresh, now_);
   EngineEntry other = table_.Find(base::TargetId("e5"))->entry;
   other.stage = EngineStage::kPrefill;
-  table_.Put(other);
+  table_.Put(other, now_);
   now_ += seconds(60);
   RunRounds(5);
   EXPECT_EQ(given_.size(), 4U);
--- a/tests/request/passthrough/engine_choice_test.cc
+++ b/tests/request/passthrough/engine_choice_test.cc
@@ -170,6 +170,20 @@
   EXPECT_EQ(busy.fetch_from, calm.reader);
 }
 
+// The load this answers: a retry, or a request whose cache was lost, is read by
+// the engine that runs it; it read the whole album there, at half speed.
+TEST(EngineChoice, ARunnerThatReadsFetchesTheSharedPart) {
+  EngineChoice choice = MakeChoice();
+  const auto fleet = Fleet(4, 2);
+  const EngineHandle home = Ask(choice, fleet, Album("x")).reader;
+  const Prompt album = Album("x");
+  const EnginePick pick = choice.Pick(
+      fleet, {.prompt = album, .tried = {}, .pairs = false, .now = kNow});
+  EXPECT_EQ(pick.reader, nullptr);
+  EXPECT_EQ(pick.fetch_from, home);
+  EXPECT_EQ(pick.unread_tokens, 3'720);
+}
+
 // The load this answers: albums whose requests spread as soon as their home
 // had a little to do, so that 7.1 million tokens of shared parts were read
 // again in 34 s, and each read waited for these.
--- a/tests/request/passthrough/engine_table_test.cc
+++ b/tests/request/passthrough/engine_table_test.cc
@@ -22,7 +22,7 @@
 
 TEST(EngineTable, AnEntryThatVanishesIsGoneAtOnce) {
   EngineTable table(kGrace);
-  table.Put(Entry("a"));
+  table.Put(Entry("a"), kNow);
   const EngineHandle held = table.Find(base::TargetId("a"));
   table.Remove(base::TargetId("a"), kNow);
   EXPECT_EQ(table.Find(base::TargetId("a")), nullptr);
@@ -33,12 +33,12 @@
 
 TEST(EngineTable, AfterTheStoreWasAwayMissingEntriesHaveTimeToReturn) {
   EngineTable table(kGrace);
-  table.Put(Entry("a"));
-  table.Put(Entry("b"));
+  table.Put(Entry("a"), kNow);
+  table.Put(Entry("b"), kNow);
   table.OnStoreReturned(kNow);
   table.Replace({}, kNow);
   EXPECT_EQ(table.OfService(kService).size(), 2U);
-  table.Put(Entry("a"));
+  table.Put(Entry("a"), kNow);
   table.Expire(kNow + kGrace);
   ASSERT_EQ(table.OfService(kService).size(), 1U);
   EXPECT_EQ(table.OfService(kService)[0]->entry.id.str(), "a");
@@ -46,7 +46,7 @@
 
 TEST(EngineTable, TheGraceEndsForGood) {
   EngineTable table(kGrace);
-  table.Put(Entry("a"));
+  table.Put(Entry("a"), kNow);
   table.OnStoreReturned(kNow);
   table.Remove(base::TargetId("a"), kNow + kGrace);
   EXPECT_EQ(table.size(), 0U);
@@ -54,7 +54,7 @@
 
 TEST(EngineTable, AListWithoutAnOutageDropsWhatIsMissing) {
   EngineTable table(kGrace);
-  table.Put(Entry("a"));
+  table.Put(Entry("a"), kNow);
   table.Replace({Entry("b")}, kNow);
   EXPECT_EQ(table.Find(base::TargetId("a")), nullptr);
   EXPECT_NE(table.Find(base::TargetId("b")), nullptr);
@@ -62,11 +62,11 @@
 
 TEST(EngineTable, AChangedEntryKeepsWhatWasSeenOfTheLoad) {
   EngineTable table(kGrace);
-  table.Put(Entry("a"));
+  table.Put(Entry("a"), kNow);
   table.Find(base::TargetId("a"))->in_flight = 3;
   EngineEntry changed = Entry("a");
   changed.draining = true;
-  table.Put(changed);
+  table.Put(changed, kNow);
   EXPECT_EQ(table.Find(base::TargetId("a"))->in_flight, 3);
   EXPECT_TRUE(table.Find(base::TargetId("a"))->entry.draining);
 }
