One watch for all keys of the store

Change: one follower of all keys gives the configuration, the targets and the instances' own keys their part. Polling of own keys and stale lists are gone with their test; DispatchByPrefix has one.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -57,9 +57,6 @@
 // Kept of the grace for the end of the process itself.
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(300);
 constexpr base::Duration kDrainPoll = std::chrono::milliseconds(50);
-// The instances' own keys say how many there are and whether authority over
-// the engines is vacant; neither is urgent.
-constexpr base::Duration kOwnKeysPoll = std::chrono::seconds(4);
 // Everything the instances themselves write.
 constexpr char kOwnPrefix[] = "lynxglade/";
 // Without a request for so long, engines may change all at once.
@@ -86,8 +83,7 @@
   void Spawn(Awaitable<void> task);
   request::passthrough::RelayParts MakeRelayParts();
   process::PrefixFollowerHooks OwnKeysHooks();
-  PrefixFollower MakeFollower(process::PrefixFollowerOptions options,
-                              process::PrefixFollowerHooks hooks);
+  process::PrefixFollowerHooks StoreHooks();
 
   const process::EntrySettings settings;
   const base::Clock clock = base::BootClock::now;
@@ -105,9 +101,8 @@
   process::OrderAuthority authority;
   process::StageOrders stage_orders;
   base::Time last_request{};
-  PrefixFollower configuration_follower;
-  PrefixFollower target_follower;
-  PrefixFollower own_keys_follower;
+  // Of all keys: the operator's, the targets' and the instances' own.
+  PrefixFollower store_follower;
   request::passthrough::Relay relay;
   CallerServer callers;
   CallerServer health;
@@ -152,14 +147,7 @@
           [this] { return clock() - last_request > kIdleAfter; },
           clock,
           metrics),
-      configuration_follower(
-          MakeFollower({.prefix = platform::kConfigurationKey},
-                       views.ConfigurationHooks())),
-      target_follower(MakeFollower({.prefix = platform::kTargetsPrefix},
-                                   views.TargetHooks())),
-      own_keys_follower(
-          MakeFollower({.prefix = kOwnPrefix, .poll_every = kOwnKeysPoll},
-                       OwnKeysHooks())),
+      store_follower(loop, store, {}, StoreHooks(), clock, random, metrics),
       relay(MakeRelayParts()),
       callers(
           loop,
@@ -193,11 +181,11 @@
   }
 }
 
-PrefixFollower EntryDaemon::Details::MakeFollower(
-    process::PrefixFollowerOptions options,
-    process::PrefixFollowerHooks hooks) {
-  return PrefixFollower(loop, store, std::move(options), std::move(hooks),
-                        clock, random, metrics);
+process::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
+  return process::DispatchByPrefix(
+      {{platform::kConfigurationKey, views.ConfigurationHooks()},
+       {platform::kTargetsPrefix, views.TargetHooks()},
+       {kOwnPrefix, OwnKeysHooks()}});
 }
 
 process::PrefixFollowerHooks EntryDaemon::Details::OwnKeysHooks() {
@@ -207,7 +195,11 @@
             presence.OnList(items);
             authority.OnList(items);
           },
-      .on_change = [](const StoreItem&) {},
+      .on_change =
+          [this](const StoreItem& it) {
+            presence.OnChange(it);
+            authority.OnChange(it);
+          },
       .on_returned = [] {},
   };
 }
@@ -227,7 +219,7 @@
           .instances = [this] { return presence.Count(); },
           .view_age =
               [this] {
-                return target_follower.Age().value_or(base::Duration::max());
+                return store_follower.Age().value_or(base::Duration::max());
               }};
 }
 
@@ -267,19 +259,15 @@
 
 // Read when the page is rendered, on the event loop.
 void EntryDaemon::Details::AddGauges() {
-  const auto seconds = [](const PrefixFollower& follower) {
-    const auto age = follower.Age();
-    return age ? std::chrono::duration<double>(*age).count() : -1;
-  };
   metrics.AddGauge("lynxglade_targets_known", {}, [this] {
     return static_cast<double>(views.engines().size());
   });
   metrics.AddGauge("lynxglade_instances_assumed", {},
                    [this] { return static_cast<double>(presence.Count()); });
-  metrics.AddGauge("lynxglade_targets_age_seconds", {},
-                   [this, seconds] { return seconds(target_follower); });
-  metrics.AddGauge("lynxglade_configuration_age_seconds", {},
-                   [this, seconds] { return seconds(configuration_follower); });
+  metrics.AddGauge("lynxglade_store_age_seconds", {}, [this] {
+    const auto age = store_follower.Age();
+    return age ? std::chrono::duration<double>(*age).count() : -1;
+  });
   metrics.AddGauge("lynxglade_configuration_version", {}, [this] {
     return views.routes() ? static_cast<double>(views.routes()->version()) : -1;
   });
@@ -363,9 +351,7 @@
     *reason = "--peer-listen: " + *reason;
     return false;
   }
-  details_->Spawn(details_->configuration_follower.Run());
-  details_->Spawn(details_->target_follower.Run());
-  details_->Spawn(details_->own_keys_follower.Run());
+  details_->Spawn(details_->store_follower.Run());
   details_->Spawn(details_->presence.Run());
   details_->Spawn(details_->stage_orders.Run());
   details_->Spawn(details_->Housekeep());
--- a/src/process/instance_presence.cc
+++ b/src/process/instance_presence.cc
@@ -76,19 +76,34 @@
 void InstancePresence::OnList(const std::vector<StoreItem>& items) {
   keys_.clear();
   peers_.clear();
-  for (const StoreItem& item : items) {
-    if (!item.key.starts_with(options_.prefix)) {
-      continue;
-    }
-    keys_.insert(item.key);
-    if (auto peer = ReadPeer(item)) {
-      peers_.push_back(std::move(*peer));
-    }
-  }
+  std::ranges::for_each(items, [this](const StoreItem& it) { Take(it); });
   listed_ = true;
   NoteCount();
 }
 
+void InstancePresence::OnChange(const StoreItem& item) {
+  Take(item);
+  NoteCount();
+}
+
+void InstancePresence::Take(const StoreItem& item) {
+  if (!item.key.starts_with(options_.prefix)) {
+    return;
+  }
+  const base::InstanceId instance(item.key.substr(options_.prefix.size()));
+  std::erase_if(peers_, [&instance](const InstancePeer& it) {
+    return it.instance == instance;
+  });
+  if (item.deleted) {
+    keys_.erase(item.key);
+    return;
+  }
+  keys_.insert(item.key);
+  if (auto peer = ReadPeer(item)) {
+    peers_.push_back(std::move(*peer));
+  }
+}
+
 std::string InstancePresence::Description() const {
   json text{{"zone", options_.zone.str()}};
   if (options_.peer_endpoint) {
--- a/src/process/instance_presence.h
+++ b/src/process/instance_presence.h
@@ -62,8 +62,9 @@
   connection::event::Awaitable<void> Leave();
   void Stop() noexcept { stopped_ = true; }
 
-  // For a follower of the prefix that polls it.
+  // For a follower of the prefix.
   void OnList(const std::vector<StoreItem>& items);
+  void OnChange(const StoreItem& item);
 
   // The lease of this instance, once it has one.
   const std::optional<LeaseId>& lease() const noexcept { return lease_; }
@@ -77,6 +78,8 @@
 
  private:
   connection::event::Awaitable<void> Renew();
+  // One key, written or gone.
+  void Take(const StoreItem& item);
   void NoteCount();
   std::string Description() const;
   std::optional<InstancePeer> ReadPeer(const StoreItem& item) const;
--- a/src/process/order_authority.cc
+++ b/src/process/order_authority.cc
@@ -27,13 +27,14 @@
       random_(std::move(random)),
       mark_(presence.instance().str() + '/' + base::RandomHexId(random_)) {}
 
-// Lists may be seconds old. One that does not show this instance's key does not
-// take the authority away: reading the key back before an order tells.
+// A list that does not show this instance's key may have been read before the
+// key was written. It does not take the authority away: reading the key back
+// before an order tells.
 void OrderAuthority::OnList(const std::vector<StoreItem>& items) {
   listed_ = true;
   const auto it = std::ranges::find(items, options_.key, &StoreItem::key);
   if (it != items.end()) {
-    Hear(*it);
+    OnChange(*it);
     return;
   }
   if (!holder_ || !IsOurs(*holder_)) {
@@ -41,7 +42,7 @@
   }
 }
 
-void OrderAuthority::Hear(const StoreItem& item) {
+void OrderAuthority::OnChange(const StoreItem& item) {
   const bool older = holder_ && item.revision < holder_->revision;
   if (item.key == options_.key && !older) {
     Set(item);
@@ -127,7 +128,7 @@
          {"token", token->value()}});
     if (item) {
       SetVacant();
-      Hear(*item);
+      OnChange(*item);
     }
     co_return std::nullopt;
   }
--- a/src/process/order_authority.h
+++ b/src/process/order_authority.h
@@ -46,8 +46,10 @@
   OrderAuthority(const OrderAuthority&) = delete;
   OrderAuthority& operator=(const OrderAuthority&) = delete;
 
-  // For a follower of the key's prefix that polls it.
+  // For a follower of the key's prefix.
   void OnList(const std::vector<StoreItem>& items);
+  // What was heard of the key counts unless something newer was.
+  void OnChange(const StoreItem& item);
 
   // Tries for a vacant key. Call every few hundred milliseconds.
   connection::event::Awaitable<void> Claim();
@@ -60,8 +62,6 @@
 
  private:
   bool IsOurs(const StoreItem& item) const noexcept;
-  // What was heard of the key, unless something newer was.
-  void Hear(const StoreItem& item);
   void Set(const StoreItem& item);
   void SetVacant();
 
--- a/src/process/prefix_follower.cc
+++ b/src/process/prefix_follower.cc
@@ -1,6 +1,7 @@
 #include "process/prefix_follower.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/log.h"
@@ -38,6 +39,34 @@
   return "malformed";
 }
 
+PrefixFollowerHooks DispatchByPrefix(std::vector<PrefixPart> parts) {
+  const auto all =
+      std::make_shared<const std::vector<PrefixPart>>(std::move(parts));
+  PrefixFollowerHooks hooks;
+  hooks.on_list = [all](const std::vector<StoreItem>& items) {
+    for (const PrefixPart& part : *all) {
+      std::vector<StoreItem> own;
+      std::ranges::copy_if(items, std::back_inserter(own),
+                           [&part](const StoreItem& it) {
+                             return it.key.starts_with(part.prefix);
+                           });
+      part.hooks.on_list(own);
+    }
+  };
+  hooks.on_change = [all](const StoreItem& item) {
+    for (const PrefixPart& part : *all) {
+      if (item.key.starts_with(part.prefix)) {
+        part.hooks.on_change(item);
+      }
+    }
+  };
+  hooks.on_returned = [all] {
+    std::ranges::for_each(*all,
+                          [](const PrefixPart& it) { it.hooks.on_returned(); });
+  };
+  return hooks;
+}
+
 PrefixFollower::PrefixFollower(asio::io_context& loop,
                                StorePort& store,
                                PrefixFollowerOptions options,
@@ -56,9 +85,7 @@
 Awaitable<void> PrefixFollower::Run() {
   while (!stopped_) {
     const bool listed = co_await List();
-    if (listed && options_.poll_every) {
-      co_await SleepFor(loop_, *options_.poll_every);
-    } else if (listed) {
+    if (listed) {
       co_await Watch();
     }
     if (!stopped_ && failures_in_a_row_ > 0) {
@@ -69,9 +96,7 @@
 
 Awaitable<bool> PrefixFollower::List() {
   StoreFault fault{};
-  const auto freshness = options_.poll_every ? StorePort::Freshness::kStale
-                                             : StorePort::Freshness::kCurrent;
-  const auto listed = co_await store_.List(options_.prefix, freshness, &fault);
+  const auto listed = co_await store_.List(options_.prefix, &fault);
   if (!listed) {
     NoteFault("list", fault);
     away_ = true;
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -25,8 +25,6 @@
   // answer. When many targets change at once this is most of what all
   // instances ask of the store.
   base::Duration gather = std::chrono::milliseconds(800);
-  // If set, nothing is watched: a list that may be stale is read so often.
-  std::optional<base::Duration> poll_every = std::nullopt;
   // Between tries while the store fails: from the first to the second, with
   // up to as much again at random, so that instances do not return together.
   base::Duration first_pause = std::chrono::milliseconds(100);
@@ -36,13 +34,24 @@
 struct PrefixFollowerHooks {
   // The whole list.
   std::function<void(const std::vector<StoreItem>&)> on_list;
-  // One change, in order; never while the prefix is polled.
+  // One change, in order.
   std::function<void(const StoreItem&)> on_change;
   // The store answers after it was away (not after a watch that was merely
   // cut); called before on_list.
   std::function<void()> on_returned;
 };
 
+// Hooks for a part of the keys that a follower follows.
+struct PrefixPart {
+  std::string prefix;
+  PrefixFollowerHooks hooks;
+};
+
+// Gives each part the keys under its prefix and leaves out all others. One
+// follower for several prefixes makes one call where several would make one
+// each.
+PrefixFollowerHooks DispatchByPrefix(std::vector<PrefixPart> parts);
+
 // Not thread-safe: lives on the event loop.
 class PrefixFollower {
  public:
--- a/src/process/store_port.h
+++ b/src/process/store_port.h
@@ -62,14 +62,8 @@
 
   virtual ~StorePort() = default;
 
-  // How fresh a list has to be. A stale one may be seconds old and costs the
-  // store a tenth.
-  enum class Freshness { kCurrent, kStale };
-
   // Every item under the prefix.
-  virtual Result<StoreItems> List(std::string prefix,
-                                  Freshness freshness,
-                                  StoreFault* fault) = 0;
+  virtual Result<StoreItems> List(std::string prefix, StoreFault* fault) = 0;
   // Changes after a revision, in order; waits up to `wait` for the first.
   // An empty list is no failure.
   virtual Result<StoreItems> Watch(std::string prefix,
--- a/tests/process/fake_store_port.cc
+++ b/tests/process/fake_store_port.cc
@@ -112,7 +112,6 @@
 }
 
 StorePort::Result<StoreItems> FakeStorePort::List(std::string prefix,
-                                                  Freshness freshness,
                                                   StoreFault* fault) {
   ++lists_;
   if (Failing(fault)) {
--- a/tests/process/fake_store_port.h
+++ b/tests/process/fake_store_port.h
@@ -47,9 +47,7 @@
   }
 
   // --- The port.
-  Result<StoreItems> List(std::string prefix,
-                          Freshness freshness,
-                          StoreFault* fault) override;
+  Result<StoreItems> List(std::string prefix, StoreFault* fault) override;
   Result<StoreItems> Watch(std::string prefix,
                            base::Revision after,
                            base::Duration wait,
--- a/tests/process/prefix_follower_test.cc
+++ b/tests/process/prefix_follower_test.cc
@@ -110,25 +110,35 @@
             0U);
 }
 
-TEST_F(PrefixFollowerTest, PollsWhereThatIsAskedFor) {
-  PrefixFollower poller(
-      loop_, store_,
-      {.prefix = "servers/", .poll_every = std::chrono::milliseconds(1)},
-      {.on_list =
-           [this](const std::vector<StoreItem>& items) {
-             seen_.clear();
-             for (const StoreItem& item : items) {
-               seen_[item.key] = item.value;
-             }
-           },
-       .on_change = [](const StoreItem&) { FAIL(); },
-       .on_returned = [] {}},
-      base::BootClock::now, base::SeededRandom(1), metrics_);
-  asio::co_spawn(loop_, poller.Run(), asio::detached);
-  store_.Write("servers/a", "1");
-  RunUntil(loop_, [this] { return seen_.contains("servers/a"); });
-  store_.Remove("servers/a");
-  RunUntil(loop_, [this] { return seen_.empty(); });
+TEST(DispatchByPrefix, EachPartSeesItsKeys) {
+  std::vector<std::string> seen;
+  int returned = 0;
+  const auto part = [&](const std::string& prefix) {
+    return PrefixPart{
+        prefix,
+        {.on_list =
+             [&seen, prefix](const std::vector<StoreItem>& it) {
+               seen.push_back(prefix + "list" + std::to_string(it.size()));
+             },
+         .on_change =
+             [&seen, prefix](const StoreItem& it) {
+               seen.push_back(prefix + "change" + it.key);
+             },
+         .on_returned = [&returned] { ++returned; }}};
+  };
+  const auto hooks = DispatchByPrefix({part("a/"), part("b/")});
+  const auto item = [](const std::string& key) {
+    StoreItem it;
+    it.key = key;
+    return it;
+  };
+  hooks.on_list({item("a/1"), item("c/1"), item("a/2")});
+  hooks.on_change(item("b/3"));
+  hooks.on_change(item("c/3"));
+  hooks.on_returned();
+  EXPECT_EQ(seen,
+            (std::vector<std::string>{"a/list2", "b/list0", "b/changeb/3"}));
+  EXPECT_EQ(returned, 2);
 }
 
 }  // namespace
