--- a/src/connection/event/channel_pool.cc
+++ b/src/connection/event/channel_pool.cc
@@ -70,6 +70,10 @@
   std::erase_if(idle_, [](const auto& row) { return row.second.empty(); });
 }
 
+void ChannelPool::Forget(const Tcp::endpoint& endpoint) {
+  idle_.erase(endpoint);
+}
+
 base::Duration ChannelPool::IdleLimit(const Channel& channel) const noexcept {
   return channel.idle_limit ? *channel.idle_limit - options_.idle_margin
                             : options_.max_idle;
--- a/src/connection/event/channel_pool.h
+++ b/src/connection/event/channel_pool.h
@@ -69,6 +69,9 @@
   // Closes the connections that have been idle for too long. Call every
   // second or so.
   void Sweep();
+  // Closes the kept connections to an endpoint that does not answer: they may
+  // be as dead as the one that showed it.
+  void Forget(const Tcp::endpoint& endpoint);
 
   // Connections opened since the start.
   std::uint64_t opened() const noexcept { return opened_; }
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -45,6 +45,8 @@
 
   OutgoingRequest request;
   bool written = false;
+  // Null until the request is sent.
+  std::unique_ptr<asio::steady_timer> watch;
 };
 
 Exchange::Exchange(ChannelPool& pool, ExchangeOptions options)
@@ -69,6 +71,7 @@
     co_return state_;
   }
   Send(std::move(request));
+  WatchSending();
   const bool got_head = co_await ReadHead(is_answer);
   if (got_head) {
     state_ = ExchangeState::kHead;
@@ -89,6 +92,18 @@
           const ErrorCode& ec, std::size_t) { sending->written = !ec; });
 }
 
+void Exchange::WatchSending() {
+  sending_->watch = std::make_unique<asio::steady_timer>(
+      channel_->socket.get_executor(), options_.acknowledged_within);
+  sending_->watch->async_wait([channel = channel_](const ErrorCode& ec) {
+    const bool stuck = !ec && channel->socket.is_open() &&
+                       UnacknowledgedBytes(channel->socket) > 0;
+    if (stuck) {
+      ResetSocket(channel->socket);
+    }
+  });
+}
+
 Awaitable<bool> Exchange::ReadHead(const AnswerFilter& is_answer) {
   int skipped = 0;
   while (skipped <= options_.max_foreign_answers) {
@@ -189,6 +204,8 @@
   if (skipping_) {
     return;
   }
+  // The connection may go to another exchange.
+  sending_->watch.reset();
   const bool reusable = sending_->written && parser_->keep_alive() &&
                         !parser_->need_eof() && channel_->buffer.size() == 0;
   if (reusable) {
@@ -204,7 +221,7 @@
   }
   state_ = ExchangeState::kBroken;
   if (channel_) {
-    CloseSocket(channel_->socket);
+    ResetSocket(channel_->socket);
     channel_.reset();
   }
 }
@@ -215,7 +232,7 @@
   }
   state_ = ExchangeState::kCancelled;
   if (channel_) {
-    CloseSocket(channel_->socket);
+    ResetSocket(channel_->socket);
   }
 }
 
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -39,6 +39,10 @@
   // Answers to other requests that are passed over on a kept connection.
   int max_foreign_answers = 4;
   std::uint32_t max_head_bytes = 32 * 1024;
+  // A request of which the other end has not acknowledged every byte by then is
+  // given up and reset. Less than TCP_USER_TIMEOUT: a connection that the
+  // system ends by itself cannot be reset any more.
+  base::Duration acknowledged_within = std::chrono::milliseconds(900);
 };
 
 // Says whether an answer is this request's. `fresh` is true for the first
@@ -63,7 +67,8 @@
   Awaitable<std::string_view> Next();
   // Reads the rest of the body, up to `max_bytes`; more leaves kBroken.
   Awaitable<std::string> Rest(std::size_t max_bytes);
-  // Closes the connection; whatever waits ends with kCancelled.
+  // Resets the connection, so that no byte of the request arrives later;
+  // whatever waits ends with kCancelled.
   void Cancel() noexcept;
 
   ExchangeState state() const noexcept { return state_; }
@@ -74,6 +79,8 @@
 
  private:
   struct Sending;
+  // Ends the exchange if its request is not acknowledged in time.
+  void WatchSending();
   using Parser = http::response_parser<http::buffer_body>;
 
   void Send(OutgoingRequest request);
--- a/src/connection/event/socket_probe.cc
+++ b/src/connection/event/socket_probe.cc
@@ -1,6 +1,8 @@
 #include "connection/event/socket_probe.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -11,8 +13,10 @@
 namespace {
 
 // Seconds until the first keep-alive probe, between probes, and how many may
-// be lost: a silent connection ends after about three seconds.
-constexpr int kProbeAfterSeconds = 1;
+// be lost: a silent connection ends after about six seconds. Longer than a kept
+// connection may be idle and a request then unacknowledged, so that whoever
+// waits for the acknowledgement can still reset it.
+constexpr int kProbeAfterSeconds = 4;
 constexpr int kProbeEverySeconds = 1;
 constexpr int kProbesLost = 2;
 
@@ -44,11 +48,26 @@
   return Peek(socket) == Input::kEnd;
 }
 
+int UnacknowledgedBytes(Tcp::socket& socket) noexcept {
+  int queued = 0;
+  int unsent = 0;
+  const int fd = socket.native_handle();
+  const bool known = ::ioctl(fd, SIOCOUTQ, &queued) == 0 &&
+                     ::ioctl(fd, SIOCOUTQNSD, &unsent) == 0;
+  return known ? queued - unsent : 0;
+}
+
 void CloseSocket(Tcp::socket& socket) noexcept {
   ErrorCode ec;
   std::ignore = socket.close(ec);
 }
 
+void ResetSocket(Tcp::socket& socket) noexcept {
+  ErrorCode ec;
+  std::ignore = socket.set_option(asio::socket_base::linger(true, 0), ec);
+  CloseSocket(socket);
+}
+
 void ShutdownAndClose(Tcp::socket& socket) noexcept {
   ErrorCode ec;
   std::ignore = socket.shutdown(Tcp::socket::shutdown_send, ec);
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -27,8 +27,10 @@
   base::Duration gather = std::chrono::milliseconds(800);
   // Between tries while the store fails: from the first to the second, with
   // up to as much again at random, so that instances do not return together.
+  // An instance that was cut off has to know what changed within three seconds
+  // of the cut's end, two of which it waits for entries that lapsed.
   base::Duration first_pause = std::chrono::milliseconds(100);
-  base::Duration longest_pause = std::chrono::milliseconds(800);
+  base::Duration longest_pause = std::chrono::milliseconds(250);
 };
 
 struct PrefixFollowerHooks {
