--- /dev/null
+++ b/tests/platform/relay_fixture.h
@@ -0,0 +1,91 @@
+// A relay on loopback with the users' protocol: a caller's side, and targets
+// that answer with bytes written down in a test.
+#ifndef LYNXGLADE_TESTS_PLATFORM_RELAY_FIXTURE_H_
+#define LYNXGLADE_TESTS_PLATFORM_RELAY_FIXTURE_H_
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "base/metrics.h"
+#include "connection/event/caller_server.h"
+#include "connection/event/channel_pool.h"
+#include "connection/event/loop_thread.h"
+#include "connection/scripted_server.h"
+#include "request/passthrough/relay.h"
+
+namespace lynxglade::platform {
+
+inline constexpr char kProofLine[] = "Lynxglade-Instance-Signature: s\r\n";
+
+// A header's value in a request's bytes; empty if it is not there.
+std::string Header(const std::string& request, const std::string& name);
+
+// The line by which an answer names its request.
+std::string Echo(const std::string& request);
+
+// An answer to the request with that body; `more` are whole header lines.
+connection::ScriptedServer::Reply Answer(const std::string& request,
+                                         const std::string& status,
+                                         const std::string& body,
+                                         const std::string& more = kProofLine);
+connection::ScriptedServer::Reply Ok(const std::string& request);
+connection::ScriptedServer::Reply NotRun(const std::string& request);
+
+// Events first..last of a stream, with its end if the connection is kept.
+connection::ScriptedServer::Reply Stream(const std::string& request,
+                                         int first,
+                                         int last,
+                                         connection::ScriptedServer::Then then);
+// One event of a stream, and a chunk of a chunked body.
+std::string Event(int id);
+std::string Chunk(const std::string& bytes);
+// The head of a stream's answer.
+std::string StreamHead(const std::string& request);
+
+// Routes /safe/, /unsafe/, /stream/ and /resumable/ to service "s".
+std::shared_ptr<const request::passthrough::RouteTable> MakeRoutes();
+
+bool IsStatus(const std::string& answer, const std::string& status);
+
+class RelayTest : public testing::Test {
+ protected:
+  RelayTest();
+  ~RelayTest() override;
+
+  void StartRelay();
+  // A target whose handler gets the request; ids count up from t0.
+  connection::ScriptedServer& AddTarget(
+      connection::ScriptedServer::Handler handler,
+      request::passthrough::EngineStage stage =
+          request::passthrough::EngineStage::kDecode);
+  static std::string Request(const std::string& path,
+                             const std::string& more = {},
+                             const std::string& id = "r1");
+  // Everything the caller gets.
+  std::string Call(const std::string& request);
+  std::size_t Arrivals() const;
+
+  connection::event::asio::io_context loop_;
+  base::Metrics metrics_;
+  connection::event::ChannelPool channels_{loop_, base::BootClock::now};
+  request::passthrough::EngineTable engines_{base::Duration(0)};
+  request::passthrough::EngineChoice choice_{{.zone = base::ZoneId("a")},
+                                             base::SeededRandom(1)};
+  request::passthrough::RetryAllowance allowance_{{}};
+  bool accepts_ = true;
+  std::shared_ptr<const request::passthrough::RouteTable> routes_ =
+      MakeRoutes();
+  std::vector<std::unique_ptr<connection::ScriptedServer>> targets_;
+  std::unique_ptr<request::passthrough::Relay> relay_;
+  std::unique_ptr<connection::event::CallerServer> server_;
+  std::optional<connection::event::LoopThread> thread_;
+};
+
+}  // namespace lynxglade::platform
+
+#endif  // LYNXGLADE_TESTS_PLATFORM_RELAY_FIXTURE_H_
--- /dev/null
+++ b/tests/process/order_schedules_test.cc
@@ -0,0 +1,192 @@
+// Who gives orders while instances pause, lists come late, answers are lost and
+// keys are taken away: never two holders to one engine within the time for
+// which the engines cannot tell them apart.
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "process/fake_store_port.h"
+#include "process/order_authority.h"
+
+namespace lynxglade::process {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = connection::event::asio;
+
+// The platform's bound on turns between holders (users' sheets).
+constexpr base::Duration kTurns = milliseconds(3000);
+constexpr char kKey[] = "lynxglade/orders/holder";
+
+struct Given {
+  std::string by;
+  std::int64_t token = 0;
+  base::Time at{};
+};
+
+// One run: three instances, one store, a clock that moves by steps.
+class Schedule {
+ public:
+  explicit Schedule(std::uint64_t seed) : random_(base::SeededRandom(seed)) {
+    for (const char* name : {"one", "two", "three"}) {
+      instances_.push_back(std::make_unique<Instance>(*this, name));
+    }
+    for (auto& it : instances_) {
+      asio::co_spawn(loop_, it->presence.Run(), asio::detached);
+      RunUntil(loop_, [&] { return it->presence.lease().has_value(); });
+      it->authority.OnList(List());
+    }
+    old_list_ = List();
+  }
+
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      Step(*instances_[Draw(instances_.size())]);
+    }
+  }
+
+  const std::vector<Given>& given() const noexcept { return given_; }
+
+ private:
+  struct Instance {
+    Instance(Schedule& schedule, const std::string& name)
+        : presence(schedule.loop_,
+                   schedule.store_,
+                   {.instance = base::InstanceId(name),
+                    .renew_every = std::chrono::microseconds(1),
+                    .retry_every = std::chrono::microseconds(1)},
+                   schedule.clock_),
+          authority(schedule.store_,
+                    presence,
+                    {.claim_spread = base::Duration(0)},
+                    schedule.clock_,
+                    base::SeededRandom(std::hash<std::string>()(name))) {}
+
+    InstancePresence presence;
+    OrderAuthority authority;
+  };
+
+  std::size_t Draw(std::size_t n) {
+    return static_cast<std::size_t>(base::UniformReal(random_) *
+                                    static_cast<double>(n));
+  }
+
+  std::vector<StoreItem> List() const {
+    std::vector<StoreItem> items;
+    for (const auto& [key, item] : store_.items()) {
+      items.push_back(item);
+    }
+    return items;
+  }
+
+  void Step(Instance& instance) {
+    const std::size_t draw = Draw(100);
+    if (draw < 15) {
+      now_ += milliseconds(Draw(300));
+    } else if (draw < 35) {
+      // A pause, or a wait for the quiet time.
+      now_ += milliseconds(Draw(6000));
+    } else if (draw < 55) {
+      instance.authority.OnList(List());
+    } else if (draw < 60) {
+      instance.authority.OnList(old_list_);
+      old_list_ = List();
+    } else if (draw < 75) {
+      Claim(instance);
+    } else if (draw < 77) {
+      store_.Remove(kKey);
+    } else if (draw < 78) {
+      store_.LoseNextAnswer();
+    } else if (draw < 80) {
+      store_.Expire(*instance.presence.lease());
+      RunUntil(loop_, [&] { return instance.presence.lease().has_value(); });
+    } else {
+      Order(instance);
+    }
+  }
+
+  void Claim(Instance& instance) {
+    bool done = false;
+    asio::co_spawn(loop_, instance.authority.Claim(),
+                   [&done](std::exception_ptr) { done = true; });
+    RunUntil(loop_, [&done] { return done; });
+  }
+
+  // The order leaves at any moment up to the end of its confirmation.
+  void Order(Instance& instance) {
+    bool done = false;
+    std::optional<base::FencingToken> token;
+    base::Time until{};
+    asio::co_spawn(
+        loop_, instance.authority.Confirm(&until),
+        [&](std::exception_ptr, const std::optional<base::FencingToken>& it) {
+          token = it;
+          done = true;
+        });
+    RunUntil(loop_, [&done] { return done; });
+    if (token) {
+      const auto wait = milliseconds(
+          Draw(static_cast<std::size_t>(base::ToMillis(until - now_)) + 1));
+      given_.push_back(
+          {instance.presence.instance().str(), token->value(), now_ + wait});
+    }
+  }
+
+  const base::RandomSource random_;
+  base::Time now_ = base::Time() + std::chrono::hours(1);
+  const base::Clock clock_ = [this] { return now_; };
+  asio::io_context loop_;
+  FakeStorePort store_{loop_};
+  std::vector<std::unique_ptr<Instance>> instances_;
+  std::vector<StoreItem> old_list_;
+  std::vector<Given> given_;
+};
+
+// 50 schedules a case, 10,000 in all.
+RC_GTEST_PROP(OrderSchedules, HoldersDoNotTakeTurnsAndTokensRise, ()) {
+  constexpr int kSchedules = 50;
+  constexpr int kSteps = 250;
+  const auto seed =
+      *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>());
+  for (int i = 0; i < kSchedules; ++i) {
+    Schedule schedule(seed + static_cast<std::uint64_t>(i) * 7919);
+    schedule.Run(kSteps);
+    const auto& given = schedule.given();
+    for (std::size_t a = 0; a < given.size(); ++a) {
+      for (std::size_t b = a + 1; b < given.size(); ++b) {
+        if (given[a].by == given[b].by) {
+          continue;
+        }
+        RC_ASSERT(given[a].token < given[b].token);
+        RC_ASSERT(given[b].at - given[a].at >= kTurns);
+      }
+    }
+  }
+}
+
+// The schedules above are no use if nobody ever gives an order in them, or one
+// holder gives all.
+TEST(OrderSchedules, HoldersChangeInThem) {
+  int changes = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    Schedule schedule(seed);
+    schedule.Run(250);
+    const auto& given = schedule.given();
+    for (std::size_t i = 1; i < given.size(); ++i) {
+      changes += given[i].by != given[i - 1].by ? 1 : 0;
+    }
+  }
+  EXPECT_GT(changes, 10);
+}
+
+}  // namespace
+}  // namespace lynxglade::process
