--- a/src/process/read_sharing.cc
+++ b/src/process/read_sharing.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -115,12 +116,12 @@
 
 bool ReadSharing::Start(std::string* reason) {
   ErrorCode ec;
-  socket_.open(options_.endpoint.protocol(), ec);
+  std::ignore = socket_.open(options_.endpoint.protocol(), ec);
   if (!ec) {
-    socket_.bind(options_.endpoint, ec);
+    std::ignore = socket_.bind(options_.endpoint, ec);
   }
   if (!ec) {
-    socket_.non_blocking(true, ec);
+    std::ignore = socket_.non_blocking(true, ec);
   }
   if (ec) {
     *reason = ec.message();
--- a/src/process/stage_plan.cc
+++ b/src/process/stage_plan.cc
@@ -45,8 +45,11 @@
   for (const auto& [name, zone] : zones) {
     engines += zone.size();
   }
-  const int total = DecodeEngines(engines, options);
   std::map<base::ZoneId, int> wanted;
+  if (engines == 0) {
+    return wanted;
+  }
+  const int total = DecodeEngines(engines, options);
   int given = 0;
   const auto low = [&](const ZoneEngines& zone) {
     return total * zone.size() / engines;
