Review: one reset, one count, one parse, and a stop nobody called

A caller's broken answer is reset by ResetSocket like a target's; reads that failed are counted where they fail, not by comparing a counter before and after; whether a zone is in doubt is asked in one place; peers' addresses are parsed when their key is read, not ten times a second and peer; the follower's Stop() had no caller. Behaviour as before.

--- a/src/connection/event/caller_reply.cc
+++ b/src/connection/event/caller_reply.cc
@@ -1,7 +1,5 @@
 #include "connection/event/caller_reply.h"
 
-#include <tuple>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -89,10 +87,8 @@
 }
 
 void CallerReply::Abort() noexcept {
-  ErrorCode ignored;
-  // A reset, so that an answer that ends with its connection looks torn, too.
-  std::ignore = socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  CloseSocket(socket_);
+  // So that an answer that ends with its connection looks torn, too.
+  ResetSocket(socket_);
 }
 
 void CallerReply::MarkGone() {
--- a/src/process/instance_presence.cc
+++ b/src/process/instance_presence.cc
@@ -126,13 +126,14 @@
       !peer->is_string()) {
     return std::nullopt;
   }
-  auto endpoint = ParseEndpoint(peer->get<std::string>());
+  const auto endpoint = ParseEndpoint(peer->get<std::string>());
   if (!endpoint) {
     return std::nullopt;
   }
   return InstancePeer{base::InstanceId(item.key.substr(options_.prefix.size())),
                       base::ZoneId(zone->get<std::string>()),
-                      std::move(*endpoint)};
+                      {asio::ip::make_address(endpoint->address),
+                       static_cast<std::uint16_t>(endpoint->port)}};
 }
 
 void InstancePresence::NoteCount() {
--- a/src/process/instance_presence.h
+++ b/src/process/instance_presence.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/ip/udp.hpp>
+
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/time.h"
@@ -43,7 +45,7 @@
   base::InstanceId instance;
   base::ZoneId zone;
   // Where it hears the other instances.
-  Endpoint endpoint;
+  connection::event::asio::ip::udp::endpoint endpoint;
 };
 
 // Not thread-safe: lives on the event loop.
--- a/src/process/prefix_follower.cc
+++ b/src/process/prefix_follower.cc
@@ -83,12 +83,12 @@
       metrics_(metrics) {}
 
 Awaitable<void> PrefixFollower::Run() {
-  while (!stopped_) {
+  while (true) {
     const bool listed = co_await List();
     if (listed) {
       co_await Watch();
     }
-    if (!stopped_ && failures_in_a_row_ > 0) {
+    if (failures_in_a_row_ > 0) {
       co_await Pause();
     }
   }
@@ -114,7 +114,7 @@
 }
 
 Awaitable<void> PrefixFollower::Watch() {
-  while (!stopped_) {
+  while (true) {
     StoreFault fault{};
     const auto changes = co_await store_.Watch(options_.prefix, at_,
                                                options_.watch_wait, &fault);
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -67,9 +67,8 @@
   PrefixFollower(const PrefixFollower&) = delete;
   PrefixFollower& operator=(const PrefixFollower&) = delete;
 
-  // Runs until Stop(). The follower must outlive it.
+  // Runs until the loop ends. The follower must outlive it.
   connection::event::Awaitable<void> Run();
-  void Stop() noexcept { stopped_ = true; }
 
   // Since the store was last heard; nothing before the first list.
   std::optional<base::Duration> Age() const;
@@ -89,7 +88,6 @@
   const base::Clock clock_;
   const base::RandomSource random_;
   base::Metrics& metrics_;
-  bool stopped_ = false;
   // The store has failed in a way that a cut watch alone does not explain.
   bool away_ = false;
   int failures_in_a_row_ = 0;
--- a/src/process/read_sharing.cc
+++ b/src/process/read_sharing.cc
@@ -25,7 +25,6 @@
 using request::passthrough::EngineKey;
 using request::passthrough::PeerRead;
 namespace asio = connection::event::asio;
-using Udp = asio::ip::udp;
 
 constexpr std::uint64_t kReportVersion = 1;
 // Of one report; an instance with more under way tells the first.
@@ -155,13 +154,7 @@
   const std::string bytes = EncodeReads(reads);
   for (const InstancePeer& peer : peers) {
     ErrorCode ec;
-    const auto address = asio::ip::make_address(peer.endpoint.address, ec);
-    if (!ec) {
-      socket_.send_to(asio::buffer(bytes),
-                      Udp::endpoint(address, static_cast<std::uint16_t>(
-                                                 peer.endpoint.port)),
-                      0, ec);
-    }
+    socket_.send_to(asio::buffer(bytes), peer.endpoint, 0, ec);
     Count(ec ? "not_sent" : "sent");
   }
 }
@@ -186,11 +179,8 @@
 
 // Reports count only from where the store says that an instance is.
 void ReadSharing::Take(std::string_view bytes) {
-  const std::string address = sender_.address().to_string();
   const auto& peers = presence_.Peers();
-  const auto peer = std::ranges::find_if(peers, [&](const InstancePeer& it) {
-    return it.endpoint.port == sender_.port() && it.endpoint.address == address;
-  });
+  const auto peer = std::ranges::find(peers, sender_, &InstancePeer::endpoint);
   if (peer == peers.end()) {
     Count("from_unknown");
     return;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -61,6 +61,7 @@
 Awaitable<bool> RelayRun::ReadPrompt(const EnginePick& pick) {
   const auto endpoint = EndpointOf(*pick.reader);
   if (!endpoint) {
+    ++failed_reads_;
     co_return false;
   }
   EngineUse use(pick.reader, route_->priority, pick.unread_tokens,
@@ -98,6 +99,8 @@
     prompt_read_at_ = Elapsed();
     co_return true;
   }
+  // An engine that could not be reached has read nothing in vain.
+  failed_reads_ += state == ExchangeState::kNotSent ? 0 : 1;
   if (!Stopped()) {
     pick.reader->health.OnFailure(parts_.clock());
     parts_.metrics.GetCounter("lynxglade_prompt_reads_failed_total").Add();
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -198,13 +198,11 @@
 
 Awaitable<AttemptEnd> RelayRun::Attempt(EnginePick pick) {
   if (pick.reader && !source_) {
-    const int unreachable_before = unreachable_;
     const bool read = co_await ReadPrompt(pick);
     if (Stopped()) {
       co_return AttemptEnd::kStopped;
     }
     if (!read) {
-      failed_reads_ += unreachable_ == unreachable_before ? 1 : 0;
       co_return AttemptEnd::kNotRun;
     }
     // Loads have changed while the prompt was read.
--- a/src/request/passthrough/zone_health.cc
+++ b/src/request/passthrough/zone_health.cc
@@ -13,9 +13,7 @@
   }
   it.unreachable.insert(target);
   it.last_failure = now;
-  if (it.unreachable.size() >= options_.targets) {
-    it.next_try = now + options_.try_every;
-  }
+  OnTry(zone, now);
 }
 
 void ZoneHealth::OnReached(const base::ZoneId& zone) {
@@ -24,16 +22,14 @@
 
 void ZoneHealth::OnTry(const base::ZoneId& zone, base::Time now) {
   const auto it = zones_.find(zone);
-  if (it != zones_.end() && it->second.unreachable.size() >= options_.targets) {
+  if (it != zones_.end() && Doubted(it->second)) {
     it->second.next_try = now + options_.try_every;
   }
 }
 
 bool ZoneHealth::CutOff(const base::ZoneId& zone, base::Time now) const {
   const auto it = zones_.find(zone);
-  return it != zones_.end() &&
-         it->second.unreachable.size() >= options_.targets &&
-         now < it->second.next_try;
+  return it != zones_.end() && Doubted(it->second) && now < it->second.next_try;
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/zone_health.h
+++ b/src/request/passthrough/zone_health.h
@@ -54,6 +54,11 @@
     base::Time next_try{};
   };
 
+  // Whether enough targets in a row speak against the zone.
+  bool Doubted(const Zone& zone) const noexcept {
+    return zone.unreachable.size() >= options_.targets;
+  }
+
   const ZoneHealthOptions options_;
   std::map<base::ZoneId, Zone> zones_;
 };
--- a/tests/process/read_sharing_test.cc
+++ b/tests/process/read_sharing_test.cc
@@ -54,7 +54,8 @@
 }
 
 InstancePeer Peer(const std::string& name, const std::string& zone) {
-  return {base::InstanceId(name), base::ZoneId(zone), {"127.0.0.1", 1}};
+  return {base::InstanceId(name), base::ZoneId(zone),
+          Udp::endpoint(asio::ip::address_v4::loopback(), 1)};
 }
 
 TEST(SharingPeers, AFewInstancesTellAllOthers) {
