Targets: another birth is another life; entries that no target wrote name none

Cause: a target may start again under its id, and other programs may write under the targets' keys. Until now the life before was taken for the new one (load, reads, health, stage), an entry of an unknown phase counted as leaving, one of an unknown stage as generating, and an entry that could not be read left the one before it in force on a watch but not in a list.

Change: `born` is part of an entry; any other value is a new life with a new handle, and the old one takes no new requests. Clocks step, so births are not compared. Each member that a target writes is looked at; an entry that lacks one names no target, at once and without the grace for missing entries, and is counted by reason and logged once for each time it is written. An engine that reports another birth than its entry gets no order.

--- /dev/null
+++ b/fuzz/store_documents.cc
@@ -0,0 +1,25 @@
+// What other programs write to the platform's store: entries of targets and
+// the operator's configuration. Read whole or refused with a reason.
+#include "platform/store_documents.h"
+
+#include "fuzz/check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace lynxglade;
+  const std::string_view text = fuzz::TextOf(data, size);
+  platform::DocumentFault fault;
+  const auto entry = platform::ReadTargetEntry("servers/i-1", text, &fault);
+  fuzz::Check(entry || !fault.detail.empty(), "an entry or a reason");
+  if (entry) {
+    fuzz::Check(entry->id.str() == "i-1", "the key names the target");
+    fuzz::Check(entry->port > 0 && !entry->ip.empty(), "an address");
+    fuzz::Check(entry->slots >= 0, "slots");
+    fuzz::Check(!entry->born || entry->born->value() >= 0, "birth");
+  }
+  platform::DocumentFault other;
+  const auto table = platform::ReadConfiguration(text, &other);
+  fuzz::Check(table || !other.detail.empty(), "a configuration or a reason");
+  fuzz::Check(!table || table->version() >= 0, "version");
+  return 0;
+}
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -93,7 +93,7 @@
   connection::event::ChannelPool channels{loop, clock};
   platform::StoreClient store;
 
-  EntryViews views{clock};
+  EntryViews views{clock, metrics};
   request::passthrough::PeerReads peer_reads;
   request::passthrough::ZoneHealth zones;
   request::passthrough::EngineChoice choice;
--- a/src/main/entry_views.cc
+++ b/src/main/entry_views.cc
@@ -20,8 +20,8 @@
 constexpr base::Duration kEntryGrace = std::chrono::milliseconds(2000);
 }  // namespace
 
-EntryViews::EntryViews(base::Clock clock)
-    : clock_(std::move(clock)), engines_(kEntryGrace) {}
+EntryViews::EntryViews(base::Clock clock, base::Metrics& metrics)
+    : clock_(std::move(clock)), metrics_(metrics), engines_(kEntryGrace) {}
 
 process::PrefixFollowerHooks EntryViews::ConfigurationHooks() {
   return {
@@ -48,11 +48,13 @@
   if (item.key != platform::kConfigurationKey || item.deleted) {
     return;
   }
-  std::string reason;
-  auto table = platform::ReadConfiguration(item.value, &reason);
+  platform::DocumentFault fault;
+  auto table = platform::ReadConfiguration(item.value, &fault);
   if (!table) {
     Log(LogLevel::kError, "configuration_refused",
-        {{"revision", item.revision.value()}, {"reason", reason}});
+        {{"revision", item.revision.value()},
+         {"kind", ToString(fault.kind)},
+         {"reason", fault.detail}});
     return;
   }
   // A list that is read again shows the one in force.
@@ -74,44 +76,72 @@
 }
 
 void EntryViews::OnTarget(const StoreItem& item) {
+  const base::TargetId id = platform::TargetOfKey(item.key);
   if (item.deleted) {
-    const base::TargetId id = platform::TargetOfKey(item.key);
     Log(LogLevel::kInfo, "target_gone",
         {{"target", id.str()}, {"revision", item.revision.value()}});
+    refused_.erase(item.key);
     engines_.Remove(id, clock_());
     return;
   }
-  std::string reason;
-  const auto entry = platform::ReadTargetEntry(item.key, item.value, &reason);
+  platform::DocumentFault fault;
+  const auto entry = platform::ReadTargetEntry(item.key, item.value, &fault);
   if (!entry) {
-    Log(LogLevel::kError, "target_entry_refused",
-        {{"key", item.key}, {"reason", reason}});
+    NoteRefused(item, fault);
+    engines_.Refuse(id);
     return;
   }
+  refused_.erase(item.key);
   Log(LogLevel::kInfo, "target_entry",
       {{"target", entry->id.str()},
        {"service", entry->service.str()},
        {"zone", entry->zone.str()},
+       {"stage", ToString(entry->stage)},
        {"draining", entry->draining},
+       {"born", entry->born ? entry->born->value() : -1},
        {"revision", item.revision.value()}});
   engines_.Put(*entry, clock_());
 }
 
 void EntryViews::OnTargetList(const std::vector<StoreItem>& items) {
   std::vector<request::passthrough::EngineEntry> entries;
+  std::vector<base::TargetId> unusable;
+  const auto refused_before = std::exchange(refused_, {});
   for (const StoreItem& item : items) {
-    std::string reason;
-    const auto entry = platform::ReadTargetEntry(item.key, item.value, &reason);
+    platform::DocumentFault fault;
+    const auto entry = platform::ReadTargetEntry(item.key, item.value, &fault);
     if (entry) {
       entries.push_back(*entry);
       continue;
     }
-    Log(LogLevel::kError, "target_entry_refused",
-        {{"key", item.key}, {"reason", reason}});
+    unusable.push_back(platform::TargetOfKey(item.key));
+    const auto it = refused_before.find(item.key);
+    if (it != refused_before.end() && it->second == item.revision) {
+      refused_.insert(*it);
+    } else {
+      NoteRefused(item, fault);
+    }
   }
   engines_.Replace(entries, clock_());
+  std::ranges::for_each(
+      unusable, [this](const base::TargetId& id) { engines_.Refuse(id); });
   targets_listed_ = true;
-  Log(LogLevel::kInfo, "targets_listed", {{"targets", entries.size()}});
+  Log(LogLevel::kInfo, "targets_listed",
+      {{"targets", entries.size()}, {"refused", unusable.size()}});
+}
+
+void EntryViews::NoteRefused(const StoreItem& item,
+                             const platform::DocumentFault& fault) {
+  refused_[item.key] = item.revision;
+  metrics_
+      .GetCounter("lynxglade_target_entries_refused_total",
+                  {{"reason", std::string(ToString(fault.kind))}})
+      .Add();
+  Log(LogLevel::kWarning, "target_entry_refused",
+      {{"key", item.key},
+       {"revision", item.revision.value()},
+       {"kind", ToString(fault.kind)},
+       {"reason", fault.detail}});
 }
 
 }  // namespace lynxglade
--- a/src/main/entry_views.h
+++ b/src/main/entry_views.h
@@ -3,10 +3,14 @@
 #ifndef LYNXGLADE_MAIN_ENTRY_VIEWS_H_
 #define LYNXGLADE_MAIN_ENTRY_VIEWS_H_
 
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
+#include "base/metrics.h"
 #include "base/time.h"
+#include "base/units.h"
 #include "process/prefix_follower.h"
 #include "process/store_port.h"
 #include "request/passthrough/engine_table.h"
@@ -14,11 +18,15 @@
 
 namespace lynxglade {
 
+namespace platform {
+struct DocumentFault;
+}
+
 // Not thread-safe: lives on the event loop, and outlives the followers that
 // use its hooks.
 class EntryViews {
  public:
-  explicit EntryViews(base::Clock clock);
+  EntryViews(base::Clock clock, base::Metrics& metrics);
   EntryViews(const EntryViews&) = delete;
   EntryViews& operator=(const EntryViews&) = delete;
 
@@ -40,11 +48,18 @@
   void OnConfiguration(const process::StoreItem& item);
   void OnTarget(const process::StoreItem& item);
   void OnTargetList(const std::vector<process::StoreItem>& items);
+  // Counts and logs an entry that names no target, once for each time it is
+  // written.
+  void NoteRefused(const process::StoreItem& item,
+                   const platform::DocumentFault& fault);
 
   const base::Clock clock_;
+  base::Metrics& metrics_;
   std::shared_ptr<const request::passthrough::RouteTable> routes_;
   request::passthrough::EngineTable engines_;
   bool targets_listed_ = false;
+  // The revision of each key whose entry names no target.
+  std::map<std::string, base::Revision> refused_;
 };
 
 }  // namespace lynxglade
--- a/src/process/stage_orders.cc
+++ b/src/process/stage_orders.cc
@@ -101,6 +101,13 @@
   if (!report || report->changing || report->stage == change.to) {
     co_return;
   }
+  // The plan was made for another life of the engine.
+  if (report->born != engine->entry.born) {
+    Log(LogLevel::kInfo, "stage_order_withheld",
+        {{"target", engine->entry.id.str()},
+         {"reason", "target was born again"}});
+    co_return;
+  }
   base::Time until{};
   const auto token = co_await authority_.Confirm(&until);
   if (!token || clock_() >= until) {
--- a/src/process/stage_orders.h
+++ b/src/process/stage_orders.h
@@ -33,6 +33,8 @@
   bool changing = false;
   // Orders accepted since the engine's start.
   std::int64_t orders = 0;
+  // As in the engine's entry.
+  std::optional<base::BornMillis> born;
 };
 
 struct StageOrder {
--- a/src/process/stage_plan.cc
+++ b/src/process/stage_plan.cc
@@ -25,7 +25,7 @@
     const std::vector<EngineHandle>& engines) {
   std::map<base::ZoneId, ZoneEngines> zones;
   for (const EngineHandle& engine : engines) {
-    if (engine->entry.draining) {
+    if (engine->entry.draining || engine->entry.stage == EngineStage::kPlain) {
       continue;
     }
     ZoneEngines& zone = zones[engine->entry.zone];
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -26,6 +26,10 @@
   return engine.entry.stage == EngineStage::kPrefill;
 }
 
+bool IsStaged(const EngineHandle& engine) noexcept {
+  return engine->entry.stage != EngineStage::kPlain;
+}
+
 }  // namespace
 
 EngineChoice::EngineChoice(EngineChoiceOptions options,
@@ -206,10 +210,13 @@
 std::vector<EngineHandle> EngineChoice::Usable(
     const std::vector<EngineHandle>& engines,
     const ChoiceQuery& query) const {
+  // An entry without a stage among engines that have one is not an engine's.
+  const bool staged =
+      !query.prompt.empty() && std::ranges::any_of(engines, IsStaged);
   std::vector<EngineHandle> open;
   std::ranges::copy_if(
       engines, std::back_inserter(open), [&](const EngineHandle& it) {
-        return !it->entry.draining && it->in_flight < query.most_in_flight &&
+        return !it->entry.draining && (!staged || IsStaged(it)) && it->in_flight < query.most_in_flight &&
                std::ranges::find(query.tried, it->entry.id) ==
                    query.tried.end();
       });
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -6,7 +6,15 @@
 namespace lynxglade::request::passthrough {
 
 std::string_view ToString(EngineStage stage) noexcept {
-  return stage == EngineStage::kPrefill ? "prefill" : "decode";
+  switch (stage) {
+    case EngineStage::kPrefill:
+      return "prefill";
+    case EngineStage::kDecode:
+      return "decode";
+    case EngineStage::kPlain:
+      break;
+  }
+  return "plain";
 }
 
 EngineTable::EngineTable(base::Duration grace) : grace_(grace) {}
@@ -21,6 +29,12 @@
   Index();
 }
 
+void EngineTable::Refuse(const base::TargetId& id) {
+  missing_.erase(id);
+  Drop(id);
+  Index();
+}
+
 void EngineTable::Replace(const std::vector<EngineEntry>& entries,
                           base::Time now) {
   const base::Time joined = engines_.empty() ? base::Time{} : now;
@@ -42,6 +56,10 @@
 void EngineTable::Keep(const EngineEntry& entry, base::Time joined) {
   missing_.erase(entry.id);
   EngineHandle& engine = engines_[entry.id];
+  if (engine && engine->entry.born != entry.born) {
+    engine->entry.draining = true;
+    engine = nullptr;
+  }
   if (!engine) {
     engine = std::make_shared<Engine>();
     engine->staged_at = joined;
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,13 +19,14 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "base/units.h"
 #include "request/passthrough/engine_health.h"
 
 namespace lynxglade::request::passthrough {
 
-// What an engine does with a prompt. Plain targets are kDecode: they run
-// whatever they are sent.
-enum class EngineStage { kPrefill, kDecode };
+// What an engine does with a prompt. Plain targets have no stage: they run
+// whatever they are sent, and are not given prompts where others have one.
+enum class EngineStage { kPlain, kPrefill, kDecode };
 std::string_view ToString(EngineStage stage) noexcept;
 
 // A target as its entry in the store describes it.
@@ -39,6 +41,9 @@
   EngineStage stage = EngineStage::kDecode;
   // It finishes what it has and takes nothing new.
   bool draining = false;
+  // Nothing on platforms that do not tell. Another value, earlier or later, is
+  // another life of the target: clocks step, so they are not compared.
+  std::optional<base::BornMillis> born;
 };
 
 // The load a target reports with an answer.
@@ -85,11 +90,16 @@
   EngineTable(const EngineTable&) = delete;
   EngineTable& operator=(const EngineTable&) = delete;
 
-  // One entry was written. A new lifetime of a target has a new id.
+  // One entry was written. A target that was born again starts from nothing:
+  // what was learnt of its life before stays with the old handle, which takes
+  // no new requests.
   void Put(const EngineEntry& entry, base::Time now);
   // An entry vanished: dropped now, or at the end of the grace if the store
   // has only just come back.
   void Remove(const base::TargetId& id, base::Time now);
+  // What lies under the target's key names no target to use. No grace: the key
+  // is there, and its target would have written something else.
+  void Refuse(const base::TargetId& id);
   // The store's whole list; what is not in it is treated as by Remove().
   void Replace(const std::vector<EngineEntry>& entries, base::Time now);
   // The store answers again after a failure.
--- a/tests/main/entry_views_test.cc
+++ b/tests/main/entry_views_test.cc
@@ -31,10 +31,13 @@
 // Entries that are missing after an outage are kept so long.
 constexpr base::Duration kGrace = milliseconds(2000);
 
-std::string Entry(bool draining) {
+std::string Entry(bool draining, int life = 0) {
   return std::string(
-             R"({"backend":"s","address":"10.0.0.1:80","zone":"a","phase":")") +
-         (draining ? "draining" : "ready") + R"("})";
+             R"({"backend":"s","address":"10.0.0.1:80","zone":"a",)"
+             R"("version":"v1","slots":6,"coldRemainingMs":0,"sequence":1,)"
+             R"("phase":")") +
+         (draining ? "draining" : "ready") + R"(","born":)" +
+         std::to_string(life) + "}";
 }
 
 std::string Configuration(int version) {
@@ -54,7 +57,7 @@
   void Step() {
     const int target = Draw(6);
     const std::string id = "t" + std::to_string(target);
-    switch (Draw(11)) {
+    switch (Draw(13)) {
       case 0:
       case 1:
         Put(id, false);
@@ -87,6 +90,16 @@
       case 9:
         store_.Fail(std::nullopt);
         break;
+      case 10:
+        // From another writer: it names no target, whatever was there.
+        store_.Write("servers/" + id, Draw(2) == 0 ? "{" : "{\"slots\":1}");
+        targets_.erase(id);
+        break;
+      case 11:
+        // The target crashed and starts again, at a time that may be earlier.
+        lives_[id] = Draw(100);
+        Put(id, false);
+        break;
       default:
         now_ += milliseconds(Draw(3000));
         views_.engines().Expire(now_);
@@ -116,7 +129,7 @@
 
  private:
   void Put(const std::string& id, bool draining) {
-    store_.Write("servers/" + id, Entry(draining));
+    store_.Write("servers/" + id, Entry(draining, lives_[id]));
     targets_[id] = draining;
   }
 
@@ -127,7 +140,8 @@
     }
     return std::ranges::all_of(targets_, [this](const auto& row) {
       const auto engine = views_.engines().Find(base::TargetId(row.first));
-      return engine && engine->entry.draining == row.second;
+      return engine && engine->entry.draining == row.second &&
+             engine->entry.born == base::BornMillis(lives_.at(row.first));
     });
   }
 
@@ -146,7 +160,7 @@
   asio::io_context loop_;
   base::Metrics metrics_;
   FakeStorePort store_{loop_};
-  EntryViews views_{clock_};
+  EntryViews views_{clock_, metrics_};
   PrefixFollower follower_{
       loop_,
       store_,
@@ -161,6 +175,8 @@
   int version_ = 2;
   int newest_seen_ = 0;
   bool went_back_ = false;
+  // When each target says that it was born.
+  std::map<std::string, int> lives_;
   // Draining or not, by id, as the store has it.
   std::map<std::string, bool> targets_;
 };
--- a/tests/platform/store_documents_test.cc
+++ b/tests/platform/store_documents_test.cc
@@ -28,9 +28,9 @@
   "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
 TEST(StoreDocuments, ReadsAConfiguration) {
-  std::string reason;
-  const auto table = ReadConfiguration(kConfiguration, &reason);
-  ASSERT_TRUE(table) << reason;
+  DocumentFault fault;
+  const auto table = ReadConfiguration(kConfiguration, &fault);
+  ASSERT_TRUE(table) << fault.detail;
   EXPECT_EQ(table->version(), 7);
   const auto* stream = table->Find("h", "/a/x");
   ASSERT_TRUE(stream);
@@ -65,54 +65,113 @@
            {with("\"timeoutMs\":3000", "\"timeoutMs\":\"3\""), "timeoutMs"},
            {with("\"weight\":90", "\"weight\":-1"), "weight"},
            {with("\"backend\":\"s\"", "\"backend\":5"), "backend"}}) {
-    std::string reason;
-    EXPECT_FALSE(ReadConfiguration(text, &reason)) << part;
-    EXPECT_NE(reason.find(part), std::string::npos) << reason;
+    DocumentFault fault;
+    EXPECT_FALSE(ReadConfiguration(text, &fault)) << part;
+    EXPECT_NE(fault.detail.find(part), std::string::npos) << fault.detail;
   }
 }
 
+constexpr char kEntry[] =
+    R"({"backend":"s","address":"10.128.0.9:8080","zone":"a","version":"v1",
+        "slots":64,"phase":"draining","coldRemainingMs":0,"stage":"prefill",
+        "models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,
+        "born":1783786258670})";
+
+// kEntry with one text in place of another.
+std::string EntryWith(const std::string& from, const std::string& to) {
+  std::string text = kEntry;
+  return text.replace(text.find(from), from.size(), to);
+}
+
 TEST(StoreDocuments, ReadsATargetEntry) {
-  std::string reason;
-  const auto entry = ReadTargetEntry(
-      "servers/i-1",
-      R"({"backend":"s","address":"10.128.0.9:8080","zone":"a","version":"v1",
-          "slots":64,"phase":"draining","coldRemainingMs":0,
-          "stage":"prefill","sequence":4})",
-      &reason);
-  ASSERT_TRUE(entry) << reason;
+  DocumentFault fault;
+  const auto entry = ReadTargetEntry("servers/i-1", kEntry, &fault);
+  ASSERT_TRUE(entry) << fault.detail;
   EXPECT_EQ(entry->id.str(), "i-1");
   EXPECT_EQ(entry->ip, "10.128.0.9");
   EXPECT_EQ(entry->port, 8080);
   EXPECT_TRUE(entry->draining);
   EXPECT_EQ(entry->stage, EngineStage::kPrefill);
+  EXPECT_EQ(entry->born, base::BornMillis(1'783'786'258'670));
+}
+
+// Platforms that do not tell, and plain targets.
+TEST(StoreDocuments, AnEntryMayLackItsBirthAndItsStage) {
+  DocumentFault fault;
+  const auto unborn = ReadTargetEntry(
+      "servers/i", EntryWith(",\n        \"born\":1783786258670", ""), &fault);
+  ASSERT_TRUE(unborn) << fault.detail;
+  EXPECT_FALSE(unborn->born);
+  const auto plain = ReadTargetEntry(
+      "servers/i", EntryWith("\"stage\":\"prefill\",", ""), &fault);
+  ASSERT_TRUE(plain) << fault.detail;
+  EXPECT_EQ(plain->stage, EngineStage::kPlain);
 }
 
 TEST(StoreDocuments, RefusesAnEntryWithoutAnAddress) {
-  for (const char* address : {"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:x"}) {
-    std::string reason;
+  for (const char* address : {"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:x",
+                              "ten:80", "10.0.0.256:80", ":80"}) {
+    DocumentFault fault;
     EXPECT_FALSE(ReadTargetEntry(
-        "servers/i",
-        std::string(
-            R"({"backend":"s","zone":"a","phase":"ready","address":")") +
-            address + "\"}",
-        &reason));
-    EXPECT_NE(reason.find("address"), std::string::npos);
+        "servers/i", EntryWith("10.128.0.9:8080", address), &fault));
+    EXPECT_EQ(fault.kind, DocumentFaultKind::kAddress) << address;
+  }
+}
+
+// Another writer's entry: every member of a target's own is looked at.
+TEST(StoreDocuments, RefusesAnEntryThatNoTargetWrote) {
+  using enum DocumentFaultKind;
+  struct Row {
+    const char* from;
+    const char* to;
+    DocumentFaultKind kind;
+  };
+  for (const Row& row : {
+           Row{"{", "", kNotReadable},
+           {"\"backend\":\"s\",", "", kMember},
+           {"\"backend\":\"s\"", "\"backend\":null", kMember},
+           {"\"address\":\"10.128.0.9:8080\"", "\"address\":8080", kMember},
+           {"\"zone\":\"a\"", "\"zone\":[]", kMember},
+           {"\"version\":\"v1\",", "", kMember},
+           {"\"slots\":64", "\"slots\":-1", kMember},
+           {"\"slots\":64", "\"slots\":6.5", kMember},
+           {"\"slots\":64", "\"slots\":18446744073709551615", kMember},
+           {"\"slots\":64,", "", kMember},
+           {"\"phase\":\"draining\"", "\"phase\":\"resting\"", kUnknownWord},
+           {"\"phase\":\"draining\",", "", kMember},
+           {"\"phase\":\"draining\"", "\"phase\":true", kMember},
+           {"\"coldRemainingMs\":0,", "", kMember},
+           {"\"stage\":\"prefill\"", "\"stage\":\"dozing\"", kUnknownWord},
+           {"\"stage\":\"prefill\"", "\"stage\":3", kMember},
+           {"\"sequence\":4", "\"sequence\":\"4\"", kMember},
+           {"1783786258670", "\"1783786258670\"", kMember},
+           {"1783786258670", "1783786258670.5", kMember},
+           {"1783786258670", "-1", kMember},
+           {"1783786258670", "null", kMember},
+       }) {
+    DocumentFault fault;
+    EXPECT_FALSE(
+        ReadTargetEntry("servers/i", EntryWith(row.from, row.to), &fault))
+        << row.to;
+    EXPECT_EQ(fault.kind, row.kind) << row.from << " -> " << row.to;
+    EXPECT_FALSE(fault.detail.empty());
   }
 }
 
 // Whatever lies in the store, reading it ends with a table or a reason.
 RC_GTEST_PROP(StoreDocuments, DamagedDocumentsNeverThrow, ()) {
-  std::string text = kConfiguration;
+  std::string text = *rc::gen::element<std::string>(kConfiguration, kEntry);
   const int damages = *rc::gen::inRange(1, 6);
   for (int i = 0; i < damages; ++i) {
     const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
     text[at] = *rc::gen::arbitrary<char>();
   }
-  std::string reason;
-  const auto table = ReadConfiguration(text, &reason);
-  RC_ASSERT(table || !reason.empty());
-  std::string entry_reason;
-  ReadTargetEntry("servers/x", text, &entry_reason);
+  DocumentFault fault;
+  const auto table = ReadConfiguration(text, &fault);
+  RC_ASSERT(table || !fault.detail.empty());
+  DocumentFault entry_fault;
+  const auto entry = ReadTargetEntry("servers/x", text, &entry_fault);
+  RC_ASSERT(entry || !entry_fault.detail.empty());
 }
 
 }  // namespace
--- a/tests/request/passthrough/engine_table_test.cc
+++ b/tests/request/passthrough/engine_table_test.cc
@@ -52,6 +52,72 @@
   EXPECT_EQ(table.size(), 0U);
 }
 
+EngineEntry Born(const std::string& id, std::int64_t born) {
+  EngineEntry entry = Entry(id);
+  entry.born = base::BornMillis(born);
+  return entry;
+}
+
+// What this instance has learnt of a target, and has there, belongs to one of
+// its lives.
+TEST(EngineTable, ATargetThatIsBornAgainStartsFromNothing) {
+  EngineTable table(kGrace);
+  table.Put(Born("a", 1000), kNow - std::chrono::minutes(1));
+  const EngineHandle before = table.Find(base::TargetId("a"));
+  before->in_flight = 3;
+  before->reads[0].unread_tokens = 5000;
+  before->reported = {.running = 9, .waiting = 2, .slots = 64};
+  before->health.OnFailure(kNow);
+  table.Put(Born("a", 2000), kNow);
+  const EngineHandle after = table.Find(base::TargetId("a"));
+  ASSERT_NE(after, before);
+  EXPECT_EQ(after->in_flight, 0);
+  EXPECT_TRUE(after->reads.empty());
+  EXPECT_EQ(after->reported.running, 0);
+  EXPECT_FALSE(after->health.Avoided(kNow));
+  EXPECT_EQ(after->staged_at, kNow);
+  // Requests in flight hold the life that they were sent to.
+  EXPECT_TRUE(before->entry.draining);
+  EXPECT_EQ(before->in_flight, 3);
+  EXPECT_EQ(table.OfService(kService).size(), 1U);
+}
+
+TEST(EngineTable, AnotherBirthIsAnotherLifeAlsoWhenItIsEarlierOrMissing) {
+  EngineTable table(kGrace);
+  table.Put(Born("a", 2000), kNow);
+  const EngineHandle first = table.Find(base::TargetId("a"));
+  table.Put(Born("a", 1000), kNow);
+  const EngineHandle earlier = table.Find(base::TargetId("a"));
+  EXPECT_NE(earlier, first);
+  table.Put(Entry("a"), kNow);
+  EXPECT_NE(table.Find(base::TargetId("a")), earlier);
+}
+
+TEST(EngineTable, TheSameLifeKeepsWhatIsKnown) {
+  EngineTable table(kGrace);
+  table.Put(Born("a", 1000), kNow);
+  const EngineHandle before = table.Find(base::TargetId("a"));
+  EngineEntry entry = Born("a", 1000);
+  entry.draining = true;
+  table.Put(entry, kNow);
+  EXPECT_EQ(table.Find(base::TargetId("a")), before);
+  EXPECT_TRUE(before->entry.draining);
+}
+
+// No grace for it: its key is there, so nothing of it is on its way.
+TEST(EngineTable, AKeyThatNamesNoTargetDropsItAtOnceAndHoldsTheOthers) {
+  EngineTable table(kGrace);
+  table.Put(Entry("a"), kNow);
+  table.Put(Entry("b"), kNow);
+  table.OnStoreReturned(kNow);
+  table.Refuse(base::TargetId("a"));
+  EXPECT_EQ(table.Find(base::TargetId("a")), nullptr);
+  ASSERT_EQ(table.OfService(kService).size(), 1U);
+  EXPECT_EQ(table.OfService(kService)[0]->entry.id.str(), "b");
+  table.Refuse(base::TargetId("unknown"));
+  EXPECT_EQ(table.size(), 1U);
+}
+
 TEST(EngineTable, AListWithoutAnOutageDropsWhatIsMissing) {
   EngineTable table(kGrace);
   table.Put(Entry("a"), kNow);
