Reading times are learnt; prompts that miss their goal give way

Cause: 45 tokens a millisecond were assumed where engines read 160 (and 12 ms a fetch, 20 ms a hand-over, where 3 and 9 are met), so waits were overestimated; and what would begin past its goal was refused.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -39,6 +39,15 @@
 // Whole milliseconds of a duration, rounded towards zero.
 std::int64_t ToMillis(Duration d) noexcept;
 
+// Milliseconds with their fraction, the unit in which costs are compared.
+using FineMillis = std::chrono::duration<double, std::milli>;
+inline double ToFineMillis(Duration d) noexcept {
+  return FineMillis(d).count();
+}
+inline Duration FromFineMillis(double ms) noexcept {
+  return std::chrono::duration_cast<Duration>(FineMillis(ms));
+}
+
 }  // namespace lynxglade::base
 
 #endif  // LYNXGLADE_BASE_TIME_H_
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -96,6 +96,7 @@
   EntryViews views{clock, metrics};
   request::passthrough::PeerReads peer_reads;
   request::passthrough::ZoneHealth zones;
+  request::passthrough::ReadTimes read_times;
   request::passthrough::EngineChoice choice;
   request::passthrough::RetryAllowance allowance;
   process::InstancePresence presence;
@@ -120,6 +121,7 @@
       store(loop, channels, {.endpoint = EndpointOf(s.store)}, metrics),
       choice(
           {.zone = s.zone},
+          read_times,
           random,
           [this](const request::passthrough::Engine& engine,
                  int priority,
@@ -214,6 +216,7 @@
           .channels = channels,
           .engines = views.engines(),
           .choice = choice,
+          .read_times = read_times,
           .allowance = allowance,
           .zones = zones,
           .metrics = metrics,
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -11,16 +11,8 @@
 
 namespace {
 
-// Milliseconds with their fraction, the unit of the options' costs.
-using FineMillis = std::chrono::duration<double, std::milli>;
-
-double InMillis(base::Duration d) {
-  return FineMillis(d).count();
-}
-
-base::Duration FromMillis(double ms) {
-  return std::chrono::duration_cast<base::Duration>(FineMillis(ms));
-}
+using base::FromFineMillis;
+using base::ToFineMillis;
 
 bool IsPrefill(const Engine& engine) noexcept {
   return engine.entry.stage == EngineStage::kPrefill;
@@ -33,10 +25,12 @@
 }  // namespace
 
 EngineChoice::EngineChoice(EngineChoiceOptions options,
+                           const ReadTimes& read_times,
                            base::RandomSource random,
                            PeerTokens peer_tokens,
                            ZoneCutOff cut_off)
     : options_(std::move(options)),
+      read_times_(read_times),
       random_(std::move(random)),
       peer_tokens_(std::move(peer_tokens)),
       cut_off_(std::move(cut_off)) {}
@@ -113,7 +107,8 @@
   }
   for (const EngineHandle& engine : readers) {
     EnginePick pick = Reading(engine, places, query);
-    pick.expected += FromMillis(options_.handoff_ms + least_ms);
+    pick.expected += FromFineMillis(
+        read_times_.HandoverMs(engine->entry.service) + least_ms);
     if (pick.expected < best.expected) {
       pick.runner = least;
       pick.reader = engine;
@@ -129,20 +124,20 @@
   const Prompt& prompt = query.prompt;
   const double wait_ms = WaitMs(*engine, query.priority, query.now);
   EnginePick pick;
+  pick.alone = NothingAhead(*engine, query.now);
   pick.unread_tokens = places.home ? prompt.OwnTokens() : prompt.TotalTokens();
-  double read_ms = static_cast<double>(pick.unread_tokens) / ReadRate(*engine);
+  double read_ms = ReadMs(*engine, pick.unread_tokens);
   if (places.holder && engine != places.holder) {
     pick.fetch_from = places.holder;
-    read_ms += options_.fetch_ms;
+    read_ms += read_times_.FetchMs(engine->entry.service);
   }
   if (places.home && engine != places.home) {
     const std::int64_t shared = prompt.TotalTokens() - prompt.OwnTokens();
-    read_ms += options_.away_from_home * static_cast<double>(shared) /
-               ReadRate(*engine);
+    read_ms += options_.away_from_home * ReadMs(*engine, shared);
   }
-  pick.read_time = FromMillis(read_ms);
-  pick.wait = FromMillis(wait_ms);
-  pick.expected = FromMillis(wait_ms + read_ms + ZoneMs(*engine) +
+  pick.read_time = FromFineMillis(read_ms);
+  pick.wait = FromFineMillis(wait_ms);
+  pick.expected = FromFineMillis(wait_ms + read_ms + ZoneMs(*engine) +
                              options_.running_ms * Load(*engine, query.now));
   return pick;
 }
@@ -159,16 +154,23 @@
       break;
     }
     const double overdue =
-        queue.due.empty() ? 0 : InMillis(now - *queue.due.begin());
+        queue.due.empty() ? 0 : ToFineMillis(now - *queue.due.begin());
     const double met =
-        InMillis(queue.waited) * std::exp(-InMillis(now - queue.waited_at) /
-                                          InMillis(options_.wait_life));
+        ToFineMillis(queue.waited) * std::exp(-ToFineMillis(now - queue.waited_at) /
+                                          ToFineMillis(options_.wait_life));
     longest = std::max({longest, overdue, met});
   }
-  const std::int64_t begun =
-      std::min(ahead.less_urgent, options_.most_less_urgent) / 2;
-  const double tokens = static_cast<double>(ahead.before + begun);
-  return std::max(longest, tokens / ReadRate(engine));
+  const double begun =
+      std::min(static_cast<double>(ahead.less_urgent),
+               read_times_.TokensLeftOfOne(engine.entry.service));
+  const double tokens = static_cast<double>(ahead.before) + begun;
+  return std::max(longest,
+                  tokens / read_times_.TokensPerMs(engine) * StageFactor(engine));
+}
+
+bool EngineChoice::NothingAhead(const Engine& engine, base::Time now) const {
+  const ReadsAhead ahead = CountReads(engine, 0, now);
+  return ahead.before + ahead.less_urgent == 0;
 }
 
 EngineChoice::ReadsAhead EngineChoice::CountReads(const Engine& engine,
@@ -239,9 +241,13 @@
   return has_runner(sound) ? sound : open;
 }
 
-double EngineChoice::ReadRate(const Engine& engine) const noexcept {
-  return options_.prefill_tokens_per_ms *
-         (IsPrefill(engine) ? 1 : options_.decode_read_factor);
+double EngineChoice::ReadMs(const Engine& engine, std::int64_t tokens) const {
+  return tokens == 0 ? 0
+                     : read_times_.ReadMs(engine, tokens) * StageFactor(engine);
+}
+
+double EngineChoice::StageFactor(const Engine& engine) const noexcept {
+  return IsPrefill(engine) ? 1 : options_.decode_read_factor;
 }
 
 double EngineChoice::ZoneMs(const Engine& engine) const noexcept {
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -3,7 +3,7 @@
 // For a prompt, each engine is judged by when it would begin to generate: how
 // long prompts wait there (by what this instance and its peers have it read, by
 // this one's overdue reads, and by the wait that its last read met), then what
-// it has to read of this one.
+// it has to read of this one, at the speeds that read_times has learnt.
 // Shared parts live at a home, the prefill engine that all instances agree on
 // without a message (rendezvous hashing); another engine fetches their KV cache
 // from there, which takes a few milliseconds where reading takes hundreds. A
@@ -25,28 +25,20 @@
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/part_places.h"
 #include "request/passthrough/prompt.h"
+#include "request/passthrough/read_times.h"
 
 namespace lynxglade::request::passthrough {
 
 struct EngineChoiceOptions {
   base::ZoneId zone;
-  // Prompt tokens a prefill engine reads in a millisecond. The users' sheets
-  // give 37.9 and 56.6; only the ratio to the times below matters.
-  double prefill_tokens_per_ms = 45;
-  // A decode engine reads at this part of that speed (users' protocol page).
-  double decode_read_factor = 0.5;
+  // A decode engine takes so many times as long to read (users' protocol page).
+  double decode_read_factor = 2;
   // A decode engine reads a prompt in chunks of about this many tokens (a
   // quarter of the users' 4,096), and each chunk holds up every request that
   // it generates for. Where a prefill engine can read, longer prompts are not
   // read at a decode engine: while one read 50,000 tokens, the pauses of all
   // its streams grew from 60 ms to 400 ms.
   std::int64_t most_read_at_decoder = 1024;
-  // What a prompt costs besides its tokens when its KV cache moves between
-  // engines: the extra call, the set-up and the transfer.
-  double handoff_ms = 20;
-  // What fetching the KV cache of shared parts from another engine costs:
-  // set-up and transfer, 245 MB at 370 Gbit/s for an album's.
-  double fetch_ms = 12;
   // What leaving a part's home is taken to cost, in readings of the shared
   // parts. More than one: what is read elsewhere is found there by nobody, and
   // takes memory from what is. On the users' calm day 0.2, 0.6, 1, 1.5, 2.5
@@ -59,12 +51,6 @@
   base::Duration settling = std::chrono::seconds(15);
   // A wait that a read met says less of the next one the longer ago it was.
   base::Duration wait_life = std::chrono::milliseconds(400);
-  // An engine ends the prompt that it has begun before it reads a more urgent
-  // one. Half of what is less urgent there is taken to be ahead, up to half of
-  // this many tokens, a long prompt of the users'. On their calm days 0, 4,096
-  // and 16,384 earned 0.758, 0.785 and 0.780 (memoria-austral), 0.764, 0.783
-  // and 0.798 (nestlogik-lynx).
-  std::int64_t most_less_urgent = 16'384;
   // What a request at an engine costs the next one, by longer steps: a step
   // grows by about 0.09 ms a slot, and a first token waits for a few steps.
   double running_ms = 0.5;
@@ -102,6 +88,8 @@
   // that takes if nothing else is read first.
   std::int64_t unread_tokens = 0;
   base::Duration read_time{};
+  // No other read is known to be under way there.
+  bool alone = false;
   // How long the prompt is expected to wait for others to be read.
   base::Duration wait{};
   // When generation is expected to begin, from now.
@@ -122,6 +110,7 @@
  public:
   // The hooks may be empty: nothing is known of others, all zones are reached.
   EngineChoice(EngineChoiceOptions options,
+               const ReadTimes& read_times,
                base::RandomSource random,
                PeerTokens peer_tokens = {},
                ZoneCutOff cut_off = {});
@@ -162,12 +151,17 @@
                         base::Time now) const;
   // Until the engine begins to read what is sent now.
   double WaitMs(const Engine& engine, int priority, base::Time now) const;
-  double ReadRate(const Engine& engine) const noexcept;
+  // Milliseconds to read so much there; 0 for nothing.
+  double ReadMs(const Engine& engine, std::int64_t tokens) const;
+  // How many times as long reading takes at an engine of that stage.
+  double StageFactor(const Engine& engine) const noexcept;
+  bool NothingAhead(const Engine& engine, base::Time now) const;
   double ZoneMs(const Engine& engine) const noexcept;
   // Requests at the engine, as far as is known here.
   double Load(const Engine& engine, base::Time now) const noexcept;
 
   const EngineChoiceOptions options_;
+  const ReadTimes& read_times_;
   const base::RandomSource random_;
   const PeerTokens peer_tokens_;
   const ZoneCutOff cut_off_;
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -79,6 +79,9 @@
   ReportedLoad reported;
   base::Time reported_at{};
   EngineHealth health;
+  // How long it takes to read against the other engines of its service, as
+  // learnt by ReadTimes.
+  double slowness = 1;
 };
 using EngineHandle = std::shared_ptr<Engine>;
 
--- /dev/null
+++ b/src/request/passthrough/read_times.cc
@@ -0,0 +1,139 @@
+#include "request/passthrough/read_times.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lynxglade::request::passthrough {
+
+namespace {
+
+// The reads that the figures of the start stand for, of several sizes, so that
+// they give a line.
+constexpr std::array kPriorSizes{500.0, 2'000.0, 10'000.0};
+// A line that would read faster than this was fitted to noise.
+constexpr double kMostTokensPerMs = 5'000;
+// Engines of one service differ by less.
+constexpr double kMostSlowness = 10;
+// Of an engine's difference to the others, what each of its reads forgets.
+constexpr double kPullToUsual = 0.01;
+
+}  // namespace
+
+ReadTimes::ReadTimes(ReadTimesOptions options)
+    : options_(options), unseen_(MakeService()) {}
+
+void ReadTimes::LearnRead(Engine& engine,
+                          std::int64_t tokens,
+                          base::Duration took) {
+  Service& service = Of(engine.entry.service);
+  const double size = std::max(static_cast<double>(tokens), 1.0);
+  const double usual = Fit(service).At(size);
+  const double ms =
+      Believed(base::ToFineMillis(took), usual * engine.slowness);
+  // The pull towards 1 keeps the engines' common level out of their slowness.
+  engine.slowness += options_.step * (ms / usual - engine.slowness) +
+                     kPullToUsual * (1 - engine.slowness);
+  engine.slowness =
+      std::clamp(engine.slowness, 1 / kMostSlowness, kMostSlowness);
+  const double level = ms / engine.slowness;
+  for (double* sum :
+       {&service.weight, &service.reads, &service.tokens,
+        &service.tokens_squared, &service.ms, &service.ms_per_token}) {
+    *sum *= options_.memory;
+  }
+  Add(service, size, level);
+}
+
+void ReadTimes::Add(Service& service, double tokens, double ms) noexcept {
+  service.weight += 1 / tokens;
+  service.reads += 1;
+  service.tokens += tokens;
+  service.tokens_squared += tokens * tokens;
+  service.ms += ms;
+  service.ms_per_token += ms / tokens;
+}
+
+void ReadTimes::LearnFetchedRead(const Engine& engine,
+                                 std::int64_t tokens,
+                                 base::Duration took) {
+  Service& service = Of(engine.entry.service);
+  const double rest =
+      std::max(base::ToFineMillis(took) - ReadMs(engine, tokens), 0.0);
+  service.fetch_ms +=
+      options_.step * (Believed(rest, service.fetch_ms) - service.fetch_ms);
+}
+
+void ReadTimes::LearnHandover(const base::ServiceName& name,
+                              base::Duration took) {
+  Service& service = Of(name);
+  const double ms = Believed(base::ToFineMillis(took), service.handover_ms);
+  service.handover_ms += options_.step * (ms - service.handover_ms);
+}
+
+double ReadTimes::ReadMs(const Engine& engine, std::int64_t tokens) const {
+  return engine.slowness *
+         Fit(Of(engine.entry.service)).At(static_cast<double>(tokens));
+}
+
+double ReadTimes::TokensPerMs(const Engine& engine) const {
+  const Service& service = Of(engine.entry.service);
+  const double mean = service.tokens / service.reads;
+  return mean / (engine.slowness * Fit(service).At(mean));
+}
+
+double ReadTimes::TokensLeftOfOne(const base::ServiceName& name) const {
+  const Service& service = Of(name);
+  return service.tokens_squared / std::max(service.tokens, 1.0) / 2;
+}
+
+double ReadTimes::FetchMs(const base::ServiceName& service) const {
+  return Of(service).fetch_ms;
+}
+
+double ReadTimes::HandoverMs(const base::ServiceName& service) const {
+  return Of(service).handover_ms;
+}
+
+ReadTimes::Service ReadTimes::MakeService() const {
+  Service service;
+  for (const double size : kPriorSizes) {
+    Add(service, size, size / options_.prior_tokens_per_ms);
+  }
+  service.fetch_ms = options_.prior_fetch_ms;
+  service.handover_ms = options_.prior_handover_ms;
+  return service;
+}
+
+const ReadTimes::Service& ReadTimes::Of(
+    const base::ServiceName& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? unseen_ : it->second;
+}
+
+ReadTimes::Service& ReadTimes::Of(const base::ServiceName& service) {
+  return services_.try_emplace(service, unseen_).first->second;
+}
+
+// Prompts of one size give no slope, and noise may give a line that starts
+// below nothing: then time is taken to grow with the tokens alone.
+ReadTimes::Line ReadTimes::Fit(const Service& service) const noexcept {
+  const double size = service.reads / service.weight;
+  const double ms = service.ms_per_token / service.weight;
+  const double spread = service.tokens / service.weight - size * size;
+  const double common = service.ms / service.weight - size * ms;
+  const double least = 1 / kMostTokensPerMs;
+  const double proportional = std::max(ms / size, least);
+  constexpr double kLeastSpread = 0.01;
+  if (spread < kLeastSpread * size * size) {
+    return {0, proportional};
+  }
+  const double slope = std::max(common / spread, least);
+  const double base = ms - slope * size;
+  return base < 0 ? Line{0, proportional} : Line{base, slope};
+}
+
+double ReadTimes::Believed(double ms, double expected) const noexcept {
+  return std::min(ms, options_.most_surprise * std::max(expected, 1.0));
+}
+
+}  // namespace lynxglade::request::passthrough
--- /dev/null
+++ b/src/request/passthrough/read_times.h
@@ -0,0 +1,106 @@
+// How long engines take to read prompts, and to move KV cache, learnt from this
+// instance's own requests.
+//
+// A service's engines are alike up to a factor: a read of n tokens takes
+// slowness * (base + n / rate). Reads that met no other show base and rate; an
+// engine's slowness is what its reads take against that. The figures that the
+// instance starts with stand for a few reads and fade as real ones come.
+#ifndef LYNXGLADE_REQUEST_PASSTHROUGH_READ_TIMES_H_
+#define LYNXGLADE_REQUEST_PASSTHROUGH_READ_TIMES_H_
+
+#include <cstdint>
+#include <map>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "request/passthrough/engine_table.h"
+
+namespace lynxglade::request::passthrough {
+
+struct ReadTimesOptions {
+  // Before anything is seen. Engines of the users' sheets read 38 to 220
+  // tokens in a millisecond.
+  double prior_tokens_per_ms = 45;
+  // Set-up and transfer of 245 MB at 370 Gbit/s.
+  double prior_fetch_ms = 12;
+  // The extra call, the set-up, the transfer and a first step.
+  double prior_handover_ms = 20;
+  // What a read counts for after the next one: 1 / (1 - memory) reads, 33,
+  // are remembered, less than two seconds' of a busy instance.
+  double memory = 0.97;
+  // A read that took more than so many times what was expected met something
+  // that was not known of, and counts as if it had taken so many times.
+  double most_surprise = 2;
+  // Of the difference to what is believed, the part that one more read, fetch
+  // or hand-over changes it by.
+  double step = 0.1;
+};
+
+// Not thread-safe: lives on the event loop.
+class ReadTimes {
+ public:
+  explicit ReadTimes(ReadTimesOptions options = {});
+  ReadTimes(const ReadTimes&) = delete;
+  ReadTimes& operator=(const ReadTimes&) = delete;
+
+  // An engine read `tokens` in `took`, with nothing before it as far as is
+  // known here.
+  void LearnRead(Engine& engine, std::int64_t tokens, base::Duration took);
+  // The same, after the shared parts were fetched; what it took longer than
+  // the reading is the fetch.
+  void LearnFetchedRead(const Engine& engine,
+                        std::int64_t tokens,
+                        base::Duration took);
+  // From handing a read prompt over to an engine of the service to the first
+  // event.
+  void LearnHandover(const base::ServiceName& service, base::Duration took);
+
+  // Milliseconds of engine time, at the full speed of its kind.
+  double ReadMs(const Engine& engine, std::int64_t tokens) const;
+  // Tokens in a millisecond, for a prompt of the mean size seen.
+  double TokensPerMs(const Engine& engine) const;
+  // What is left on average of the prompt that an engine has begun to read: it
+  // ends that one before it reads a more urgent one. Long prompts are met more
+  // often than short ones.
+  double TokensLeftOfOne(const base::ServiceName& service) const;
+  double FetchMs(const base::ServiceName& service) const;
+  double HandoverMs(const base::ServiceName& service) const;
+
+ private:
+  // Least squares over reads, in tokens and milliseconds. Errors grow with a
+  // read's size, so each read is weighted by one over its tokens.
+  struct Service {
+    double weight = 0;
+    double reads = 0;
+    double tokens = 0;
+    double tokens_squared = 0;
+    double ms = 0;
+    // Sum of each read's milliseconds a token.
+    double ms_per_token = 0;
+    double fetch_ms = 0;
+    double handover_ms = 0;
+  };
+  struct Line {
+    double base_ms = 0;
+    double ms_per_token = 0;
+    double At(double tokens) const noexcept {
+      return base_ms + ms_per_token * tokens;
+    }
+  };
+
+  Service MakeService() const;
+  static void Add(Service& service, double tokens, double ms) noexcept;
+  const Service& Of(const base::ServiceName& service) const;
+  Service& Of(const base::ServiceName& service);
+  Line Fit(const Service& service) const noexcept;
+  // `ms`, or as much as may be believed of it.
+  double Believed(double ms, double expected) const noexcept;
+
+  const ReadTimesOptions options_;
+  const Service unseen_;
+  std::map<base::ServiceName, Service> services_;
+};
+
+}  // namespace lynxglade::request::passthrough
+
+#endif  // LYNXGLADE_REQUEST_PASSTHROUGH_READ_TIMES_H_
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -20,6 +20,8 @@
 #include "connection/event/channel_pool.h"
 #include "request/passthrough/engine_choice.h"
 #include "request/passthrough/engine_table.h"
+#include "request/passthrough/goal_admission.h"
+#include "request/passthrough/read_times.h"
 #include "request/passthrough/retry_allowance.h"
 #include "request/passthrough/route_table.h"
 #include "request/passthrough/target_protocol.h"
@@ -34,9 +36,7 @@
   // Targets that a request may find unreachable before it is refused. They cost
   // no one but its caller, 300 ms each at most.
   int max_unreachable = 4;
-  // Longest expected wait before a prompt is read, in parts of the route's
-  // goal for the first byte; with a longer one the caller is told to come back.
-  double most_wait_of_goal = 1;
+  GoalAdmissionOptions admission;
   // An answer that is no stream is held until it is whole, so that a torn one
   // never reaches the caller; beyond this size it is passed on piece by piece.
   std::size_t max_held_bytes = std::size_t{256} * 1024;
@@ -54,7 +54,8 @@
   connection::event::asio::io_context& loop;
   connection::event::ChannelPool& channels;
   EngineTable& engines;
-  EngineChoice& choice;
+  const EngineChoice& choice;
+  ReadTimes& read_times;
   RetryAllowance& allowance;
   ZoneHealth& zones;
   base::Metrics& metrics;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -64,12 +64,13 @@
     ++failed_reads_;
     co_return false;
   }
-  EngineUse use(pick.reader, route_->priority, pick.unread_tokens,
-                pick.read_time, parts_.clock());
+  const base::Time begun = parts_.clock();
+  EngineUse use(pick.reader, Priority(), pick.unread_tokens, pick.read_time,
+                begun);
   SendTerms terms;
   terms.target = pick.reader;
   terms.time_left = TimeLeft();
-  terms.priority = route_->priority;
+  terms.priority = Priority();
   terms.read_only = true;
   terms.fetch_from = pick.fetch_from;
   NoteTry(*pick.reader);
@@ -94,6 +95,7 @@
   current_ = nullptr;
   if (source_) {
     use.PromptRead(parts_.clock());
+    LearnRead(pick, parts_.clock() - begun);
     pick.reader->health.OnAccepted();
     ++accepted_reads_;
     prompt_read_at_ = Elapsed();
@@ -113,6 +115,17 @@
   co_return false;
 }
 
+void RelayRun::LearnRead(const EnginePick& pick, base::Duration took) {
+  if (!pick.alone) {
+    return;
+  }
+  if (pick.fetch_from) {
+    parts_.read_times.LearnFetchedRead(*pick.reader, pick.unread_tokens, took);
+  } else {
+    parts_.read_times.LearnRead(*pick.reader, pick.unread_tokens, took);
+  }
+}
+
 // The cache would hold memory until its time runs out.
 Awaitable<void> RelayRun::FreeSource() {
   if (!source_) {
@@ -137,12 +150,12 @@
     co_return AttemptEnd::kNotRun;
   }
   const bool reads = !source_;
-  EngineUse use(target, route_->priority, reads ? pick.unread_tokens : 0,
+  EngineUse use(target, Priority(), reads ? pick.unread_tokens : 0,
                 pick.read_time, parts_.clock());
   SendTerms terms;
   terms.target = target;
   terms.time_left = TimeLeft();
-  terms.priority = route_->priority;
+  terms.priority = Priority();
   terms.source = source_;
   terms.fetch_from = reads ? pick.fetch_from : nullptr;
   terms.last_event_id =
@@ -257,6 +270,9 @@
   const base::Duration now = Elapsed();
   if (!reply_.begun()) {
     first_bytes_at_ = now;
+    if (prompt_read_at_) {
+      parts_.read_times.LearnHandover(service_, now - *prompt_read_at_);
+    }
     reply_.Begin(HeadForCaller(exchange.head()));
   } else {
     longest_pause_ = std::max(longest_pause_, now - last_bytes_at_);
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -115,12 +115,13 @@
 Awaitable<void> RelayRun::RunAttempts() {
   AttemptEnd end = AttemptEnd::kNotRun;
   while (true) {
-    const EnginePick pick = Pick();
+    const bool first = runs_ == 0 && rejections_ == 0 && !source_;
+    const EnginePick pick = first ? PickFirst() : Pick();
     if (!pick.runner || !Pay(pick, end)) {
       break;
     }
-    const bool first = runs_ == 0 && rejections_ == 0 && !source_;
-    if (first && IsHopeless(pick)) {
+    if (first && IsHopeless({pick.wait, pick.expected}, TimeToBegin(),
+                            options_.admission)) {
       co_await Refuse(EndReason::kHopeless);
       co_return;
     }
@@ -136,16 +137,26 @@
   co_await FreeSource();
 }
 
-// A prompt that would begin to be read after its answer is due is late for
-// certain, and so is all that waits behind it. Its own size does not count:
-// large prompts are as welcome as small ones.
-bool RelayRun::IsHopeless(const EnginePick& pick) const {
-  if (pick.expected > TimeLeft()) {
-    return true;
+EnginePick RelayRun::PickFirst() {
+  EnginePick pick = Pick();
+  if (late_ || !MissesGoal({pick.wait, pick.expected}, route_->target_latency,
+                           options_.admission)) {
+    return pick;
+  }
+  late_ = true;
+  parts_.metrics.GetCounter("lynxglade_late_requests_total").Add();
+  return Pick();
+}
+
+base::Duration RelayRun::TimeToBegin() const {
+  if (route_->kind != RouteKind::kStream) {
+    return TimeLeft();
   }
-  const base::Duration goal = route_->target_latency;
-  return goal > base::Duration::zero() &&
-         pick.wait > options_.most_wait_of_goal * goal;
+  return std::min(TimeLeft(), route_->PausePatience() - Elapsed());
+}
+
+int RelayRun::Priority() const noexcept {
+  return route_->priority + (late_ ? kLateRank : 0);
 }
 
 // KV cache that waits goes with the request to another engine.
@@ -153,7 +164,7 @@
   const auto& engines = parts_.engines.OfService(service_);
   const ChoiceQuery query{
       .prompt = terms_.prompt,
-      .priority = route_->priority,
+      .priority = Priority(),
       .tried = tried_,
       .most_in_flight = MostInFlight(),
       .pairs = failed_reads_ <= kMaxFailedReads && runs_ == 0,
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -75,13 +75,19 @@
   EnginePick Pick();
   // This instance's part of the connections that a target takes.
   int MostInFlight() const;
-  // Whether the request is better refused now than run.
-  bool IsHopeless(const EnginePick& pick) const;
+  // The first attempt's engines; decides whether the request is late.
+  EnginePick PickFirst();
+  // How long the caller will wait for the first byte.
+  base::Duration TimeToBegin() const;
+  // 0 is the most urgent; late requests come after all that can be in time.
+  int Priority() const noexcept;
   // Pays for the arrivals that an attempt adds beyond the request's first.
   bool Pay(const EnginePick& pick, AttemptEnd after);
   Awaitable<AttemptEnd> Attempt(EnginePick pick);
   // Has the prompt read and sets source_; false if that failed.
   Awaitable<bool> ReadPrompt(const EnginePick& pick);
+  // What a read tells of its engine.
+  void LearnRead(const EnginePick& pick, base::Duration took);
   // Gives back KV cache that no engine will fetch.
   Awaitable<void> FreeSource();
   // A run that was to fetch KV cache was rejected: for the engine's own
@@ -131,6 +137,8 @@
   CallTerms terms_;
   base::Time deadline_{};
   bool expired_ = false;
+  // It will miss its goal, and gives way to those that can be in time.
+  bool late_ = false;
 
   std::vector<base::TargetId> tried_;
   // Attempts that ran or may have run.
--- a/src/request/passthrough/route_table.h
+++ b/src/request/passthrough/route_table.h
@@ -42,11 +42,16 @@
   base::Duration timeout{};
   // Up to the first byte; an answer within it earns its full worth.
   base::Duration target_latency{};
+  // Longest pause between the events of a stream that earns its full worth.
+  base::Duration pause_target{};
   // 0 is the most urgent.
   int priority = 0;
   bool resumable = false;
   std::vector<ServiceShare> shares;
 
+  // How long a stream's caller waits for an event, the first included, before
+  // it leaves.
+  base::Duration PausePatience() const noexcept;
   // Whether a request of unknown outcome may be sent to another engine.
   bool MayRepeat() const noexcept;
 };
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -131,6 +131,7 @@
           .channels = channels_,
           .engines = engines_,
           .choice = choice_,
+          .read_times = read_times_,
           .allowance = allowance_,
           .zones = zones_,
           .metrics = metrics_,
