Long answers: engines are filled to a part, and more generate when asked for

Cause: an engine takes longer for each token the more answers it has; with 60 of 64 slots taken the longest answers (8,900 tokens) need 20 s of the 15 they may take.

Change: answer_admission learns how long answers take against the callers' estimates and refuses a long one (0.15 of its time or more) at once where the least loaded engine is filled to 0.6 of its slots; generation_demand asks for more engines when the answers under way fill more than that and no prompt waits, and gives them back when prompts wait. Refused callers are told to come back after a tenth to a fifth of the time they have, 300 ms at least.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -97,6 +97,7 @@
   request::passthrough::PeerReads peer_reads;
   request::passthrough::ZoneHealth zones;
   request::passthrough::ReadTimes read_times;
+  request::passthrough::AnswerTimes answer_times;
   request::passthrough::EngineChoice choice;
   request::passthrough::RetryAllowance allowance;
   process::InstancePresence presence;
@@ -152,6 +153,9 @@
                                   : std::vector<base::ServiceName>();
           },
           [this] { return clock() - last_request > kIdleAfter; },
+          [this](const base::ServiceName& service) {
+            return choice.Backlog(views.engines().OfService(service), clock());
+          },
           clock,
           metrics),
       store_follower(loop, store, {}, StoreHooks(), clock, random, metrics),
@@ -217,6 +221,7 @@
           .engines = views.engines(),
           .choice = choice,
           .read_times = read_times,
+          .answer_times = answer_times,
           .allowance = allowance,
           .zones = zones,
           .metrics = metrics,
--- a/src/process/stage_orders.cc
+++ b/src/process/stage_orders.cc
@@ -43,6 +43,7 @@
     StageOrdersOptions options,
     std::function<std::vector<base::ServiceName>()> services,
     std::function<bool()> idle,
+    std::function<base::Duration(const base::ServiceName&)> backlog,
     base::Clock clock,
     base::Metrics& metrics)
     : loop_(loop),
@@ -52,12 +53,15 @@
       options_(std::move(options)),
       services_(std::move(services)),
       idle_(std::move(idle)),
+      backlog_(std::move(backlog)),
       clock_(std::move(clock)),
       metrics_(metrics) {}
 
 Awaitable<void> StageOrders::Run() {
   while (!stopped_) {
     co_await authority_.Claim();
+    // Whoever takes over knows the demand already.
+    ObserveDemand();
     co_await Round();
     co_await SleepFor(loop_, options_.period);
   }
@@ -79,6 +83,13 @@
   }
 }
 
+void StageOrders::ObserveDemand() {
+  for (const base::ServiceName& service : services_()) {
+    demand_[service].Observe(engines_.OfService(service), backlog_(service),
+                             clock_());
+  }
+}
+
 // Engines that are changing count as what they will be, so that none is
 // ordered to make up for them.
 std::vector<StageChange> StageOrders::Due(
@@ -87,8 +98,10 @@
   if (!idle && !settling_.empty()) {
     return {};
   }
+  // Nothing is asked for while nothing is served.
+  const int wanted = idle ? 0 : demand_.at(service).Wanted();
   std::vector<StageChange> changes =
-      PlanStages(engines_.OfService(service), idle, options_.plan);
+      PlanStages(engines_.OfService(service), idle, options_.plan, wanted);
   std::erase_if(changes, [this](const StageChange& it) {
     return settling_.contains(it.engine->entry.id);
   });
@@ -129,11 +142,14 @@
       .GetCounter("lynxglade_stage_orders_total",
                   {{"result", std::string(ToString(result))}})
       .Add();
+  const GenerationDemand& demand = demand_.at(engine->entry.service);
   Log(LogLevel::kInfo, "stage_order",
       {{"target", engine->entry.id.str()},
        {"stage", ToString(change.to)},
        {"token", token->value()},
        {"if_orders", report->orders},
+       {"answers", demand.answers()},
+       {"backlog_ms", base::ToMillis(demand.backlog())},
        {"result", ToString(result)}});
 }
 
--- a/src/process/stage_orders.h
+++ b/src/process/stage_orders.h
@@ -19,6 +19,7 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "process/generation_demand.h"
 #include "process/order_authority.h"
 #include "process/stage_plan.h"
 #include "request/passthrough/engine_table.h"
@@ -95,6 +96,8 @@
               // has seen no request for a while.
               std::function<std::vector<base::ServiceName>()> services,
               std::function<bool()> idle,
+              // How long a prompt would wait to be read now, on average.
+              std::function<base::Duration(const base::ServiceName&)> backlog,
               base::Clock clock,
               base::Metrics& metrics);
   StageOrders(const StageOrders&) = delete;
@@ -108,6 +111,7 @@
   connection::event::Awaitable<void> Round();
   connection::event::Awaitable<void> Give(StageChange change);
   std::vector<StageChange> Due(const base::ServiceName& service) const;
+  void ObserveDemand();
 
   connection::event::asio::io_context& loop_;
   const request::passthrough::EngineTable& engines_;
@@ -116,9 +120,11 @@
   const StageOrdersOptions options_;
   const std::function<std::vector<base::ServiceName>()> services_;
   const std::function<bool()> idle_;
+  const std::function<base::Duration(const base::ServiceName&)> backlog_;
   const base::Clock clock_;
   base::Metrics& metrics_;
   bool stopped_ = false;
+  std::map<base::ServiceName, GenerationDemand> demand_;
   // Engines that are left alone until then.
   std::map<base::TargetId, base::Time> settling_;
 };
--- a/src/process/stage_plan.cc
+++ b/src/process/stage_plan.cc
@@ -40,7 +40,8 @@
 // engines.
 std::map<base::ZoneId, int> DecodeByZone(
     const std::map<base::ZoneId, ZoneEngines>& zones,
-    const StagePlanOptions& options) {
+    const StagePlanOptions& options,
+    int asked_for) {
   int engines = 0;
   for (const auto& [name, zone] : zones) {
     engines += zone.size();
@@ -49,7 +50,8 @@
   if (engines == 0) {
     return wanted;
   }
-  const int total = DecodeEngines(engines, options);
+  const int total = std::max(DecodeEngines(engines, options),
+                             std::min(asked_for, engines - 1));
   int given = 0;
   const auto low = [&](const ZoneEngines& zone) {
     return total * zone.size() / engines;
@@ -84,12 +86,13 @@
 
 std::vector<StageChange> PlanStages(const std::vector<EngineHandle>& engines,
                                     bool idle,
-                                    const StagePlanOptions& options) {
+                                    const StagePlanOptions& options,
+                                    int wanted) {
   std::vector<StageChange> changes;
   const auto zones = ByZone(engines);
-  const auto wanted = DecodeByZone(zones, options);
+  const auto by_zone = DecodeByZone(zones, options, wanted);
   for (const auto& [name, zone] : zones) {
-    const int surplus = static_cast<int>(zone.decode.size()) - wanted.at(name);
+    const int surplus = static_cast<int>(zone.decode.size()) - by_zone.at(name);
     const bool to_prefill = surplus > 0;
     const auto& from = to_prefill ? zone.decode : zone.prefill;
     std::ranges::transform(
--- a/src/process/stage_plan.h
+++ b/src/process/stage_plan.h
@@ -17,11 +17,12 @@
 namespace lynxglade::process {
 
 struct StagePlanOptions {
-  // The part of a service's engines that generate: three of twelve, five of
-  // 18, 23 of 90. Measured on the users' mixes, which ask for about 12,000
-  // output tokens a second and 250,000 to 900,000 prompt tokens. Of 18, three,
-  // four, five and nine earned 0.48, 0.45, 0.55 and 0.44 on the day that loses
-  // most engines; of twelve, two, three and four earned 0.38, 0.57 and 0.47.
+  // The part of a service's engines that generate at least: three of twelve,
+  // five of 18, 23 of 90. Measured on the users' mixes, which ask for about
+  // 12,000 output tokens a second and 250,000 to 900,000 prompt tokens. Of 18,
+  // three, four, five and nine earned 0.48, 0.45, 0.55 and 0.44 on the day that
+  // loses most engines; of twelve, two, three and four earned 0.38, 0.57 and
+  // 0.47.
   double decode_share = 0.25;
   // Engines of a service that generate, if it has more: the loss of one must
   // not leave a service without.
@@ -41,11 +42,13 @@
 
 // The changes that bring one service to its split, each zone to its part of it,
 // none of them to an engine that is leaving. Without requests (`idle`) all at
-// once, else the first few.
+// once, else the first few. `wanted`: engines that the answers under way ask
+// for, if these are more than the share.
 std::vector<StageChange> PlanStages(
     const std::vector<request::passthrough::EngineHandle>& engines,
     bool idle,
-    const StagePlanOptions& options);
+    const StagePlanOptions& options,
+    int wanted = 0);
 
 }  // namespace lynxglade::process
 
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -47,6 +47,21 @@
   return PickForPrompt(engines, usable, query);
 }
 
+base::Duration EngineChoice::Backlog(const std::vector<EngineHandle>& engines,
+                                     base::Time now) const {
+  int readers = 0;
+  double ms = 0;
+  for (const EngineHandle& engine : engines) {
+    if (IsPrefill(*engine) && !engine->entry.draining) {
+      ++readers;
+      const ReadsAhead ahead = CountReads(*engine, 0, now);
+      ms += static_cast<double>(ahead.before + ahead.less_urgent) /
+            read_times_.TokensPerMs(*engine);
+    }
+  }
+  return readers == 0 ? base::Duration::max() : FromFineMillis(ms / readers);
+}
+
 EngineHandle EngineChoice::PickDecoder(const std::vector<EngineHandle>& engines,
                                        const Engine& reader,
                                        const ChoiceQuery& query) const {
@@ -84,7 +99,7 @@
     return {};
   }
   const double least_ms =
-      options_.running_ms * Load(*least, now) + ZoneMs(*least);
+      options_.running_ms * KnownLoad(*least, now) + ZoneMs(*least);
   std::vector<EngineHandle> readers;
   std::ranges::copy_if(usable, std::back_inserter(readers),
                        [](const EngineHandle& it) { return IsPrefill(*it); });
@@ -139,8 +154,9 @@
   }
   pick.read_time = FromFineMillis(read_ms);
   pick.wait = FromFineMillis(wait_ms);
-  pick.expected = FromFineMillis(wait_ms + read_ms + ZoneMs(*engine) +
-                             options_.running_ms * Load(*engine, query.now));
+  pick.expected =
+      FromFineMillis(wait_ms + read_ms + ZoneMs(*engine) +
+                     options_.running_ms * KnownLoad(*engine, query.now));
   return pick;
 }
 
@@ -157,17 +173,17 @@
     }
     const double overdue =
         queue.due.empty() ? 0 : ToFineMillis(now - *queue.due.begin());
-    const double met =
-        ToFineMillis(queue.waited) * std::exp(-ToFineMillis(now - queue.waited_at) /
-                                          ToFineMillis(options_.wait_life));
+    const double met = ToFineMillis(queue.waited) *
+                       std::exp(-ToFineMillis(now - queue.waited_at) /
+                                ToFineMillis(options_.wait_life));
     longest = std::max({longest, overdue, met});
   }
   const double begun =
       std::min(static_cast<double>(ahead.less_urgent),
                read_times_.TokensLeftOfOne(engine.entry.service));
   const double tokens = static_cast<double>(ahead.before) + begun;
-  return std::max(longest,
-                  tokens / read_times_.TokensPerMs(engine) * StageFactor(engine));
+  return std::max(
+      longest, tokens / read_times_.TokensPerMs(engine) * StageFactor(engine));
 }
 
 bool EngineChoice::NothingAhead(const Engine& engine, base::Time now) const {
@@ -198,7 +214,7 @@
   EngineHandle best;
   double best_load = std::numeric_limits<double>::infinity();
   for (const EngineHandle& engine : usable) {
-    const double load = (Load(*engine, now) + base::UniformReal(random_)) /
+    const double load = (KnownLoad(*engine, now) + base::UniformReal(random_)) /
                             std::max(engine->entry.slots, 1) +
                         ZoneMs(*engine) / 100;
     if (load < best_load) {
@@ -220,7 +236,8 @@
   std::vector<EngineHandle> open;
   std::ranges::copy_if(
       engines, std::back_inserter(open), [&](const EngineHandle& it) {
-        return !it->entry.draining && (!staged || IsStaged(it)) && it->in_flight < query.most_in_flight &&
+        return !it->entry.draining && (!staged || IsStaged(it)) &&
+               it->in_flight < query.most_in_flight &&
                std::ranges::find(query.tried, it->entry.id) ==
                    query.tried.end();
       });
@@ -256,11 +273,4 @@
   return engine.entry.zone == options_.zone ? 0 : options_.other_zone_ms;
 }
 
-double EngineChoice::Load(const Engine& engine, base::Time now) const noexcept {
-  const bool fresh = now - engine.reported_at <= options_.report_lifetime;
-  const int reported =
-      fresh ? engine.reported.running + engine.reported.waiting : 0;
-  return std::max(engine.in_flight, reported);
-}
-
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -63,8 +63,6 @@
   // Added for a target of another availability zone: the round trip, and the
   // worth of the bytes between zones.
   double other_zone_ms = 4;
-  // How long a reported load says something.
-  base::Duration report_lifetime = std::chrono::seconds(1);
 };
 
 // What is to be run, and where it may be.
@@ -127,6 +125,11 @@
   EnginePick Pick(const std::vector<EngineHandle>& engines,
                   const ChoiceQuery& query) const;
 
+  // How long a prompt that is no more urgent than others would wait to be read,
+  // on average over the prefill engines; for ever if there is none.
+  base::Duration Backlog(const std::vector<EngineHandle>& engines,
+                         base::Time now) const;
+
   // The engine to run a request whose KV cache waits at `reader`.
   EngineHandle PickDecoder(const std::vector<EngineHandle>& engines,
                            const Engine& reader,
@@ -163,8 +166,6 @@
   double StageFactor(const Engine& engine) const noexcept;
   bool NothingAhead(const Engine& engine, base::Time now) const;
   double ZoneMs(const Engine& engine) const noexcept;
-  // Requests at the engine, as far as is known here.
-  double Load(const Engine& engine, base::Time now) const noexcept;
 
   const EngineChoiceOptions options_;
   const ReadTimes& read_times_;
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -17,6 +17,14 @@
   return "plain";
 }
 
+int KnownLoad(const Engine& engine, base::Time now) noexcept {
+  constexpr base::Duration kReportLifetime = std::chrono::seconds(1);
+  const bool fresh = now - engine.reported_at <= kReportLifetime;
+  const int reported =
+      fresh ? engine.reported.running + engine.reported.waiting : 0;
+  return std::max(engine.in_flight, reported);
+}
+
 EngineTable::EngineTable(base::Duration grace) : grace_(grace) {}
 
 void EngineTable::Put(const EngineEntry& entry, base::Time now) {
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -85,6 +85,10 @@
 };
 using EngineHandle = std::shared_ptr<Engine>;
 
+// Requests at the engine, by what it reported in the last second and what this
+// instance has there.
+int KnownLoad(const Engine& engine, base::Time now) noexcept;
+
 // Not thread-safe: lives on the event loop.
 class EngineTable {
  public:
--- a/src/request/passthrough/goal_admission.h
+++ b/src/request/passthrough/goal_admission.h
@@ -19,9 +19,9 @@
   // and 0.8 earned 0.535, 0.540 and 0.543 on days with trouble.
   double most_wait_of_goal = 0.6;
   // Longest expected wait of a late one, in parts of the time in which its
-  // caller still wants a first byte: waits are known badly that far ahead. 0.35,
-  // 0.5 and 0.7 earned 0.538, 0.540 and 0.548 there, but with 0.7 twice as many
-  // were cut off in vain.
+  // caller still wants a first byte: waits are known badly that far ahead.
+  // 0.35, 0.5 and 0.7 earned 0.538, 0.540 and 0.548 there, but with 0.7 twice
+  // as many were cut off in vain.
   double most_wait_of_time_left = 0.5;
 };
 
--- a/src/request/passthrough/read_times.cc
+++ b/src/request/passthrough/read_times.cc
@@ -28,8 +28,7 @@
   Service& service = Of(engine.entry.service);
   const double size = std::max(static_cast<double>(tokens), 1.0);
   const double usual = Fit(service).At(size);
-  const double ms =
-      Believed(base::ToFineMillis(took), usual * engine.slowness);
+  const double ms = Believed(base::ToFineMillis(took), usual * engine.slowness);
   // The pull towards 1 keeps the engines' common level out of their slowness.
   engine.slowness += options_.step * (ms / usual - engine.slowness) +
                      kPullToUsual * (1 - engine.slowness);
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -18,6 +18,7 @@
 #include "base/time.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
+#include "request/passthrough/answer_admission.h"
 #include "request/passthrough/engine_choice.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/goal_admission.h"
@@ -37,14 +38,18 @@
   // no one but its caller, 300 ms each at most.
   int max_unreachable = 4;
   GoalAdmissionOptions admission;
+  AnswerAdmissionOptions answers;
   // An answer that is no stream is held until it is whole, so that a torn one
   // never reaches the caller; beyond this size it is passed on piece by piece.
   std::size_t max_held_bytes = std::size_t{256} * 1024;
   // Before it is worth sending a request again.
   base::Duration least_time_left = std::chrono::milliseconds(30);
-  // What refused callers are told to wait: this plus up to as much again, so
-  // that they do not come back together.
+  // What refused callers are told to wait: this, or a part of the time that
+  // they have left if that is longer, plus up to as much again, so that they do
+  // not come back together. Bursts last for seconds, and most callers come back
+  // once.
   base::Duration retry_after = std::chrono::milliseconds(300);
+  double retry_after_of_time_left = 0.1;
   // Where the configuration names no timeout and the caller no patience.
   base::Duration default_patience = std::chrono::seconds(30);
 };
@@ -56,6 +61,7 @@
   EngineTable& engines;
   const EngineChoice& choice;
   ReadTimes& read_times;
+  AnswerTimes& answer_times;
   RetryAllowance& allowance;
   ZoneHealth& zones;
   base::Metrics& metrics;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -261,6 +261,10 @@
     reply_.Begin(HeadForCaller(exchange.head()));
   }
   status_ = exchange.head().result_int();
+  if (first_bytes_at_ && runs_ == 1) {
+    parts_.answer_times.Learn(service_, terms_.expected_tokens,
+                              last_bytes_at_ - *first_bytes_at_);
+  }
   co_await reply_.End();
   co_return AttemptEnd::kFinished;
 }
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -35,6 +35,7 @@
     Refusal{EndReason::kNoService, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoTarget, 503, "Service Unavailable", true},
     Refusal{EndReason::kHopeless, 503, "Service Unavailable", true},
+    Refusal{EndReason::kFilled, 503, "Service Unavailable", true},
     Refusal{EndReason::kRejected, 503, "Service Unavailable", true},
     Refusal{EndReason::kUnknownOutcome, 502, "Bad Gateway", false},
     Refusal{EndReason::kTimeout, 504, "Gateway Timeout", false},
@@ -70,6 +71,8 @@
       return "no_target";
     case EndReason::kHopeless:
       return "hopeless";
+    case EndReason::kFilled:
+      return "filled";
     case EndReason::kRejected:
       return "rejected";
     case EndReason::kUnknownOutcome:
@@ -116,8 +119,11 @@
   head.status = refusal.status;
   head.reason = refusal.phrase;
   if (refusal.promises_not_run) {
+    const base::Duration part = std::chrono::duration_cast<base::Duration>(
+        options_.retry_after_of_time_left * TimeLeft());
     const double least =
-        std::chrono::duration<double>(options_.retry_after).count();
+        std::chrono::duration<double>(std::max(options_.retry_after, part))
+            .count();
     head.fields.set(
         http::field::retry_after,
         SecondsText(least * (1 + base::UniformReal(parts_.random))));
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -120,9 +120,8 @@
     if (!pick.runner || !Pay(pick, end)) {
       break;
     }
-    if (first && IsHopeless({pick.wait, pick.expected}, TimeToBegin(),
-                            options_.admission)) {
-      co_await Refuse(EndReason::kHopeless);
+    if (const auto reason = first ? Unwanted(pick) : std::nullopt) {
+      co_await Refuse(*reason);
       co_return;
     }
     end = co_await Attempt(pick);
@@ -148,6 +147,20 @@
   return Pick();
 }
 
+std::optional<EndReason> RelayRun::Unwanted(const EnginePick& pick) const {
+  if (IsHopeless({pick.wait, pick.expected}, TimeToBegin(),
+                 options_.admission)) {
+    return EndReason::kHopeless;
+  }
+  const base::Duration answer =
+      parts_.answer_times.Expected(service_, terms_.expected_tokens);
+  if (IsLongAnswer(answer, TimeLeft(), options_.answers) &&
+      IsFilled(*pick.runner, parts_.clock(), options_.answers)) {
+    return EndReason::kFilled;
+  }
+  return std::nullopt;
+}
+
 base::Duration RelayRun::TimeToBegin() const {
   if (route_->kind != RouteKind::kStream) {
     return TimeLeft();
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -26,6 +26,7 @@
   kNoService,
   kNoTarget,
   kHopeless,
+  kFilled,
   kRejected,
   kUnknownOutcome,
   kTimeout,
@@ -77,6 +78,8 @@
   int MostInFlight() const;
   // The first attempt's engines; decides whether the request is late.
   EnginePick PickFirst();
+  // Why the first attempt is better not made, if so.
+  std::optional<EndReason> Unwanted(const EnginePick& pick) const;
   // How long the caller will wait for the first byte.
   base::Duration TimeToBegin() const;
   // 0 is the most urgent; late requests come after all that can be in time.
--- a/src/request/passthrough/target_protocol.h
+++ b/src/request/passthrough/target_protocol.h
@@ -6,6 +6,7 @@
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_TARGET_PROTOCOL_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_TARGET_PROTOCOL_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
   // How long the caller will wait from now, if it says so.
   std::optional<base::Duration> patience;
   Prompt prompt;
+  // Output tokens that the caller expects, right at the median and often far
+  // off; 0 if it does not say.
+  std::int64_t expected_tokens = 0;
   // The caller goes on after this event of a broken stream; empty: from the
   // start.
   std::string last_event_id;
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -132,6 +132,7 @@
           .engines = engines_,
           .choice = choice_,
           .read_times = read_times_,
+          .answer_times = answer_times_,
           .allowance = allowance_,
           .zones = zones_,
           .metrics = metrics_,
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -75,7 +75,9 @@
   connection::event::ChannelPool channels_{loop_, base::BootClock::now};
   request::passthrough::EngineTable engines_{base::Duration(0)};
   request::passthrough::ReadTimes read_times_;
-  request::passthrough::EngineChoice choice_{{.zone = base::ZoneId("a")}, read_times_,
+  request::passthrough::AnswerTimes answer_times_;
+  request::passthrough::EngineChoice choice_{{.zone = base::ZoneId("a")},
+                                             read_times_,
                                              base::SeededRandom(1)};
   request::passthrough::RetryAllowance allowance_{{}};
   request::passthrough::ZoneHealth zones_;
--- a/tests/process/stage_orders_test.cc
+++ b/tests/process/stage_orders_test.cc
@@ -59,6 +59,7 @@
             {.instance = base::InstanceId("me"), .period = milliseconds(1)},
             [] { return std::vector<base::ServiceName>{kService}; },
             [this] { return idle_; },
+            [this](const base::ServiceName&) { return backlog_; },
             clock_,
             metrics_) {
     asio::co_spawn(loop_, presence_.Run(), asio::detached);
@@ -106,6 +107,8 @@
   std::vector<std::pair<std::string, StageOrder>> given_;
   OrderResult answer_ = OrderResult::kTaken;
   bool idle_ = true;
+  // All engines generate at first, so every prompt waits.
+  base::Duration backlog_ = seconds(1);
   StageOrders orders_;
 };
 
@@ -121,6 +124,9 @@
 TEST_F(StageOrdersTest, UnderLoadTheNextWaitsUntilTheLastHasSettled) {
   idle_ = false;
   Start();
+  RunRounds(2);
+  // Long enough to know what is asked for.
+  now_ += seconds(2);
   RunUntil(loop_, [this] { return given_.size() == 1; });
   RunRounds(5);
   EXPECT_EQ(given_.size(), 1U);
@@ -159,6 +165,17 @@
   EXPECT_EQ(given_.size(), 4U);
 }
 
+// The plan was made by the entry of the life before: the new one counts its
+// orders anew, so an order could be taken twice.
+TEST_F(StageOrdersTest, AnEngineThatWasBornAgainGetsNoOrderForItsLifeBefore) {
+  for (auto& [id, report] : reports_) {
+    report.born = base::BornMillis(5);
+  }
+  Start();
+  RunRounds(5);
+  EXPECT_TRUE(given_.empty());
+}
+
 TEST_F(StageOrdersTest, AnEngineThatIsChangingIsLeftAlone) {
   for (auto& [id, report] : reports_) {
     report.changing = true;
