Targets at reused addresses are left alone until their entry changes

Cause: an engine's address may be taken by another service's target. A zone that is cut off from the store keeps the old entry; its prompts were sent there, rejected (421) and, as no other engine of the service was in reach, sent there again: each is an arrival at the other service.

Ruled out: the retry allowance of that service (its own repeats were few); a cut that delays bytes (rejected within 5 ms).

Change: a rejection as misdirected excludes the engine, also as a last resort, until its entry changes, for 10 s at most. A rejection of what was sent before the entry's last change says nothing.

--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -237,6 +237,7 @@
   std::ranges::copy_if(
       engines, std::back_inserter(open), [&](const EngineHandle& it) {
         return !it->entry.draining && (!staged || IsStaged(it)) &&
+               it->misdirected_until <= query.now &&
                it->in_flight < query.most_in_flight &&
                std::ranges::find(query.tried, it->entry.id) ==
                    query.tried.end();
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -17,6 +17,17 @@
   return "plain";
 }
 
+void NoteMisdirected(Engine& engine,
+                     int entry_changes,
+                     base::Time now) noexcept {
+  // Longer than an instance is cut off from the store as a rule; one request in
+  // that time is no harm.
+  constexpr base::Duration kLeftAlone = std::chrono::seconds(10);
+  if (engine.entry_changes == entry_changes) {
+    engine.misdirected_until = now + kLeftAlone;
+  }
+}
+
 int KnownLoad(const Engine& engine, base::Time now) noexcept {
   constexpr base::Duration kReportLifetime = std::chrono::seconds(1);
   const bool fresh = now - engine.reported_at <= kReportLifetime;
@@ -74,7 +85,11 @@
   } else if (engine->entry.stage != entry.stage) {
     engine->staged_at = joined;
   }
-  engine->entry = entry;
+  if (engine->entry != entry) {
+    engine->entry = entry;
+    ++engine->entry_changes;
+    engine->misdirected_until = {};
+  }
 }
 
 void EngineTable::Lose(const base::TargetId& id, base::Time now) {
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -44,6 +44,8 @@
   // Nothing on platforms that do not tell. Another value, earlier or later, is
   // another life of the target: clocks step, so they are not compared.
   std::optional<base::BornMillis> born;
+
+  friend bool operator==(const EngineEntry&, const EngineEntry&) = default;
 };
 
 // The load a target reports with an answer.
@@ -79,12 +81,26 @@
   ReportedLoad reported;
   base::Time reported_at{};
   EngineHealth health;
+  // Times that the entry has changed.
+  int entry_changes = 0;
+  // Until then nothing is sent there: a target at its address said that it is
+  // another, or does not do this. Ends when the entry changes.
+  base::Time misdirected_until{};
   // How long it takes to read against the other engines of its service, as
   // learnt by ReadTimes.
   double slowness = 1;
 };
 using EngineHandle = std::shared_ptr<Engine>;
 
+// A target at the engine's address rejected a request as not meant for it,
+// which was sent when the entry had changed `entry_changes` times. Whatever the
+// address is now, each further request would count against its service's
+// retries: where addresses were reused in a zone without the store, 315
+// arrivals of another service came in ten seconds.
+void NoteMisdirected(Engine& engine,
+                     int entry_changes,
+                     base::Time now) noexcept;
+
 // Requests at the engine, by what it reported in the last second and what this
 // instance has there.
 int KnownLoad(const Engine& engine, base::Time now) noexcept;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -74,6 +74,7 @@
   terms.read_only = true;
   terms.fetch_from = pick.fetch_from;
   NoteTry(*pick.reader);
+  const int entry_changes = pick.reader->entry_changes;
   Exchange exchange(parts_.channels);
   current_ = &exchange;
   const ExchangeState state = co_await exchange.Start(
@@ -83,6 +84,9 @@
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
     const AnswerFacts facts = parts_.protocol.read_answer(exchange.head());
     NoteLoad(*pick.reader, facts);
+    if (facts.other_target) {
+      NoteMisdirected(*pick.reader, entry_changes, parts_.clock());
+    }
     const std::string body = co_await exchange.Rest(kMaxSideAnswerBytes);
     const bool good = exchange.state() == ExchangeState::kWhole &&
                       exchange.head().result() == http::status::ok;
@@ -161,6 +165,7 @@
   terms.last_event_id =
       events_.last_id().empty() ? terms_.last_event_id : events_.last_id();
   NoteTry(*target);
+  const int entry_changes = target->entry_changes;
   Exchange exchange(parts_.channels);
   current_ = &exchange;
   const ExchangeState state = co_await exchange.Start(
@@ -169,6 +174,9 @@
   use.PromptRead(parts_.clock());
   AttemptEnd end = AttemptEnd::kNotRun;
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
+    if (parts_.protocol.read_answer(exchange.head()).other_target) {
+      NoteMisdirected(*target, entry_changes, parts_.clock());
+    }
     end = co_await TakeAnswer(exchange, target);
   } else {
     runs_ += exchange.sent() ? 1 : 0;
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -380,6 +380,20 @@
   EXPECT_EQ(running.requests().size(), 8U);
 }
 
+// The load this answers: engines whose addresses targets of another service had
+// taken while a zone could not hear the store; with no other engine in reach
+// the zone's prompts went there again and again, each against that service's
+// retries (315 arrivals in ten seconds, 249 allowed).
+TEST_F(RelayTest, ATargetAtAReusedAddressIsNotAskedAgain) {
+  ScriptedServer& stranger = AddTarget([](const std::string& request) {
+    return Answer(request, "421 Misdirected Request", "", "");
+  });
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_TRUE(IsStatus(Call(Request("/safe/x")), "503"));
+  }
+  EXPECT_EQ(stranger.requests().size(), 1U);
+}
+
 // It is not the cache's fault if the engine has rejected others, too: the
 // prompt is not read a second time.
 TEST_F(RelayTest, ACacheIsKeptForAnotherRunnerIfTheFirstRejectsEverything) {
--- a/tests/request/passthrough/engine_table_test.cc
+++ b/tests/request/passthrough/engine_table_test.cc
@@ -93,6 +93,27 @@
   EXPECT_NE(table.Find(base::TargetId("a")), earlier);
 }
 
+// The load this answers: addresses of lost engines that other services' targets
+// took, in a zone that could not hear the store of it.
+TEST(EngineTable, AMisdirectedTargetIsLeftAloneUntilItsEntryChanges) {
+  EngineTable table(kGrace);
+  table.Put(Entry("a"), kNow);
+  const EngineHandle engine = table.Find(base::TargetId("a"));
+  NoteMisdirected(*engine, engine->entry_changes, kNow);
+  EXPECT_GT(engine->misdirected_until, kNow);
+  // The list is read again and says the same.
+  table.Replace({Entry("a")}, kNow);
+  EXPECT_GT(engine->misdirected_until, kNow);
+  EngineEntry moved = Entry("a");
+  moved.port = 81;
+  const int before = engine->entry_changes;
+  table.Put(moved, kNow);
+  EXPECT_LE(engine->misdirected_until, kNow);
+  // An answer to what was sent before the change says nothing.
+  NoteMisdirected(*engine, before, kNow);
+  EXPECT_LE(engine->misdirected_until, kNow);
+}
+
 TEST(EngineTable, TheSameLifeKeepsWhatIsKnown) {
   EngineTable table(kGrace);
   table.Put(Born("a", 1000), kNow);
