Stage orders: an entry that changes its service meanwhile ends nothing

Cause: found in the read-through: after an order's answer the demand of the engine's service was looked up by the entry as it is then; an entry that something else has written may name a service that was never observed, and the look-up threw, which ended all further orders of the instance.

Change: looked up without a throw. The test failed before (the next order never came) and passes now.

--- a/src/process/stage_orders.cc
+++ b/src/process/stage_orders.cc
@@ -92,14 +92,13 @@
 
 // Engines that are changing count as what they will be, so that none is
 // ordered to make up for them.
-std::vector<StageChange> StageOrders::Due(
-    const base::ServiceName& service) const {
+std::vector<StageChange> StageOrders::Due(const base::ServiceName& service) {
   const bool idle = idle_();
   if (!idle && !settling_.empty()) {
     return {};
   }
   // Nothing is asked for while nothing is served.
-  const int wanted = idle ? 0 : demand_.at(service).Wanted();
+  const int wanted = idle ? 0 : demand_[service].Wanted();
   std::vector<StageChange> changes =
       PlanStages(engines_.OfService(service), idle, options_.plan, wanted);
   std::erase_if(changes, [this](const StageChange& it) {
@@ -142,7 +141,8 @@
       .GetCounter("lynxglade_stage_orders_total",
                   {{"result", std::string(ToString(result))}})
       .Add();
-  const GenerationDemand& demand = demand_.at(engine->entry.service);
+  // Its entry may have been written anew meanwhile, for any service.
+  const GenerationDemand& demand = demand_[engine->entry.service];
   Log(LogLevel::kInfo, "stage_order",
       {{"target", engine->entry.id.str()},
        {"stage", ToString(change.to)},
--- a/src/process/stage_orders.h
+++ b/src/process/stage_orders.h
@@ -110,7 +110,7 @@
  private:
   connection::event::Awaitable<void> Round();
   connection::event::Awaitable<void> Give(StageChange change);
-  std::vector<StageChange> Due(const base::ServiceName& service) const;
+  std::vector<StageChange> Due(const base::ServiceName& service);
   void ObserveDemand();
 
   connection::event::asio::io_context& loop_;
--- a/tests/process/stage_orders_test.cc
+++ b/tests/process/stage_orders_test.cc
@@ -46,6 +46,7 @@
              .order = [this](EngineHandle it,
                              StageOrder order) -> Awaitable<OrderResult> {
                given_.push_back({it->entry.id.str(), order});
+               before_answer_(it);
                if (answer_ == OrderResult::kTaken) {
                  EngineReport& report = reports_[it->entry.id.str()];
                  report.stage = order.stage;
@@ -106,6 +107,9 @@
   std::map<std::string, EngineReport> reports_;
   std::vector<std::pair<std::string, StageOrder>> given_;
   OrderResult answer_ = OrderResult::kTaken;
+  // What happens while an order is under way.
+  std::function<void(const EngineHandle&)> before_answer_ =
+      [](const EngineHandle&) {};
   bool idle_ = true;
   // All engines generate at first, so every prompt waits.
   base::Duration backlog_ = seconds(1);
@@ -176,6 +180,20 @@
   EXPECT_TRUE(given_.empty());
 }
 
+// Something else writes under the engine's key while its order is under way.
+TEST_F(StageOrdersTest, AnEntryOfAnotherServiceEndsNothing) {
+  answer_ = OrderResult::kConflict;
+  before_answer_ = [this](const EngineHandle& it) {
+    EngineEntry entry = it->entry;
+    entry.service = base::ServiceName("unheard-of");
+    table_.Put(entry, now_);
+  };
+  Start();
+  RunUntil(loop_, [this] { return given_.size() == 4; });
+  RunRounds(5);
+  EXPECT_LE(table_.OfService(kService).size(), 2U);
+}
+
 TEST_F(StageOrdersTest, AnEngineThatIsChangingIsLeftAlone) {
   for (auto& [id, report] : reports_) {
     report.changing = true;
