--- a/tests/system/entry_stand_in.cc
+++ b/tests/system/entry_stand_in.cc
@@ -57,7 +57,8 @@
         "127.0.0.1:" + std::to_string(servers.back()->port());
     store.Put("servers/t" + std::to_string(i),
               R"({"backend":"demo","address":")" + address +
-                  R"(","zone":"a","slots":8,"phase":"ready","sequence":1})");
+                  R"(","zone":"a","version":"v1","slots":8,"phase":"ready",)"
+                  R"("coldRemainingMs":0,"sequence":1})");
     std::cout << "target " << address << "\n";
   }
   store.Put("op/config", kConfiguration);
--- a/tests/system/entry_test.cc
+++ b/tests/system/entry_test.cc
@@ -57,7 +57,8 @@
     store_.Put("servers/" + id,
                R"({"backend":"s","address":"127.0.0.1:)" +
                    std::to_string(port) +
-                   R"(","zone":"a","slots":4,"phase":"ready","sequence":1})");
+                   R"(","zone":"a","version":"v1","slots":4,"phase":"ready",)"
+                   R"("coldRemainingMs":0,"sequence":1})");
   }
   // Nothing while nobody listens.
   static std::string Get(int port, const std::string& path) {
