Choice and relay: what waits is counted once, an answer's head read once

Cause: the review of the whole change found that each engine's reads were counted twice for a choice (for the wait, and again to see whether it is alone), and that a run's answer was decoded twice to see whether it was meant for another target.

Ruled out: a change of what is chosen; the sum of reads is the same at any priority, and the head of an answer does not change.

--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -54,8 +54,7 @@
   for (const EngineHandle& engine : engines) {
     if (IsPrefill(*engine) && !engine->entry.draining) {
       ++readers;
-      const ReadsAhead ahead = CountReads(*engine, 0, now);
-      ms += static_cast<double>(ahead.before + ahead.less_urgent) /
+      ms += static_cast<double>(CountReads(*engine, 0, now).total()) /
             read_times_.TokensPerMs(*engine);
     }
   }
@@ -137,9 +136,10 @@
                                  const PartPlaces& places,
                                  const ChoiceQuery& query) const {
   const Prompt& prompt = query.prompt;
-  const double wait_ms = WaitMs(*engine, query.priority, query.now);
+  const ReadsAhead ahead = CountReads(*engine, query.priority, query.now);
+  const double wait_ms = WaitMs(*engine, ahead, query.priority, query.now);
   EnginePick pick;
-  pick.alone = NothingAhead(*engine, query.now);
+  pick.alone = ahead.total() == 0;
   pick.unread_tokens = places.home ? prompt.OwnTokens() : prompt.TotalTokens();
   double read_ms = ReadMs(*engine, pick.unread_tokens);
   if (places.holder && engine != places.holder) {
@@ -163,9 +163,9 @@
 // What waits behind this request does not count, but for the prompt that is
 // being read: its reading ends first.
 double EngineChoice::WaitMs(const Engine& engine,
+                            const ReadsAhead& ahead,
                             int priority,
                             base::Time now) const {
-  const ReadsAhead ahead = CountReads(engine, priority, now);
   double longest = 0;
   for (const auto& [other, queue] : engine.reads) {
     if (other > priority) {
@@ -186,11 +186,6 @@
       longest, tokens / read_times_.TokensPerMs(engine) * StageFactor(engine));
 }
 
-bool EngineChoice::NothingAhead(const Engine& engine, base::Time now) const {
-  const ReadsAhead ahead = CountReads(engine, 0, now);
-  return ahead.before + ahead.less_urgent == 0;
-}
-
 EngineChoice::ReadsAhead EngineChoice::CountReads(const Engine& engine,
                                                   int priority,
                                                   base::Time now) const {
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -154,17 +154,21 @@
     // As urgent as the request, or more.
     std::int64_t before = 0;
     std::int64_t less_urgent = 0;
+
+    std::int64_t total() const noexcept { return before + less_urgent; }
   };
   ReadsAhead CountReads(const Engine& engine,
                         int priority,
                         base::Time now) const;
   // Until the engine begins to read what is sent now.
-  double WaitMs(const Engine& engine, int priority, base::Time now) const;
+  double WaitMs(const Engine& engine,
+                const ReadsAhead& ahead,
+                int priority,
+                base::Time now) const;
   // Milliseconds to read so much there; 0 for nothing.
   double ReadMs(const Engine& engine, std::int64_t tokens) const;
   // How many times as long reading takes at an engine of that stage.
   double StageFactor(const Engine& engine) const noexcept;
-  bool NothingAhead(const Engine& engine, base::Time now) const;
   double ZoneMs(const Engine& engine) const noexcept;
 
   const EngineChoiceOptions options_;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -174,10 +174,7 @@
   use.PromptRead(parts_.clock());
   AttemptEnd end = AttemptEnd::kNotRun;
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
-    if (parts_.protocol.read_answer(exchange.head()).other_target) {
-      NoteMisdirected(*target, entry_changes, parts_.clock());
-    }
-    end = co_await TakeAnswer(exchange, target);
+    end = co_await TakeAnswer(exchange, target, entry_changes);
   } else {
     runs_ += exchange.sent() ? 1 : 0;
     end = EndOfBroken(exchange, target);
@@ -187,9 +184,13 @@
 }
 
 Awaitable<AttemptEnd> RelayRun::TakeAnswer(Exchange& exchange,
-                                           const EngineHandle& target) {
+                                           const EngineHandle& target,
+                                           int entry_changes) {
   const AnswerFacts facts = parts_.protocol.read_answer(exchange.head());
   NoteLoad(*target, facts);
+  if (facts.other_target) {
+    NoteMisdirected(*target, entry_changes, parts_.clock());
+  }
   const unsigned status = exchange.head().result_int();
   if (facts.outcome == base::Outcome::kNotRun) {
     NoteRejection(*target, facts);
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -97,8 +97,10 @@
   // reasons, or since the cache is not to be had.
   Awaitable<void> NoteRejectedFetch(const Engine& runner);
   Awaitable<AttemptEnd> RunAt(const EnginePick& pick);
+  // `entry_changes`: of the target's entry when the request was sent.
   Awaitable<AttemptEnd> TakeAnswer(Exchange& exchange,
-                                   const EngineHandle& target);
+                                   const EngineHandle& target,
+                                   int entry_changes);
   Awaitable<AttemptEnd> TakeHeld(Exchange& exchange,
                                  const EngineHandle& target);
   Awaitable<AttemptEnd> PassStream(Exchange& exchange,
