--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -1,5 +1,7 @@
 #include "process/entry_settings.h"
 
+#include <chrono>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -16,7 +18,9 @@
 
 constexpr std::size_t kMaxNameLength = 128;
 constexpr std::int64_t kMaxConnections = 20'000;
-constexpr std::int64_t kMaxSeconds = 3600;
+constexpr double kLeastSeconds = 0.1;
+constexpr double kMaxSeconds = 3600;
+constexpr double kMaxAllowance = 1'000'000;
 
 template <typename Id>
 Apply ReadId(Id EntrySettings::* member) {
@@ -29,21 +33,49 @@
   };
 }
 
+// A whole number or a fraction, in any form of the C library.
+std::optional<double> ParseNumber(const std::string& text,
+                                  double low,
+                                  double high) {
+  char* end = nullptr;
+  const double n = std::strtod(text.c_str(), &end);
+  if (end != text.c_str() + text.size() || !(n >= low && n <= high)) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+std::string NumberFrom(double low, double high) {
+  return "a number from " + std::to_string(low) + " to " + std::to_string(high);
+}
+
 Apply ReadNumber(double EntrySettings::* member, double low, double high) {
   return [=](EntrySettings& settings, const std::string& text) -> Allowed {
-    char* end = nullptr;
-    const double n = std::strtod(text.c_str(), &end);
-    if (end != text.c_str() + text.size() || !(n >= low && n <= high)) {
-      return "a number from " + std::to_string(low) + " to " +
-             std::to_string(high);
+    const auto n = ParseNumber(text, low, high);
+    if (!n) {
+      return NumberFrom(low, high);
+    }
+    settings.*member = *n;
+    return std::nullopt;
+  };
+}
+
+// Seconds: platforms state their bounds as whole numbers or as fractions.
+Apply ReadSeconds(base::Duration EntrySettings::* member,
+                  double low,
+                  double high) {
+  return [=](EntrySettings& settings, const std::string& text) -> Allowed {
+    const auto n = ParseNumber(text, low, high);
+    if (!n) {
+      return NumberFrom(low, high) + " of seconds";
     }
-    settings.*member = n;
+    settings.*member = std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(*n));
     return std::nullopt;
   };
 }
 
 std::vector<Option> AllOptions() {
-  using std::chrono::seconds;
   return {
       {"instance-id", "", true, "name of this instance",
        ReadId(&EntrySettings::instance)},
@@ -67,7 +99,7 @@
        ReadWhole<std::int64_t>(&EntrySettings::max_connections, 1,
                                kMaxConnections)},
       {"stop-grace", "8", false, "seconds from SIGTERM to the end, at most",
-       ReadWhole<seconds>(&EntrySettings::stop_grace, 1, kMaxSeconds)},
+       ReadSeconds(&EntrySettings::stop_grace, kLeastSeconds, kMaxSeconds)},
       {"order-quiet-ms", "4500", false,
        "milliseconds from taking authority over the engines to the first "
        "order; more than the platform's bound on turns between holders",
@@ -81,9 +113,9 @@
        "part of a service's engines that generate; the others read prompts",
        ReadNumber(&EntrySettings::decode_share, 0, 1)},
       {"retry-allowance", "50", false, "and so many more",
-       ReadWhole<std::int64_t>(&EntrySettings::retry_allowance, 0, 1'000'000)},
+       ReadNumber(&EntrySettings::retry_allowance, 0, kMaxAllowance)},
       {"retry-window", "10", false, "in so many seconds",
-       ReadWhole<seconds>(&EntrySettings::retry_window, 1, kMaxSeconds)},
+       ReadSeconds(&EntrySettings::retry_window, kLeastSeconds, kMaxSeconds)},
   };
 }
 
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -36,7 +36,7 @@
   // What the fleet of instances may send beyond the first arrival of each
   // request, in a sliding window.
   double retry_ratio = 0.2;
-  int retry_allowance = 50;
+  double retry_allowance = 50;
   base::Duration retry_window = std::chrono::seconds(10);
 };
 
--- a/tests/process/entry_settings_test.cc
+++ b/tests/process/entry_settings_test.cc
@@ -1,9 +1,13 @@
 #include "process/entry_settings.h"
 
+#include <chrono>
+#include <cmath>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace lynxglade::process {
 namespace {
@@ -61,6 +65,47 @@
   }
 }
 
+// Platforms state bounds as whole numbers or fractions; a deployment whose
+// allowance was 33.1578947368421 did not start.
+RC_GTEST_PROP(EntrySettings,
+              BoundsAreWholeNumbersOrFractions,
+              (unsigned whole, unsigned parts)) {
+  const double value = 1 + whole % 3000 + (parts % 10'000) / 10'000.0;
+  const auto text = *rc::gen::element(
+      std::to_string(value), std::to_string(static_cast<int>(value)),
+      std::to_string(static_cast<int>(value)) + ".0",
+      std::to_string(value / 10) + "e1");
+  const std::string flag = *rc::gen::element<std::string>(
+      "--stop-grace", "--retry-window", "--retry-allowance");
+  SettingsFault fault;
+  const auto settings = Parse(With({flag, text}), &fault);
+  RC_ASSERT(settings.has_value());
+  const double read =
+      flag == "--retry-allowance" ? settings->retry_allowance
+      : flag == "--retry-window"
+          ? std::chrono::duration<double>(settings->retry_window).count()
+          : std::chrono::duration<double>(settings->stop_grace).count();
+  RC_ASSERT(std::abs(read - std::stod(text)) < 1e-3);
+}
+
+TEST(EntrySettings, AFractionOfTheAllowanceIsKept) {
+  SettingsFault fault;
+  const auto settings =
+      Parse(With({"--retry-allowance", "33.1578947368421"}), &fault);
+  ASSERT_TRUE(settings);
+  EXPECT_DOUBLE_EQ(settings->retry_allowance, 33.1578947368421);
+}
+
+// The platform fills in nothing for a bound that it does not state.
+TEST(EntrySettings, AnEmptyVariableLeavesTheDefault) {
+  ASSERT_EQ(setenv("LYNXGLADE_RETRY_ALLOWANCE", "", 1), 0);
+  SettingsFault fault;
+  const auto settings = Parse(kRequired, &fault);
+  unsetenv("LYNXGLADE_RETRY_ALLOWANCE");
+  ASSERT_TRUE(settings);
+  EXPECT_DOUBLE_EQ(settings->retry_allowance, EntrySettings().retry_allowance);
+}
+
 TEST(EntrySettings, AnUnknownFlagIsAFault) {
   SettingsFault fault;
   EXPECT_FALSE(Parse(With({"--nonsense", "1"}), &fault));
