Store: a zone's instances share two watches

Change: process/watch_sharing between the follower and the store; the two instances of a zone whose names hash lowest relay, the others ask them over HTTP and CBOR and fall back to the store in the same call. Starting instances take a list that may lag. Tests without network (zone of 30, history, messages), over connections, and a fuzz target.

--- /dev/null
+++ b/fuzz/change_messages.cc
@@ -0,0 +1,31 @@
+// What one instance tells another of changes in the store. Read whole or not
+// at all, and written again as it was read.
+#include "process/change_messages.h"
+
+#include "fuzz/check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace lynxglade;
+  const auto changes = process::DecodeChanges(fuzz::TextOf(data, size));
+  if (!changes) {
+    return 0;
+  }
+  const auto bytes = process::EncodeChanges(*changes);
+  if (!bytes) {
+    return 0;
+  }
+  const auto again = process::DecodeChanges(*bytes);
+  fuzz::Check(again && again->at == changes->at &&
+                  again->items.size() == changes->items.size(),
+              "the same changes");
+  for (std::size_t i = 0; i < changes->items.size(); ++i) {
+    const auto& item = changes->items[i];
+    fuzz::Check(item.revision <= changes->at, "no change after the revision");
+    fuzz::Check(item.key == again->items[i].key &&
+                    item.value == again->items[i].value &&
+                    item.deleted == again->items[i].deleted,
+                "the same change");
+  }
+  return 0;
+}
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -21,11 +21,13 @@
 #include "platform/store_client.h"
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
+#include "process/change_relay.h"
 #include "process/instance_presence.h"
 #include "process/order_authority.h"
 #include "process/prefix_follower.h"
 #include "process/read_sharing.h"
 #include "process/stage_orders.h"
+#include "process/watch_sharing.h"
 #include "request/passthrough/peer_reads.h"
 #include "request/passthrough/relay.h"
 
@@ -59,6 +61,11 @@
 constexpr base::Duration kDrainPoll = std::chrono::milliseconds(50);
 // Everything the instances themselves write.
 constexpr char kOwnPrefix[] = "lynxglade/";
+// Between watches that brought changes. Where each instance watches for itself
+// a burst of changes is to be one call of each; where few do, calls are cheap,
+// and a change passes this pause twice on its way.
+constexpr base::Duration kGather = std::chrono::milliseconds(800);
+constexpr base::Duration kGatherShared = std::chrono::milliseconds(300);
 // Without a request for so long, engines may change all at once.
 constexpr base::Duration kIdleAfter = std::chrono::seconds(3);
 
@@ -101,6 +108,8 @@
   request::passthrough::EngineChoice choice;
   request::passthrough::RetryAllowance allowance;
   process::InstancePresence presence;
+  // What the followers watch: the store, or another instance that does.
+  process::WatchSharing watches;
   process::OrderAuthority authority;
   process::StageOrders stage_orders;
   base::Time last_request{};
@@ -110,8 +119,9 @@
   CallerServer callers;
   CallerServer health;
   asio::signal_set signals{loop, SIGTERM, SIGINT, SIGHUP};
-  // Only where there is a port for it.
+  // Only where there is a port for them.
   std::optional<process::ReadSharing> read_sharing;
+  std::optional<process::ChangeRelay> change_relay;
   bool stopping = false;
   // New requests are refused: they might not be finished before the end.
   bool refusing = false;
@@ -133,7 +143,7 @@
             return zones.CutOff(zone, now);
           }),
       allowance({.ratio = s.retry_ratio,
-                 .allowance = static_cast<double>(s.retry_allowance),
+                 .allowance = s.retry_allowance,
                  .window = s.retry_window}),
       presence(loop,
                store,
@@ -141,6 +151,16 @@
                 .zone = s.zone,
                 .peer_endpoint = s.peer_listen},
                clock),
+      watches(
+          loop,
+          store,
+          {.instance = s.instance, .zone = s.zone},
+          [this]() -> const std::vector<process::InstancePeer>& {
+            return presence.Peers();
+          },
+          process::MakeAskRelay(loop, channels),
+          clock,
+          metrics),
       authority(store, presence, {.quiet = s.order_quiet}, clock, random),
       stage_orders(
           loop,
@@ -158,7 +178,16 @@
           },
           clock,
           metrics),
-      store_follower(loop, store, {}, StoreHooks(), clock, random, metrics),
+      store_follower(
+          loop,
+          watches,
+          {.gather = [this] {
+            return watches.Shares() ? kGatherShared : kGather;
+          }},
+          StoreHooks(),
+          clock,
+          random,
+          metrics),
       relay(MakeRelayParts()),
       callers(
           loop,
@@ -189,6 +218,8 @@
             .endpoint = {asio::ip::make_address(s.peer_listen->address),
                          static_cast<std::uint16_t>(s.peer_listen->port)}},
         clock, metrics);
+    change_relay.emplace(loop, EndpointOf(*s.peer_listen), watches, clock,
+                         metrics);
   }
 }
 
@@ -365,6 +396,10 @@
     *reason = "--peer-listen: " + *reason;
     return false;
   }
+  if (details_->change_relay && !details_->change_relay->Start(reason)) {
+    *reason = "--peer-listen: " + *reason;
+    return false;
+  }
   details_->Spawn(details_->store_follower.Run());
   details_->Spawn(details_->presence.Run());
   details_->Spawn(details_->stage_orders.Run());
--- /dev/null
+++ b/src/process/change_history.cc
@@ -0,0 +1,52 @@
+#include "process/change_history.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace lynxglade::process {
+
+ChangeHistory::ChangeHistory(ChangeHistoryOptions options)
+    : options_(options) {}
+
+void ChangeHistory::Add(base::Revision after, const StoreItems& changes) {
+  if (!start_ || after > at_) {
+    start_ = after;
+    at_ = after;
+    changes_.clear();
+    bytes_ = 0;
+  }
+  for (const StoreItem& item : changes.items) {
+    if (item.revision > at_) {
+      bytes_ += item.value.size();
+      changes_.push_back(item);
+    }
+  }
+  at_ = std::max(at_, changes.at);
+  Trim();
+}
+
+std::optional<StoreItems> ChangeHistory::After(base::Revision revision) const {
+  if (!start_ || revision < *start_) {
+    return std::nullopt;
+  }
+  StoreItems found;
+  found.at = std::max(at_, revision);
+  std::ranges::copy_if(
+      changes_, std::back_inserter(found.items),
+      [revision](const StoreItem& it) { return it.revision > revision; });
+  return found;
+}
+
+// Changes of one revision go together.
+void ChangeHistory::Trim() {
+  while (changes_.size() > options_.most_changes ||
+         bytes_ > options_.most_bytes) {
+    start_ = changes_.front().revision;
+    while (!changes_.empty() && changes_.front().revision == *start_) {
+      bytes_ -= changes_.front().value.size();
+      changes_.pop_front();
+    }
+  }
+}
+
+}  // namespace lynxglade::process
--- /dev/null
+++ b/src/process/change_relay.cc
@@ -0,0 +1,155 @@
+#include "process/change_relay.h"
+
+#include <charconv>
+#include <cstdint>
+#include <limits>
+#include <string_view>
+#include <utility>
+
+#include "base/whole_number.h"
+#include "connection/event/call.h"
+#include "process/change_messages.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using connection::event::Awaitable;
+using connection::event::Call;
+using connection::event::CallerBounds;
+using connection::event::CallerReply;
+using connection::event::CallerRequest;
+using connection::event::ExchangeState;
+using connection::event::OutgoingRequest;
+using connection::event::Tcp;
+using connection::event::View;
+namespace asio = connection::event::asio;
+namespace http = connection::event::http;
+
+// The question: kPath, the revision, '/', milliseconds to wait.
+constexpr std::string_view kPath = "/v1/changes-after/";
+constexpr std::int64_t kMaxWaitMs = 10'000;
+// Beyond the wait, for the way there and back and a relay that is busy.
+constexpr base::Duration kAnswerSlack = std::chrono::milliseconds(400);
+constexpr std::size_t kMaxAnswerBytes = std::size_t{512} * 1024;
+// The instances of a zone that ask here at once; a zone of the largest fleet
+// that is planned for has 30.
+constexpr std::size_t kMaxAskers = 512;
+constexpr unsigned kHttp11 = 11;
+
+constexpr http::status kNotWatchingStatus = http::status::service_unavailable;
+constexpr http::status kAskStoreStatus = http::status::gone;
+
+struct Question {
+  base::Revision after;
+  base::Duration wait{};
+};
+
+std::optional<Question> ReadQuestion(std::string_view target) {
+  const std::size_t slash = target.rfind('/');
+  if (!target.starts_with(kPath) || slash < kPath.size()) {
+    return std::nullopt;
+  }
+  const auto after =
+      base::ParseWhole(target.substr(kPath.size(), slash - kPath.size()), 0,
+                       std::numeric_limits<std::int64_t>::max());
+  const auto wait = base::ParseWhole(target.substr(slash + 1), 0, kMaxWaitMs);
+  if (!after || !wait) {
+    return std::nullopt;
+  }
+  return Question{base::Revision(*after), std::chrono::milliseconds(*wait)};
+}
+
+RelayFault FaultOf(http::status status) {
+  switch (status) {
+    case kNotWatchingStatus:
+      return RelayFault::kNotWatching;
+    case kAskStoreStatus:
+      return RelayFault::kAskStore;
+    default:
+      return RelayFault::kMalformed;
+  }
+}
+
+}  // namespace
+
+AskRelay MakeAskRelay(asio::io_context& loop,
+                      connection::event::ChannelPool& channels) {
+  return [&loop, &channels](
+             InstancePeer relay, base::Revision after, base::Duration wait,
+             RelayFault* fault) -> Awaitable<std::optional<StoreItems>> {
+    const Tcp::endpoint endpoint(relay.endpoint.address(),
+                                 relay.endpoint.port());
+    OutgoingRequest request(http::verb::get,
+                            std::string(kPath) + std::to_string(after.value()) +
+                                '/' + std::to_string(base::ToMillis(wait)),
+                            kHttp11);
+    request.set(http::field::host, endpoint.address().to_string());
+    ExchangeState end{};
+    const auto answer =
+        co_await Call(loop, channels, endpoint, std::move(request),
+                      {.timeout = wait + kAnswerSlack,
+                       .max_answer_bytes = kMaxAnswerBytes},
+                      &end);
+    if (!answer) {
+      // Its other connections may be as silent.
+      channels.Forget(endpoint);
+      *fault = end == ExchangeState::kCancelled ? RelayFault::kTimeout
+                                                : RelayFault::kUnreachable;
+      co_return std::nullopt;
+    }
+    if (answer->status != http::status::ok) {
+      *fault = FaultOf(answer->status);
+      co_return std::nullopt;
+    }
+    auto changes = DecodeChanges(answer->body);
+    if (!changes) {
+      *fault = RelayFault::kMalformed;
+    }
+    co_return changes;
+  };
+}
+
+ChangeRelay::ChangeRelay(asio::io_context& loop,
+                         Tcp::endpoint endpoint,
+                         WatchSharing& watches,
+                         base::Clock clock,
+                         base::Metrics& metrics)
+    : watches_(watches),
+      server_(
+          loop,
+          {.endpoint = std::move(endpoint), .max_connections = kMaxAskers},
+          [] { return CallerBounds(); },
+          [this](std::shared_ptr<CallerRequest> request, CallerReply& reply) {
+            return Serve(std::move(request), reply);
+          },
+          std::move(clock),
+          metrics) {}
+
+Awaitable<void> ChangeRelay::Serve(std::shared_ptr<CallerRequest> request,
+                                   CallerReply& reply) {
+  connection::event::AnswerHead head;
+  std::string body;
+  const auto question = ReadQuestion(View(request->head.target()));
+  if (!question) {
+    head.status = static_cast<unsigned>(http::status::bad_request);
+    co_await reply.SendWhole(std::move(head), body);
+    co_return;
+  }
+  RelayFault fault{};
+  const auto changes =
+      co_await watches_.Answer(question->after, question->wait, &fault);
+  auto message = changes ? EncodeChanges(*changes) : std::nullopt;
+  if (message) {
+    head.status = static_cast<unsigned>(http::status::ok);
+    body = std::move(*message);
+  } else {
+    const bool not_watching = !changes && fault == RelayFault::kNotWatching;
+    head.status =
+        static_cast<unsigned>(not_watching ? kNotWatchingStatus
+                                           : kAskStoreStatus);
+  }
+  co_await reply.SendWhole(std::move(head), body);
+}
+
+}  // namespace lynxglade::process
--- a/src/process/prefix_follower.cc
+++ b/src/process/prefix_follower.cc
@@ -96,7 +96,9 @@
 
 Awaitable<bool> PrefixFollower::List() {
   StoreFault fault{};
-  const auto listed = co_await store_.List(options_.prefix, &fault);
+  const auto listed = co_await store_.List(
+      options_.prefix, heard_ ? Freshness::kCurrent : Freshness::kMayLag,
+      &fault);
   if (!listed) {
     NoteFault("list", fault);
     away_ = true;
@@ -128,7 +130,7 @@
     at_ = std::max(at_, changes->at);
     std::ranges::for_each(changes->items, hooks_.on_change);
     if (!changes->items.empty()) {
-      co_await SleepFor(loop_, options_.gather);
+      co_await SleepFor(loop_, options_.gather());
     }
   }
 }
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -24,7 +24,7 @@
   // After changes, before the next watch: what changes meanwhile comes in one
   // answer. When many targets change at once this is most of what all
   // instances ask of the store.
-  base::Duration gather = std::chrono::milliseconds(800);
+  std::function<base::Duration()> gather;
   // Between tries while the store fails: from the first to the second, with
   // up to as much again at random, so that instances do not return together.
   // An instance that was cut off has to know what changed within three seconds
--- a/src/process/store_port.h
+++ b/src/process/store_port.h
@@ -10,11 +10,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "base/time.h"
 #include "base/units.h"
 #include "connection/event/http_types.h"
+#include "process/store_items.h"
 
 namespace lynxglade::process {
 
@@ -37,18 +37,14 @@
 };
 std::string_view ToString(StoreFault fault) noexcept;
 
-struct StoreItem {
-  std::string key;
-  std::string value;
-  base::Revision revision;
-  // The key is gone; `value` is empty.
-  bool deleted = false;
-};
-
-// Items and the revision that they are as of.
-struct StoreItems {
-  std::vector<StoreItem> items;
-  base::Revision at;
+// How new a list has to be.
+enum class Freshness {
+  // As of the call.
+  kCurrent,
+  // It may be seconds old, costs the platform a tenth, and is not held against
+  // its rates: for instances that start, hundreds of them at a time. A watch
+  // from the revision that it is as of tells what it missed.
+  kMayLag,
 };
 
 using LeaseId = base::StrongNumber<struct LeaseIdTag, std::int64_t>;
@@ -63,7 +59,9 @@
   virtual ~StorePort() = default;
 
   // Every item under the prefix.
-  virtual Result<StoreItems> List(std::string prefix, StoreFault* fault) = 0;
+  virtual Result<StoreItems> List(std::string prefix,
+                                  Freshness freshness,
+                                  StoreFault* fault) = 0;
   // Changes after a revision, in order; waits up to `wait` for the first.
   // An empty list is no failure.
   virtual Result<StoreItems> Watch(std::string prefix,
--- /dev/null
+++ b/src/process/watch_sharing.cc
@@ -0,0 +1,257 @@
+#include "process/watch_sharing.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using base::Log;
+using base::LogLevel;
+using connection::event::Awaitable;
+using connection::event::ErrorCode;
+using connection::event::Into;
+namespace asio = connection::event::asio;
+
+}  // namespace
+
+std::string_view ToString(RelayFault fault) noexcept {
+  switch (fault) {
+    case RelayFault::kNotWatching:
+      return "not_watching";
+    case RelayFault::kAskStore:
+      return "ask_store";
+    case RelayFault::kUnreachable:
+      return "unreachable";
+    case RelayFault::kTimeout:
+      return "timeout";
+    case RelayFault::kMalformed:
+      break;
+  }
+  return "malformed";
+}
+
+std::vector<base::InstanceId> RelaysOf(const std::vector<InstancePeer>& peers,
+                                       const base::InstanceId& self,
+                                       const WatchSharingOptions& options) {
+  std::vector<base::InstanceId> zone{self};
+  for (const InstancePeer& peer : peers) {
+    if (peer.zone == options.zone && peer.instance != self) {
+      zone.push_back(peer.instance);
+    }
+  }
+  if (zone.size() < options.least_instances) {
+    return {};
+  }
+  const auto rank = [](const base::InstanceId& it) {
+    return std::pair(base::Hash64(it.str()), it);
+  };
+  std::ranges::partial_sort(
+      zone, zone.begin() + static_cast<std::ptrdiff_t>(options.relays), {},
+      rank);
+  zone.resize(options.relays);
+  return zone;
+}
+
+WatchSharing::WatchSharing(
+    asio::io_context& loop,
+    StorePort& store,
+    WatchSharingOptions options,
+    std::function<const std::vector<InstancePeer>&()> peers,
+    AskRelay ask,
+    base::Clock clock,
+    base::Metrics& metrics)
+    : loop_(loop),
+      store_(store),
+      options_(std::move(options)),
+      peers_(std::move(peers)),
+      ask_(std::move(ask)),
+      clock_(std::move(clock)),
+      metrics_(metrics) {}
+
+Awaitable<std::optional<StoreItems>> WatchSharing::Answer(base::Revision after,
+                                                          base::Duration wait,
+                                                          RelayFault* fault) {
+  const base::Time end = clock_() + wait;
+  while (true) {
+    const base::Time now = clock_();
+    if (now >= FreshUntil()) {
+      *fault = RelayFault::kNotWatching;
+      co_return std::nullopt;
+    }
+    auto changes = history_.After(after);
+    if (!changes) {
+      *fault = RelayFault::kAskStore;
+      co_return std::nullopt;
+    }
+    if (!changes->items.empty() || now >= end) {
+      co_return changes;
+    }
+    asio::steady_timer timer(loop_, std::min(end, FreshUntil()) - now);
+    waiting_.insert(&timer);
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
+    waiting_.erase(&timer);
+  }
+}
+
+bool WatchSharing::Shares() const {
+  return !Relays().empty();
+}
+
+std::vector<base::InstanceId> WatchSharing::Relays() const {
+  return RelaysOf(peers_(), options_.instance, options_);
+}
+
+std::vector<InstancePeer> WatchSharing::RelaysToAsk(
+    const std::vector<base::InstanceId>& relays) const {
+  const base::Time now = clock_();
+  std::vector<InstancePeer> peers;
+  std::ranges::copy_if(
+      peers_(), std::back_inserter(peers), [&](const InstancePeer& it) {
+        const auto avoided = avoided_until_.find(it.instance);
+        return std::ranges::find(relays, it.instance) != relays.end() &&
+               (avoided == avoided_until_.end() || avoided->second <= now);
+      });
+  std::ranges::sort(peers, {}, [this](const InstancePeer& it) {
+    return base::HashPair(options_.instance.str(), it.instance.str());
+  });
+  return peers;
+}
+
+WatchSharing::Result<StoreItems> WatchSharing::Watch(std::string prefix,
+                                                     base::Revision after,
+                                                     base::Duration wait,
+                                                     StoreFault* fault) {
+  const auto relays = Relays();
+  if (!prefix.empty() || relays.empty()) {
+    co_return co_await store_.Watch(std::move(prefix), after, wait, fault);
+  }
+  const bool relays_itself =
+      std::ranges::find(relays, options_.instance) != relays.end();
+  if (!relays_itself) {
+    const auto asked = RelaysToAsk(relays);
+    auto changes = co_await AskRelays(asked, after);
+    if (changes) {
+      Count("relay");
+      co_return changes;
+    }
+  }
+  Count("store");
+  co_return co_await WatchStore(after, fault);
+}
+
+// After a time-out the store is asked at once: another relay's would follow
+// it, and changes are to be in force within a bound.
+Awaitable<std::optional<StoreItems>> WatchSharing::AskRelays(
+    const std::vector<InstancePeer>& relays,
+    base::Revision after) {
+  for (const InstancePeer& relay : relays) {
+    RelayFault fault{};
+    auto changes = co_await ask_(relay, after, options_.wait, &fault);
+    if (changes) {
+      co_return changes;
+    }
+    NoteFailed(relay, fault);
+    if (fault == RelayFault::kTimeout || fault == RelayFault::kAskStore) {
+      break;
+    }
+  }
+  co_return std::nullopt;
+}
+
+WatchSharing::Result<StoreItems> WatchSharing::WatchStore(base::Revision after,
+                                                          StoreFault* fault) {
+  auto changes =
+      co_await store_.Watch(std::string(), after, options_.wait, fault);
+  if (changes) {
+    Hear(after, *changes);
+  }
+  co_return changes;
+}
+
+void WatchSharing::Hear(base::Revision after, const StoreItems& changes) {
+  heard_ = clock_();
+  history_.Add(after, changes);
+  std::ranges::for_each(waiting_, [](auto* it) { it->cancel(); });
+}
+
+void WatchSharing::NoteFailed(const InstancePeer& relay, RelayFault fault) {
+  metrics_
+      .GetCounter("lynxglade_relay_faults_total",
+                  {{"fault", std::string(ToString(fault))}})
+      .Add();
+  if (fault == RelayFault::kAskStore) {
+    return;
+  }
+  const base::Time now = clock_();
+  std::erase_if(avoided_until_,
+                [now](const auto& it) { return it.second <= now; });
+  avoided_until_[relay.instance] = now + options_.avoid;
+  Log(LogLevel::kInfo, "relay_avoided",
+      {{"relay", relay.instance.str()},
+       {"fault", ToString(fault)},
+       {"ms", base::ToMillis(options_.avoid)}});
+}
+
+base::Time WatchSharing::FreshUntil() const {
+  return heard_ ? *heard_ + options_.most_age : base::Time::min();
+}
+
+void WatchSharing::Count(const char* source) {
+  metrics_.GetCounter("lynxglade_watches_total", {{"source", source}}).Add();
+}
+
+WatchSharing::Result<StoreItems> WatchSharing::List(std::string prefix,
+                                                    Freshness freshness,
+                                                    StoreFault* fault) {
+  const bool all = prefix.empty();
+  auto listed = co_await store_.List(std::move(prefix), freshness, fault);
+  if (listed && all) {
+    StoreItems none;
+    none.at = listed->at;
+    Hear(listed->at, none);
+  }
+  co_return listed;
+}
+
+WatchSharing::Result<LeaseId> WatchSharing::OpenLease(base::Duration ttl,
+                                                      StoreFault* fault) {
+  return store_.OpenLease(ttl, fault);
+}
+
+WatchSharing::Result<LeaseId> WatchSharing::KeepLease(LeaseId lease,
+                                                      StoreFault* fault) {
+  return store_.KeepLease(lease, fault);
+}
+
+WatchSharing::Result<LeaseId> WatchSharing::EndLease(LeaseId lease,
+                                                     StoreFault* fault) {
+  return store_.EndLease(lease, fault);
+}
+
+WatchSharing::Result<StoreItem> WatchSharing::Get(std::string key,
+                                                  StoreFault* fault) {
+  return store_.Get(std::move(key), fault);
+}
+
+WatchSharing::Result<base::Revision> WatchSharing::Create(std::string key,
+                                                          std::string value,
+                                                          LeaseId lease,
+                                                          StoreFault* fault) {
+  return store_.Create(std::move(key), std::move(value), lease, fault);
+}
+
+WatchSharing::Result<base::Revision> WatchSharing::Put(std::string key,
+                                                       std::string value,
+                                                       LeaseId lease,
+                                                       StoreFault* fault) {
+  return store_.Put(std::move(key), std::move(value), lease, fault);
+}
+
+}  // namespace lynxglade::process
--- a/tests/main/entry_views_test.cc
+++ b/tests/main/entry_views_test.cc
@@ -164,7 +164,7 @@
   PrefixFollower follower_{
       loop_,
       store_,
-      {.gather = microseconds(50),
+      {.gather = [] { return base::Duration(microseconds(50)); },
        .first_pause = microseconds(50),
        .longest_pause = microseconds(50)},
       process::DispatchByPrefix({{"op/config", views_.ConfigurationHooks()},
--- a/tests/process/fake_store_port.cc
+++ b/tests/process/fake_store_port.cc
@@ -112,8 +112,10 @@
 }
 
 StorePort::Result<StoreItems> FakeStorePort::List(std::string prefix,
+                                                  Freshness freshness,
                                                   StoreFault* fault) {
   ++lists_;
+  lagging_lists_ += freshness == Freshness::kMayLag ? 1 : 0;
   if (Failing(fault)) {
     co_return std::nullopt;
   }
@@ -131,6 +133,7 @@
                                                    base::Revision after,
                                                    base::Duration wait,
                                                    StoreFault* fault) {
+  ++watches_;
   const int cuts = cuts_;
   while (true) {
     if (Failing(fault)) {
--- a/tests/process/fake_store_port.h
+++ b/tests/process/fake_store_port.h
@@ -42,12 +42,17 @@
   void LoseNextAnswer() { lose_next_answer_ = true; }
 
   int lists() const noexcept { return lists_; }
+  // Of which the caller took an answer that may lag.
+  int lagging_lists() const noexcept { return lagging_lists_; }
+  int watches() const noexcept { return watches_; }
   const std::map<std::string, StoreItem>& items() const noexcept {
     return items_;
   }
 
   // --- The port.
-  Result<StoreItems> List(std::string prefix, StoreFault* fault) override;
+  Result<StoreItems> List(std::string prefix,
+                          Freshness freshness,
+                          StoreFault* fault) override;
   Result<StoreItems> Watch(std::string prefix,
                            base::Revision after,
                            base::Duration wait,
@@ -83,6 +88,8 @@
   bool lose_next_answer_ = false;
   int cuts_ = 0;
   int lists_ = 0;
+  int lagging_lists_ = 0;
+  int watches_ = 0;
   connection::event::asio::steady_timer changed_;
 };
 
--- a/tests/process/prefix_follower_test.cc
+++ b/tests/process/prefix_follower_test.cc
@@ -21,7 +21,7 @@
         follower_(loop_,
                   store_,
                   {.prefix = "servers/",
-                   .gather = std::chrono::milliseconds(1),
+                   .gather = [] { return base::Duration(std::chrono::milliseconds(1)); },
                    .first_pause = std::chrono::milliseconds(1),
                    .longest_pause = std::chrono::milliseconds(1)},
                   {.on_list =
--- /dev/null
+++ b/tests/process/watch_sharing_test.cc
@@ -0,0 +1,497 @@
+#include "process/watch_sharing.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "process/change_messages.h"
+#include "process/change_relay.h"
+#include "process/fake_store_port.h"
+#include "process/prefix_follower.h"
+
+namespace lynxglade::process {
+namespace {
+
+using connection::event::Awaitable;
+namespace asio = connection::event::asio;
+
+const base::ZoneId kZone("a");
+
+InstancePeer Peer(const std::string& name, const base::ZoneId& zone = kZone) {
+  return {base::InstanceId(name),
+          zone,
+          {asio::ip::make_address("127.0.0.1"), 1}};
+}
+
+std::vector<InstancePeer> Peers(int n) {
+  std::vector<InstancePeer> peers;
+  for (int i = 0; i < n; ++i) {
+    peers.push_back(Peer("i" + std::to_string(i)));
+  }
+  return peers;
+}
+
+// --- Who relays
+
+TEST(RelaysOf, InASmallZoneEachWatchesForItself) {
+  const WatchSharingOptions options{.zone = kZone};
+  EXPECT_TRUE(RelaysOf(Peers(7), base::InstanceId("i0"), options).empty());
+  EXPECT_EQ(RelaysOf(Peers(8), base::InstanceId("i0"), options).size(), 2U);
+}
+
+TEST(RelaysOf, InstancesOfOtherZonesDoNotRelayHere) {
+  const WatchSharingOptions options{.zone = kZone};
+  std::vector<InstancePeer> peers = Peers(8);
+  for (int i = 0; i < 50; ++i) {
+    peers.push_back(Peer("o" + std::to_string(i), base::ZoneId("b")));
+  }
+  for (const auto& it : RelaysOf(peers, base::InstanceId("i0"), options)) {
+    EXPECT_TRUE(it.str().starts_with("i"));
+  }
+}
+
+// All agree, and who comes or goes takes no other's place as a relay.
+RC_GTEST_PROP(RelaysOf, AllAgreeAndOneThatGoesIsReplacedAlone, ()) {
+  const WatchSharingOptions options{.zone = kZone};
+  const int n = *rc::gen::inRange(10, 80);
+  std::vector<InstancePeer> peers = Peers(n);
+  const auto relays = RelaysOf(peers, peers[0].instance, options);
+  for (const InstancePeer& peer : peers) {
+    RC_ASSERT(RelaysOf(peers, peer.instance, options) == relays);
+  }
+  const auto gone = *rc::gen::inRange(0, n);
+  const base::InstanceId gone_id = peers[gone].instance;
+  peers.erase(peers.begin() + gone);
+  const auto after = RelaysOf(peers, peers[0].instance, options);
+  for (const base::InstanceId& it : relays) {
+    RC_ASSERT(it == gone_id ||
+              std::ranges::find(after, it) != after.end());
+  }
+}
+
+// --- A zone of instances on one loop
+
+// One instance: a follower of the store over its shared watch.
+struct Instance {
+  Instance(asio::io_context& loop,
+           FakeStorePort& store,
+           std::string name,
+           const std::vector<InstancePeer>& peers,
+           AskRelay ask,
+           const base::Time& now)
+      : watches(
+            loop,
+            store,
+            {.instance = base::InstanceId(std::move(name)), .zone = kZone},
+            [&peers]() -> const std::vector<InstancePeer>& { return peers; },
+            std::move(ask),
+            [&now] { return now; },
+            metrics),
+        follower(
+            loop,
+            watches,
+            {.gather = [] { return base::Duration(0); },
+             .first_pause = std::chrono::milliseconds(1),
+             .longest_pause = std::chrono::milliseconds(1)},
+            {.on_list =
+                 [this](const std::vector<StoreItem>& items) {
+                   seen.clear();
+                   std::ranges::for_each(items, [this](const StoreItem& it) {
+                     seen[it.key] = it.value;
+                   });
+                 },
+             .on_change = [this](const StoreItem& it) { Take(it); },
+             .on_returned = [] {}},
+            [&now] { return now; },
+            base::SeededRandom(1),
+            metrics) {}
+
+  void Take(const StoreItem& it) {
+    in_order = in_order && it.revision > last;
+    last = it.revision;
+    if (it.deleted) {
+      seen.erase(it.key);
+    } else {
+      seen[it.key] = it.value;
+    }
+  }
+
+  std::uint64_t Watches(const char* source) const {
+    return metrics.CounterValue("lynxglade_watches_total",
+                                {{"source", source}});
+  }
+
+  base::Metrics metrics;
+  std::map<std::string, std::string> seen;
+  base::Revision last;
+  bool in_order = true;
+  WatchSharing watches;
+  PrefixFollower follower;
+};
+
+class WatchSharingTest : public testing::Test {
+ protected:
+  // The clock stands still unless a test moves it, so that nothing ages.
+  void StartZone(int n) {
+    peers_ = Peers(n);
+    for (const InstancePeer& peer : peers_) {
+      zone_.push_back(std::make_unique<Instance>(
+          loop_, store_, peer.instance.str(), peers_, Ask(), now_));
+      asio::co_spawn(loop_, zone_.back()->follower.Run(), asio::detached);
+    }
+    RunUntil(loop_, [this] {
+      return std::ranges::all_of(
+          zone_, [](const auto& it) { return it->follower.Age().has_value(); });
+    });
+    // Relays that had not begun are asked again, and hear the store by then.
+    now_ += std::chrono::seconds(3);
+    store_.Write("start", "1");
+    ExpectAllSee();
+  }
+
+  AskRelay Ask() {
+    return [this](InstancePeer relay, base::Revision after, base::Duration wait,
+                  RelayFault* fault) -> Awaitable<std::optional<StoreItems>> {
+      ++asked_[relay.instance];
+      const auto silent = faults_.find(relay.instance);
+      if (silent != faults_.end()) {
+        *fault = silent->second;
+        co_return std::nullopt;
+      }
+      const auto it = std::ranges::find(peers_, relay.instance,
+                                        &InstancePeer::instance);
+      auto& watches = zone_[it - peers_.begin()]->watches;
+      const auto changes = co_await watches.Answer(after, wait, fault);
+      if (!changes) {
+        co_return std::nullopt;
+      }
+      const auto message = EncodeChanges(*changes);
+      if (!message) {
+        *fault = RelayFault::kAskStore;
+        co_return std::nullopt;
+      }
+      co_return DecodeChanges(*message);
+    };
+  }
+
+  bool IsRelay(const Instance& instance) const {
+    const auto at = std::ranges::find_if(
+        zone_, [&](const auto& it) { return it.get() == &instance; });
+    const auto relays = Relays();
+    return std::ranges::find(relays,
+                             peers_[at - zone_.begin()].instance) !=
+           relays.end();
+  }
+
+  std::vector<base::InstanceId> Relays() const {
+    return RelaysOf(peers_, peers_[0].instance, {.zone = kZone});
+  }
+
+  std::map<std::string, std::string> Stored() const {
+    std::map<std::string, std::string> items;
+    for (const auto& [key, item] : store_.items()) {
+      items[key] = item.value;
+    }
+    return items;
+  }
+
+  void ExpectAllSee() {
+    const auto stored = Stored();
+    RunUntil(loop_, [&] {
+      return std::ranges::all_of(
+          zone_, [&](const auto& it) { return it->seen == stored; });
+    });
+    EXPECT_TRUE(std::ranges::all_of(
+        zone_, [](const auto& it) { return it->in_order; }));
+  }
+
+  asio::io_context loop_;
+  FakeStorePort store_{loop_};
+  base::Time now_ = base::Time() + std::chrono::hours(1);
+  std::vector<InstancePeer> peers_;
+  std::vector<std::unique_ptr<Instance>> zone_;
+  std::map<base::InstanceId, RelayFault> faults_;
+  std::map<base::InstanceId, int> asked_;
+};
+
+// The load this answers: 295 instances that each watch the store for
+// themselves, 9,400 calls on a day on which next to nothing changes.
+TEST_F(WatchSharingTest, OnlyRelaysWatchTheStore) {
+  StartZone(30);
+  for (int i = 0; i < 40; ++i) {
+    store_.Write("k" + std::to_string(i % 7), std::to_string(i));
+    if (i % 5 == 0) {
+      store_.Remove("k3");
+    }
+    ExpectAllSee();
+  }
+  // An instance whose relay has not begun asks the store, once or twice.
+  for (const auto& it : zone_) {
+    EXPECT_EQ(IsRelay(*it), it->Watches("store") > 5);
+  }
+}
+
+TEST_F(WatchSharingTest, StartingInstancesTakeAListThatMayLag) {
+  StartZone(30);
+  EXPECT_EQ(store_.lists(), 30);
+  EXPECT_EQ(store_.lagging_lists(), 30);
+}
+
+TEST_F(WatchSharingTest, ARelayThatDoesNotAnswerIsAvoidedAndTheStoreAsked) {
+  StartZone(10);
+  store_.Write("a", "1");
+  ExpectAllSee();
+  for (const base::InstanceId& it : Relays()) {
+    faults_[it] = RelayFault::kTimeout;
+  }
+  asked_.clear();
+  for (int i = 0; i < 10; ++i) {
+    store_.Write("a", "x" + std::to_string(i));
+    ExpectAllSee();
+  }
+  // Once by each other instance at most: the clock stands still.
+  for (const auto& [relay, n] : asked_) {
+    EXPECT_LE(n, 8);
+  }
+}
+
+TEST_F(WatchSharingTest, OneRelayIsEnough) {
+  StartZone(10);
+  store_.Write("a", "1");
+  ExpectAllSee();
+  faults_[Relays()[0]] = RelayFault::kUnreachable;
+  for (int i = 0; i < 10; ++i) {
+    store_.Write("a", "x" + std::to_string(i));
+    ExpectAllSee();
+  }
+}
+
+// A relay that is cut off from the store does not say that nothing changes.
+TEST_F(WatchSharingTest, ARelayThatDoesNotHearTheStoreDoesNotAnswerForIt) {
+  StartZone(10);
+  store_.Write("a", "1");
+  ExpectAllSee();
+  now_ += std::chrono::seconds(2);
+  const base::InstanceId relay = Relays()[0];
+  const auto at = std::ranges::find(peers_, relay, &InstancePeer::instance);
+  RelayFault fault{};
+  bool answered = false;
+  asio::co_spawn(
+      loop_,
+      [&]() -> Awaitable<void> {
+        const auto changes =
+            co_await zone_[at - peers_.begin()]->watches.Answer(
+                base::Revision(1), std::chrono::seconds(1), &fault);
+        answered = changes.has_value();
+      },
+      asio::detached);
+  RunReady(loop_);
+  EXPECT_FALSE(answered);
+  EXPECT_EQ(fault, RelayFault::kNotWatching);
+}
+
+TEST_F(WatchSharingTest, WhatIsTooLargeForARelayComesFromTheStore) {
+  StartZone(10);
+  store_.Write("big", std::string(kMostRelayedBytes + 1, 'x'));
+  ExpectAllSee();
+  store_.Write("small", "y");
+  ExpectAllSee();
+}
+
+// --- The history of changes
+
+StoreItem Item(std::int64_t revision, const std::string& value = "v") {
+  StoreItem item;
+  item.key = "k" + std::to_string(revision % 5);
+  item.value = value;
+  item.revision = base::Revision(revision);
+  return item;
+}
+
+StoreItems Changes(std::int64_t from, std::int64_t to) {
+  StoreItems changes;
+  changes.at = base::Revision(to);
+  for (std::int64_t i = from; i <= to; ++i) {
+    changes.items.push_back(Item(i));
+  }
+  return changes;
+}
+
+TEST(ChangeHistory, KnowsNothingBeforeItHeard) {
+  ChangeHistory history;
+  EXPECT_FALSE(history.After(base::Revision(0)));
+}
+
+TEST(ChangeHistory, BeginsAnewAfterAGap) {
+  ChangeHistory history;
+  history.Add(base::Revision(1), Changes(2, 5));
+  history.Add(base::Revision(8), Changes(9, 10));
+  EXPECT_FALSE(history.After(base::Revision(5)));
+  EXPECT_EQ(history.After(base::Revision(8))->items.size(), 2U);
+}
+
+// Whatever overlaps, whoever asks gets each change once and in order, or is
+// told to ask the store.
+RC_GTEST_PROP(ChangeHistory, GivesEachChangeOnceOrNothing, ()) {
+  ChangeHistory history({.most_changes = 12, .most_bytes = 10});
+  std::int64_t newest = 0;
+  for (int step = 0; step < 40; ++step) {
+    const auto after = *rc::gen::inRange<std::int64_t>(0, newest + 3);
+    const auto to = after + *rc::gen::inRange<std::int64_t>(0, 6);
+    history.Add(base::Revision(after), Changes(after + 1, to));
+    newest = std::max(newest, to);
+    const auto from = *rc::gen::inRange<std::int64_t>(0, newest + 2);
+    const auto found = history.After(base::Revision(from));
+    if (!found) {
+      continue;
+    }
+    RC_ASSERT(found->at >= base::Revision(from));
+    std::vector<std::int64_t> revisions;
+    std::ranges::transform(
+        found->items, std::back_inserter(revisions),
+        [](const StoreItem& it) { return it.revision.value(); });
+    std::vector<std::int64_t> expected;
+    for (std::int64_t i = from + 1; i <= history.at().value(); ++i) {
+      expected.push_back(i);
+    }
+    RC_ASSERT(revisions == expected);
+  }
+}
+
+// --- Messages
+
+RC_GTEST_PROP(ChangeMessages, AreReadAsTheyWereWritten, ()) {
+  StoreItems changes;
+  changes.at = base::Revision(1'000'000);
+  const int n = *rc::gen::inRange(0, 30);
+  for (int i = 0; i < n; ++i) {
+    StoreItem item = Item(*rc::gen::inRange<std::int64_t>(1, 1'000'000),
+                          *rc::gen::arbitrary<std::string>());
+    item.deleted = *rc::gen::arbitrary<bool>();
+    if (item.deleted) {
+      item.value.clear();
+    }
+    changes.items.push_back(item);
+  }
+  const auto bytes = EncodeChanges(changes);
+  RC_ASSERT(bytes.has_value());
+  const auto read = DecodeChanges(*bytes);
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(read->at == changes.at);
+  RC_ASSERT(read->items.size() == changes.items.size());
+  for (std::size_t i = 0; i < changes.items.size(); ++i) {
+    RC_ASSERT(read->items[i].key == changes.items[i].key);
+    RC_ASSERT(read->items[i].value == changes.items[i].value);
+    RC_ASSERT(read->items[i].revision == changes.items[i].revision);
+    RC_ASSERT(read->items[i].deleted == changes.items[i].deleted);
+  }
+}
+
+RC_GTEST_PROP(ChangeMessages, BytesOfAnotherOriginAreRefusedOrBounded,
+              (std::string bytes)) {
+  const auto read = DecodeChanges(bytes);
+  RC_ASSERT(!read || std::ranges::all_of(read->items, [&](const auto& it) {
+    return it.revision <= read->at;
+  }));
+}
+
+RC_GTEST_PROP(ChangeMessages, ACutMessageIsRefused, ()) {
+  const auto bytes = EncodeChanges(Changes(1, 5));
+  const auto n = *rc::gen::inRange<std::size_t>(0, bytes->size());
+  RC_ASSERT(!DecodeChanges(std::string_view(*bytes).substr(0, n)));
+}
+
+// --- Over connections
+
+class ChangeRelayTest : public WatchSharingTest {
+ protected:
+  ChangeRelayTest() {
+    peers_ = Peers(10);
+    instance_ = std::make_unique<Instance>(loop_, store_, Relays()[0].str(),
+                                           peers_, Ask(), now_);
+    relay_ = std::make_unique<ChangeRelay>(
+        loop_,
+        connection::event::Tcp::endpoint(
+            asio::ip::make_address("127.0.0.1"), 0),
+        instance_->watches, [this] { return now_; }, metrics_);
+    std::string reason;
+    EXPECT_TRUE(relay_->Start(&reason)) << reason;
+  }
+
+  // Asks over a connection; nothing and the fault, or the changes.
+  std::optional<StoreItems> AskOverConnection(std::int64_t after,
+                                              RelayFault* fault) {
+    const AskRelay ask = MakeAskRelay(loop_, channels_);
+    InstancePeer peer = Peer("r");
+    peer.endpoint.port(relay_->port());
+    std::optional<StoreItems> changes;
+    bool done = false;
+    asio::co_spawn(
+        loop_,
+        [&]() -> Awaitable<void> {
+          changes = co_await ask(peer, base::Revision(after),
+                                 std::chrono::milliseconds(50), fault);
+          done = true;
+        },
+        asio::detached);
+    RunUntil(loop_, [&done] { return done; });
+    return changes;
+  }
+
+  base::Metrics metrics_;
+  connection::event::ChannelPool channels_{loop_, base::BootClock::now};
+  std::unique_ptr<Instance> instance_;
+  std::unique_ptr<ChangeRelay> relay_;
+};
+
+TEST_F(ChangeRelayTest, AnInstanceThatDoesNotWatchSaysSo) {
+  RelayFault fault{};
+  EXPECT_FALSE(AskOverConnection(1, &fault));
+  EXPECT_EQ(fault, RelayFault::kNotWatching);
+}
+
+TEST_F(ChangeRelayTest, TellsWhatChanged) {
+  asio::co_spawn(loop_, instance_->follower.Run(), asio::detached);
+  RunUntil(loop_, [this] { return instance_->follower.Age().has_value(); });
+  const std::int64_t before = 1;
+  store_.Write("a", "1");
+  store_.Remove("a");
+  RunUntil(loop_, [this] { return instance_->last > base::Revision(0); });
+  RelayFault fault{};
+  const auto changes = AskOverConnection(before, &fault);
+  ASSERT_TRUE(changes) << ToString(fault);
+  ASSERT_EQ(changes->items.size(), 2U);
+  EXPECT_EQ(changes->items[0].value, "1");
+  EXPECT_TRUE(changes->items[1].deleted);
+}
+
+TEST_F(ChangeRelayTest, NobodyListeningIsUnreachable) {
+  const auto port = relay_->port();
+  const AskRelay ask = MakeAskRelay(loop_, channels_);
+  InstancePeer peer = Peer("r");
+  peer.endpoint.port(static_cast<std::uint16_t>(port == 1 ? 2 : 1));
+  RelayFault fault{};
+  bool done = false;
+  asio::co_spawn(
+      loop_,
+      [&]() -> Awaitable<void> {
+        co_await ask(peer, base::Revision(1), std::chrono::milliseconds(50),
+                     &fault);
+        done = true;
+      },
+      asio::detached);
+  RunUntil(loop_, [&done] { return done; });
+  EXPECT_EQ(fault, RelayFault::kUnreachable);
+}
+
+}  // namespace
+}  // namespace lynxglade::process
