--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -181,9 +181,8 @@
       store_follower(
           loop,
           watches,
-          {.gather = [this] {
-            return watches.Shares() ? kGatherShared : kGather;
-          }},
+          {.gather =
+               [this] { return watches.Shares() ? kGatherShared : kGather; }},
           StoreHooks(),
           clock,
           random,
--- a/src/process/change_relay.cc
+++ b/src/process/change_relay.cc
@@ -86,11 +86,10 @@
                             kHttp11);
     request.set(http::field::host, endpoint.address().to_string());
     ExchangeState end{};
-    const auto answer =
-        co_await Call(loop, channels, endpoint, std::move(request),
-                      {.timeout = wait + kAnswerSlack,
-                       .max_answer_bytes = kMaxAnswerBytes},
-                      &end);
+    const auto answer = co_await Call(
+        loop, channels, endpoint, std::move(request),
+        {.timeout = wait + kAnswerSlack, .max_answer_bytes = kMaxAnswerBytes},
+        &end);
     if (!answer) {
       // Its other connections may be as silent.
       channels.Forget(endpoint);
@@ -145,9 +144,8 @@
     body = std::move(*message);
   } else {
     const bool not_watching = !changes && fault == RelayFault::kNotWatching;
-    head.status =
-        static_cast<unsigned>(not_watching ? kNotWatchingStatus
-                                           : kAskStoreStatus);
+    head.status = static_cast<unsigned>(not_watching ? kNotWatchingStatus
+                                                     : kAskStoreStatus);
   }
   co_await reply.SendWhole(std::move(head), body);
 }
--- a/src/process/watch_sharing.h
+++ b/src/process/watch_sharing.h
@@ -95,10 +95,8 @@
 
   // For an instance that asks this one. Nothing, and why, if it has to ask
   // another.
-  connection::event::Awaitable<std::optional<StoreItems>> Answer(
-      base::Revision after,
-      base::Duration wait,
-      RelayFault* fault);
+  connection::event::Awaitable<std::optional<StoreItems>>
+  Answer(base::Revision after, base::Duration wait, RelayFault* fault);
 
   // Whether watches are shared in this zone now.
   bool Shares() const;
--- a/tests/platform/first_reads_test.cc
+++ b/tests/platform/first_reads_test.cc
@@ -34,8 +34,8 @@
     const std::string number = std::to_string(i);
     const std::string prompt =
         "Lynxglade-Model: m\r\nLynxglade-Token-Usage: 17020,13\r\n"
-        "Lynxglade-Prefix-Hash: a" + number + ":13300,b" + number +
-        ":3720\r\n";
+        "Lynxglade-Prefix-Hash: a" +
+        number + ":13300,b" + number + ":3720\r\n";
     EXPECT_TRUE(Call(Request("/stream/x", prompt, "r" + number))
                     .ends_with("0\r\n\r\n"));
   }
--- a/tests/process/prefix_follower_test.cc
+++ b/tests/process/prefix_follower_test.cc
@@ -18,31 +18,33 @@
  protected:
   PrefixFollowerTest()
       : store_(loop_),
-        follower_(loop_,
-                  store_,
-                  {.prefix = "servers/",
-                   .gather = [] { return base::Duration(std::chrono::milliseconds(1)); },
-                   .first_pause = std::chrono::milliseconds(1),
-                   .longest_pause = std::chrono::milliseconds(1)},
-                  {.on_list =
-                       [this](const std::vector<StoreItem>& items) {
-                         seen_.clear();
-                         for (const StoreItem& item : items) {
-                           seen_[item.key] = item.value;
-                         }
-                       },
-                   .on_change =
-                       [this](const StoreItem& item) {
-                         if (item.deleted) {
-                           seen_.erase(item.key);
-                         } else {
-                           seen_[item.key] = item.value;
-                         }
-                       },
-                   .on_returned = [this] { ++returned_; }},
-                  base::BootClock::now,
-                  base::SeededRandom(1),
-                  metrics_) {}
+        follower_(
+            loop_,
+            store_,
+            {.prefix = "servers/",
+             .gather =
+                 [] { return base::Duration(std::chrono::milliseconds(1)); },
+             .first_pause = std::chrono::milliseconds(1),
+             .longest_pause = std::chrono::milliseconds(1)},
+            {.on_list =
+                 [this](const std::vector<StoreItem>& items) {
+                   seen_.clear();
+                   for (const StoreItem& item : items) {
+                     seen_[item.key] = item.value;
+                   }
+                 },
+             .on_change =
+                 [this](const StoreItem& item) {
+                   if (item.deleted) {
+                     seen_.erase(item.key);
+                   } else {
+                     seen_[item.key] = item.value;
+                   }
+                 },
+             .on_returned = [this] { ++returned_; }},
+            base::BootClock::now,
+            base::SeededRandom(1),
+            metrics_) {}
 
   void Start() {
     asio::co_spawn(loop_, follower_.Run(), asio::detached);
--- a/tests/process/watch_sharing_test.cc
+++ b/tests/process/watch_sharing_test.cc
@@ -27,9 +27,8 @@
 const base::ZoneId kZone("a");
 
 InstancePeer Peer(const std::string& name, const base::ZoneId& zone = kZone) {
-  return {base::InstanceId(name),
-          zone,
-          {asio::ip::make_address("127.0.0.1"), 1}};
+  return {
+      base::InstanceId(name), zone, {asio::ip::make_address("127.0.0.1"), 1}};
 }
 
 std::vector<InstancePeer> Peers(int n) {
@@ -73,8 +72,7 @@
   peers.erase(peers.begin() + gone);
   const auto after = RelaysOf(peers, peers[0].instance, options);
   for (const base::InstanceId& it : relays) {
-    RC_ASSERT(it == gone_id ||
-              std::ranges::find(after, it) != after.end());
+    RC_ASSERT(it == gone_id || std::ranges::find(after, it) != after.end());
   }
 }
 
@@ -167,8 +165,8 @@
         *fault = silent->second;
         co_return std::nullopt;
       }
-      const auto it = std::ranges::find(peers_, relay.instance,
-                                        &InstancePeer::instance);
+      const auto it =
+          std::ranges::find(peers_, relay.instance, &InstancePeer::instance);
       auto& watches = zone_[it - peers_.begin()]->watches;
       const auto changes = co_await watches.Answer(after, wait, fault);
       if (!changes) {
@@ -187,8 +185,7 @@
     const auto at = std::ranges::find_if(
         zone_, [&](const auto& it) { return it.get() == &instance; });
     const auto relays = Relays();
-    return std::ranges::find(relays,
-                             peers_[at - zone_.begin()].instance) !=
+    return std::ranges::find(relays, peers_[at - zone_.begin()].instance) !=
            relays.end();
   }
 
@@ -396,7 +393,8 @@
   }
 }
 
-RC_GTEST_PROP(ChangeMessages, BytesOfAnotherOriginAreRefusedOrBounded,
+RC_GTEST_PROP(ChangeMessages,
+              BytesOfAnotherOriginAreRefusedOrBounded,
               (std::string bytes)) {
   const auto read = DecodeChanges(bytes);
   RC_ASSERT(!read || std::ranges::all_of(read->items, [&](const auto& it) {
@@ -420,8 +418,8 @@
                                            peers_, Ask(), now_);
     relay_ = std::make_unique<ChangeRelay>(
         loop_,
-        connection::event::Tcp::endpoint(
-            asio::ip::make_address("127.0.0.1"), 0),
+        connection::event::Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                                         0),
         instance_->watches, [this] { return now_; }, metrics_);
     std::string reason;
     EXPECT_TRUE(relay_->Start(&reason)) << reason;
--- a/tests/request/passthrough/engine_choice_test.cc
+++ b/tests/request/passthrough/engine_choice_test.cc
@@ -102,12 +102,11 @@
   std::map<base::TargetId, int> taken;
   for (std::uint64_t i = 0; i < kInstances; ++i) {
     const EngineChoice choice = MakeChoice(i + 1);
-    const EnginePick pick =
-        choice.Pick(fleet, {.prompt = Album("x"),
-                            .priority = kPriority,
-                            .tried = {},
-                            .pairs = false,
-                            .now = kNow});
+    const EnginePick pick = choice.Pick(fleet, {.prompt = Album("x"),
+                                                .priority = kPriority,
+                                                .tried = {},
+                                                .pairs = false,
+                                                .now = kNow});
     ++taken[pick.runner->entry.id];
   }
   for (const auto& [engine, n] : taken) {
