Store client: a list of several pages that may lag is as of its oldest page

Cause: found on reading the change: each page of a list that may lag can lag by itself, and the watch began at the newest item of all pages; what the older page missed before it would never have been told.

--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,110 @@
+#include "platform/store_client.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "connection/scripted_server.h"
+#include "platform/relay_fixture.h"
+
+namespace lynxglade::platform {
+namespace {
+
+using connection::ScriptedServer;
+using connection::event::Awaitable;
+using connection::event::Tcp;
+using process::Freshness;
+using process::StoreFault;
+using process::StoreItems;
+namespace asio = connection::event::asio;
+
+// A page of a list, each item with the value "v".
+std::string Page(std::int64_t at,
+                 const std::vector<std::pair<std::string, int>>& items,
+                 bool more) {
+  std::string rows;
+  for (const auto& [key, revision] : items) {
+    rows += (rows.empty() ? "" : ",") + std::string(R"({"key":")") + key +
+            R"(","revision":)" + std::to_string(revision) +
+            R"(,"created":1,"lease":0,"value":"dg=="})";
+  }
+  return R"({"at":)" + std::to_string(at) + R"(,"hasMore":)" +
+         (more ? "true" : "false") + R"(,"items":[)" + rows + "]}";
+}
+
+class StoreClientTest : public testing::Test {
+ protected:
+  // Lists from a store that answers with these pages in turn.
+  std::optional<StoreItems> List(std::vector<std::string> pages,
+                                 Freshness freshness) {
+    std::size_t next = 0;
+    ScriptedServer server([&](const std::string& request) {
+      return Answer(request, "200 OK", pages[next++], "");
+    });
+    asio::io_context loop;
+    base::Metrics metrics;
+    connection::event::ChannelPool channels(loop, base::BootClock::now);
+    StoreClient store(
+        loop, channels,
+        {.endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(),
+                                   static_cast<std::uint16_t>(server.port()))},
+        metrics);
+    std::optional<StoreItems> listed;
+    asio::co_spawn(
+        loop,
+        [&]() -> Awaitable<void> {
+          StoreFault fault{};
+          listed = co_await store.List("", freshness, &fault);
+          loop.stop();
+        },
+        asio::detached);
+    loop.run();
+    requests_ = server.requests();
+    return listed;
+  }
+
+  std::vector<std::string> requests_;
+};
+
+TEST_F(StoreClientTest, ACurrentListIsAsOfItsFirstPage) {
+  const auto listed =
+      List({Page(50, {{"a", 10}}, true), Page(52, {{"b", 51}}, false)},
+           Freshness::kCurrent);
+  ASSERT_TRUE(listed);
+  EXPECT_EQ(listed->at, base::Revision(50));
+  EXPECT_EQ(listed->items.size(), 2U);
+  EXPECT_EQ(requests_[0].find("allowStale"), std::string::npos);
+  EXPECT_NE(requests_[1].find("after=a"), std::string::npos);
+}
+
+// It may state the store's revision and show an older state.
+TEST_F(StoreClientTest, AListThatMayLagIsAsOfItsNewestItem) {
+  const auto listed =
+      List({Page(50, {{"a", 10}, {"b", 40}}, false)}, Freshness::kMayLag);
+  ASSERT_TRUE(listed);
+  EXPECT_EQ(listed->at, base::Revision(40));
+  EXPECT_NE(requests_[0].find("allowStale=1"), std::string::npos);
+}
+
+// Each page may lag by itself: a watch from the newer one's revision would
+// never tell what the older one has missed.
+TEST_F(StoreClientTest, PagesThatMayLagAreAsOfTheOldest) {
+  const auto listed =
+      List({Page(50, {{"a", 48}}, true), Page(50, {{"b", 30}}, false)},
+           Freshness::kMayLag);
+  ASSERT_TRUE(listed);
+  EXPECT_EQ(listed->at, base::Revision(30));
+}
+
+TEST_F(StoreClientTest, AnEmptyListThatMayLagIsAsOfNothing) {
+  const auto listed = List({Page(50, {}, false)}, Freshness::kMayLag);
+  ASSERT_TRUE(listed);
+  EXPECT_EQ(listed->at, base::Revision(0));
+}
+
+}  // namespace
+}  // namespace lynxglade::platform
