Store port: what a follower needs of the store is an interface of its own

Cause: the shared watch passed six calls on that no follower makes.

Change: ChangeSource (list, watch) under StorePort; WatchSharing and PrefixFollower know only it. No behaviour changes.

Result: tests of the follower, the shared watch, the views and the orders pass.

--- a/src/process/prefix_follower.cc
+++ b/src/process/prefix_follower.cc
@@ -68,14 +68,14 @@
 }
 
 PrefixFollower::PrefixFollower(asio::io_context& loop,
-                               StorePort& store,
+                               ChangeSource& source,
                                PrefixFollowerOptions options,
                                PrefixFollowerHooks hooks,
                                base::Clock clock,
                                base::RandomSource random,
                                base::Metrics& metrics)
     : loop_(loop),
-      store_(store),
+      source_(source),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
       clock_(std::move(clock)),
@@ -96,7 +96,7 @@
 
 Awaitable<bool> PrefixFollower::List() {
   StoreFault fault{};
-  const auto listed = co_await store_.List(
+  const auto listed = co_await source_.List(
       options_.prefix, heard_ ? Freshness::kCurrent : Freshness::kMayLag,
       &fault);
   if (!listed) {
@@ -118,8 +118,8 @@
 Awaitable<void> PrefixFollower::Watch() {
   while (true) {
     StoreFault fault{};
-    const auto changes = co_await store_.Watch(options_.prefix, at_,
-                                               options_.watch_wait, &fault);
+    const auto changes = co_await source_.Watch(options_.prefix, at_,
+                                                options_.watch_wait, &fault);
     if (!changes) {
       NoteFault("watch", fault);
       away_ =
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -58,7 +58,7 @@
 class PrefixFollower {
  public:
   PrefixFollower(connection::event::asio::io_context& loop,
-                 StorePort& store,
+                 ChangeSource& source,
                  PrefixFollowerOptions options,
                  PrefixFollowerHooks hooks,
                  base::Clock clock,
@@ -82,7 +82,7 @@
   void NoteFault(const char* call, StoreFault fault);
 
   connection::event::asio::io_context& loop_;
-  StorePort& store_;
+  ChangeSource& source_;
   const PrefixFollowerOptions options_;
   const PrefixFollowerHooks hooks_;
   const base::Clock clock_;
--- a/src/process/store_port.h
+++ b/src/process/store_port.h
@@ -49,14 +49,15 @@
 
 using LeaseId = base::StrongNumber<struct LeaseIdTag, std::int64_t>;
 
-// All calls return nothing and set `*fault` on failure. Not thread-safe: on
-// the event loop.
-class StorePort {
+// What the store holds and how it changes; told by the store, or by another
+// instance that watches it. All calls return nothing and set `*fault` on
+// failure. Not thread-safe: on the event loop.
+class ChangeSource {
  public:
   template <typename T>
   using Result = connection::event::Awaitable<std::optional<T>>;
 
-  virtual ~StorePort() = default;
+  virtual ~ChangeSource() = default;
 
   // Every item under the prefix.
   virtual Result<StoreItems> List(std::string prefix,
@@ -68,6 +69,11 @@
                                    base::Revision after,
                                    base::Duration wait,
                                    StoreFault* fault) = 0;
+};
+
+// The store itself. Calls fail as those of ChangeSource do.
+class StorePort : public ChangeSource {
+ public:
   virtual Result<LeaseId> OpenLease(base::Duration ttl, StoreFault* fault) = 0;
   virtual Result<LeaseId> KeepLease(LeaseId lease, StoreFault* fault) = 0;
   // Ends the lease and removes its keys.
--- a/src/process/watch_sharing.cc
+++ b/src/process/watch_sharing.cc
@@ -60,7 +60,7 @@
 
 WatchSharing::WatchSharing(
     asio::io_context& loop,
-    StorePort& store,
+    ChangeSource& store,
     WatchSharingOptions options,
     std::function<const std::vector<InstancePeer>&()> peers,
     AskRelay ask,
@@ -220,38 +220,4 @@
   co_return listed;
 }
 
-WatchSharing::Result<LeaseId> WatchSharing::OpenLease(base::Duration ttl,
-                                                      StoreFault* fault) {
-  return store_.OpenLease(ttl, fault);
-}
-
-WatchSharing::Result<LeaseId> WatchSharing::KeepLease(LeaseId lease,
-                                                      StoreFault* fault) {
-  return store_.KeepLease(lease, fault);
-}
-
-WatchSharing::Result<LeaseId> WatchSharing::EndLease(LeaseId lease,
-                                                     StoreFault* fault) {
-  return store_.EndLease(lease, fault);
-}
-
-WatchSharing::Result<StoreItem> WatchSharing::Get(std::string key,
-                                                  StoreFault* fault) {
-  return store_.Get(std::move(key), fault);
-}
-
-WatchSharing::Result<base::Revision> WatchSharing::Create(std::string key,
-                                                          std::string value,
-                                                          LeaseId lease,
-                                                          StoreFault* fault) {
-  return store_.Create(std::move(key), std::move(value), lease, fault);
-}
-
-WatchSharing::Result<base::Revision> WatchSharing::Put(std::string key,
-                                                       std::string value,
-                                                       LeaseId lease,
-                                                       StoreFault* fault) {
-  return store_.Put(std::move(key), std::move(value), lease, fault);
-}
-
 }  // namespace lynxglade::process
--- a/src/process/watch_sharing.h
+++ b/src/process/watch_sharing.h
@@ -79,12 +79,12 @@
                                        const base::InstanceId& self,
                                        const WatchSharingOptions& options);
 
-// Watches of all keys are shared; all other calls go to the store. Not
-// thread-safe: lives on the event loop.
-class WatchSharing : public StorePort {
+// Watches of all keys are shared; lists, and watches of some keys, are the
+// store's. Not thread-safe: lives on the event loop.
+class WatchSharing : public ChangeSource {
  public:
   WatchSharing(connection::event::asio::io_context& loop,
-               StorePort& store,
+               ChangeSource& store,
                WatchSharingOptions options,
                std::function<const std::vector<InstancePeer>&()> peers,
                AskRelay ask,
@@ -108,18 +108,6 @@
                            base::Revision after,
                            base::Duration wait,
                            StoreFault* fault) override;
-  Result<LeaseId> OpenLease(base::Duration ttl, StoreFault* fault) override;
-  Result<LeaseId> KeepLease(LeaseId lease, StoreFault* fault) override;
-  Result<LeaseId> EndLease(LeaseId lease, StoreFault* fault) override;
-  Result<StoreItem> Get(std::string key, StoreFault* fault) override;
-  Result<base::Revision> Create(std::string key,
-                                std::string value,
-                                LeaseId lease,
-                                StoreFault* fault) override;
-  Result<base::Revision> Put(std::string key,
-                             std::string value,
-                             LeaseId lease,
-                             StoreFault* fault) override;
 
  private:
   std::vector<base::InstanceId> Relays() const;
@@ -138,7 +126,7 @@
   void Count(const char* source);
 
   connection::event::asio::io_context& loop_;
-  StorePort& store_;
+  ChangeSource& store_;
   const WatchSharingOptions options_;
   const std::function<const std::vector<InstancePeer>&()> peers_;
   const AskRelay ask_;
