Shared watch: any series of faults, as a property

Cause: the tests of the shared watch brought one fault about at a time.

Change: ten instances, sixty steps of writes, removals, dropped history, cut watches, a failing store, relay faults and time that passes, in any order; in the end all agree, and nobody heard an older change after a newer one.

--- a/tests/process/watch_sharing_test.cc
+++ b/tests/process/watch_sharing_test.cc
@@ -304,6 +304,61 @@
   ExpectAllSee();
 }
 
+// The loads this answers: a store that fails, cuts its watches or drops its
+// history, relays that fall silent, time that passes, in any order; in the end
+// all know what the store holds, and nobody was told an older change after a
+// newer one.
+RC_GTEST_FIXTURE_PROP(WatchSharingTest, AllAgreeAfterAnySeriesOfFaults, ()) {
+  StartZone(10);
+  const base::RandomSource random =
+      base::SeededRandom(*rc::gen::arbitrary<std::uint64_t>());
+  const auto draw = [&random](int n) {
+    return static_cast<int>(base::UniformReal(random) * n);
+  };
+  for (int step = 0; step < 60; ++step) {
+    const std::string key = "k" + std::to_string(draw(5));
+    const base::InstanceId relay = Relays()[draw(2)];
+    switch (draw(10)) {
+      case 0:
+        store_.Remove(key);
+        break;
+      case 1:
+        store_.Compact();
+        break;
+      case 2:
+        store_.CutWatches();
+        break;
+      case 3:
+        store_.Fail(draw(2) == 0 ? StoreFault::kTimeout : StoreFault::kBusy);
+        break;
+      case 4:
+      case 5:
+        store_.Fail(std::nullopt);
+        break;
+      case 6:
+        faults_[relay] = static_cast<RelayFault>(draw(5));
+        break;
+      case 7:
+        faults_.erase(relay);
+        break;
+      case 8:
+        now_ += std::chrono::milliseconds(draw(3000));
+        break;
+      default:
+        store_.Write(key, std::to_string(step));
+    }
+    if (draw(3) != 0) {
+      RunReady(loop_);
+    }
+  }
+  store_.Fail(std::nullopt);
+  faults_.clear();
+  now_ += std::chrono::seconds(3);
+  store_.Write("settled", "1");
+  ExpectAllSee();
+  RC_ASSERT(!HasFailure());
+}
+
 // --- The history of changes
 
 StoreItem Item(std::int64_t revision, const std::string& value = "v") {
