--- a/src/process/watch_sharing.h
+++ b/src/process/watch_sharing.h
@@ -104,6 +104,7 @@
   Result<StoreItems> List(std::string prefix,
                           Freshness freshness,
                           StoreFault* fault) override;
+  // Where watches are shared the options' wait holds in place of `wait`.
   Result<StoreItems> Watch(std::string prefix,
                            base::Revision after,
                            base::Duration wait,
