--- a/src/process/change_messages.cc
+++ b/src/process/change_messages.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <numeric>
 #include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
--- a/src/process/change_relay.cc
+++ b/src/process/change_relay.cc
@@ -1,8 +1,8 @@
 #include "process/change_relay.h"
 
-#include <charconv>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string_view>
 #include <utility>
 
--- a/src/process/prefix_follower.h
+++ b/src/process/prefix_follower.h
@@ -23,7 +23,7 @@
   base::Duration watch_wait = std::chrono::milliseconds(3000);
   // After changes, before the next watch: what changes meanwhile comes in one
   // answer. When many targets change at once this is most of what all
-  // instances ask of the store.
+  // instances ask of the store. Must be set.
   std::function<base::Duration()> gather;
   // Between tries while the store fails: from the first to the second, with
   // up to as much again at random, so that instances do not return together.
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -172,8 +172,8 @@
   double ZoneMs(const Engine& engine) const noexcept;
   // Up to what one request more costs: of engines that look alike any may be
   // taken, so that instances with the same picture do not all choose the same
-  // one. Without it the busiest engine got 6.1 times the mean of arrivals while
-  // engines that generate read prompts themselves, 2.2 times otherwise.
+  // one. Where engines that generate read prompts themselves, the busiest got
+  // 6.1 times the mean of arrivals without it and 4.9 times with it.
   base::Duration AlikeSpread() const;
 
   const EngineChoiceOptions options_;
