Tests: an assertion's second half is not evaluated after the first holds

Ruled out: a fault of DecodeChanges (the bytes are refused) and of the compiler (the loop in the binary runs over an optional without value). Change: the four assertions whose second half needs the first are in parentheses; what they demand is as before.

--- a/tests/process/change_messages_test.cc
+++ b/tests/process/change_messages_test.cc
@@ -45,9 +45,12 @@
               BytesOfAnotherOriginAreRefusedOrBounded,
               (std::string bytes)) {
   const auto read = DecodeChanges(bytes);
-  RC_ASSERT(!read || std::ranges::all_of(read->items, [&](const auto& it) {
-    return it.revision <= read->at;
-  }));
+  const auto in_order = [&read] {
+    return std::ranges::all_of(read->items, [&](const auto& it) {
+      return it.revision <= read->at;
+    });
+  };
+  RC_ASSERT((!read || in_order()));
 }
 
 RC_GTEST_PROP(ChangeMessages, ACutMessageIsRefused, ()) {
--- a/tests/process/read_sharing_test.cc
+++ b/tests/process/read_sharing_test.cc
@@ -44,7 +44,7 @@
         static_cast<char>(*rc::gen::inRange(0, 256));
   }
   const auto reads = DecodeReads(bytes);
-  RC_ASSERT(!reads || reads->size() <= 200U);
+  RC_ASSERT((!reads || reads->size() <= 200U));
 }
 
 TEST(ReadReport, OtherVersionsAreRefused) {
--- a/tests/request/passthrough/part_places_test.cc
+++ b/tests/request/passthrough/part_places_test.cc
@@ -119,8 +119,8 @@
   RC_ASSERT((places.holder == nullptr) == usable.empty());
   if (places.home) {
     RC_ASSERT(std::ranges::count(usable, places.home) == 1);
-    RC_ASSERT(places.holder == places.home ||
-              places.holder->staged_at == base::Time());
+    RC_ASSERT((places.holder == places.home ||
+               places.holder->staged_at == base::Time()));
   }
   std::ranges::reverse(engines);
   const PartPlaces other = Find(engines, album);
--- a/tests/request/router_test.cc
+++ b/tests/request/router_test.cc
@@ -130,7 +130,7 @@
       RC_ASSERT(std::ranges::find(excluded, it->id) == excluded.end());
       // An ejected one only where nothing else is left.
       const bool ejected = OutlierEjector::IsEjected(*it, kNow);
-      RC_ASSERT(!ejected || choice->reason == RouteReason::kAllEjected);
+      RC_ASSERT((!ejected || choice->reason == RouteReason::kAllEjected));
     }
   }
 }
