--- /dev/null
+++ b/fuzz/loan_messages.cc
@@ -0,0 +1,26 @@
+// What one instance tells another of retries that it asks for and lends.
+#include "process/loan_messages.h"
+
+#include "fuzz/check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace lynxglade;
+  const auto bytes = fuzz::TextOf(data, size);
+  if (const auto loan = process::DecodeLoan(bytes)) {
+    fuzz::Check(loan->arrivals >= 0 && loan->arrivals <= process::kMostLent,
+                "a bounded loan");
+    const auto again = process::DecodeLoan(process::EncodeLoan(*loan));
+    fuzz::Check(again && again->number == loan->number &&
+                    again->arrivals <= loan->arrivals,
+                "no more than was lent");
+  }
+  if (const auto question = process::DecodeLoanQuestion(bytes)) {
+    fuzz::Check(question->wanted <= process::kMostLent, "a bounded question");
+    const auto again =
+        process::DecodeLoanQuestion(process::EncodeLoanQuestion(*question));
+    fuzz::Check(again && again->service == question->service,
+                "the same service");
+  }
+  return 0;
+}
--- a/src/connection/bounded_cbor.cc
+++ b/src/connection/bounded_cbor.cc
@@ -127,6 +127,14 @@
   return value;
 }
 
+std::optional<std::uint64_t> CborWhole(const nlohmann::json& value,
+                                       std::uint64_t high) {
+  if (!value.is_number_unsigned() || value.get<std::uint64_t>() > high) {
+    return std::nullopt;
+  }
+  return value.get<std::uint64_t>();
+}
+
 std::string EncodeCbor(const Json& value) {
   std::string bytes;
   Json::to_cbor(value, bytes);
--- a/src/connection/bounded_cbor.h
+++ b/src/connection/bounded_cbor.h
@@ -6,6 +6,7 @@
 #define LYNXGLADE_CONNECTION_BOUNDED_CBOR_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -40,6 +41,10 @@
                                          const CborLimits& limits,
                                          CborError* error);
 
+// Nothing if `value` is not a whole number from 0 to `high`.
+std::optional<std::uint64_t> CborWhole(const nlohmann::json& value,
+                                       std::uint64_t high);
+
 // Encodes any value.
 std::string EncodeCbor(const nlohmann::json& value);
 
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -45,6 +45,7 @@
 
   OutgoingRequest request;
   bool written = false;
+  bool unacknowledged = false;
   // Null until the request is sent.
   std::unique_ptr<asio::steady_timer> watch;
 };
@@ -82,6 +83,10 @@
   co_return state_;
 }
 
+bool Exchange::unacknowledged() const noexcept {
+  return sending_ && sending_->unacknowledged;
+}
+
 // Starts the write and does not wait for its end: the answer may come first.
 void Exchange::Send(OutgoingRequest request) {
   state_ = ExchangeState::kBroken;
@@ -95,12 +100,17 @@
 void Exchange::WatchSending() {
   sending_->watch = std::make_unique<asio::steady_timer>(
       channel_->socket.get_executor(), options_.acknowledged_within);
-  sending_->watch->async_wait([channel = channel_](const ErrorCode& ec) {
+  sending_->watch->async_wait([sending = std::weak_ptr(sending_),
+                               channel = channel_](const ErrorCode& ec) {
     const bool stuck = !ec && channel->socket.is_open() &&
                        UnacknowledgedBytes(channel->socket) > 0;
-    if (stuck) {
-      ResetSocket(channel->socket);
+    if (!stuck) {
+      return;
+    }
+    if (const auto it = sending.lock()) {
+      it->unacknowledged = true;
     }
+    ResetSocket(channel->socket);
   });
 }
 
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -74,6 +74,10 @@
   ExchangeState state() const noexcept { return state_; }
   // Whether bytes of the request may have left this process.
   bool sent() const noexcept { return sending_ != nullptr; }
+  // Whether the other end acknowledged nothing of what was written last, and
+  // the connection was reset for it. Bytes that are on their way then are lost;
+  // the other end has them all the same if only its way back is cut.
+  bool unacknowledged() const noexcept;
   // Of the answer; valid from kHead on.
   const ResponseHead& head() const;
 
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -24,8 +24,10 @@
 #include "process/change_relay.h"
 #include "process/instance_presence.h"
 #include "process/order_authority.h"
+#include "process/peer_datagrams.h"
 #include "process/prefix_follower.h"
 #include "process/read_sharing.h"
+#include "process/retry_loans.h"
 #include "process/stage_orders.h"
 #include "process/watch_sharing.h"
 #include "request/passthrough/peer_reads.h"
@@ -89,6 +91,8 @@
   Awaitable<void> Drain();
   void Spawn(Awaitable<void> task);
   request::passthrough::RelayParts MakeRelayParts();
+  // What instances tell each other, at this address.
+  void JoinPeers(const process::Endpoint& endpoint);
   process::PrefixFollowerHooks OwnKeysHooks();
   process::PrefixFollowerHooks StoreHooks();
 
@@ -120,7 +124,9 @@
   CallerServer health;
   asio::signal_set signals{loop, SIGTERM, SIGINT, SIGHUP};
   // Only where there is a port for them.
+  std::optional<process::PeerDatagrams> datagrams;
   std::optional<process::ReadSharing> read_sharing;
+  std::optional<process::RetryLoans> retry_loans;
   std::optional<process::ChangeRelay> change_relay;
   bool stopping = false;
   // New requests are refused: they might not be finished before the end.
@@ -144,7 +150,12 @@
           }),
       allowance({.ratio = s.retry_ratio,
                  .allowance = s.retry_allowance,
-                 .window = s.retry_window}),
+                 .window = s.retry_window},
+                [this](const base::ServiceName& service, double missing) {
+                  if (retry_loans) {
+                    retry_loans->Ask(service, missing);
+                  }
+                }),
       presence(loop,
                store,
                {.instance = s.instance,
@@ -209,19 +220,36 @@
           clock,
           metrics) {
   if (s.peer_listen) {
-    read_sharing.emplace(
-        loop, views.engines(), presence, peer_reads,
-        process::ReadSharingOptions{
-            .instance = s.instance,
-            .zone = s.zone,
-            .endpoint = {asio::ip::make_address(s.peer_listen->address),
-                         static_cast<std::uint16_t>(s.peer_listen->port)}},
-        clock, metrics);
-    change_relay.emplace(loop, EndpointOf(*s.peer_listen), watches, clock,
-                         metrics);
+    JoinPeers(*s.peer_listen);
   }
 }
 
+void EntryDaemon::Details::JoinPeers(const process::Endpoint& endpoint) {
+  const process::ReadSharingOptions sharing{.instance = settings.instance,
+                                            .zone = settings.zone};
+  datagrams.emplace(
+      loop, presence,
+      asio::ip::udp::endpoint{asio::ip::make_address(endpoint.address),
+                              static_cast<std::uint16_t>(endpoint.port)},
+      metrics);
+  read_sharing.emplace(loop, views.engines(), presence, peer_reads, *datagrams,
+                       sharing, clock);
+  const auto peers = [this, sharing] {
+    return process::SharingPeers(presence.Peers(), sharing);
+  };
+  retry_loans.emplace(allowance, *datagrams,
+                      process::RetryLoansHooks{
+                          .peers = peers,
+                          .instances = [this] { return presence.Count(); },
+                          .is_served =
+                              [this](const base::ServiceName& service) {
+                                return views.routes() &&
+                                       views.routes()->FindService(service);
+                              }},
+                      process::RetryLoansOptions{}, clock, random, metrics);
+  change_relay.emplace(loop, EndpointOf(endpoint), watches, clock, metrics);
+}
+
 process::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
   return process::DispatchByPrefix(
       {{platform::kConfigurationKey, views.ConfigurationHooks()},
@@ -391,10 +419,14 @@
     *reason = "--health-listen: " + *reason;
     return false;
   }
-  if (details_->read_sharing && !details_->read_sharing->Start(reason)) {
+  if (details_->datagrams && !details_->datagrams->Start(reason)) {
     *reason = "--peer-listen: " + *reason;
     return false;
   }
+  if (details_->datagrams) {
+    details_->read_sharing->Start();
+    details_->retry_loans->Start();
+  }
   if (details_->change_relay && !details_->change_relay->Start(reason)) {
     *reason = "--peer-listen: " + *reason;
     return false;
--- a/src/process/change_messages.cc
+++ b/src/process/change_messages.cc
@@ -32,10 +32,11 @@
 std::optional<base::Revision> ReadRevision(const json& value) {
   constexpr auto kHighest =
       static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
-  if (!value.is_number_unsigned() || value.get<std::uint64_t>() > kHighest) {
+  const auto number = connection::CborWhole(value, kHighest);
+  if (!number) {
     return std::nullopt;
   }
-  return base::Revision(value.get<std::int64_t>());
+  return base::Revision(static_cast<std::int64_t>(*number));
 }
 
 std::uint64_t Number(base::Revision revision) {
--- /dev/null
+++ b/src/process/loan_messages.cc
@@ -0,0 +1,101 @@
+#include "process/loan_messages.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+#include "connection/bounded_cbor.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using connection::CborWhole;
+using nlohmann::json;
+
+constexpr std::uint64_t kVersion = 1;
+constexpr std::size_t kQuestionParts = 4;
+constexpr std::size_t kLoanParts = 3;
+constexpr std::size_t kMaxServiceBytes = 200;
+constexpr double kThousandths = 1000;
+constexpr connection::CborLimits kLimits{.max_bytes = kMaxServiceBytes + 64,
+                                         .max_depth = 1,
+                                         .max_elements = 8};
+
+std::uint64_t ThousandthsOf(double arrivals) {
+  const double most = std::clamp(arrivals, 0.0, kMostLent);
+  return static_cast<std::uint64_t>(std::floor(most * kThousandths));
+}
+
+std::optional<double> ReadArrivals(const json& value) {
+  constexpr auto kMost = static_cast<std::uint64_t>(kMostLent * kThousandths);
+  const auto thousandths = CborWhole(value, kMost);
+  if (!thousandths) {
+    return std::nullopt;
+  }
+  return static_cast<double>(*thousandths) / kThousandths;
+}
+
+// An array of that many parts with this version in front.
+std::optional<json> DecodeParts(std::string_view bytes, std::size_t parts) {
+  connection::CborError error{};
+  auto message = connection::DecodeCbor(bytes, kLimits, &error);
+  if (!message || !message->is_array() || message->size() != parts ||
+      CborWhole((*message)[0], kVersion) != kVersion) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+std::optional<QuestionNumber> ReadNumber(const json& value) {
+  const auto number =
+      CborWhole(value, std::numeric_limits<std::uint64_t>::max());
+  if (!number) {
+    return std::nullopt;
+  }
+  return QuestionNumber(*number);
+}
+
+}  // namespace
+
+std::string EncodeLoanQuestion(const LoanQuestion& question) {
+  return connection::EncodeCbor(
+      json::array({kVersion, question.number.value(), question.service.str(),
+                   ThousandthsOf(question.wanted)}));
+}
+
+std::optional<LoanQuestion> DecodeLoanQuestion(std::string_view bytes) {
+  const auto message = DecodeParts(bytes, kQuestionParts);
+  if (!message || !(*message)[2].is_string()) {
+    return std::nullopt;
+  }
+  const auto number = ReadNumber((*message)[1]);
+  const auto wanted = ReadArrivals((*message)[3]);
+  if (!number || !wanted) {
+    return std::nullopt;
+  }
+  return LoanQuestion{
+      *number, base::ServiceName((*message)[2].get<std::string>()), *wanted};
+}
+
+std::string EncodeLoan(const Loan& loan) {
+  return connection::EncodeCbor(json::array(
+      {kVersion, loan.number.value(), ThousandthsOf(loan.arrivals)}));
+}
+
+std::optional<Loan> DecodeLoan(std::string_view bytes) {
+  const auto message = DecodeParts(bytes, kLoanParts);
+  if (!message) {
+    return std::nullopt;
+  }
+  const auto number = ReadNumber((*message)[1]);
+  const auto arrivals = ReadArrivals((*message)[2]);
+  if (!number || !arrivals) {
+    return std::nullopt;
+  }
+  return Loan{*number, *arrivals};
+}
+
+}  // namespace lynxglade::process
--- a/src/process/read_sharing.cc
+++ b/src/process/read_sharing.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
-#include <tuple>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,15 +10,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "connection/bounded_cbor.h"
 #include "connection/event/sleep.h"
 
 namespace lynxglade::process {
 
 namespace {
 
+using connection::CborWhole;
 using connection::event::Awaitable;
-using connection::event::ErrorCode;
-using connection::event::Into;
 using connection::event::SleepFor;
 using nlohmann::json;
 using request::passthrough::EngineKey;
@@ -32,21 +31,13 @@
 constexpr std::uint64_t kMaxPriority = 1'000'000;
 constexpr std::uint64_t kMaxTokens = 1'000'000'000;
 
-// Nothing if `value` is not a whole number up to `high`.
-std::optional<std::uint64_t> Whole(const json& value, std::uint64_t high) {
-  if (!value.is_number_unsigned() || value.get<std::uint64_t>() > high) {
-    return std::nullopt;
-  }
-  return value.get<std::uint64_t>();
-}
-
 std::optional<PeerRead> ReadRow(const json& row) {
   if (!row.is_array() || row.size() != 3) {
     return std::nullopt;
   }
-  const auto engine = Whole(row[0], std::numeric_limits<EngineKey>::max());
-  const auto priority = Whole(row[1], kMaxPriority);
-  const auto tokens = Whole(row[2], kMaxTokens);
+  const auto engine = CborWhole(row[0], std::numeric_limits<EngineKey>::max());
+  const auto priority = CborWhole(row[1], kMaxPriority);
+  const auto tokens = CborWhole(row[2], kMaxTokens);
   if (!engine || !priority || !tokens) {
     return std::nullopt;
   }
@@ -71,7 +62,7 @@
   const json report =
       json::from_cbor(bytes, /*strict=*/true, /*allow_exceptions=*/false);
   if (!report.is_array() || report.empty() || report.size() > kMaxReads + 1 ||
-      Whole(report[0], kReportVersion) != kReportVersion) {
+      CborWhole(report[0], kReportVersion) != kReportVersion) {
     return std::nullopt;
   }
   std::vector<PeerRead> reads;
@@ -101,44 +92,32 @@
                          const request::passthrough::EngineTable& engines,
                          const InstancePresence& presence,
                          request::passthrough::PeerReads& peer_reads,
+                         PeerDatagrams& datagrams,
                          ReadSharingOptions options,
-                         base::Clock clock,
-                         base::Metrics& metrics)
+                         base::Clock clock)
     : loop_(loop),
       engines_(engines),
       presence_(presence),
       peer_reads_(peer_reads),
+      datagrams_(datagrams),
       options_(std::move(options)),
-      clock_(std::move(clock)),
-      metrics_(metrics),
-      socket_(loop) {}
-
-bool ReadSharing::Start(std::string* reason) {
-  ErrorCode ec;
-  std::ignore = socket_.open(options_.endpoint.protocol(), ec);
-  if (!ec) {
-    std::ignore = socket_.bind(options_.endpoint, ec);
-  }
-  if (!ec) {
-    std::ignore = socket_.non_blocking(true, ec);
-  }
-  if (ec) {
-    *reason = ec.message();
-    return false;
-  }
+      clock_(std::move(clock)) {}
+
+void ReadSharing::Start() {
+  datagrams_.Handle(DatagramKind::kReads,
+                    [this](const InstancePeer& from, std::string_view bytes) {
+                      return Take(from, bytes);
+                    });
   asio::co_spawn(loop_, Tell(), asio::detached);
-  asio::co_spawn(loop_, Hear(), asio::detached);
-  return true;
 }
 
 Awaitable<void> ReadSharing::Tell() {
-  while (socket_.is_open()) {
+  while (datagrams_.is_open()) {
     TellOnce();
     co_await SleepFor(loop_, options_.period);
   }
 }
 
-// A datagram that cannot be sent at once is dropped.
 void ReadSharing::TellOnce() {
   const auto reads = OwnReads(engines_);
   const bool told_any = std::exchange(told_any_, !reads.empty());
@@ -153,50 +132,17 @@
   }
   const std::string bytes = EncodeReads(reads);
   for (const InstancePeer& peer : peers) {
-    ErrorCode ec;
-    socket_.send_to(asio::buffer(bytes), peer.endpoint, 0, ec);
-    Count(ec ? "not_sent" : "sent");
-  }
-}
-
-Awaitable<void> ReadSharing::Hear() {
-  // After an error that may last, so that the loop is not kept busy.
-  constexpr base::Duration kPause = std::chrono::milliseconds(100);
-  while (socket_.is_open()) {
-    ErrorCode ec;
-    const std::size_t n = co_await socket_.async_receive_from(
-        asio::buffer(buffer_), sender_, Into(ec));
-    if (ec == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (ec) {
-      co_await SleepFor(loop_, kPause);
-      continue;
-    }
-    Take(std::string_view(buffer_.data(), n));
+    datagrams_.Send(peer, DatagramKind::kReads, bytes);
   }
 }
 
-// Reports count only from where the store says that an instance is.
-void ReadSharing::Take(std::string_view bytes) {
-  const auto& peers = presence_.Peers();
-  const auto peer = std::ranges::find(peers, sender_, &InstancePeer::endpoint);
-  if (peer == peers.end()) {
-    Count("from_unknown");
-    return;
-  }
+bool ReadSharing::Take(const InstancePeer& from, std::string_view bytes) {
   const auto reads = DecodeReads(bytes);
   if (!reads) {
-    Count("malformed");
-    return;
+    return false;
   }
-  Count("heard");
-  peer_reads_.Put(peer->instance, *reads, clock_());
-}
-
-void ReadSharing::Count(const char* outcome) {
-  metrics_.GetCounter("lynxglade_read_reports_total", {{"outcome", outcome}})
-      .Add();
+  peer_reads_.Put(from.instance, *reads, clock_());
+  return true;
 }
 
 }  // namespace lynxglade::process
--- a/src/process/read_sharing.h
+++ b/src/process/read_sharing.h
@@ -1,13 +1,10 @@
 // Tells the other instances what this one has engines read, and hears them.
 //
-// Datagrams, ten a second to each: a report that is late is worthless and one
-// that is lost is replaced by the next, so nothing is sent again and no
-// connection is kept. Where there are many instances only those of one
-// availability zone tell each other; the rest is taken to be like them.
+// Ten reports a second to each. Where there are many instances only those of
+// one availability zone tell each other; the rest is taken to be like them.
 #ifndef LYNXGLADE_PROCESS_READ_SHARING_H_
 #define LYNXGLADE_PROCESS_READ_SHARING_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -15,13 +12,11 @@
 #include <string_view>
 #include <vector>
 
-#include <boost/asio/ip/udp.hpp>
-
 #include "base/ids.h"
-#include "base/metrics.h"
 #include "base/time.h"
 #include "connection/event/http_types.h"
 #include "process/instance_presence.h"
+#include "process/peer_datagrams.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/peer_reads.h"
 
@@ -30,7 +25,6 @@
 struct ReadSharingOptions {
   base::InstanceId instance;
   base::ZoneId zone;
-  connection::event::asio::ip::udp::endpoint endpoint;
   base::Duration period = std::chrono::milliseconds(100);
   // With more instances than this, those of other zones are not told: each
   // would hear over 160 reports a second, and bytes between zones are dear.
@@ -56,32 +50,27 @@
               const request::passthrough::EngineTable& engines,
               const InstancePresence& presence,
               request::passthrough::PeerReads& peer_reads,
+              PeerDatagrams& datagrams,
               ReadSharingOptions options,
-              base::Clock clock,
-              base::Metrics& metrics);
+              base::Clock clock);
   ReadSharing(const ReadSharing&) = delete;
   ReadSharing& operator=(const ReadSharing&) = delete;
 
-  // False, with a reason, if the port cannot be had.
-  bool Start(std::string* reason);
+  // Tells and hears while the socket is open.
+  void Start();
 
  private:
   connection::event::Awaitable<void> Tell();
-  connection::event::Awaitable<void> Hear();
   void TellOnce();
-  void Take(std::string_view bytes);
-  void Count(const char* outcome);
+  bool Take(const InstancePeer& from, std::string_view bytes);
 
   connection::event::asio::io_context& loop_;
   const request::passthrough::EngineTable& engines_;
   const InstancePresence& presence_;
   request::passthrough::PeerReads& peer_reads_;
+  PeerDatagrams& datagrams_;
   const ReadSharingOptions options_;
   const base::Clock clock_;
-  base::Metrics& metrics_;
-  connection::event::asio::ip::udp::socket socket_;
-  connection::event::asio::ip::udp::endpoint sender_;
-  std::array<char, 4096> buffer_{};
   // Whether the last report named a read; the next then says that none is left.
   bool told_any_ = false;
 };
--- /dev/null
+++ b/src/process/retry_loans.h
@@ -0,0 +1,96 @@
+// Asks other instances for retries when this one has few left, and lends them
+// this one's (retry_allowance says why that is safe).
+//
+// A question goes to a few instances chosen by chance, of those that share
+// reports of reads; what comes back late counts for nothing. Nobody is waited
+// for: without an answer an instance has its own share.
+#ifndef LYNXGLADE_PROCESS_RETRY_LOANS_H_
+#define LYNXGLADE_PROCESS_RETRY_LOANS_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "process/instance_presence.h"
+#include "process/loan_messages.h"
+#include "process/peer_datagrams.h"
+#include "request/passthrough/retry_allowance.h"
+
+namespace lynxglade::process {
+
+struct RetryLoansOptions {
+  // Instances asked at once, each for all that is missing.
+  std::size_t asked = 2;
+  // Between questions for a service: a few times the way to another instance
+  // and back. Twice as long after each that brought nothing, up to the longest,
+  // so that a fleet without any to spare does not ask itself busy.
+  base::Duration pause = std::chrono::milliseconds(20);
+  base::Duration longest_pause = std::chrono::milliseconds(160);
+  // A loan that comes later is left alone. Its lender does not get it back
+  // before its life is over.
+  base::Duration patience = std::chrono::milliseconds(1000);
+};
+
+struct RetryLoansHooks {
+  // Instances that may be asked.
+  std::function<std::vector<InstancePeer>()> peers;
+  // Instances that may be up, this one included.
+  std::function<int()> instances;
+  // Whether the configuration in force names the service.
+  std::function<bool(const base::ServiceName& service)> is_served;
+};
+
+// Not thread-safe: lives on the event loop.
+class RetryLoans {
+ public:
+  RetryLoans(request::passthrough::RetryAllowance& allowance,
+             PeerDatagrams& datagrams,
+             RetryLoansHooks hooks,
+             RetryLoansOptions options,
+             base::Clock clock,
+             base::RandomSource random,
+             base::Metrics& metrics);
+  RetryLoans(const RetryLoans&) = delete;
+  RetryLoans& operator=(const RetryLoans&) = delete;
+
+  // Takes questions and loans from now on.
+  void Start();
+  // Asks for so many arrivals, unless it has just done so.
+  void Ask(const base::ServiceName& service, double wanted);
+
+ private:
+  // The last question for a service.
+  struct Question {
+    QuestionNumber number;
+    base::Time asked_at{};
+    base::Duration pause{};
+    // Instances whose loan is still open.
+    std::set<base::InstanceId> open;
+    bool answered = false;
+  };
+
+  std::vector<InstancePeer> Choose() const;
+  bool TakeQuestion(const InstancePeer& from, std::string_view body);
+  bool TakeLoan(const InstancePeer& from, std::string_view body);
+  void Count(const char* outcome);
+
+  request::passthrough::RetryAllowance& allowance_;
+  PeerDatagrams& datagrams_;
+  const RetryLoansHooks hooks_;
+  const RetryLoansOptions options_;
+  const base::Clock clock_;
+  const base::RandomSource random_;
+  base::Metrics& metrics_;
+  std::map<base::ServiceName, Question> questions_;
+};
+
+}  // namespace lynxglade::process
+
+#endif  // LYNXGLADE_PROCESS_RETRY_LOANS_H_
--- /dev/null
+++ b/src/request/passthrough/aging_sum.h
@@ -0,0 +1,50 @@
+// A sum of amounts that each count for a fixed time.
+#ifndef LYNXGLADE_REQUEST_PASSTHROUGH_AGING_SUM_H_
+#define LYNXGLADE_REQUEST_PASSTHROUGH_AGING_SUM_H_
+
+#include <algorithm>
+#include <deque>
+
+#include "base/time.h"
+
+namespace lynxglade::request::passthrough {
+
+// Not thread-safe.
+class AgingSum {
+ public:
+  // An amount of t counts up to and including t + `life`.
+  explicit AgingSum(base::Duration life) noexcept : life_(life) {}
+
+  void Add(double amount, base::Time at) {
+    const auto later = std::ranges::upper_bound(amounts_, at, {}, &Amount::at);
+    amounts_.insert(later, {at, amount});
+    total_ += amount;
+  }
+
+  // `now` never goes back.
+  double Total(base::Time now) {
+    while (!amounts_.empty() && amounts_.front().at < now - life_) {
+      total_ -= amounts_.front().amount;
+      amounts_.pop_front();
+    }
+    if (amounts_.empty()) {
+      // What rounding has left.
+      total_ = 0;
+    }
+    return total_;
+  }
+
+ private:
+  struct Amount {
+    base::Time at{};
+    double amount = 0;
+  };
+
+  const base::Duration life_;
+  std::deque<Amount> amounts_;
+  double total_ = 0;
+};
+
+}  // namespace lynxglade::request::passthrough
+
+#endif  // LYNXGLADE_REQUEST_PASSTHROUGH_AGING_SUM_H_
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -61,6 +61,10 @@
   return readers == 0 ? base::Duration::max() : FromFineMillis(ms / readers);
 }
 
+bool EngineChoice::Disturbs(const EnginePick& pick) const noexcept {
+  return !pick.reader && pick.unread_tokens > options_.most_read_at_decoder;
+}
+
 EngineHandle EngineChoice::PickDecoder(const std::vector<EngineHandle>& engines,
                                        const Engine& reader,
                                        const ChoiceQuery& query) const {
@@ -114,8 +118,7 @@
     EnginePick pick =
         Reading(engine, readers.empty() ? places : PartPlaces(), query);
     pick.expected += AlikeSpread();
-    const bool disturbs = pick.unread_tokens > options_.most_read_at_decoder;
-    if (pick.expected < best.expected && (!disturbs || readers.empty())) {
+    if (pick.expected < best.expected && (!Disturbs(pick) || readers.empty())) {
       pick.runner = engine;
       best = pick;
     }
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -130,6 +130,10 @@
   base::Duration Backlog(const std::vector<EngineHandle>& engines,
                          base::Time now) const;
 
+  // Whether the runner reads so much itself that it holds up what it generates
+  // for (EngineChoiceOptions::most_read_at_decoder).
+  bool Disturbs(const EnginePick& pick) const noexcept;
+
   // The engine to run a request whose KV cache waits at `reader`.
   EngineHandle PickDecoder(const std::vector<EngineHandle>& engines,
                            const Engine& reader,
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -34,6 +34,18 @@
   // Targets that may reject a request before it is refused. Each costs the
   // fleet's retry allowance one arrival.
   int max_rejections = 2;
+  // A first reading is rejected within so long, or not at all but for rare
+  // reasons: a target says at once that it is full, or not meant. The way there
+  // and back takes 4 ms at most between availability zones, and 17 KB of a
+  // prompt 7 ms at 20 Mbit/s. Held until they are answered, 656 readings a
+  // second of up to two seconds take more than the allowance of 295 instances.
+  base::Duration rejected_within = std::chrono::milliseconds(50);
+  // What cannot be paid for waits so long for what is held to be released, and
+  // for other instances to lend (a few ms away); tried again that often. Then a
+  // retry is denied; a prompt that cannot be read apart is refused, or read by
+  // the engine that runs it if it is short.
+  base::Duration loan_patience = std::chrono::milliseconds(500);
+  base::Duration loan_retry = std::chrono::milliseconds(10);
   // Targets that a request may find unreachable before it is refused. They cost
   // no one but its caller, 300 ms each at most.
   int max_unreachable = 4;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -1,8 +1,11 @@
 // A request at its targets: how it is sent, and how their answers are taken.
 #include <algorithm>
 #include <chrono>
+#include <memory>
+#include <optional>
 #include <utility>
 
+#include "base/log.h"
 #include "connection/event/call.h"
 #include "connection/event/hop_headers.h"
 #include "request/passthrough/engine_address.h"
@@ -16,6 +19,7 @@
 using connection::event::AnswerHead;
 using connection::event::Awaitable;
 using connection::event::Call;
+using connection::event::ErrorCode;
 using connection::event::Exchange;
 using connection::event::ExchangeState;
 using connection::event::OutgoingRequest;
@@ -58,7 +62,50 @@
   co_await FreeSource();
 }
 
+// The first reading that an engine accepts is no arrival beyond the request's
+// first, one that is rejected or unanswered is: its price is set aside before
+// it is sent. Later ones are paid for as attempts.
 Awaitable<bool> RelayRun::ReadPrompt(const EnginePick& pick) {
+  bool may_count = false;
+  if (accepted_reads_ > 0) {
+    co_return co_await SendRead(pick, &may_count);
+  }
+  const auto held = std::make_shared<std::optional<HeldArrivals>>();
+  const std::function<bool(base::Time)> hold = [&](base::Time now) {
+    *held = parts_.allowance.TryHold(service_, 1, ArrivalUse::kFirstReading,
+                                     parts_.instances(), now);
+    return held->has_value();
+  };
+  const bool paid = co_await PayOrWait(hold);
+  if (!paid) {
+    reads_denied_ = true;
+    parts_.metrics
+        .GetCounter("lynxglade_retry_denials_total",
+                    {{"reason", "first_reading"}})
+        .Add();
+    co_return false;
+  }
+  connection::event::asio::steady_timer timer(parts_.loop,
+                                              options_.rejected_within);
+  timer.async_wait([this, held, alive = alive_](const ErrorCode& ec) {
+    if (!ec && *alive && *held) {
+      parts_.allowance.Release(service_, **held, parts_.clock());
+      held->reset();
+    }
+  });
+  const bool read = co_await SendRead(pick, &may_count);
+  if (*held && may_count) {
+    parts_.allowance.Charge(service_, **held);
+  } else if (*held) {
+    parts_.allowance.Release(service_, **held, parts_.clock());
+  } else if (may_count) {
+    parts_.allowance.ChargeLate(service_, parts_.clock());
+  }
+  held->reset();
+  co_return read;
+}
+
+Awaitable<bool> RelayRun::SendRead(const EnginePick& pick, bool* may_count) {
   const auto endpoint = EndpointOf(*pick.reader);
   if (!endpoint) {
     ++failed_reads_;
@@ -79,7 +126,7 @@
   current_ = &exchange;
   const ExchangeState state = co_await exchange.Start(
       *endpoint, Message(terms), AnswerFilter(), /*careful=*/false);
-  NoteReach(*pick.reader, state);
+  NoteReach(*pick.reader, exchange);
   bool rejected = false;
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
     const AnswerFacts facts = parts_.protocol.read_answer(exchange.head());
@@ -111,11 +158,17 @@
     pick.reader->health.OnFailure(parts_.clock());
     parts_.metrics.GetCounter("lynxglade_prompt_reads_failed_total").Add();
   }
-  // The first read that is accepted is no extra arrival; what is rejected or
-  // unanswered is.
-  if (rejected || exchange.sent()) {
-    parts_.allowance.Charge(service_, parts_.clock());
-  }
+  *may_count = rejected || (exchange.sent() && !exchange.unacknowledged());
+  base::Log(base::LogLevel::kInfo, "reading_failed",
+            {{"request", terms_.request_id},
+             {"reader", pick.reader->entry.id.str()},
+             {"rejected", rejected},
+             {"status",
+              rejected ? static_cast<std::int64_t>(exchange.head().result_int())
+                       : std::int64_t{0}},
+             {"counts", *may_count},
+             {"stopped", Stopped()},
+             {"ms", base::ToMillis(parts_.clock() - begun)}});
   co_return false;
 }
 
@@ -170,7 +223,7 @@
   current_ = &exchange;
   const ExchangeState state = co_await exchange.Start(
       *endpoint, Message(terms), AnswerFilter(), !route_->MayRepeat());
-  NoteReach(*target, state);
+  NoteReach(*target, exchange);
   use.PromptRead(parts_.clock());
   AttemptEnd end = AttemptEnd::kNotRun;
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
@@ -315,7 +368,8 @@
   parts_.zones.OnTry(engine.entry.zone, parts_.clock());
 }
 
-void RelayRun::NoteReach(const Engine& engine, ExchangeState state) {
+void RelayRun::NoteReach(const Engine& engine, const Exchange& exchange) {
+  const ExchangeState state = exchange.state();
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
     parts_.zones.OnReached(engine.entry.zone);
   } else if (state == ExchangeState::kNotSent) {
@@ -323,6 +377,9 @@
                                parts_.clock());
     ++unreachable_;
   }
+  if (exchange.sent() && !exchange.unacknowledged()) {
+    ++arrivals_;
+  }
 }
 
 void RelayRun::NoteRejection(Engine& runner, const AnswerFacts& facts) {
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -36,6 +36,7 @@
     Refusal{EndReason::kNoTarget, 503, "Service Unavailable", true},
     Refusal{EndReason::kHopeless, 503, "Service Unavailable", true},
     Refusal{EndReason::kFilled, 503, "Service Unavailable", true},
+    Refusal{EndReason::kAllowance, 503, "Service Unavailable", true},
     Refusal{EndReason::kRejected, 503, "Service Unavailable", true},
     Refusal{EndReason::kUnknownOutcome, 502, "Bad Gateway", false},
     Refusal{EndReason::kTimeout, 504, "Gateway Timeout", false},
@@ -73,6 +74,8 @@
       return "hopeless";
     case EndReason::kFilled:
       return "filled";
+    case EndReason::kAllowance:
+      return "allowance";
     case EndReason::kRejected:
       return "rejected";
     case EndReason::kUnknownOutcome:
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "connection/event/sleep.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -16,6 +17,7 @@
 using base::LogLevel;
 using connection::event::Awaitable;
 using connection::event::ErrorCode;
+using connection::event::SleepFor;
 using connection::event::View;
 namespace http = connection::event::http;
 
@@ -117,14 +119,31 @@
   while (true) {
     const bool first = runs_ == 0 && rejections_ == 0 && !source_;
     const EnginePick pick = first ? PickFirst() : Pick();
-    if (!pick.runner || !Pay(pick, end)) {
+    if (!pick.runner) {
       break;
     }
+    if (reads_denied_ && runs_ == 0 && parts_.choice.Disturbs(pick)) {
+      // Read by the engine that runs it, it would make streams of others fail:
+      // where engines crash in series 0.089 of all requests failed so, and
+      // 0.048 where these were refused.
+      co_await Refuse(EndReason::kAllowance);
+      co_return;
+    }
     if (const auto reason = first ? Unwanted(pick) : std::nullopt) {
       co_await Refuse(*reason);
       co_return;
     }
+    const auto paid = co_await Pay(pick, end);
+    if (!paid) {
+      break;
+    }
+    const int arrivals_before = arrivals_;
     end = co_await Attempt(pick);
+    if (arrivals_ > arrivals_before) {
+      parts_.allowance.Charge(service_, *paid);
+    } else {
+      parts_.allowance.Release(service_, *paid, parts_.clock());
+    }
     LogAttempt(pick, end);
     if (end == AttemptEnd::kFinished || !MayGoOn(end)) {
       break;
@@ -180,7 +199,7 @@
       .priority = Priority(),
       .tried = tried_,
       .most_in_flight = MostInFlight(),
-      .pairs = failed_reads_ <= kMaxFailedReads && runs_ == 0,
+      .pairs = failed_reads_ <= kMaxFailedReads && runs_ == 0 && !reads_denied_,
       .now = parts_.clock()};
   if (!source_) {
     return parts_.choice.Pick(engines, query);
@@ -202,22 +221,51 @@
                   kLeast);
 }
 
-bool RelayRun::Pay(const EnginePick& pick, AttemptEnd after) {
+Awaitable<std::optional<HeldArrivals>> RelayRun::Pay(const EnginePick& pick,
+                                                     AttemptEnd after) {
   const bool reads = pick.reader && !source_;
   const int arrivals = (runs_ + rejections_ > 0 ? 1 : 0) +
                        (reads && accepted_reads_ > 0 ? 1 : 0);
   if (arrivals == 0) {
-    return true;
+    co_return parts_.allowance.TryHold(service_, 0, ArrivalUse::kRetry,
+                                       parts_.instances(), parts_.clock());
   }
-  const bool paid = parts_.allowance.TryTake(
-      service_, arrivals, parts_.instances(), parts_.clock());
+  std::optional<HeldArrivals> held;
+  const std::function<bool(base::Time)> hold = [&](base::Time now) {
+    held = parts_.allowance.TryHold(service_, arrivals, ArrivalUse::kRetry,
+                                    parts_.instances(), now);
+    return held.has_value();
+  };
+  const bool paid = co_await PayOrWait(hold);
   parts_.metrics
       .GetCounter(
           paid ? "lynxglade_retries_total" : "lynxglade_retry_denials_total",
           {{paid ? "after" : "reason",
             paid ? std::string(ToString(after)) : "allowance"}})
       .Add();
-  return paid;
+  Log(LogLevel::kInfo, paid ? "retry_paid" : "retry_denied",
+      {{"request", terms_.request_id},
+       {"service", service_.str()},
+       {"after", ToString(after)},
+       {"arrivals", arrivals},
+       {"instances", parts_.instances()}});
+  co_return held;
+}
+
+Awaitable<bool> RelayRun::PayOrWait(
+    const std::function<bool(base::Time now)>& pay) {
+  const base::Time last = parts_.clock() + options_.loan_patience;
+  while (!Stopped()) {
+    const base::Time now = parts_.clock();
+    if (pay(now)) {
+      co_return true;
+    }
+    if (now >= last) {
+      break;
+    }
+    co_await SleepFor(parts_.loop, options_.loan_retry);
+  }
+  co_return false;
 }
 
 Awaitable<AttemptEnd> RelayRun::Attempt(EnginePick pick) {
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -4,6 +4,7 @@
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_RUN_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_RUN_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,7 @@
   kNoTarget,
   kHopeless,
   kFilled,
+  kAllowance,
   kRejected,
   kUnknownOutcome,
   kTimeout,
@@ -84,11 +86,20 @@
   base::Duration TimeToBegin() const;
   // 0 is the most urgent; late requests come after all that can be in time.
   int Priority() const noexcept;
-  // Pays for the arrivals that an attempt adds beyond the request's first.
-  bool Pay(const EnginePick& pick, AttemptEnd after);
+  // Sets aside what an attempt adds to the request's first arrival; waits a
+  // little for loans if the share is used up. Nothing if it is denied.
+  Awaitable<std::optional<HeldArrivals>> Pay(const EnginePick& pick,
+                                             AttemptEnd after);
   Awaitable<AttemptEnd> Attempt(EnginePick pick);
-  // Has the prompt read and sets source_; false if that failed.
+  // Has the prompt read and sets source_; false if that failed. The arrival is
+  // paid for if it counts.
   Awaitable<bool> ReadPrompt(const EnginePick& pick);
+  // Tries to pay until it succeeds; false after a little, or once the request
+  // is stopped.
+  Awaitable<bool> PayOrWait(const std::function<bool(base::Time now)>& pay);
+  // As ReadPrompt(); `may_count` is set if the reading reached its engine and
+  // was not accepted.
+  Awaitable<bool> SendRead(const EnginePick& pick, bool* may_count);
   // What a read tells of its engine.
   void LearnRead(const EnginePick& pick, base::Duration took);
   // Gives back KV cache that no engine will fetch.
@@ -115,7 +126,7 @@
   // A request is about to go to the engine.
   void NoteTry(Engine& engine);
   // How far it got there.
-  void NoteReach(const Engine& engine, connection::event::ExchangeState state);
+  void NoteReach(const Engine& engine, const Exchange& exchange);
   // `runner` did not run the request.
   void NoteRejection(Engine& runner, const AnswerFacts& facts);
   void NoteLoad(Engine& engine, const AnswerFacts& facts);
@@ -152,8 +163,13 @@
   int failed_reads_ = 0;
   // Engines that could not be reached; that costs nobody anything but time.
   int unreachable_ = 0;
+  // Calls that may have reached an engine.
+  int arrivals_ = 0;
   // Calls to have the prompt read that an engine accepted; the first is free.
   int accepted_reads_ = 0;
+  // A first reading could not be paid for if it was rejected: the engine that
+  // runs the request reads, if that holds up nothing.
+  bool reads_denied_ = false;
   // KV cache of this request's prompt that waits to be fetched.
   std::optional<KvSource> source_;
   bool outcome_unknown_ = false;
--- a/src/request/passthrough/retry_allowance.cc
+++ b/src/request/passthrough/retry_allowance.cc
@@ -1,51 +1,141 @@
 #include "request/passthrough/retry_allowance.h"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace lynxglade::request::passthrough {
 
-RetryAllowance::RetryAllowance(RetryAllowanceOptions options)
-    : options_(options) {}
+RetryAllowance::RetryAllowance(RetryAllowanceOptions options, OnShort on_short)
+    : options_(options), on_short_(std::move(on_short)) {}
 
 void RetryAllowance::OnRequest(const base::ServiceName& service,
                                base::Time now) {
-  Trimmed(service, now).requests.push_back(now);
+  Find(service).requests.Add(1, now);
 }
 
-bool RetryAllowance::TryTake(const base::ServiceName& service,
-                             int arrivals,
-                             int instances,
+// Loans first: they end, the own share does not.
+std::optional<HeldArrivals> RetryAllowance::TryHold(
+    const base::ServiceName& service,
+    int arrivals,
+    ArrivalUse use,
+    int instances,
+    base::Time now) {
+  Account& account = Find(service);
+  const double borrowed = Borrowed(account, now);
+  const double own = std::max(Own(account, PartFor(use), instances, now), 0.0);
+  if (borrowed + own < arrivals) {
+    if (on_short_) {
+      on_short_(service, arrivals - borrowed - own);
+    }
+    return std::nullopt;
+  }
+  HeldArrivals held;
+  held.held_at = now;
+  if (!account.loans.empty()) {
+    held.borrowed_until = account.loans.front().until;
+  }
+  held.borrowed = std::min<double>(borrowed, arrivals);
+  held.own = arrivals - held.borrowed;
+  TakeLoans(account, held.borrowed);
+  account.held += held.own;
+  ++account.holds;
+  return held;
+}
+
+void RetryAllowance::TakeLoans(Account& account, double arrivals) {
+  for (Loan& loan : account.loans) {
+    const double part = std::min(loan.arrivals, arrivals);
+    loan.arrivals -= part;
+    arrivals -= part;
+  }
+  std::erase_if(account.loans, [](const Loan& it) { return it.arrivals <= 0; });
+}
+
+void RetryAllowance::Release(const base::ServiceName& service,
+                             const HeldArrivals& held,
                              base::Time now) {
-  Window& window = Trimmed(service, now);
-  const double earned =
-      options_.ratio * static_cast<double>(window.requests.size());
-  const double share = options_.allowance / std::max(instances, 1);
-  const double spent = static_cast<double>(window.extra.size());
-  if (spent + arrivals > options_.safety * (earned + share)) {
-    return false;
+  Account& account = Find(service);
+  Unhold(account, held);
+  if (held.borrowed > 0 && held.borrowed_until > now) {
+    AddLoan(account, {held.borrowed_until, held.borrowed});
   }
-  window.extra.insert(window.extra.end(), static_cast<std::size_t>(arrivals),
-                      now);
-  return true;
 }
 
-void RetryAllowance::Charge(const base::ServiceName& service, base::Time now) {
-  Trimmed(service, now).extra.push_back(now);
+void RetryAllowance::Charge(const base::ServiceName& service,
+                            const HeldArrivals& held) {
+  Account& account = Find(service);
+  Unhold(account, held);
+  account.spent.Add(held.own, held.held_at);
 }
 
-RetryAllowance::Window& RetryAllowance::Trimmed(
-    const base::ServiceName& service,
-    base::Time now) {
-  Window& window = windows_[service];
-  const base::Time oldest = now - options_.window;
-  const auto trim = [oldest](std::deque<base::Time>& times) {
-    while (!times.empty() && times.front() < oldest) {
-      times.pop_front();
-    }
-  };
-  trim(window.requests);
-  trim(window.extra);
-  return window;
+void RetryAllowance::ChargeLate(const base::ServiceName& service,
+                                base::Time now) {
+  Find(service).spent.Add(1, now);
+}
+
+double RetryAllowance::Lend(const base::ServiceName& service,
+                            double wanted,
+                            int instances,
+                            base::Time now) {
+  Account& account = Find(service);
+  const double lent =
+      std::min(std::max(wanted, options_.least_loan),
+               Own(account, options_.most_for_retries, instances, now));
+  if (lent < options_.least_loan) {
+    return 0;
+  }
+  account.lent.Add(lent, now);
+  return lent;
+}
+
+void RetryAllowance::Borrow(const base::ServiceName& service,
+                            double arrivals,
+                            base::Time asked_at) {
+  AddLoan(Find(service), {asked_at + options_.loan_life, arrivals});
+}
+
+void RetryAllowance::Unhold(Account& account, const HeldArrivals& held) {
+  account.held -= held.own;
+  --account.holds;
+  if (account.holds == 0) {
+    // What rounding has left.
+    account.held = 0;
+  }
+}
+
+RetryAllowance::Account& RetryAllowance::Find(
+    const base::ServiceName& service) {
+  return accounts_.try_emplace(service, options_).first->second;
+}
+
+double RetryAllowance::PartFor(ArrivalUse use) const noexcept {
+  return use == ArrivalUse::kFirstReading ? options_.most_in_all
+                                          : options_.most_for_retries;
+}
+
+double RetryAllowance::Own(Account& account,
+                           double part,
+                           int instances,
+                           base::Time now) const {
+  const double earned = options_.ratio * account.requests.Total(now);
+  const double granted = options_.allowance / std::max(instances, 1);
+  return part * (earned + granted) - account.spent.Total(now) -
+         account.lent.Total(now) - account.held;
+}
+
+double RetryAllowance::Borrowed(Account& account, base::Time now) {
+  std::erase_if(account.loans,
+                [now](const Loan& it) { return it.until <= now; });
+  return std::accumulate(
+      account.loans.begin(), account.loans.end(), 0.0,
+      [](double sum, const Loan& it) { return sum + it.arrivals; });
+}
+
+void RetryAllowance::AddLoan(Account& account, const Loan& loan) {
+  const auto later =
+      std::ranges::upper_bound(account.loans, loan.until, {}, &Loan::until);
+  account.loans.insert(later, loan);
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -36,6 +36,13 @@
 connection::ScriptedServer::Reply Ok(const std::string& request);
 connection::ScriptedServer::Reply NotRun(const std::string& request);
 
+// Header lines of a prompt that is read apart where that can be, and the answer
+// of an engine that has read it.
+inline constexpr char kPromptLines[] =
+    "Lynxglade-Model: m\r\nLynxglade-Token-Usage: 17020,13\r\n"
+    "Lynxglade-Prefix-Hash: aa:13300,bb:3720\r\n";
+connection::ScriptedServer::Reply Read(const std::string& request);
+
 // Events first..last of a stream, with its end if the connection is kept.
 connection::ScriptedServer::Reply Stream(const std::string& request,
                                          int first,
@@ -69,6 +76,8 @@
   // Everything the caller gets.
   std::string Call(const std::string& request);
   std::size_t Arrivals() const;
+  // No retry and no first reading can be paid for any more.
+  void UseUpShare();
 
   connection::event::asio::io_context loop_;
   base::Metrics metrics_;
@@ -81,6 +90,7 @@
                                              base::SeededRandom(1)};
   request::passthrough::RetryAllowance allowance_{{}};
   request::passthrough::ZoneHealth zones_;
+  request::passthrough::RelayOptions options_;
   bool accepts_ = true;
   std::shared_ptr<const request::passthrough::RouteTable> routes_ =
       MakeRoutes();
--- /dev/null
+++ b/tests/process/peer_fixture.h
@@ -0,0 +1,81 @@
+// Instances on one loop that reach each other by datagrams on loopback, each
+// with its key in a store.
+#ifndef LYNXGLADE_TESTS_PROCESS_PEER_FIXTURE_H_
+#define LYNXGLADE_TESTS_PROCESS_PEER_FIXTURE_H_
+
+#include <initializer_list>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "process/fake_store_port.h"
+#include "process/instance_presence.h"
+#include "process/peer_datagrams.h"
+
+namespace lynxglade::process {
+
+class PeerTest : public testing::Test {
+ protected:
+  using Udp = connection::event::asio::ip::udp;
+
+  // What each instance has, whatever it tells the others.
+  struct PeerParts {
+    PeerParts(PeerTest& test, const std::string& name)
+        : endpoint(FreeEndpoint()),
+          presence(test.loop_,
+                   test.store_,
+                   {.instance = base::InstanceId(name),
+                    .zone = base::ZoneId("a"),
+                    .peer_endpoint = Endpoint{"127.0.0.1", endpoint.port()}},
+                   base::BootClock::now),
+          datagrams(test.loop_, presence, endpoint, metrics) {
+      connection::event::asio::co_spawn(test.loop_, presence.Run(),
+                                        connection::event::asio::detached);
+    }
+    InstancePeer Peer() const {
+      return {presence.instance(), base::ZoneId("a"), endpoint};
+    }
+    std::int64_t Counted(const std::string& metric,
+                         const std::string& outcome) {
+      return metrics.GetCounter(metric, {{"outcome", outcome}}).Get();
+    }
+
+    Udp::endpoint endpoint;
+    base::Metrics metrics;
+    InstancePresence presence;
+    PeerDatagrams datagrams;
+  };
+
+  // A port that was free a moment ago.
+  static Udp::endpoint FreeEndpoint() {
+    connection::event::asio::io_context loop;
+    const Udp::socket socket(
+        loop,
+        Udp::endpoint(connection::event::asio::ip::address_v4::loopback(), 0));
+    return socket.local_endpoint();
+  }
+
+  // Each knows the others, and its port is open.
+  void Meet(std::initializer_list<PeerParts*> peers) {
+    RunUntil(loop_, [&] { return store_.items().size() == peers.size(); });
+    std::vector<StoreItem> items;
+    for (const auto& [key, item] : store_.items()) {
+      items.push_back(item);
+    }
+    for (PeerParts* it : peers) {
+      it->presence.OnList(items);
+      std::string reason;
+      ASSERT_TRUE(it->datagrams.Start(&reason)) << reason;
+    }
+  }
+
+  connection::event::asio::io_context loop_;
+  FakeStorePort store_{loop_};
+};
+
+}  // namespace lynxglade::process
+
+#endif  // LYNXGLADE_TESTS_PROCESS_PEER_FIXTURE_H_
--- /dev/null
+++ b/tests/process/retry_loans_test.cc
@@ -0,0 +1,112 @@
+#include "process/retry_loans.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "process/peer_fixture.h"
+
+namespace lynxglade::process {
+namespace {
+
+using request::passthrough::ArrivalUse;
+using request::passthrough::RetryAllowance;
+using std::chrono::milliseconds;
+
+const base::ServiceName kService("llm");
+
+// Two instances; one has no retries of its own, the other ten. Their clock
+// stands still unless a test moves it.
+class RetryLoansTest : public PeerTest {
+ protected:
+  struct Instance : PeerParts {
+    Instance(RetryLoansTest& test, const std::string& name, double share)
+        : PeerParts(test, name),
+          allowance({.ratio = 0,
+                     .allowance = share,
+                     .most_in_all = 1,
+                     .most_for_retries = 1}),
+          loans(
+              allowance,
+              datagrams,
+              {.peers = [&test, name] { return test.Others(name); },
+               .instances = [] { return 1; },
+               .is_served =
+                   [](const base::ServiceName& it) { return it == kService; }},
+              {},
+              [&test] { return test.now_; },
+              base::SeededRandom(1),
+              metrics) {}
+    std::int64_t Counted(const std::string& outcome) {
+      return PeerParts::Counted("lynxglade_retry_loans_total", outcome);
+    }
+
+    RetryAllowance allowance;
+    RetryLoans loans;
+  };
+
+  void SetUp() override {
+    Meet({&poor_, &rich_});
+    poor_.loans.Start();
+    rich_.loans.Start();
+  }
+  std::vector<InstancePeer> Others(const std::string& name) const {
+    return {name == "poor" ? rich_.Peer() : poor_.Peer()};
+  }
+  bool PoorCanHold() {
+    const auto held =
+        poor_.allowance.TryHold(kService, 1, ArrivalUse::kRetry, 1, now_);
+    if (held) {
+      poor_.allowance.Release(kService, *held, now_);
+    }
+    return held.has_value();
+  }
+
+  base::Time now_ = base::Time() + std::chrono::hours(1);
+  Instance poor_{*this, "poor", 0};
+  Instance rich_{*this, "rich", 10};
+};
+
+TEST_F(RetryLoansTest, WhatOneHasLeftIsLent) {
+  EXPECT_FALSE(PoorCanHold());
+  poor_.loans.Ask(kService, 1);
+  RunUntil(loop_, [this] { return poor_.Counted("borrowed") == 1; });
+  EXPECT_TRUE(PoorCanHold());
+  EXPECT_EQ(rich_.Counted("lent"), 1);
+}
+
+TEST_F(RetryLoansTest, ALoanThatComesLateCountsForNothing) {
+  poor_.loans.Ask(kService, 1);
+  now_ += milliseconds(1001);
+  RunUntil(loop_, [this] { return poor_.Counted("late") == 1; });
+  EXPECT_FALSE(PoorCanHold());
+}
+
+TEST_F(RetryLoansTest, ALoanThatNobodyAskedForCountsForNothing) {
+  rich_.datagrams.Send(poor_.Peer(), DatagramKind::kLoan,
+                       EncodeLoan({QuestionNumber(5), 3}));
+  RunUntil(loop_, [this] { return poor_.Counted("late") == 1; });
+  EXPECT_FALSE(PoorCanHold());
+}
+
+TEST_F(RetryLoansTest, ServicesThatAreNotServedAreNotLentFor) {
+  poor_.loans.Ask(base::ServiceName("other"), 1);
+  RunUntil(loop_, [this] { return rich_.Counted("other_service") == 1; });
+  EXPECT_EQ(rich_.Counted("lent"), 0);
+}
+
+TEST_F(RetryLoansTest, QuestionsThatBringNothingComeMoreSeldom) {
+  ASSERT_TRUE(
+      rich_.allowance.TryHold(kService, 10, ArrivalUse::kRetry, 1, now_));
+  // At 0, 20, 60, 140, 300, 620 and 1,260 ms, then every second.
+  for (int ms = 0; ms <= 2300; ms += 10) {
+    poor_.loans.Ask(kService, 1);
+    now_ += milliseconds(10);
+  }
+  EXPECT_EQ(poor_.Counted("asked"), 8);
+  RunUntil(loop_, [this] { return rich_.Counted("none_to_spare") == 8; });
+}
+
+}  // namespace
+}  // namespace lynxglade::process
