Targets that fail are told within large zones

Cause: an instance of 295 sees an engine every 50 s, so an engine that is gone had to fail each of 59 instances of each zone in turn, at 300 ms and a retry of the fleet's allowance a time: of 46 prompts read apart in the worst two seconds of an instance's group, 20 failed.

Change: an instance tells its zone which targets it begins to avoid; one that two others avoid is left alone for a second at most (peer_avoidance, avoidance_sharing). Not in zones of fewer than eight others: each sees a target often enough, and one that fails a part of its requests would be avoided by all.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -21,6 +21,7 @@
 #include "platform/store_client.h"
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
+#include "process/avoidance_sharing.h"
 #include "process/change_relay.h"
 #include "process/instance_presence.h"
 #include "process/order_authority.h"
@@ -106,6 +107,7 @@
 
   EntryViews views{clock, metrics};
   request::passthrough::PeerReads peer_reads;
+  request::passthrough::PeerAvoidance peer_avoidance;
   request::passthrough::ZoneHealth zones;
   request::passthrough::ReadTimes read_times;
   request::passthrough::AnswerTimes answer_times;
@@ -126,6 +128,7 @@
   // Only where there is a port for them.
   std::optional<process::PeerDatagrams> datagrams;
   std::optional<process::ReadSharing> read_sharing;
+  std::optional<process::AvoidanceSharing> avoidance_sharing;
   std::optional<process::RetryLoans> retry_loans;
   std::optional<process::ChangeRelay> change_relay;
   bool stopping = false;
@@ -147,6 +150,9 @@
           },
           [this](const base::ZoneId& zone, base::Time now) {
             return zones.CutOff(zone, now);
+          },
+          [this](const request::passthrough::Engine& engine, base::Time now) {
+            return peer_avoidance.Avoided(engine.entry.id, now);
           }),
       allowance({.ratio = s.retry_ratio,
                  .allowance = s.retry_allowance,
@@ -237,6 +243,8 @@
   const auto peers = [this, sharing] {
     return process::SharingPeers(presence.Peers(), sharing);
   };
+  avoidance_sharing.emplace(loop, views.engines(), peer_avoidance, *datagrams,
+                            peers, process::AvoidanceSharingOptions{}, clock);
   retry_loans.emplace(allowance, *datagrams,
                       process::RetryLoansHooks{
                           .peers = peers,
@@ -425,6 +433,7 @@
   }
   if (details_->datagrams) {
     details_->read_sharing->Start();
+    details_->avoidance_sharing->Start();
     details_->retry_loans->Start();
   }
   if (details_->change_relay && !details_->change_relay->Start(reason)) {
--- /dev/null
+++ b/src/process/avoidance_sharing.cc
@@ -0,0 +1,145 @@
+#include "process/avoidance_sharing.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include "connection/bounded_cbor.h"
+#include "connection/event/sleep.h"
+
+namespace lynxglade::process {
+
+namespace {
+
+using connection::CborWhole;
+using connection::event::Awaitable;
+using connection::event::SleepFor;
+using nlohmann::json;
+using request::passthrough::AvoidedEngine;
+using request::passthrough::EngineKey;
+namespace asio = connection::event::asio;
+
+constexpr std::uint64_t kVersion = 1;
+// Of one message; an instance that avoids more tells the first.
+constexpr std::size_t kMostEngines = 200;
+constexpr std::uint64_t kMostMillis = 60'000;
+constexpr connection::CborLimits kLimits{.max_bytes = 4096,
+                                         .max_depth = 2,
+                                         .max_elements = 3 * kMostEngines + 2};
+
+std::optional<AvoidedEngine> ReadRow(const json& row) {
+  if (!row.is_array() || row.size() != 2) {
+    return std::nullopt;
+  }
+  const auto engine = CborWhole(row[0], std::numeric_limits<EngineKey>::max());
+  const auto ms = CborWhole(row[1], kMostMillis);
+  if (!engine || !ms) {
+    return std::nullopt;
+  }
+  return AvoidedEngine{static_cast<EngineKey>(*engine),
+                       std::chrono::milliseconds(*ms)};
+}
+
+}  // namespace
+
+std::string EncodeAvoided(const std::vector<AvoidedEngine>& avoided) {
+  json message = json::array({kVersion});
+  const std::size_t n = std::min(avoided.size(), kMostEngines);
+  std::for_each_n(avoided.begin(), n, [&message](const AvoidedEngine& it) {
+    const auto ms = std::clamp<std::int64_t>(base::ToMillis(it.left), 0,
+                                             std::int64_t{kMostMillis});
+    message.push_back({it.engine, static_cast<std::uint64_t>(ms)});
+  });
+  return connection::EncodeCbor(message);
+}
+
+std::optional<std::vector<AvoidedEngine>> DecodeAvoided(
+    std::string_view bytes) {
+  connection::CborError error{};
+  const auto message = connection::DecodeCbor(bytes, kLimits, &error);
+  if (!message || !message->is_array() || message->empty() ||
+      message->size() > kMostEngines + 1 ||
+      CborWhole((*message)[0], kVersion) != kVersion) {
+    return std::nullopt;
+  }
+  std::vector<AvoidedEngine> avoided;
+  for (std::size_t i = 1; i < message->size(); ++i) {
+    const auto row = ReadRow((*message)[i]);
+    if (!row) {
+      return std::nullopt;
+    }
+    avoided.push_back(*row);
+  }
+  return avoided;
+}
+
+AvoidanceSharing::AvoidanceSharing(
+    asio::io_context& loop,
+    const request::passthrough::EngineTable& engines,
+    request::passthrough::PeerAvoidance& avoidance,
+    PeerDatagrams& datagrams,
+    std::function<std::vector<InstancePeer>()> peers,
+    AvoidanceSharingOptions options,
+    base::Clock clock)
+    : loop_(loop),
+      engines_(engines),
+      avoidance_(avoidance),
+      datagrams_(datagrams),
+      peers_(std::move(peers)),
+      options_(options),
+      clock_(std::move(clock)) {}
+
+void AvoidanceSharing::Start() {
+  datagrams_.Handle(DatagramKind::kAvoided,
+                    [this](const InstancePeer& from, std::string_view bytes) {
+                      return Take(from, bytes);
+                    });
+  asio::co_spawn(loop_, Tell(), asio::detached);
+}
+
+Awaitable<void> AvoidanceSharing::Tell() {
+  while (datagrams_.is_open()) {
+    TellOnce();
+    co_await SleepFor(loop_, options_.period);
+  }
+}
+
+void AvoidanceSharing::TellOnce() {
+  const base::Time now = clock_();
+  std::erase_if(told_, [now](const auto& it) { return it.second <= now; });
+  std::vector<AvoidedEngine> news = OwnAvoided(engines_, now);
+  std::erase_if(news, [&](const AvoidedEngine& it) {
+    const auto known = told_.find(it.engine);
+    return known != told_.end() && known->second >= now + it.left;
+  });
+  if (news.empty()) {
+    return;
+  }
+  const auto peers = peers_();
+  if (peers.size() < options_.least_peers) {
+    return;
+  }
+  std::ranges::for_each(
+      news, [&](const AvoidedEngine& it) { told_[it.engine] = now + it.left; });
+  const std::string bytes = EncodeAvoided(news);
+  for (const InstancePeer& peer : peers) {
+    datagrams_.Send(peer, DatagramKind::kAvoided, bytes);
+  }
+}
+
+bool AvoidanceSharing::Take(const InstancePeer& from, std::string_view bytes) {
+  const auto avoided = DecodeAvoided(bytes);
+  if (!avoided) {
+    return false;
+  }
+  avoidance_.Put(from.instance, *avoided, clock_());
+  return true;
+}
+
+}  // namespace lynxglade::process
--- a/src/process/peer_datagrams.h
+++ b/src/process/peer_datagrams.h
@@ -28,6 +28,8 @@
   // Retries asked for and lent (retry_loans).
   kLoanQuestion = 2,
   kLoan = 3,
+  // Targets that an instance avoids (avoidance_sharing).
+  kAvoided = 4,
 };
 
 // Not thread-safe: lives on the event loop.
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -28,12 +28,14 @@
                            const ReadTimes& read_times,
                            base::RandomSource random,
                            PeerTokens peer_tokens,
-                           ZoneCutOff cut_off)
+                           ZoneCutOff cut_off,
+                           PeersAvoid peers_avoid)
     : options_(std::move(options)),
       read_times_(read_times),
       random_(std::move(random)),
       peer_tokens_(std::move(peer_tokens)),
-      cut_off_(std::move(cut_off)) {}
+      cut_off_(std::move(cut_off)),
+      peers_avoid_(std::move(peers_avoid)) {}
 
 EnginePick EngineChoice::Pick(const std::vector<EngineHandle>& engines,
                               const ChoiceQuery& query) const {
@@ -224,7 +226,7 @@
 }
 
 // Targets of zones that cannot be reached are left out while others remain, and
-// so are those that failed lately.
+// so are those that failed lately, here or at other instances.
 std::vector<EngineHandle> EngineChoice::Usable(
     const std::vector<EngineHandle>& engines,
     const ChoiceQuery& query) const {
@@ -241,9 +243,11 @@
                    query.tried.end();
       });
   std::vector<EngineHandle> sound;
-  std::ranges::copy_if(
-      open, std::back_inserter(sound),
-      [&](const EngineHandle& it) { return !it->health.Avoided(query.now); });
+  std::ranges::copy_if(open, std::back_inserter(sound),
+                       [&](const EngineHandle& it) {
+                         return !it->health.Avoided(query.now) &&
+                                !(peers_avoid_ && peers_avoid_(*it, query.now));
+                       });
   std::vector<EngineHandle> reached;
   std::ranges::copy_if(
       sound, std::back_inserter(reached), [&](const EngineHandle& it) {
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -109,6 +109,9 @@
 using ZoneCutOff =
     std::function<bool(const base::ZoneId& zone, base::Time now)>;
 
+// Whether other instances have found that a target fails.
+using PeersAvoid = std::function<bool(const Engine& engine, base::Time now)>;
+
 // Not thread-safe: lives on the event loop.
 class EngineChoice {
  public:
@@ -117,7 +120,8 @@
                const ReadTimes& read_times,
                base::RandomSource random,
                PeerTokens peer_tokens = {},
-               ZoneCutOff cut_off = {});
+               ZoneCutOff cut_off = {},
+               PeersAvoid peers_avoid = {});
   EngineChoice(const EngineChoice&) = delete;
   EngineChoice& operator=(const EngineChoice&) = delete;
 
@@ -185,6 +189,7 @@
   const base::RandomSource random_;
   const PeerTokens peer_tokens_;
   const ZoneCutOff cut_off_;
+  const PeersAvoid peers_avoid_;
 };
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/engine_health.h
+++ b/src/request/passthrough/engine_health.h
@@ -36,6 +36,7 @@
 
   // Whether other targets are to be preferred.
   bool Avoided(base::Time now) const noexcept { return now < avoid_until_; }
+  base::Time avoid_until() const noexcept { return avoid_until_; }
   // Whether it has rejected several requests in a row, so that a further
   // rejection says nothing of the request.
   bool RejectsAll() const noexcept;
--- /dev/null
+++ b/src/request/passthrough/peer_avoidance.cc
@@ -0,0 +1,48 @@
+#include "request/passthrough/peer_avoidance.h"
+
+#include <algorithm>
+
+namespace lynxglade::request::passthrough {
+
+std::vector<AvoidedEngine> OwnAvoided(const EngineTable& engines,
+                                      base::Time now) {
+  std::vector<AvoidedEngine> avoided;
+  engines.ForEach([&](const Engine& engine) {
+    if (engine.health.Avoided(now)) {
+      avoided.push_back(
+          {KeyOf(engine.entry.id), engine.health.avoid_until() - now});
+    }
+  });
+  return avoided;
+}
+
+PeerAvoidance::PeerAvoidance(PeerAvoidanceOptions options)
+    : options_(options) {}
+
+void PeerAvoidance::Put(const base::InstanceId& peer,
+                        const std::vector<AvoidedEngine>& avoided,
+                        base::Time now) {
+  for (const AvoidedEngine& it : avoided) {
+    until_[it.engine][peer] = now + std::min(it.left, options_.most);
+  }
+  for (auto& [engine, by_peer] : until_) {
+    std::erase_if(by_peer, [now](const auto& it) { return it.second <= now; });
+  }
+  std::erase_if(until_, [](const auto& it) { return it.second.empty(); });
+}
+
+bool PeerAvoidance::Avoided(const base::TargetId& engine,
+                            base::Time now) const {
+  if (until_.empty()) {
+    return false;
+  }
+  const auto it = until_.find(KeyOf(engine));
+  if (it == until_.end()) {
+    return false;
+  }
+  const auto observers = std::ranges::count_if(
+      it->second, [now](const auto& peer) { return peer.second > now; });
+  return static_cast<std::size_t>(observers) >= options_.least_observers;
+}
+
+}  // namespace lynxglade::request::passthrough
--- a/tests/request/passthrough/engine_choice_test.cc
+++ b/tests/request/passthrough/engine_choice_test.cc
@@ -219,6 +219,24 @@
   RC_ASSERT(Ask(choice, fleet, Album(part)).reader == before);
 }
 
+TEST(EngineChoice, WhatOthersFindToFailIsLeftWhileOthersRemain) {
+  const auto fleet = Fleet(2, 1);
+  std::set<std::string> avoided{"p0"};
+  EngineChoice choice({.zone = base::ZoneId("a")}, read_times,
+                      base::SeededRandom(1), {}, {},
+                      [&avoided](const Engine& engine, base::Time) {
+                        return avoided.contains(engine.entry.id.str());
+                      });
+  for (int i = 0; i < 20; ++i) {
+    const EnginePick pick = Ask(choice, fleet, Album(std::to_string(i)));
+    ASSERT_NE(pick.reader, nullptr);
+    EXPECT_EQ(pick.reader->entry.id.str(), "p1");
+  }
+  // The only one that can run it is used all the same.
+  avoided.insert("d0");
+  EXPECT_NE(Ask(choice, fleet, Album("x")).runner, nullptr);
+}
+
 TEST(EngineChoice, SharedPartsSpreadOverTheReaders) {
   EngineChoice choice = MakeChoice();
   const auto fleet = Fleet(12, 6);
