--- a/tests/process/change_messages_test.cc
+++ b/tests/process/change_messages_test.cc
@@ -46,9 +46,8 @@
               (std::string bytes)) {
   const auto read = DecodeChanges(bytes);
   const auto in_order = [&read] {
-    return std::ranges::all_of(read->items, [&](const auto& it) {
-      return it.revision <= read->at;
-    });
+    return std::ranges::all_of(
+        read->items, [&](const auto& it) { return it.revision <= read->at; });
   };
   RC_ASSERT((!read || in_order()));
 }
