Review: one check of a message's version, one ticker, nothing entered for what is free

Cause: the read of this change as a whole. Change: connection::DecodeVersioned, PeerDatagrams::Repeat, a guard, one call; a comment on unacknowledged requests said more than is known. Behaviour stays.

--- a/src/connection/bounded_cbor.cc
+++ b/src/connection/bounded_cbor.cc
@@ -135,6 +135,18 @@
   return value.get<std::uint64_t>();
 }
 
+std::optional<nlohmann::json> DecodeVersioned(std::string_view bytes,
+                                              const CborLimits& limits,
+                                              std::uint64_t version) {
+  CborError error{};
+  auto message = DecodeCbor(bytes, limits, &error);
+  if (!message || !message->is_array() || message->empty() ||
+      CborWhole((*message)[0], version) != version) {
+    return std::nullopt;
+  }
+  return message;
+}
+
 std::string EncodeCbor(const Json& value) {
   std::string bytes;
   Json::to_cbor(value, bytes);
--- a/src/connection/bounded_cbor.h
+++ b/src/connection/bounded_cbor.h
@@ -45,6 +45,12 @@
 std::optional<std::uint64_t> CborWhole(const nlohmann::json& value,
                                        std::uint64_t high);
 
+// As DecodeCbor() for a message that is an array with its version in front;
+// nothing for any other.
+std::optional<nlohmann::json> DecodeVersioned(std::string_view bytes,
+                                              const CborLimits& limits,
+                                              std::uint64_t version);
+
 // Encodes any value.
 std::string EncodeCbor(const nlohmann::json& value);
 
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -74,7 +74,7 @@
   ExchangeState state() const noexcept { return state_; }
   // Whether bytes of the request may have left this process.
   bool sent() const noexcept { return sending_ != nullptr; }
-  // Whether the other end acknowledged nothing of what was written last, and
+  // Whether the other end did not acknowledge the whole request in time, and
   // the connection was reset for it. Bytes that are on their way then are lost;
   // the other end has them all the same if only its way back is cut.
   bool unacknowledged() const noexcept;
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -233,18 +233,16 @@
 void EntryDaemon::Details::JoinPeers(const process::Endpoint& endpoint) {
   const process::ReadSharingOptions sharing{.instance = settings.instance,
                                             .zone = settings.zone};
-  datagrams.emplace(
-      loop, presence,
-      asio::ip::udp::endpoint{asio::ip::make_address(endpoint.address),
-                              static_cast<std::uint16_t>(endpoint.port)},
-      metrics);
-  read_sharing.emplace(loop, views.engines(), presence, peer_reads, *datagrams,
+  const Tcp::endpoint at = EndpointOf(endpoint);
+  datagrams.emplace(loop, presence,
+                    asio::ip::udp::endpoint{at.address(), at.port()}, metrics);
+  read_sharing.emplace(views.engines(), presence, peer_reads, *datagrams,
                        sharing, clock);
   const auto peers = [this, sharing] {
     return process::SharingPeers(presence.Peers(), sharing);
   };
-  avoidance_sharing.emplace(loop, views.engines(), peer_avoidance, *datagrams,
-                            peers, process::AvoidanceSharingOptions{}, clock);
+  avoidance_sharing.emplace(views.engines(), peer_avoidance, *datagrams, peers,
+                            process::AvoidanceSharingOptions{}, clock);
   retry_loans.emplace(allowance, *datagrams,
                       process::RetryLoansHooks{
                           .peers = peers,
@@ -255,7 +253,7 @@
                                        views.routes()->FindService(service);
                               }},
                       process::RetryLoansOptions{}, clock, random, metrics);
-  change_relay.emplace(loop, EndpointOf(endpoint), watches, clock, metrics);
+  change_relay.emplace(loop, at, watches, clock, metrics);
 }
 
 process::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
--- a/src/process/avoidance_sharing.cc
+++ b/src/process/avoidance_sharing.cc
@@ -5,25 +5,18 @@
 #include <limits>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <nlohmann/json.hpp>
 
 #include "connection/bounded_cbor.h"
-#include "connection/event/sleep.h"
 
 namespace lynxglade::process {
 
 namespace {
 
 using connection::CborWhole;
-using connection::event::Awaitable;
-using connection::event::SleepFor;
 using nlohmann::json;
 using request::passthrough::AvoidedEngine;
 using request::passthrough::EngineKey;
-namespace asio = connection::event::asio;
 
 constexpr std::uint64_t kVersion = 1;
 // Of one message; an instance that avoids more tells the first.
@@ -61,11 +54,8 @@
 
 std::optional<std::vector<AvoidedEngine>> DecodeAvoided(
     std::string_view bytes) {
-  connection::CborError error{};
-  const auto message = connection::DecodeCbor(bytes, kLimits, &error);
-  if (!message || !message->is_array() || message->empty() ||
-      message->size() > kMostEngines + 1 ||
-      CborWhole((*message)[0], kVersion) != kVersion) {
+  const auto message = connection::DecodeVersioned(bytes, kLimits, kVersion);
+  if (!message || message->size() > kMostEngines + 1) {
     return std::nullopt;
   }
   std::vector<AvoidedEngine> avoided;
@@ -80,15 +70,13 @@
 }
 
 AvoidanceSharing::AvoidanceSharing(
-    asio::io_context& loop,
     const request::passthrough::EngineTable& engines,
     request::passthrough::PeerAvoidance& avoidance,
     PeerDatagrams& datagrams,
     std::function<std::vector<InstancePeer>()> peers,
     AvoidanceSharingOptions options,
     base::Clock clock)
-    : loop_(loop),
-      engines_(engines),
+    : engines_(engines),
       avoidance_(avoidance),
       datagrams_(datagrams),
       peers_(std::move(peers)),
@@ -100,14 +88,7 @@
                     [this](const InstancePeer& from, std::string_view bytes) {
                       return Take(from, bytes);
                     });
-  asio::co_spawn(loop_, Tell(), asio::detached);
-}
-
-Awaitable<void> AvoidanceSharing::Tell() {
-  while (datagrams_.is_open()) {
-    TellOnce();
-    co_await SleepFor(loop_, options_.period);
-  }
+  datagrams_.Repeat(options_.period, [this] { TellOnce(); });
 }
 
 void AvoidanceSharing::TellOnce() {
--- a/src/process/avoidance_sharing.h
+++ b/src/process/avoidance_sharing.h
@@ -15,7 +15,6 @@
 #include <vector>
 
 #include "base/time.h"
-#include "connection/event/http_types.h"
 #include "process/instance_presence.h"
 #include "process/peer_datagrams.h"
 #include "request/passthrough/engine_table.h"
@@ -42,8 +41,7 @@
 class AvoidanceSharing {
  public:
   // `peers`: the instances that are told.
-  AvoidanceSharing(connection::event::asio::io_context& loop,
-                   const request::passthrough::EngineTable& engines,
+  AvoidanceSharing(const request::passthrough::EngineTable& engines,
                    request::passthrough::PeerAvoidance& avoidance,
                    PeerDatagrams& datagrams,
                    std::function<std::vector<InstancePeer>()> peers,
@@ -56,11 +54,9 @@
   void Start();
 
  private:
-  connection::event::Awaitable<void> Tell();
   void TellOnce();
   bool Take(const InstancePeer& from, std::string_view bytes);
 
-  connection::event::asio::io_context& loop_;
   const request::passthrough::EngineTable& engines_;
   request::passthrough::PeerAvoidance& avoidance_;
   PeerDatagrams& datagrams_;
--- a/src/process/change_messages.cc
+++ b/src/process/change_messages.cc
@@ -94,10 +94,8 @@
 }
 
 std::optional<StoreItems> DecodeChanges(std::string_view bytes) {
-  connection::CborError error{};
-  const auto message = connection::DecodeCbor(bytes, kLimits, &error);
-  if (!message || !message->is_array() || message->size() != kParts ||
-      (*message)[0] != json(kVersion) || !(*message)[2].is_array()) {
+  const auto message = connection::DecodeVersioned(bytes, kLimits, kVersion);
+  if (!message || message->size() != kParts || !(*message)[2].is_array()) {
     return std::nullopt;
   }
   const auto at = ReadRevision((*message)[1]);
--- a/src/process/loan_messages.cc
+++ b/src/process/loan_messages.cc
@@ -40,10 +40,8 @@
 
 // An array of that many parts with this version in front.
 std::optional<json> DecodeParts(std::string_view bytes, std::size_t parts) {
-  connection::CborError error{};
-  auto message = connection::DecodeCbor(bytes, kLimits, &error);
-  if (!message || !message->is_array() || message->size() != parts ||
-      CborWhole((*message)[0], kVersion) != kVersion) {
+  auto message = connection::DecodeVersioned(bytes, kLimits, kVersion);
+  if (!message || message->size() != parts) {
     return std::nullopt;
   }
   return message;
--- a/src/process/peer_datagrams.cc
+++ b/src/process/peer_datagrams.cc
@@ -65,6 +65,18 @@
   Count(ec ? "not_sent" : "sent");
 }
 
+void PeerDatagrams::Repeat(base::Duration period, std::function<void()> tell) {
+  asio::co_spawn(loop_, Tell(period, std::move(tell)), asio::detached);
+}
+
+Awaitable<void> PeerDatagrams::Tell(base::Duration period,
+                                    std::function<void()> tell) {
+  while (socket_.is_open()) {
+    tell();
+    co_await SleepFor(loop_, period);
+  }
+}
+
 Awaitable<void> PeerDatagrams::Hear() {
   // After an error that may last, so that the loop is not kept busy.
   constexpr base::Duration kPause = std::chrono::milliseconds(100);
--- a/src/process/peer_datagrams.h
+++ b/src/process/peer_datagrams.h
@@ -16,6 +16,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include "base/metrics.h"
+#include "base/time.h"
 #include "connection/event/http_types.h"
 #include "process/instance_presence.h"
 
@@ -53,9 +54,13 @@
   bool is_open() const noexcept { return socket_.is_open(); }
   // One that cannot be sent at once is dropped.
   void Send(const InstancePeer& to, DatagramKind kind, std::string_view body);
+  // Calls `tell` at once and then every `period`, while the socket is open.
+  void Repeat(base::Duration period, std::function<void()> tell);
 
  private:
   connection::event::Awaitable<void> Hear();
+  connection::event::Awaitable<void> Tell(base::Duration period,
+                                          std::function<void()> tell);
   void Take(std::string_view datagram);
   void Count(const char* outcome);
 
--- a/src/process/read_sharing.cc
+++ b/src/process/read_sharing.cc
@@ -5,29 +5,25 @@
 #include <limits>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <nlohmann/json.hpp>
 
 #include "connection/bounded_cbor.h"
-#include "connection/event/sleep.h"
 
 namespace lynxglade::process {
 
 namespace {
 
 using connection::CborWhole;
-using connection::event::Awaitable;
-using connection::event::SleepFor;
 using nlohmann::json;
 using request::passthrough::EngineKey;
 using request::passthrough::PeerRead;
-namespace asio = connection::event::asio;
 
 constexpr std::uint64_t kReportVersion = 1;
 // Of one report; an instance with more under way tells the first.
 constexpr std::size_t kMaxReads = 200;
+constexpr connection::CborLimits kLimits{.max_bytes = 4096,
+                                         .max_depth = 2,
+                                         .max_elements = 4 * kMaxReads + 2};
 constexpr std::uint64_t kMaxPriority = 1'000'000;
 constexpr std::uint64_t kMaxTokens = 1'000'000'000;
 
@@ -59,15 +55,14 @@
 }
 
 std::optional<std::vector<PeerRead>> DecodeReads(std::string_view bytes) {
-  const json report =
-      json::from_cbor(bytes, /*strict=*/true, /*allow_exceptions=*/false);
-  if (!report.is_array() || report.empty() || report.size() > kMaxReads + 1 ||
-      CborWhole(report[0], kReportVersion) != kReportVersion) {
+  const auto report =
+      connection::DecodeVersioned(bytes, kLimits, kReportVersion);
+  if (!report || report->size() > kMaxReads + 1) {
     return std::nullopt;
   }
   std::vector<PeerRead> reads;
-  for (std::size_t i = 1; i < report.size(); ++i) {
-    const auto read = ReadRow(report[i]);
+  for (std::size_t i = 1; i < report->size(); ++i) {
+    const auto read = ReadRow((*report)[i]);
     if (!read) {
       return std::nullopt;
     }
@@ -88,15 +83,13 @@
   return peers;
 }
 
-ReadSharing::ReadSharing(asio::io_context& loop,
-                         const request::passthrough::EngineTable& engines,
+ReadSharing::ReadSharing(const request::passthrough::EngineTable& engines,
                          const InstancePresence& presence,
                          request::passthrough::PeerReads& peer_reads,
                          PeerDatagrams& datagrams,
                          ReadSharingOptions options,
                          base::Clock clock)
-    : loop_(loop),
-      engines_(engines),
+    : engines_(engines),
       presence_(presence),
       peer_reads_(peer_reads),
       datagrams_(datagrams),
@@ -108,14 +101,7 @@
                     [this](const InstancePeer& from, std::string_view bytes) {
                       return Take(from, bytes);
                     });
-  asio::co_spawn(loop_, Tell(), asio::detached);
-}
-
-Awaitable<void> ReadSharing::Tell() {
-  while (datagrams_.is_open()) {
-    TellOnce();
-    co_await SleepFor(loop_, options_.period);
-  }
+  datagrams_.Repeat(options_.period, [this] { TellOnce(); });
 }
 
 void ReadSharing::TellOnce() {
--- a/src/process/read_sharing.h
+++ b/src/process/read_sharing.h
@@ -14,7 +14,6 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "connection/event/http_types.h"
 #include "process/instance_presence.h"
 #include "process/peer_datagrams.h"
 #include "request/passthrough/engine_table.h"
@@ -46,8 +45,7 @@
 // Not thread-safe: lives on the event loop.
 class ReadSharing {
  public:
-  ReadSharing(connection::event::asio::io_context& loop,
-              const request::passthrough::EngineTable& engines,
+  ReadSharing(const request::passthrough::EngineTable& engines,
               const InstancePresence& presence,
               request::passthrough::PeerReads& peer_reads,
               PeerDatagrams& datagrams,
@@ -60,11 +58,9 @@
   void Start();
 
  private:
-  connection::event::Awaitable<void> Tell();
   void TellOnce();
   bool Take(const InstancePeer& from, std::string_view bytes);
 
-  connection::event::asio::io_context& loop_;
   const request::passthrough::EngineTable& engines_;
   const InstancePresence& presence_;
   request::passthrough::PeerReads& peer_reads_;
--- a/src/request/passthrough/retry_allowance.cc
+++ b/src/request/passthrough/retry_allowance.cc
@@ -66,7 +66,9 @@
                             const HeldArrivals& held) {
   Account& account = Find(service);
   Unhold(account, held);
-  account.spent.Add(held.own, held.held_at);
+  if (held.own > 0) {
+    account.spent.Add(held.own, held.held_at);
+  }
 }
 
 void RetryAllowance::ChargeLate(const base::ServiceName& service,
--- a/tests/process/avoidance_sharing_test.cc
+++ b/tests/process/avoidance_sharing_test.cc
@@ -59,7 +59,6 @@
         : PeerParts(test, name),
           engines(base::Duration(0)),
           sharing(
-              test.loop_,
               engines,
               avoidance,
               datagrams,
--- a/tests/process/read_sharing_test.cc
+++ b/tests/process/read_sharing_test.cc
@@ -82,8 +82,7 @@
     Instance(ReadSharingTest& test, const std::string& name)
         : PeerParts(test, name),
           engines(base::Duration(0)),
-          sharing(test.loop_,
-                  engines,
+          sharing(engines,
                   presence,
                   peers,
                   datagrams,
