Incident, long answers: timeline, hypotheses; a request's size in the logs

The logs could not tell the hypotheses apart: request_end named no size, and an answer refused for want of room left no line with the engine's load. Now request_end has prompt_tokens, expected_tokens, most_tokens, events and first_bytes_ms, and not_attempted tells the load of the engine that was chosen. No decision is changed.

--- a/src/request/passthrough/event_splitter.cc
+++ b/src/request/passthrough/event_splitter.cc
@@ -49,6 +49,7 @@
       line.remove_suffix(1);
     }
     last_id_ = std::string(line);
+    ++events_;
   }
 }
 
--- a/src/request/passthrough/event_splitter.h
+++ b/src/request/passthrough/event_splitter.h
@@ -20,12 +20,15 @@
   const std::string& tail() const noexcept { return tail_; }
   // The id of the last whole event; empty if none had one.
   const std::string& last_id() const noexcept { return last_id_; }
+  // Whole events with an id so far.
+  int events() const noexcept { return events_; }
 
  private:
   void NoteIds(std::string_view events);
 
   std::string tail_;
   std::string last_id_;
+  int events_ = 0;
 };
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -134,6 +134,22 @@
   co_await reply_.SendWhole(std::move(head), {});
 }
 
+void RelayRun::LogUnwanted(const EnginePick& pick, EndReason reason) const {
+  const Engine& runner = *pick.runner;
+  const base::Time now = parts_.clock();
+  Log(LogLevel::kInfo, "not_attempted",
+      {{"request", terms_.request_id},
+       {"reason", ToString(reason)},
+       {"target", runner.entry.id.str()},
+       {"load", KnownLoad(runner, now)},
+       {"load_age_ms", base::ToMillis(now - runner.reported_at)},
+       {"slots", runner.entry.slots},
+       {"wait_ms", base::ToMillis(pick.wait)},
+       {"expected_ms", base::ToMillis(pick.expected)},
+       {"expected_tokens", terms_.expected_tokens},
+       {"time_left_ms", base::ToMillis(TimeLeft())}});
+}
+
 void RelayRun::LogAttempt(const EnginePick& pick, AttemptEnd end) const {
   parts_.metrics
       .GetCounter("lynxglade_attempt_ends_total",
@@ -176,6 +192,11 @@
        {"service", service_.str()},
        {"caller", request_->caller},
        {"by", ended_by_},
+       {"prompt_tokens", terms_.prompt.TotalTokens()},
+       {"expected_tokens", terms_.expected_tokens},
+       {"most_tokens", terms_.most_tokens},
+       {"events", events_.events()},
+       {"first_bytes_ms", MillisOrNone(first_bytes_at_)},
        {"status", status_},
        {"runs", runs_},
        {"rejections", rejections_},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -130,6 +130,7 @@
       co_return;
     }
     if (const auto reason = first ? Unwanted(pick) : std::nullopt) {
+      LogUnwanted(pick, *reason);
       co_await Refuse(*reason);
       co_return;
     }
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -135,6 +135,8 @@
   base::Duration Elapsed() const;
   base::Duration TimeLeft() const;
   bool Stopped() const noexcept;
+  // The state of the engine for which the first attempt was not made.
+  void LogUnwanted(const EnginePick& pick, EndReason reason) const;
   void LogAttempt(const EnginePick& pick, AttemptEnd end) const;
   void LogEnd() const;
 
--- a/src/request/passthrough/target_protocol.h
+++ b/src/request/passthrough/target_protocol.h
@@ -30,6 +30,8 @@
   // Output tokens that the caller expects, right at the median and often far
   // off; 0 if it does not say.
   std::int64_t expected_tokens = 0;
+  // Output tokens that the caller takes at most; 0 if it does not say.
+  std::int64_t most_tokens = 0;
   // The caller goes on after this event of a broken stream; empty: from the
   // start.
   std::string last_event_id;
--- a/tests/request/passthrough/event_splitter_test.cc
+++ b/tests/request/passthrough/event_splitter_test.cc
@@ -15,6 +15,7 @@
   EXPECT_EQ(events.tail(), "id: 2\nda");
   EXPECT_EQ(events.Feed("ta: b\n\n"), "id: 2\ndata: b\n\n");
   EXPECT_EQ(events.last_id(), "2");
+  EXPECT_EQ(events.events(), 2);
 }
 
 TEST(EventSplitter, AnotherEngineGoesOnAfterTheLastWholeEvent) {
