--- /dev/null
+++ b/tests/request/passthrough/long_answers_test.cc
@@ -0,0 +1,166 @@
+// Share of long answers that end in time at one engine that generates.
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <numbers>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "base/random.h"
+#include "request/passthrough/answer_admission.h"
+
+namespace lynxglade::request::passthrough {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::ServiceName kService("llm");
+constexpr base::Duration kTimeout = seconds(15);
+constexpr std::int64_t kMostTokens = 8'946;
+constexpr double kTokensPerEvent = 42;
+constexpr int kSlots = 64;
+
+struct Answer {
+  double tokens = 0;
+  // The caller's estimate.
+  std::int64_t expected_tokens = 0;
+  double made = 0;
+  milliseconds age{0};
+  double event_begun = 0;
+};
+
+// The decision under test, as the relay makes it.
+class Admission {
+ public:
+  bool Admits(const Engine& engine, const Answer& answer, base::Time now) {
+    const base::Duration expected =
+        times_.Expected(kService, answer.expected_tokens);
+    return !IsLongAnswer(expected, kTimeout, {}) || !IsFilled(engine, now, {});
+  }
+  void OnEvent(Engine&, base::Duration, base::Time) {}
+  void OnEnd(const Answer& answer) {
+    times_.Learn(kService, answer.expected_tokens, answer.age);
+  }
+
+ private:
+  AnswerTimes times_;
+};
+
+// A step takes 0.723 ms and 0.0252 ms more for each answer under way, times
+// `slowness`. Half of the answers have more than 2,646 tokens, the largest
+// tenth more than 7,700; estimates are right at the median.
+class SlowGenerator {
+ public:
+  SlowGenerator(double slowness, std::uint64_t seed)
+      : slowness_(slowness), random_(base::SeededRandom(seed)) {
+    engine_.entry.service = kService;
+    engine_.entry.slots = kSlots;
+  }
+
+  void Run(seconds time, double arrivals_per_s) {
+    const base::Time end = now_ + time;
+    while (now_ < end) {
+      now_ += kTick;
+      if (base::UniformReal(random_) < arrivals_per_s / kTicksPerSecond) {
+        Arrive();
+      }
+      Generate();
+    }
+  }
+
+  // Of the largest tenth, and of all.
+  double served_large() const { return Part(served_large_, asked_large_); }
+  double served() const { return Part(served_, asked_); }
+
+ private:
+  static constexpr milliseconds kTick{1};
+  static constexpr double kTicksPerSecond = 1'000;
+  static constexpr double kLargeTokens = 7'700;
+
+  static double Part(int n, int of) {
+    return static_cast<double>(n) / std::max(of, 1);
+  }
+
+  double Normal() const {
+    const double u = std::max(base::UniformReal(random_), 1e-12);
+    return std::sqrt(-2 * std::log(u)) *
+           std::cos(2 * std::numbers::pi * base::UniformReal(random_));
+  }
+
+  void Report() {
+    engine_.in_flight = static_cast<int>(answers_.size());
+    engine_.reported = {.running = engine_.in_flight, .slots = kSlots};
+    engine_.reported_at = now_;
+  }
+
+  void Arrive() {
+    Answer answer;
+    answer.tokens = std::min(2'646 * std::exp(0.84 * Normal()),
+                             static_cast<double>(kMostTokens));
+    answer.expected_tokens =
+        std::llround(answer.tokens * std::exp(0.5 * Normal()));
+    ++asked_;
+    asked_large_ += answer.tokens > kLargeTokens ? 1 : 0;
+    Report();
+    if (engine_.in_flight < kSlots &&
+        admission_.Admits(engine_, answer, now_)) {
+      answers_.push_back(answer);
+    }
+  }
+
+  void Generate() {
+    Report();
+    const double step_ms =
+        slowness_ * (0.723 + 0.0252 * static_cast<double>(answers_.size()));
+    for (Answer& it : answers_) {
+      it.age += kTick;
+      it.made += 1 / step_ms;
+      if (it.made - it.event_begun >= kTokensPerEvent) {
+        it.event_begun = it.made;
+        admission_.OnEvent(
+            engine_, base::FromFineMillis(kTokensPerEvent * step_ms), now_);
+      }
+    }
+    std::erase_if(answers_, [this](const Answer& it) { return Ended(it); });
+  }
+
+  bool Ended(const Answer& answer) {
+    if (answer.made < answer.tokens) {
+      return answer.age >= kTimeout;
+    }
+    ++served_;
+    served_large_ += answer.tokens > kLargeTokens ? 1 : 0;
+    admission_.OnEnd(answer);
+    return true;
+  }
+
+  const double slowness_;
+  const base::RandomSource random_;
+  base::Time now_ = base::Time() + std::chrono::hours(1);
+  Engine engine_;
+  Admission admission_;
+  std::vector<Answer> answers_;
+  int asked_ = 0;
+  int asked_large_ = 0;
+  int served_ = 0;
+  int served_large_ = 0;
+};
+
+// Guards against: fewer than half as many of the largest answers served as of
+// all, where more is asked for than a slow engine generates.
+TEST(LongAnswers, TheLargestAreServedHalfAsOftenAsAll) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    for (const double slowness : {1.0, 1.3, 1.6}) {
+      SlowGenerator generator(slowness, seed);
+      generator.Run(seconds(300), 6);
+      EXPECT_GE(generator.served_large(), 0.5 * generator.served())
+          << "seed " << seed << ", slowness " << slowness;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace lynxglade::request::passthrough
