--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -110,7 +110,12 @@
   request::passthrough::PeerAvoidance peer_avoidance;
   request::passthrough::ZoneHealth zones;
   request::passthrough::ReadTimes read_times;
-  request::passthrough::AnswerTimes answer_times;
+  request::passthrough::GenerationTimes generation_times;
+  request::passthrough::AnswerAdmission answers{generation_times};
+  const request::passthrough::EngineRoom room =
+      [this](const request::passthrough::Engine& engine, base::Time now) {
+        return answers.Room(engine, now);
+      };
   request::passthrough::EngineChoice choice;
   request::passthrough::RetryAllowance allowance;
   process::InstancePresence presence;
@@ -153,7 +158,8 @@
           },
           [this](const request::passthrough::Engine& engine, base::Time now) {
             return peer_avoidance.Avoided(engine.entry.id, now);
-          }),
+          },
+          room),
       allowance({.ratio = s.retry_ratio,
                  .allowance = s.retry_allowance,
                  .window = s.retry_window},
@@ -193,6 +199,7 @@
           [this](const base::ServiceName& service) {
             return choice.Backlog(views.engines().OfService(service), clock());
           },
+          room,
           clock,
           metrics),
       store_follower(
@@ -285,7 +292,8 @@
           .engines = views.engines(),
           .choice = choice,
           .read_times = read_times,
-          .answer_times = answer_times,
+          .generation_times = generation_times,
+          .answers = answers,
           .allowance = allowance,
           .zones = zones,
           .metrics = metrics,
--- a/src/process/generation_demand.cc
+++ b/src/process/generation_demand.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lynxglade::process {
 
@@ -13,22 +14,34 @@
 
 }  // namespace
 
-GenerationDemand::GenerationDemand(GenerationDemandOptions options)
-    : options_(options) {}
+GenerationDemand::GenerationDemand(GenerationDemandOptions options,
+                                   request::passthrough::EngineRoom room)
+    : options_(options), room_(std::move(room)) {}
+
+double GenerationDemand::Target(const request::passthrough::Engine& engine,
+                                base::Time now) const {
+  const double slots = std::max(engine.entry.slots, 1);
+  const double room = room_ ? room_(engine, now) : slots;
+  return std::min(options_.most_filled * slots, options_.most_of_room * room);
+}
 
 void GenerationDemand::Observe(const std::vector<EngineHandle>& engines,
                                base::Duration backlog,
                                base::Time now) {
   generating_ = 0;
+  double targets = 0;
   int answers = 0;
   for (const EngineHandle& engine : engines) {
     if (engine->entry.stage == EngineStage::kDecode &&
         !engine->entry.draining) {
       ++generating_;
       answers += KnownLoad(*engine, now);
-      slots_ = std::max(engine->entry.slots, 1);
+      targets += Target(*engine, now);
     }
   }
+  if (generating_ > 0) {
+    target_ = std::max(targets / generating_, 1.0);
+  }
   // A backlog of minutes, or no reader at all, is not remembered for longer.
   constexpr int kMostBusy = 4;
   backlog = std::min(backlog, kMostBusy * options_.busy_backlog);
@@ -49,7 +62,7 @@
   if (last_at_ - first_at_ < options_.memory) {
     return generating_;
   }
-  const double asked = answers_ / (options_.most_filled * slots_);
+  const double asked = answers_ / target_;
   const bool readers_busy = backlog_ > options_.busy_backlog;
   if (asked > generating_ && !readers_busy) {
     return static_cast<int>(std::ceil(asked));
--- a/src/process/generation_demand.h
+++ b/src/process/generation_demand.h
@@ -2,25 +2,25 @@
 // generated.
 //
 // An engine takes longer for each token the more answers it generates at a
-// time, so long ones run into their time limit when too few engines generate:
-// with 60 answers an engine, two of three of the longest tenth did. Answers
-// under way are counted at the engines that generate, by what they report and
-// what this instance has there.
+// time, so large ones run into their time limit when too few engines generate.
+// Answers under way are counted at the engines that generate, by what they
+// report and what this instance has there, against the room that each has.
 #ifndef LYNXGLADE_PROCESS_GENERATION_DEMAND_H_
 #define LYNXGLADE_PROCESS_GENERATION_DEMAND_H_
 
 #include <vector>
 
 #include "base/time.h"
-#include "request/passthrough/answer_admission.h"
 #include "request/passthrough/engine_table.h"
 
 namespace lynxglade::process {
 
 struct GenerationDemandOptions {
   // Answers at a time that an engine is to generate, in parts of its slots.
-  double most_filled =
-      request::passthrough::AnswerAdmissionOptions().most_filled;
+  double most_filled = 0.6;
+  // The same in parts of its room, beyond which answers are refused: another
+  // engine is asked for before that.
+  double most_of_room = 0.8;
   // Fewer engines are asked for only once so many times the answers would fit
   // them: a change back and forth costs two times three seconds of an engine.
   double margin_to_fewer = 1.4;
@@ -35,7 +35,9 @@
 // Not thread-safe: lives on the event loop.
 class GenerationDemand {
  public:
-  explicit GenerationDemand(GenerationDemandOptions options = {});
+  // `room` may be empty: engines have room for as many answers as slots.
+  explicit GenerationDemand(GenerationDemandOptions options = {},
+                            request::passthrough::EngineRoom room = {});
   GenerationDemand(const GenerationDemand&) = delete;
   GenerationDemand& operator=(const GenerationDemand&) = delete;
 
@@ -53,14 +55,20 @@
   base::Duration backlog() const noexcept { return backlog_; }
 
  private:
+  // Answers that an engine is to generate at a time.
+  double Target(const request::passthrough::Engine& engine,
+                base::Time now) const;
+
   const GenerationDemandOptions options_;
+  const request::passthrough::EngineRoom room_;
   base::Time first_at_{};
   base::Time last_at_{};
   double answers_ = 0;
   base::Duration backlog_{};
   // Of the last observation.
   int generating_ = 0;
-  int slots_ = 1;
+  // Answers that one is to generate, on average.
+  double target_ = 1;
 };
 
 }  // namespace lynxglade::process
--- a/src/process/stage_orders.cc
+++ b/src/process/stage_orders.cc
@@ -44,6 +44,7 @@
     std::function<std::vector<base::ServiceName>()> services,
     std::function<bool()> idle,
     std::function<base::Duration(const base::ServiceName&)> backlog,
+    request::passthrough::EngineRoom room,
     base::Clock clock,
     base::Metrics& metrics)
     : loop_(loop),
@@ -54,6 +55,7 @@
       services_(std::move(services)),
       idle_(std::move(idle)),
       backlog_(std::move(backlog)),
+      room_(std::move(room)),
       clock_(std::move(clock)),
       metrics_(metrics) {}
 
@@ -83,10 +85,15 @@
   }
 }
 
+GenerationDemand& StageOrders::Demand(const base::ServiceName& service) {
+  return demand_.try_emplace(service, GenerationDemandOptions(), room_)
+      .first->second;
+}
+
 void StageOrders::ObserveDemand() {
   for (const base::ServiceName& service : services_()) {
-    demand_[service].Observe(engines_.OfService(service), backlog_(service),
-                             clock_());
+    Demand(service).Observe(engines_.OfService(service), backlog_(service),
+                            clock_());
   }
 }
 
@@ -98,7 +105,7 @@
     return {};
   }
   // Nothing is asked for while nothing is served.
-  const int wanted = idle ? 0 : demand_[service].Wanted();
+  const int wanted = idle ? 0 : Demand(service).Wanted();
   std::vector<StageChange> changes =
       PlanStages(engines_.OfService(service), idle, options_.plan, wanted);
   std::erase_if(changes, [this](const StageChange& it) {
@@ -142,7 +149,7 @@
                   {{"result", std::string(ToString(result))}})
       .Add();
   // Its entry may have been written anew meanwhile, for any service.
-  const GenerationDemand& demand = demand_[engine->entry.service];
+  const GenerationDemand& demand = Demand(engine->entry.service);
   Log(LogLevel::kInfo, "stage_order",
       {{"target", engine->entry.id.str()},
        {"stage", ToString(change.to)},
--- a/src/process/stage_orders.h
+++ b/src/process/stage_orders.h
@@ -98,6 +98,7 @@
               std::function<bool()> idle,
               // How long a prompt would wait to be read now, on average.
               std::function<base::Duration(const base::ServiceName&)> backlog,
+              request::passthrough::EngineRoom room,
               base::Clock clock,
               base::Metrics& metrics);
   StageOrders(const StageOrders&) = delete;
@@ -112,6 +113,7 @@
   connection::event::Awaitable<void> Give(StageChange change);
   std::vector<StageChange> Due(const base::ServiceName& service);
   void ObserveDemand();
+  GenerationDemand& Demand(const base::ServiceName& service);
 
   connection::event::asio::io_context& loop_;
   const request::passthrough::EngineTable& engines_;
@@ -121,6 +123,7 @@
   const std::function<std::vector<base::ServiceName>()> services_;
   const std::function<bool()> idle_;
   const std::function<base::Duration(const base::ServiceName&)> backlog_;
+  const request::passthrough::EngineRoom room_;
   const base::Clock clock_;
   base::Metrics& metrics_;
   bool stopped_ = false;
--- a/src/process/stage_plan.cc
+++ b/src/process/stage_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 
 namespace lynxglade::process {
@@ -73,6 +74,20 @@
   return wanted;
 }
 
+// Engines whose speeds are not known keep their order.
+std::vector<EngineHandle> SlowestFirst(std::vector<EngineHandle> generating) {
+  std::ranges::stable_sort(
+      generating, std::ranges::greater(),
+      [](const EngineHandle& it) { return it->generation_slowness; });
+  return generating;
+}
+
+std::vector<EngineHandle> FastestFirst(std::vector<EngineHandle> reading) {
+  std::ranges::stable_sort(reading, {},
+                           [](const EngineHandle& it) { return it->slowness; });
+  return reading;
+}
+
 }  // namespace
 
 int DecodeEngines(int engines, const StagePlanOptions& options) noexcept {
@@ -94,7 +109,8 @@
   for (const auto& [name, zone] : zones) {
     const int surplus = static_cast<int>(zone.decode.size()) - by_zone.at(name);
     const bool to_prefill = surplus > 0;
-    const auto& from = to_prefill ? zone.decode : zone.prefill;
+    const std::vector<EngineHandle> from =
+        to_prefill ? SlowestFirst(zone.decode) : FastestFirst(zone.prefill);
     std::ranges::transform(
         from.begin(), from.begin() + std::abs(surplus),
         std::back_inserter(changes), [to_prefill](const EngineHandle& it) {
--- a/src/process/stage_plan.h
+++ b/src/process/stage_plan.h
@@ -4,6 +4,8 @@
 // engine reads at half speed between the tokens of the requests that it
 // generates for. Generating needs far less of an engine than reading where
 // prompts are long and answers short, so the split follows the work offered.
+// What an engine generates slows down with its load faster than its reading
+// does, so the fastest engines known generate.
 #ifndef LYNXGLADE_PROCESS_STAGE_PLAN_H_
 #define LYNXGLADE_PROCESS_STAGE_PLAN_H_
 
--- a/src/request/passthrough/answer_admission.cc
+++ b/src/request/passthrough/answer_admission.cc
@@ -1,48 +1,121 @@
 #include "request/passthrough/answer_admission.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
 
 namespace lynxglade::request::passthrough {
 
 namespace {
 
-// Before an answer has ended; the users' engines make a token in 0.7 to 5 ms.
-constexpr double kPriorMsPerToken = 2;
-// What one more answer changes of what is believed. Callers' estimates are
-// right on average only, so many are needed.
-constexpr double kStep = 0.05;
+// Bounds what is kept where routes come and go.
+constexpr base::Duration kForgottenAfter = std::chrono::minutes(5);
+
+double Slots(const Engine& engine) noexcept {
+  return std::max(engine.entry.slots, 1);
+}
+
+double LogTokens(const AskedAnswer& asked) noexcept {
+  return std::log(static_cast<double>(asked.expected_tokens));
+}
 
 }  // namespace
 
-void AnswerTimes::Learn(const base::ServiceName& service,
-                        std::int64_t tokens,
-                        base::Duration took) {
-  if (tokens <= 0) {
-    return;
+AnswerAdmission::AnswerAdmission(const GenerationTimes& times,
+                                 AnswerAdmissionOptions options)
+    : times_(times), options_(options) {}
+
+bool AnswerAdmission::Admit(const Engine& engine,
+                            const std::string& route,
+                            const AskedAnswer& asked,
+                            base::Time now) {
+  if (asked.expected_tokens <= 0 && asked.most_tokens <= 0) {
+    return true;
+  }
+  Sizes& sizes = Learn(engine.entry.service, route, asked, now);
+  const double room = RoomFor(engine, sizes);
+  const bool large = IsLarge(sizes, asked);
+  const double limit =
+      Favours(sizes, large) ? room : options_.shared_room * room;
+  // A full engine says so itself.
+  const bool admitted = room >= Slots(engine) || KnownLoad(engine, now) < limit;
+  Share& share = large ? sizes.large : sizes.small;
+  share.seen = options_.share_memory * share.seen + 1;
+  share.admitted = options_.share_memory * share.admitted + (admitted ? 1 : 0);
+  return admitted;
+}
+
+AnswerAdmission::Sizes& AnswerAdmission::Learn(const base::ServiceName& service,
+                                               const std::string& route,
+                                               const AskedAnswer& asked,
+                                               base::Time now) {
+  auto& routes = routes_[service];
+  if (!routes.contains(route)) {
+    std::erase_if(routes, [&](const auto& it) {
+      return now - it.second.last_at > kForgottenAfter;
+    });
+  }
+  Sizes& sizes = routes[route];
+  sizes.most_tokens = asked.most_tokens;
+  sizes.timeout = asked.timeout;
+  sizes.last_at = now;
+  if (asked.expected_tokens > 0) {
+    sizes.requests += 1;
+    const double step = std::max(options_.size_step, 1 / sizes.requests);
+    const double off = LogTokens(asked) - sizes.mean_log;
+    sizes.mean_log += step * off;
+    sizes.variance_log = (1 - step) * (sizes.variance_log + step * off * off);
   }
-  double& ms =
-      ms_per_token_.try_emplace(service, kPriorMsPerToken).first->second;
-  ms += kStep * (base::ToFineMillis(took) / static_cast<double>(tokens) - ms);
+  return sizes;
 }
 
-base::Duration AnswerTimes::Expected(const base::ServiceName& service,
-                                     std::int64_t tokens) const {
-  const auto it = ms_per_token_.find(service);
-  const double ms = it == ms_per_token_.end() ? kPriorMsPerToken : it->second;
-  return base::FromFineMillis(ms * static_cast<double>(tokens));
+bool AnswerAdmission::IsLarge(const Sizes& sizes,
+                              const AskedAnswer& asked) const noexcept {
+  return asked.expected_tokens > 0 &&
+         LogTokens(asked) > sizes.mean_log + options_.larger_deviations *
+                                                 std::sqrt(sizes.variance_log);
 }
 
-bool IsLongAnswer(base::Duration expected,
-                  base::Duration time_left,
-                  const AnswerAdmissionOptions& options) noexcept {
-  return expected > options.long_part * time_left;
+bool AnswerAdmission::Favours(const Sizes& sizes, bool large) const noexcept {
+  const bool large_behind =
+      sizes.large.Part() < options_.large_share * sizes.small.Part();
+  return large == large_behind;
 }
 
-bool IsFilled(const Engine& engine,
-              base::Time now,
-              const AnswerAdmissionOptions& options) noexcept {
-  return KnownLoad(engine, now) >=
-         options.most_filled * std::max(engine.entry.slots, 1);
+double AnswerAdmission::Room(const Engine& engine, base::Time now) const {
+  double room = Slots(engine);
+  const auto service = routes_.find(engine.entry.service);
+  if (service == routes_.end()) {
+    return room;
+  }
+  for (const auto& [route, sizes] : service->second) {
+    if (now - sizes.last_at <= options_.route_memory) {
+      room = std::min(room, RoomFor(engine, sizes));
+    }
+  }
+  return room;
+}
+
+std::int64_t AnswerAdmission::LargeTokens(const Sizes& sizes) const noexcept {
+  if (sizes.requests < options_.least_requests && sizes.most_tokens > 0) {
+    return sizes.most_tokens;
+  }
+  const double log_tokens = sizes.mean_log + options_.large_deviations *
+                                                 std::sqrt(sizes.variance_log);
+  const std::int64_t large = std::llround(std::exp(log_tokens));
+  return sizes.most_tokens > 0 ? std::min(large, sizes.most_tokens) : large;
+}
+
+double AnswerAdmission::RoomFor(const Engine& engine,
+                                const Sizes& sizes) const {
+  if (sizes.timeout <= base::Duration::zero()) {
+    return Slots(engine);
+  }
+  const auto within = std::chrono::duration_cast<base::Duration>(
+      options_.part_of_timeout * sizes.timeout);
+  const auto most = times_.MostRequests(engine, LargeTokens(sizes), within);
+  return most ? *most : Slots(engine);
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -1,63 +1,118 @@
-// Long answers: how long they take, and when an engine has enough of them.
+// How many answers an engine generates at a time, so that large ones end within
+// their time limit.
 //
-// An engine takes longer for each token the more answers it generates at a
-// time. Long answers run into their time limit first, after seconds of work
-// that is then worth nothing: with 60 at a time, two of three of the longest
-// tenth did. So an engine is filled with them to a part of its slots; what
-// comes beyond is refused at once and told when to come back.
+// An engine takes longer for each token the more answers it generates. Where it
+// is filled, the largest answers run into their limit after seconds of work
+// that is then worth nothing. So each engine is given only as many requests as
+// let a large answer of every route end in time, by its own pace. What comes
+// beyond is refused at once and told when to come back, whatever its size: an
+// engine that goes on taking short answers slows down the long ones.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "base/ids.h"
 #include "base/time.h"
 #include "request/passthrough/engine_table.h"
+#include "request/passthrough/generation_times.h"
 
 namespace lynxglade::request::passthrough {
 
 struct AnswerAdmissionOptions {
-  // An answer is long if it is expected to take this part of the time that its
-  // caller has left, or more.
-  double long_part = 0.15;
-  // Requests that an engine has, in parts of its slots, beyond which it gets no
-  // further long answer. 0.6, 0.75 and none left 1, 2 and 4 of four days with
-  // less than half as many of the longest tenth served as of all, and earned
-  // 0.560, 0.571 and 0.570; together with engines that are added at the same
-  // part 0 of four, and 0.553.
-  double most_filled = 0.6;
+  // The part of its route's timeout in which a large answer is to end; the rest
+  // is for the requests that come to its engine meanwhile.
+  double part_of_timeout = 0.9;
+  // A large answer is this many standard deviations of the logarithm of its
+  // route's sizes above their mean: one in forty of a normal distribution is
+  // larger.
+  double large_deviations = 2;
+  // Where there is not room for all, as large a part of the larger answers is
+  // admitted as this times that of the smaller ones.
+  double large_share = 0.6;
+  // An answer is among the larger ones of its route from so many standard
+  // deviations above the mean on: the largest third of a normal distribution.
+  double larger_deviations = 0.5;
+  // The part of an engine's room that those may take which are ahead of their
+  // share.
+  double shared_room = 0.85;
+  // What a request counts for in the shares after the next one.
+  double share_memory = 0.95;
+  // Requests of a route before their sizes are trusted; until then a large
+  // answer is one of the size that callers take at most.
+  double least_requests = 20;
+  // Of the difference to what is believed of a route's sizes, the part that one
+  // more request changes it by.
+  double size_step = 0.02;
+  // A route without a request for so long limits no engine.
+  base::Duration route_memory = std::chrono::seconds(10);
 };
 
-// How long answers take, learnt from this instance's own. Not thread-safe:
-// lives on the event loop.
-class AnswerTimes {
+// What a request says of its answer.
+struct AskedAnswer {
+  // Tokens; 0 for what the caller does not say.
+  std::int64_t expected_tokens = 0;
+  std::int64_t most_tokens = 0;
+  // Its route's; the engine stops then.
+  base::Duration timeout{};
+};
+
+// Not thread-safe: lives on the event loop.
+class AnswerAdmission {
  public:
-  AnswerTimes() = default;
-  AnswerTimes(const AnswerTimes&) = delete;
-  AnswerTimes& operator=(const AnswerTimes&) = delete;
+  explicit AnswerAdmission(const GenerationTimes& times,
+                           AnswerAdmissionOptions options = {});
+  AnswerAdmission(const AnswerAdmission&) = delete;
+  AnswerAdmission& operator=(const AnswerAdmission&) = delete;
+
+  // Whether the engine may be given a request that came on the route. Counts
+  // it: ask once a request.
+  bool Admit(const Engine& engine,
+             const std::string& route,
+             const AskedAnswer& asked,
+             base::Time now);
 
-  // A whole answer whose caller had foreseen `tokens` took so long from its
-  // first event to its last.
-  void Learn(const base::ServiceName& service,
-             std::int64_t tokens,
-             base::Duration took);
-  // Of an answer of about that size; nothing for one of unknown size (0).
-  base::Duration Expected(const base::ServiceName& service,
-                          std::int64_t tokens) const;
+  // Requests that the engine is to have at most for the sake of all routes that
+  // were asked for lately; its slots while too little is known.
+  double Room(const Engine& engine, base::Time now) const;
 
  private:
-  std::map<base::ServiceName, double> ms_per_token_;
-};
+  // Requests of late, and those of them that were admitted.
+  struct Share {
+    double seen = 0;
+    double admitted = 0;
+
+    double Part() const noexcept { return seen > 0 ? admitted / seen : 1; }
+  };
+  // The sizes asked for on one route.
+  struct Sizes {
+    double requests = 0;
+    double mean_log = 0;
+    double variance_log = 0;
+    std::int64_t most_tokens = 0;
+    base::Duration timeout{};
+    base::Time last_at{};
+    Share large;
+    Share small;
+  };
 
-bool IsLongAnswer(base::Duration expected,
-                  base::Duration time_left,
-                  const AnswerAdmissionOptions& options) noexcept;
+  Sizes& Learn(const base::ServiceName& service,
+               const std::string& route,
+               const AskedAnswer& asked,
+               base::Time now);
+  // Among the larger ones of its route.
+  bool IsLarge(const Sizes& sizes, const AskedAnswer& asked) const noexcept;
+  // Whether the larger or the smaller ones may take the last of the room.
+  bool Favours(const Sizes& sizes, bool large) const noexcept;
+  std::int64_t LargeTokens(const Sizes& sizes) const noexcept;
+  double RoomFor(const Engine& engine, const Sizes& sizes) const;
 
-// Whether the engine has as many requests as leave long answers time to end.
-bool IsFilled(const Engine& engine,
-              base::Time now,
-              const AnswerAdmissionOptions& options) noexcept;
+  const GenerationTimes& times_;
+  const AnswerAdmissionOptions options_;
+  std::map<base::ServiceName, std::map<std::string, Sizes>> routes_;
+};
 
 }  // namespace lynxglade::request::passthrough
 
--- a/src/request/passthrough/engine_choice.cc
+++ b/src/request/passthrough/engine_choice.cc
@@ -29,13 +29,15 @@
                            base::RandomSource random,
                            PeerTokens peer_tokens,
                            ZoneCutOff cut_off,
-                           PeersAvoid peers_avoid)
+                           PeersAvoid peers_avoid,
+                           EngineRoom room)
     : options_(std::move(options)),
       read_times_(read_times),
       random_(std::move(random)),
       peer_tokens_(std::move(peer_tokens)),
       cut_off_(std::move(cut_off)),
-      peers_avoid_(std::move(peers_avoid)) {}
+      peers_avoid_(std::move(peers_avoid)),
+      room_(std::move(room)) {}
 
 EnginePick EngineChoice::Pick(const std::vector<EngineHandle>& engines,
                               const ChoiceQuery& query) const {
@@ -103,8 +105,7 @@
   if (!least) {
     return {};
   }
-  const double least_ms =
-      options_.running_ms * KnownLoad(*least, now) + ZoneMs(*least);
+  const double least_ms = RunningMs(*least, now) + ZoneMs(*least);
   std::vector<EngineHandle> readers;
   std::ranges::copy_if(usable, std::back_inserter(readers),
                        [](const EngineHandle& it) { return IsPrefill(*it); });
@@ -160,9 +161,8 @@
   }
   pick.read_time = FromFineMillis(read_ms);
   pick.wait = FromFineMillis(wait_ms);
-  pick.expected =
-      FromFineMillis(wait_ms + read_ms + ZoneMs(*engine) +
-                     options_.running_ms * KnownLoad(*engine, query.now));
+  pick.expected = FromFineMillis(wait_ms + read_ms + ZoneMs(*engine) +
+                                 RunningMs(*engine, query.now));
   return pick;
 }
 
@@ -215,7 +215,7 @@
   double best_load = std::numeric_limits<double>::infinity();
   for (const EngineHandle& engine : usable) {
     const double load = (KnownLoad(*engine, now) + base::UniformReal(random_)) /
-                            std::max(engine->entry.slots, 1) +
+                            Room(*engine, now) +
                         ZoneMs(*engine) / 100;
     if (load < best_load) {
       best_load = load;
@@ -276,6 +276,18 @@
   return FromFineMillis(options_.running_ms * base::UniformReal(random_));
 }
 
+double EngineChoice::Room(const Engine& engine, base::Time now) const {
+  const double slots = std::max(engine.entry.slots, 1);
+  return room_ ? std::clamp(room_(engine, now), 1.0, slots) : slots;
+}
+
+double EngineChoice::RunningMs(const Engine& engine, base::Time now) const {
+  const double crowding =
+      IsPrefill(engine) ? 1
+                        : std::max(engine.entry.slots, 1) / Room(engine, now);
+  return options_.running_ms * KnownLoad(engine, now) * crowding;
+}
+
 double EngineChoice::ZoneMs(const Engine& engine) const noexcept {
   return engine.entry.zone == options_.zone ? 0 : options_.other_zone_ms;
 }
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -115,13 +115,15 @@
 // Not thread-safe: lives on the event loop.
 class EngineChoice {
  public:
-  // The hooks may be empty: nothing is known of others, all zones are reached.
+  // The hooks may be empty: nothing is known of others, all zones are reached,
+  // an engine has room for as many requests as it has slots.
   EngineChoice(EngineChoiceOptions options,
                const ReadTimes& read_times,
                base::RandomSource random,
                PeerTokens peer_tokens = {},
                ZoneCutOff cut_off = {},
-               PeersAvoid peers_avoid = {});
+               PeersAvoid peers_avoid = {},
+               EngineRoom room = {});
   EngineChoice(const EngineChoice&) = delete;
   EngineChoice& operator=(const EngineChoice&) = delete;
 
@@ -178,6 +180,11 @@
   // How many times as long reading takes at an engine of that stage.
   double StageFactor(const Engine& engine) const noexcept;
   double ZoneMs(const Engine& engine) const noexcept;
+  double Room(const Engine& engine, base::Time now) const;
+  // What the requests at an engine cost the next one. As much as if the part of
+  // the room that they take were the part of the slots, so that slower engines
+  // get fewer.
+  double RunningMs(const Engine& engine, base::Time now) const;
   // Up to what one request more costs: of engines that look alike any may be
   // taken, so that instances with the same picture do not all choose the same
   // one. Where engines that generate read prompts themselves, the busiest got
@@ -190,6 +197,7 @@
   const PeerTokens peer_tokens_;
   const ZoneCutOff cut_off_;
   const PeersAvoid peers_avoid_;
+  const EngineRoom room_;
 };
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -28,11 +28,15 @@
   }
 }
 
-int KnownLoad(const Engine& engine, base::Time now) noexcept {
+bool HasFreshReport(const Engine& engine, base::Time now) noexcept {
   constexpr base::Duration kReportLifetime = std::chrono::seconds(1);
-  const bool fresh = now - engine.reported_at <= kReportLifetime;
-  const int reported =
-      fresh ? engine.reported.running + engine.reported.waiting : 0;
+  return now - engine.reported_at <= kReportLifetime;
+}
+
+int KnownLoad(const Engine& engine, base::Time now) noexcept {
+  const int reported = HasFreshReport(engine, now)
+                           ? engine.reported.running + engine.reported.waiting
+                           : 0;
   return std::max(engine.in_flight, reported);
 }
 
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -89,6 +89,8 @@
   // How long it takes to read against the other engines of its service, as
   // learnt by ReadTimes.
   double slowness = 1;
+  // The same of what it generates, as learnt by GenerationTimes.
+  double generation_slowness = 1;
 };
 using EngineHandle = std::shared_ptr<Engine>;
 
@@ -101,10 +103,17 @@
                      int entry_changes,
                      base::Time now) noexcept;
 
+// Whether the engine's last report says something of its load now.
+bool HasFreshReport(const Engine& engine, base::Time now) noexcept;
+
 // Requests at the engine, by what it reported in the last second and what this
 // instance has there.
 int KnownLoad(const Engine& engine, base::Time now) noexcept;
 
+// Requests that an engine is to have at most; a hook of those who spread work
+// over engines.
+using EngineRoom = std::function<double(const Engine& engine, base::Time now)>;
+
 // Not thread-safe: lives on the event loop.
 class EngineTable {
  public:
--- /dev/null
+++ b/src/request/passthrough/line_fit.h
@@ -0,0 +1,65 @@
+// A straight line through points that fade, by weighted least squares.
+#ifndef LYNXGLADE_REQUEST_PASSTHROUGH_LINE_FIT_H_
+#define LYNXGLADE_REQUEST_PASSTHROUGH_LINE_FIT_H_
+
+#include <algorithm>
+
+namespace lynxglade::request::passthrough {
+
+struct Line {
+  double base = 0;
+  double slope = 0;
+  double At(double x) const noexcept { return base + slope * x; }
+};
+
+class LineFit {
+ public:
+  // All points so far count for `part` of what they did.
+  void Fade(double part) noexcept {
+    for (double* sum : {&weight_, &x_, &xx_, &y_, &xy_}) {
+      *sum *= part;
+    }
+  }
+
+  void Add(double x, double y, double weight) noexcept {
+    weight_ += weight;
+    x_ += weight * x;
+    xx_ += weight * x * x;
+    y_ += weight * y;
+    xy_ += weight * x * y;
+  }
+
+  double weight() const noexcept { return weight_; }
+  // Weighted sums; the means are these over weight().
+  double sum_x() const noexcept { return x_; }
+  double sum_xx() const noexcept { return xx_; }
+
+  // Points at one x give no slope, and noise may give a line that starts below
+  // nothing: then y is taken to grow with x alone. `least_slope` bounds the
+  // slope from below. There must be a point.
+  Line Fit(double least_slope) const noexcept {
+    constexpr double kLeastSpread = 0.01;
+    const double x = x_ / weight_;
+    const double y = y_ / weight_;
+    const double spread = xx_ / weight_ - x * x;
+    const double common = xy_ / weight_ - x * y;
+    const double proportional = std::max(y / x, least_slope);
+    if (spread < kLeastSpread * x * x) {
+      return {0, proportional};
+    }
+    const double slope = std::max(common / spread, least_slope);
+    const double base = y - slope * x;
+    return base < 0 ? Line{0, proportional} : Line{base, slope};
+  }
+
+ private:
+  double weight_ = 0;
+  double x_ = 0;
+  double xx_ = 0;
+  double y_ = 0;
+  double xy_ = 0;
+};
+
+}  // namespace lynxglade::request::passthrough
+
+#endif  // LYNXGLADE_REQUEST_PASSTHROUGH_LINE_FIT_H_
--- a/src/request/passthrough/read_times.cc
+++ b/src/request/passthrough/read_times.cc
@@ -35,21 +35,14 @@
   engine.slowness =
       std::clamp(engine.slowness, 1 / kMostSlowness, kMostSlowness);
   const double level = ms / engine.slowness;
-  for (double* sum :
-       {&service.weight, &service.reads, &service.tokens,
-        &service.tokens_squared, &service.ms, &service.ms_per_token}) {
-    *sum *= options_.memory;
-  }
+  service.read_ms.Fade(options_.memory);
+  service.tokens_squared *= options_.memory;
   Add(service, size, level);
 }
 
 void ReadTimes::Add(Service& service, double tokens, double ms) noexcept {
-  service.weight += 1 / tokens;
-  service.reads += 1;
-  service.tokens += tokens;
+  service.read_ms.Add(tokens, ms, 1 / tokens);
   service.tokens_squared += tokens * tokens;
-  service.ms += ms;
-  service.ms_per_token += ms / tokens;
 }
 
 void ReadTimes::LearnFetchedRead(const Engine& engine,
@@ -76,13 +69,13 @@
 
 double ReadTimes::TokensPerMs(const Engine& engine) const {
   const Service& service = Of(engine.entry.service);
-  const double mean = service.tokens / service.reads;
+  const double mean = service.tokens() / service.reads();
   return mean / (engine.slowness * Fit(service).At(mean));
 }
 
 double ReadTimes::TokensLeftOfOne(const base::ServiceName& name) const {
   const Service& service = Of(name);
-  return service.tokens_squared / std::max(service.tokens, 1.0) / 2;
+  return service.tokens_squared / std::max(service.tokens(), 1.0) / 2;
 }
 
 double ReadTimes::FetchMs(const base::ServiceName& service) const {
@@ -113,22 +106,8 @@
   return services_.try_emplace(service, unseen_).first->second;
 }
 
-// Prompts of one size give no slope, and noise may give a line that starts
-// below nothing: then time is taken to grow with the tokens alone.
-ReadTimes::Line ReadTimes::Fit(const Service& service) const noexcept {
-  const double size = service.reads / service.weight;
-  const double ms = service.ms_per_token / service.weight;
-  const double spread = service.tokens / service.weight - size * size;
-  const double common = service.ms / service.weight - size * ms;
-  const double least = 1 / kMostTokensPerMs;
-  const double proportional = std::max(ms / size, least);
-  constexpr double kLeastSpread = 0.01;
-  if (spread < kLeastSpread * size * size) {
-    return {0, proportional};
-  }
-  const double slope = std::max(common / spread, least);
-  const double base = ms - slope * size;
-  return base < 0 ? Line{0, proportional} : Line{base, slope};
+Line ReadTimes::Fit(const Service& service) noexcept {
+  return service.read_ms.Fit(1 / kMostTokensPerMs);
 }
 
 double ReadTimes::Believed(double ms, double expected) const noexcept {
--- a/src/request/passthrough/read_times.h
+++ b/src/request/passthrough/read_times.h
@@ -14,6 +14,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "request/passthrough/engine_table.h"
+#include "request/passthrough/line_fit.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -67,32 +68,24 @@
   double HandoverMs(const base::ServiceName& service) const;
 
  private:
-  // Least squares over reads, in tokens and milliseconds. Errors grow with a
-  // read's size, so each read is weighted by one over its tokens.
   struct Service {
-    double weight = 0;
-    double reads = 0;
-    double tokens = 0;
+    // Milliseconds by tokens. Errors grow with a read's size, so each read is
+    // weighted by one over its tokens.
+    LineFit read_ms;
     double tokens_squared = 0;
-    double ms = 0;
-    // Sum of each read's milliseconds a token.
-    double ms_per_token = 0;
     double fetch_ms = 0;
     double handover_ms = 0;
-  };
-  struct Line {
-    double base_ms = 0;
-    double ms_per_token = 0;
-    double At(double tokens) const noexcept {
-      return base_ms + ms_per_token * tokens;
-    }
+
+    // The weights make these sums plain ones.
+    double reads() const noexcept { return read_ms.sum_x(); }
+    double tokens() const noexcept { return read_ms.sum_xx(); }
   };
 
   Service MakeService() const;
   static void Add(Service& service, double tokens, double ms) noexcept;
   const Service& Of(const base::ServiceName& service) const;
   Service& Of(const base::ServiceName& service);
-  Line Fit(const Service& service) const noexcept;
+  static Line Fit(const Service& service) noexcept;
   // `ms`, or as much as may be believed of it.
   double Believed(double ms, double expected) const noexcept;
 
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -21,6 +21,7 @@
 #include "request/passthrough/answer_admission.h"
 #include "request/passthrough/engine_choice.h"
 #include "request/passthrough/engine_table.h"
+#include "request/passthrough/generation_times.h"
 #include "request/passthrough/goal_admission.h"
 #include "request/passthrough/read_times.h"
 #include "request/passthrough/retry_allowance.h"
@@ -50,7 +51,6 @@
   // no one but its caller, 300 ms each at most.
   int max_unreachable = 4;
   GoalAdmissionOptions admission;
-  AnswerAdmissionOptions answers;
   // An answer that is no stream is held until it is whole, so that a torn one
   // never reaches the caller; beyond this size it is passed on piece by piece.
   std::size_t max_held_bytes = std::size_t{256} * 1024;
@@ -73,7 +73,8 @@
   EngineTable& engines;
   const EngineChoice& choice;
   ReadTimes& read_times;
-  AnswerTimes& answer_times;
+  GenerationTimes& generation_times;
+  AnswerAdmission& answers;
   RetryAllowance& allowance;
   ZoneHealth& zones;
   base::Metrics& metrics;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -303,9 +303,11 @@
   bool sent = true;
   while (sent && exchange.state() == ExchangeState::kHead) {
     const std::string_view bytes = co_await exchange.Next();
+    const int events_before = events_.events();
     const std::string piece = events ? events_.Feed(bytes) : std::string(bytes);
     if (!piece.empty()) {
-      sent = co_await PassPiece(exchange, piece);
+      sent = co_await PassPiece(exchange, *target,
+                                events_.events() - events_before, piece);
     }
   }
   if (!sent) {
@@ -317,21 +319,23 @@
     co_return EndOfBroken(exchange, target);
   }
   if (events && !events_.tail().empty()) {
-    co_await PassPiece(exchange, events_.tail());
+    co_await PassPiece(exchange, *target, 0, events_.tail());
   }
   if (!reply_.begun()) {
     reply_.Begin(HeadForCaller(exchange.head()));
   }
   status_ = exchange.head().result_int();
-  if (first_bytes_at_ && runs_ == 1) {
-    parts_.answer_times.Learn(service_, terms_.expected_tokens,
-                              last_bytes_at_ - *first_bytes_at_);
+  if (runs_ == 1 && terms_.last_event_id.empty()) {
+    parts_.generation_times.LearnSize(service_, terms_.expected_tokens,
+                                      events_.events());
   }
   co_await reply_.End();
   co_return AttemptEnd::kFinished;
 }
 
 Awaitable<bool> RelayRun::PassPiece(Exchange& exchange,
+                                    Engine& target,
+                                    int events,
                                     std::string_view bytes) {
   const base::Duration now = Elapsed();
   if (!reply_.begun()) {
@@ -342,11 +346,21 @@
     reply_.Begin(HeadForCaller(exchange.head()));
   } else {
     longest_pause_ = std::max(longest_pause_, now - last_bytes_at_);
+    LearnPace(target, events, now - last_bytes_at_);
   }
   last_bytes_at_ = now;
   co_return co_await reply_.SendPiece(bytes);
 }
 
+// Without a report of late nothing is known of what others have there.
+void RelayRun::LearnPace(Engine& target, int events, base::Duration took) {
+  const base::Time now = parts_.clock();
+  if (events > 0 && HasFreshReport(target, now)) {
+    parts_.generation_times.LearnEvent(target, KnownLoad(target, now),
+                                       took / events);
+  }
+}
+
 AttemptEnd RelayRun::EndOfBroken(Exchange& exchange,
                                  const EngineHandle& target) {
   const bool sent = exchange.sent();
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -144,6 +144,7 @@
        {"load", KnownLoad(runner, now)},
        {"load_age_ms", base::ToMillis(now - runner.reported_at)},
        {"slots", runner.entry.slots},
+       {"room", static_cast<std::int64_t>(parts_.answers.Room(runner, now))},
        {"wait_ms", base::ToMillis(pick.wait)},
        {"expected_ms", base::ToMillis(pick.expected)},
        {"expected_tokens", terms_.expected_tokens},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -172,10 +172,11 @@
                  options_.admission)) {
     return EndReason::kHopeless;
   }
-  const base::Duration answer =
-      parts_.answer_times.Expected(service_, terms_.expected_tokens);
-  if (IsLongAnswer(answer, TimeLeft(), options_.answers) &&
-      IsFilled(*pick.runner, parts_.clock(), options_.answers)) {
+  const AskedAnswer asked{.expected_tokens = terms_.expected_tokens,
+                          .most_tokens = terms_.most_tokens,
+                          .timeout = route_->timeout};
+  if (!parts_.answers.Admit(*pick.runner, route_->name, asked,
+                            parts_.clock())) {
     return EndReason::kFilled;
   }
   return std::nullopt;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -116,7 +116,13 @@
                                  const EngineHandle& target);
   Awaitable<AttemptEnd> PassStream(Exchange& exchange,
                                    const EngineHandle& target);
-  Awaitable<bool> PassPiece(Exchange& exchange, std::string_view bytes);
+  // `events`: that the piece completes.
+  Awaitable<bool> PassPiece(Exchange& exchange,
+                            Engine& target,
+                            int events,
+                            std::string_view bytes);
+  // The piece came `took` after the one before it.
+  void LearnPace(Engine& target, int events, base::Duration took);
   AttemptEnd EndOfBroken(Exchange& exchange, const EngineHandle& target);
   // Whether another attempt may follow.
   bool MayGoOn(AttemptEnd end) const;
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -84,7 +84,8 @@
   connection::event::ChannelPool channels_{loop_, base::BootClock::now};
   request::passthrough::EngineTable engines_{base::Duration(0)};
   request::passthrough::ReadTimes read_times_;
-  request::passthrough::AnswerTimes answer_times_;
+  request::passthrough::GenerationTimes generation_times_;
+  request::passthrough::AnswerAdmission answers_{generation_times_};
   request::passthrough::EngineChoice choice_{{.zone = base::ZoneId("a")},
                                              read_times_,
                                              base::SeededRandom(1)};
--- a/tests/process/generation_demand_test.cc
+++ b/tests/process/generation_demand_test.cc
@@ -101,6 +101,20 @@
   EXPECT_EQ(demand_.Wanted(), 3);
 }
 
+// Guards against: slow engines that are filled until their largest answers end
+// late, while no other is asked to generate. 80 answers are few for three
+// engines of 64 slots, and many for three that are to have 20 each.
+TEST_F(GenerationDemandTest, AnswersThatFillTheRoomAskForMore) {
+  Run(80, kCalm, seconds(8));
+  EXPECT_EQ(demand_.Wanted(), 3);
+  GenerationDemand slow({}, [](const Engine&, base::Time) { return 20.0; });
+  for (int i = 0; i < 16; ++i) {
+    Run(80, kCalm, milliseconds(500));
+    slow.Observe(engines_, kCalm, now_);
+  }
+  EXPECT_EQ(slow.Wanted(), 5);
+}
+
 // However the load stands still, the plan does, too: following it once leaves
 // nothing to follow.
 RC_GTEST_FIXTURE_PROP(GenerationDemandTest, FollowsASteadyLoadOnce, ()) {
--- a/tests/process/stage_plan_test.cc
+++ b/tests/process/stage_plan_test.cc
@@ -55,6 +55,27 @@
   EXPECT_EQ(DecodeEngines(90, options), 23);
 }
 
+// Guards against: the slower kind of a service's engines generates since their
+// ids come first, and the largest answers end late.
+TEST(StagePlan, TheFastestReadersGenerate) {
+  auto engines = Zone("a", 9, 3);
+  engines[0]->slowness = 1.2;
+  engines[5]->slowness = 0.8;
+  const auto changes = PlanStages(engines, false, {}, 4);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().engine, engines[5]);
+  EXPECT_EQ(changes.front().to, EngineStage::kDecode);
+}
+
+TEST(StagePlan, TheSlowestThatGenerateGoBackToReading) {
+  auto engines = Zone("a", 7, 5);
+  engines[10]->generation_slowness = 1.3;
+  const auto changes = PlanStages(engines, false, {}, 3);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().engine, engines[10]);
+  EXPECT_EQ(changes.front().to, EngineStage::kPrefill);
+}
+
 TEST(StagePlan, AServiceKeepsTwoThatGenerate) {
   const StagePlanOptions options;
   EXPECT_EQ(DecodeEngines(6, options), 2);
--- a/tests/request/passthrough/answer_admission_test.cc
+++ b/tests/request/passthrough/answer_admission_test.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstdint>
+#include <set>
+#include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -17,11 +20,13 @@
 using std::chrono::seconds;
 
 const base::ServiceName kService("llm");
+const std::string kRoute = "drafts";
 const base::Time kNow = base::Time() + std::chrono::hours(1);
 
 Engine MakeEngine(int slots) {
   Engine engine;
   engine.entry.slots = slots;
+  engine.entry.service = kService;
   return engine;
 }
 
@@ -37,8 +42,12 @@
   // Answers of 300 to 9,000 tokens, 15 s each at most.
   void Arrive() {
     const double tokens = 300 * std::exp(3.4 * base::UniformReal(random_));
-    const bool refused = (bounded_ && IsFilled(engine_, kNow, {})) ||
-                         engine_.in_flight >= engine_.entry.slots;
+    const AskedAnswer asked{.expected_tokens = std::llround(tokens),
+                            .most_tokens = 9'000,
+                            .timeout = seconds(15)};
+    const bool refused =
+        (bounded_ && !admission_.Admit(engine_, kRoute, asked, kNow)) ||
+        engine_.in_flight >= engine_.entry.slots;
     (tokens > kLongTokens ? asked_long_ : asked_) += 1;
     if (!refused) {
       answers_.push_back({tokens, seconds(15), tokens > kLongTokens});
@@ -48,6 +57,10 @@
   void Run(milliseconds time) {
     for (milliseconds t{0}; t < time; t += milliseconds(1)) {
       const double step_ms = 0.72 + 0.025 * engine_.in_flight;
+      if (!answers_.empty() && t % kEvent == milliseconds(0)) {
+        times_.LearnEvent(engine_, engine_.in_flight,
+                          base::FromFineMillis(kTokensPerEvent * step_ms));
+      }
       for (Answer& answer : answers_) {
         answer.tokens -= 1 / step_ms;
         answer.left -= milliseconds(1);
@@ -63,6 +76,9 @@
 
  private:
   static constexpr double kLongTokens = 6'500;
+  static constexpr int kTokensPerEvent = 42;
+  static constexpr int kSizedEvents = 50;
+  static constexpr milliseconds kEvent{10};
   struct Answer {
     double tokens;
     milliseconds left;
@@ -75,6 +91,7 @@
       return false;
     }
     (answer.is_long ? served_long_ : served_) += whole ? 1 : 0;
+    times_.LearnSize(kService, kTokensPerEvent * kSizedEvents, kSizedEvents);
     --engine_.in_flight;
     return true;
   }
@@ -85,6 +102,8 @@
   const bool bounded_;
   const base::RandomSource random_;
   Engine engine_ = MakeEngine(64);
+  GenerationTimes times_;
+  AnswerAdmission admission_{times_};
   std::vector<Answer> answers_;
   int asked_ = 0;
   int asked_long_ = 0;
@@ -111,42 +130,123 @@
   EXPECT_GT(bounded.served_all(), 0.9 * open.served_all());
 }
 
-TEST(AnswerAdmission, AnEngineIsFilledByWhatItReportsAndWhatItHasOfUs) {
+// Drafts of up to 9,000 tokens in 15 s, and verdicts of up to 250 in 2 s.
+const AskedAnswer kDraft{.expected_tokens = 2'600,
+                         .most_tokens = 8'946,
+                         .timeout = seconds(15)};
+const AskedAnswer kVerdict{.expected_tokens = 60,
+                           .most_tokens = 252,
+                           .timeout = seconds(2)};
+
+// What an instance knows once it has seen a few answers of 42 tokens an event,
+// 1.5 ms a token with 30 requests and 2.25 ms with 60.
+struct KnownPace {
+  KnownPace() {
+    for (int i = 0; i < 2'000; ++i) {
+      const int requests = i % 2 == 0 ? 30 : 60;
+      times.LearnEvent(engine, requests,
+                       base::FromFineMillis(42 * (0.75 + 0.025 * requests)));
+    }
+    for (int i = 0; i < 5; ++i) {
+      times.LearnSize(kService, 42 * 50, 50);
+    }
+    answers.Admit(engine, "drafts", kDraft, kNow);
+    answers.Admit(engine, "verdicts", kVerdict, kNow);
+  }
+
   Engine engine = MakeEngine(64);
-  EXPECT_FALSE(IsFilled(engine, kNow, {}));
+  GenerationTimes times;
+  AnswerAdmission answers{times};
+};
+
+TEST(AnswerAdmission, AnEngineIsFilledByWhatItReportsAndWhatItHasOfUs) {
+  KnownPace known;
+  Engine& engine = known.engine;
+  const auto filled = [&](base::Time now) {
+    return !known.answers.Admit(engine, "drafts", kDraft, now);
+  };
+  EXPECT_FALSE(filled(kNow));
   engine.in_flight = 39;
-  EXPECT_TRUE(IsFilled(engine, kNow, {}));
+  EXPECT_TRUE(filled(kNow));
   engine.in_flight = 2;
   engine.reported = {.running = 36, .waiting = 3, .slots = 64};
   engine.reported_at = kNow;
-  EXPECT_TRUE(IsFilled(engine, kNow, {}));
+  EXPECT_TRUE(filled(kNow));
   // An old report says nothing.
-  EXPECT_FALSE(IsFilled(engine, kNow + seconds(2), {}));
+  EXPECT_FALSE(filled(kNow + seconds(2)));
 }
 
-// A verdict of two events is no long answer, a draft of ninety is.
-TEST(AnswerAdmission, LongIsWhatTakesAPartOfItsTime) {
-  EXPECT_FALSE(IsLongAnswer(milliseconds(140), seconds(2), {}));
-  EXPECT_TRUE(IsLongAnswer(milliseconds(5'000), seconds(15), {}));
-  const AnswerTimes times;
-  EXPECT_FALSE(IsLongAnswer(times.Expected(kService, 0), seconds(1), {}));
+// A verdict of two events ends in time beside any number of drafts; a draft of
+// ninety does not.
+TEST(AnswerAdmission, OnlyAnswersThatWouldEndLateFillAnEngine) {
+  KnownPace known;
+  known.engine.in_flight = 60;
+  EXPECT_TRUE(known.answers.Admit(known.engine, "verdicts", kVerdict, kNow));
+  EXPECT_FALSE(known.answers.Admit(known.engine, "drafts", kDraft, kNow));
+  // Nothing is said of its size.
+  EXPECT_TRUE(known.answers.Admit(known.engine, "other", {}, kNow));
 }
 
-// Estimates are off by a factor of two either way, and right in the middle.
-RC_GTEST_PROP(AnswerTimes, FindsThePaceBehindBadEstimates, ()) {
-  AnswerTimes times;
-  const double ms_per_token = *rc::gen::inRange(5, 60) / 10.0;
+// 8,946 tokens in 0.9 of 15 s are 1.51 ms a token: 30 requests.
+TEST(AnswerAdmission, TheRoomIsThatOfTheStrictestRouteOfLate) {
+  KnownPace known;
+  EXPECT_NEAR(known.answers.Room(known.engine, kNow), 30, 1);
+  known.answers.Admit(known.engine, "verdicts", kVerdict, kNow + seconds(30));
+  EXPECT_EQ(known.answers.Room(known.engine, kNow + seconds(30)), 64);
+}
+
+TEST(AnswerAdmission, WithoutKnowledgeAnEngineHasRoomForItsSlots) {
+  const GenerationTimes times;
+  AnswerAdmission answers(times);
+  Engine engine = MakeEngine(64);
+  engine.in_flight = 63;
+  EXPECT_TRUE(answers.Admit(engine, "drafts", kDraft, kNow));
+  EXPECT_EQ(answers.Room(engine, kNow), 64);
+}
+
+// Guards against: short answers taking all the room, so that fewer than half as
+// many of the larger ones are admitted. An engine with room for 30 is asked for
+// twice as much; answers last for 10 to 110 further requests.
+RC_GTEST_PROP(AnswerAdmission, LargerAnswersKeepTheirShareOfTheRoom, ()) {
+  KnownPace known;
   const auto random = base::SeededRandom(*rc::gen::inRange(1, 1'000'000));
+  std::multiset<int> ends;
+  int seen[2] = {0, 0};
+  int admitted[2] = {0, 0};
+  for (int i = 0; i < 2'000; ++i) {
+    ends.erase(ends.begin(), ends.lower_bound(i));
+    known.engine.in_flight = static_cast<int>(ends.size());
+    const double tokens = 300 * std::exp(3.4 * base::UniformReal(random));
+    const int large = tokens > 5'000 ? 1 : 0;
+    ++seen[large];
+    if (known.answers.Admit(known.engine, "drafts",
+                            {.expected_tokens = std::llround(tokens),
+                             .most_tokens = 9'000,
+                             .timeout = seconds(15)},
+                            kNow)) {
+      ++admitted[large];
+      ends.insert(i + 10 + static_cast<int>(tokens / 90));
+    }
+  }
+  const auto part = [&](int large) {
+    return static_cast<double>(admitted[large]) / seen[large];
+  };
+  RC_ASSERT(part(0) < 0.9);
+  RC_ASSERT(part(1) > 0.5 * part(0));
+}
+
+// Where callers take far more than they expect, their limit says little.
+TEST(AnswerAdmission, ALargeAnswerIsLearntFromWhatCallersExpect) {
+  KnownPace known;
   for (int i = 0; i < 200; ++i) {
-    const double tokens = 200 + 4'000 * base::UniformReal(random);
-    const double off = std::exp2(2 * base::UniformReal(random) - 1);
-    times.Learn(kService, std::llround(tokens * off),
-                base::FromFineMillis(tokens * ms_per_token));
+    known.answers.Admit(known.engine, "drafts",
+                        {.expected_tokens = i % 2 == 0 ? 2'000 : 3'000,
+                         .most_tokens = 1'000'000,
+                         .timeout = seconds(15)},
+                        kNow);
   }
-  const double found =
-      base::ToFineMillis(times.Expected(kService, 1'000)) / 1'000;
-  RC_ASSERT(found > 0.7 * ms_per_token);
-  RC_ASSERT(found < 1.5 * ms_per_token);
+  // 3,200 tokens at most.
+  EXPECT_EQ(known.answers.Room(known.engine, kNow), 64);
 }
 
 }  // namespace
--- a/tests/request/passthrough/engine_choice_test.cc
+++ b/tests/request/passthrough/engine_choice_test.cc
@@ -92,6 +92,23 @@
   }
 }
 
+// Guards against: long answers spread evenly over engines of two speeds, so
+// that those at the slow ones end late.
+TEST(EngineChoice, EnginesAreFilledByTheirRoom) {
+  const auto fleet = Fleet(2, 2);
+  EngineChoice choice({.zone = base::ZoneId("a")}, read_times,
+                      base::SeededRandom(1), {}, {}, {},
+                      [](const Engine& engine, base::Time) {
+                        return engine.entry.id.str() == "d0" ? 16.0 : 48.0;
+                      });
+  const Prompt draft{{{"shared", 80}, {"own", 140}}};
+  for (int i = 0; i < 40; ++i) {
+    ++Ask(choice, fleet, draft).runner->in_flight;
+  }
+  EXPECT_NEAR(fleet[2]->in_flight, 10, 2);
+  EXPECT_NEAR(fleet[3]->in_flight, 30, 2);
+}
+
 // The load this answers: a fleet of 295 instances whose prompts may not be read
 // apart. They all took the first of the engines that looked alike, which got
 // 6.1 times the mean of arrivals.
--- a/tests/request/passthrough/long_answers_test.cc
+++ b/tests/request/passthrough/long_answers_test.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdint>
 #include <numbers>
+#include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -18,6 +19,7 @@
 using std::chrono::seconds;
 
 const base::ServiceName kService("llm");
+const std::string kRoute = "drafts";
 constexpr base::Duration kTimeout = seconds(15);
 constexpr std::int64_t kMostTokens = 8'946;
 constexpr double kTokensPerEvent = 42;
@@ -36,17 +38,23 @@
 class Admission {
  public:
   bool Admits(const Engine& engine, const Answer& answer, base::Time now) {
-    const base::Duration expected =
-        times_.Expected(kService, answer.expected_tokens);
-    return !IsLongAnswer(expected, kTimeout, {}) || !IsFilled(engine, now, {});
+    return answers_.Admit(engine, kRoute,
+                          {.expected_tokens = answer.expected_tokens,
+                           .most_tokens = kMostTokens,
+                           .timeout = kTimeout},
+                          now);
+  }
+  void OnEvent(Engine& engine, base::Duration took, base::Time now) {
+    times_.LearnEvent(engine, KnownLoad(engine, now), took);
   }
-  void OnEvent(Engine&, base::Duration, base::Time) {}
   void OnEnd(const Answer& answer) {
-    times_.Learn(kService, answer.expected_tokens, answer.age);
+    times_.LearnSize(kService, answer.expected_tokens,
+                     static_cast<int>(answer.made / kTokensPerEvent));
   }
 
  private:
-  AnswerTimes times_;
+  GenerationTimes times_;
+  AnswerAdmission answers_{times_};
 };
 
 // A step takes 0.723 ms and 0.0252 ms more for each answer under way, times
