Answers: the share's reserve is a twelfth, and engines are asked for at 0.9 of the room

But at 1.0 and beyond a mix of drafts alone never asks for an engine, as none is admitted past the room. So 0.9 and 0.08.

--- a/src/process/generation_demand.h
+++ b/src/process/generation_demand.h
@@ -20,7 +20,7 @@
   double most_filled = 0.6;
   // The same in parts of its room, beyond which answers are refused: another
   // engine is asked for before that.
-  double most_of_room = 0.8;
+  double most_of_room = 0.9;
   // Fewer engines are asked for only once so many times the answers would fit
   // them: a change back and forth costs two times three seconds of an engine.
   double margin_to_fewer = 1.4;
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -37,7 +37,7 @@
   double larger_deviations = 0.5;
   // The part of an engine's room that those may take which are ahead of their
   // share.
-  double shared_room = 0.85;
+  double shared_room = 0.92;
   // What a request counts for in the shares after the next one.
   double share_memory = 0.95;
   // Requests of a route before their sizes are trusted; until then a large
