--- a/src/request/passthrough/answer_admission.cc
+++ b/src/request/passthrough/answer_admission.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <utility>
 
 namespace lynxglade::request::passthrough {
 
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -67,8 +67,8 @@
   AnswerAdmission(const AnswerAdmission&) = delete;
   AnswerAdmission& operator=(const AnswerAdmission&) = delete;
 
-  // Whether the engine may be given a request that came on the route. Counts
-  // it: ask once a request.
+  // Whether the engine may be given a request that came on the route. Each call
+  // counts as a request in the sizes and the shares of the route.
   bool Admit(const Engine& engine,
              const std::string& route,
              const AskedAnswer& asked,
