--- a/src/process/stage_plan.h
+++ b/src/process/stage_plan.h
@@ -19,12 +19,7 @@
 namespace lynxglade::process {
 
 struct StagePlanOptions {
-  // The part of a service's engines that generate at least: three of twelve,
-  // five of 18, 23 of 90. Measured on the users' mixes, which ask for about
-  // 12,000 output tokens a second and 250,000 to 900,000 prompt tokens. Of 18,
-  // three, four, five and nine earned 0.48, 0.45, 0.55 and 0.44 on the day that
-  // loses most engines; of twelve, two, three and four earned 0.38, 0.57 and
-  // 0.47.
+  // The part of a service's engines that generate at least.
   double decode_share = 0.25;
   // Engines of a service that generate, if it has more: the loss of one must
   // not leave a service without.
--- a/src/request/passthrough/engine_choice.h
+++ b/src/request/passthrough/engine_choice.h
@@ -36,20 +36,15 @@
   // A decode engine reads a prompt in chunks of about this many tokens (a
   // quarter of the users' 4,096), and each chunk holds up every request that
   // it generates for. Where a prefill engine can read, longer prompts are not
-  // read at a decode engine: while one read 50,000 tokens, the pauses of all
-  // its streams grew from 60 ms to 400 ms.
+  // read at a decode engine.
   std::int64_t most_read_at_decoder = 1024;
   // What leaving a part's home is taken to cost, in readings of the shared
   // parts. More than one: what is read elsewhere is found there by nobody, and
-  // takes memory from what is. On the users' calm day 0.2, 0.6, 1, 1.5, 2.5
-  // and 5 earned 0.54, 0.72, 0.75, 0.74, 0.75 and 0.74; a second home for each
-  // part 0.71 to 0.74.
+  // takes memory from what is.
   double away_from_home = 2.0;
   // The same at least, by the size of the shared parts: the memory that a
   // second copy takes from other parts, and that waits are known 100 ms late,
-  // weigh as much where engines read fast. Where they read 160 tokens in a
-  // millisecond, 0.013, 0.025, 0.05, 0.1 and 0.25 earned 0.540, 0.556, 0.579,
-  // 0.564 and 0.572 (three days with trouble, two seeds each).
+  // weigh as much where engines read fast.
   double away_ms_per_token = 0.05;
   // An engine that joined, or took up its stage, this recently still fetches
   // the parts it is home to from where they were. Long enough for most parts
@@ -187,8 +182,7 @@
   double RunningMs(const Engine& engine, base::Time now) const;
   // Up to what one request more costs: of engines that look alike any may be
   // taken, so that instances with the same picture do not all choose the same
-  // one. Where engines that generate read prompts themselves, the busiest got
-  // 6.1 times the mean of arrivals without it and 4.9 times with it.
+  // one.
   base::Duration AlikeSpread() const;
 
   const EngineChoiceOptions options_;
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -123,9 +123,7 @@
       break;
     }
     if (reads_denied_ && runs_ == 0 && parts_.choice.Disturbs(pick)) {
-      // Read by the engine that runs it, it would make streams of others fail:
-      // where engines crash in series 0.066 of all requests failed, and 0.048
-      // to 0.053 where such prompts are refused.
+      // Read by the engine that runs it, it would make streams of others fail.
       co_await Refuse(EndReason::kAllowance);
       co_return;
     }
