--- a/src/request/passthrough/answer_admission.cc
+++ b/src/request/passthrough/answer_admission.cc
@@ -113,8 +113,18 @@
   }
   const auto within = std::chrono::duration_cast<base::Duration>(
       options_.part_of_timeout * sizes.timeout);
-  const auto most = times_.MostRequests(engine, LargeTokens(sizes), within);
-  return most ? *most : Slots(engine);
+  const std::int64_t large = LargeTokens(sizes);
+  const auto most = times_.MostRequests(engine, large, within);
+  return most ? *most : PriorRoom(engine, large, within);
+}
+
+double AnswerAdmission::PriorRoom(const Engine& engine,
+                                  std::int64_t tokens,
+                                  base::Duration within) const noexcept {
+  const double answer_ms =
+      options_.prior_ms_per_token * static_cast<double>(tokens);
+  const bool in_time = answer_ms <= base::ToFineMillis(within);
+  return (in_time ? 1 : options_.prior_room) * Slots(engine);
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -25,6 +25,11 @@
   // The part of its route's timeout in which a large answer is to end; the rest
   // is for the requests that come to its engine meanwhile.
   double part_of_timeout = 0.9;
+  // Before an engine's pace is known, a token is taken to last for so long, in
+  // milliseconds; and where a large answer would not end in time, an engine has
+  // room for this part of its slots.
+  double prior_ms_per_token = 2;
+  double prior_room = 0.6;
   // A large answer is this many standard deviations of the logarithm of its
   // route's sizes above their mean: one in forty of a normal distribution is
   // larger.
@@ -75,7 +80,7 @@
              base::Time now);
 
   // Requests that the engine is to have at most for the sake of all routes that
-  // were asked for lately; its slots while too little is known.
+  // were asked for lately.
   double Room(const Engine& engine, base::Time now) const;
 
  private:
@@ -108,6 +113,9 @@
   bool Favours(const Sizes& sizes, bool large) const noexcept;
   std::int64_t LargeTokens(const Sizes& sizes) const noexcept;
   double RoomFor(const Engine& engine, const Sizes& sizes) const;
+  double PriorRoom(const Engine& engine,
+                   std::int64_t tokens,
+                   base::Duration within) const noexcept;
 
   const GenerationTimes& times_;
   const AnswerAdmissionOptions options_;
--- a/tests/request/passthrough/answer_admission_test.cc
+++ b/tests/request/passthrough/answer_admission_test.cc
@@ -195,12 +195,26 @@
   EXPECT_EQ(known.answers.Room(known.engine, kNow + seconds(30)), 64);
 }
 
-TEST(AnswerAdmission, WithoutKnowledgeAnEngineHasRoomForItsSlots) {
+// Guards against: an instance that has just started fills engines up to their
+// slots, since it has not seen their pace, and the largest answers end late.
+TEST(AnswerAdmission, AnInstanceThatHasJustStartedDoesNotFillEngines) {
   const GenerationTimes times;
   AnswerAdmission answers(times);
   Engine engine = MakeEngine(64);
-  engine.in_flight = 63;
+  engine.in_flight = 30;
   EXPECT_TRUE(answers.Admit(engine, "drafts", kDraft, kNow));
+  engine.in_flight = 40;
+  EXPECT_FALSE(answers.Admit(engine, "drafts", kDraft, kNow));
+  // These end in time at any pace that engines have.
+  EXPECT_TRUE(answers.Admit(engine, "verdicts", kVerdict, kNow));
+}
+
+TEST(AnswerAdmission, WithoutKnowledgeEnginesHaveRoomForShortAnswers) {
+  const GenerationTimes times;
+  AnswerAdmission answers(times);
+  Engine engine = MakeEngine(64);
+  engine.in_flight = 63;
+  EXPECT_TRUE(answers.Admit(engine, "verdicts", kVerdict, kNow));
   EXPECT_EQ(answers.Room(engine, kNow), 64);
 }
 
