Demand for decode engines counts the answers that admission rejects

Cause: the number of decode engines followed the answers in flight, which the admission by pace itself holds down. With the limit reached, the demand stayed below what would have moved another engine, while prefill engines stood free.

Change: the answers in flight are divided by the fraction of answers that this instance admitted over the last seconds, at most doubled, since rejected callers return and are counted again.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -206,6 +206,9 @@
           [this](const base::ServiceName& service) {
             return picker.Backlog(views.engines().OfService(service), clock());
           },
+          [this](const base::ServiceName& service) {
+            return answers.AdmittedFraction(service, clock());
+          },
           capacity,
           clock,
           metrics),
--- a/src/process/generation_demand.cc
+++ b/src/process/generation_demand.cc
@@ -30,21 +30,24 @@
 
 void GenerationDemand::Observe(const std::vector<EngineHandle>& engines,
                                base::Duration backlog,
+                               double admitted_fraction,
                                base::Time now) {
   decode_engines_ = 0;
   double target_answers = 0;
-  int answers = 0;
+  int in_flight = 0;
   for (const EngineHandle& engine : engines) {
     if (engine->entry.stage == EngineStage::kDecode &&
         !engine->entry.draining) {
       ++decode_engines_;
-      answers += KnownLoad(*engine, now);
+      in_flight += KnownLoad(*engine, now);
       target_answers += TargetAnswers(*engine, now);
     }
   }
   if (decode_engines_ > 0) {
     answers_per_engine_ = std::max(target_answers / decode_engines_, 1.0);
   }
+  const double answers =
+      in_flight / std::max(admitted_fraction, 1 / options_.max_offered_ratio);
   // Capped, so that an extreme backlog (no prefill engine at all) does not
   // dominate the average for long.
   constexpr int kMaxBacklogFactor = 4;
--- a/src/process/generation_demand.h
+++ b/src/process/generation_demand.h
@@ -1,10 +1,12 @@
-// Estimates how many decode engines the in-flight answers of a service need.
+// Estimates how many decode engines the offered answers of a service need.
 //
 // The time per token of an engine grows with the answers that it generates
 // concurrently, so long answers exceed their time limit when too few engines
 // decode. The answers at the decode engines are counted from the engines'
-// reports and this instance's own requests, and compared with the capacity of
-// each engine.
+// reports and this instance's own requests, scaled up by the fraction that
+// admission rejects, and compared with the capacity of each engine. Without the
+// scaling the capacity of the present decode engines would limit the demand for
+// more of them.
 #ifndef LYNXGLADE_PROCESS_GENERATION_DEMAND_H_
 #define LYNXGLADE_PROCESS_GENERATION_DEMAND_H_
 
@@ -25,6 +27,9 @@
   // answers times this factor. Prevents flapping: each change takes an engine
   // out of service for about three seconds.
   double scale_down_margin = 1.4;
+  // Upper limit of the scaling by rejected answers: rejected callers return and
+  // are counted again.
+  double max_offered_ratio = 2;
   // Time constant of the moving averages. Answers last for seconds, while the
   // mix of requests can change within five.
   base::Duration averaging_time = std::chrono::seconds(2);
@@ -42,17 +47,19 @@
   GenerationDemand(const GenerationDemand&) = delete;
   GenerationDemand& operator=(const GenerationDemand&) = delete;
 
-  // Takes the current engines of the service and the average time that a prompt
-  // would wait for prefill. Call at least once a second.
+  // Takes the current engines of the service, the average time that a prompt
+  // would wait for prefill and the fraction of the answers that admission lets
+  // through. Call at least once a second.
   void Observe(const std::vector<request::passthrough::EngineHandle>& engines,
                base::Duration backlog,
+               double admitted_fraction,
                base::Time now);
 
   // The number of engines that should decode; the current number until
   // `averaging_time` has been observed.
   int DesiredEngines() const;
 
-  // Moving average of the in-flight answers.
+  // Moving average of the offered answers.
   double answers() const noexcept { return answers_; }
   base::Duration backlog() const noexcept { return backlog_; }
 
--- a/src/process/stage_orders.cc
+++ b/src/process/stage_orders.cc
@@ -44,6 +44,7 @@
     std::function<std::vector<base::ServiceName>()> services,
     std::function<bool()> idle,
     std::function<base::Duration(const base::ServiceName&)> backlog,
+    std::function<double(const base::ServiceName&)> admitted_fraction,
     request::passthrough::EngineCapacity capacity,
     base::Clock clock,
     base::Metrics& metrics)
@@ -55,6 +56,7 @@
       services_(std::move(services)),
       idle_(std::move(idle)),
       backlog_(std::move(backlog)),
+      admitted_fraction_(std::move(admitted_fraction)),
       capacity_(std::move(capacity)),
       clock_(std::move(clock)),
       metrics_(metrics) {}
@@ -94,7 +96,7 @@
 void StageOrders::UpdateDemand() {
   for (const base::ServiceName& service : services_()) {
     DemandOf(service).Observe(engines_.OfService(service), backlog_(service),
-                              clock_());
+                              admitted_fraction_(service), clock_());
   }
 }
 
--- a/src/process/stage_orders.h
+++ b/src/process/stage_orders.h
@@ -89,20 +89,23 @@
 // Not thread-safe: runs on the event loop.
 class StageOrders {
  public:
-  StageOrders(connection::event::asio::io_context& loop,
-              const request::passthrough::EngineTable& engines,
-              OrderAuthority& authority,
-              StageOrderHooks hooks,
-              StageOrdersOptions options,
-              // The configured services whose engines have stages.
-              std::function<std::vector<base::ServiceName>()> services,
-              // Whether this instance has received no request for a while.
-              std::function<bool()> idle,
-              // The current average wait of a prompt for prefill.
-              std::function<base::Duration(const base::ServiceName&)> backlog,
-              request::passthrough::EngineCapacity capacity,
-              base::Clock clock,
-              base::Metrics& metrics);
+  StageOrders(
+      connection::event::asio::io_context& loop,
+      const request::passthrough::EngineTable& engines,
+      OrderAuthority& authority,
+      StageOrderHooks hooks,
+      StageOrdersOptions options,
+      // The configured services whose engines have stages.
+      std::function<std::vector<base::ServiceName>()> services,
+      // Whether this instance has received no request for a while.
+      std::function<bool()> idle,
+      // The current average wait of a prompt for prefill.
+      std::function<base::Duration(const base::ServiceName&)> backlog,
+      // The fraction of a service's answers that admission lets through.
+      std::function<double(const base::ServiceName&)> admitted_fraction,
+      request::passthrough::EngineCapacity capacity,
+      base::Clock clock,
+      base::Metrics& metrics);
   StageOrders(const StageOrders&) = delete;
   StageOrders& operator=(const StageOrders&) = delete;
 
@@ -125,6 +128,7 @@
   const std::function<std::vector<base::ServiceName>()> services_;
   const std::function<bool()> idle_;
   const std::function<base::Duration(const base::ServiceName&)> backlog_;
+  const std::function<double(const base::ServiceName&)> admitted_fraction_;
   const request::passthrough::EngineCapacity capacity_;
   const base::Clock clock_;
   base::Metrics& metrics_;
--- a/src/request/passthrough/answer_admission.cc
+++ b/src/request/passthrough/answer_admission.cc
@@ -44,9 +44,34 @@
   Share& share = larger ? sizes.larger : sizes.smaller;
   share.seen = options_.share_decay * share.seen + 1;
   share.admitted = options_.share_decay * share.admitted + (admitted ? 1 : 0);
+  RecordAdmission(engine.entry.service, admitted, now);
   return admitted;
 }
 
+void AnswerAdmission::RecordAdmission(const base::ServiceName& service,
+                                      bool admitted,
+                                      base::Time now) {
+  Offered& offered = offered_[service];
+  const double decay =
+      std::exp(-base::ToFineMillis(now - offered.last_at) /
+               base::ToFineMillis(options_.fraction_averaging_time));
+  offered.seen = decay * offered.seen + 1;
+  offered.admitted = decay * offered.admitted + (admitted ? 1 : 0);
+  offered.last_at = now;
+}
+
+double AnswerAdmission::AdmittedFraction(const base::ServiceName& service,
+                                         base::Time now) const {
+  // Of fewer requests the fraction is mostly chance.
+  constexpr double kMinSeen = 4;
+  const auto it = offered_.find(service);
+  if (it == offered_.end() || it->second.seen < kMinSeen ||
+      now - it->second.last_at > options_.fraction_averaging_time) {
+    return 1;
+  }
+  return it->second.admitted / it->second.seen;
+}
+
 AnswerAdmission::RouteSizes& AnswerAdmission::RecordRequest(
     const base::ServiceName& service,
     const std::string& route,
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -50,6 +50,8 @@
   // Part of the difference to the current statistics by which a request changes
   // them.
   double size_learning_rate = 0.02;
+  // Time constant of AdmittedFraction().
+  base::Duration fraction_averaging_time = std::chrono::seconds(4);
   // Routes without a request for this long limit no engine.
   base::Duration route_ttl = std::chrono::seconds(10);
 };
@@ -81,7 +83,18 @@
   // Requests that the engine should have at most, for all recently used routes.
   double Capacity(const Engine& engine, base::Time now) const;
 
+  // Moving average of the fraction of the service's requests that were
+  // admitted; 1 without recent requests.
+  double AdmittedFraction(const base::ServiceName& service,
+                          base::Time now) const;
+
  private:
+  // Exponentially decaying counts of a service's requests.
+  struct Offered {
+    double seen = 0;
+    double admitted = 0;
+    base::Time last_at{};
+  };
   // Recent requests, and how many were admitted.
   struct Share {
     double seen = 0;
@@ -101,6 +114,9 @@
     Share smaller;
   };
 
+  void RecordAdmission(const base::ServiceName& service,
+                       bool admitted,
+                       base::Time now);
   RouteSizes& RecordRequest(const base::ServiceName& service,
                             const std::string& route,
                             const RequestedAnswer& answer,
@@ -119,6 +135,7 @@
   const GenerationTimes& times_;
   const AnswerAdmissionOptions options_;
   std::map<base::ServiceName, std::map<std::string, RouteSizes>> routes_;
+  std::map<base::ServiceName, Offered> offered_;
 };
 
 }  // namespace lynxglade::request::passthrough
--- a/tests/process/generation_demand_test.cc
+++ b/tests/process/generation_demand_test.cc
@@ -54,12 +54,13 @@
                         .slots = 64};
         it->reported_at = now_;
       }
-      demand_.Observe(engines_, backlog, now_);
+      demand_.Observe(engines_, backlog, admitted_fraction_, now_);
     }
   }
 
   base::Time now_ = base::Time() + std::chrono::hours(1);
   std::vector<EngineHandle> engines_;
+  double admitted_fraction_ = 1;
   GenerationDemand demand_;
 };
 
@@ -108,11 +109,28 @@
   GenerationDemand slow({}, [](const Engine&, base::Time) { return 20.0; });
   for (int i = 0; i < 16; ++i) {
     Run(80, kLowBacklog, milliseconds(500));
-    slow.Observe(engines_, kLowBacklog, now_);
+    slow.Observe(engines_, kLowBacklog, admitted_fraction_, now_);
   }
   EXPECT_EQ(slow.DesiredEngines(), 5);
 }
 
+// Admission keeps three engines at the same number of answers however many more
+// are offered, so the answers in flight alone would never ask for another one.
+TEST_F(GenerationDemandTest, RejectedAnswersCountTowardsTheDemand) {
+  Run(110, kLowBacklog, seconds(8));
+  EXPECT_EQ(demand_.DesiredEngines(), 3);
+  admitted_fraction_ = 0.6;
+  Run(110, kLowBacklog, seconds(8));
+  EXPECT_EQ(demand_.DesiredEngines(), 5);
+}
+
+// Callers that return after a rejection are counted again.
+TEST_F(GenerationDemandTest, ScalingByRejectedAnswersIsLimited) {
+  admitted_fraction_ = 0.01;
+  Run(110, kLowBacklog, seconds(8));
+  EXPECT_EQ(demand_.DesiredEngines(), 6);
+}
+
 // Under constant load the desired count is stable once it has been applied.
 RC_GTEST_FIXTURE_PROP(GenerationDemandTest, IsStableUnderConstantLoad, ()) {
   const int answers = *rc::gen::inRange(0, 500);
--- a/tests/process/stage_orders_test.cc
+++ b/tests/process/stage_orders_test.cc
@@ -61,6 +61,7 @@
             [] { return std::vector<base::ServiceName>{kService}; },
             [this] { return idle_; },
             [this](const base::ServiceName&) { return backlog_; },
+            [](const base::ServiceName&) { return 1.0; },
             /*capacity=*/{},
             clock_,
             metrics_) {
--- a/tests/request/passthrough/answer_admission_test.cc
+++ b/tests/request/passthrough/answer_admission_test.cc
@@ -158,6 +158,28 @@
   AnswerAdmission answers{times};
 };
 
+TEST(AnswerAdmission, AdmittedFractionFollowsRecentRequests) {
+  GenerationTimes times;
+  AnswerAdmission admission(times);
+  EXPECT_EQ(admission.AdmittedFraction(kService, kNow), 1);
+  Engine engine = MakeEngine(64);
+  const RequestedAnswer answer{
+      .expected_tokens = 9'000, .max_tokens = 9'000, .timeout = seconds(15)};
+  base::Time now = kNow;
+  const auto offer = [&](int in_flight) {
+    engine.in_flight = in_flight;
+    for (int i = 0; i < 200; ++i) {
+      now += milliseconds(100);
+      admission.Admit(engine, kRoute, answer, now);
+    }
+  };
+  offer(0);
+  EXPECT_GT(admission.AdmittedFraction(kService, now), 0.99);
+  offer(64);
+  EXPECT_LT(admission.AdmittedFraction(kService, now), 0.05);
+  EXPECT_EQ(admission.AdmittedFraction(kService, now + seconds(10)), 1);
+}
+
 TEST(AnswerAdmission, ReportedAndOwnRequestsCountTowardsCapacity) {
   PaceSamples samples;
   Engine& engine = samples.engine;
