Organisations: callers' API keys are checked and replaced by the organisation

Cause: a configuration may name organisations and their keys. The relay forwarded the keys to targets and ran requests of any key.

A request on a route that is not public receives 401 for a missing or unknown key and 503 while no configuration is known. Targets get the organisation in place of the key on every way: prefill, hand-over, retry, resume. The organisation's priority goes before the route's.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -42,6 +42,8 @@
 using IdempotencyKey = StrongId<struct IdempotencyKeyTag>;
 // A contract: the unit of fair sharing and of service terms.
 using ContractId = StrongId<struct ContractIdTag>;
+// A customer that holds API keys on a platform whose configuration names them.
+using OrganisationId = StrongId<struct OrganisationIdTag>;
 // A service that targets belong to.
 using ServiceName = StrongId<struct ServiceNameTag>;
 // A back end: a model engine or a server of a plain service.
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -115,10 +115,7 @@
   const base::Time started_at = deps_.clock();
   InFlightRequest in_flight(pick.prefill_engine, Priority(),
                             pick.prefill_tokens, pick.prefill_time, started_at);
-  SendTerms terms;
-  terms.target = pick.prefill_engine;
-  terms.time_left = TimeLeft();
-  terms.priority = Priority();
+  SendTerms terms = MakeTerms(pick.prefill_engine);
   terms.prefill_only = true;
   terms.fetch_from = pick.fetch_from;
   RecordAttempt(*pick.prefill_engine);
@@ -214,10 +211,7 @@
   InFlightRequest in_flight(target, Priority(),
                             prefills ? pick.prefill_tokens : 0,
                             pick.prefill_time, deps_.clock());
-  SendTerms terms;
-  terms.target = target;
-  terms.time_left = TimeLeft();
-  terms.priority = Priority();
+  SendTerms terms = MakeTerms(target);
   terms.source = source_;
   terms.fetch_from = prefills ? pick.fetch_from : nullptr;
   terms.last_event_id =
@@ -418,6 +412,18 @@
   }
 }
 
+SendTerms RelayRun::MakeTerms(const EngineHandle& target) const {
+  SendTerms terms;
+  terms.target = target;
+  terms.time_left = TimeLeft();
+  terms.priority = Priority();
+  terms.withhold_credentials = table_->keys().has_value();
+  if (organisation_) {
+    terms.organisation = organisation_->id;
+  }
+  return terms;
+}
+
 OutgoingRequest RelayRun::Message(const SendTerms& terms) const {
   connection::event::RequestHead head = request_->head;
   connection::event::EraseHopHeaders(head);
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -18,6 +18,8 @@
 using connection::event::Awaitable;
 namespace http = connection::event::http;
 
+constexpr unsigned kUnauthorized = 401;
+
 // Reply to the caller if there is no target's answer. Those that promise that
 // the request has not run and will not run carry Retry-After.
 struct Refusal {
@@ -31,6 +33,8 @@
     Refusal{EndReason::kStopping, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoConfiguration, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoRoute, 404, "Not Found", false},
+    Refusal{EndReason::kMissingKey, 401, "Unauthorized", false},
+    Refusal{EndReason::kUnknownKey, 401, "Unauthorized", false},
     Refusal{EndReason::kMalformedTerms, 400, "Bad Request", false},
     Refusal{EndReason::kNoService, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoTarget, 503, "Service Unavailable", true},
@@ -64,6 +68,10 @@
       return "no_configuration";
     case EndReason::kNoRoute:
       return "no_route";
+    case EndReason::kMissingKey:
+      return "missing_key";
+    case EndReason::kUnknownKey:
+      return "unknown_key";
     case EndReason::kMalformedTerms:
       return "malformed_terms";
     case EndReason::kNoService:
@@ -122,6 +130,9 @@
   AnswerHead head;
   head.status = refusal.status;
   head.reason = refusal.phrase;
+  if (refusal.status == kUnauthorized) {
+    head.fields.set(http::field::www_authenticate, "Bearer");
+  }
   if (refusal.promises_not_run) {
     const base::Duration part = std::chrono::duration_cast<base::Duration>(
         options_.retry_after_of_time_left * TimeLeft());
@@ -194,6 +205,9 @@
        {"route", route_ ? route_->name : std::string()},
        {"service", service_.str()},
        {"caller", request_->caller},
+       {"organisation",
+        organisation_ ? organisation_->id.str() : std::string()},
+       {"configuration", table_ ? table_->version() : -1},
        {"by", ended_by_},
        {"prompt_tokens", terms_.prompt.TotalTokens()},
        {"expected_tokens", terms_.expected_tokens},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -83,6 +83,9 @@
     return EndReason::kMalformedTerms;
   }
   terms_ = std::move(*terms);
+  if (const auto fault = Authenticate()) {
+    return fault;
+  }
   SetDeadline(terms_.timeout);
   const base::ServiceName* service =
       RouteTable::PickService(*route_, base::Hash64(terms_.request_id));
@@ -93,6 +96,18 @@
   return std::nullopt;
 }
 
+std::optional<EndReason> RelayRun::Authenticate() {
+  if (!table_->keys()) {
+    return std::nullopt;
+  }
+  organisation_ =
+      terms_.api_key ? table_->keys()->Find(*terms_.api_key) : nullptr;
+  if (organisation_ || route_->is_public) {
+    return std::nullopt;
+  }
+  return terms_.api_key ? EndReason::kUnknownKey : EndReason::kMissingKey;
+}
+
 void RelayRun::SetDeadline(std::optional<base::Duration> timeout) {
   base::Duration wait = timeout.value_or(options_.default_timeout);
   if (route_->timeout > base::Duration::zero()) {
@@ -191,7 +206,10 @@
 }
 
 int RelayRun::Priority() const noexcept {
-  return route_->priority + (late_ ? kLatePriorityOffset : 0);
+  const int priority = organisation_ && organisation_->priority
+                           ? *organisation_->priority
+                           : route_->priority;
+  return priority + (late_ ? kLatePriorityOffset : 0);
 }
 
 // A KV cache that is already held by an engine is kept for the next runner.
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -23,6 +23,9 @@
   kStopping,
   kNoConfiguration,
   kNoRoute,
+  // The route requires an API key: none, or more than one, was sent.
+  kMissingKey,
+  kUnknownKey,
   kMalformedTerms,
   kNoService,
   kNoTarget,
@@ -72,6 +75,8 @@
   // Finds route, service and deadline; returns a reason if the request is
   // refused.
   std::optional<EndReason> Admit();
+  // Finds the organisation that holds the caller's key.
+  std::optional<EndReason> Authenticate();
   void SetDeadline(std::optional<base::Duration> timeout);
   void StartTimer();
   // Makes attempts until one is final.
@@ -140,6 +145,8 @@
   // `runner` did not run the request.
   void RecordRejection(Engine& runner, const AnswerInfo& info);
   void RecordLoad(Engine& engine, const AnswerInfo& info);
+  // Terms for the target of any attempt.
+  SendTerms MakeTerms(const EngineHandle& target) const;
   connection::event::OutgoingRequest Message(const SendTerms& terms) const;
   connection::event::AnswerFilter AnswerFilter() const;
   base::Duration Elapsed() const;
@@ -161,6 +168,8 @@
 
   std::shared_ptr<const RouteTable> table_;
   const Route* route_ = nullptr;
+  // Null for a public route's caller without a key, and without organisations.
+  const Organisation* organisation_ = nullptr;
   base::ServiceName service_;
   RequestTerms terms_;
   base::Time deadline_{};
--- a/src/request/passthrough/route_table.cc
+++ b/src/request/passthrough/route_table.cc
@@ -35,8 +35,12 @@
 RouteTable::RouteTable(std::int64_t version,
                        std::vector<Route> routes,
                        std::vector<ServiceTerms> services,
-                       CallerLimits limits)
-    : version_(version), route_count_(routes.size()), limits_(limits) {
+                       CallerLimits limits,
+                       std::optional<OrganisationKeys> keys)
+    : version_(version),
+      route_count_(routes.size()),
+      limits_(limits),
+      keys_(std::move(keys)) {
   for (Route& route : routes) {
     by_host_[HostKey(route.host)].push_back(std::move(route));
   }
--- a/src/request/passthrough/route_table.h
+++ b/src/request/passthrough/route_table.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -14,6 +15,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "request/passthrough/organisation_keys.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -46,6 +48,8 @@
   // 0 is the most urgent.
   int priority = 0;
   bool resumable = false;
+  // Serves callers without an API key.
+  bool is_public = false;
   std::vector<ServiceShare> shares;
 
   // How long the caller of a stream waits for an event, including the first,
@@ -79,7 +83,8 @@
   RouteTable(std::int64_t version,
              std::vector<Route> routes,
              std::vector<ServiceTerms> services,
-             CallerLimits limits);
+             CallerLimits limits,
+             std::optional<OrganisationKeys> keys = std::nullopt);
 
   // The route of the host with the longest prefix of `path` (without query), or
   // null. Ignores the case and port of `host`.
@@ -95,12 +100,16 @@
 
   std::int64_t version() const noexcept { return version_; }
   const CallerLimits& limits() const noexcept { return limits_; }
+  // Unset if the configuration names no organisations: callers then need no
+  // key, and the credentials that they send are not this process's.
+  const std::optional<OrganisationKeys>& keys() const noexcept { return keys_; }
   std::size_t size() const noexcept { return route_count_; }
 
  private:
   std::int64_t version_ = 0;
   std::size_t route_count_ = 0;
   CallerLimits limits_;
+  std::optional<OrganisationKeys> keys_;
   // By lower-case host; longest prefix first.
   std::unordered_map<std::string, std::vector<Route>> by_host_;
   std::unordered_map<base::ServiceName, ServiceTerms> services_;
--- a/src/request/passthrough/target_protocol.h
+++ b/src/request/passthrough/target_protocol.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/ids.h"
 #include "base/outcome.h"
 #include "base/time.h"
 #include "connection/event/http_types.h"
@@ -34,6 +35,8 @@
   std::int64_t max_tokens = 0;
   // The caller resumes a broken stream after this event; empty: from the start.
   std::string last_event_id;
+  // API key, if the request carries one. Secret: must not be logged.
+  std::optional<std::string> api_key;
 };
 
 // KV cache held by an engine, to be fetched once.
@@ -56,6 +59,10 @@
   EngineHandle fetch_from;
   // Resume after this event; empty: from the start.
   std::string last_event_id;
+  // The caller's credentials are meant for this process; targets get the
+  // organisation instead, empty if there is none.
+  bool withhold_credentials = false;
+  base::OrganisationId organisation;
 };
 
 // Contents of the head of a target's answer.
--- a/tests/platform/store_documents_test.cc
+++ b/tests/platform/store_documents_test.cc
@@ -47,6 +47,34 @@
   EXPECT_EQ(table->limits().idle_timeout, std::chrono::seconds(15));
 }
 
+TEST(StoreDocuments, ReadsOrganisations) {
+  std::string text = kConfiguration;
+  DocumentFault fault;
+  EXPECT_FALSE(ParseConfiguration(text, &fault)->keys().has_value());
+  text.insert(text.rfind('}'), R"(,"tenants":[
+    {"name":"a","apiKeys":["example-key-1","example-key-2"],"priority":1},
+    {"name":"b","apiKeys":[]}])");
+  text.replace(text.find("\"resumable\":true"), 16,
+               "\"resumable\":true,\"public\":true");
+  const auto table = ParseConfiguration(text, &fault);
+  ASSERT_TRUE(table) << fault.detail;
+  EXPECT_TRUE(table->Find("h", "/a/x")->is_public);
+  EXPECT_FALSE(table->Find("h", "/b/x")->is_public);
+  ASSERT_TRUE(table->keys());
+  EXPECT_EQ(table->keys()->organisations(), 2U);
+  EXPECT_EQ(table->keys()->Find("example-key-2")->priority, 1);
+}
+
+// The detail of a fault is logged, so it must not contain a key.
+TEST(StoreDocuments, AFaultOfAnOrganisationNamesNoKey) {
+  std::string text = kConfiguration;
+  text.insert(text.rfind('}'),
+              R"(,"tenants":[{"name":"a","apiKeys":["example-key-1",7]}])");
+  DocumentFault fault;
+  EXPECT_FALSE(ParseConfiguration(text, &fault));
+  EXPECT_EQ(fault.detail, "a key of a is not a string");
+}
+
 // An invalid part rejects the whole document, and the fault names the member.
 TEST(StoreDocuments, RejectsInvalidConfigurations) {
   const std::string good = kConfiguration;
