--- a/fuzz/change_messages.cc
+++ b/fuzz/change_messages.cc
@@ -1,21 +1,21 @@
 // Messages between instances about changes of the store: decoded completely or
 // not at all, and unchanged by encoding and decoding.
-#include "process/change_messages.h"
+#include "process/peers/change_messages.h"
 
 #include "fuzz/check.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace lynxglade;
-  const auto changes = process::DecodeChanges(fuzz::TextOf(data, size));
+  const auto changes = process::peers::DecodeChanges(fuzz::TextOf(data, size));
   if (!changes) {
     return 0;
   }
-  const auto bytes = process::EncodeChanges(*changes);
+  const auto bytes = process::peers::EncodeChanges(*changes);
   if (!bytes) {
     return 0;
   }
-  const auto again = process::DecodeChanges(*bytes);
+  const auto again = process::peers::DecodeChanges(*bytes);
   fuzz::Check(again && again->revision == changes->revision &&
                   again->items.size() == changes->items.size(),
               "the same changes");
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -21,16 +21,16 @@
 #include "platform/store_client.h"
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
-#include "process/avoidance_sharing.h"
-#include "process/change_relay.h"
-#include "process/instance_presence.h"
-#include "process/order_authority.h"
-#include "process/peer_datagrams.h"
-#include "process/prefill_sharing.h"
-#include "process/prefix_follower.h"
-#include "process/retry_loans.h"
-#include "process/stage_orders.h"
-#include "process/watch_sharing.h"
+#include "process/duties/order_authority.h"
+#include "process/peers/avoidance_sharing.h"
+#include "process/peers/change_relay.h"
+#include "process/peers/instance_presence.h"
+#include "process/peers/peer_datagrams.h"
+#include "process/peers/prefill_sharing.h"
+#include "process/peers/retry_loans.h"
+#include "process/peers/watch_sharing.h"
+#include "process/stages/stage_orders.h"
+#include "process/store/prefix_follower.h"
 #include "request/passthrough/peer_prefills.h"
 #include "request/passthrough/relay.h"
 
@@ -50,8 +50,8 @@
 using connection::event::SleepFor;
 using connection::event::Tcp;
 using connection::event::View;
-using process::PrefixFollower;
-using process::StoreItem;
+using process::store::PrefixFollower;
+using process::store::StoreItem;
 namespace asio = connection::event::asio;
 namespace http = connection::event::http;
 
@@ -95,8 +95,8 @@
   request::passthrough::RelayDependencies MakeRelayDependencies();
   // Starts the exchange with peer instances through this address.
   void JoinPeers(const process::Endpoint& endpoint);
-  process::PrefixFollowerHooks InstanceKeysHooks();
-  process::PrefixFollowerHooks StoreHooks();
+  process::store::PrefixFollowerHooks InstanceKeysHooks();
+  process::store::PrefixFollowerHooks StoreHooks();
 
   const process::EntrySettings settings;
   const base::Clock clock = base::BootClock::now;
@@ -119,12 +119,12 @@
       };
   request::passthrough::EnginePicker picker;
   request::passthrough::SharedRetryBudget retry_budget;
-  process::InstancePresence presence;
+  process::peers::InstancePresence presence;
   // Source of the store follower: the store, or another instance that watches
   // it.
-  process::WatchSharing watches;
-  process::OrderAuthority authority;
-  process::StageOrders stage_orders;
+  process::peers::WatchSharing watches;
+  process::duties::OrderAuthority authority;
+  process::stages::StageOrders stage_orders;
   base::Time last_request{};
   // Follows all keys: of the configuration, the targets and the instances.
   PrefixFollower store_follower;
@@ -133,11 +133,11 @@
   CallerServer health;
   asio::signal_set signals{loop, SIGTERM, SIGINT, SIGHUP};
   // Set only if a peer address is configured.
-  std::optional<process::PeerDatagrams> datagrams;
-  std::optional<process::PrefillSharing> prefill_sharing;
-  std::optional<process::AvoidanceSharing> avoidance_sharing;
-  std::optional<process::RetryLoans> retry_loans;
-  std::optional<process::ChangeRelay> change_relay;
+  std::optional<process::peers::PeerDatagrams> datagrams;
+  std::optional<process::peers::PrefillSharing> prefill_sharing;
+  std::optional<process::peers::AvoidanceSharing> avoidance_sharing;
+  std::optional<process::peers::RetryLoans> retry_loans;
+  std::optional<process::peers::ChangeRelay> change_relay;
   bool stopping = false;
   // New requests are rejected, as they might not finish before the process
   // exits.
@@ -181,10 +181,10 @@
           loop,
           store,
           {.instance = s.instance, .zone = s.zone},
-          [this]() -> const std::vector<process::InstancePeer>& {
+          [this]() -> const std::vector<process::peers::InstancePeer>& {
             return presence.Peers();
           },
-          process::MakeQueryRelay(loop, channels),
+          process::peers::MakeQueryRelay(loop, channels),
           clock,
           metrics),
       authority(store,
@@ -250,39 +250,39 @@
 }
 
 void EntryDaemon::Details::JoinPeers(const process::Endpoint& endpoint) {
-  const process::PrefillSharingOptions sharing{.instance = settings.instance,
-                                               .zone = settings.zone};
+  const process::peers::PrefillSharingOptions sharing{
+      .instance = settings.instance, .zone = settings.zone};
   const Tcp::endpoint at = EndpointOf(endpoint);
   datagrams.emplace(loop, presence,
                     asio::ip::udp::endpoint{at.address(), at.port()}, metrics);
   prefill_sharing.emplace(views.engines(), presence, peer_prefills, *datagrams,
                           sharing, clock);
   const auto peers = [this, sharing] {
-    return process::SharingPeers(presence.Peers(), sharing);
+    return process::peers::SharingPeers(presence.Peers(), sharing);
   };
   avoidance_sharing.emplace(views.engines(), peer_avoidance, *datagrams, peers,
-                            process::AvoidanceSharingOptions{}, clock);
-  retry_loans.emplace(retry_budget, *datagrams,
-                      process::RetryLoansHooks{
-                          .peers = peers,
-                          .instance_count = [this] { return presence.Count(); },
-                          .is_served =
-                              [this](const base::ServiceName& service) {
-                                return views.routes() &&
-                                       views.routes()->FindService(service);
-                              }},
-                      process::RetryLoansOptions{}, clock, random, metrics);
+                            process::peers::AvoidanceSharingOptions{}, clock);
+  retry_loans.emplace(
+      retry_budget, *datagrams,
+      process::peers::RetryLoansHooks{
+          .peers = peers,
+          .instance_count = [this] { return presence.Count(); },
+          .is_served =
+              [this](const base::ServiceName& service) {
+                return views.routes() && views.routes()->FindService(service);
+              }},
+      process::peers::RetryLoansOptions{}, clock, random, metrics);
   change_relay.emplace(loop, at, watches, clock, metrics);
 }
 
-process::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
-  return process::DispatchByPrefix(
+process::store::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
+  return process::store::DispatchByPrefix(
       {{platform::kConfigurationKey, views.ConfigurationHooks()},
        {platform::kTargetsPrefix, views.TargetHooks()},
        {kInstanceKeysPrefix, InstanceKeysHooks()}});
 }
 
-process::PrefixFollowerHooks EntryDaemon::Details::InstanceKeysHooks() {
+process::store::PrefixFollowerHooks EntryDaemon::Details::InstanceKeysHooks() {
   return {
       .on_list =
           [this](const std::vector<StoreItem>& items) {
--- a/src/main/entry_views.cc
+++ b/src/main/entry_views.cc
@@ -13,7 +13,7 @@
 
 using base::Log;
 using base::LogLevel;
-using process::StoreItem;
+using process::store::StoreItem;
 
 // Time for targets to write their entries again that expired during an outage
 // of the store.
@@ -24,7 +24,7 @@
 EntryViews::EntryViews(base::Clock clock, base::Metrics& metrics)
     : clock_(std::move(clock)), metrics_(metrics), engines_(kEntryGrace) {}
 
-process::PrefixFollowerHooks EntryViews::ConfigurationHooks() {
+process::store::PrefixFollowerHooks EntryViews::ConfigurationHooks() {
   return {
       .on_list =
           [this](const std::vector<StoreItem>& items) {
@@ -36,7 +36,7 @@
   };
 }
 
-process::PrefixFollowerHooks EntryViews::TargetHooks() {
+process::store::PrefixFollowerHooks EntryViews::TargetHooks() {
   return {
       .on_list =
           [this](const std::vector<StoreItem>& items) { OnTargetList(items); },
--- a/src/main/entry_views.h
+++ b/src/main/entry_views.h
@@ -11,8 +11,8 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "base/units.h"
-#include "process/prefix_follower.h"
-#include "process/store_port.h"
+#include "process/store/prefix_follower.h"
+#include "process/store/store_port.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/route_table.h"
 
@@ -31,8 +31,8 @@
   EntryViews& operator=(const EntryViews&) = delete;
 
   // For followers of the configuration's key and of the targets' prefix.
-  process::PrefixFollowerHooks ConfigurationHooks();
-  process::PrefixFollowerHooks TargetHooks();
+  process::store::PrefixFollowerHooks ConfigurationHooks();
+  process::store::PrefixFollowerHooks TargetHooks();
 
   // The configuration in force, null until the first was received. It is
   // replaced only by a valid configuration with a newer version.
@@ -45,11 +45,11 @@
   bool complete() const noexcept { return routes_ && targets_listed_; }
 
  private:
-  void OnConfiguration(const process::StoreItem& item);
-  void OnTarget(const process::StoreItem& item);
-  void OnTargetList(const std::vector<process::StoreItem>& items);
+  void OnConfiguration(const process::store::StoreItem& item);
+  void OnTarget(const process::store::StoreItem& item);
+  void OnTargetList(const std::vector<process::store::StoreItem>& items);
   // Counts and logs an invalid entry, once per revision.
-  void RecordRejected(const process::StoreItem& item,
+  void RecordRejected(const process::store::StoreItem& item,
                       const platform::DocumentFault& fault);
 
   const base::Clock clock_;
--- a/src/process/order_authority.cc
+++ b/src/process/duties/order_authority.cc
@@ -1,11 +1,11 @@
-#include "process/order_authority.h"
+#include "process/duties/order_authority.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/log.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::duties {
 
 namespace {
 
@@ -15,8 +15,8 @@
 
 }  // namespace
 
-OrderAuthority::OrderAuthority(StorePort& store,
-                               const InstancePresence& presence,
+OrderAuthority::OrderAuthority(store::StorePort& store,
+                               const peers::InstancePresence& presence,
                                OrderAuthorityOptions options,
                                base::Clock clock,
                                base::RandomSource random)
@@ -30,9 +30,10 @@
 
 // A listing without this instance's key may predate the write, so it does not
 // revoke the authority; ConfirmHeld() detects a lost key.
-void OrderAuthority::OnList(const std::vector<StoreItem>& items) {
+void OrderAuthority::OnList(const std::vector<store::StoreItem>& items) {
   listed_ = true;
-  const auto it = std::ranges::find(items, options_.key, &StoreItem::key);
+  const auto it =
+      std::ranges::find(items, options_.key, &store::StoreItem::key);
   if (it != items.end()) {
     OnChange(*it);
     return;
@@ -42,7 +43,7 @@
   }
 }
 
-void OrderAuthority::OnChange(const StoreItem& item) {
+void OrderAuthority::OnChange(const store::StoreItem& item) {
   const bool older = holder_ && item.revision < holder_->revision;
   if (item.key == options_.key && !older) {
     SetHolder(item);
@@ -50,13 +51,13 @@
 }
 
 void OrderAuthority::ClearHolder() {
-  StoreItem vacant;
+  store::StoreItem vacant;
   vacant.key = options_.key;
   vacant.deleted = true;
   SetHolder(vacant);
 }
 
-void OrderAuthority::SetHolder(const StoreItem& item) {
+void OrderAuthority::SetHolder(const store::StoreItem& item) {
   const bool was_ours = holder_ && IsOurs(*holder_);
   if (item.deleted) {
     holder_.reset();
@@ -85,18 +86,18 @@
     co_return;
   }
   acquire_at_ = clock_() + options_.max_acquire_delay;
-  StoreFault fault{};
+  store::StoreFault fault{};
   const auto written =
       co_await store_.Create(options_.key, holder_id_, *lease, &fault);
   if (written) {
-    StoreItem item;
+    store::StoreItem item;
     item.key = options_.key;
     item.value = holder_id_;
     item.revision = *written;
     SetHolder(item);
     co_return;
   }
-  if (fault != StoreFault::kConflict) {
+  if (fault != store::StoreFault::kConflict) {
     Log(LogLevel::kInfo, "orders_claim_failed", {{"fault", ToString(fault)}});
   }
   // If another instance holds the key, the next listing shows which.
@@ -119,7 +120,7 @@
   }
   // Valid from the start of the read: the response may have been delayed.
   const base::Time read_started = clock_();
-  StoreFault fault{};
+  store::StoreFault fault{};
   const auto item = co_await store_.Get(options_.key, &fault);
   const bool ours = item && !item->deleted && IsOurs(*item) &&
                     item->revision.value() == token->value();
@@ -137,8 +138,8 @@
   co_return token;
 }
 
-bool OrderAuthority::IsOurs(const StoreItem& item) const noexcept {
+bool OrderAuthority::IsOurs(const store::StoreItem& item) const noexcept {
   return item.value == holder_id_;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::duties
--- a/src/process/order_authority.h
+++ b/src/process/duties/order_authority.h
@@ -6,8 +6,8 @@
 // `takeover_delay` before its first order, and a holder reads the key back
 // right before each order. Together these keep a late order of the previous
 // holder from reaching an engine after the new holder's first.
-#ifndef LYNXGLADE_PROCESS_ORDER_AUTHORITY_H_
-#define LYNXGLADE_PROCESS_ORDER_AUTHORITY_H_
+#ifndef LYNXGLADE_PROCESS_DUTIES_ORDER_AUTHORITY_H_
+#define LYNXGLADE_PROCESS_DUTIES_ORDER_AUTHORITY_H_
 
 #include <optional>
 #include <string>
@@ -16,10 +16,10 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "base/units.h"
-#include "process/instance_presence.h"
-#include "process/store_port.h"
+#include "process/peers/instance_presence.h"
+#include "process/store/store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::duties {
 
 struct OrderAuthorityOptions {
   std::string key = "lynxglade/orders/holder";
@@ -39,8 +39,8 @@
 // Not thread-safe: runs on the event loop.
 class OrderAuthority {
  public:
-  OrderAuthority(StorePort& store,
-                 const InstancePresence& presence,
+  OrderAuthority(store::StorePort& store,
+                 const peers::InstancePresence& presence,
                  OrderAuthorityOptions options,
                  base::Clock clock,
                  base::RandomSource random);
@@ -48,9 +48,9 @@
   OrderAuthority& operator=(const OrderAuthority&) = delete;
 
   // Takes a full listing of the key's prefix.
-  void OnList(const std::vector<StoreItem>& items);
+  void OnList(const std::vector<store::StoreItem>& items);
   // Takes a change of a key; ignored if older than the last one seen.
-  void OnChange(const StoreItem& item);
+  void OnChange(const store::StoreItem& item);
 
   // Tries to acquire the key if it is vacant. Call every few hundred
   // milliseconds.
@@ -64,12 +64,12 @@
       base::Time* until);
 
  private:
-  bool IsOurs(const StoreItem& item) const noexcept;
-  void SetHolder(const StoreItem& item);
+  bool IsOurs(const store::StoreItem& item) const noexcept;
+  void SetHolder(const store::StoreItem& item);
   void ClearHolder();
 
-  StorePort& store_;
-  const InstancePresence& presence_;
+  store::StorePort& store_;
+  const peers::InstancePresence& presence_;
   const OrderAuthorityOptions options_;
   const base::Clock clock_;
   const base::RandomSource random_;
@@ -78,11 +78,11 @@
   const std::string holder_id_;
   bool listed_ = false;
   // Empty while the key is vacant.
-  std::optional<StoreItem> holder_;
+  std::optional<store::StoreItem> holder_;
   base::Time acquire_at_{};
   base::Time held_since_{};
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::duties
 
-#endif  // LYNXGLADE_PROCESS_ORDER_AUTHORITY_H_
+#endif  // LYNXGLADE_PROCESS_DUTIES_ORDER_AUTHORITY_H_
--- a/src/process/avoidance_sharing.cc
+++ b/src/process/peers/avoidance_sharing.cc
@@ -1,4 +1,4 @@
-#include "process/avoidance_sharing.h"
+#include "process/peers/avoidance_sharing.h"
 
 #include <algorithm>
 #include <iterator>
@@ -9,7 +9,7 @@
 
 #include "connection/bounded_cbor.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -126,4 +126,4 @@
   return true;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/avoidance_sharing.h
+++ b/src/process/peers/avoidance_sharing.h
@@ -2,8 +2,8 @@
 //
 // An instance sends a target and the remaining time once, when it begins to
 // avoid the target or extends that time; nothing is sent while no target fails.
-#ifndef LYNXGLADE_PROCESS_AVOIDANCE_SHARING_H_
-#define LYNXGLADE_PROCESS_AVOIDANCE_SHARING_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_AVOIDANCE_SHARING_H_
+#define LYNXGLADE_PROCESS_PEERS_AVOIDANCE_SHARING_H_
 
 #include <cstddef>
 #include <functional>
@@ -14,12 +14,12 @@
 #include <vector>
 
 #include "base/time.h"
-#include "process/instance_presence.h"
-#include "process/peer_datagrams.h"
+#include "process/peers/instance_presence.h"
+#include "process/peers/peer_datagrams.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/peer_avoidance.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 struct AvoidanceSharingOptions {
   // Interval at which newly avoided targets are sent.
@@ -68,6 +68,6 @@
   std::map<request::passthrough::EngineKey, base::Time> sent_until_;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_AVOIDANCE_SHARING_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_AVOIDANCE_SHARING_H_
--- a/src/process/change_history.cc
+++ b/src/process/peers/change_history.cc
@@ -1,21 +1,22 @@
-#include "process/change_history.h"
+#include "process/peers/change_history.h"
 
 #include <algorithm>
 #include <iterator>
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 ChangeHistory::ChangeHistory(ChangeHistoryOptions options)
     : options_(options) {}
 
-void ChangeHistory::Add(base::Revision after, const StoreItems& changes) {
+void ChangeHistory::Add(base::Revision after,
+                        const store::StoreItems& changes) {
   if (!start_ || after > revision_) {
     start_ = after;
     revision_ = after;
     changes_.clear();
     bytes_ = 0;
   }
-  for (const StoreItem& item : changes.items) {
+  for (const store::StoreItem& item : changes.items) {
     if (item.revision > revision_) {
       bytes_ += item.value.size();
       changes_.push_back(item);
@@ -25,15 +26,17 @@
   EvictOldest();
 }
 
-std::optional<StoreItems> ChangeHistory::After(base::Revision revision) const {
+std::optional<store::StoreItems> ChangeHistory::After(
+    base::Revision revision) const {
   if (!start_ || revision < *start_) {
     return std::nullopt;
   }
-  StoreItems found;
+  store::StoreItems found;
   found.revision = std::max(revision_, revision);
-  std::ranges::copy_if(
-      changes_, std::back_inserter(found.items),
-      [revision](const StoreItem& it) { return it.revision > revision; });
+  std::ranges::copy_if(changes_, std::back_inserter(found.items),
+                       [revision](const store::StoreItem& it) {
+                         return it.revision > revision;
+                       });
   return found;
 }
 
@@ -50,4 +53,4 @@
   }
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/change_history.h
+++ b/src/process/peers/change_history.h
@@ -1,16 +1,16 @@
 // A bounded history of the latest store changes, from which a relay serves
 // other instances' queries for the changes after a revision.
-#ifndef LYNXGLADE_PROCESS_CHANGE_HISTORY_H_
-#define LYNXGLADE_PROCESS_CHANGE_HISTORY_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_CHANGE_HISTORY_H_
+#define LYNXGLADE_PROCESS_PEERS_CHANGE_HISTORY_H_
 
 #include <cstddef>
 #include <deque>
 #include <optional>
 
 #include "base/units.h"
-#include "process/store_items.h"
+#include "process/store/store_items.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 struct ChangeHistoryOptions {
   // Limits on the number of changes and on the bytes of their values; the
@@ -29,11 +29,11 @@
 
   // Appends the result of a watch from `after`. If there is a gap between the
   // history and `after`, the history restarts at `after`.
-  void Add(base::Revision after, const StoreItems& changes);
+  void Add(base::Revision after, const store::StoreItems& changes);
 
   // Returns all changes after a revision, or nullopt if the history does not
   // reach back to it. Empty for a revision newer than the history.
-  std::optional<StoreItems> After(base::Revision revision) const;
+  std::optional<store::StoreItems> After(base::Revision revision) const;
 
   // The revision up to which the history is complete.
   base::Revision revision() const noexcept { return revision_; }
@@ -46,10 +46,10 @@
   // Add().
   std::optional<base::Revision> start_;
   base::Revision revision_;
-  std::deque<StoreItem> changes_;
+  std::deque<store::StoreItem> changes_;
   std::size_t bytes_ = 0;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_CHANGE_HISTORY_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_CHANGE_HISTORY_H_
--- a/src/process/change_messages.cc
+++ b/src/process/peers/change_messages.cc
@@ -1,4 +1,4 @@
-#include "process/change_messages.h"
+#include "process/peers/change_messages.h"
 
 #include <cstdint>
 #include <limits>
@@ -10,7 +10,7 @@
 
 #include "connection/bounded_cbor.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -43,7 +43,7 @@
   return static_cast<std::uint64_t>(revision.value());
 }
 
-json ToJson(const StoreItem& item) {
+json ToJson(const store::StoreItem& item) {
   if (item.deleted) {
     return json::array({item.key, ToNumber(item.revision)});
   }
@@ -52,7 +52,7 @@
   return json::array({item.key, ToNumber(item.revision), value});
 }
 
-std::optional<StoreItem> ParseChange(const json& change) {
+std::optional<store::StoreItem> ParseChange(const json& change) {
   if (!change.is_array() || change.size() < kDeletionParts ||
       change.size() > kParts || !change[0].is_string()) {
     return std::nullopt;
@@ -61,7 +61,7 @@
   if (!revision) {
     return std::nullopt;
   }
-  StoreItem item;
+  store::StoreItem item;
   item.key = change[0].get<std::string>();
   item.revision = *revision;
   item.deleted = change.size() == kDeletionParts;
@@ -78,22 +78,24 @@
 
 }  // namespace
 
-std::optional<std::string> EncodeChanges(const StoreItems& changes) {
+std::optional<std::string> EncodeChanges(const store::StoreItems& changes) {
   const std::size_t bytes = std::accumulate(
       changes.items.begin(), changes.items.end(), std::size_t{0},
-      [](std::size_t n, const StoreItem& it) { return n + it.value.size(); });
+      [](std::size_t n, const store::StoreItem& it) {
+        return n + it.value.size();
+      });
   if (bytes > kMaxRelayedBytes || changes.items.size() > kMaxChanges) {
     return std::nullopt;
   }
   json list = json::array();
-  for (const StoreItem& item : changes.items) {
+  for (const store::StoreItem& item : changes.items) {
     list.push_back(ToJson(item));
   }
   return connection::EncodeCbor(
       json::array({kVersion, ToNumber(changes.revision), std::move(list)}));
 }
 
-std::optional<StoreItems> DecodeChanges(std::string_view bytes) {
+std::optional<store::StoreItems> DecodeChanges(std::string_view bytes) {
   const auto message = connection::DecodeVersioned(bytes, kLimits, kVersion);
   if (!message || message->size() != kParts || !(*message)[2].is_array()) {
     return std::nullopt;
@@ -102,7 +104,7 @@
   if (!at) {
     return std::nullopt;
   }
-  StoreItems changes;
+  store::StoreItems changes;
   changes.revision = *at;
   for (const json& change : (*message)[2]) {
     auto item = ParseChange(change);
@@ -114,4 +116,4 @@
   return changes;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/change_relay.cc
+++ b/src/process/peers/change_relay.cc
@@ -1,4 +1,4 @@
-#include "process/change_relay.h"
+#include "process/peers/change_relay.h"
 
 #include <cstdint>
 #include <limits>
@@ -8,9 +8,9 @@
 
 #include "base/whole_number.h"
 #include "connection/event/call.h"
-#include "process/change_messages.h"
+#include "process/peers/change_messages.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -76,7 +76,7 @@
                           connection::event::ChannelPool& channels) {
   return [&loop, &channels](
              InstancePeer relay, base::Revision after, base::Duration wait,
-             RelayFault* fault) -> Awaitable<std::optional<StoreItems>> {
+             RelayFault* fault) -> Awaitable<std::optional<store::StoreItems>> {
     const Tcp::endpoint endpoint(relay.endpoint.address(),
                                  relay.endpoint.port());
     OutgoingRequest request(http::verb::get,
@@ -150,4 +150,4 @@
   co_await reply.SendWhole(std::move(head), body);
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/change_relay.h
+++ b/src/process/peers/change_relay.h
@@ -1,7 +1,7 @@
 // Client and server of the query for store changes between instances: an HTTP
 // long poll with a CBOR response.
-#ifndef LYNXGLADE_PROCESS_CHANGE_RELAY_H_
-#define LYNXGLADE_PROCESS_CHANGE_RELAY_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_CHANGE_RELAY_H_
+#define LYNXGLADE_PROCESS_PEERS_CHANGE_RELAY_H_
 
 #include <memory>
 #include <string>
@@ -10,9 +10,9 @@
 #include "base/time.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
-#include "process/watch_sharing.h"
+#include "process/peers/watch_sharing.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 // Queries relays over connections of the pool. `loop` and `channels` must
 // outlive the result.
@@ -44,6 +44,6 @@
   connection::event::CallerServer server_;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_CHANGE_RELAY_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_CHANGE_RELAY_H_
--- a/src/process/instance_presence.cc
+++ b/src/process/peers/instance_presence.cc
@@ -1,4 +1,4 @@
-#include "process/instance_presence.h"
+#include "process/peers/instance_presence.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,7 +9,7 @@
 #include "base/log.h"
 #include "connection/event/sleep.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -23,7 +23,7 @@
 }  // namespace
 
 InstancePresence::InstancePresence(asio::io_context& loop,
-                                   StorePort& store,
+                                   store::StorePort& store,
                                    InstancePresenceOptions options,
                                    base::Clock clock)
     : loop_(loop),
@@ -40,10 +40,10 @@
 }
 
 Awaitable<void> InstancePresence::Renew() {
-  StoreFault fault{};
+  store::StoreFault fault{};
   if (lease_) {
     const auto renewed = co_await store_.RenewLease(*lease_, &fault);
-    if (!renewed && fault == StoreFault::kNoLease) {
+    if (!renewed && fault == store::StoreFault::kNoLease) {
       Log(LogLevel::kWarning, "presence_lapsed", {});
       lease_.reset();
     }
@@ -65,7 +65,7 @@
 Awaitable<void> InstancePresence::Leave() {
   Stop();
   if (lease_) {
-    StoreFault fault{};
+    store::StoreFault fault{};
     const auto revoked = co_await store_.RevokeLease(*lease_, &fault);
     if (!revoked) {
       Log(LogLevel::kInfo, "presence_not_ended", {{"fault", ToString(fault)}});
@@ -73,20 +73,21 @@
   }
 }
 
-void InstancePresence::OnList(const std::vector<StoreItem>& items) {
+void InstancePresence::OnList(const std::vector<store::StoreItem>& items) {
   keys_.clear();
   peers_.clear();
-  std::ranges::for_each(items, [this](const StoreItem& it) { ApplyItem(it); });
+  std::ranges::for_each(items,
+                        [this](const store::StoreItem& it) { ApplyItem(it); });
   listed_ = true;
   UpdateCount();
 }
 
-void InstancePresence::OnChange(const StoreItem& item) {
+void InstancePresence::OnChange(const store::StoreItem& item) {
   ApplyItem(item);
   UpdateCount();
 }
 
-void InstancePresence::ApplyItem(const StoreItem& item) {
+void InstancePresence::ApplyItem(const store::StoreItem& item) {
   if (!item.key.starts_with(options_.prefix)) {
     return;
   }
@@ -115,7 +116,7 @@
 
 // Returns nullopt for an instance that published no endpoint.
 std::optional<InstancePeer> InstancePresence::ParsePeer(
-    const StoreItem& item) const {
+    const store::StoreItem& item) const {
   const auto text = base::ParseBoundedJson(item.value);
   if (!text || !text->is_object()) {
     return std::nullopt;
@@ -152,4 +153,4 @@
   return std::max(peak_count_, 1);
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/instance_presence.h
+++ b/src/process/peers/instance_presence.h
@@ -3,8 +3,8 @@
 // The key of an instance is bound to its lease and disappears when the lease
 // expires. The instance count divides fleet-wide budgets, so it errs high: it
 // starts at an assumed value and falls only after a delay.
-#ifndef LYNXGLADE_PROCESS_INSTANCE_PRESENCE_H_
-#define LYNXGLADE_PROCESS_INSTANCE_PRESENCE_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_INSTANCE_PRESENCE_H_
+#define LYNXGLADE_PROCESS_PEERS_INSTANCE_PRESENCE_H_
 
 #include <cstddef>
 #include <optional>
@@ -18,9 +18,9 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "process/endpoint.h"
-#include "process/store_port.h"
+#include "process/store/store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 struct InstancePresenceOptions {
   base::InstanceId instance;
@@ -53,7 +53,7 @@
 class InstancePresence {
  public:
   InstancePresence(connection::event::asio::io_context& loop,
-                   StorePort& store,
+                   store::StorePort& store,
                    InstancePresenceOptions options,
                    base::Clock clock);
   InstancePresence(const InstancePresence&) = delete;
@@ -66,12 +66,12 @@
   void Stop() noexcept { stopped_ = true; }
 
   // Take a full listing, and single changes, of the prefix.
-  void OnList(const std::vector<StoreItem>& items);
-  void OnChange(const StoreItem& item);
+  void OnList(const std::vector<store::StoreItem>& items);
+  void OnChange(const store::StoreItem& item);
 
   // The lease of this instance; empty until it is granted, and after it
   // expired.
-  const std::optional<LeaseId>& lease() const noexcept { return lease_; }
+  const std::optional<store::LeaseId>& lease() const noexcept { return lease_; }
   const base::InstanceId& instance() const noexcept {
     return options_.instance;
   }
@@ -83,17 +83,17 @@
  private:
   connection::event::Awaitable<void> Renew();
   // Applies one written or deleted key.
-  void ApplyItem(const StoreItem& item);
+  void ApplyItem(const store::StoreItem& item);
   void UpdateCount();
   std::string SerializeSelf() const;
-  std::optional<InstancePeer> ParsePeer(const StoreItem& item) const;
+  std::optional<InstancePeer> ParsePeer(const store::StoreItem& item) const;
 
   connection::event::asio::io_context& loop_;
-  StorePort& store_;
+  store::StorePort& store_;
   const InstancePresenceOptions options_;
   const base::Clock clock_;
   bool stopped_ = false;
-  std::optional<LeaseId> lease_;
+  std::optional<store::LeaseId> lease_;
   bool key_written_ = false;
   std::set<std::string> keys_;
   std::vector<InstancePeer> peers_;
@@ -103,6 +103,6 @@
   base::Time peak_seen_at_{};
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_INSTANCE_PRESENCE_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_INSTANCE_PRESENCE_H_
--- a/src/process/loan_messages.cc
+++ b/src/process/peers/loan_messages.cc
@@ -1,4 +1,4 @@
-#include "process/loan_messages.h"
+#include "process/peers/loan_messages.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,7 +8,7 @@
 
 #include "connection/bounded_cbor.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -98,4 +98,4 @@
   return Loan{*request_id, *arrivals};
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/loan_messages.h
+++ b/src/process/peers/loan_messages.h
@@ -1,6 +1,6 @@
 // CBOR messages by which instances borrow retry budget from each other.
-#ifndef LYNXGLADE_PROCESS_LOAN_MESSAGES_H_
-#define LYNXGLADE_PROCESS_LOAN_MESSAGES_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_LOAN_MESSAGES_H_
+#define LYNXGLADE_PROCESS_PEERS_LOAN_MESSAGES_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,7 +10,7 @@
 #include "base/ids.h"
 #include "base/units.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 // Identifies a request of one instance; a loan refers to the request.
 using LoanRequestId =
@@ -41,6 +41,6 @@
 std::string EncodeLoan(const Loan& loan);
 std::optional<Loan> DecodeLoan(std::string_view bytes);
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_LOAN_MESSAGES_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_LOAN_MESSAGES_H_
--- a/src/process/peer_datagrams.cc
+++ b/src/process/peers/peer_datagrams.cc
@@ -1,4 +1,4 @@
-#include "process/peer_datagrams.h"
+#include "process/peers/peer_datagrams.h"
 
 #include <algorithm>
 #include <chrono>
@@ -11,7 +11,7 @@
 
 #include "connection/event/sleep.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -121,4 +121,4 @@
       .Add();
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/peer_datagrams.h
+++ b/src/process/peers/peer_datagrams.h
@@ -3,8 +3,8 @@
 // For messages that are useless when late and superseded by the next when lost:
 // there is no retransmission. A datagram is accepted only if its source is the
 // endpoint that an instance published in the store.
-#ifndef LYNXGLADE_PROCESS_PEER_DATAGRAMS_H_
-#define LYNXGLADE_PROCESS_PEER_DATAGRAMS_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_PEER_DATAGRAMS_H_
+#define LYNXGLADE_PROCESS_PEERS_PEER_DATAGRAMS_H_
 
 #include <array>
 #include <cstdint>
@@ -18,9 +18,9 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "connection/event/http_types.h"
-#include "process/instance_presence.h"
+#include "process/peers/instance_presence.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 // Message kind; the first byte of a datagram.
 enum class DatagramKind : std::uint8_t {
@@ -77,6 +77,6 @@
   std::array<char, 4096> buffer_{};
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_PEER_DATAGRAMS_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_PEER_DATAGRAMS_H_
--- a/src/process/prefill_sharing.cc
+++ b/src/process/peers/prefill_sharing.cc
@@ -1,4 +1,4 @@
-#include "process/prefill_sharing.h"
+#include "process/peers/prefill_sharing.h"
 
 #include <algorithm>
 #include <iterator>
@@ -9,7 +9,7 @@
 
 #include "connection/bounded_cbor.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -135,4 +135,4 @@
   return true;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/prefill_sharing.h
+++ b/src/process/peers/prefill_sharing.h
@@ -2,8 +2,8 @@
 //
 // In a large fleet instances exchange reports only within their availability
 // zone, and the result is scaled up to the whole fleet.
-#ifndef LYNXGLADE_PROCESS_PREFILL_SHARING_H_
-#define LYNXGLADE_PROCESS_PREFILL_SHARING_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_PREFILL_SHARING_H_
+#define LYNXGLADE_PROCESS_PEERS_PREFILL_SHARING_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -14,12 +14,12 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "process/instance_presence.h"
-#include "process/peer_datagrams.h"
+#include "process/peers/instance_presence.h"
+#include "process/peers/peer_datagrams.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/peer_prefills.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 struct PrefillSharingOptions {
   base::InstanceId instance;
@@ -72,6 +72,6 @@
   bool reported_any_ = false;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_PREFILL_SHARING_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_PREFILL_SHARING_H_
--- a/src/process/retry_loans.cc
+++ b/src/process/peers/retry_loans.cc
@@ -1,11 +1,11 @@
-#include "process/retry_loans.h"
+#include "process/peers/retry_loans.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/log.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -132,4 +132,4 @@
       .Add();
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/retry_loans.h
+++ b/src/process/peers/retry_loans.h
@@ -4,8 +4,8 @@
 // A request goes to a few randomly chosen peers of those that exchange
 // prefill reports (prefill_sharing.h). Nothing blocks on the response: without
 // one an instance has its own share, and a late loan is ignored.
-#ifndef LYNXGLADE_PROCESS_RETRY_LOANS_H_
-#define LYNXGLADE_PROCESS_RETRY_LOANS_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_RETRY_LOANS_H_
+#define LYNXGLADE_PROCESS_PEERS_RETRY_LOANS_H_
 
 #include <cstddef>
 #include <functional>
@@ -18,12 +18,12 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/time.h"
-#include "process/instance_presence.h"
-#include "process/loan_messages.h"
-#include "process/peer_datagrams.h"
+#include "process/peers/instance_presence.h"
+#include "process/peers/loan_messages.h"
+#include "process/peers/peer_datagrams.h"
 #include "request/passthrough/shared_retry_budget.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 struct RetryLoansOptions {
   // Peers that get one request, each for the whole missing amount.
@@ -92,6 +92,6 @@
   std::map<base::ServiceName, PendingRequest> requests_;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_RETRY_LOANS_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_RETRY_LOANS_H_
--- a/src/process/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -1,4 +1,4 @@
-#include "process/watch_sharing.h"
+#include "process/peers/watch_sharing.h"
 
 #include <algorithm>
 #include <iterator>
@@ -7,7 +7,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 namespace {
 
@@ -61,7 +61,7 @@
 
 WatchSharing::WatchSharing(
     asio::io_context& loop,
-    ChangeSource& store,
+    store::ChangeSource& store,
     WatchSharingOptions options,
     std::function<const std::vector<InstancePeer>&()> peers,
     QueryRelay query_relay,
@@ -75,7 +75,7 @@
       clock_(std::move(clock)),
       metrics_(metrics) {}
 
-Awaitable<std::optional<StoreItems>> WatchSharing::ServeChanges(
+Awaitable<std::optional<store::StoreItems>> WatchSharing::ServeChanges(
     base::Revision after,
     base::Duration wait,
     RelayFault* fault) {
@@ -126,10 +126,11 @@
   return peers;
 }
 
-WatchSharing::Result<StoreItems> WatchSharing::Watch(std::string prefix,
-                                                     base::Revision after,
-                                                     base::Duration wait,
-                                                     StoreFault* fault) {
+WatchSharing::Result<store::StoreItems> WatchSharing::Watch(
+    std::string prefix,
+    base::Revision after,
+    base::Duration wait,
+    store::StoreFault* fault) {
   const auto relays = Relays();
   if (!prefix.empty() || relays.empty()) {
     co_return co_await store_.Watch(std::move(prefix), after, wait, fault);
@@ -150,7 +151,7 @@
 
 // After a timeout the store is queried at once: a second relay's timeout would
 // delay changes beyond the bound within which they must take effect.
-Awaitable<std::optional<StoreItems>> WatchSharing::QueryRelays(
+Awaitable<std::optional<store::StoreItems>> WatchSharing::QueryRelays(
     const std::vector<InstancePeer>& relays,
     base::Revision after) {
   for (const InstancePeer& relay : relays) {
@@ -168,8 +169,9 @@
   co_return std::nullopt;
 }
 
-WatchSharing::Result<StoreItems> WatchSharing::WatchStore(base::Revision after,
-                                                          StoreFault* fault) {
+WatchSharing::Result<store::StoreItems> WatchSharing::WatchStore(
+    base::Revision after,
+    store::StoreFault* fault) {
   auto changes = co_await store_.Watch(std::string(), after,
                                        options_.watch_timeout, fault);
   if (changes) {
@@ -179,7 +181,7 @@
 }
 
 void WatchSharing::RecordChanges(base::Revision after,
-                                 const StoreItems& changes) {
+                                 const store::StoreItems& changes) {
   last_store_read_ = clock_();
   history_.Add(after, changes);
   std::ranges::for_each(waiting_timers_, [](auto* it) { it->cancel(); });
@@ -213,17 +215,18 @@
   metrics_.GetCounter("lynxglade_watches_total", {{"source", source}}).Add();
 }
 
-WatchSharing::Result<StoreItems> WatchSharing::List(std::string prefix,
-                                                    Freshness freshness,
-                                                    StoreFault* fault) {
+WatchSharing::Result<store::StoreItems> WatchSharing::List(
+    std::string prefix,
+    store::Freshness freshness,
+    store::StoreFault* fault) {
   const bool all = prefix.empty();
   auto listed = co_await store_.List(std::move(prefix), freshness, fault);
   if (listed && all) {
-    StoreItems none;
+    store::StoreItems none;
     none.revision = listed->revision;
     RecordChanges(listed->revision, none);
   }
   co_return listed;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/src/process/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -6,8 +6,8 @@
 // an election. If the relays fail, are stale or lack the history, the instance
 // queries the store within the same call. Either way the caller gets all
 // changes in the order of their revisions.
-#ifndef LYNXGLADE_PROCESS_WATCH_SHARING_H_
-#define LYNXGLADE_PROCESS_WATCH_SHARING_H_
+#ifndef LYNXGLADE_PROCESS_PEERS_WATCH_SHARING_H_
+#define LYNXGLADE_PROCESS_PEERS_WATCH_SHARING_H_
 
 #include <cstddef>
 #include <functional>
@@ -21,11 +21,11 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "base/units.h"
-#include "process/change_history.h"
-#include "process/instance_presence.h"
-#include "process/store_port.h"
+#include "process/peers/change_history.h"
+#include "process/peers/instance_presence.h"
+#include "process/store/store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 struct WatchSharingOptions {
   base::InstanceId instance = base::InstanceId("");
@@ -65,12 +65,11 @@
 
 // Queries a relay for the changes after a revision; the relay waits up to
 // `wait` for the first. Returns nullopt and sets `*fault` on failure.
-using QueryRelay =
-    std::function<connection::event::Awaitable<std::optional<StoreItems>>(
-        InstancePeer relay,
-        base::Revision after,
-        base::Duration wait,
-        RelayFault* fault)>;
+using QueryRelay = std::function<connection::event::Awaitable<
+    std::optional<store::StoreItems>>(InstancePeer relay,
+                                      base::Revision after,
+                                      base::Duration wait,
+                                      RelayFault* fault)>;
 
 // Selects the relays of the options' zone from `peers` and `self`; empty if the
 // zone does not share watches. All instances with the same peers select the
@@ -82,10 +81,10 @@
 
 // Only watches of all keys (empty prefix) are shared; lists and watches of a
 // prefix go to the store. Not thread-safe: runs on the event loop.
-class WatchSharing : public ChangeSource {
+class WatchSharing : public store::ChangeSource {
  public:
   WatchSharing(connection::event::asio::io_context& loop,
-               ChangeSource& store,
+               store::ChangeSource& store,
                WatchSharingOptions options,
                std::function<const std::vector<InstancePeer>&()> peers,
                QueryRelay query_relay,
@@ -96,20 +95,20 @@
 
   // Serves the query of another instance. Returns nullopt and sets `*fault` if
   // that instance has to query elsewhere.
-  connection::event::Awaitable<std::optional<StoreItems>>
+  connection::event::Awaitable<std::optional<store::StoreItems>>
   ServeChanges(base::Revision after, base::Duration wait, RelayFault* fault);
 
   // Whether watches are currently shared in this zone.
   bool IsSharing() const;
 
-  Result<StoreItems> List(std::string prefix,
-                          Freshness freshness,
-                          StoreFault* fault) override;
+  Result<store::StoreItems> List(std::string prefix,
+                                 store::Freshness freshness,
+                                 store::StoreFault* fault) override;
   // If watches are shared, `watch_timeout` of the options replaces `wait`.
-  Result<StoreItems> Watch(std::string prefix,
-                           base::Revision after,
-                           base::Duration wait,
-                           StoreFault* fault) override;
+  Result<store::StoreItems> Watch(std::string prefix,
+                                  base::Revision after,
+                                  base::Duration wait,
+                                  store::StoreFault* fault) override;
 
  private:
   std::vector<base::InstanceId> Relays() const;
@@ -117,18 +116,19 @@
   // instance, which spreads the zone's instances over them.
   std::vector<InstancePeer> RelaysToQuery(
       const std::vector<base::InstanceId>& relays) const;
-  connection::event::Awaitable<std::optional<StoreItems>> QueryRelays(
+  connection::event::Awaitable<std::optional<store::StoreItems>> QueryRelays(
       const std::vector<InstancePeer>& relays,
       base::Revision after);
-  Result<StoreItems> WatchStore(base::Revision after, StoreFault* fault);
+  Result<store::StoreItems> WatchStore(base::Revision after,
+                                       store::StoreFault* fault);
   // Records changes after a revision that were read from the store itself.
-  void RecordChanges(base::Revision after, const StoreItems& changes);
+  void RecordChanges(base::Revision after, const store::StoreItems& changes);
   void BackOffFromRelay(const InstancePeer& relay, RelayFault fault);
   base::Time FreshUntil() const;
   void CountWatch(const char* source);
 
   connection::event::asio::io_context& loop_;
-  ChangeSource& store_;
+  store::ChangeSource& store_;
   const WatchSharingOptions options_;
   const std::function<const std::vector<InstancePeer>&()> peers_;
   const QueryRelay query_relay_;
@@ -142,6 +142,6 @@
   std::set<connection::event::asio::steady_timer*> waiting_timers_;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_PROCESS_WATCH_SHARING_H_
+#endif  // LYNXGLADE_PROCESS_PEERS_WATCH_SHARING_H_
--- a/src/process/generation_demand.cc
+++ b/src/process/stages/generation_demand.cc
@@ -1,10 +1,10 @@
-#include "process/generation_demand.h"
+#include "process/stages/generation_demand.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 
 namespace {
 
@@ -82,4 +82,4 @@
   return decode_engines_;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
--- a/src/process/generation_demand.h
+++ b/src/process/stages/generation_demand.h
@@ -7,15 +7,15 @@
 // admission rejects, and compared with the capacity of each engine. Without the
 // scaling the capacity of the present decode engines would limit the demand for
 // more of them.
-#ifndef LYNXGLADE_PROCESS_GENERATION_DEMAND_H_
-#define LYNXGLADE_PROCESS_GENERATION_DEMAND_H_
+#ifndef LYNXGLADE_PROCESS_STAGES_GENERATION_DEMAND_H_
+#define LYNXGLADE_PROCESS_STAGES_GENERATION_DEMAND_H_
 
 #include <vector>
 
 #include "base/time.h"
 #include "request/passthrough/engine_table.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 
 struct GenerationDemandOptions {
   // Concurrent answers per engine, as a fraction of its slots.
@@ -80,6 +80,6 @@
   double answers_per_engine_ = 1;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
 
-#endif  // LYNXGLADE_PROCESS_GENERATION_DEMAND_H_
+#endif  // LYNXGLADE_PROCESS_STAGES_GENERATION_DEMAND_H_
--- a/src/process/stage_orders.cc
+++ b/src/process/stages/stage_orders.cc
@@ -1,4 +1,4 @@
-#include "process/stage_orders.h"
+#include "process/stages/stage_orders.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "connection/event/sleep.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 
 namespace {
 
@@ -38,7 +38,7 @@
 StageOrders::StageOrders(
     asio::io_context& loop,
     const request::passthrough::EngineTable& engines,
-    OrderAuthority& authority,
+    duties::OrderAuthority& authority,
     StageOrderHooks hooks,
     StageOrdersOptions options,
     std::function<std::vector<base::ServiceName>()> services,
@@ -164,4 +164,4 @@
        {"result", ToString(result)}});
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
--- a/src/process/stage_orders.h
+++ b/src/process/stages/stage_orders.h
@@ -5,8 +5,8 @@
 // effect. It is withheld if the engine has restarted since the plan was made.
 // After an order without a response the engine gets no other one until the
 // first can no longer take effect.
-#ifndef LYNXGLADE_PROCESS_STAGE_ORDERS_H_
-#define LYNXGLADE_PROCESS_STAGE_ORDERS_H_
+#ifndef LYNXGLADE_PROCESS_STAGES_STAGE_ORDERS_H_
+#define LYNXGLADE_PROCESS_STAGES_STAGE_ORDERS_H_
 
 #include <cstdint>
 #include <functional>
@@ -20,12 +20,12 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "base/units.h"
-#include "process/generation_demand.h"
-#include "process/order_authority.h"
-#include "process/stage_plan.h"
+#include "process/duties/order_authority.h"
+#include "process/stages/generation_demand.h"
+#include "process/stages/stage_plan.h"
 #include "request/passthrough/engine_table.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 
 // The state that an engine reports; may be a few hundred milliseconds old.
 struct EngineReport {
@@ -92,7 +92,7 @@
   StageOrders(
       connection::event::asio::io_context& loop,
       const request::passthrough::EngineTable& engines,
-      OrderAuthority& authority,
+      duties::OrderAuthority& authority,
       StageOrderHooks hooks,
       StageOrdersOptions options,
       // The configured services whose engines have stages.
@@ -122,7 +122,7 @@
 
   connection::event::asio::io_context& loop_;
   const request::passthrough::EngineTable& engines_;
-  OrderAuthority& authority_;
+  duties::OrderAuthority& authority_;
   const StageOrderHooks hooks_;
   const StageOrdersOptions options_;
   const std::function<std::vector<base::ServiceName>()> services_;
@@ -138,6 +138,6 @@
   std::map<base::TargetId, base::Time> settling_until_;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
 
-#endif  // LYNXGLADE_PROCESS_STAGE_ORDERS_H_
+#endif  // LYNXGLADE_PROCESS_STAGES_STAGE_ORDERS_H_
--- a/src/process/stage_plan.cc
+++ b/src/process/stages/stage_plan.cc
@@ -1,11 +1,11 @@
-#include "process/stage_plan.h"
+#include "process/stages/stage_plan.h"
 
 #include <algorithm>
 #include <cmath>
 #include <functional>
 #include <map>
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 
 namespace {
 
@@ -125,4 +125,4 @@
   return changes;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
--- a/src/process/stage_plan.h
+++ b/src/process/stages/stage_plan.h
@@ -4,8 +4,8 @@
 // them at half speed, interleaved with the tokens that it generates. Decoding
 // slows down faster with load than prefill does, so the fastest engines are
 // assigned to decode.
-#ifndef LYNXGLADE_PROCESS_STAGE_PLAN_H_
-#define LYNXGLADE_PROCESS_STAGE_PLAN_H_
+#ifndef LYNXGLADE_PROCESS_STAGES_STAGE_PLAN_H_
+#define LYNXGLADE_PROCESS_STAGES_STAGE_PLAN_H_
 
 #include <cstddef>
 #include <vector>
@@ -14,7 +14,7 @@
 #include "base/time.h"
 #include "request/passthrough/engine_table.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 
 struct StagePlanOptions {
   // Minimum fraction of a service's engines that decode.
@@ -47,6 +47,6 @@
     const StagePlanOptions& options,
     int demanded = 0);
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
 
-#endif  // LYNXGLADE_PROCESS_STAGE_PLAN_H_
+#endif  // LYNXGLADE_PROCESS_STAGES_STAGE_PLAN_H_
--- a/src/process/prefix_follower.cc
+++ b/src/process/store/prefix_follower.cc
@@ -1,4 +1,4 @@
-#include "process/prefix_follower.h"
+#include "process/store/prefix_follower.h"
 
 #include <algorithm>
 #include <iterator>
@@ -7,7 +7,7 @@
 #include "base/log.h"
 #include "connection/event/sleep.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::store {
 
 namespace {
 
@@ -166,4 +166,4 @@
   return clock_() - *last_response_;
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::store
--- a/src/process/prefix_follower.h
+++ b/src/process/store/prefix_follower.h
@@ -1,7 +1,7 @@
 // Tracks all keys under a prefix of the store: lists them, then watches for
 // changes, and lists again when the watch fails.
-#ifndef LYNXGLADE_PROCESS_PREFIX_FOLLOWER_H_
-#define LYNXGLADE_PROCESS_PREFIX_FOLLOWER_H_
+#ifndef LYNXGLADE_PROCESS_STORE_PREFIX_FOLLOWER_H_
+#define LYNXGLADE_PROCESS_STORE_PREFIX_FOLLOWER_H_
 
 #include <functional>
 #include <memory>
@@ -12,9 +12,9 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/time.h"
-#include "process/store_port.h"
+#include "process/store/store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::store {
 
 struct PrefixFollowerOptions {
   std::string prefix;
@@ -95,6 +95,6 @@
   std::optional<base::Time> last_response_;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::store
 
-#endif  // LYNXGLADE_PROCESS_PREFIX_FOLLOWER_H_
+#endif  // LYNXGLADE_PROCESS_STORE_PREFIX_FOLLOWER_H_
--- a/src/process/store_items.h
+++ b/src/process/store/store_items.h
@@ -1,13 +1,13 @@
 // Items of the platform's key-value store, as read by an entry instance.
-#ifndef LYNXGLADE_PROCESS_STORE_ITEMS_H_
-#define LYNXGLADE_PROCESS_STORE_ITEMS_H_
+#ifndef LYNXGLADE_PROCESS_STORE_STORE_ITEMS_H_
+#define LYNXGLADE_PROCESS_STORE_STORE_ITEMS_H_
 
 #include <string>
 #include <vector>
 
 #include "base/units.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::store {
 
 struct StoreItem {
   std::string key;
@@ -23,6 +23,6 @@
   base::Revision revision;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::store
 
-#endif  // LYNXGLADE_PROCESS_STORE_ITEMS_H_
+#endif  // LYNXGLADE_PROCESS_STORE_STORE_ITEMS_H_
--- a/src/process/store_port.h
+++ b/src/process/store/store_port.h
@@ -2,8 +2,8 @@
 //
 // The store holds the operator's configuration, the targets' entries and the
 // instances' own keys. Implemented by the platform adapter.
-#ifndef LYNXGLADE_PROCESS_STORE_PORT_H_
-#define LYNXGLADE_PROCESS_STORE_PORT_H_
+#ifndef LYNXGLADE_PROCESS_STORE_STORE_PORT_H_
+#define LYNXGLADE_PROCESS_STORE_STORE_PORT_H_
 
 #include <cstdint>
 #include <optional>
@@ -13,9 +13,9 @@
 #include "base/time.h"
 #include "base/units.h"
 #include "connection/event/http_types.h"
-#include "process/store_items.h"
+#include "process/store/store_items.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::store {
 
 // Why a call to the store failed.
 enum class StoreFault {
@@ -91,6 +91,6 @@
                                      StoreFault* fault) = 0;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::store
 
-#endif  // LYNXGLADE_PROCESS_STORE_PORT_H_
+#endif  // LYNXGLADE_PROCESS_STORE_STORE_PORT_H_
--- a/tests/main/entry_views_test.cc
+++ b/tests/main/entry_views_test.cc
@@ -14,16 +14,16 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/fake_store_port.h"
-#include "process/prefix_follower.h"
+#include "process/store/fake_store_port.h"
+#include "process/store/prefix_follower.h"
 
 namespace lynxglade {
 namespace {
 
-using process::FakeStorePort;
-using process::PrefixFollower;
-using process::RunUntil;
-using process::StoreFault;
+using process::store::FakeStorePort;
+using process::store::PrefixFollower;
+using process::store::RunUntil;
+using process::store::StoreFault;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 namespace asio = connection::event::asio;
@@ -151,7 +151,7 @@
   void RunPending() {
     loop_.restart();
     loop_.run_one_for(microseconds(60));
-    process::RunReady(loop_);
+    process::store::RunReady(loop_);
   }
 
   int Draw(int n) { return static_cast<int>(base::UniformReal(random_) * n); }
@@ -169,8 +169,9 @@
       {.batch_delay = [] { return base::Duration(microseconds(50)); },
        .min_retry_delay = microseconds(50),
        .max_retry_delay = microseconds(50)},
-      process::DispatchByPrefix({{"op/config", views_.ConfigurationHooks()},
-                                 {"servers/", views_.TargetHooks()}}),
+      process::store::DispatchByPrefix(
+          {{"op/config", views_.ConfigurationHooks()},
+           {"servers/", views_.TargetHooks()}}),
       clock_,
       base::SeededRandom(1),
       metrics_};
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -17,9 +17,9 @@
 using connection::ScriptedServer;
 using connection::event::Awaitable;
 using connection::event::Tcp;
-using process::Freshness;
-using process::StoreFault;
-using process::StoreItems;
+using process::store::Freshness;
+using process::store::StoreFault;
+using process::store::StoreItems;
 namespace asio = connection::event::asio;
 
 // One page of a list answer; each item has the value "v".
--- a/tests/process/order_authority_test.cc
+++ b/tests/process/duties/order_authority_test.cc
@@ -1,4 +1,4 @@
-#include "process/order_authority.h"
+#include "process/duties/order_authority.h"
 
 #include <memory>
 #include <string>
@@ -7,9 +7,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/fake_store_port.h"
+#include "process/store/fake_store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::duties {
 namespace {
 
 using std::chrono::milliseconds;
@@ -21,7 +21,7 @@
 // the store explicitly, so that it can do so late.
 struct Contender {
   Contender(asio::io_context& loop,
-            FakeStorePort& store,
+            store::FakeStorePort& store,
             const std::string& name,
             const base::Clock& clock)
       : presence(loop, store, {.instance = base::InstanceId(name)}, clock),
@@ -31,7 +31,7 @@
                   clock,
                   base::SeededRandom(std::hash<std::string>()(name))) {}
 
-  InstancePresence presence;
+  peers::InstancePresence presence;
   OrderAuthority authority;
 };
 
@@ -43,14 +43,14 @@
         two_(loop_, store_, "two", clock_) {
     for (Contender* it : {&one_, &two_}) {
       asio::co_spawn(loop_, it->presence.Run(), asio::detached);
-      RunUntil(loop_, [it] { return it->presence.lease().has_value(); });
+      store::RunUntil(loop_, [it] { return it->presence.lease().has_value(); });
     }
     PassListing(one_);
     PassListing(two_);
   }
 
   void PassListing(Contender& contender) {
-    std::vector<StoreItem> items;
+    std::vector<store::StoreItem> items;
     for (const auto& [key, item] : store_.items()) {
       items.push_back(item);
     }
@@ -61,7 +61,7 @@
     bool done = false;
     asio::co_spawn(loop_, contender.authority.TryAcquire(),
                    [&done](std::exception_ptr) { done = true; });
-    RunUntil(loop_, [&done] { return done; });
+    store::RunUntil(loop_, [&done] { return done; });
   }
 
   std::optional<base::FencingToken> ConfirmHeld(Contender& contender) {
@@ -73,7 +73,7 @@
           token = it;
           done = true;
         });
-    RunUntil(loop_, [&done] { return done; });
+    store::RunUntil(loop_, [&done] { return done; });
     return token;
   }
 
@@ -87,7 +87,7 @@
   base::Time now_ = base::Time() + std::chrono::hours(1);
   const base::Clock clock_ = [this] { return now_; };
   asio::io_context loop_;
-  FakeStorePort store_;
+  store::FakeStorePort store_;
   Contender one_;
   Contender two_;
   base::Time until_{};
@@ -155,7 +155,7 @@
 
 TEST_F(OrderAuthorityTest, UnreachableStoreConfirmsNothing) {
   Acquire(one_);
-  store_.Fail(StoreFault::kTimeout);
+  store_.Fail(store::StoreFault::kTimeout);
   EXPECT_FALSE(ConfirmHeld(one_));
 }
 
@@ -179,4 +179,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::duties
--- a/tests/process/order_schedules_test.cc
+++ b/tests/process/duties/order_schedules_test.cc
@@ -14,10 +14,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/fake_store_port.h"
-#include "process/order_authority.h"
+#include "process/duties/order_authority.h"
+#include "process/store/fake_store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::duties {
 namespace {
 
 using std::chrono::milliseconds;
@@ -42,7 +42,7 @@
     }
     for (auto& it : instances_) {
       asio::co_spawn(loop_, it->presence.Run(), asio::detached);
-      RunUntil(loop_, [&] { return it->presence.lease().has_value(); });
+      store::RunUntil(loop_, [&] { return it->presence.lease().has_value(); });
       it->authority.OnList(List());
     }
     old_list_ = List();
@@ -71,7 +71,7 @@
                     schedule.clock_,
                     base::SeededRandom(std::hash<std::string>()(name))) {}
 
-    InstancePresence presence;
+    peers::InstancePresence presence;
     OrderAuthority authority;
   };
 
@@ -80,8 +80,8 @@
                                     static_cast<double>(n));
   }
 
-  std::vector<StoreItem> List() const {
-    std::vector<StoreItem> items;
+  std::vector<store::StoreItem> List() const {
+    std::vector<store::StoreItem> items;
     for (const auto& [key, item] : store_.items()) {
       items.push_back(item);
     }
@@ -108,7 +108,8 @@
       store_.LoseNextResponse();
     } else if (draw < 80) {
       store_.Expire(*instance.presence.lease());
-      RunUntil(loop_, [&] { return instance.presence.lease().has_value(); });
+      store::RunUntil(loop_,
+                      [&] { return instance.presence.lease().has_value(); });
     } else {
       Order(instance);
     }
@@ -118,7 +119,7 @@
     bool done = false;
     asio::co_spawn(loop_, instance.authority.TryAcquire(),
                    [&done](std::exception_ptr) { done = true; });
-    RunUntil(loop_, [&done] { return done; });
+    store::RunUntil(loop_, [&done] { return done; });
   }
 
   // The order is sent at a random time within the confirmation's validity.
@@ -132,7 +133,7 @@
           token = it;
           done = true;
         });
-    RunUntil(loop_, [&done] { return done; });
+    store::RunUntil(loop_, [&done] { return done; });
     if (token) {
       const auto wait = milliseconds(
           Draw(static_cast<std::size_t>(base::ToMillis(until - now_)) + 1));
@@ -145,9 +146,9 @@
   base::Time now_ = base::Time() + std::chrono::hours(1);
   const base::Clock clock_ = [this] { return now_; };
   asio::io_context loop_;
-  FakeStorePort store_{loop_};
+  store::FakeStorePort store_{loop_};
   std::vector<std::unique_ptr<Instance>> instances_;
-  std::vector<StoreItem> old_list_;
+  std::vector<store::StoreItem> old_list_;
   std::vector<SentOrder> sent_;
 };
 
@@ -187,4 +188,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::duties
--- a/tests/process/avoidance_sharing_test.cc
+++ b/tests/process/peers/avoidance_sharing_test.cc
@@ -1,4 +1,4 @@
-#include "process/avoidance_sharing.h"
+#include "process/peers/avoidance_sharing.h"
 
 #include <algorithm>
 #include <string>
@@ -7,9 +7,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "process/peer_fixture.h"
+#include "process/peers/peer_fixture.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 using request::passthrough::AvoidedEngine;
@@ -103,11 +103,11 @@
 
 TEST_F(AvoidanceSharingTest, FailingTargetIsSentOnce) {
   Fail();
-  RunUntil(loop_, [this] {
+  store::RunUntil(loop_, [this] {
     return second_.avoidance.IsAvoided(kEngine, base::BootClock::now());
   });
   for (int i = 0; i < 100; ++i) {
-    RunReady(loop_);
+    store::RunReady(loop_);
   }
   EXPECT_EQ(first_.Datagrams("sent"), 8);
   EXPECT_EQ(second_.Datagrams("sent"), 0);
@@ -118,10 +118,10 @@
   peers_ = 7;
   Fail();
   for (int i = 0; i < 100; ++i) {
-    RunReady(loop_);
+    store::RunReady(loop_);
   }
   EXPECT_EQ(first_.Datagrams("sent"), 0);
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/change_history_test.cc
+++ b/tests/process/peers/change_history_test.cc
@@ -1,4 +1,4 @@
-#include "process/change_history.h"
+#include "process/peers/change_history.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -8,9 +8,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "process/made_changes.h"
+#include "process/peers/made_changes.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 TEST(ChangeHistory, EmptyHistoryHasNoAnswer) {
@@ -45,7 +45,7 @@
     std::vector<std::int64_t> revisions;
     std::ranges::transform(
         found->items, std::back_inserter(revisions),
-        [](const StoreItem& it) { return it.revision.value(); });
+        [](const store::StoreItem& it) { return it.revision.value(); });
     std::vector<std::int64_t> expected;
     for (std::int64_t i = from + 1; i <= history.revision().value(); ++i) {
       expected.push_back(i);
@@ -55,4 +55,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/change_messages_test.cc
+++ b/tests/process/peers/change_messages_test.cc
@@ -1,4 +1,4 @@
-#include "process/change_messages.h"
+#include "process/peers/change_messages.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -9,18 +9,18 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "process/made_changes.h"
+#include "process/peers/made_changes.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 RC_GTEST_PROP(ChangeMessages, RoundTrip, ()) {
-  StoreItems changes;
+  store::StoreItems changes;
   changes.revision = base::Revision(1'000'000);
   const int n = *rc::gen::inRange(0, 30);
   for (int i = 0; i < n; ++i) {
-    StoreItem item = Item(*rc::gen::inRange<std::int64_t>(1, 1'000'000),
-                          *rc::gen::arbitrary<std::string>());
+    store::StoreItem item = Item(*rc::gen::inRange<std::int64_t>(1, 1'000'000),
+                                 *rc::gen::arbitrary<std::string>());
     item.deleted = *rc::gen::arbitrary<bool>();
     if (item.deleted) {
       item.value.clear();
@@ -60,4 +60,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/instance_presence_test.cc
+++ b/tests/process/peers/instance_presence_test.cc
@@ -1,12 +1,12 @@
-#include "process/instance_presence.h"
+#include "process/peers/instance_presence.h"
 
 #include <gtest/gtest.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/fake_store_port.h"
+#include "process/store/fake_store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 namespace asio = connection::event::asio;
@@ -27,7 +27,7 @@
   }
 
   void Show() {
-    std::vector<StoreItem> items;
+    std::vector<store::StoreItem> items;
     for (const auto& [key, item] : store_.items()) {
       items.push_back(item);
     }
@@ -36,22 +36,22 @@
 
   base::Time now_ = base::Time() + std::chrono::hours(1);
   asio::io_context loop_;
-  FakeStorePort store_;
+  store::FakeStorePort store_;
   InstancePresence presence_;
 };
 
 TEST_F(InstancePresenceTest, WritesKeyAgainAfterLeaseExpiry) {
-  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  store::RunUntil(loop_, [this] { return store_.items().contains(kKey); });
   store_.Expire(*presence_.lease());
   EXPECT_FALSE(store_.items().contains(kKey));
-  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  store::RunUntil(loop_, [this] { return store_.items().contains(kKey); });
 }
 
 TEST_F(InstancePresenceTest, RewritesDeletedKey) {
-  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  store::RunUntil(loop_, [this] { return store_.items().contains(kKey); });
   store_.Remove(kKey);
   Show();
-  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  store::RunUntil(loop_, [this] { return store_.items().contains(kKey); });
 }
 
 TEST_F(InstancePresenceTest, AssumesManyInstancesBeforeTheFirstListing) {
@@ -78,10 +78,10 @@
 }
 
 TEST_F(InstancePresenceTest, LeaveRemovesTheKeyAtOnce) {
-  RunUntil(loop_, [this] { return store_.items().contains(kKey); });
+  store::RunUntil(loop_, [this] { return store_.items().contains(kKey); });
   asio::co_spawn(loop_, presence_.Leave(), asio::detached);
-  RunUntil(loop_, [this] { return !store_.items().contains(kKey); });
+  store::RunUntil(loop_, [this] { return !store_.items().contains(kKey); });
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/loan_messages_test.cc
+++ b/tests/process/peers/loan_messages_test.cc
@@ -1,4 +1,4 @@
-#include "process/loan_messages.h"
+#include "process/peers/loan_messages.h"
 
 #include <cmath>
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 // Amounts are rounded down, so that a loan never grows in transit.
@@ -63,4 +63,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/peer_fixture.h
+++ b/tests/process/peers/peer_fixture.h
@@ -1,7 +1,7 @@
 // Fixture for several instances on one event loop that exchange datagrams over
 // loopback and register themselves in a fake store.
-#ifndef LYNXGLADE_TESTS_PROCESS_PEER_FIXTURE_H_
-#define LYNXGLADE_TESTS_PROCESS_PEER_FIXTURE_H_
+#ifndef LYNXGLADE_TESTS_PROCESS_PEERS_PEER_FIXTURE_H_
+#define LYNXGLADE_TESTS_PROCESS_PEERS_PEER_FIXTURE_H_
 
 #include <initializer_list>
 #include <string>
@@ -11,11 +11,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/fake_store_port.h"
-#include "process/instance_presence.h"
-#include "process/peer_datagrams.h"
+#include "process/peers/instance_presence.h"
+#include "process/peers/peer_datagrams.h"
+#include "process/store/fake_store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 
 class PeerTest : public testing::Test {
  protected:
@@ -60,8 +60,9 @@
 
   // Makes the peers known to each other and opens their ports.
   void StartPeers(std::initializer_list<PeerParts*> peers) {
-    RunUntil(loop_, [&] { return store_.items().size() == peers.size(); });
-    std::vector<StoreItem> items;
+    store::RunUntil(loop_,
+                    [&] { return store_.items().size() == peers.size(); });
+    std::vector<store::StoreItem> items;
     for (const auto& [key, item] : store_.items()) {
       items.push_back(item);
     }
@@ -73,9 +74,9 @@
   }
 
   connection::event::asio::io_context loop_;
-  FakeStorePort store_{loop_};
+  store::FakeStorePort store_{loop_};
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
 
-#endif  // LYNXGLADE_TESTS_PROCESS_PEER_FIXTURE_H_
+#endif  // LYNXGLADE_TESTS_PROCESS_PEERS_PEER_FIXTURE_H_
--- a/tests/process/prefill_sharing_test.cc
+++ b/tests/process/peers/prefill_sharing_test.cc
@@ -1,4 +1,4 @@
-#include "process/prefill_sharing.h"
+#include "process/peers/prefill_sharing.h"
 
 #include <string>
 #include <vector>
@@ -6,9 +6,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "process/peer_fixture.h"
+#include "process/peers/peer_fixture.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 using request::passthrough::EngineEntry;
@@ -111,10 +111,10 @@
   a.sharing.Start();
   b.sharing.Start();
   a.engines.Find(kEngine)->prefills[1].prefill_tokens = 700;
-  RunUntil(loop_, [&] { return b.Heard() == 700; });
+  store::RunUntil(loop_, [&] { return b.Heard() == 700; });
   EXPECT_EQ(a.Heard(), 0);
   a.engines.Find(kEngine)->prefills[1].prefill_tokens = 0;
-  RunUntil(loop_, [&] { return b.Heard() == 0; });
+  store::RunUntil(loop_, [&] { return b.Heard() == 0; });
 }
 
 TEST_F(PrefillSharingTest, DatagramFromUnknownEndpointIsIgnored) {
@@ -126,7 +126,7 @@
   stranger.send_to(
       asio::buffer('\x01' + EncodePrefills({{KeyOf(kEngine), 0, 5}})),
       a.endpoint);
-  RunUntil(loop_, [&] {
+  store::RunUntil(loop_, [&] {
     return a.Counted("lynxglade_peer_datagrams_total", "from_unknown") == 1;
   });
   EXPECT_EQ(a.Heard(), 0);
@@ -142,4 +142,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/retry_loans_test.cc
+++ b/tests/process/peers/retry_loans_test.cc
@@ -1,13 +1,13 @@
-#include "process/retry_loans.h"
+#include "process/peers/retry_loans.h"
 
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
-#include "process/peer_fixture.h"
+#include "process/peers/peer_fixture.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 using request::passthrough::ArrivalPurpose;
@@ -71,7 +71,7 @@
 TEST_F(RetryLoansTest, UnusedBudgetIsLent) {
   EXPECT_FALSE(BorrowerCanReserve());
   borrower_.loans.RequestLoan(kService, 1);
-  RunUntil(loop_, [this] { return borrower_.Counted("borrowed") == 1; });
+  store::RunUntil(loop_, [this] { return borrower_.Counted("borrowed") == 1; });
   EXPECT_TRUE(BorrowerCanReserve());
   EXPECT_EQ(lender_.Counted("lent"), 1);
 }
@@ -79,20 +79,21 @@
 TEST_F(RetryLoansTest, LateLoanIsIgnored) {
   borrower_.loans.RequestLoan(kService, 1);
   now_ += milliseconds(1001);
-  RunUntil(loop_, [this] { return borrower_.Counted("late") == 1; });
+  store::RunUntil(loop_, [this] { return borrower_.Counted("late") == 1; });
   EXPECT_FALSE(BorrowerCanReserve());
 }
 
 TEST_F(RetryLoansTest, UnrequestedLoanIsIgnored) {
   lender_.datagrams.Send(borrower_.Peer(), DatagramKind::kLoan,
                          EncodeLoan({LoanRequestId(5), 3}));
-  RunUntil(loop_, [this] { return borrower_.Counted("late") == 1; });
+  store::RunUntil(loop_, [this] { return borrower_.Counted("late") == 1; });
   EXPECT_FALSE(BorrowerCanReserve());
 }
 
 TEST_F(RetryLoansTest, UnknownServiceGetsNoLoan) {
   borrower_.loans.RequestLoan(base::ServiceName("other"), 1);
-  RunUntil(loop_, [this] { return lender_.Counted("other_service") == 1; });
+  store::RunUntil(loop_,
+                  [this] { return lender_.Counted("other_service") == 1; });
   EXPECT_EQ(lender_.Counted("lent"), 0);
 }
 
@@ -105,8 +106,9 @@
     now_ += milliseconds(10);
   }
   EXPECT_EQ(borrower_.Counted("asked"), 17);
-  RunUntil(loop_, [this] { return lender_.Counted("none_to_spare") == 17; });
+  store::RunUntil(loop_,
+                  [this] { return lender_.Counted("none_to_spare") == 17; });
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/watch_sharing_test.cc
+++ b/tests/process/peers/watch_sharing_test.cc
@@ -1,4 +1,4 @@
-#include "process/watch_sharing.h"
+#include "process/peers/watch_sharing.h"
 
 #include <algorithm>
 #include <deque>
@@ -13,12 +13,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/change_messages.h"
-#include "process/change_relay.h"
-#include "process/fake_store_port.h"
-#include "process/prefix_follower.h"
+#include "process/peers/change_messages.h"
+#include "process/peers/change_relay.h"
+#include "process/store/fake_store_port.h"
+#include "process/store/prefix_follower.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::peers {
 namespace {
 
 using connection::event::Awaitable;
@@ -82,7 +82,7 @@
 // One instance: a follower of the store through WatchSharing.
 struct Instance {
   Instance(asio::io_context& loop,
-           FakeStorePort& store,
+           store::FakeStorePort& store,
            std::string name,
            const std::vector<InstancePeer>& peers,
            QueryRelay query,
@@ -102,19 +102,21 @@
              .min_retry_delay = std::chrono::milliseconds(1),
              .max_retry_delay = std::chrono::milliseconds(1)},
             {.on_list =
-                 [this](const std::vector<StoreItem>& items) {
+                 [this](const std::vector<store::StoreItem>& items) {
                    seen.clear();
-                   std::ranges::for_each(items, [this](const StoreItem& it) {
-                     seen[it.key] = it.value;
-                   });
+                   std::ranges::for_each(items,
+                                         [this](const store::StoreItem& it) {
+                                           seen[it.key] = it.value;
+                                         });
                  },
-             .on_change = [this](const StoreItem& it) { ApplyChange(it); },
+             .on_change =
+                 [this](const store::StoreItem& it) { ApplyChange(it); },
              .on_recovered = [] {}},
             [&now] { return now; },
             base::SeededRandom(1),
             metrics) {}
 
-  void ApplyChange(const StoreItem& it) {
+  void ApplyChange(const store::StoreItem& it) {
     in_order = in_order && it.revision > last;
     last = it.revision;
     if (it.deleted) {
@@ -134,7 +136,7 @@
   base::Revision last;
   bool in_order = true;
   WatchSharing watches;
-  PrefixFollower follower;
+  store::PrefixFollower follower;
 };
 
 class WatchSharingTest : public testing::Test {
@@ -147,7 +149,7 @@
           loop_, store_, peer.instance.str(), peers_, MakeFakeQuery(), now_));
       asio::co_spawn(loop_, zone_.back()->follower.Run(), asio::detached);
     }
-    RunUntil(loop_, [this] {
+    store::RunUntil(loop_, [this] {
       return std::ranges::all_of(
           zone_, [](const auto& it) { return it->follower.Age().has_value(); });
     });
@@ -159,7 +161,8 @@
 
   QueryRelay MakeFakeQuery() {
     return [this](InstancePeer relay, base::Revision after, base::Duration wait,
-                  RelayFault* fault) -> Awaitable<std::optional<StoreItems>> {
+                  RelayFault* fault)
+               -> Awaitable<std::optional<store::StoreItems>> {
       ++queries_[relay.instance];
       const auto silent = faults_.find(relay.instance);
       if (silent != faults_.end()) {
@@ -204,7 +207,7 @@
 
   void ExpectAllSee() {
     const auto stored = Stored();
-    RunUntil(loop_, [&] {
+    store::RunUntil(loop_, [&] {
       return std::ranges::all_of(
           zone_, [&](const auto& it) { return it->seen == stored; });
     });
@@ -213,7 +216,7 @@
   }
 
   asio::io_context loop_;
-  FakeStorePort store_{loop_};
+  store::FakeStorePort store_{loop_};
   base::Time now_ = base::Time() + std::chrono::hours(1);
   std::vector<InstancePeer> peers_;
   std::vector<std::unique_ptr<Instance>> zone_;
@@ -290,7 +293,7 @@
         answered = changes.has_value();
       },
       asio::detached);
-  RunReady(loop_);
+  store::RunReady(loop_);
   EXPECT_FALSE(answered);
   EXPECT_EQ(fault, RelayFault::kNotWatching);
 }
@@ -327,7 +330,8 @@
         store_.CloseWatches();
         break;
       case 3:
-        store_.Fail(draw(2) == 0 ? StoreFault::kTimeout : StoreFault::kBusy);
+        store_.Fail(draw(2) == 0 ? store::StoreFault::kTimeout
+                                 : store::StoreFault::kBusy);
         break;
       case 4:
       case 5:
@@ -346,7 +350,7 @@
         store_.Write(key, std::to_string(step));
     }
     if (draw(3) != 0) {
-      RunReady(loop_);
+      store::RunReady(loop_);
     }
   }
   store_.Fail(std::nullopt);
@@ -376,12 +380,12 @@
 
   // Queries the relay over a connection. Returns nullopt and sets `*fault` on
   // failure.
-  std::optional<StoreItems> QueryOverConnection(std::int64_t after,
-                                                RelayFault* fault) {
+  std::optional<store::StoreItems> QueryOverConnection(std::int64_t after,
+                                                       RelayFault* fault) {
     const QueryRelay query = MakeQueryRelay(loop_, channels_);
     InstancePeer peer = Peer("r");
     peer.endpoint.port(relay_->port());
-    std::optional<StoreItems> changes;
+    std::optional<store::StoreItems> changes;
     bool done = false;
     asio::co_spawn(
         loop_,
@@ -391,7 +395,7 @@
           done = true;
         },
         asio::detached);
-    RunUntil(loop_, [&done] { return done; });
+    store::RunUntil(loop_, [&done] { return done; });
     return changes;
   }
 
@@ -409,11 +413,13 @@
 
 TEST_F(ChangeRelayTest, ReturnsChanges) {
   asio::co_spawn(loop_, instance_->follower.Run(), asio::detached);
-  RunUntil(loop_, [this] { return instance_->follower.Age().has_value(); });
+  store::RunUntil(loop_,
+                  [this] { return instance_->follower.Age().has_value(); });
   const std::int64_t before = 1;
   store_.Write("a", "1");
   store_.Remove("a");
-  RunUntil(loop_, [this] { return instance_->last > base::Revision(0); });
+  store::RunUntil(loop_,
+                  [this] { return instance_->last > base::Revision(0); });
   RelayFault fault{};
   const auto changes = QueryOverConnection(before, &fault);
   ASSERT_TRUE(changes) << ToString(fault);
@@ -437,9 +443,9 @@
         done = true;
       },
       asio::detached);
-  RunUntil(loop_, [&done] { return done; });
+  store::RunUntil(loop_, [&done] { return done; });
   EXPECT_EQ(fault, RelayFault::kUnreachable);
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::peers
--- a/tests/process/generation_demand_test.cc
+++ b/tests/process/stages/generation_demand_test.cc
@@ -1,4 +1,4 @@
-#include "process/generation_demand.h"
+#include "process/stages/generation_demand.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +7,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 namespace {
 
 using request::passthrough::Engine;
@@ -147,4 +147,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
--- a/tests/process/stage_orders_test.cc
+++ b/tests/process/stages/stage_orders_test.cc
@@ -1,4 +1,4 @@
-#include "process/stage_orders.h"
+#include "process/stages/stage_orders.h"
 
 #include <map>
 #include <string>
@@ -7,9 +7,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/fake_store_port.h"
+#include "process/store/fake_store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 namespace {
 
 using connection::event::Awaitable;
@@ -66,7 +66,7 @@
             clock_,
             metrics_) {
     asio::co_spawn(loop_, presence_.Run(), asio::detached);
-    RunUntil(loop_, [this] { return presence_.lease().has_value(); });
+    store::RunUntil(loop_, [this] { return presence_.lease().has_value(); });
     authority_.OnList({});
     for (int i = 0; i < 6; ++i) {
       EngineEntry entry;
@@ -80,11 +80,11 @@
 
   void Start() {
     asio::co_spawn(loop_, orders_.Run(), asio::detached);
-    RunUntil(loop_, [this] { return !store_.items().empty(); });
+    store::RunUntil(loop_, [this] { return !store_.items().empty(); });
     PassHolder();
   }
   void PassHolder() {
-    RunUntil(loop_, [this] {
+    store::RunUntil(loop_, [this] {
       return store_.items().contains("lynxglade/orders/holder");
     });
     authority_.OnList({store_.items().at("lynxglade/orders/holder")});
@@ -94,7 +94,7 @@
       asio::steady_timer timer(loop_, milliseconds(2));
       bool fired = false;
       timer.async_wait([&fired](const auto&) { fired = true; });
-      RunUntil(loop_, [&fired] { return fired; });
+      store::RunUntil(loop_, [&fired] { return fired; });
     }
   }
 
@@ -102,10 +102,10 @@
   const base::Clock clock_ = [this] { return now_; };
   asio::io_context loop_;
   base::Metrics metrics_;
-  FakeStorePort store_;
+  store::FakeStorePort store_;
   EngineTable table_{base::Duration(0)};
-  InstancePresence presence_;
-  OrderAuthority authority_;
+  peers::InstancePresence presence_;
+  duties::OrderAuthority authority_;
   std::map<std::string, EngineReport> reports_;
   std::vector<std::pair<std::string, StageOrder>> sent_;
   OrderResult result_ = OrderResult::kAccepted;
@@ -120,7 +120,7 @@
 
 TEST_F(StageOrdersTest, BringsAnIdleServiceToItsSplit) {
   Start();
-  RunUntil(loop_, [this] { return sent_.size() == 4; });
+  store::RunUntil(loop_, [this] { return sent_.size() == 4; });
   RunPeriods(5);
   EXPECT_EQ(sent_.size(), 4U);
   EXPECT_EQ(sent_[0].second.holder, "me");
@@ -133,11 +133,11 @@
   RunPeriods(2);
   // The demand estimate needs its averaging time.
   now_ += seconds(2);
-  RunUntil(loop_, [this] { return sent_.size() == 1; });
+  store::RunUntil(loop_, [this] { return sent_.size() == 1; });
   RunPeriods(5);
   EXPECT_EQ(sent_.size(), 1U);
   now_ += seconds(6);
-  RunUntil(loop_, [this] { return sent_.size() == 2; });
+  store::RunUntil(loop_, [this] { return sent_.size() == 2; });
 }
 
 // An engine may carry out an order twelve seconds late, after newer ones: the
@@ -145,19 +145,19 @@
 TEST_F(StageOrdersTest, OrderWithoutResponseIsRepeatedOnlyAfterSettleTime) {
   result_ = OrderResult::kUnknown;
   Start();
-  RunUntil(loop_, [this] { return sent_.size() == 4; });
+  store::RunUntil(loop_, [this] { return sent_.size() == 4; });
   now_ += seconds(14);
   RunPeriods(5);
   EXPECT_EQ(sent_.size(), 4U);
   now_ += seconds(1);
-  RunUntil(loop_, [this] { return sent_.size() == 8; });
+  store::RunUntil(loop_, [this] { return sent_.size() == 8; });
   EXPECT_EQ(sent_.back().second.expected_orders, 0);
 }
 
 // Another instance has taken the key, and this one has not observed it yet.
 TEST_F(StageOrdersTest, SendsNoOrderAfterLosingTheKey) {
   Start();
-  RunUntil(loop_, [this] { return sent_.size() == 4; });
+  store::RunUntil(loop_, [this] { return sent_.size() == 4; });
   store_.Write("lynxglade/orders/holder", "other/1");
   EngineEntry fresh = table_.Find(base::TargetId("e0"))->entry;
   fresh.stage = EngineStage::kPrefill;
@@ -191,7 +191,7 @@
     table_.Put(entry, now_);
   };
   Start();
-  RunUntil(loop_, [this] { return sent_.size() == 4; });
+  store::RunUntil(loop_, [this] { return sent_.size() == 4; });
   RunPeriods(5);
   EXPECT_LE(table_.OfService(kService).size(), 2U);
 }
@@ -206,4 +206,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
--- a/tests/process/stage_plan_test.cc
+++ b/tests/process/stages/stage_plan_test.cc
@@ -1,4 +1,4 @@
-#include "process/stage_plan.h"
+#include "process/stages/stage_plan.h"
 
 #include <algorithm>
 #include <map>
@@ -7,7 +7,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-namespace lynxglade::process {
+namespace lynxglade::process::stages {
 namespace {
 
 using request::passthrough::Engine;
@@ -163,4 +163,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::stages
--- a/tests/process/fake_store_port.cc
+++ b/tests/process/store/fake_store_port.cc
@@ -1,10 +1,10 @@
-#include "process/fake_store_port.h"
+#include "process/store/fake_store_port.h"
 
 #include <utility>
 
 #include <gtest/gtest.h>
 
-namespace lynxglade::process {
+namespace lynxglade::process::store {
 
 namespace {
 
@@ -228,4 +228,4 @@
   co_return base::Revision(revision_);
 }
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::store
--- a/tests/process/fake_store_port.h
+++ b/tests/process/store/fake_store_port.h
@@ -1,6 +1,6 @@
 // An in-memory key-value store for tests on one event loop.
-#ifndef LYNXGLADE_TESTS_PROCESS_FAKE_STORE_PORT_H_
-#define LYNXGLADE_TESTS_PROCESS_FAKE_STORE_PORT_H_
+#ifndef LYNXGLADE_TESTS_PROCESS_STORE_FAKE_STORE_PORT_H_
+#define LYNXGLADE_TESTS_PROCESS_STORE_FAKE_STORE_PORT_H_
 
 #include <chrono>
 #include <functional>
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "process/store_port.h"
+#include "process/store/store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::store {
 
 // Runs the loop until `done` returns true; fails the test after a timeout.
 void RunUntil(connection::event::asio::io_context& loop,
@@ -93,6 +93,6 @@
   connection::event::asio::steady_timer changed_;
 };
 
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::store
 
-#endif  // LYNXGLADE_TESTS_PROCESS_FAKE_STORE_PORT_H_
+#endif  // LYNXGLADE_TESTS_PROCESS_STORE_FAKE_STORE_PORT_H_
--- a/tests/process/prefix_follower_test.cc
+++ b/tests/process/store/prefix_follower_test.cc
@@ -1,4 +1,4 @@
-#include "process/prefix_follower.h"
+#include "process/store/prefix_follower.h"
 
 #include <map>
 #include <string>
@@ -7,9 +7,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/fake_store_port.h"
+#include "process/store/fake_store_port.h"
 
-namespace lynxglade::process {
+namespace lynxglade::process::store {
 namespace {
 
 namespace asio = connection::event::asio;
@@ -144,4 +144,4 @@
 }
 
 }  // namespace
-}  // namespace lynxglade::process
+}  // namespace lynxglade::process::store
