Duties and usage: one holder with a short lease, usage reported by window

Cause: the platform expects one usage report for each window, from one instance at a time and never with two counts; nobody sent any.

Change: the authority over engine orders is generalised to DutyHolder. Its key has a lease of its own (2 s), so that a crashed or isolated holder is replaced within the time that a report has; stopping and resigning end it at once. UsageTable counts the runs of each organisation by process and window and merges by maximum. UsageSharing hands changed rows to the holder and two other instances, in datagrams whose rate at a collector is bounded. FleetClock takes the weighted median of the fleet's clocks. UsageReporter writes a report to the store before it sends it, so that a new holder repeats exactly that.

EntryPeers and EntryDuties take the wiring out of the entry daemon.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -15,22 +15,20 @@
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
 #include "connection/event/sleep.h"
+#include "main/entry_duties.h"
+#include "main/entry_peers.h"
 #include "main/entry_views.h"
 #include "main/exit_status.h"
 #include "platform/engine_orders.h"
 #include "platform/store_client.h"
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
-#include "process/duties/order_authority.h"
-#include "process/peers/avoidance_sharing.h"
-#include "process/peers/change_relay.h"
+#include "process/duties/duty_holder.h"
 #include "process/peers/instance_presence.h"
-#include "process/peers/peer_datagrams.h"
-#include "process/peers/prefill_sharing.h"
-#include "process/peers/retry_loans.h"
 #include "process/peers/watch_sharing.h"
 #include "process/stages/stage_orders.h"
 #include "process/store/prefix_follower.h"
+#include "request/passthrough/peer_avoidance.h"
 #include "request/passthrough/peer_prefills.h"
 #include "request/passthrough/relay.h"
 
@@ -70,6 +68,11 @@
 // receiving one.
 constexpr base::Duration kBatchDelay = std::chrono::milliseconds(800);
 constexpr base::Duration kSharedBatchDelay = std::chrono::milliseconds(300);
+// Bound on the time from the confirmation of the authority to the arrival of a
+// call: validity of the confirmation and timeout of the call.
+constexpr base::Duration kCallFlightTime = std::chrono::milliseconds(1500);
+// Name of the reporting duty in the settings.
+constexpr char kUsageDuty[] = "usage";
 // After this time without a request, all engines may change stage at once.
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(3);
 
@@ -110,6 +113,7 @@
   request::passthrough::PeerPrefills peer_prefills;
   request::passthrough::PeerAvoidance peer_avoidance;
   request::passthrough::ZoneHealth zones;
+  request::passthrough::RunTimes run_times;
   request::passthrough::PrefillTimes prefill_times;
   request::passthrough::GenerationTimes generation_times;
   request::passthrough::AnswerAdmission answers{generation_times};
@@ -123,7 +127,7 @@
   // Source of the store follower: the store, or another instance that watches
   // it.
   process::peers::WatchSharing watches;
-  process::duties::OrderAuthority authority;
+  process::duties::DutyHolder authority;
   process::stages::StageOrders stage_orders;
   base::Time last_request{};
   // Follows all keys: of the configuration, the targets and the instances.
@@ -133,11 +137,9 @@
   CallerServer health;
   asio::signal_set signals{loop, SIGTERM, SIGINT, SIGHUP};
   // Set only if a peer address is configured.
-  std::optional<process::peers::PeerDatagrams> datagrams;
-  std::optional<process::peers::PrefillSharing> prefill_sharing;
-  std::optional<process::peers::AvoidanceSharing> avoidance_sharing;
-  std::optional<process::peers::RetryLoans> retry_loans;
-  std::optional<process::peers::ChangeRelay> change_relay;
+  std::optional<EntryPeers> peers;
+  // Set only if, in addition, the platform expects usage reports.
+  std::optional<EntryDuties> duties;
   bool stopping = false;
   // New requests are rejected, as they might not finish before the process
   // exits.
@@ -167,8 +169,8 @@
                     .allowance = s.retry_allowance,
                     .window = s.retry_window},
                    [this](const base::ServiceName& service, double missing) {
-                     if (retry_loans) {
-                       retry_loans->RequestLoan(service, missing);
+                     if (peers) {
+                       peers->retry_loans().RequestLoan(service, missing);
                      }
                    }),
       presence(loop,
@@ -187,9 +189,11 @@
           process::peers::MakeQueryRelay(loop, channels),
           clock,
           metrics),
-      authority(store,
+      authority(loop,
+                store,
                 presence,
-                {.takeover_delay = s.order_takeover_delay},
+                {.takeover_delay = std::max(s.order_takeover_delay,
+                                            s.holder_gap + kCallFlightTime)},
                 clock,
                 random),
       stage_orders(
@@ -250,29 +254,35 @@
 }
 
 void EntryDaemon::Details::JoinPeers(const process::Endpoint& endpoint) {
-  const process::peers::PrefillSharingOptions sharing{
-      .instance = settings.instance, .zone = settings.zone};
-  const Tcp::endpoint at = EndpointOf(endpoint);
-  datagrams.emplace(loop, presence,
-                    asio::ip::udp::endpoint{at.address(), at.port()}, metrics);
-  prefill_sharing.emplace(views.engines(), presence, peer_prefills, *datagrams,
-                          sharing, clock);
-  const auto peers = [this, sharing] {
-    return process::peers::SharingPeers(presence.Peers(), sharing);
-  };
-  avoidance_sharing.emplace(views.engines(), peer_avoidance, *datagrams, peers,
-                            process::peers::AvoidanceSharingOptions{}, clock);
-  retry_loans.emplace(
-      retry_budget, *datagrams,
-      process::peers::RetryLoansHooks{
-          .peers = peers,
-          .instance_count = [this] { return presence.Count(); },
-          .is_served =
-              [this](const base::ServiceName& service) {
-                return views.routes() && views.routes()->FindService(service);
-              }},
-      process::peers::RetryLoansOptions{}, clock, random, metrics);
-  change_relay.emplace(loop, at, watches, clock, metrics);
+  peers.emplace(
+      EntryPeersDependencies{.loop = loop,
+                             .presence = presence,
+                             .watches = watches,
+                             .engines = views.engines(),
+                             .prefills = peer_prefills,
+                             .avoidance = peer_avoidance,
+                             .retry_budget = retry_budget,
+                             .is_served =
+                                 [this](const base::ServiceName& service) {
+                                   return views.routes() &&
+                                          views.routes()->FindService(service);
+                                 },
+                             .clock = clock,
+                             .random = random,
+                             .metrics = metrics},
+      settings, endpoint);
+  if (settings.duty_calls && settings.duties.contains(kUsageDuty)) {
+    duties.emplace(EntryDutiesDependencies{.loop = loop,
+                                           .channels = channels,
+                                           .store = store,
+                                           .presence = presence,
+                                           .datagrams = peers->datagrams(),
+                                           .holder = authority,
+                                           .clock = clock,
+                                           .random = random,
+                                           .metrics = metrics},
+                   settings, *settings.duty_calls);
+  }
 }
 
 process::store::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
@@ -300,26 +310,34 @@
 
 request::passthrough::RelayDependencies
 EntryDaemon::Details::MakeRelayDependencies() {
-  return {.loop = loop,
-          .channels = channels,
-          .engines = views.engines(),
-          .picker = picker,
-          .prefill_times = prefill_times,
-          .generation_times = generation_times,
-          .answers = answers,
-          .retry_budget = retry_budget,
-          .zones = zones,
-          .metrics = metrics,
-          .clock = clock,
-          .random = random,
-          .protocol = platform::MakeTargetProtocol(),
-          .routes = [this] { return views.routes(); },
-          .accepts = [this] { return !rejecting; },
-          .instances = [this] { return presence.Count(); },
-          .view_age =
-              [this] {
-                return store_follower.Age().value_or(base::Duration::max());
-              }};
+  return {
+      .loop = loop,
+      .channels = channels,
+      .engines = views.engines(),
+      .picker = picker,
+      .prefill_times = prefill_times,
+      .generation_times = generation_times,
+      .answers = answers,
+      .retry_budget = retry_budget,
+      .zones = zones,
+      .run_times = run_times,
+      .metrics = metrics,
+      .clock = clock,
+      .random = random,
+      .protocol = platform::MakeTargetProtocol(),
+      .routes = [this] { return views.routes(); },
+      .accepts = [this] { return !rejecting; },
+      .instances = [this] { return presence.Count(); },
+      .view_age =
+          [this] {
+            return store_follower.Age().value_or(base::Duration::max());
+          },
+      .on_run =
+          [this](const base::OrganisationId& organisation, base::Time began) {
+            if (duties) {
+              duties->CountRun(organisation, began);
+            }
+          }};
 }
 
 CallerServerLimits EntryDaemon::Details::Bounds() const {
@@ -410,6 +428,10 @@
   const base::Time start = clock();
   const base::Time deadline = start + settings.stop_grace - kExitMargin;
   stage_orders.Stop();
+  if (duties) {
+    duties->Stop();
+  }
+  Spawn(authority.Leave());
   Spawn(presence.Leave());
   while (clock() < deadline) {
     const bool balancer_noticed = clock() - start >= kBalancerNoticeTime;
@@ -447,21 +469,16 @@
     *reason = "--health-listen: " + *reason;
     return false;
   }
-  if (details_->datagrams && !details_->datagrams->Start(reason)) {
+  if (details_->peers && !details_->peers->Start(reason)) {
     *reason = "--peer-listen: " + *reason;
     return false;
   }
-  if (details_->datagrams) {
-    details_->prefill_sharing->Start();
-    details_->avoidance_sharing->Start();
-    details_->retry_loans->Start();
-  }
-  if (details_->change_relay && !details_->change_relay->Start(reason)) {
-    *reason = "--peer-listen: " + *reason;
-    return false;
+  if (details_->duties) {
+    details_->duties->Start();
   }
   details_->Spawn(details_->store_follower.Run());
   details_->Spawn(details_->presence.Run());
+  details_->Spawn(details_->authority.Run());
   details_->Spawn(details_->stage_orders.Run());
   details_->Spawn(details_->RunMaintenance());
   details_->Spawn(details_->WaitForStop());
--- /dev/null
+++ b/src/main/entry_peers.h
@@ -0,0 +1,68 @@
+// What an entry instance exchanges with the others: work at engines, targets
+// to avoid, loans of retry budget and changes of the store.
+#ifndef LYNXGLADE_MAIN_ENTRY_PEERS_H_
+#define LYNXGLADE_MAIN_ENTRY_PEERS_H_
+
+#include <functional>
+#include <string>
+
+#include "base/metrics.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "process/entry_settings.h"
+#include "process/peers/avoidance_sharing.h"
+#include "process/peers/change_relay.h"
+#include "process/peers/instance_presence.h"
+#include "process/peers/peer_datagrams.h"
+#include "process/peers/prefill_sharing.h"
+#include "process/peers/retry_loans.h"
+#include "process/peers/watch_sharing.h"
+#include "request/passthrough/engine_table.h"
+#include "request/passthrough/peer_avoidance.h"
+#include "request/passthrough/peer_prefills.h"
+#include "request/passthrough/shared_retry_budget.h"
+
+namespace lynxglade {
+
+// Parts of the process that the exchange reads and fills; all must outlive it.
+struct EntryPeersDependencies {
+  connection::event::asio::io_context& loop;
+  const process::peers::InstancePresence& presence;
+  process::peers::WatchSharing& watches;
+  const request::passthrough::EngineTable& engines;
+  request::passthrough::PeerPrefills& prefills;
+  request::passthrough::PeerAvoidance& avoidance;
+  request::passthrough::SharedRetryBudget& retry_budget;
+  // Whether the configuration names the service.
+  std::function<bool(const base::ServiceName&)> is_served;
+  base::Clock clock;
+  base::RandomSource random;
+  base::Metrics& metrics;
+};
+
+// Not thread-safe: runs on the event loop.
+class EntryPeers {
+ public:
+  EntryPeers(EntryPeersDependencies deps,
+             const process::EntrySettings& settings,
+             const process::Endpoint& endpoint);
+  EntryPeers(const EntryPeers&) = delete;
+  EntryPeers& operator=(const EntryPeers&) = delete;
+
+  // Binds the address. On failure returns false, and `*reason` says why.
+  bool Start(std::string* reason);
+
+  process::peers::PeerDatagrams& datagrams() noexcept { return datagrams_; }
+  process::peers::RetryLoans& retry_loans() noexcept { return retry_loans_; }
+
+ private:
+  process::peers::PeerDatagrams datagrams_;
+  process::peers::PrefillSharing prefill_sharing_;
+  process::peers::AvoidanceSharing avoidance_sharing_;
+  process::peers::RetryLoans retry_loans_;
+  process::peers::ChangeRelay change_relay_;
+};
+
+}  // namespace lynxglade
+
+#endif  // LYNXGLADE_MAIN_ENTRY_PEERS_H_
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,21 @@
   };
 }
 
+// Duties that this version does not know are kept: a platform may have more.
+OptionParser DutiesParser() {
+  return [](EntrySettings& settings, const std::string& text) -> ParseError {
+    settings.duties.clear();
+    std::istringstream names(text);
+    for (std::string name; std::getline(names, name, ',');) {
+      if (name.empty() || name.size() > kMaxNameLength) {
+        return "comma-separated names of at most 128 bytes";
+      }
+      settings.duties.insert(name);
+    }
+    return std::nullopt;
+  };
+}
+
 std::vector<Option> AllOptions() {
   return {
       {"instance-id", "", true, "name of this instance",
@@ -111,6 +127,25 @@
        "order; more than the platform's minimum gap between two holders",
        IntegerParser<std::chrono::milliseconds>(
            &EntrySettings::order_takeover_delay, 1, 600'000)},
+      {"holder-gap-ms", "3000", false,
+       "the platform's minimum gap, in milliseconds, between calls of two "
+       "holders of the duties",
+       IntegerParser<std::chrono::milliseconds>(&EntrySettings::holder_gap, 0,
+                                                600'000)},
+      {"duty-calls", "", false,
+       "address and port of the platform's calls that one instance at a time "
+       "makes; without it none are made",
+       EndpointParser(&EntrySettings::duty_calls)},
+      {"duties", "", false,
+       "comma-separated duties that the platform expects: usage, scaling",
+       DutiesParser()},
+      {"usage-window", "5", false,
+       "length in seconds of the windows of usage reports",
+       SecondsParser(&EntrySettings::usage_window, kMinSeconds, kMaxSeconds)},
+      {"usage-due", "10", false,
+       "seconds after the end of a window by which its usage report must have "
+       "arrived",
+       SecondsParser(&EntrySettings::usage_due, kMinSeconds, kMaxSeconds)},
       {"retry-ratio", "0.2", false,
        "arrivals at targets beyond the first of each request, per request, "
        "over all instances",
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -6,6 +6,8 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "base/ids.h"
 #include "base/log.h"
@@ -31,6 +33,17 @@
   base::Duration stop_grace = std::chrono::seconds(8);
   // Time from acquiring the authority over engines to the first order.
   base::Duration order_takeover_delay = std::chrono::milliseconds(4500);
+  // The platform's minimum gap between calls of two holders of the duties.
+  base::Duration holder_gap = std::chrono::seconds(3);
+  // Calls to the platform that one instance at a time makes; without the
+  // address none are made.
+  std::optional<Endpoint> duty_calls;
+  // The duties that the platform expects.
+  std::set<std::string> duties;
+  // Length of the windows of usage reports, and the time after the end of a
+  // window by which its report must have arrived.
+  base::Duration usage_window = std::chrono::seconds(5);
+  base::Duration usage_due = std::chrono::seconds(10);
   // Minimum fraction of a service's engines that decode; the others prefill.
   double decode_share = 0.25;
   // Retry budget of all instances together, in a sliding window: ratio times
--- a/src/process/peers/peer_datagrams.h
+++ b/src/process/peers/peer_datagrams.h
@@ -31,6 +31,9 @@
   kLoan = 3,
   // Targets that an instance avoids (avoidance_sharing.h).
   kAvoided = 4,
+  // Usage counts for their collectors, and the answer (usage_sharing.h).
+  kUsageUpdate = 5,
+  kUsageAck = 6,
 };
 
 // Not thread-safe: runs on the event loop.
--- a/src/process/stages/stage_orders.cc
+++ b/src/process/stages/stage_orders.cc
@@ -38,7 +38,7 @@
 StageOrders::StageOrders(
     asio::io_context& loop,
     const request::passthrough::EngineTable& engines,
-    duties::OrderAuthority& authority,
+    duties::DutyHolder& authority,
     StageOrderHooks hooks,
     StageOrdersOptions options,
     std::function<std::vector<base::ServiceName>()> services,
@@ -63,7 +63,6 @@
 
 Awaitable<void> StageOrders::Run() {
   while (!stopped_) {
-    co_await authority_.TryAcquire();
     // Tracked without the authority too, so that a new holder can plan at once.
     UpdateDemand();
     co_await ReconcileOnce();
--- a/src/process/stages/stage_orders.h
+++ b/src/process/stages/stage_orders.h
@@ -20,7 +20,7 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "base/units.h"
-#include "process/duties/order_authority.h"
+#include "process/duties/duty_holder.h"
 #include "process/stages/generation_demand.h"
 #include "process/stages/stage_plan.h"
 #include "request/passthrough/engine_table.h"
@@ -92,7 +92,7 @@
   StageOrders(
       connection::event::asio::io_context& loop,
       const request::passthrough::EngineTable& engines,
-      duties::OrderAuthority& authority,
+      duties::DutyHolder& authority,
       StageOrderHooks hooks,
       StageOrdersOptions options,
       // The configured services whose engines have stages.
@@ -122,7 +122,7 @@
 
   connection::event::asio::io_context& loop_;
   const request::passthrough::EngineTable& engines_;
-  duties::OrderAuthority& authority_;
+  duties::DutyHolder& authority_;
   const StageOrderHooks hooks_;
   const StageOrdersOptions options_;
   const std::function<std::vector<base::ServiceName>()> services_;
--- a/src/process/store/store_port.h
+++ b/src/process/store/store_port.h
@@ -84,6 +84,13 @@
                                         std::string value,
                                         LeaseId lease,
                                         StoreFault* fault) = 0;
+  // Writes a key that has the revision (0: does not exist), bound to the lease;
+  // kConflict if it has another. LeaseId(0) is no lease: the key stays.
+  virtual Result<base::Revision> Update(std::string key,
+                                        std::string value,
+                                        LeaseId lease,
+                                        base::Revision if_revision,
+                                        StoreFault* fault) = 0;
   // Writes a key bound to the lease.
   virtual Result<base::Revision> Put(std::string key,
                                      std::string value,
--- /dev/null
+++ b/src/process/usage/report_decision.cc
@@ -0,0 +1,33 @@
+#include "process/usage/report_decision.h"
+
+namespace lynxglade::process::usage {
+
+std::string_view ToString(ReportDecision decision) noexcept {
+  switch (decision) {
+    case ReportDecision::kWait:
+      return "wait";
+    case ReportDecision::kReport:
+      return "report";
+    case ReportDecision::kMissed:
+      break;
+  }
+  return "missed";
+}
+
+ReportDecision DecideReport(base::Duration since_end,
+                            base::Duration due,
+                            double missing_part,
+                            const ReportTiming& timing) noexcept {
+  if (since_end >= due) {
+    return ReportDecision::kMissed;
+  }
+  if (since_end < timing.settle_time) {
+    return ReportDecision::kWait;
+  }
+  const bool whole = missing_part <= timing.tolerable_part;
+  const bool time_runs_out = since_end >= due - timing.repeat_time;
+  return whole || time_runs_out ? ReportDecision::kReport
+                                : ReportDecision::kWait;
+}
+
+}  // namespace lynxglade::process::usage
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -24,6 +24,7 @@
 #include "request/passthrough/latency_admission.h"
 #include "request/passthrough/prefill_times.h"
 #include "request/passthrough/route_table.h"
+#include "request/passthrough/run_times.h"
 #include "request/passthrough/shared_retry_budget.h"
 #include "request/passthrough/target_protocol.h"
 #include "request/passthrough/zone_health.h"
@@ -74,6 +75,7 @@
   AnswerAdmission& answers;
   SharedRetryBudget& retry_budget;
   ZoneHealth& zones;
+  RunTimes& run_times;
   base::Metrics& metrics;
   base::Clock clock;
   base::RandomSource random;
@@ -86,6 +88,9 @@
   std::function<int()> instances;
   // Age of the view of the targets.
   std::function<base::Duration()> view_age;
+  // Called once for each request of an organisation that a target began to run,
+  // with the time at which it began. May be empty.
+  std::function<void(const base::OrganisationId&, base::Time began)> on_run;
 };
 
 // Not thread-safe: used on the event loop only.
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -208,6 +208,8 @@
     co_return AttemptEnd::kNotRun;
   }
   const bool prefills = !source_;
+  sent_at_ = deps_.clock();
+  met_free_slot_ = !IsFull(*target) && target->in_flight < target->entry.slots;
   InFlightRequest in_flight(target, Priority(),
                             prefills ? pick.prefill_tokens : 0,
                             pick.prefill_time, deps_.clock());
@@ -286,6 +288,7 @@
   if (exchange.state() != ExchangeState::kWhole) {
     co_return EndAfterFailure(exchange, target);
   }
+  RecordFinishedRun(*target);
   AnswerHead head = HeadForCaller(exchange.head());
   if (head.status >= kFirstServerFailure) {
     saved_answer_ = SavedAnswer{std::move(head), std::move(body)};
@@ -337,6 +340,7 @@
                                        int events,
                                        std::string_view bytes) {
   const base::Duration now = Elapsed();
+  RecordRun(deps_.clock());
   if (!reply_.begun()) {
     first_bytes_at_ = now;
     if (prefilled_at_) {
@@ -374,9 +378,32 @@
   if (!sent) {
     return AttemptEnd::kNotRun;
   }
+  // Most often it ran, and its answer was lost.
+  if (!exchange.unacknowledged()) {
+    RecordFinishedRun(*target);
+  }
   return reply_.begun() ? AttemptEnd::kBroken : AttemptEnd::kUnknown;
 }
 
+void RelayRun::RecordRun(base::Time began) {
+  if (std::exchange(run_recorded_, true) || !organisation_ || !deps_.on_run) {
+    return;
+  }
+  deps_.on_run(organisation_->id, began);
+}
+
+void RelayRun::RecordFinishedRun(const Engine& target) {
+  const base::Time now = deps_.clock();
+  if (route_->kind == RouteKind::kStream) {
+    RecordRun(now);
+    return;
+  }
+  if (met_free_slot_) {
+    deps_.run_times.Record(target.entry.service, now - sent_at_);
+  }
+  RecordRun(deps_.run_times.Began(target.entry.service, sent_at_, now));
+}
+
 void RelayRun::RecordAttempt(Engine& engine) {
   engine.health.OnTry(deps_.clock());
   deps_.zones.OnTry(engine.entry.zone, deps_.clock());
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -138,6 +138,10 @@
   Awaitable<void> Finish(AttemptEnd end);
   Awaitable<void> Refuse(EndReason reason);
   Awaitable<void> SendSavedAnswer();
+  // A target ran the request from `began`. The first call counts.
+  void RecordRun(base::Time began);
+  // The same, for an answer or a loss that is known now.
+  void RecordFinishedRun(const Engine& target);
   // A request is about to be sent to the engine.
   void RecordAttempt(Engine& engine);
   // How far the request got at the engine.
@@ -176,6 +180,10 @@
   bool expired_ = false;
   // Will miss its latency target and has a lower priority.
   bool late_ = false;
+  bool run_recorded_ = false;
+  // The last attempt, and whether its target had a free slot for it.
+  base::Time sent_at_{};
+  bool met_free_slot_ = false;
 
   std::vector<base::TargetId> tried_;
   // Attempts that ran or may have run.
--- a/tests/platform/organisation_test.cc
+++ b/tests/platform/organisation_test.cc
@@ -111,6 +111,27 @@
   EXPECT_EQ(Refused("missing_key"), 4);
 }
 
+TEST_F(OrganisationTest, ARunIsRecordedOncePerRequestThatATargetRan) {
+  std::atomic<int> calls = 0;
+  const auto fail_once = [&calls](const std::string& request) {
+    return calls++ == 0 ? Answer(request, "500 Internal Server Error", "")
+                        : Ok(request);
+  };
+  AddTarget(fail_once);
+  AddTarget(fail_once);
+  EXPECT_TRUE(IsStatus(Call(Request("/safe/x", kKeyA)), "200"));
+  EXPECT_EQ(runs_, std::vector<std::string>{"a"});
+  Call(Request("/public/x"));
+  Call(Request("/safe/x", kUnknownKey));
+  EXPECT_EQ(runs_.size(), 1U);
+}
+
+TEST_F(OrganisationTest, ARequestThatNoTargetRanIsNotRecorded) {
+  AddTarget(NotRun);
+  EXPECT_TRUE(IsStatus(Call(Request("/safe/x", kKeyA)), "503"));
+  EXPECT_TRUE(runs_.empty());
+}
+
 TEST_F(OrganisationTest, PublicRoutesNeedNoKeyAndForwardNone) {
   ScriptedServer& target = AddTarget(Ok);
   EXPECT_TRUE(IsStatus(Call(Request("/public/x")), "200"));
@@ -164,6 +185,8 @@
   const std::string answer = Call(Request("/resumable/x", kKeyB));
   EXPECT_TRUE(IsStatus(answer, "200"));
   EXPECT_NE(answer.find("id: 4"), std::string::npos);
+  // One run, though two targets had a part in it.
+  EXPECT_EQ(runs_, std::vector<std::string>{"b"});
   for (ScriptedServer* it : {&one, &other}) {
     EXPECT_EQ(Header(it->requests().at(0), "Lynxglade-Tenant"), "b");
   }
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -140,6 +140,7 @@
           .answers = answers_,
           .retry_budget = retry_budget_,
           .zones = zones_,
+          .run_times = run_times_,
           .metrics = metrics_,
           .clock = base::BootClock::now,
           .random = base::SeededRandom(1),
@@ -147,7 +148,10 @@
           .routes = [this] { return routes_; },
           .accepts = [this] { return accepts_; },
           .instances = [] { return 1; },
-          .view_age = [] { return base::Duration(0); }},
+          .view_age = [] { return base::Duration(0); },
+          .on_run = [this](
+                        const base::OrganisationId& organisation,
+                        base::Time) { runs_.push_back(organisation.str()); }},
       options_);
   server_ = std::make_unique<CallerServer>(
       loop_,
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -91,6 +91,9 @@
                                              base::SeededRandom(1)};
   request::passthrough::SharedRetryBudget retry_budget_{{}};
   request::passthrough::ZoneHealth zones_;
+  request::passthrough::RunTimes run_times_;
+  // Organisations of which a target ran a request, in order.
+  std::vector<std::string> runs_;
   request::passthrough::RelayOptions options_;
   bool accepts_ = true;
   std::shared_ptr<const request::passthrough::RouteTable> routes_ =
--- a/tests/process/duties/order_authority_test.cc
+++ b/tests/process/duties/duty_holder_test.cc
@@ -1,4 +1,4 @@
-#include "process/duties/order_authority.h"
+#include "process/duties/duty_holder.h"
 
 #include <memory>
 #include <string>
@@ -25,19 +25,20 @@
             const std::string& name,
             const base::Clock& clock)
       : presence(loop, store, {.instance = base::InstanceId(name)}, clock),
-        authority(store,
+        authority(loop,
+                  store,
                   presence,
                   {.max_acquire_delay = base::Duration(0)},
                   clock,
                   base::SeededRandom(std::hash<std::string>()(name))) {}
 
   peers::InstancePresence presence;
-  OrderAuthority authority;
+  DutyHolder authority;
 };
 
-class OrderAuthorityTest : public testing::Test {
+class DutyHolderTest : public testing::Test {
  protected:
-  OrderAuthorityTest()
+  DutyHolderTest()
       : store_(loop_),
         one_(loop_, store_, "one", clock_),
         two_(loop_, store_, "two", clock_) {
@@ -93,7 +94,7 @@
   base::Time until_{};
 };
 
-TEST_F(OrderAuthorityTest, HolderGetsTokenAfterTakeoverDelay) {
+TEST_F(DutyHolderTest, HolderGetsTokenAfterTakeoverDelay) {
   TryAcquire(one_);
   PassListing(one_);
   EXPECT_FALSE(one_.authority.HeldToken());
@@ -106,7 +107,7 @@
   EXPECT_EQ(until_, now_ + milliseconds(300));
 }
 
-TEST_F(OrderAuthorityTest, OnlyOneOfTwoAcquiresTheKey) {
+TEST_F(DutyHolderTest, OnlyOneOfTwoAcquiresTheKey) {
   TryAcquire(one_);
   TryAcquire(two_);
   PassListing(one_);
@@ -116,7 +117,7 @@
   EXPECT_FALSE(two_.authority.HeldToken());
 }
 
-TEST_F(OrderAuthorityTest, AcquisitionWithLostResponseIsFoundInListing) {
+TEST_F(DutyHolderTest, AcquisitionWithLostResponseIsFoundInListing) {
   store_.LoseNextResponse();
   Acquire(one_);
   EXPECT_TRUE(ConfirmHeld(one_));
@@ -124,7 +125,7 @@
 
 // The store may delete an instance's key without notice: the last observed
 // state still shows it as holder, while reading the key back does not.
-TEST_F(OrderAuthorityTest, KeyDeletedUnnoticedIsNotConfirmed) {
+TEST_F(DutyHolderTest, KeyDeletedUnnoticedIsNotConfirmed) {
   Acquire(one_);
   store_.Remove(kKey);
   EXPECT_TRUE(one_.authority.HeldToken());
@@ -137,14 +138,14 @@
 
 // Listings may be seconds old. One from before the acquisition neither revokes
 // the authority nor restarts the takeover delay.
-TEST_F(OrderAuthorityTest, StaleListingDoesNotRevokeAuthority) {
+TEST_F(DutyHolderTest, StaleListingDoesNotRevokeAuthority) {
   Acquire(one_);
   one_.authority.OnList({});
   EXPECT_TRUE(one_.authority.HeldToken());
   EXPECT_TRUE(ConfirmHeld(one_));
 }
 
-TEST_F(OrderAuthorityTest, LostKeyIsAcquiredAgain) {
+TEST_F(DutyHolderTest, LostKeyIsAcquiredAgain) {
   Acquire(one_);
   store_.Remove(kKey);
   EXPECT_FALSE(ConfirmHeld(one_));
@@ -153,14 +154,14 @@
   EXPECT_TRUE(ConfirmHeld(one_));
 }
 
-TEST_F(OrderAuthorityTest, UnreachableStoreConfirmsNothing) {
+TEST_F(DutyHolderTest, UnreachableStoreConfirmsNothing) {
   Acquire(one_);
   store_.Fail(store::StoreFault::kTimeout);
   EXPECT_FALSE(ConfirmHeld(one_));
 }
 
 // A process restarted under the same instance name has another holder id.
-TEST_F(OrderAuthorityTest, RestartedInstanceIsNotTheHolder) {
+TEST_F(DutyHolderTest, RestartedInstanceIsNotTheHolder) {
   Acquire(one_);
   Contender again(loop_, store_, "one", clock_);
   store_.Write(kKey, "one/ffff");
@@ -169,7 +170,7 @@
   EXPECT_FALSE(again.authority.HeldToken());
 }
 
-TEST_F(OrderAuthorityTest, LaterHolderGetsHigherToken) {
+TEST_F(DutyHolderTest, LaterHolderGetsHigherToken) {
   Acquire(one_);
   const auto first = ConfirmHeld(one_);
   store_.Expire(*one_.presence.lease());
--- a/tests/process/duties/order_schedules_test.cc
+++ b/tests/process/duties/order_schedules_test.cc
@@ -14,7 +14,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "process/duties/order_authority.h"
+#include "process/duties/duty_holder.h"
 #include "process/store/fake_store_port.h"
 
 namespace lynxglade::process::duties {
@@ -65,14 +65,15 @@
                     .renew_interval = std::chrono::microseconds(1),
                     .retry_interval = std::chrono::microseconds(1)},
                    schedule.clock_),
-          authority(schedule.store_,
+          authority(schedule.loop_,
+                    schedule.store_,
                     presence,
                     {.max_acquire_delay = base::Duration(0)},
                     schedule.clock_,
                     base::SeededRandom(std::hash<std::string>()(name))) {}
 
     peers::InstancePresence presence;
-    OrderAuthority authority;
+    DutyHolder authority;
   };
 
   std::size_t Draw(std::size_t n) {
--- a/tests/process/order_interleaving_test.cc
+++ b/tests/process/order_interleaving_test.cc
@@ -207,14 +207,14 @@
   return simulation.violation();
 }
 
-TEST(OrderAuthorityTest, ClosedConnectionDropsDelayedOrder) {
+TEST(DutyHolderTest, ClosedConnectionDropsDelayedOrder) {
   EXPECT_EQ(DelayedOrderViolation(/*fenced=*/false, /*connections_end=*/true),
             "");
   EXPECT_EQ(DelayedOrderViolation(/*fenced=*/true, /*connections_end=*/true),
             "");
 }
 
-TEST(OrderAuthorityTest, FencedEngineRejectsDelayedOrderWithoutIdleTimeout) {
+TEST(DutyHolderTest, FencedEngineRejectsDelayedOrderWithoutIdleTimeout) {
   EXPECT_EQ(DelayedOrderViolation(/*fenced=*/true, /*connections_end=*/false),
             "");
 }
@@ -222,7 +222,7 @@
 // A drain order is delayed on its connection, sent again and observed. The next
 // order has to wait until the delayed copy has arrived or its connection
 // closed.
-TEST(OrderAuthorityTest, DifferentOrderWaitsForDelayedCopies) {
+TEST(DutyHolderTest, DifferentOrderWaitsForDelayedCopies) {
   OrderSimulation::Options options;
   options.fenced = 0;
   options.unfenced = 1;
@@ -241,7 +241,7 @@
 
 // Known limit, see docs/notes/authority.md: an engine that accepts old fencing
 // tokens and never closes idle connections can accept a late order.
-TEST(OrderAuthorityTest, UnfencedEngineWithoutIdleTimeoutAcceptsDelayedOrder) {
+TEST(DutyHolderTest, UnfencedEngineWithoutIdleTimeoutAcceptsDelayedOrder) {
   EXPECT_NE(DelayedOrderViolation(/*fenced=*/false, /*connections_end=*/false),
             "");
 }
--- a/tests/process/stages/stage_orders_test.cc
+++ b/tests/process/stages/stage_orders_test.cc
@@ -29,7 +29,8 @@
   StageOrdersTest()
       : store_(loop_),
         presence_(loop_, store_, {.instance = base::InstanceId("me")}, clock_),
-        authority_(store_,
+        authority_(loop_,
+                   store_,
                    presence_,
                    {.takeover_delay = base::Duration(0),
                     .max_acquire_delay = base::Duration(0)},
@@ -79,6 +80,7 @@
   }
 
   void Start() {
+    asio::co_spawn(loop_, authority_.Run(), asio::detached);
     asio::co_spawn(loop_, orders_.Run(), asio::detached);
     store::RunUntil(loop_, [this] { return !store_.items().empty(); });
     PassHolder();
@@ -105,7 +107,7 @@
   store::FakeStorePort store_;
   EngineTable table_{base::Duration(0)};
   peers::InstancePresence presence_;
-  duties::OrderAuthority authority_;
+  duties::DutyHolder authority_;
   std::map<std::string, EngineReport> reports_;
   std::vector<std::pair<std::string, StageOrder>> sent_;
   OrderResult result_ = OrderResult::kAccepted;
--- a/tests/process/store/fake_store_port.cc
+++ b/tests/process/store/fake_store_port.cc
@@ -213,6 +213,22 @@
   co_return co_await Put(key, value, lease, fault);
 }
 
+StorePort::Result<base::Revision> FakeStorePort::Update(
+    std::string key,
+    std::string value,
+    LeaseId lease,
+    base::Revision if_revision,
+    StoreFault* fault) {
+  const auto it = items_.find(key);
+  const base::Revision current =
+      it == items_.end() ? base::Revision(0) : it->second.revision;
+  if (current != if_revision) {
+    *fault = StoreFault::kConflict;
+    co_return std::nullopt;
+  }
+  co_return co_await Put(key, value, lease, fault);
+}
+
 StorePort::Result<base::Revision> FakeStorePort::Put(std::string key,
                                                      std::string value,
                                                      LeaseId lease,
--- a/tests/process/store/fake_store_port.h
+++ b/tests/process/store/fake_store_port.h
@@ -65,6 +65,11 @@
                                 std::string value,
                                 LeaseId lease,
                                 StoreFault* fault) override;
+  Result<base::Revision> Update(std::string key,
+                                std::string value,
+                                LeaseId lease,
+                                base::Revision if_revision,
+                                StoreFault* fault) override;
   Result<base::Revision> Put(std::string key,
                              std::string value,
                              LeaseId lease,
