Usage: the holder requests counts that it misses, and waits by how much that is

Cause: windows were off by 25 to 40 %. Instances that the store turned away sent their counts to the previous holder; isolated instances had left the presence list and did not count as missing; rows of ended processes reached a new holder at 150 rows a period.

Change: the holder sends a request to instances that it does not hear; missing instances count for 20 s after they were heard; a window of which more is missing than the platform tolerates is waited for until one call is left; an acknowledged update is followed by the next one at once; windows that were reported are dropped everywhere.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -298,11 +298,17 @@
           [this](const std::vector<StoreItem>& items) {
             presence.OnList(items);
             authority.OnList(items);
+            if (duties) {
+              duties->OnList(items);
+            }
           },
       .on_change =
           [this](const StoreItem& it) {
             presence.OnChange(it);
             authority.OnChange(it);
+            if (duties) {
+              duties->OnChange(it);
+            }
           },
       .on_recovered = [] {},
   };
--- a/src/main/entry_duties.cc
+++ b/src/main/entry_duties.cc
@@ -47,7 +47,8 @@
                                    static_cast<std::uint16_t>(calls.port)}),
           {.instance = settings.instance,
            .window = settings.usage_window,
-           .due = settings.usage_due},
+           .due = settings.usage_due,
+           .timing = {.tolerance = settings.usage_tolerance}},
           deps.clock,
           deps.metrics) {}
 
--- a/src/main/entry_duties.h
+++ b/src/main/entry_duties.h
@@ -3,6 +3,8 @@
 #ifndef LYNXGLADE_MAIN_ENTRY_DUTIES_H_
 #define LYNXGLADE_MAIN_ENTRY_DUTIES_H_
 
+#include <vector>
+
 #include "base/ids.h"
 #include "base/metrics.h"
 #include "base/time.h"
@@ -45,6 +47,14 @@
   void Start();
   void Stop() noexcept { reporter_.Stop(); }
 
+  // Take a listing, and a change, of the keys that instances write.
+  void OnList(const std::vector<process::store::StoreItem>& items) {
+    reporter_.OnList(items);
+  }
+  void OnChange(const process::store::StoreItem& item) {
+    reporter_.OnChange(item);
+  }
+
   // A target began to run a request of the organisation.
   void CountRun(const base::OrganisationId& organisation, base::Time began);
 
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -146,6 +146,9 @@
        "seconds after the end of a window by which its usage report must have "
        "arrived",
        SecondsParser(&EntrySettings::usage_due, kMinSeconds, kMaxSeconds)},
+      {"usage-tolerance", "0.05", false,
+       "relative error of a usage report that the platform tolerates",
+       NumberParser(&EntrySettings::usage_tolerance, 0, 1)},
       {"retry-ratio", "0.2", false,
        "arrivals at targets beyond the first of each request, per request, "
        "over all instances",
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -44,6 +44,8 @@
   // window by which its report must have arrived.
   base::Duration usage_window = std::chrono::seconds(5);
   base::Duration usage_due = std::chrono::seconds(10);
+  // Relative error of a count that the platform tolerates.
+  double usage_tolerance = 0.05;
   // Minimum fraction of a service's engines that decode; the others prefill.
   double decode_share = 0.25;
   // Retry budget of all instances together, in a sliding window: ratio times
--- a/src/process/peers/peer_datagrams.h
+++ b/src/process/peers/peer_datagrams.h
@@ -31,9 +31,11 @@
   kLoan = 3,
   // Targets that an instance avoids (avoidance_sharing.h).
   kAvoided = 4,
-  // Usage counts for their collectors, and the answer (usage_sharing.h).
+  // Usage counts for their collectors, the answer, and a collector's request
+  // for them (usage_sharing.h).
   kUsageUpdate = 5,
   kUsageAck = 6,
+  kUsageRequest = 7,
 };
 
 // Not thread-safe: runs on the event loop.
--- a/src/process/usage/report_decision.cc
+++ b/src/process/usage/report_decision.cc
@@ -24,10 +24,12 @@
   if (since_end < timing.settle_time) {
     return ReportDecision::kWait;
   }
-  const bool whole = missing_part <= timing.tolerable_part;
-  const bool time_runs_out = since_end >= due - timing.repeat_time;
-  return whole || time_runs_out ? ReportDecision::kReport
-                                : ReportDecision::kWait;
+  const base::Duration left = due - since_end;
+  const bool ready =
+      missing_part <= timing.negligible_part ||
+      (missing_part <= timing.tolerance && left <= timing.repeat_time) ||
+      left <= timing.call_time;
+  return ready ? ReportDecision::kReport : ReportDecision::kWait;
 }
 
 }  // namespace lynxglade::process::usage
--- a/src/process/usage/report_decision.h
+++ b/src/process/usage/report_decision.h
@@ -12,12 +12,18 @@
   // After the end of a window, before it is reported at all: counts are still
   // on their way then.
   base::Duration settle_time = std::chrono::milliseconds(1500);
-  // A window is reported as it is when this is left before it is due, so that
-  // the call can be repeated.
+  // A window of which little is missing is reported when this is left before it
+  // is due, so that the call can be repeated.
   base::Duration repeat_time = std::chrono::milliseconds(3000);
+  // Left for one call. A window of which more is missing than the platform
+  // tolerates is waited for until then: a report that is off counts as little
+  // as none.
+  base::Duration call_time = std::chrono::milliseconds(700);
   // A smaller part of the counts may be missing: waiting for it would cost
   // more safety than it gains precision.
-  double tolerable_part = 0.01;
+  double negligible_part = 0.01;
+  // Relative error that the platform tolerates.
+  double tolerance = 0.05;
 };
 
 enum class ReportDecision {
--- a/src/process/usage/usage_reporter.cc
+++ b/src/process/usage/usage_reporter.cc
@@ -105,9 +105,24 @@
   return std::chrono::milliseconds(fleet_clock_.Now().value() - end);
 }
 
+void UsageReporter::OnList(const std::vector<store::StoreItem>& items) {
+  std::ranges::for_each(items,
+                        [this](const store::StoreItem& it) { OnChange(it); });
+}
+
+void UsageReporter::OnChange(const store::StoreItem& item) {
+  if (item.key != options_.key || item.deleted) {
+    return;
+  }
+  if (const auto report = DecodeReport(item.value)) {
+    reported_ = std::max(reported_, report->window);
+  }
+}
+
 Awaitable<void> UsageReporter::Step() {
   const std::int64_t kept = (options_.due / options_.window) + 2;
-  table_.ForgetBefore(WindowId(WindowAt(clock_()).value() - kept));
+  table_.ForgetBefore(std::max(WindowId(WindowAt(clock_()).value() - kept),
+                               WindowId(reported_.value() + 1)));
   if (!holder_.HeldToken()) {
     recorded_.reset();
     failing_since_.reset();
--- a/src/process/usage/usage_reporter.h
+++ b/src/process/usage/usage_reporter.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/metrics.h"
@@ -85,6 +86,11 @@
   connection::event::Awaitable<void> Step();
   void Stop() noexcept { stopped_ = true; }
 
+  // Take a listing, and a change, of the store's keys: every instance drops the
+  // counts of windows that have been reported.
+  void OnList(const std::vector<store::StoreItem>& items);
+  void OnChange(const store::StoreItem& item);
+
   // The window of a point in time.
   WindowId WindowAt(base::Time time) const;
 
@@ -120,6 +126,8 @@
   std::optional<Recorded> recorded_;
   // The next window to report.
   WindowId next_;
+  // The newest window whose report was seen in the store.
+  WindowId reported_;
   base::Time retry_at_{};
   std::optional<base::Time> failing_since_;
 };
--- a/src/process/usage/usage_sharing.cc
+++ b/src/process/usage/usage_sharing.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 #include "base/hash.h"
@@ -72,6 +73,10 @@
       [this](const InstancePeer& from, std::string_view bytes) {
         return HandleAck(from, bytes);
       });
+  datagrams_.SetHandler(DatagramKind::kUsageRequest,
+                        [this](const InstancePeer& from, std::string_view) {
+                          return HandleRequest(from);
+                        });
   datagrams_.CallPeriodically(kTick, [this] { SendUpdates(); });
 }
 
@@ -81,29 +86,62 @@
       options_.max_period);
 }
 
+std::vector<InstancePeer> UsageSharing::Collectors() const {
+  const auto& instances = presence_.Peers();
+  std::vector<InstancePeer> collectors =
+      SelectCollectors(instances, holder_(), options_.collectors);
+  std::ranges::copy_if(
+      instances, std::back_inserter(collectors), [&](const InstancePeer& it) {
+        const auto requested = requested_at_.find(it.instance);
+        return requested != requested_at_.end() &&
+               clock_() - requested->second <= options_.request_ttl &&
+               std::ranges::find(collectors, it.instance,
+                                 &InstancePeer::instance) == collectors.end();
+      });
+  return collectors;
+}
+
 void UsageSharing::SendUpdates() {
   const base::Time now = clock_();
+  RequestUpdates();
   if (now < send_at_) {
     return;
   }
   send_at_ = now + Period();
-  bool news = false;
-  for (const InstancePeer& to :
-       SelectCollectors(presence_.Peers(), holder_(), options_.collectors)) {
+  const bool even_empty = now - sent_at_ >= options_.idle_period;
+  bool sent = false;
+  for (const InstancePeer& to : Collectors()) {
     if (to.instance != options_.instance) {
-      news = SendUpdate(to) || news;
+      sent = SendUpdate(to, even_empty) || sent;
     }
   }
-  if (news) {
+  if (sent) {
     sent_at_ = now;
   }
 }
 
-bool UsageSharing::SendUpdate(const InstancePeer& to) {
+void UsageSharing::RequestUpdates() {
+  const base::Time now = clock_();
+  if (holder_() != options_.instance || now < request_at_) {
+    return;
+  }
+  request_at_ = now + options_.request_period;
+  for (const InstancePeer& it : presence_.Peers()) {
+    const auto sender = senders_.find(it.instance);
+    const bool silent = sender == senders_.end() ||
+                        now - sender->second.heard >=
+                            std::max(options_.request_period, 2 * Period());
+    if (silent && it.instance != options_.instance) {
+      datagrams_.Send(it, DatagramKind::kUsageRequest, {});
+    }
+  }
+}
+
+bool UsageSharing::SendUpdate(const InstancePeer& to, bool even_empty) {
   // Processes that still run send their rows themselves.
   std::set<OriginId> running;
   for (const auto& [instance, sender] : senders_) {
-    if (clock_() - sender.heard <= options_.max_period * 2) {
+    if (clock_() - sender.heard <= 2 * options_.max_period) {
       running.insert(sender.origin);
     }
   }
@@ -112,18 +150,18 @@
   };
   UsageUpdate update;
   update.origin = options_.origin;
+  update.time = fleet_clock_.OwnNow();
   std::string bytes;
   // Long names take more room than the usual number of rows has.
   for (std::size_t limit = kMaxUpdateRows; limit > 0; limit /= 2) {
     update.rows = table_.ChangedAfter(collectors_[to.instance].acknowledged,
                                       limit, wanted, &update.change);
-    update.time = fleet_clock_.OwnNow();
     bytes = EncodeUsageUpdate(update);
     if (bytes.size() <= kMaxUpdateBytes) {
       break;
     }
   }
-  if (update.rows.empty() && clock_() - sent_at_ < options_.idle_period) {
+  if (update.rows.empty() && !even_empty) {
     return false;
   }
   datagrams_.Send(to, DatagramKind::kUsageUpdate, bytes);
@@ -150,7 +188,8 @@
   return true;
 }
 
-// A collector that has restarted has lost its table.
+// A collector that has restarted has lost its table. What is left is sent at
+// once: a new holder has little time to learn everything.
 bool UsageSharing::HandleAck(const InstancePeer& from, std::string_view bytes) {
   const auto ack = DecodeUsageAck(bytes);
   if (!ack) {
@@ -158,32 +197,45 @@
   }
   fleet_clock_.AddEstimate(from.instance, ack->time, ack->clocks);
   Collector& collector = collectors_[from.instance];
-  if (collector.origin != ack->origin) {
-    const bool restarted = !collector.origin.empty();
-    collector = {ack->origin, ChangeNumber()};
-    if (restarted) {
-      return true;
-    }
+  const bool restarted =
+      !collector.origin.empty() && collector.origin != ack->origin;
+  collector.origin = ack->origin;
+  if (restarted) {
+    collector.acknowledged = ChangeNumber();
+  } else if (ack->change > collector.acknowledged) {
+    collector.acknowledged = ack->change;
+  } else {
+    return true;
   }
-  collector.acknowledged = std::max(collector.acknowledged, ack->change);
+  SendUpdate(from, /*even_empty=*/false);
+  return true;
+}
+
+bool UsageSharing::HandleRequest(const InstancePeer& from) {
+  requested_at_[from.instance] = clock_();
   return true;
 }
 
 double UsageSharing::MissingPart(base::Time end, base::Duration length) const {
-  const auto& instances = presence_.Peers();
-  double missing = 0;
-  for (const InstancePeer& it : instances) {
-    if (it.instance == options_.instance) {
-      continue;
+  const base::Time now = clock_();
+  std::map<base::InstanceId, base::Time> heard;
+  for (const InstancePeer& it : presence_.Peers()) {
+    heard[it.instance] = base::Time();
+  }
+  for (const auto& [instance, sender] : senders_) {
+    if (heard.contains(instance) ||
+        now - sender.heard <= options_.isolated_time) {
+      heard[instance] = sender.heard;
     }
-    const auto sender = senders_.find(it.instance);
-    const base::Time heard =
-        sender == senders_.end() ? base::Time() : sender->second.heard;
-    missing += std::clamp(
-        base::ToFineMillis(end - heard) / base::ToFineMillis(length), 0.0, 1.0);
   }
-  return instances.empty() ? 0
-                           : missing / static_cast<double>(instances.size());
+  heard[options_.instance] = now;
+  const double missing = std::accumulate(
+      heard.begin(), heard.end(), 0.0, [&](double sum, const auto& it) {
+        return sum + std::clamp(base::ToFineMillis(end - it.second) /
+                                    base::ToFineMillis(length),
+                                0.0, 1.0);
+      });
+  return missing / static_cast<double>(heard.size());
 }
 
 }  // namespace lynxglade::process::usage
--- a/src/process/usage/usage_sharing.h
+++ b/src/process/usage/usage_sharing.h
@@ -4,7 +4,9 @@
 // the counts of instances that end before they are reported. An instance sends
 // each collector the rows that changed since the last update which that
 // collector acknowledged, so that a lost datagram costs one period. Rows of
-// processes that are gone are passed on by those that have them.
+// processes that are gone are passed on by those that have them. The holder
+// requests updates from instances that it does not hear from: those that the
+// store turns away do not learn of a new holder otherwise.
 #ifndef LYNXGLADE_PROCESS_USAGE_USAGE_SHARING_H_
 #define LYNXGLADE_PROCESS_USAGE_USAGE_SHARING_H_
 
@@ -39,6 +41,14 @@
   // that nothing is missing.
   base::Duration idle_period = std::chrono::milliseconds(1000);
   std::size_t collectors = 3;
+  // After this silence of an instance the holder requests an update, and then
+  // again as often.
+  base::Duration request_period = std::chrono::milliseconds(1000);
+  // How long a request is followed.
+  base::Duration request_ttl = std::chrono::seconds(5);
+  // An instance that has left the presence list may still be serving, isolated
+  // from the store, for this long.
+  base::Duration isolated_time = std::chrono::seconds(20);
 };
 
 // The instances that collect: the holder, if any, then others in an order that
@@ -66,9 +76,9 @@
   // Starts to send, while the socket is open, and to receive.
   void Start();
 
-  // The part of the other instances' counts that is probably missing here for
-  // a window of `length` that ended at `end`: an instance that was last heard
-  // `t` before the end misses t / length of its counts.
+  // The part of the instances' counts that is probably missing here for a
+  // window of `length` that ended at `end`: of an instance that was last heard
+  // `t` before the end, t / length of its counts.
   double MissingPart(base::Time end, base::Duration length) const;
 
  private:
@@ -79,9 +89,14 @@
   };
 
   void SendUpdates();
-  // True if there were rows to send.
-  bool SendUpdate(const peers::InstancePeer& to);
+  // Sends the next rows, or an empty update if `even_empty`. False if there was
+  // nothing to send.
+  bool SendUpdate(const peers::InstancePeer& to, bool even_empty);
+  void RequestUpdates();
+  // The holder and the others, and those that have requested updates.
+  std::vector<peers::InstancePeer> Collectors() const;
   bool HandleUpdate(const peers::InstancePeer& from, std::string_view bytes);
+  bool HandleRequest(const peers::InstancePeer& from);
   bool HandleAck(const peers::InstancePeer& from, std::string_view bytes);
   base::Duration Period() const;
 
@@ -96,6 +111,9 @@
   base::Time send_at_{};
   base::Time sent_at_{};
   std::map<base::InstanceId, Collector> collectors_;
+  // When each instance last requested updates.
+  std::map<base::InstanceId, base::Time> requested_at_;
+  base::Time request_at_{};
   // When each instance was last heard, and the process it was then.
   struct Sender {
     base::Time heard{};
