Capacity: the holder orders engines, cheaper ones where the platform offers them

Change: CapacityPlan, a pure planner, keeps a part of each zone regular and replaces the rest, one for one as replacements become ready, with headroom for a zone whose spot engines are reclaimed. CapacityOrders sends the orders as the holder of the duties, remembers what the platform had none of, repeats orders whose engines do not come, and keeps what was ordered in the store for the next holder. With an old view of the engines nothing is ordered. Entries tell spot engines.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -71,8 +71,6 @@
 // Bound on the time from the confirmation of the authority to the arrival of a
 // call: validity of the confirmation and timeout of the call.
 constexpr base::Duration kCallFlightTime = std::chrono::milliseconds(1500);
-// Name of the reporting duty in the settings.
-constexpr char kUsageDuty[] = "usage";
 // After this time without a request, all engines may change stage at once.
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(3);
 
@@ -138,7 +136,7 @@
   asio::signal_set signals{loop, SIGTERM, SIGINT, SIGHUP};
   // Set only if a peer address is configured.
   std::optional<EntryPeers> peers;
-  // Set only if, in addition, the platform expects usage reports.
+  // Set only if, in addition, the address of the platform's calls is.
   std::optional<EntryDuties> duties;
   bool stopping = false;
   // New requests are rejected, as they might not finish before the process
@@ -271,17 +269,33 @@
                              .random = random,
                              .metrics = metrics},
       settings, endpoint);
-  if (settings.duty_calls && settings.duties.contains(kUsageDuty)) {
-    duties.emplace(EntryDutiesDependencies{.loop = loop,
-                                           .channels = channels,
-                                           .store = store,
-                                           .presence = presence,
-                                           .datagrams = peers->datagrams(),
-                                           .holder = authority,
-                                           .clock = clock,
-                                           .random = random,
-                                           .metrics = metrics},
-                   settings, *settings.duty_calls);
+  if (settings.duty_calls) {
+    duties.emplace(
+        EntryDutiesDependencies{
+            .loop = loop,
+            .channels = channels,
+            .store = store,
+            .presence = presence,
+            .datagrams = peers->datagrams(),
+            .holder = authority,
+            .engines = views.engines(),
+            .scaled_services =
+                [this] {
+                  return views.routes()
+                             ? views.routes()->ScaledServices()
+                             : std::map<base::ServiceName,
+                                        request::passthrough::ScalingTerms>();
+                },
+            .view_age =
+                [this] {
+                  return store_follower.Age().value_or(base::Duration::max());
+                },
+            .idle = [this] { return clock() - last_request > kIdleTimeout; },
+
+            .clock = clock,
+            .random = random,
+            .metrics = metrics},
+        settings, *settings.duty_calls);
   }
 }
 
--- a/src/main/entry_duties.cc
+++ b/src/main/entry_duties.cc
@@ -14,12 +14,23 @@
 using process::usage::OriginId;
 using process::usage::WallMillis;
 
+// Names of duties in the settings.
+constexpr char kUsageDuty[] = "usage";
+constexpr char kScalingDuty[] = "scaling";
+
+connection::event::Tcp::endpoint EndpointOf(const process::Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.address),
+          static_cast<std::uint16_t>(endpoint.port)};
+}
+
 }  // namespace
 
 EntryDuties::EntryDuties(EntryDutiesDependencies deps,
                          const process::EntrySettings& settings,
                          const process::Endpoint& calls)
     : loop_(deps.loop),
+      reports_usage_(settings.duties.contains(kUsageDuty)),
+      orders_engines_(settings.duties.contains(kScalingDuty)),
       origin_(OriginId(settings.instance.str() + '/' +
                        base::RandomHexId(deps.random))),
       fleet_clock_(deps.clock, [] { return WallMillis(base::WallMillis()); }),
@@ -41,24 +52,42 @@
           [this, length = settings.usage_window](base::Time end) {
             return sharing_.MissingPart(end, length);
           },
-          platform::MakeSendUsage(deps.loop,
-                                  deps.channels,
-                                  {asio::ip::make_address(calls.address),
-                                   static_cast<std::uint16_t>(calls.port)}),
+          platform::MakeSendUsage(deps.loop, deps.channels, EndpointOf(calls)),
           {.instance = settings.instance,
            .window = settings.usage_window,
            .due = settings.usage_due,
            .timing = {.tolerance = settings.usage_tolerance}},
           deps.clock,
-          deps.metrics) {}
+          deps.metrics),
+      capacity_(deps.loop,
+                deps.holder,
+                deps.store,
+                deps.engines,
+                {.services = deps.scaled_services,
+                 .view_age = deps.view_age,
+                 .idle = deps.idle,
+                 .send = platform::MakeSendCapacityOrder(deps.loop,
+                                                         deps.channels,
+                                                         EndpointOf(calls))},
+                {.instance = settings.instance},
+                deps.clock,
+                deps.metrics) {}
 
 void EntryDuties::Start() {
-  sharing_.Start();
-  asio::co_spawn(loop_, reporter_.Run(), asio::detached);
+  if (reports_usage_) {
+    sharing_.Start();
+    asio::co_spawn(loop_, reporter_.Run(), asio::detached);
+  }
+  if (orders_engines_) {
+    asio::co_spawn(loop_, capacity_.Run(), asio::detached);
+  }
 }
 
 void EntryDuties::CountRun(const base::OrganisationId& organisation,
                            base::Time began) {
+  if (!reports_usage_) {
+    return;
+  }
   table_.Count(origin_, reporter_.WindowAt(began), organisation);
 }
 
--- a/src/main/entry_duties.h
+++ b/src/main/entry_duties.h
@@ -3,12 +3,15 @@
 #ifndef LYNXGLADE_MAIN_ENTRY_DUTIES_H_
 #define LYNXGLADE_MAIN_ENTRY_DUTIES_H_
 
+#include <functional>
+#include <map>
 #include <vector>
 
 #include "base/ids.h"
 #include "base/metrics.h"
 #include "base/time.h"
 #include "connection/event/channel_pool.h"
+#include "process/capacity/capacity_orders.h"
 #include "process/duties/duty_holder.h"
 #include "process/entry_settings.h"
 #include "process/peers/instance_presence.h"
@@ -29,6 +32,15 @@
   const process::peers::InstancePresence& presence;
   process::peers::PeerDatagrams& datagrams;
   process::duties::DutyHolder& holder;
+  const request::passthrough::EngineTable& engines;
+  // Terms of the services whose number of engines can be changed.
+  std::function<
+      std::map<base::ServiceName, request::passthrough::ScalingTerms>()>
+      scaled_services;
+  // Age of the view of the engines.
+  std::function<base::Duration()> view_age;
+  // Whether this instance has received no request for a while.
+  std::function<bool()> idle;
   base::Clock clock;
   base::RandomSource random;
   base::Metrics& metrics;
@@ -45,7 +57,10 @@
   EntryDuties& operator=(const EntryDuties&) = delete;
 
   void Start();
-  void Stop() noexcept { reporter_.Stop(); }
+  void Stop() noexcept {
+    reporter_.Stop();
+    capacity_.Stop();
+  }
 
   // Take a listing, and a change, of the keys that instances write.
   void OnList(const std::vector<process::store::StoreItem>& items) {
@@ -60,11 +75,15 @@
 
  private:
   connection::event::asio::io_context& loop_;
+  // The duties that the platform expects.
+  const bool reports_usage_;
+  const bool orders_engines_;
   const process::usage::OriginId origin_;
   process::usage::UsageTable table_;
   process::usage::FleetClock fleet_clock_;
   process::usage::UsageSharing sharing_;
   process::usage::UsageReporter reporter_;
+  process::capacity::CapacityOrders capacity_;
 };
 
 }  // namespace lynxglade
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -41,6 +41,8 @@
   EngineStage stage = EngineStage::kDecode;
   // Finishes its requests and accepts no new ones.
   bool draining = false;
+  // The platform may reclaim it at short notice.
+  bool is_spot = false;
   // Identifies one lifetime of the target; nothing on platforms that do not
   // report it. Any other value, earlier or later, is another lifetime, as
   // clocks may be adjusted.
--- a/src/request/passthrough/route_table.cc
+++ b/src/request/passthrough/route_table.cc
@@ -84,6 +84,16 @@
   return names;
 }
 
+std::map<base::ServiceName, ScalingTerms> RouteTable::ScaledServices() const {
+  std::map<base::ServiceName, ScalingTerms> scaled;
+  for (const auto& [name, service] : services_) {
+    if (service.scaling) {
+      scaled.emplace(name, *service.scaling);
+    }
+  }
+  return scaled;
+}
+
 const base::ServiceName* RouteTable::PickService(const Route& route,
                                                  std::uint64_t point) noexcept {
   const std::uint64_t total = std::accumulate(
--- a/src/request/passthrough/route_table.h
+++ b/src/request/passthrough/route_table.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "request/passthrough/organisation_keys.h"
+#include "request/passthrough/scaling_terms.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -75,6 +77,8 @@
   int max_connections = 0;
   // Its targets are engines that can be switched between prefill and decode.
   bool has_stages = false;
+  // Set if the number of its engines can be changed.
+  std::optional<ScalingTerms> scaling;
 };
 
 class RouteTable {
@@ -93,6 +97,8 @@
   const ServiceTerms* FindService(const base::ServiceName& name) const;
   // Services whose engines can change their stage, ordered by name.
   std::vector<base::ServiceName> StagedServices() const;
+  // Terms of the services whose number of engines can be changed.
+  std::map<base::ServiceName, ScalingTerms> ScaledServices() const;
   // Picks a service by weight. `point` is a hash of the request, so that all
   // attempts of a request use one service. Null if no share has weight.
   static const base::ServiceName* PickService(const Route& route,
--- a/tests/platform/store_documents_test.cc
+++ b/tests/platform/store_documents_test.cc
@@ -75,6 +75,24 @@
   EXPECT_EQ(fault.detail, "a key of a is not a string");
 }
 
+TEST(StoreDocuments, ReadsTheTermsOfScaling) {
+  std::string text = kConfiguration;
+  DocumentFault fault;
+  EXPECT_TRUE(ParseConfiguration(text, &fault)->ScaledServices().empty());
+  const std::string engine = R"("switchS":3.0})";
+  text.insert(text.find(engine) + engine.size(),
+              R"(,"scaling":{"minReplicas":1,"maxReplicas":60,"bootS":4.0,
+                 "spotPrice":0.18,"zonePrices":{"a":0.85,"b":1.2}})");
+  const auto table = ParseConfiguration(text, &fault);
+  ASSERT_TRUE(table) << fault.detail;
+  const auto terms = table->ScaledServices().at(base::ServiceName("s"));
+  EXPECT_EQ(terms.min_engines, 1);
+  EXPECT_EQ(terms.max_engines, 60);
+  EXPECT_EQ(terms.boot_time, std::chrono::seconds(4));
+  EXPECT_EQ(terms.spot_price, 0.18);
+  EXPECT_EQ(terms.zone_prices.at(base::ZoneId("b")), 1.2);
+}
+
 // An invalid part rejects the whole document, and the fault names the member.
 TEST(StoreDocuments, RejectsInvalidConfigurations) {
   const std::string good = kConfiguration;
