Entry daemon: state, hooks and wiring in files of their own

The daemon's state moves to details/entry_daemon_details.h and the hooks between its parts to entry_daemon_hooks.cc; one conversion of endpoints. Lint findings of the new code. Behaviour as before.

A trial that was not kept: a second home for shared parts, used while the first is busy (penalty of half a prefill of the parts).

--- /dev/null
+++ b/src/main/entry_daemon_hooks.cc
@@ -0,0 +1,198 @@
+// How the parts of the entry daemon are connected: hooks, readiness and
+// metrics.
+#include <chrono>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "main/details/entry_daemon_details.h"
+#include "platform/store_documents.h"
+#include "platform/target_protocol.h"
+
+namespace lynxglade {
+
+namespace {
+
+using connection::event::Awaitable;
+using connection::event::CallerReply;
+using connection::event::CallerRequest;
+using connection::event::CallerServerLimits;
+using connection::event::View;
+using process::store::StoreItem;
+namespace http = connection::event::http;
+
+// Prefix of all keys that instances write.
+constexpr char kInstanceKeysPrefix[] = "lynxglade/";
+// After this time without a request, all engines may change stage, or be
+// replaced, at once.
+constexpr base::Duration kIdleTimeout = std::chrono::seconds(3);
+
+}  // namespace
+
+void EntryDaemon::Details::JoinPeers(const process::Endpoint& endpoint) {
+  peers.emplace(
+      EntryPeersDependencies{.loop = loop,
+                             .presence = presence,
+                             .watches = watches,
+                             .engines = views.engines(),
+                             .prefills = peer_prefills,
+                             .avoidance = peer_avoidance,
+                             .retry_budget = retry_budget,
+                             .is_served =
+                                 [this](const base::ServiceName& service) {
+                                   return views.routes() &&
+                                          views.routes()->FindService(service);
+                                 },
+                             .clock = clock,
+                             .random = random,
+                             .metrics = metrics},
+      settings, endpoint);
+  if (settings.duty_calls) {
+    duties.emplace(
+        EntryDutiesDependencies{
+            .loop = loop,
+            .channels = channels,
+            .store = store,
+            .presence = presence,
+            .datagrams = peers->datagrams(),
+            .holder = authority,
+            .engines = views.engines(),
+            .scaled_services =
+                [this] {
+                  return views.routes()
+                             ? views.routes()->ScaledServices()
+                             : std::map<base::ServiceName,
+                                        request::passthrough::ScalingTerms>();
+                },
+            .view_age = [this] { return ViewAge(); },
+            .idle = [this] { return IsIdle(); },
+
+            .clock = clock,
+            .random = random,
+            .metrics = metrics},
+        settings, *settings.duty_calls);
+  }
+}
+
+process::store::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
+  return process::store::DispatchByPrefix(
+      {{platform::kConfigurationKey, views.ConfigurationHooks()},
+       {platform::kTargetsPrefix, views.TargetHooks()},
+       {kInstanceKeysPrefix, InstanceKeysHooks()}});
+}
+
+process::store::PrefixFollowerHooks EntryDaemon::Details::InstanceKeysHooks() {
+  return {
+      .on_list =
+          [this](const std::vector<StoreItem>& items) {
+            presence.OnList(items);
+            authority.OnList(items);
+            if (duties) {
+              duties->OnList(items);
+            }
+          },
+      .on_change =
+          [this](const StoreItem& it) {
+            presence.OnChange(it);
+            authority.OnChange(it);
+            if (duties) {
+              duties->OnChange(it);
+            }
+          },
+      .on_recovered = [] {},
+  };
+}
+
+request::passthrough::RelayDependencies
+EntryDaemon::Details::MakeRelayDependencies() {
+  return {
+      .loop = loop,
+      .channels = channels,
+      .engines = views.engines(),
+      .picker = picker,
+      .prefill_times = prefill_times,
+      .generation_times = generation_times,
+      .answers = answers,
+      .retry_budget = retry_budget,
+      .zones = zones,
+      .run_times = run_times,
+      .metrics = metrics,
+      .clock = clock,
+      .random = random,
+      .protocol = platform::MakeTargetProtocol(),
+      .routes = [this] { return views.routes(); },
+      .accepts = [this] { return !rejecting; },
+      .instances = [this] { return presence.Count(); },
+      .view_age = [this] { return ViewAge(); },
+      .on_run =
+          [this](const base::OrganisationId& organisation, base::Time began) {
+            if (duties) {
+              duties->CountRun(organisation, began);
+            }
+          }};
+}
+
+CallerServerLimits EntryDaemon::Details::Bounds() const {
+  CallerServerLimits bounds;
+  if (!views.routes()) {
+    return bounds;
+  }
+  const auto& limits = views.routes()->limits();
+  bounds.max_header_bytes = limits.max_header_bytes;
+  bounds.max_body_bytes = limits.max_body_bytes;
+  bounds.header_timeout = limits.header_timeout;
+  bounds.idle_timeout = limits.idle_timeout;
+  return bounds;
+}
+
+bool EntryDaemon::Details::IsIdle() const {
+  return clock() - last_request > kIdleTimeout;
+}
+
+base::Duration EntryDaemon::Details::ViewAge() const {
+  return store_follower.Age().value_or(base::Duration::max());
+}
+
+bool EntryDaemon::Details::Ready() const {
+  return !stopping && views.complete();
+}
+
+Awaitable<void> EntryDaemon::Details::ServeHealth(
+    std::shared_ptr<CallerRequest> request,
+    CallerReply& reply) {
+  connection::event::AnswerHead head;
+  std::string body;
+  const std::string_view path = View(request->head.target());
+  if (path == "/metrics") {
+    head.status = static_cast<unsigned>(http::status::ok);
+    head.fields.set(http::field::content_type, "text/plain; version=0.0.4");
+    body = metrics.Render();
+  } else {
+    head.status = static_cast<unsigned>(
+        Ready() ? http::status::ok : http::status::service_unavailable);
+  }
+  co_await reply.SendWhole(std::move(head), body);
+}
+
+// The gauges are read on the event loop, when the metrics are rendered.
+void EntryDaemon::Details::AddGauges() {
+  metrics.AddGauge("lynxglade_targets_known", {}, [this] {
+    return static_cast<double>(views.engines().size());
+  });
+  metrics.AddGauge("lynxglade_instances_assumed", {},
+                   [this] { return static_cast<double>(presence.Count()); });
+  metrics.AddGauge("lynxglade_store_age_seconds", {}, [this] {
+    const auto age = store_follower.Age();
+    return age ? std::chrono::duration<double>(*age).count() : -1;
+  });
+  metrics.AddGauge("lynxglade_configuration_version", {}, [this] {
+    return views.routes() ? static_cast<double>(views.routes()->version()) : -1;
+  });
+  metrics.AddGauge("lynxglade_connections_opened", {},
+                   [this] { return static_cast<double>(channels.opened()); });
+  metrics.AddGauge("lynxglade_callers_connected", {}, [this] {
+    return static_cast<double>(callers.connections());
+  });
+}
+
+}  // namespace lynxglade
--- a/src/main/entry_duties.cc
+++ b/src/main/entry_duties.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "base/random.h"
+#include "main/tcp_endpoint.h"
 #include "platform/duty_calls.h"
 
 namespace lynxglade {
@@ -18,11 +19,6 @@
 constexpr char kUsageDuty[] = "usage";
 constexpr char kScalingDuty[] = "scaling";
 
-connection::event::Tcp::endpoint EndpointOf(const process::Endpoint& endpoint) {
-  return {asio::ip::make_address(endpoint.address),
-          static_cast<std::uint16_t>(endpoint.port)};
-}
-
 }  // namespace
 
 EntryDuties::EntryDuties(EntryDutiesDependencies deps,
--- a/src/main/entry_peers.cc
+++ b/src/main/entry_peers.cc
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "main/tcp_endpoint.h"
+
 namespace lynxglade {
 
 namespace {
@@ -9,11 +11,6 @@
 using connection::event::Tcp;
 namespace asio = connection::event::asio;
 
-Tcp::endpoint EndpointOf(const process::Endpoint& endpoint) {
-  return {asio::ip::make_address(endpoint.address),
-          static_cast<std::uint16_t>(endpoint.port)};
-}
-
 asio::ip::udp::endpoint DatagramEndpointOf(const process::Endpoint& endpoint) {
   const Tcp::endpoint at = EndpointOf(endpoint);
   return {at.address(), at.port()};
@@ -24,21 +21,14 @@
   return {.instance = settings.instance, .zone = settings.zone};
 }
 
-// The peers that load is shared with.
-std::function<std::vector<process::peers::InstancePeer>()> PeersOf(
-    const process::peers::InstancePresence& presence,
-    const process::EntrySettings& settings) {
-  return [&presence, sharing = SharingOptions(settings)] {
-    return process::peers::SharingPeers(presence.Peers(), sharing);
-  };
-}
-
 }  // namespace
 
 EntryPeers::EntryPeers(EntryPeersDependencies deps,
                        const process::EntrySettings& settings,
                        const process::Endpoint& endpoint)
-    : datagrams_(deps.loop,
+    : presence_(deps.presence),
+      sharing_(SharingOptions(settings)),
+      datagrams_(deps.loop,
                  deps.presence,
                  DatagramEndpointOf(endpoint),
                  deps.metrics),
@@ -46,31 +36,34 @@
                        deps.presence,
                        deps.prefills,
                        datagrams_,
-                       SharingOptions(settings),
+                       sharing_,
                        deps.clock),
-      avoidance_sharing_(deps.engines,
-                         deps.avoidance,
-                         datagrams_,
-                         PeersOf(deps.presence, settings),
-                         {},
-                         deps.clock),
-      retry_loans_(
-          deps.retry_budget,
+      avoidance_sharing_(
+          deps.engines,
+          deps.avoidance,
           datagrams_,
-          {.peers = PeersOf(deps.presence, settings),
-           .instance_count = [&presence =
-                                  deps.presence] { return presence.Count(); },
-           .is_served = deps.is_served},
+          [this] { return SharingPeers(); },
           {},
-          deps.clock,
-          deps.random,
-          deps.metrics),
+          deps.clock),
+      retry_loans_(deps.retry_budget,
+                   datagrams_,
+                   {.peers = [this] { return SharingPeers(); },
+                    .instance_count = [this] { return presence_.Count(); },
+                    .is_served = deps.is_served},
+                   {},
+                   deps.clock,
+                   deps.random,
+                   deps.metrics),
       change_relay_(deps.loop,
                     EndpointOf(endpoint),
                     deps.watches,
                     deps.clock,
                     deps.metrics) {}
 
+std::vector<process::peers::InstancePeer> EntryPeers::SharingPeers() const {
+  return process::peers::SharingPeers(presence_.Peers(), sharing_);
+}
+
 bool EntryPeers::Start(std::string* reason) {
   if (!datagrams_.Start(reason)) {
     return false;
--- a/src/main/entry_peers.h
+++ b/src/main/entry_peers.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "base/metrics.h"
 #include "base/random.h"
@@ -56,6 +57,11 @@
   process::peers::RetryLoans& retry_loans() noexcept { return retry_loans_; }
 
  private:
+  // The peers that load is shared with.
+  std::vector<process::peers::InstancePeer> SharingPeers() const;
+
+  const process::peers::InstancePresence& presence_;
+  const process::peers::PrefillSharingOptions sharing_;
   process::peers::PeerDatagrams datagrams_;
   process::peers::PrefillSharing prefill_sharing_;
   process::peers::AvoidanceSharing avoidance_sharing_;
--- a/src/process/usage/usage_reporter.cc
+++ b/src/process/usage/usage_reporter.cc
@@ -230,7 +230,7 @@
        {"since_end_ms", base::ToMillis(SinceEnd(recorded_->report->window))},
        {"token", token->value()},
        {"result", ToString(result)}});
-  CountReport(ToString(result).data());
+  CountReport(ToString(result));
   co_await HandleResult(result);
 }
 
@@ -250,8 +250,10 @@
   }
 }
 
-void UsageReporter::CountReport(const char* outcome) {
-  metrics_.GetCounter("lynxglade_usage_reports_total", {{"outcome", outcome}})
+void UsageReporter::CountReport(std::string_view outcome) {
+  metrics_
+      .GetCounter("lynxglade_usage_reports_total",
+                  {{"outcome", std::string(outcome)}})
       .Add();
 }
 
--- a/src/process/usage/usage_reporter.h
+++ b/src/process/usage/usage_reporter.h
@@ -109,7 +109,7 @@
   connection::event::Awaitable<void> HandleResult(duties::CallResult result);
   // Time since the end of a window by the fleet's clock; negative before it.
   base::Duration SinceEnd(WindowId window) const;
-  void CountReport(const char* outcome);
+  void CountReport(std::string_view outcome);
 
   connection::event::asio::io_context& loop_;
   duties::DutyHolder& holder_;
