--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -7,7 +7,7 @@
 //
 // The resources that an unauthenticated caller can use are bounded: the head in
 // bytes, lines and time, the TLS handshake in time, and no body is read before
-// `screen` accepted the head. See docs/notes/security.md.
+// `screen` accepted the head. See docs/design/security.md.
 #ifndef LYNXGLADE_CONNECTION_HTTP_SERVER_H_
 #define LYNXGLADE_CONNECTION_HTTP_SERVER_H_
 
--- a/src/process/role_planner.h
+++ b/src/process/role_planner.h
@@ -4,7 +4,7 @@
 // uncertainty. It values every possible change of one engine's role by the
 // worth gained over the horizon and requests one only if the gain exceeds the
 // cost: the time out of service, the price of a change and the risk of having
-// to revert it. See docs/notes/role-planner.md for the model.
+// to revert it. See docs/design/role-planner.md for the model.
 #ifndef LYNXGLADE_PROCESS_ROLE_PLANNER_H_
 #define LYNXGLADE_PROCESS_ROLE_PLANNER_H_
 
--- a/src/process/slices.h
+++ b/src/process/slices.h
@@ -4,7 +4,7 @@
 // Each instance computes the assignment locally from its list of members by
 // weighted rendezvous hashing: the member with the greatest score for a target
 // owns it. When a member leaves, only its targets move; when one joins, it
-// takes only its share. See docs/notes/slices.md.
+// takes only its share. See docs/design/slices.md.
 #ifndef LYNXGLADE_PROCESS_SLICES_H_
 #define LYNXGLADE_PROCESS_SLICES_H_
 
--- a/src/process/view_service.h
+++ b/src/process/view_service.h
@@ -4,7 +4,7 @@
 // one actor. Published facts reach all connected instances over a few hops;
 // facts from peers are passed to the subscribers. A fact is never replaced by
 // an older version. The protocol is described in
-// docs/notes/membership-and-views.md.
+// docs/design/membership-and-views.md.
 #ifndef LYNXGLADE_PROCESS_VIEW_SERVICE_H_
 #define LYNXGLADE_PROCESS_VIEW_SERVICE_H_
 
--- a/src/request/claims.h
+++ b/src/request/claims.h
@@ -6,7 +6,7 @@
 // outcome, with the answer if that is small, so that a repeat through any
 // instance gets the same answer or is told the known outcome. A claimed request
 // costs two writes, batched with those of other requests (claim_writer.h). See
-// docs/notes/whole-once.md.
+// docs/design/whole-once.md.
 #ifndef LYNXGLADE_REQUEST_CLAIMS_H_
 #define LYNXGLADE_REQUEST_CLAIMS_H_
 
--- a/src/request/fair_queue.h
+++ b/src/request/fair_queue.h
@@ -6,7 +6,7 @@
 // contract accumulates no credit while it is idle. Within a contract the most
 // urgent priority goes first. Work is expressed in seconds of the whole
 // capacity, estimated from prefill and decode tokens at the targets' rates and
-// corrected when the request ends. See docs/notes/admission.md.
+// corrected when the request ends. See docs/design/admission.md.
 #ifndef LYNXGLADE_REQUEST_FAIR_QUEUE_H_
 #define LYNXGLADE_REQUEST_FAIR_QUEUE_H_
 
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -8,7 +8,7 @@
 // all turn out to have another cause (other content that was in flight in the
 // same crash, or an unstable target) becomes a suspect again. Marks are shared
 // with the other instances, expire, and can be lifted by an operator. See
-// docs/notes/retries-and-quarantine.md.
+// docs/design/retries-and-quarantine.md.
 #ifndef LYNXGLADE_REQUEST_QUARANTINE_H_
 #define LYNXGLADE_REQUEST_QUARANTINE_H_
 
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -4,7 +4,7 @@
 // outcome of not-run is correct; and a non-idempotent request has at most one
 // attempt that may have run. The choice of targets, retries, claims and the
 // execution of attempts are provided as hooks, so that the daemon, benchmarks
-// and tests run the same code. See docs/notes/whole-once.md.
+// and tests run the same code. See docs/design/whole-once.md.
 #ifndef LYNXGLADE_REQUEST_RELAY_H_
 #define LYNXGLADE_REQUEST_RELAY_H_
 
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -7,7 +7,7 @@
 // request whose prompt prefix is likely cached at a target goes there, unless
 // that target's estimate exceeds the sampled one's by more than the cache hit
 // would save. The local zone is preferred; other zones are used when it has no
-// usable target or its wait is too long. See docs/notes/routing.md.
+// usable target or its wait is too long. See docs/design/routing.md.
 #ifndef LYNXGLADE_REQUEST_ROUTER_H_
 #define LYNXGLADE_REQUEST_ROUTER_H_
 
--- a/tests/process/order_interleaving_test.cc
+++ b/tests/process/order_interleaving_test.cc
@@ -239,7 +239,7 @@
   EXPECT_EQ(simulation.violation(), "");
 }
 
-// Known limit, see docs/notes/authority.md: an engine that accepts old fencing
+// Known limit, see docs/design/authority.md: an engine that accepts old fencing
 // tokens and never closes idle connections can accept a late order.
 TEST(DutyHolderTest, UnfencedEngineWithoutIdleTimeoutAcceptsDelayedOrder) {
   EXPECT_NE(DelayedOrderViolation(/*fenced=*/false, /*connections_end=*/false),
