--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -21,6 +21,7 @@
 constexpr std::int64_t kMaxConnections = 20'000;
 constexpr double kMinSeconds = 0.1;
 constexpr double kMaxSeconds = 3600;
+constexpr double kMaxMillis = 600'000;
 constexpr double kMaxAllowance = 1'000'000;
 
 template <typename Id>
@@ -81,6 +82,20 @@
   };
 }
 
+// The same in milliseconds.
+OptionParser MillisParser(base::Duration EntrySettings::* member,
+                          double min_value,
+                          double max_value) {
+  return [=](EntrySettings& settings, const std::string& text) -> ParseError {
+    const auto n = ParseNumber(text, min_value, max_value);
+    if (!n) {
+      return NumberRange(min_value, max_value) + " of milliseconds";
+    }
+    settings.*member = base::FromFineMillis(*n);
+    return std::nullopt;
+  };
+}
+
 // Duties that this version does not know are kept: a platform may have more.
 OptionParser DutiesParser() {
   return [](EntrySettings& settings, const std::string& text) -> ParseError {
@@ -130,8 +145,7 @@
       {"holder-gap-ms", "3000", false,
        "the platform's minimum gap, in milliseconds, between calls of two "
        "holders of the duties",
-       IntegerParser<std::chrono::milliseconds>(&EntrySettings::holder_gap, 0,
-                                                600'000)},
+       MillisParser(&EntrySettings::holder_gap, 0, kMaxMillis)},
       {"duty-calls", "", false,
        "address and port of the platform's calls that one instance at a time "
        "makes; without it none are made",
--- a/tests/process/entry_settings_test.cc
+++ b/tests/process/entry_settings_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdlib>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,9 @@
            {"--retry-ratio", "x"},
            {"--retry-allowance", "-1"},
            {"--decode-share", "1.5"},
+           {"--holder-gap-ms", "-1"},
+           {"--usage-window", "0"},
+           {"--usage-tolerance", "2"},
            {"--log-level", "loud"},
            {"--max-connections", "0"}}) {
     SettingsFault fault;
@@ -65,6 +69,31 @@
   }
 }
 
+TEST(EntrySettings, ReadsTheDuties) {
+  SettingsFault fault;
+  const auto settings =
+      Parse(With({"--duties=usage,scaling", "--duty-calls=10.0.0.1:80",
+                  "--holder-gap-ms=3000.5", "--usage-window=5",
+                  "--usage-due=10.0", "--usage-tolerance=0.05"}),
+            &fault);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->duties, (std::set<std::string>{"scaling", "usage"}));
+  EXPECT_EQ(settings->duty_calls->port, 80);
+  EXPECT_EQ(settings->holder_gap, std::chrono::microseconds(3'000'500));
+  EXPECT_EQ(settings->usage_window, std::chrono::seconds(5));
+  EXPECT_EQ(settings->usage_due, std::chrono::seconds(10));
+  EXPECT_FALSE(Parse(With({"--duties=usage,,scaling"}), &fault));
+}
+
+// Without duties an instance makes no calls to the platform.
+TEST(EntrySettings, ByDefaultThereAreNoDuties) {
+  SettingsFault fault;
+  const auto settings = Parse(kRequired, &fault);
+  ASSERT_TRUE(settings);
+  EXPECT_TRUE(settings->duties.empty());
+  EXPECT_FALSE(settings->duty_calls);
+}
+
 // Guards against rejecting fractional bounds, which prevents the start.
 RC_GTEST_PROP(EntrySettings,
               AcceptsWholeAndFractionalBounds,
