Usage: requests that come too late for their window are counted and logged

The newest reported window is kept until the next one is recorded; what it gained meanwhile is counted in lynxglade_usage_late_requests_total and logged as usage_late, and not reported. UsageSharing loses a dependency it did not use.

--- a/src/process/usage/usage_reporter.cc
+++ b/src/process/usage/usage_reporter.cc
@@ -121,8 +121,9 @@
 
 Awaitable<void> UsageReporter::Step() {
   const std::int64_t kept = (options_.due / options_.window) + 2;
-  table_.ForgetBefore(std::max(WindowId(WindowAt(clock_()).value() - kept),
-                               WindowId(reported_.value() + 1)));
+  // The newest reported window is kept, to tell what came too late for it.
+  table_.ForgetBefore(
+      std::max(WindowId(WindowAt(clock_()).value() - kept), reported_));
   if (!holder_.HeldToken()) {
     recorded_.reset();
     failing_since_.reset();
@@ -188,6 +189,7 @@
     }
     next_ += WindowId(1);
   }
+  RecordLateCounts();
   store::StoreFault fault{};
   const auto written =
       co_await store_.Update(options_.key, EncodeReport(report), kNoLease,
@@ -211,6 +213,22 @@
   co_return true;
 }
 
+void UsageReporter::RecordLateCounts() {
+  if (!recorded_->report) {
+    return;
+  }
+  const WindowId window = recorded_->report->window;
+  const std::int64_t late =
+      Sum(table_.Totals(window)) - Sum(recorded_->report->counts);
+  if (late <= 0) {
+    return;
+  }
+  metrics_.GetCounter("lynxglade_usage_late_requests_total")
+      .Add(static_cast<std::uint64_t>(late));
+  Log(LogLevel::kWarning, "usage_late",
+      {{"window", window.value()}, {"requests", late}});
+}
+
 Awaitable<void> UsageReporter::SendRecorded() {
   if (SinceEnd(recorded_->report->window) >= options_.due) {
     recorded_->accepted = true;
--- a/src/process/usage/usage_reporter.h
+++ b/src/process/usage/usage_reporter.h
@@ -105,6 +105,9 @@
   connection::event::Awaitable<void> ReadRecorded();
   // Writes the report of the next window that is ready; false if there is none.
   connection::event::Awaitable<bool> RecordNext();
+  // Counts the requests that came too late for the recorded report. They are
+  // not reported.
+  void RecordLateCounts();
   connection::event::Awaitable<void> SendRecorded();
   connection::event::Awaitable<void> HandleResult(duties::CallResult result);
   // Time since the end of a window by the fleet's clock; negative before it.
--- a/src/process/usage/usage_sharing.cc
+++ b/src/process/usage/usage_sharing.cc
@@ -51,16 +51,14 @@
                            peers::PeerDatagrams& datagrams,
                            std::function<base::InstanceId()> holder,
                            UsageSharingOptions options,
-                           base::Clock clock,
-                           base::Metrics& metrics)
+                           base::Clock clock)
     : table_(table),
       fleet_clock_(fleet_clock),
       presence_(presence),
       datagrams_(datagrams),
       holder_(std::move(holder)),
       options_(std::move(options)),
-      clock_(std::move(clock)),
-      metrics_(metrics) {}
+      clock_(std::move(clock)) {}
 
 void UsageSharing::Start() {
   datagrams_.SetHandler(
--- a/src/process/usage/usage_sharing.h
+++ b/src/process/usage/usage_sharing.h
@@ -19,7 +19,6 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "base/metrics.h"
 #include "base/time.h"
 #include "process/peers/instance_presence.h"
 #include "process/peers/peer_datagrams.h"
@@ -68,8 +67,7 @@
                // The holder of the reporting duty; empty while there is none.
                std::function<base::InstanceId()> holder,
                UsageSharingOptions options,
-               base::Clock clock,
-               base::Metrics& metrics);
+               base::Clock clock);
   UsageSharing(const UsageSharing&) = delete;
   UsageSharing& operator=(const UsageSharing&) = delete;
 
@@ -107,7 +105,6 @@
   const std::function<base::InstanceId()> holder_;
   const UsageSharingOptions options_;
   const base::Clock clock_;
-  base::Metrics& metrics_;
   base::Time send_at_{};
   base::Time sent_at_{};
   std::map<base::InstanceId, Collector> collectors_;
--- a/tests/process/usage/usage_reporter_test.cc
+++ b/tests/process/usage/usage_reporter_test.cc
@@ -117,6 +117,9 @@
   base::Time start_ = base::Time() + std::chrono::hours(1);
   base::Time now_ = start_;
   store::FakeStorePort& store() { return store_; }
+  std::uint64_t LateRequests() {
+    return metrics_.GetCounter("lynxglade_usage_late_requests_total").Get();
+  }
 
   // What the platform received, by window.
   std::map<WindowId, std::vector<UsageReport>> received_;
@@ -190,6 +193,22 @@
   EXPECT_EQ(fleet.received_[window][0], fleet.received_[window][1]);
 }
 
+TEST(UsageReporter, CountsThatComeTooLateAreCountedAndNotReported) {
+  Fleet fleet(1);
+  auto& one = fleet.at(0);
+  fleet.Acquire(one);
+  const WindowId window = fleet.Window();
+  one.Count(window, 2);
+  one.Count(WindowId(window.value() + 1));
+  fleet.now_ += seconds(7);
+  fleet.Settle(one);
+  one.Count(window, 3);
+  fleet.now_ += seconds(5);
+  fleet.Settle(one);
+  EXPECT_EQ(fleet.received_[window].size(), 1U);
+  EXPECT_EQ(fleet.LateRequests(), 3U);
+}
+
 TEST(UsageReporter, ANewHolderRepeatsTheRecordedReport) {
   Fleet fleet(2);
   fleet.Acquire(fleet.at(0));
--- a/tests/process/usage/usage_sharing_test.cc
+++ b/tests/process/usage/usage_sharing_test.cc
@@ -92,8 +92,7 @@
                .period_per_instance = base::Duration(0),
                .max_period = std::chrono::milliseconds(50),
                .collectors = 1},
-              base::BootClock::now,
-              metrics) {}
+              base::BootClock::now) {}
 
     std::int64_t Total() const {
       const UsageCounts totals = table.Totals(kWindow);
