--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -33,6 +33,11 @@
   return now - engine.reported_at <= kReportTtl;
 }
 
+bool IsFull(const Engine& engine) noexcept {
+  return engine.reported.running + engine.reported.waiting >=
+         engine.entry.slots;
+}
+
 int KnownLoad(const Engine& engine, base::Time now) noexcept {
   const int reported = HasFreshReport(engine, now)
                            ? engine.reported.running + engine.reported.waiting
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -108,6 +108,9 @@
 // Whether the engine's last load report is still valid.
 bool HasFreshReport(const Engine& engine, base::Time now) noexcept;
 
+// Whether all slots were taken, according to its last load report.
+bool IsFull(const Engine& engine) noexcept;
+
 // Requests at the engine: the larger of what it reported recently and what this
 // instance has there.
 int KnownLoad(const Engine& engine, base::Time now) noexcept;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -42,12 +42,6 @@
   return answer;
 }
 
-// According to its last load report.
-bool IsFull(const Engine& engine) noexcept {
-  return engine.reported.running + engine.reported.waiting >=
-         engine.entry.slots;
-}
-
 }  // namespace
 
 // The runner has free slots and accepts other requests, so the KV cache is
@@ -171,19 +165,6 @@
   co_return false;
 }
 
-void RelayRun::RecordPrefill(const EnginePick& pick, base::Duration took) {
-  if (!pick.no_other_prefills) {
-    return;
-  }
-  if (pick.fetch_from) {
-    deps_.prefill_times.RecordPrefillAfterFetch(*pick.prefill_engine,
-                                                pick.prefill_tokens, took);
-  } else {
-    deps_.prefill_times.RecordPrefill(*pick.prefill_engine, pick.prefill_tokens,
-                                      took);
-  }
-}
-
 // Otherwise the cache would use memory until it expires.
 Awaitable<void> RelayRun::ReleaseKvSource() {
   if (!source_) {
@@ -355,16 +336,6 @@
   co_return co_await reply_.SendPiece(bytes);
 }
 
-// Without a fresh load report the number of requests of other instances is
-// unknown.
-void RelayRun::RecordPace(Engine& target, int events, base::Duration took) {
-  const base::Time now = deps_.clock();
-  if (events > 0 && HasFreshReport(target, now)) {
-    deps_.generation_times.RecordEvent(target, KnownLoad(target, now),
-                                       took / events);
-  }
-}
-
 AttemptEnd RelayRun::EndAfterFailure(Exchange& exchange,
                                      const EngineHandle& target) {
   const bool sent = exchange.sent();
@@ -385,60 +356,6 @@
   return reply_.begun() ? AttemptEnd::kBroken : AttemptEnd::kUnknown;
 }
 
-void RelayRun::RecordRun(base::Time began) {
-  if (std::exchange(run_recorded_, true) || !organisation_ || !deps_.on_run) {
-    return;
-  }
-  deps_.on_run(organisation_->id, began);
-}
-
-void RelayRun::RecordFinishedRun(const Engine& target) {
-  const base::Time now = deps_.clock();
-  if (route_->kind == RouteKind::kStream) {
-    RecordRun(now);
-    return;
-  }
-  if (met_free_slot_) {
-    deps_.run_times.Record(target.entry.service, now - sent_at_);
-  }
-  RecordRun(deps_.run_times.Began(target.entry.service, sent_at_, now));
-}
-
-void RelayRun::RecordAttempt(Engine& engine) {
-  engine.health.OnTry(deps_.clock());
-  deps_.zones.OnTry(engine.entry.zone, deps_.clock());
-}
-
-void RelayRun::RecordReach(const Engine& engine, const Exchange& exchange) {
-  const ExchangeState state = exchange.state();
-  if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
-    deps_.zones.OnReached(engine.entry.zone);
-  } else if (state == ExchangeState::kNotSent) {
-    deps_.zones.OnUnreachable(engine.entry.zone, engine.entry.id,
-                              deps_.clock());
-    ++unreachable_;
-  }
-  if (exchange.sent() && !exchange.unacknowledged()) {
-    ++arrivals_;
-  }
-}
-
-void RelayRun::RecordRejection(Engine& runner, const AnswerInfo& info) {
-  ++rejections_;
-  if (info.misdirected) {
-    runner.health.OnFailure(deps_.clock());
-  } else if (!IsFull(runner)) {
-    runner.health.OnRejection(source_.has_value(), deps_.clock());
-  }
-}
-
-void RelayRun::RecordLoad(Engine& engine, const AnswerInfo& info) {
-  if (info.load) {
-    engine.reported = *info.load;
-    engine.reported_at = deps_.clock();
-  }
-}
-
 SendTerms RelayRun::MakeTerms(const EngineHandle& target) const {
   SendTerms terms;
   terms.target = target;
