--- a/src/process/capacity/capacity_plan.h
+++ b/src/process/capacity/capacity_plan.h
@@ -42,9 +42,9 @@
   // Part of a zone's engines that are regular while spot engines are cheaper:
   // what is left of the zone when all its spot engines are reclaimed.
   double regular_share = 0.2;
-  // Engines of a zone relative to those that the operator started it with, while
-  // spot engines are cheaper. Above 1, so that the other zones carry the work of
-  // a zone whose spot engines were reclaimed.
+  // Engines of a zone relative to those that the operator started it with,
+  // while spot engines are cheaper. Above 1, so that the other zones carry the
+  // work of a zone whose spot engines were reclaimed.
   double spot_headroom = 2.0;
   // Spot engines have to be this much cheaper to be worth a reclaim.
   double max_spot_price = 0.7;
