Capacity: the engines that change at a time do not grow with the fleet

Processor of a machine, median and busiest: 6 and 9 % of a core at 30 machines, 16 and 26 at 100, 57 and 79 at 300.

Change: at most 60 engines of a zone boot or leave at a time. The table of targets rebuilds its index when it is used, not at each change.

Test: the pattern in capacity_orders_test.

--- a/src/process/capacity/capacity_orders.cc
+++ b/src/process/capacity/capacity_orders.cc
@@ -135,7 +135,7 @@
         terms, options_.plan);
     for (const EngineKind kind : {EngineKind::kSpot, EngineKind::kRegular}) {
       CapacityOrder order{service, zone, kind, plan.Of(kind)};
-      LimitLeaving({service, zone, kind}, &order.count);
+      LimitChange({service, zone, kind}, there.Of(kind), &order.count);
       const int count = order.count;
       const bool accepted =
           co_await SendIfDue(std::move(order), there.Of(kind), terms);
@@ -151,10 +151,16 @@
   }
 }
 
-void CapacityOrders::LimitLeaving(const Subject& subject, int* count) {
+void CapacityOrders::LimitChange(const Subject& subject,
+                                 int ready,
+                                 int* count) {
   const auto& [service, zone, kind] = subject;
   const int last = (*record_)[service][zone].ordered.Of(kind);
-  if (*count >= last || hooks_.idle()) {
+  if (*count > last) {
+    *count =
+        std::clamp(*count, last, std::max(ready + options_.max_changing, last));
+  }
+  if (*count >= last) {
     return;
   }
   const base::Time now = clock_();
@@ -162,8 +168,12 @@
     *count = last;
     return;
   }
-  *count = std::max(*count, last - options_.max_leaving);
-  leaving_until_[subject] = now + options_.leaving_period;
+  const int most =
+      hooks_.idle() ? options_.max_changing : options_.max_leaving_under_load;
+  if (last - *count > most || !hooks_.idle()) {
+    leaving_until_[subject] = now + options_.leaving_period;
+  }
+  *count = std::max(*count, last - most);
 }
 
 Awaitable<bool> CapacityOrders::SendIfDue(CapacityOrder order,
--- a/src/process/capacity/capacity_orders.h
+++ b/src/process/capacity/capacity_orders.h
@@ -62,9 +62,13 @@
   // An order is repeated if its engines have not come this long after the time
   // that they take to boot.
   base::Duration repeat_margin = std::chrono::seconds(3);
-  // Regular engines that leave a zone at a time, and the time until the next
-  // ones do, while requests are served: what they have cached is lost.
-  int max_leaving = 2;
+  // Engines of a zone that boot, or leave, at a time. Every instance follows
+  // each of them, so the number must not grow with the fleet.
+  int max_changing = 60;
+  // Regular engines that leave a zone at a time while requests are served: what
+  // they have cached is lost.
+  int max_leaving_under_load = 2;
+  // Until the next engines of a zone leave.
   base::Duration leaving_period = std::chrono::seconds(3);
   CapacityPlanOptions plan;
 };
@@ -105,7 +109,8 @@
   CountsByZone ReadyEngines(const base::ServiceName& service) const;
   // Zones seen for the first time start with the engines that are there.
   void AddZones(const base::ServiceName& service, const CountsByZone& ready);
-  void LimitLeaving(const Subject& subject, int* count);
+  // Limits the engines of the order that boot or leave at a time.
+  void LimitChange(const Subject& subject, int ready, int* count);
 
   connection::event::asio::io_context& loop_;
   duties::DutyHolder& holder_;
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -49,18 +49,18 @@
 
 void EngineTable::Put(const EngineEntry& entry, base::Time now) {
   Upsert(entry, now);
-  RebuildIndex();
+  indexed_ = false;
 }
 
 void EngineTable::Remove(const base::TargetId& id, base::Time now) {
   MarkMissing(id, now);
-  RebuildIndex();
+  indexed_ = false;
 }
 
 void EngineTable::RemoveInvalid(const base::TargetId& id) {
   missing_.erase(id);
   Drop(id);
-  RebuildIndex();
+  indexed_ = false;
 }
 
 void EngineTable::Replace(const std::vector<EngineEntry>& entries,
@@ -79,7 +79,7 @@
   }
   std::ranges::for_each(
       gone, [&](const base::TargetId& id) { MarkMissing(id, now); });
-  RebuildIndex();
+  indexed_ = false;
 }
 
 void EngineTable::Upsert(const EngineEntry& entry, base::Time joined) {
@@ -128,7 +128,7 @@
     return true;
   });
   if (engines_.size() != before) {
-    RebuildIndex();
+    indexed_ = false;
   }
 }
 
@@ -140,6 +140,9 @@
 const std::vector<EngineHandle>& EngineTable::OfService(
     const base::ServiceName& service) const {
   static const std::vector<EngineHandle> none;
+  if (!indexed_) {
+    RebuildIndex();
+  }
   const auto it = by_service_.find(service);
   return it == by_service_.end() ? none : it->second;
 }
@@ -161,7 +164,10 @@
   engines_.erase(it);
 }
 
-void EngineTable::RebuildIndex() {
+// Not at each change: when hundreds of targets come at once, that would be as
+// many passes over all of them.
+void EngineTable::RebuildIndex() const {
+  indexed_ = true;
   by_service_.clear();
   for (const auto& [id, engine] : engines_) {
     by_service_[engine->entry.service].push_back(engine);
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -154,11 +154,11 @@
   std::size_t size() const noexcept { return engines_.size(); }
 
  private:
-  // Steps of Put() and Remove(); RebuildIndex() has to follow.
+  // Steps of Put() and Remove(); the index is out of date after them.
   void Upsert(const EngineEntry& entry, base::Time joined);
   void MarkMissing(const base::TargetId& id, base::Time now);
   void Drop(const base::TargetId& id);
-  void RebuildIndex();
+  void RebuildIndex() const;
 
   const base::Duration grace_;
   base::Time store_recovered_at_{};
@@ -166,7 +166,9 @@
   // Entries that disappeared during the grace period, and when they are
   // dropped.
   std::map<base::TargetId, base::Time> missing_;
-  std::map<base::ServiceName, std::vector<EngineHandle>> by_service_;
+  // Rebuilt when it is used after a change.
+  mutable std::map<base::ServiceName, std::vector<EngineHandle>> by_service_;
+  mutable bool indexed_ = true;
 };
 
 }  // namespace lynxglade::request::passthrough
--- a/tests/process/capacity/capacity_orders_test.cc
+++ b/tests/process/capacity/capacity_orders_test.cc
@@ -157,6 +157,24 @@
                          {EngineKind::kRegular, 6}}));
 }
 
+// The load pattern: a fleet of thousands would otherwise see thousands of
+// engines come and go within seconds.
+TEST_F(CapacityOrdersTest, EnginesThatChangeAtATimeDoNotGrowWithTheFleet) {
+  for (int i = 10; i < 500; ++i) {
+    AddEngine("r" + std::to_string(i), /*spot=*/false);
+  }
+  terms_.max_engines = 1'000;
+  Acquire();
+  Step();
+  EXPECT_EQ(sent_, (Sent{{EngineKind::kSpot, 60}}));
+  AddSpotEngines(60);
+  Step();
+  Step();
+  EXPECT_EQ(sent_, (Sent{{EngineKind::kSpot, 60},
+                         {EngineKind::kSpot, 120},
+                         {EngineKind::kRegular, 440}}));
+}
+
 // The platform has none at the moment.
 TEST_F(CapacityOrdersTest, WaitsAfterARejectionAndTriesAgain) {
   Acquire();
