Duty holder test: the key ends with its own lease

The test ended the lease of the instance's presence, to which the key is no longer bound, and read an unset token: the sanitizers showed it. It removes the key now and asks for both tokens.

--- a/tests/process/duties/duty_holder_test.cc
+++ b/tests/process/duties/duty_holder_test.cc
@@ -173,10 +173,14 @@
 TEST_F(DutyHolderTest, LaterHolderGetsHigherToken) {
   Acquire(one_);
   const auto first = ConfirmHeld(one_);
-  store_.Expire(*one_.presence.lease());
+  ASSERT_TRUE(first);
+  // The end of the lease that the key is bound to.
+  store_.Remove(kKey);
   PassListing(two_);
   Acquire(two_);
-  EXPECT_GT(*ConfirmHeld(two_), *first);
+  const auto second = ConfirmHeld(two_);
+  ASSERT_TRUE(second);
+  EXPECT_GT(*second, *first);
 }
 
 }  // namespace
