--- a/src/process/duties/duty_holder.cc
+++ b/src/process/duties/duty_holder.cc
@@ -42,7 +42,7 @@
     OnChange(*it);
     return;
   }
-  if (!holder_ || !IsOurs(*holder_)) {
+  if (!IsHeld()) {
     ClearHolder();
   }
 }
@@ -62,7 +62,7 @@
 }
 
 void DutyHolder::SetHolder(const store::StoreItem& item) {
-  const bool was_ours = holder_ && IsOurs(*holder_);
+  const bool was_ours = IsHeld();
   if (item.deleted) {
     holder_.reset();
     acquire_at_ =
@@ -71,7 +71,7 @@
   } else {
     holder_ = item;
   }
-  const bool is_ours = holder_ && IsOurs(*holder_);
+  const bool is_ours = IsHeld();
   if (is_ours && !was_ours) {
     held_since_ = clock_();
   }
