--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -26,6 +26,7 @@
 #include "request/passthrough/peer_avoidance.h"
 #include "request/passthrough/peer_prefills.h"
 #include "request/passthrough/relay.h"
+#include "request/passthrough/sample_demand.h"
 
 namespace lynxglade {
 
@@ -51,6 +52,10 @@
   void JoinPeers(const process::Endpoint& endpoint);
   process::store::PrefixFollowerHooks InstanceKeysHooks();
   process::store::PrefixFollowerHooks StoreHooks();
+  process::peers::WatchSharingOptions SharingOptions() const;
+  process::peers::WatchSharingHooks SharingHooks();
+  // Delay after a watch that returned changes, to batch a burst of changes.
+  base::Duration BatchDelay() const;
 
   const process::EntrySettings settings;
   const base::Clock clock = base::BootClock::now;
@@ -91,6 +96,8 @@
   std::optional<EntryPeers> peers;
   // Set only if, in addition, the address of the platform's calls is.
   std::optional<EntryDuties> duties;
+  // Requests placed since they were last told to a relay.
+  request::passthrough::PlacementCounts placements;
   bool stopping = false;
   // New requests are rejected, as they might not finish before the process
   // exits.
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -42,12 +42,6 @@
 // Part of the stop grace period reserved for the exit of the process.
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(300);
 constexpr base::Duration kDrainPollPeriod = std::chrono::milliseconds(50);
-// Delay after a watch that returned changes, to batch a burst of changes. It is
-// shorter if few instances watch the store for the others: their calls cost
-// little, and a change is delayed both at the watching instance and at the
-// receiving one.
-constexpr base::Duration kBatchDelay = std::chrono::milliseconds(800);
-constexpr base::Duration kSharedBatchDelay = std::chrono::milliseconds(300);
 // Bound on the time from the confirmation of the authority to the arrival of a
 // call: validity of the confirmation and timeout of the call.
 constexpr base::Duration kCallFlightTime = std::chrono::milliseconds(1500);
@@ -85,18 +79,10 @@
                store,
                {.instance = s.instance,
                 .zone = s.zone,
-                .peer_endpoint = s.peer_listen},
+                .peer_endpoint = s.peer_listen,
+                .link_mbps = static_cast<int>(s.link_mbps)},
                clock),
-      watches(
-          loop,
-          store,
-          {.instance = s.instance, .zone = s.zone},
-          [this]() -> const std::vector<process::peers::InstancePeer>& {
-            return presence.Peers();
-          },
-          process::peers::MakeQueryRelay(loop, channels),
-          clock,
-          metrics),
+      watches(loop, store, SharingOptions(), SharingHooks(), clock, metrics),
       authority(loop,
                 store,
                 presence,
@@ -126,11 +112,7 @@
           metrics),
       store_follower(loop,
                      watches,
-                     {.batch_delay =
-                          [this] {
-                            return watches.IsSharing() ? kSharedBatchDelay
-                                                       : kBatchDelay;
-                          }},
+                     {.batch_delay = [this] { return BatchDelay(); }},
                      StoreHooks(),
                      clock,
                      random,
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -26,6 +26,12 @@
 // After this time without a request, all engines may change stage, or be
 // replaced, at once.
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(3);
+// Delay after a watch that returned changes, to batch a burst of changes. It is
+// shorter if one instance watches the store for the others: its calls cost
+// little, and a change is delayed at each step of the way.
+constexpr base::Duration kBatchDelay = std::chrono::milliseconds(800);
+constexpr base::Duration kSharedBatchDelay = std::chrono::milliseconds(300);
+constexpr base::Duration kRelayedBatchDelay = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -66,7 +72,6 @@
                 },
             .view_age = [this] { return ViewAge(); },
             .idle = [this] { return IsIdle(); },
-
             .clock = clock,
             .random = random,
             .metrics = metrics},
@@ -74,6 +79,50 @@
   }
 }
 
+process::peers::WatchSharingOptions EntryDaemon::Details::SharingOptions()
+    const {
+  return {
+      .selection = {.instance = settings.instance,
+                    .zone = settings.zone,
+                    .link_mbps = static_cast<int>(settings.link_mbps)},
+      .instances_prefix = kInstanceKeysPrefix,
+      // Orders for engines are planned from the number of all engines.
+      .follows_everything = settings.duties.contains(process::kScalingDuty)};
+}
+
+process::peers::WatchSharingHooks EntryDaemon::Details::SharingHooks() {
+  return {
+      .peers = [this]() -> const std::vector<process::peers::InstancePeer>& {
+        return presence.Peers();
+      },
+      .query_relay = process::peers::MakeQueryRelay(loop, channels),
+      .classify = EntryViews::Classify,
+      .on_instance_keys = InstanceKeysHooks().on_list,
+      .use_levels =
+          [this](const request::passthrough::SamplingLevels& levels) {
+            views.UseLevels(levels);
+          },
+      .take_placements =
+          [this] {
+            return std::exchange(placements,
+                                 request::passthrough::PlacementCounts());
+          }};
+}
+
+base::Duration EntryDaemon::Details::BatchDelay() const {
+  using Role = process::peers::WatchSharing::Role;
+  switch (watches.CurrentRole()) {
+    case Role::kAlone:
+      return kBatchDelay;
+    case Role::kPrimary:
+      return kSharedBatchDelay;
+    case Role::kSecondary:
+    case Role::kFollower:
+      break;
+  }
+  return kRelayedBatchDelay;
+}
+
 process::store::PrefixFollowerHooks EntryDaemon::Details::StoreHooks() {
   return process::store::DispatchByPrefix(
       {{platform::kConfigurationKey, views.ConfigurationHooks()},
@@ -124,6 +173,11 @@
       .accepts = [this] { return !rejecting; },
       .instances = [this] { return presence.Count(); },
       .view_age = [this] { return ViewAge(); },
+      .on_placed =
+          [this](bool crowded) {
+            ++placements.placed;
+            placements.crowded += crowded ? 1 : 0;
+          },
       .on_run =
           [this](const base::OrganisationId& organisation, base::Time began) {
             if (duties) {
@@ -179,6 +233,20 @@
   metrics.AddGauge("lynxglade_targets_known", {}, [this] {
     return static_cast<double>(views.engines().size());
   });
+  metrics.AddGauge("lynxglade_targets_used", {}, [this] {
+    return static_cast<double>(views.engines().used());
+  });
+  for (const auto role : {process::peers::WatchSharing::Role::kAlone,
+                          process::peers::WatchSharing::Role::kPrimary,
+                          process::peers::WatchSharing::Role::kSecondary,
+                          process::peers::WatchSharing::Role::kFollower}) {
+    metrics.AddGauge(
+        "lynxglade_watch_role", {{"role", std::string(ToString(role))}},
+        [this, role] { return watches.CurrentRole() == role ? 1.0 : 0.0; });
+  }
+  metrics.AddGauge("lynxglade_relay_queries_waiting", {}, [this] {
+    return static_cast<double>(watches.waiting_queries());
+  });
   metrics.AddGauge("lynxglade_instances_assumed", {},
                    [this] { return static_cast<double>(presence.Count()); });
   metrics.AddGauge("lynxglade_store_age_seconds", {}, [this] {
--- a/src/main/entry_duties.cc
+++ b/src/main/entry_duties.cc
@@ -15,18 +15,14 @@
 using process::usage::OriginId;
 using process::usage::WallMillis;
 
-// Names of duties in the settings.
-constexpr char kUsageDuty[] = "usage";
-constexpr char kScalingDuty[] = "scaling";
-
 }  // namespace
 
 EntryDuties::EntryDuties(EntryDutiesDependencies deps,
                          const process::EntrySettings& settings,
                          const process::Endpoint& calls)
     : loop_(deps.loop),
-      reports_usage_(settings.duties.contains(kUsageDuty)),
-      orders_engines_(settings.duties.contains(kScalingDuty)),
+      reports_usage_(settings.duties.contains(process::kUsageDuty)),
+      orders_engines_(settings.duties.contains(process::kScalingDuty)),
       origin_(OriginId(settings.instance.str() + '/' +
                        base::RandomHexId(deps.random))),
       fleet_clock_(deps.clock, [] { return WallMillis(base::WallMillis()); }),
--- a/src/main/entry_views.cc
+++ b/src/main/entry_views.cc
@@ -45,6 +45,31 @@
   };
 }
 
+std::optional<process::peers::ItemTarget> EntryViews::Classify(
+    const StoreItem& item) {
+  if (!item.key.starts_with(platform::kTargetsPrefix)) {
+    return std::nullopt;
+  }
+  platform::DocumentFault fault;
+  auto entry = platform::ParseTargetEntry(item.key, item.value, &fault);
+  if (!entry) {
+    return std::nullopt;
+  }
+  return process::peers::ItemTarget{
+      std::move(entry->id),
+      {std::move(entry->service), std::move(entry->zone)}};
+}
+
+void EntryViews::UseLevels(const request::passthrough::SamplingLevels& levels) {
+  for (const auto& [group, level] : levels.groups()) {
+    Log(LogLevel::kInfo, "target_sample",
+        {{"service", group.service.str()},
+         {"zone", group.zone.str()},
+         {"level", level}});
+  }
+  engines_.UseLevels(levels);
+}
+
 void EntryViews::OnConfiguration(const StoreItem& item) {
   if (item.key != platform::kConfigurationKey || item.deleted) {
     return;
--- a/src/main/entry_views.h
+++ b/src/main/entry_views.h
@@ -5,12 +5,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/metrics.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "process/peers/store_replica.h"
 #include "process/store/prefix_follower.h"
 #include "process/store/store_port.h"
 #include "request/passthrough/engine_table.h"
@@ -34,12 +36,18 @@
   process::store::PrefixFollowerHooks ConfigurationHooks();
   process::store::PrefixFollowerHooks TargetHooks();
 
+  // The target that a store item describes.
+  static std::optional<process::peers::ItemTarget> Classify(
+      const process::store::StoreItem& item);
+
   // The configuration in force, null until the first was received. It is
   // replaced only by a valid configuration with a newer version.
   const std::shared_ptr<const request::passthrough::RouteTable>& routes()
       const noexcept {
     return routes_;
   }
+  // Sets the sample of the targets that requests use.
+  void UseLevels(const request::passthrough::SamplingLevels& levels);
   request::passthrough::EngineTable& engines() noexcept { return engines_; }
   // A configuration and a list of targets have been received.
   bool complete() const noexcept { return routes_ && targets_listed_; }
--- a/src/process/capacity/capacity_orders.cc
+++ b/src/process/capacity/capacity_orders.cc
@@ -103,7 +103,7 @@
 CountsByZone CapacityOrders::ReadyEngines(
     const base::ServiceName& service) const {
   CountsByZone ready;
-  for (const EngineHandle& it : engines_.OfService(service)) {
+  for (const EngineHandle& it : engines_.AllOfService(service)) {
     if (!it->entry.draining) {
       ++ready[it->entry.zone].Of(it->entry.is_spot ? EngineKind::kSpot
                                                    : EngineKind::kRegular);
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -23,6 +23,7 @@
 constexpr double kMaxSeconds = 3600;
 constexpr double kMaxMillis = 600'000;
 constexpr double kMaxAllowance = 1'000'000;
+constexpr double kMaxLinkMbps = 1'000'000;
 
 template <typename Id>
 OptionParser IdParser(Id EntrySettings::* member) {
@@ -128,6 +129,10 @@
        "address and port for messages of other instances; without it this "
        "instance uses only its own observations",
        EndpointParser(&EntrySettings::peer_listen)},
+      {"link-mbps", "0", false,
+       "rate of this instance's link in Mbit/s, 0 if unknown; instances with "
+       "faster links relay changes of the store to the others",
+       NumberParser(&EntrySettings::link_mbps, 0, kMaxLinkMbps)},
       {"log-level", "info", false, "debug, info, warning or error",
        LogLevelParser(&EntrySettings::log_level)},
       {"max-connections", "1500", false,
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -17,6 +17,10 @@
 
 namespace lynxglade::process {
 
+// Names of duties in EntrySettings::duties.
+inline constexpr char kUsageDuty[] = "usage";
+inline constexpr char kScalingDuty[] = "scaling";
+
 struct EntrySettings {
   base::InstanceId instance;
   base::ZoneId zone;
@@ -27,6 +31,9 @@
   Endpoint store;
   // Listener for messages of other instances; published in the store.
   std::optional<Endpoint> peer_listen;
+  // Rate of this instance's link, in Mbit/s; 0 if unknown. Instances with
+  // faster links relay for the others.
+  double link_mbps = 0;
   base::LogLevel log_level = base::LogLevel::kInfo;
   std::size_t max_connections = 1500;
   // Maximum time from SIGTERM to exit.
--- a/src/process/peers/change_relay.cc
+++ b/src/process/peers/change_relay.cc
@@ -1,12 +1,9 @@
 #include "process/peers/change_relay.h"
 
-#include <cstdint>
-#include <limits>
 #include <optional>
 #include <string_view>
 #include <utility>
 
-#include "base/whole_number.h"
 #include "connection/event/call.h"
 #include "process/peers/change_messages.h"
 
@@ -26,9 +23,6 @@
 namespace asio = connection::event::asio;
 namespace http = connection::event::http;
 
-// A query's target is kPath, the revision, '/' and the wait in milliseconds.
-constexpr std::string_view kPath = "/v1/changes-after/";
-constexpr std::int64_t kMaxWaitMs = 10'000;
 // Added to the wait for the round trip and a busy relay.
 constexpr base::Duration kResponseMargin = std::chrono::milliseconds(400);
 constexpr std::size_t kMaxResponseBytes = std::size_t{512} * 1024;
@@ -38,26 +32,7 @@
 
 constexpr http::status kNotWatchingStatus = http::status::service_unavailable;
 constexpr http::status kAskStoreStatus = http::status::gone;
-
-struct Query {
-  base::Revision after;
-  base::Duration wait{};
-};
-
-std::optional<Query> ParseQuery(std::string_view target) {
-  const std::size_t slash = target.rfind('/');
-  if (!target.starts_with(kPath) || slash < kPath.size()) {
-    return std::nullopt;
-  }
-  const auto after =
-      base::ParseWhole(target.substr(kPath.size(), slash - kPath.size()), 0,
-                       std::numeric_limits<std::int64_t>::max());
-  const auto wait = base::ParseWhole(target.substr(slash + 1), 0, kMaxWaitMs);
-  if (!after || !wait) {
-    return std::nullopt;
-  }
-  return Query{base::Revision(*after), std::chrono::milliseconds(*wait)};
-}
+constexpr http::status kResyncStatus = http::status::conflict;
 
 RelayFault ToRelayFault(http::status status) {
   switch (status) {
@@ -65,29 +40,39 @@
       return RelayFault::kNotWatching;
     case kAskStoreStatus:
       return RelayFault::kAskStore;
+    case kResyncStatus:
+      return RelayFault::kResync;
     default:
       return RelayFault::kMalformed;
   }
 }
 
+http::status ToStatus(RelayFault fault) {
+  switch (fault) {
+    case RelayFault::kResync:
+      return kResyncStatus;
+    case RelayFault::kNotWatching:
+      return kNotWatchingStatus;
+    default:
+      return kAskStoreStatus;
+  }
+}
+
 }  // namespace
 
 QueryRelay MakeQueryRelay(asio::io_context& loop,
                           connection::event::ChannelPool& channels) {
   return [&loop, &channels](
-             InstancePeer relay, base::Revision after, base::Duration wait,
-             RelayFault* fault) -> Awaitable<std::optional<store::StoreItems>> {
+             InstancePeer relay, ChangesQuery query,
+             RelayFault* fault) -> Awaitable<std::optional<ChangesAnswer>> {
     const Tcp::endpoint endpoint(relay.endpoint.address(),
                                  relay.endpoint.port());
-    OutgoingRequest request(http::verb::get,
-                            std::string(kPath) + std::to_string(after.value()) +
-                                '/' + std::to_string(base::ToMillis(wait)),
-                            kHttp11);
+    OutgoingRequest request(http::verb::get, EncodeQuery(query), kHttp11);
     request.set(http::field::host, endpoint.address().to_string());
     ExchangeState end{};
     const auto response =
         co_await Call(loop, channels, endpoint, std::move(request),
-                      {.timeout = wait + kResponseMargin,
+                      {.timeout = query.wait + kResponseMargin,
                        .max_answer_bytes = kMaxResponseBytes},
                       &end);
     if (!response) {
@@ -101,11 +86,11 @@
       *fault = ToRelayFault(response->status);
       co_return std::nullopt;
     }
-    auto changes = DecodeChanges(response->body);
-    if (!changes) {
+    auto answer = DecodeAnswer(response->body);
+    if (!answer) {
       *fault = RelayFault::kMalformed;
     }
-    co_return changes;
+    co_return answer;
   };
 }
 
@@ -129,23 +114,20 @@
                                    CallerReply& reply) {
   connection::event::AnswerHead head;
   std::string body;
-  const auto query = ParseQuery(View(request->head.target()));
+  const auto query = DecodeQuery(View(request->head.target()));
   if (!query) {
     head.status = static_cast<unsigned>(http::status::bad_request);
     co_await reply.SendWhole(std::move(head), body);
     co_return;
   }
-  RelayFault fault{};
-  const auto changes =
-      co_await watches_.ServeChanges(query->after, query->wait, &fault);
-  auto message = changes ? EncodeChanges(*changes) : std::nullopt;
+  RelayFault fault = RelayFault::kAskStore;
+  const auto answer = co_await watches_.ServeChanges(*query, &fault);
+  auto message = answer ? EncodeAnswer(*answer) : std::nullopt;
   if (message) {
     head.status = static_cast<unsigned>(http::status::ok);
     body = std::move(*message);
   } else {
-    const bool not_watching = !changes && fault == RelayFault::kNotWatching;
-    head.status = static_cast<unsigned>(not_watching ? kNotWatchingStatus
-                                                     : kAskStoreStatus);
+    head.status = static_cast<unsigned>(ToStatus(fault));
   }
   co_await reply.SendWhole(std::move(head), body);
 }
--- a/src/process/peers/instance_presence.cc
+++ b/src/process/peers/instance_presence.cc
@@ -1,6 +1,7 @@
 #include "process/peers/instance_presence.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -20,6 +21,8 @@
 using nlohmann::json;
 namespace asio = connection::event::asio;
 
+constexpr std::int64_t kMaxLinkMbps = 1'000'000'000;
+
 }  // namespace
 
 InstancePresence::InstancePresence(asio::io_context& loop,
@@ -34,11 +37,24 @@
 Awaitable<void> InstancePresence::Run() {
   while (!stopped_) {
     co_await Renew();
-    co_await SleepFor(loop_, key_written_ ? options_.renew_interval
-                                          : options_.retry_interval);
+    const base::Duration wait =
+        key_written_ ? options_.renew_interval : options_.retry_interval;
+    base::Duration waited{};
+    do {
+      const base::Duration step =
+          std::min(wait - waited, options_.retry_interval);
+      co_await SleepFor(loop_, step);
+      waited += step;
+    } while (!stopped_ && waited < wait && !IsKeyMissing());
   }
 }
 
+bool InstancePresence::IsKeyMissing() const {
+  return key_written_ && listed_ &&
+         clock_() >= written_at_ + options_.missing_delay &&
+         !keys_.contains(options_.prefix + options_.instance.str());
+}
+
 Awaitable<void> InstancePresence::Renew() {
   store::StoreFault fault{};
   if (lease_) {
@@ -54,11 +70,11 @@
     key_written_ = false;
   }
   // The store may delete a key while its lease is still valid.
-  const bool missing = listed_ && !keys_.contains(key);
-  if (lease_ && !stopped_ && (!key_written_ || missing)) {
+  if (lease_ && !stopped_ && (!key_written_ || IsKeyMissing())) {
     const auto written =
         co_await store_.Put(key, SerializeSelf(), *lease_, &fault);
     key_written_ = written.has_value();
+    written_at_ = clock_();
   }
 }
 
@@ -111,6 +127,9 @@
     text["peer"] = options_.peer_endpoint->address + ':' +
                    std::to_string(options_.peer_endpoint->port);
   }
+  if (options_.link_mbps > 0) {
+    text["link_mbps"] = options_.link_mbps;
+  }
   return text.dump();
 }
 
@@ -131,10 +150,13 @@
   if (!endpoint) {
     return std::nullopt;
   }
-  return InstancePeer{base::InstanceId(item.key.substr(options_.prefix.size())),
-                      base::ZoneId(zone->get<std::string>()),
-                      {asio::ip::make_address(endpoint->address),
-                       static_cast<std::uint16_t>(endpoint->port)}};
+  return InstancePeer{
+      base::InstanceId(item.key.substr(options_.prefix.size())),
+      base::ZoneId(zone->get<std::string>()),
+      {asio::ip::make_address(endpoint->address),
+       static_cast<std::uint16_t>(endpoint->port)},
+      static_cast<int>(
+          base::WholeMember(*text, "link_mbps", 0, kMaxLinkMbps).value_or(0))};
 }
 
 void InstancePresence::UpdateCount() {
--- a/src/process/peers/instance_presence.h
+++ b/src/process/peers/instance_presence.h
@@ -28,12 +28,18 @@
   // it receives their messages.
   base::ZoneId zone = base::ZoneId("");
   std::optional<Endpoint> peer_endpoint = std::nullopt;
+  // Rate of this instance's link, in Mbit/s; 0 if unknown.
+  int link_mbps = 0;
   std::string prefix = "lynxglade/instances/";
   // A crashed instance keeps its key for at most this long.
-  base::Duration lease_ttl = std::chrono::seconds(10);
-  base::Duration renew_interval = std::chrono::seconds(3);
+  base::Duration lease_ttl = std::chrono::seconds(20);
+  // The renewals of all instances are most of what the store is asked in a
+  // large fleet.
+  base::Duration renew_interval = std::chrono::seconds(6);
   // Used in place of `renew_interval` while the key is not written.
   base::Duration retry_interval = std::chrono::milliseconds(500);
+  // A key that is not seen this long after it was written has been lost.
+  base::Duration missing_delay = std::chrono::seconds(2);
   // Count before the first listing.
   int assumed_instances = 16;
   // A higher count is kept for this long: instances whose keys have vanished
@@ -47,6 +53,8 @@
   base::ZoneId zone;
   // Receives datagrams (UDP) and change queries (TCP) of other instances.
   connection::event::asio::ip::udp::endpoint endpoint;
+  // Rate of its link, in Mbit/s; 0 if unknown.
+  int link_mbps = 0;
 };
 
 // Not thread-safe: runs on the event loop.
@@ -82,6 +90,8 @@
 
  private:
   connection::event::Awaitable<void> Renew();
+  // Whether the store has lost the key, although the lease may be valid.
+  bool IsKeyMissing() const;
   // Applies one written or deleted key.
   void ApplyItem(const store::StoreItem& item);
   void UpdateCount();
@@ -95,6 +105,7 @@
   bool stopped_ = false;
   std::optional<store::LeaseId> lease_;
   bool key_written_ = false;
+  base::Time written_at_{};
   std::set<std::string> keys_;
   std::vector<InstancePeer> peers_;
   bool listed_ = false;
--- a/src/process/peers/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -16,8 +16,32 @@
 using connection::event::Awaitable;
 using connection::event::ErrorCode;
 using connection::event::Into;
+using request::passthrough::SamplingLevels;
 namespace asio = connection::event::asio;
 
+// Levels that a relay remembers, to tell whether an asker lacks targets.
+constexpr std::size_t kRecentLevels = 64;
+// Pages read in one call; more than a fleet's entries fill.
+constexpr int kMaxPages = 1000;
+
+// The newest item of each key, without the deleted ones. A key that changes
+// while a snapshot is read is on several of its pages.
+std::vector<store::StoreItem> ExistingItems(
+    std::vector<store::StoreItem> items) {
+  std::map<std::string, store::StoreItem> by_key;
+  for (store::StoreItem& it : items) {
+    std::string key = it.key;
+    by_key.insert_or_assign(std::move(key), std::move(it));
+  }
+  items.clear();
+  for (auto& [key, item] : by_key) {
+    if (!item.deleted) {
+      items.push_back(std::move(item));
+    }
+  }
+  return items;
+}
+
 }  // namespace
 
 std::string_view ToString(RelayFault fault) noexcept {
@@ -30,69 +54,84 @@
       return "unreachable";
     case RelayFault::kTimeout:
       return "timeout";
+    case RelayFault::kResync:
+      return "resync";
     case RelayFault::kMalformed:
       break;
   }
   return "malformed";
 }
 
-std::vector<base::InstanceId> SelectRelays(
-    const std::vector<InstancePeer>& peers,
-    const base::InstanceId& self,
-    const WatchSharingOptions& options) {
-  std::vector<base::InstanceId> zone{self};
-  for (const InstancePeer& peer : peers) {
-    if (peer.zone == options.zone && peer.instance != self) {
-      zone.push_back(peer.instance);
-    }
-  }
-  if (zone.size() < options.min_instances) {
-    return {};
-  }
-  const auto rank = [](const base::InstanceId& it) {
-    return std::pair(base::Hash64(it.str()), it);
-  };
-  std::ranges::partial_sort(
-      zone, zone.begin() + static_cast<std::ptrdiff_t>(options.relay_count), {},
-      rank);
-  zone.resize(options.relay_count);
-  return zone;
-}
-
-WatchSharing::WatchSharing(
-    asio::io_context& loop,
-    store::ChangeSource& store,
-    WatchSharingOptions options,
-    std::function<const std::vector<InstancePeer>&()> peers,
-    QueryRelay query_relay,
-    base::Clock clock,
-    base::Metrics& metrics)
+std::string_view ToString(WatchSharing::Role role) noexcept {
+  switch (role) {
+    case WatchSharing::Role::kAlone:
+      return "alone";
+    case WatchSharing::Role::kPrimary:
+      return "primary";
+    case WatchSharing::Role::kSecondary:
+      return "secondary";
+    case WatchSharing::Role::kFollower:
+      break;
+  }
+  return "follower";
+}
+
+WatchSharing::WatchSharing(asio::io_context& loop,
+                           store::ChangeSource& store,
+                           WatchSharingOptions options,
+                           WatchSharingHooks hooks,
+                           base::Clock clock,
+                           base::Metrics& metrics)
     : loop_(loop),
       store_(store),
       options_(std::move(options)),
-      peers_(std::move(peers)),
-      query_relay_(std::move(query_relay)),
+      hooks_(std::move(hooks)),
       clock_(std::move(clock)),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      replica_(hooks_.classify) {}
 
-Awaitable<std::optional<store::StoreItems>> WatchSharing::ServeChanges(
-    base::Revision after,
-    base::Duration wait,
+// --- Serving other instances
+
+Awaitable<std::optional<ChangesAnswer>> WatchSharing::ServeChanges(
+    ChangesQuery query,
     RelayFault* fault) {
-  const base::Time end = clock_() + wait;
+  demand_.Add(query.placements, clock_());
+  const base::Time end = clock_() + query.wait;
+  const auto read_before = last_store_read_;
   while (true) {
     const base::Time now = clock_();
-    if (now >= FreshUntil()) {
+    if (now >= FreshUntil() || !replica_.complete()) {
       *fault = RelayFault::kNotWatching;
       co_return std::nullopt;
     }
-    auto changes = history_.After(after);
-    if (!changes) {
-      *fault = RelayFault::kAskStore;
+    const SamplingLevels* sample = query.everything ? nullptr : &levels_;
+    std::optional<ReplicaPage> page;
+    if (query.snapshot_start) {
+      const base::Revision start = query.snapshot_start->value() > 0
+                                       ? *query.snapshot_start
+                                       : replica_.revision();
+      query.snapshot_start = start;
+      page = replica_.Snapshot(query.after, start, sample, kMaxRelayedBytes);
+    } else if (query.everything || KnowsSample(query.levels_digest)) {
+      page = replica_.After(query.after, sample, kMaxRelayedBytes);
+    }
+    if (!page) {
+      *fault = RelayFault::kResync;
       co_return std::nullopt;
     }
-    if (!changes->items.empty() || now >= end) {
-      co_return changes;
+    // A secondary passes the age on, so it has to hear of each store read.
+    const bool answers = !page->changes.items.empty() || query.snapshot_start ||
+                         (query.everything && last_store_read_ > read_before);
+    if (answers || now >= end) {
+      ChangesAnswer answer;
+      answer.changes = std::move(page->changes);
+      answer.changes.age = now - *last_store_read_;
+      answer.more = page->more;
+      answer.snapshot_start = query.snapshot_start.value_or(base::Revision());
+      if (!query.everything && query.levels_digest != levels_.digest()) {
+        answer.levels = levels_;
+      }
+      co_return answer;
     }
     asio::steady_timer timer(loop_, std::min(end, FreshUntil()) - now);
     waiting_timers_.insert(&timer);
@@ -102,131 +141,372 @@
   }
 }
 
-bool WatchSharing::IsSharing() const {
-  return !Relays().empty();
+bool WatchSharing::KnowsSample(std::uint64_t levels_digest) const {
+  if (levels_digest == levels_.digest() || levels_digest == 0) {
+    return true;
+  }
+  const auto known =
+      std::ranges::find(recent_levels_, levels_digest, &SamplingLevels::digest);
+  return known != recent_levels_.end() && known->Covers(levels_);
 }
 
-std::vector<base::InstanceId> WatchSharing::Relays() const {
-  return SelectRelays(peers_(), options_.instance, options_);
+base::Time WatchSharing::FreshUntil() const {
+  return last_store_read_ ? *last_store_read_ + options_.max_staleness
+                          : base::Time::min();
 }
 
-std::vector<InstancePeer> WatchSharing::RelaysToQuery(
+void WatchSharing::OnStoreRead(base::Duration age) {
+  last_store_read_ = clock_() - age;
+  UpdateLevels();
+  std::ranges::for_each(waiting_timers_, [](auto* it) { it->cancel(); });
+}
+
+// --- Roles
+
+WatchSharing::Role WatchSharing::CurrentRole() const {
+  return RoleAmong(SelectRelays(hooks_.peers(), options_.selection));
+}
+
+WatchSharing::Role WatchSharing::RoleAmong(
     const std::vector<base::InstanceId>& relays) const {
+  if (relays.empty()) {
+    return Role::kAlone;
+  }
+  if (relays.front() == options_.selection.instance) {
+    return Role::kPrimary;
+  }
+  return std::ranges::find(relays, options_.selection.instance) != relays.end()
+             ? Role::kSecondary
+             : Role::kFollower;
+}
+
+void WatchSharing::LogRole(Role role,
+                           const std::vector<base::InstanceId>& relays) {
+  if (std::exchange(logged_role_, role) == role) {
+    return;
+  }
+  Log(LogLevel::kInfo, "watch_role",
+      {{"role", ToString(role)},
+       {"primary", relays.empty() ? std::string() : relays.front().str()},
+       {"relays", relays.size()},
+       {"instances", hooks_.peers().size()}});
+}
+
+std::vector<InstancePeer> WatchSharing::RelaysToQuery(
+    const std::vector<base::InstanceId>& relays,
+    bool with_backed_off) const {
   const base::Time now = clock_();
   std::vector<InstancePeer> peers;
   std::ranges::copy_if(
-      peers_(), std::back_inserter(peers), [&](const InstancePeer& it) {
-        const auto backoff = backoff_until_.find(it.instance);
+      hooks_.peers(), std::back_inserter(peers), [&](const InstancePeer& it) {
+        const auto backoff = backoffs_.find(it.instance);
         return std::ranges::find(relays, it.instance) != relays.end() &&
-               (backoff == backoff_until_.end() || backoff->second <= now);
+               it.instance != options_.selection.instance &&
+               (with_backed_off || backoff == backoffs_.end() ||
+                backoff->second.until <= now);
       });
   std::ranges::sort(peers, {}, [this](const InstancePeer& it) {
-    return base::HashPair(options_.instance.str(), it.instance.str());
+    return base::HashPair(options_.selection.instance.str(), it.instance.str());
   });
   return peers;
 }
 
+// --- Watching
+
 WatchSharing::Result<store::StoreItems> WatchSharing::Watch(
     std::string prefix,
     base::Revision after,
     base::Duration wait,
     store::StoreFault* fault) {
-  const auto relays = Relays();
-  if (!prefix.empty() || relays.empty()) {
+  if (!prefix.empty()) {
     co_return co_await store_.Watch(std::move(prefix), after, wait, fault);
   }
-  const bool is_relay =
-      std::ranges::find(relays, options_.instance) != relays.end();
-  if (!is_relay) {
-    const auto candidates = RelaysToQuery(relays);
-    auto changes = co_await QueryRelays(candidates, after);
+  const auto relays = SelectRelays(hooks_.peers(), options_.selection);
+  const Role role = RoleAmong(relays);
+  LogRole(role, relays);
+  const bool needs_everything =
+      role != Role::kFollower || options_.follows_everything;
+  if (needs_everything && !replica_.listed()) {
+    *fault = store::StoreFault::kHistoryGone;
+    co_return std::nullopt;
+  }
+  if (role == Role::kSecondary || role == Role::kFollower) {
+    RelayFault relay_fault{};
+    auto changes = co_await WatchRelays(role, relays, after, &relay_fault);
     if (changes) {
       CountWatch("relay");
+      returned_ = std::max(returned_, changes->revision);
       co_return changes;
     }
+    if (relay_fault == RelayFault::kResync) {
+      *fault = store::StoreFault::kHistoryGone;
+      co_return std::nullopt;
+    }
   }
   CountWatch("store");
-  co_return co_await WatchStore(after, fault);
+  co_return co_await WatchStore(
+      after, role == Role::kAlone ? wait : options_.watch_timeout, fault);
 }
 
-// After a timeout the store is queried at once: a second relay's timeout would
-// delay changes beyond the bound within which they must take effect.
-Awaitable<std::optional<store::StoreItems>> WatchSharing::QueryRelays(
-    const std::vector<InstancePeer>& relays,
-    base::Revision after) {
-  for (const InstancePeer& relay : relays) {
-    RelayFault fault{};
-    auto changes =
-        co_await query_relay_(relay, after, options_.watch_timeout, &fault);
-    if (changes) {
-      co_return changes;
-    }
-    BackOffFromRelay(relay, fault);
-    if (fault == RelayFault::kTimeout || fault == RelayFault::kAskStore) {
-      break;
-    }
+// A secondary follows the primary only, so that a chain of relays is never
+// longer than two.
+Awaitable<std::optional<store::StoreItems>> WatchSharing::WatchRelays(
+    Role role,
+    std::vector<base::InstanceId> relays,
+    base::Revision after,
+    RelayFault* fault) {
+  if (role == Role::kSecondary) {
+    relays.resize(1);
   }
-  co_return std::nullopt;
+  ChangesQuery query;
+  query.after = after;
+  query.wait = options_.watch_timeout;
+  query.everything = role == Role::kSecondary || options_.follows_everything;
+  query.levels_digest = levels_.digest();
+  auto read = co_await QueryRelays(
+      RelaysToQuery(relays, /*with_backed_off=*/false), query, fault);
+  if (!read) {
+    co_return std::nullopt;
+  }
+  if (query.everything) {
+    replica_.Apply(after, read->items);
+  } else {
+    replica_.Clear();
+  }
+  OnStoreRead(read->items.age);
+  if (read->levels) {
+    UseLevels(std::move(*read->levels));
+  }
+  co_return std::move(read->items);
 }
 
 WatchSharing::Result<store::StoreItems> WatchSharing::WatchStore(
     base::Revision after,
+    base::Duration wait,
     store::StoreFault* fault) {
-  auto changes = co_await store_.Watch(std::string(), after,
-                                       options_.watch_timeout, fault);
+  auto changes = co_await store_.Watch(std::string(), after, wait, fault);
   if (changes) {
-    RecordChanges(after, *changes);
+    replica_.Apply(after, *changes);
+    returned_ = std::max(returned_, changes->revision);
+    OnStoreRead(base::Duration::zero());
   }
   co_return changes;
 }
 
-void WatchSharing::RecordChanges(base::Revision after,
-                                 const store::StoreItems& changes) {
-  last_store_read_ = clock_();
-  history_.Add(after, changes);
-  std::ranges::for_each(waiting_timers_, [](auto* it) { it->cancel(); });
+// --- Listing
+
+WatchSharing::Result<store::StoreItems> WatchSharing::List(
+    std::string prefix,
+    store::Freshness freshness,
+    store::StoreFault* fault) {
+  if (!prefix.empty()) {
+    co_return co_await store_.List(std::move(prefix), freshness, fault);
+  }
+  if (!instance_keys_listed_) {
+    co_await ListInstanceKeys();
+  }
+  const auto relays = SelectRelays(hooks_.peers(), options_.selection);
+  const Role role = RoleAmong(relays);
+  if (role == Role::kSecondary || role == Role::kFollower) {
+    RelayFault relay_fault{};
+    auto listed = co_await ListFromRelays(role, relays, &relay_fault);
+    if (listed) {
+      relay_wait_began_.reset();
+      co_return listed;
+    }
+    if (ShouldAwaitRelay(role, relay_fault)) {
+      *fault = store::StoreFault::kBusy;
+      co_return std::nullopt;
+    }
+  }
+  relay_wait_began_.reset();
+  co_return co_await ListStore(freshness, fault);
+}
+
+Awaitable<std::optional<store::StoreItems>> WatchSharing::ListFromRelays(
+    Role role,
+    std::vector<base::InstanceId> relays,
+    RelayFault* fault) {
+  if (role == Role::kSecondary) {
+    relays.resize(1);
+  }
+  ChangesQuery query;
+  query.after = base::Revision(-1);
+  query.everything = role == Role::kSecondary || options_.follows_everything;
+  query.snapshot_start = base::Revision(0);
+  auto read = co_await QueryRelays(
+      RelaysToQuery(relays, /*with_backed_off=*/true), query, fault);
+  // Nothing that is known may go back.
+  if (read && read->items.revision < returned_) {
+    *fault = RelayFault::kNotWatching;
+    co_return std::nullopt;
+  }
+  if (!read) {
+    co_return std::nullopt;
+  }
+  read->items.items = ExistingItems(std::move(read->items.items));
+  if (query.everything) {
+    replica_.Reset(read->items);
+  } else {
+    replica_.Clear();
+    UseLevels(std::move(read->levels).value_or(SamplingLevels()));
+  }
+  returned_ = read->items.revision;
+  OnStoreRead(read->items.age);
+  co_return std::move(read->items);
+}
+
+WatchSharing::Result<store::StoreItems> WatchSharing::ListStore(
+    store::Freshness freshness,
+    store::StoreFault* fault) {
+  auto listed = co_await store_.List(std::string(), freshness, fault);
+  if (listed) {
+    replica_.Reset(*listed);
+    returned_ = std::max(returned_, listed->revision);
+    OnStoreRead(base::Duration::zero());
+  }
+  co_return listed;
+}
+
+Awaitable<void> WatchSharing::ListInstanceKeys() {
+  store::StoreFault fault{};
+  const auto listed = co_await store_.List(
+      options_.instances_prefix, store::Freshness::kMayBeStale, &fault);
+  if (listed) {
+    instance_keys_listed_ = true;
+    hooks_.on_instance_keys(listed->items);
+  }
+}
+
+bool WatchSharing::ShouldAwaitRelay(Role role, RelayFault fault) {
+  if (fault == RelayFault::kAskStore || role != Role::kFollower ||
+      SharingGroup(hooks_.peers(), options_.selection).size() <
+          options_.many_instances) {
+    return false;
+  }
+  const base::Time now = clock_();
+  relay_wait_began_ = relay_wait_began_.value_or(now);
+  return now - *relay_wait_began_ < options_.max_relay_wait;
+}
+
+// --- Querying relays
+
+// After a timeout the store is queried at once: a second relay's timeout would
+// delay changes beyond the bound within which they must take effect.
+Awaitable<std::optional<WatchSharing::RelayRead>> WatchSharing::QueryRelays(
+    std::vector<InstancePeer> relays,
+    ChangesQuery query,
+    RelayFault* fault) {
+  *fault = RelayFault::kNotWatching;
+  query.placements = hooks_.take_placements();
+  for (const InstancePeer& relay : relays) {
+    auto read = co_await ReadPages(relay, query, fault);
+    if (read) {
+      backoffs_.erase(relay.instance);
+      co_return read;
+    }
+    RecordRelayFault(relay, query, *fault);
+    if (*fault == RelayFault::kTimeout || *fault == RelayFault::kAskStore ||
+        *fault == RelayFault::kResync) {
+      break;
+    }
+    query.placements = {};
+  }
+  co_return std::nullopt;
 }
 
-void WatchSharing::BackOffFromRelay(const InstancePeer& relay,
+// Of a watch, pages that were read are returned also if a further one fails.
+Awaitable<std::optional<WatchSharing::RelayRead>> WatchSharing::ReadPages(
+    InstancePeer relay,
+    ChangesQuery query,
+    RelayFault* fault) {
+  std::optional<RelayRead> read;
+  for (int page = 0; page < kMaxPages; ++page) {
+    auto answer = co_await hooks_.query_relay(relay, query, fault);
+    if (!answer) {
+      co_return query.snapshot_start ? std::nullopt : std::move(read);
+    }
+    if (!read) {
+      read.emplace();
+    }
+    std::ranges::move(answer->changes.items,
+                      std::back_inserter(read->items.items));
+    read->items.revision = answer->changes.revision;
+    read->items.age = answer->changes.age;
+    if (answer->levels) {
+      // Earlier pages of a snapshot lack targets that are in use now.
+      if (query.snapshot_start && page > 0 &&
+          !read->levels.value_or(SamplingLevels()).Covers(*answer->levels)) {
+        *fault = RelayFault::kResync;
+        co_return std::nullopt;
+      }
+      query.levels_digest = answer->levels->digest();
+      read->levels = std::move(answer->levels);
+    }
+    if (!answer->more) {
+      break;
+    }
+    query.after = answer->changes.revision;
+    query.placements = {};
+    if (query.snapshot_start) {
+      query.snapshot_start = answer->snapshot_start;
+    }
+  }
+  co_return read;
+}
+
+// A relay that has nothing to tell yet is asked again soon by an instance that
+// starts; it is most likely starting, too.
+void WatchSharing::RecordRelayFault(const InstancePeer& relay,
+                                    const ChangesQuery& query,
                                     RelayFault fault) {
   metrics_
       .GetCounter("lynxglade_relay_faults_total",
                   {{"fault", std::string(ToString(fault))}})
       .Add();
-  if (fault == RelayFault::kAskStore) {
+  if (fault == RelayFault::kAskStore || fault == RelayFault::kResync ||
+      (fault == RelayFault::kNotWatching && query.snapshot_start)) {
     return;
   }
-  const base::Time now = clock_();
-  std::erase_if(backoff_until_,
-                [now](const auto& it) { return it.second <= now; });
-  backoff_until_[relay.instance] = now + options_.relay_backoff;
+  Backoff& backoff = backoffs_[relay.instance];
+  backoff.delay = std::clamp(2 * backoff.delay, options_.relay_backoff,
+                             options_.max_relay_backoff);
+  backoff.until = clock_() + backoff.delay;
   Log(LogLevel::kInfo, "relay_avoided",
       {{"relay", relay.instance.str()},
        {"fault", ToString(fault)},
-       {"ms", base::ToMillis(options_.relay_backoff)}});
+       {"ms", base::ToMillis(backoff.delay)}});
 }
 
-base::Time WatchSharing::FreshUntil() const {
-  return last_store_read_ ? *last_store_read_ + options_.max_staleness
-                          : base::Time::min();
-}
+// --- The sample of targets
 
-void WatchSharing::CountWatch(const char* source) {
-  metrics_.GetCounter("lynxglade_watches_total", {{"source", source}}).Add();
+void WatchSharing::UpdateLevels() {
+  if (!replica_.listed()) {
+    return;
+  }
+  const base::Time now = clock_();
+  const Role role = CurrentRole();
+  if (role == Role::kAlone || role == Role::kPrimary) {
+    demand_.Add(hooks_.take_placements(), now);
+  }
+  UseLevels(NextLevels(levels_, replica_.group_sizes(), demand_.Doublings(now),
+                       options_.sampling));
 }
 
-WatchSharing::Result<store::StoreItems> WatchSharing::List(
-    std::string prefix,
-    store::Freshness freshness,
-    store::StoreFault* fault) {
-  const bool all = prefix.empty();
-  auto listed = co_await store_.List(std::move(prefix), freshness, fault);
-  if (listed && all) {
-    store::StoreItems none;
-    none.revision = listed->revision;
-    RecordChanges(listed->revision, none);
+void WatchSharing::UseLevels(SamplingLevels levels) {
+  if (levels == levels_) {
+    return;
   }
-  co_return listed;
+  levels_ = std::move(levels);
+  recent_levels_.push_back(levels_);
+  if (recent_levels_.size() > kRecentLevels) {
+    recent_levels_.pop_front();
+  }
+  hooks_.use_levels(levels_);
+}
+
+void WatchSharing::CountWatch(const char* source) {
+  metrics_.GetCounter("lynxglade_watches_total", {{"source", source}}).Add();
 }
 
 }  // namespace lynxglade::process::peers
--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -1,15 +1,20 @@
-// Shares store watches within an availability zone: in a large zone a few
-// relay instances watch the store, and the others query the relays for changes.
+// Shares store watches between instances: one relay watches the store, further
+// relays follow the first, and the other instances query the relays for
+// changes.
 //
 // This reduces calls to the store, each of which has a cost, long polls
-// included. Relays are derived from the zone's instance list by hash, without
-// an election. If the relays fail, are stale or lack the history, the instance
-// queries the store within the same call. Either way the caller gets all
-// changes in the order of their revisions.
+// included, and the bytes that the store sends. Relays are derived from the
+// list of instances by hash, without an election. Only relays hold all entries;
+// the others get those of the targets in use (see EngineSampling), so what they
+// receive does not grow with the fleet. If the relays fail or are stale the
+// instance queries the store within the same call. Either way the caller gets
+// the newest state of each key in the order of revisions.
 #ifndef LYNXGLADE_PROCESS_PEERS_WATCH_SHARING_H_
 #define LYNXGLADE_PROCESS_PEERS_WATCH_SHARING_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -21,20 +26,24 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "base/units.h"
-#include "process/peers/change_history.h"
+#include "process/peers/change_messages.h"
 #include "process/peers/instance_presence.h"
+#include "process/peers/relay_selection.h"
+#include "process/peers/store_replica.h"
 #include "process/store/store_port.h"
+#include "request/passthrough/engine_sampling.h"
+#include "request/passthrough/sample_demand.h"
 
 namespace lynxglade::process::peers {
 
 struct WatchSharingOptions {
-  base::InstanceId instance = base::InstanceId("");
-  base::ZoneId zone = base::ZoneId("");
-  // In a zone with fewer instances each watches the store itself: sharing would
-  // save few calls.
-  std::size_t min_instances = 8;
-  // Relays per zone; the second covers for the loss of the first.
-  std::size_t relay_count = 2;
+  RelaySelectionOptions selection;
+  // Prefix of the keys that instances write. A starting instance lists them
+  // first, to learn which instances relay.
+  std::string instances_prefix = "lynxglade/";
+  // This instance needs the entries of all targets.
+  bool follows_everything = false;
+  request::passthrough::EngineSamplingOptions sampling;
   // Long-poll wait at the store and at a relay. Bounds how long a dead
   // connection goes undetected.
   base::Duration watch_timeout = std::chrono::milliseconds(1000);
@@ -43,16 +52,22 @@
   // changes must take effect within three seconds at every instance that
   // reaches the store.
   base::Duration max_staleness = std::chrono::milliseconds(1700);
-  // A relay that failed is not queried for this long.
+  // A relay that failed is not queried for this long; doubled with each further
+  // failure, up to the maximum.
   base::Duration relay_backoff = std::chrono::milliseconds(2000);
+  base::Duration max_relay_backoff = std::chrono::milliseconds(8000);
+  // With as many instances that share, a starting instance waits this long for
+  // a relay before it lists the store: hundreds of listings at once would
+  // saturate the store's link.
+  std::size_t many_instances = 64;
+  base::Duration max_relay_wait = std::chrono::milliseconds(3000);
 };
 
 // Why a relay did not return changes.
 enum class RelayFault {
-  // It has no recent store read, or is not a relay.
+  // It has no recent store read, is not a relay, or is behind the asker.
   kNotWatching,
-  // Its history does not reach back to the revision, or the response is too
-  // large.
+  // The answer is too large; ask the store.
   kAskStore,
   // It could not be reached, or closed the connection.
   kUnreachable,
@@ -60,24 +75,28 @@
   kTimeout,
   // The response could not be decoded.
   kMalformed,
+  // The changes since the revision are not known, or the asker lacks targets
+  // that are now in use; ask for a snapshot.
+  kResync,
 };
 std::string_view ToString(RelayFault fault) noexcept;
 
-// Queries a relay for the changes after a revision; the relay waits up to
-// `wait` for the first. Returns nullopt and sets `*fault` on failure.
-using QueryRelay = std::function<connection::event::Awaitable<
-    std::optional<store::StoreItems>>(InstancePeer relay,
-                                      base::Revision after,
-                                      base::Duration wait,
-                                      RelayFault* fault)>;
-
-// Selects the relays of the options' zone from `peers` and `self`; empty if the
-// zone does not share watches. All instances with the same peers select the
-// same relays, and a joining or leaving instance replaces at most one.
-std::vector<base::InstanceId> SelectRelays(
-    const std::vector<InstancePeer>& peers,
-    const base::InstanceId& self,
-    const WatchSharingOptions& options);
+// Queries a relay for changes; the relay waits for the first. Returns nullopt
+// and sets `*fault` on failure.
+using QueryRelay = std::function<connection::event::Awaitable<std::optional<
+    ChangesAnswer>>(InstancePeer relay, ChangesQuery query, RelayFault* fault)>;
+
+struct WatchSharingHooks {
+  std::function<const std::vector<InstancePeer>&()> peers;
+  QueryRelay query_relay;
+  ClassifyItem classify;
+  // Takes the keys that instances wrote, before the first listing of all keys.
+  std::function<void(const std::vector<store::StoreItem>&)> on_instance_keys;
+  // Takes the sample of targets to use when it changes.
+  std::function<void(const request::passthrough::SamplingLevels&)> use_levels;
+  // Requests placed by this instance since the last call.
+  std::function<request::passthrough::PlacementCounts()> take_placements;
+};
 
 // Only watches of all keys (empty prefix) are shared; lists and watches of a
 // prefix go to the store. Not thread-safe: runs on the event loop.
@@ -86,8 +105,7 @@
   WatchSharing(connection::event::asio::io_context& loop,
                store::ChangeSource& store,
                WatchSharingOptions options,
-               std::function<const std::vector<InstancePeer>&()> peers,
-               QueryRelay query_relay,
+               WatchSharingHooks hooks,
                base::Clock clock,
                base::Metrics& metrics);
   WatchSharing(const WatchSharing&) = delete;
@@ -95,11 +113,25 @@
 
   // Serves the query of another instance. Returns nullopt and sets `*fault` if
   // that instance has to query elsewhere.
-  connection::event::Awaitable<std::optional<store::StoreItems>>
-  ServeChanges(base::Revision after, base::Duration wait, RelayFault* fault);
+  connection::event::Awaitable<std::optional<ChangesAnswer>> ServeChanges(
+      ChangesQuery query,
+      RelayFault* fault);
 
-  // Whether watches are currently shared in this zone.
-  bool IsSharing() const;
+  // What an instance does for the others.
+  enum class Role {
+    // Watches are not shared.
+    kAlone,
+    // Watches the store.
+    kPrimary,
+    // Follows the primary and serves others, too.
+    kSecondary,
+    kFollower,
+  };
+  Role CurrentRole() const;
+  // Instances whose queries wait for a change.
+  std::size_t waiting_queries() const noexcept {
+    return waiting_timers_.size();
+  }
 
   Result<store::StoreItems> List(std::string prefix,
                                  store::Freshness freshness,
@@ -111,37 +143,95 @@
                                   store::StoreFault* fault) override;
 
  private:
-  std::vector<base::InstanceId> Relays() const;
-  // The relays that are not backed off, in an order that depends on this
-  // instance, which spreads the zone's instances over them.
+  // A relay that failed.
+  struct Backoff {
+    base::Time until{};
+    base::Duration delay{};
+  };
+  // Outcome of a query of several relays, each until no page is left.
+  struct RelayRead {
+    store::StoreItems items;
+    std::optional<request::passthrough::SamplingLevels> levels;
+  };
+
+  Role RoleAmong(const std::vector<base::InstanceId>& relays) const;
+  // The relays to query, in an order that depends on this instance, which
+  // spreads the instances over them. Leaves out those that are backed off,
+  // unless `with_backed_off`.
   std::vector<InstancePeer> RelaysToQuery(
-      const std::vector<base::InstanceId>& relays) const;
-  connection::event::Awaitable<std::optional<store::StoreItems>> QueryRelays(
-      const std::vector<InstancePeer>& relays,
-      base::Revision after);
+      const std::vector<base::InstanceId>& relays,
+      bool with_backed_off) const;
+  // Reads from the first relay that answers; nullopt, with `*fault` set, if
+  // none does.
+  connection::event::Awaitable<std::optional<RelayRead>> QueryRelays(
+      std::vector<InstancePeer> relays,
+      ChangesQuery query,
+      RelayFault* fault);
+  connection::event::Awaitable<std::optional<RelayRead>>
+  ReadPages(InstancePeer relay, ChangesQuery query, RelayFault* fault);
+  // Watches through relays. nullopt if none answered.
+  connection::event::Awaitable<std::optional<store::StoreItems>> WatchRelays(
+      Role role,
+      std::vector<base::InstanceId> relays,
+      base::Revision after,
+      RelayFault* fault);
+  connection::event::Awaitable<std::optional<store::StoreItems>> ListFromRelays(
+      Role role,
+      std::vector<base::InstanceId> relays,
+      RelayFault* fault);
   Result<store::StoreItems> WatchStore(base::Revision after,
+                                       base::Duration wait,
                                        store::StoreFault* fault);
-  // Records changes after a revision that were read from the store itself.
-  void RecordChanges(base::Revision after, const store::StoreItems& changes);
-  void BackOffFromRelay(const InstancePeer& relay, RelayFault fault);
+  Result<store::StoreItems> ListStore(store::Freshness freshness,
+                                      store::StoreFault* fault);
+  connection::event::Awaitable<void> ListInstanceKeys();
+  // Whether a starting instance should ask the relays again instead of listing
+  // the store.
+  bool ShouldAwaitRelay(Role role, RelayFault fault);
+  // Takes the age of a store read and wakes the queries that wait.
+  void OnStoreRead(base::Duration age);
+  // Recomputes the levels of an instance that holds all entries.
+  void UpdateLevels();
+  void UseLevels(request::passthrough::SamplingLevels levels);
+  // Whether an instance with those levels knows all targets in use.
+  bool KnowsSample(std::uint64_t levels_digest) const;
+  // Counts the fault, and backs off from a relay that does not work.
+  void RecordRelayFault(const InstancePeer& relay,
+                        const ChangesQuery& query,
+                        RelayFault fault);
+  void LogRole(Role role, const std::vector<base::InstanceId>& relays);
   base::Time FreshUntil() const;
   void CountWatch(const char* source);
 
   connection::event::asio::io_context& loop_;
   store::ChangeSource& store_;
   const WatchSharingOptions options_;
-  const std::function<const std::vector<InstancePeer>&()> peers_;
-  const QueryRelay query_relay_;
+  const WatchSharingHooks hooks_;
   const base::Clock clock_;
   base::Metrics& metrics_;
-  ChangeHistory history_;
-  // Last successful list or watch of all keys at the store itself.
+  // Complete at relays only.
+  StoreReplica replica_;
+  request::passthrough::SampleDemand demand_;
+  request::passthrough::SamplingLevels levels_;
+  // Levels that were in force here, newest last.
+  std::deque<request::passthrough::SamplingLevels> recent_levels_;
+  // The newest revision that was returned by a list or watch of all keys.
+  base::Revision returned_;
+  bool instance_keys_listed_ = false;
+  // First failure to list from a relay since the last listing.
+  std::optional<base::Time> relay_wait_began_;
+  // When the store was last read: by this instance or, at a secondary, by the
+  // primary.
   std::optional<base::Time> last_store_read_;
-  std::map<base::InstanceId, base::Time> backoff_until_;
+  std::map<base::InstanceId, Backoff> backoffs_;
+  // The role that was logged last.
+  Role logged_role_ = Role::kAlone;
   // Timers of the peer queries that wait for a change.
   std::set<connection::event::asio::steady_timer*> waiting_timers_;
 };
 
+std::string_view ToString(WatchSharing::Role role) noexcept;
+
 }  // namespace lynxglade::process::peers
 
 #endif  // LYNXGLADE_PROCESS_PEERS_WATCH_SHARING_H_
--- a/src/process/stages/stage_orders.cc
+++ b/src/process/stages/stage_orders.cc
@@ -110,7 +110,8 @@
   // Without requests no answers are in flight that need decode engines.
   const int demanded = idle ? 0 : DemandOf(service).DesiredEngines();
   std::vector<StageChange> changes =
-      PlanStages(engines_.OfService(service), idle, options_.plan, demanded);
+      PlanStages(engines_.OfService(service), idle, options_.plan, demanded,
+                 engines_.HasSpare(service));
   std::erase_if(changes, [this](const StageChange& it) {
     return settling_until_.contains(it.engine->entry.id);
   });
--- a/src/process/stages/stage_plan.cc
+++ b/src/process/stages/stage_plan.cc
@@ -36,6 +36,22 @@
   return zones;
 }
 
+// The number of decode engines per zone that changes fewest engines while each
+// zone's fraction of decode engines is within the bounds.
+std::map<base::ZoneId, int> DecodeCountWithSpare(
+    const std::map<base::ZoneId, ZoneEngines>& zones,
+    const StagePlanOptions& options) {
+  std::map<base::ZoneId, int> by_zone;
+  for (const auto& [name, zone] : zones) {
+    const int least = DecodeEngineCount(zone.size(), options);
+    const int most = static_cast<int>(
+        std::ceil(options.max_decode_share_with_spare * zone.size()));
+    by_zone[name] = std::clamp(static_cast<int>(zone.decode.size()), least,
+                               std::max(least, most));
+  }
+  return by_zone;
+}
+
 // The number of decode engines per zone. Each zone gets its proportional part
 // of the service's total, rounded up or down so that few engines change.
 std::map<base::ZoneId, int> DecodeCountByZone(
@@ -102,10 +118,12 @@
 std::vector<StageChange> PlanStages(const std::vector<EngineHandle>& engines,
                                     bool idle,
                                     const StagePlanOptions& options,
-                                    int demanded) {
+                                    int demanded,
+                                    bool has_spare) {
   std::vector<StageChange> changes;
   const auto zones = GroupByZone(engines);
-  const auto by_zone = DecodeCountByZone(zones, options, demanded);
+  const auto by_zone = has_spare ? DecodeCountWithSpare(zones, options)
+                                 : DecodeCountByZone(zones, options, demanded);
   for (const auto& [name, zone] : zones) {
     const int surplus = static_cast<int>(zone.decode.size()) - by_zone.at(name);
     const bool to_prefill = surplus > 0;
--- a/src/process/stages/stage_plan.h
+++ b/src/process/stages/stage_plan.h
@@ -22,6 +22,9 @@
   // Minimum number of decode engines of a service that has more engines than
   // this, so that losing one leaves another.
   int min_decode_engines = 2;
+  // Maximum fraction of decode engines while more engines can be taken into
+  // use: with a fraction between this and `decode_share` none changes.
+  double max_decode_share_with_spare = 0.75;
   // Engines of a service that change stage at a time while it is serving
   // requests.
   std::size_t max_concurrent_changes = 1;
@@ -40,12 +43,14 @@
 // proportion, to the planned split; draining engines are left out. All changes
 // if `idle`, else at most `max_concurrent_changes`. `demanded` is the number of
 // decode engines that in-flight answers need; the larger of it and the share
-// applies.
+// applies. `has_spare`: the service has engines that are not in use; taking
+// these into use costs less than orders.
 std::vector<StageChange> PlanStages(
     const std::vector<request::passthrough::EngineHandle>& engines,
     bool idle,
     const StagePlanOptions& options,
-    int demanded = 0);
+    int demanded = 0,
+    bool has_spare = false);
 
 }  // namespace lynxglade::process::stages
 
--- a/src/process/store/prefix_follower.cc
+++ b/src/process/store/prefix_follower.cc
@@ -109,13 +109,16 @@
     hooks_.on_recovered();
   }
   consecutive_failures_ = 0;
-  last_response_ = clock_();
+  last_response_ = clock_() - listed->age;
   revision_ = listed->revision;
   hooks_.on_list(listed->items);
   co_return true;
 }
 
 Awaitable<void> PrefixFollower::Watch() {
+  if (!std::exchange(watched_, true)) {
+    co_await SleepFor(loop_, options_.batch_delay());
+  }
   while (true) {
     StoreFault fault{};
     const auto changes = co_await source_.Watch(options_.prefix, revision_,
@@ -126,7 +129,7 @@
                      fault == StoreFault::kBusy;
       co_return;
     }
-    last_response_ = clock_();
+    last_response_ = clock_() - changes->age;
     revision_ = std::max(revision_, changes->revision);
     std::ranges::for_each(changes->items, hooks_.on_change);
     if (!changes->items.empty()) {
--- a/src/process/store/prefix_follower.h
+++ b/src/process/store/prefix_follower.h
@@ -21,9 +21,9 @@
   // Long-poll wait of a watch. Longer means fewer calls to the store, and later
   // detection of a dead connection.
   base::Duration watch_timeout = std::chrono::milliseconds(3000);
-  // Delay after changes before the next watch, so that further changes arrive
-  // in one response. Limits the calls when many targets change at once.
-  // Required.
+  // Delay after changes, and after the first listing, before the next watch, so
+  // that further changes arrive in one response. Limits the calls when many
+  // targets change, or many instances start, at once. Required.
   std::function<base::Duration()> batch_delay;
   // Bounds of the exponential backoff while the store fails; random jitter of
   // up to the same amount is added. Short, as changes must be known within
@@ -69,8 +69,8 @@
   // Runs until the loop ends. The follower must outlive it.
   connection::event::Awaitable<void> Run();
 
-  // Time since the last successful list or watch; empty before the first
-  // listing.
+  // Time since the store was read, by this instance or for it; empty before the
+  // first listing.
   std::optional<base::Duration> Age() const;
 
  private:
@@ -91,6 +91,7 @@
   // A call has failed in a way that a closed watch connection does not explain.
   bool unavailable_ = false;
   int consecutive_failures_ = 0;
+  bool watched_ = false;
   base::Revision revision_;
   std::optional<base::Time> last_response_;
 };
--- a/src/process/store/store_items.h
+++ b/src/process/store/store_items.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "base/units.h"
 
 namespace lynxglade::process::store {
@@ -21,6 +22,9 @@
 struct StoreItems {
   std::vector<StoreItem> items;
   base::Revision revision;
+  // How long before they were received the store was read; longer than zero if
+  // another instance read it.
+  base::Duration age{};
 };
 
 }  // namespace lynxglade::process::store
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -1,7 +1,9 @@
 #include "request/passthrough/engine_table.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
+#include <utility>
 
 namespace lynxglade::request::passthrough {
 
@@ -132,6 +134,11 @@
   }
 }
 
+void EngineTable::UseLevels(SamplingLevels levels) {
+  levels_ = std::move(levels);
+  indexed_ = false;
+}
+
 EngineHandle EngineTable::Find(const base::TargetId& id) const {
   const auto it = engines_.find(id);
   return it == engines_.end() ? nullptr : it->second;
@@ -147,6 +154,23 @@
   return it == by_service_.end() ? none : it->second;
 }
 
+bool EngineTable::HasSpare(const base::ServiceName& service) const {
+  return std::ranges::any_of(levels_.groups(), [&service](const auto& it) {
+    return it.first.service == service;
+  });
+}
+
+std::vector<EngineHandle> EngineTable::AllOfService(
+    const base::ServiceName& service) const {
+  std::vector<EngineHandle> found;
+  for (const auto& [id, engine] : engines_) {
+    if (engine->entry.service == service) {
+      found.push_back(engine);
+    }
+  }
+  return found;
+}
+
 void EngineTable::ForEach(
     const std::function<void(const Engine&)>& visit) const {
   for (const auto& [id, engine] : engines_) {
@@ -154,6 +178,15 @@
   }
 }
 
+std::size_t EngineTable::used() const {
+  if (!indexed_) {
+    RebuildIndex();
+  }
+  return std::accumulate(
+      by_service_.begin(), by_service_.end(), std::size_t{0},
+      [](std::size_t n, const auto& it) { return n + it.second.size(); });
+}
+
 // Requests in flight keep the engine object, which is marked as draining.
 void EngineTable::Drop(const base::TargetId& id) {
   const auto it = engines_.find(id);
@@ -170,7 +203,10 @@
   indexed_ = true;
   by_service_.clear();
   for (const auto& [id, engine] : engines_) {
-    by_service_[engine->entry.service].push_back(engine);
+    const EngineEntry& entry = engine->entry;
+    if (levels_.Contains({entry.service, entry.zone}, id)) {
+      by_service_[entry.service].push_back(engine);
+    }
   }
 }
 
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -21,6 +21,7 @@
 #include "base/time.h"
 #include "base/units.h"
 #include "request/passthrough/engine_health.h"
+#include "request/passthrough/engine_sampling.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -56,6 +57,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  // How long work takes at the moment of the report, as a percentage of the
+  // usual; 100 for targets that do not state it.
+  int work_time_percent = 100;
 };
 
 // Pending prefills of one priority that this instance sent to an engine.
@@ -144,14 +148,25 @@
   // ms.
   void Expire(base::Time now);
 
+  // Sets the sample of the known targets that requests use.
+  void UseLevels(SamplingLevels levels);
+
   // Null if unknown.
   EngineHandle Find(const base::TargetId& id) const;
-  // Targets of a service ordered by id, draining ones included.
+  // Targets of a service that requests use, ordered by id, draining ones
+  // included.
   const std::vector<EngineHandle>& OfService(
       const base::ServiceName& service) const;
+  // Whether the service has targets that requests do not use.
+  bool HasSpare(const base::ServiceName& service) const;
+  // All known targets of a service.
+  std::vector<EngineHandle> AllOfService(
+      const base::ServiceName& service) const;
   // Visits the targets of all services.
   void ForEach(const std::function<void(const Engine&)>& visit) const;
   std::size_t size() const noexcept { return engines_.size(); }
+  // Number of targets that requests use.
+  std::size_t used() const;
 
  private:
   // Steps of Put() and Remove(); the index is out of date after them.
@@ -163,6 +178,7 @@
   const base::Duration grace_;
   base::Time store_recovered_at_{};
   std::map<base::TargetId, EngineHandle> engines_;
+  SamplingLevels levels_;
   // Entries that disappeared during the grace period, and when they are
   // dropped.
   std::map<base::TargetId, base::Time> missing_;
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -88,6 +88,9 @@
   std::function<int()> instances;
   // Age of the view of the targets.
   std::function<base::Duration()> view_age;
+  // Called once for each request, with whether the targets in use were crowded:
+  // it had to wait for one, or was rejected. May be empty.
+  std::function<void(bool crowded)> on_placed;
   // Called once for each request of an organisation that a target began to run,
   // with the time at which it began. May be empty.
   std::function<void(const base::OrganisationId&, base::Time began)> on_run;
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -1,4 +1,5 @@
 // What a request adds to the estimates and counts that later requests use.
+#include <chrono>
 #include <utility>
 
 #include "request/passthrough/relay_run.h"
@@ -9,6 +10,10 @@
 
 using connection::event::ExchangeState;
 
+// Fraction of the latency target beyond which the wait for a prefill counts as
+// caused by too few engines.
+constexpr double kCrowdedWait = 0.25;
+
 }  // namespace
 
 void RelayRun::RecordPrefill(const EnginePick& pick, base::Duration took) {
@@ -53,6 +58,16 @@
   RecordRun(deps_.run_times.Began(target.entry.service, sent_at_, now));
 }
 
+void RelayRun::RecordPlacement(const EnginePick& pick, bool rejected) {
+  if (!deps_.on_placed) {
+    return;
+  }
+  const bool waits = route_->target_latency > base::Duration::zero() &&
+                     pick.wait > std::chrono::duration_cast<base::Duration>(
+                                     kCrowdedWait * route_->target_latency);
+  deps_.on_placed(rejected || waits);
+}
+
 void RelayRun::RecordAttempt(Engine& engine) {
   engine.health.OnTry(deps_.clock());
   deps_.zones.OnTry(engine.entry.zone, deps_.clock());
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -135,6 +135,7 @@
     const bool first = runs_ == 0 && rejections_ == 0 && !source_;
     const EnginePick pick = first ? PickFirst() : Pick();
     if (!pick.runner) {
+      RecordPlacement(pick, /*rejected=*/true);
       break;
     }
     if (prefill_denied_ && runs_ == 0 &&
@@ -144,7 +145,11 @@
       co_await Refuse(EndReason::kRetryBudget);
       co_return;
     }
-    if (const auto reason = first ? CheckFirstAttempt(pick) : std::nullopt) {
+    const auto reason = first ? CheckFirstAttempt(pick) : std::nullopt;
+    if (first) {
+      RecordPlacement(pick, reason.has_value());
+    }
+    if (reason) {
       LogNotAttempted(pick, *reason);
       co_await Refuse(*reason);
       co_return;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -142,6 +142,8 @@
   void RecordRun(base::Time began);
   // The same, for an answer or a loss that is known now.
   void RecordFinishedRun(const Engine& target);
+  // Whether the targets in use are crowded, for the size of their sample.
+  void RecordPlacement(const EnginePick& pick, bool rejected);
   // A request is about to be sent to the engine.
   void RecordAttempt(Engine& engine);
   // How far the request got at the engine.
--- a/tests/process/peers/instance_presence_test.cc
+++ b/tests/process/peers/instance_presence_test.cc
@@ -21,7 +21,8 @@
                   store_,
                   {.instance = base::InstanceId("me"),
                    .renew_interval = std::chrono::milliseconds(1),
-                   .retry_interval = std::chrono::milliseconds(1)},
+                   .retry_interval = std::chrono::milliseconds(1),
+                   .missing_delay = base::Duration::zero()},
                   [this] { return now_; }) {
     asio::co_spawn(loop_, presence_.Run(), asio::detached);
   }
@@ -77,6 +78,28 @@
   EXPECT_EQ(presence_.Count(), 1);
 }
 
+// A key that is lost between two renewals is written at once, but not before
+// the write had time to be seen.
+TEST(InstancePresenceRenewal, LostKeyIsWrittenBeforeTheNextRenewal) {
+  base::Time now = base::Time() + std::chrono::hours(1);
+  asio::io_context loop;
+  store::FakeStorePort store(loop);
+  InstancePresence presence(loop, store,
+                            {.instance = base::InstanceId("me"),
+                             .renew_interval = std::chrono::hours(1),
+                             .retry_interval = std::chrono::milliseconds(1)},
+                            [&now] { return now; });
+  asio::co_spawn(loop, presence.Run(), asio::detached);
+  store::RunUntil(loop, [&store] { return store.items().contains(kKey); });
+  store.Remove(kKey);
+  presence.OnList({});
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(20));
+  EXPECT_FALSE(store.items().contains(kKey));
+  now += InstancePresenceOptions().missing_delay;
+  store::RunUntil(loop, [&store] { return store.items().contains(kKey); });
+}
+
 TEST_F(InstancePresenceTest, LeaveRemovesTheKeyAtOnce) {
   store::RunUntil(loop_, [this] { return store_.items().contains(kKey); });
   asio::co_spawn(loop_, presence_.Leave(), asio::detached);
--- a/tests/process/stages/stage_plan_test.cc
+++ b/tests/process/stages/stage_plan_test.cc
@@ -162,5 +162,25 @@
   }
 }
 
+// A sample of a large fleet: the spare engines are taken into use before any
+// is ordered into another stage.
+TEST(StagePlan, WithSpareEnginesOnlyAnExtremeSplitIsChanged) {
+  const StagePlanOptions options;
+  auto engines = Zone("a", 50, 70);
+  auto other = Zone("b", 60, 60);
+  engines.insert(engines.end(), other.begin(), other.end());
+  EXPECT_FALSE(PlanStages(engines, /*idle=*/true, options).empty());
+  EXPECT_TRUE(PlanStages(engines, /*idle=*/true, options, 0, true).empty());
+  // One zone without prefill engines, one with hardly any decode engine.
+  engines = Zone("a", 0, 40);
+  other = Zone("b", 39, 1);
+  engines.insert(engines.end(), other.begin(), other.end());
+  const auto changes = PlanStages(engines, /*idle=*/true, options, 0, true);
+  const auto to_prefill =
+      std::ranges::count(changes, EngineStage::kPrefill, &StageChange::to);
+  EXPECT_EQ(to_prefill, 10);
+  EXPECT_EQ(static_cast<int>(changes.size()) - to_prefill, 9);
+}
+
 }  // namespace
 }  // namespace lynxglade::process::stages
--- a/tests/request/passthrough/engine_table_test.cc
+++ b/tests/request/passthrough/engine_table_test.cc
@@ -1,6 +1,8 @@
 #include "request/passthrough/engine_table.h"
 
+#include <map>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -157,5 +159,39 @@
   EXPECT_TRUE(table.Find(base::TargetId("a"))->entry.draining);
 }
 
+// Of a fleet of 20,000 engines a choice looks at those in use, so its time does
+// not grow with the fleet.
+TEST(EngineTable, ServesTheSampleOfALargeFleet) {
+  constexpr int kEngines = 20'000;
+  EngineTable table(kGrace);
+  std::vector<EngineEntry> entries;
+  for (int i = 0; i < kEngines; ++i) {
+    entries.push_back(Entry("i-" + std::to_string(i)));
+    entries.back().zone = base::ZoneId("z" + std::to_string(i % 5));
+  }
+  table.Replace(entries, kNow);
+  EXPECT_EQ(table.OfService(kService).size(), std::size_t{kEngines});
+  EXPECT_FALSE(table.HasSpare(kService));
+  std::map<EngineGroup, std::size_t> sizes;
+  for (const EngineEntry& it : entries) {
+    ++sizes[{it.service, it.zone}];
+  }
+  const SamplingLevels levels = NextLevels({}, sizes, 0, {});
+  table.UseLevels(levels);
+  EXPECT_TRUE(table.HasSpare(kService));
+  const auto& used = table.OfService(kService);
+  EXPECT_GT(used.size(), 5U * 40);
+  EXPECT_LT(used.size(), 5U * 180);
+  EXPECT_EQ(table.AllOfService(kService).size(), std::size_t{kEngines});
+  // An engine in use that leaves disappears; the others stay in use.
+  const base::TargetId gone = used.front()->entry.id;
+  const std::size_t before = used.size();
+  table.Remove(gone, kNow);
+  EXPECT_EQ(table.OfService(kService).size(), before - 1);
+  // A larger sample contains the smaller one.
+  table.UseLevels(NextLevels(levels, sizes, 2, {}));
+  EXPECT_GT(table.OfService(kService).size(), 2 * before);
+}
+
 }  // namespace
 }  // namespace lynxglade::request::passthrough
