Relays: a fleet that starts at once knows its relays before it watches

Change: keys of instances carry the zone.

An asker that knows nothing needs no deletions, so a relay serves it. In large groups listings of the store are rare also after the wait for a relay.

--- a/bench/knowledge/knowledge_fleet.cc
+++ b/bench/knowledge/knowledge_fleet.cc
@@ -150,6 +150,7 @@
                  .take_placements =
                      [] { return request::passthrough::PlacementCounts(); }},
                 Now,
+                base::SystemRandom(),
                 metrics),
         follower(fleet.loop_,
                  watches,
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -1,5 +1,6 @@
 // How the parts of the entry daemon are connected: hooks, readiness and
 // metrics.
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <utility>
@@ -97,7 +98,11 @@
       },
       .query_relay = process::peers::MakeQueryRelay(loop, channels),
       .classify = EntryViews::Classify,
-      .on_instance_keys = InstanceKeysHooks().on_list,
+      .on_instance_keys =
+          [this](const std::vector<StoreItem>& items) {
+            std::ranges::for_each(
+                items, [this](const StoreItem& it) { presence.OnChange(it); });
+          },
       .use_levels =
           [this](const request::passthrough::SamplingLevels& levels) {
             views.UseLevels(levels);
--- a/src/process/peers/instance_presence.cc
+++ b/src/process/peers/instance_presence.cc
@@ -23,6 +23,11 @@
 
 constexpr std::int64_t kMaxLinkMbps = 1'000'000'000;
 
+// The id follows the zone.
+base::InstanceId InstanceOf(const std::string& key) {
+  return base::InstanceId(key.substr(key.rfind('/') + 1));
+}
+
 }  // namespace
 
 InstancePresence::InstancePresence(asio::io_context& loop,
@@ -49,10 +54,14 @@
   }
 }
 
+std::string InstancePresence::OwnKey() const {
+  return options_.prefix + options_.zone.str() + '/' + options_.instance.str();
+}
+
 bool InstancePresence::IsKeyMissing() const {
   return key_written_ && listed_ &&
          clock_() >= written_at_ + options_.missing_delay &&
-         !keys_.contains(options_.prefix + options_.instance.str());
+         !keys_.contains(OwnKey());
 }
 
 Awaitable<void> InstancePresence::Renew() {
@@ -64,7 +73,6 @@
       lease_.reset();
     }
   }
-  const std::string key = options_.prefix + options_.instance.str();
   if (!lease_) {
     lease_ = co_await store_.GrantLease(options_.lease_ttl, &fault);
     key_written_ = false;
@@ -72,7 +80,7 @@
   // The store may delete a key while its lease is still valid.
   if (lease_ && !stopped_ && (!key_written_ || IsKeyMissing())) {
     const auto written =
-        co_await store_.Put(key, SerializeSelf(), *lease_, &fault);
+        co_await store_.Put(OwnKey(), SerializeSelf(), *lease_, &fault);
     key_written_ = written.has_value();
     written_at_ = clock_();
   }
@@ -107,7 +115,7 @@
   if (!item.key.starts_with(options_.prefix)) {
     return;
   }
-  const base::InstanceId instance(item.key.substr(options_.prefix.size()));
+  const base::InstanceId instance = InstanceOf(item.key);
   std::erase_if(peers_, [&instance](const InstancePeer& it) {
     return it.instance == instance;
   });
@@ -151,7 +159,7 @@
     return std::nullopt;
   }
   return InstancePeer{
-      base::InstanceId(item.key.substr(options_.prefix.size())),
+      InstanceOf(item.key),
       base::ZoneId(zone->get<std::string>()),
       {asio::ip::make_address(endpoint->address),
        static_cast<std::uint16_t>(endpoint->port)},
--- a/src/process/peers/instance_presence.h
+++ b/src/process/peers/instance_presence.h
@@ -90,6 +90,8 @@
 
  private:
   connection::event::Awaitable<void> Renew();
+  // `prefix`, the zone, '/' and the id, so that a zone's keys can be listed.
+  std::string OwnKey() const;
   // Whether the store has lost the key, although the lease may be valid.
   bool IsKeyMissing() const;
   // Applies one written or deleted key.
--- a/src/process/peers/store_replica.cc
+++ b/src/process/peers/store_replica.cc
@@ -104,7 +104,8 @@
 std::optional<ReplicaPage> StoreReplica::After(base::Revision after,
                                                const SamplingLevels* sample,
                                                std::size_t max_bytes) const {
-  if (!complete() || after < deletions_known_after_) {
+  const bool knows_nothing = after <= base::Revision(0);
+  if (!complete() || (!knows_nothing && after < deletions_known_after_)) {
     return std::nullopt;
   }
   return PageAfter(after, after, sample, max_bytes);
--- a/src/process/peers/store_replica.h
+++ b/src/process/peers/store_replica.h
@@ -84,7 +84,7 @@
   // `max_bytes`; items of one revision stay together. Targets outside of
   // `sample` are left out; all items are included if it is null. Returns
   // nullopt if it is not complete, or does not remember all deletions since
-  // `after`.
+  // `after`; none are needed after revision 0, at which nothing was known.
   std::optional<ReplicaPage> After(
       base::Revision after,
       const request::passthrough::SamplingLevels* sample,
--- a/src/process/peers/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -81,12 +81,14 @@
                            WatchSharingOptions options,
                            WatchSharingHooks hooks,
                            base::Clock clock,
+                           base::RandomSource random,
                            base::Metrics& metrics)
     : loop_(loop),
       store_(store),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
       clock_(std::move(clock)),
+      random_(std::move(random)),
       metrics_(metrics),
       replica_(hooks_.classify) {}
 
@@ -164,7 +166,19 @@
 // --- Roles
 
 WatchSharing::Role WatchSharing::CurrentRole() const {
-  return RoleAmong(SelectRelays(hooks_.peers(), options_.selection));
+  return RoleAmong(Relays());
+}
+
+bool WatchSharing::SharesByZone() const {
+  const auto group = SharingGroup(hooks_.peers(), options_.selection);
+  return !group.empty() && std::ranges::all_of(group, [this](const auto& it) {
+    return it.zone == options_.selection.zone;
+  });
+}
+
+std::vector<base::InstanceId> WatchSharing::Relays() const {
+  return instances_known_ ? SelectRelays(hooks_.peers(), options_.selection)
+                          : std::vector<base::InstanceId>();
 }
 
 WatchSharing::Role WatchSharing::RoleAmong(
@@ -221,7 +235,13 @@
   if (!prefix.empty()) {
     co_return co_await store_.Watch(std::move(prefix), after, wait, fault);
   }
-  const auto relays = SelectRelays(hooks_.peers(), options_.selection);
+  if (!instances_known_) {
+    // Current, as a listing that lags would show none of the instances that
+    // started together with this one.
+    co_await ListInstanceKeys(store::Freshness::kCurrent);
+    instances_known_ = true;
+  }
+  const auto relays = Relays();
   const Role role = RoleAmong(relays);
   LogRole(role, relays);
   const bool needs_everything =
@@ -302,16 +322,19 @@
   if (!prefix.empty()) {
     co_return co_await store_.List(std::move(prefix), freshness, fault);
   }
-  if (!instance_keys_listed_) {
-    co_await ListInstanceKeys();
+  if (std::exchange(first_listing_, false)) {
+    co_await ListInstanceKeys(store::Freshness::kMayBeStale);
   }
-  const auto relays = SelectRelays(hooks_.peers(), options_.selection);
+  const auto relays = instances_known_ || SharesByZone()
+                          ? SelectRelays(hooks_.peers(), options_.selection)
+                          : std::vector<base::InstanceId>();
   const Role role = RoleAmong(relays);
   if (role == Role::kSecondary || role == Role::kFollower) {
     RelayFault relay_fault{};
     auto listed = co_await ListFromRelays(role, relays, &relay_fault);
     if (listed) {
       relay_wait_began_.reset();
+      instances_known_ = true;
       co_return listed;
     }
     if (ShouldAwaitRelay(role, relay_fault)) {
@@ -319,7 +342,6 @@
       co_return std::nullopt;
     }
   }
-  relay_wait_began_.reset();
   co_return co_await ListStore(freshness, fault);
 }
 
@@ -337,7 +359,7 @@
   auto read = co_await QueryRelays(
       RelaysToQuery(relays, /*with_backed_off=*/true), query, fault);
   // Nothing that is known may go back.
-  if (read && read->items.revision < returned_) {
+  if (read && read->items.revision < std::max(returned_, instances_seen_at_)) {
     *fault = RelayFault::kNotWatching;
     co_return std::nullopt;
   }
@@ -361,6 +383,7 @@
     store::StoreFault* fault) {
   auto listed = co_await store_.List(std::string(), freshness, fault);
   if (listed) {
+    relay_wait_began_.reset();
     replica_.Reset(*listed);
     returned_ = std::max(returned_, listed->revision);
     OnStoreRead(base::Duration::zero());
@@ -368,25 +391,43 @@
   co_return listed;
 }
 
-Awaitable<void> WatchSharing::ListInstanceKeys() {
-  store::StoreFault fault{};
-  const auto listed = co_await store_.List(
-      options_.instances_prefix, store::Freshness::kMayBeStale, &fault);
-  if (listed) {
-    instance_keys_listed_ = true;
-    hooks_.on_instance_keys(listed->items);
+Awaitable<void> WatchSharing::ListInstanceKeys(store::Freshness freshness) {
+  const std::string zone_prefix =
+      options_.instances_prefix + options_.selection.zone.str() + '/';
+  for (const std::string& prefix : {zone_prefix, options_.instances_prefix}) {
+    store::StoreFault fault{};
+    const auto listed = co_await store_.List(prefix, freshness, &fault);
+    if (!listed) {
+      Log(LogLevel::kInfo, "instances_not_listed",
+          {{"prefix", prefix}, {"fault", ToString(fault)}});
+      co_return;
+    }
+    // Older keys are known, or were deleted since this listing was made.
+    auto added = listed->items;
+    std::erase_if(added, [this](const store::StoreItem& it) {
+      return it.revision <= returned_;
+    });
+    hooks_.on_instance_keys(added);
+    for (const store::StoreItem& it : listed->items) {
+      instances_seen_at_ = std::max(instances_seen_at_, it.revision);
+    }
+    if (!SharingGroup(hooks_.peers(), options_.selection).empty()) {
+      co_return;
+    }
   }
 }
 
 bool WatchSharing::ShouldAwaitRelay(Role role, RelayFault fault) {
+  const std::size_t n = SharingGroup(hooks_.peers(), options_.selection).size();
   if (fault == RelayFault::kAskStore || role != Role::kFollower ||
-      SharingGroup(hooks_.peers(), options_.selection).size() <
-          options_.many_instances) {
+      n < options_.many_instances) {
     return false;
   }
   const base::Time now = clock_();
   relay_wait_began_ = relay_wait_began_.value_or(now);
-  return now - *relay_wait_began_ < options_.max_relay_wait;
+  return now - *relay_wait_began_ < options_.max_relay_wait ||
+         100 * base::UniformReal(random_) * static_cast<double>(n) >
+             options_.store_tries_percent;
 }
 
 // --- Querying relays
--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -24,6 +24,7 @@
 
 #include "base/ids.h"
 #include "base/metrics.h"
+#include "base/random.h"
 #include "base/time.h"
 #include "base/units.h"
 #include "process/peers/change_messages.h"
@@ -38,9 +39,10 @@
 
 struct WatchSharingOptions {
   RelaySelectionOptions selection;
-  // Prefix of the keys that instances write. A starting instance lists them
-  // first, to learn which instances relay.
-  std::string instances_prefix = "lynxglade/";
+  // Prefix of the keys of instances, which are followed by their zone and '/'.
+  // A starting instance lists those of its zone first, to learn which instances
+  // relay.
+  std::string instances_prefix = "lynxglade/instances/";
   // This instance needs the entries of all targets.
   bool follows_everything = false;
   request::passthrough::EngineSamplingOptions sampling;
@@ -58,9 +60,11 @@
   base::Duration max_relay_backoff = std::chrono::milliseconds(8000);
   // With as many instances that share, a starting instance waits this long for
   // a relay before it lists the store: hundreds of listings at once would
-  // saturate the store's link.
+  // saturate the store's link. After that so many of the group's tries in a
+  // hundred are made at the store.
   std::size_t many_instances = 64;
   base::Duration max_relay_wait = std::chrono::milliseconds(3000);
+  double store_tries_percent = 20;
 };
 
 // Why a relay did not return changes.
@@ -90,7 +94,7 @@
   std::function<const std::vector<InstancePeer>&()> peers;
   QueryRelay query_relay;
   ClassifyItem classify;
-  // Takes the keys that instances wrote, before the first listing of all keys.
+  // Takes keys of instances in addition to those that are known.
   std::function<void(const std::vector<store::StoreItem>&)> on_instance_keys;
   // Takes the sample of targets to use when it changes.
   std::function<void(const request::passthrough::SamplingLevels&)> use_levels;
@@ -107,6 +111,7 @@
                WatchSharingOptions options,
                WatchSharingHooks hooks,
                base::Clock clock,
+               base::RandomSource random,
                base::Metrics& metrics);
   WatchSharing(const WatchSharing&) = delete;
   WatchSharing& operator=(const WatchSharing&) = delete;
@@ -184,7 +189,14 @@
                                        store::StoreFault* fault);
   Result<store::StoreItems> ListStore(store::Freshness freshness,
                                       store::StoreFault* fault);
-  connection::event::Awaitable<void> ListInstanceKeys();
+  // Lists the instances of the own zone or, if these are too few to share, of
+  // all zones.
+  connection::event::Awaitable<void> ListInstanceKeys(
+      store::Freshness freshness);
+  // Whether the instances of the own zone are enough to share watches.
+  bool SharesByZone() const;
+  // The relays; empty while the instances are not known well enough.
+  std::vector<base::InstanceId> Relays() const;
   // Whether a starting instance should ask the relays again instead of listing
   // the store.
   bool ShouldAwaitRelay(Role role, RelayFault fault);
@@ -208,6 +220,7 @@
   const WatchSharingOptions options_;
   const WatchSharingHooks hooks_;
   const base::Clock clock_;
+  const base::RandomSource random_;
   base::Metrics& metrics_;
   // Complete at relays only.
   StoreReplica replica_;
@@ -217,7 +230,13 @@
   std::deque<request::passthrough::SamplingLevels> recent_levels_;
   // The newest revision that was returned by a list or watch of all keys.
   base::Revision returned_;
-  bool instance_keys_listed_ = false;
+  // Whether the other instances are known: when many start at once, the first
+  // listing shows few of them.
+  bool instances_known_ = false;
+  bool first_listing_ = true;
+  // Revision of the newest key of an instance that was listed; a snapshot that
+  // is older lacks instances that are known.
+  base::Revision instances_seen_at_;
   // First failure to list from a relay since the last listing.
   std::optional<base::Time> relay_wait_began_;
   // When the store was last read: by this instance or, at a secondary, by the
--- a/tests/process/store/fake_store_port.h
+++ b/tests/process/store/fake_store_port.h
@@ -44,6 +44,8 @@
   int lists() const noexcept { return lists_; }
   // Listings that were allowed to be stale.
   int stale_lists() const noexcept { return stale_lists_; }
+  // Listings of all keys that had to be current.
+  int current_lists_of_all() const noexcept { return current_lists_of_all_; }
   int watches() const noexcept { return watches_; }
   const std::map<std::string, StoreItem>& items() const noexcept {
     return items_;
@@ -94,6 +96,7 @@
   int closes_ = 0;
   int lists_ = 0;
   int stale_lists_ = 0;
+  int current_lists_of_all_ = 0;
   int watches_ = 0;
   connection::event::asio::steady_timer changed_;
 };
