Relays: after a loss of power askers wait at a relay that starts

Each follower without a relay asked both again five times a second, about 1,500 queries a second at a relay that needs its half core to list and decode 10,000 entries. That is the reading of the logs; the load of the relays themselves was not measured.

Relays list the store as of the call, as the history after a listing that lags may be gone.

Test: the instances of a zone that start together list the whole store twice as of the call, for the two relays.

--- a/src/process/peers/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -6,6 +6,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "connection/event/sleep.h"
 
 namespace lynxglade::process::peers {
 
@@ -16,6 +17,7 @@
 using connection::event::Awaitable;
 using connection::event::ErrorCode;
 using connection::event::Into;
+using connection::event::SleepFor;
 using request::passthrough::SamplingLevels;
 namespace asio = connection::event::asio;
 
@@ -103,8 +105,16 @@
   while (true) {
     const base::Time now = clock_();
     if (now >= FreshUntil() || !replica_.complete()) {
-      *fault = RelayFault::kNotWatching;
-      co_return std::nullopt;
+      // A relay that starts together with the asker is ready soon. Without the
+      // wait hundreds of askers would take the time that it needs for that.
+      const bool starting =
+          query.snapshot_start && CurrentRole() != Role::kFollower;
+      if (!starting || now >= end) {
+        *fault = RelayFault::kNotWatching;
+        co_return std::nullopt;
+      }
+      co_await WaitForRead(end - now);
+      continue;
     }
     const SamplingLevels* sample = query.everything ? nullptr : &levels_;
     std::optional<ReplicaPage> page;
@@ -135,14 +145,18 @@
       }
       co_return answer;
     }
-    asio::steady_timer timer(loop_, std::min(end, FreshUntil()) - now);
-    waiting_timers_.insert(&timer);
-    ErrorCode ec;
-    co_await timer.async_wait(Into(ec));
-    waiting_timers_.erase(&timer);
+    co_await WaitForRead(std::min(end, FreshUntil()) - now);
   }
 }
 
+Awaitable<void> WatchSharing::WaitForRead(base::Duration time) {
+  asio::steady_timer timer(loop_, time);
+  waiting_timers_.insert(&timer);
+  ErrorCode ec;
+  co_await timer.async_wait(Into(ec));
+  waiting_timers_.erase(&timer);
+}
+
 bool WatchSharing::KnowsSample(std::uint64_t levels_digest) const {
   if (levels_digest == levels_.digest() || levels_digest == 0) {
     return true;
@@ -338,11 +352,18 @@
       co_return listed;
     }
     if (ShouldAwaitRelay(role, relay_fault)) {
+      co_await SleepFor(
+          loop_, std::chrono::duration_cast<base::Duration>(
+                     options_.watch_timeout * base::UniformReal(random_)));
       *fault = store::StoreFault::kBusy;
       co_return std::nullopt;
     }
   }
-  co_return co_await ListStore(freshness, fault);
+  // Others wait for a relay, which would have to list again if the history
+  // after a listing that lags were gone.
+  const bool relays_others = role == Role::kPrimary || role == Role::kSecondary;
+  co_return co_await ListStore(
+      relays_others ? store::Freshness::kCurrent : freshness, fault);
 }
 
 Awaitable<std::optional<store::StoreItems>> WatchSharing::ListFromRelays(
@@ -354,6 +375,7 @@
   }
   ChangesQuery query;
   query.after = base::Revision(-1);
+  query.wait = options_.watch_timeout;
   query.everything = role == Role::kSecondary || options_.follows_everything;
   query.snapshot_start = base::Revision(0);
   auto read = co_await QueryRelays(
--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -202,6 +202,8 @@
   bool ShouldAwaitRelay(Role role, RelayFault fault);
   // Takes the age of a store read and wakes the queries that wait.
   void OnStoreRead(base::Duration age);
+  // Waits until the store was read, or for this time.
+  connection::event::Awaitable<void> WaitForRead(base::Duration time);
   // Recomputes the levels of an instance that holds all entries.
   void UpdateLevels();
   void UseLevels(request::passthrough::SamplingLevels levels);
