--- a/src/process/peers/prefill_sharing.h
+++ b/src/process/peers/prefill_sharing.h
@@ -25,8 +25,8 @@
   base::InstanceId instance;
   base::ZoneId zone;
   base::Duration period = std::chrono::milliseconds(100);
-  // With more instances than this, reports stay within the zone, to limit the
-  // number of datagrams and the traffic between zones.
+  // With more instances than this, reports stay within the zone: each would
+  // receive over 160 reports a second, and traffic between zones is costly.
   std::size_t max_cross_zone_instances = 16;
 };
 
--- a/src/process/store/prefix_follower.h
+++ b/src/process/store/prefix_follower.h
@@ -27,7 +27,8 @@
   std::function<base::Duration()> batch_delay;
   // Bounds of the exponential backoff while the store fails; random jitter of
   // up to the same amount is added. Short, as changes must be known within
-  // three seconds of the end of an outage.
+  // three seconds of the end of an outage, two of which pass until entries that
+  // expired meanwhile are written again.
   base::Duration min_retry_delay = std::chrono::milliseconds(100);
   base::Duration max_retry_delay = std::chrono::milliseconds(250);
 };
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -31,7 +31,8 @@
   double default_ms_per_token = 2;
   double default_capacity_fraction = 0.6;
   // A large answer is this many standard deviations above the mean of the
-  // logarithms of its route's sizes.
+  // logarithms of its route's sizes: one in forty of a normal distribution is
+  // larger.
   double large_deviations = 2;
   // At limited capacity, the admission rate of larger answers is kept at this
   // ratio of the rate of smaller ones.
--- a/src/request/passthrough/engine_picker.cc
+++ b/src/request/passthrough/engine_picker.cc
@@ -82,7 +82,7 @@
       continue;
     }
     all.push_back(engine);
-    // A KV cache transfer between zones takes longer.
+    // A KV cache transfer between zones takes twice as long.
     if (engine->entry.zone == prefill_engine.entry.zone) {
       near.push_back(engine);
     }
--- a/src/request/passthrough/engine_picker.h
+++ b/src/request/passthrough/engine_picker.h
@@ -5,10 +5,10 @@
 // this instance's overdue prefills and the last observed wait) plus the prefill
 // of this prompt at the rate known to PrefillTimes. The KV cache of shared
 // parts is kept at a home engine, which all instances derive independently by
-// rendezvous hashing; other engines fetch it from there, which is far faster
-// than prefilling it again. A prefill engine prefills at full speed, but the KV
-// cache then has to be handed over to a decode engine. Requests without a
-// prompt go to the least loaded target.
+// rendezvous hashing; other engines fetch it from there, which takes a few
+// milliseconds where prefilling it again takes hundreds. A prefill engine
+// prefills at full speed, but the KV cache then has to be handed over to a
+// decode engine. Requests without a prompt go to the least loaded target.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_ENGINE_PICKER_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_ENGINE_PICKER_H_
 
@@ -31,7 +31,8 @@
 
 struct EnginePickerOptions {
   base::ZoneId zone;
-  // Prefill at a decode engine takes this many times as long.
+  // Prefill at a decode engine takes this many times as long, by the targets'
+  // protocol.
   double decode_prefill_factor = 2;
   // Longest prompt, in uncached tokens, that a decode engine prefills while a
   // prefill engine is usable. A decode engine prefills in chunks, and each
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -104,7 +104,8 @@
 // `entry_changes`: of the entry when the request was sent; a newer entry is not
 // affected. Excluding the target for a while guards against reused addresses
 // during a store outage: every further request there would count against the
-// retry budget of that target's service.
+// retry budget of that target's service. Where addresses were reused in a zone
+// without the store, 315 arrivals of another service came in ten seconds.
 void MarkMisdirected(Engine& engine,
                      int entry_changes,
                      base::Time now) noexcept;
--- a/src/request/passthrough/latency_admission.h
+++ b/src/request/passthrough/latency_admission.h
@@ -19,7 +19,8 @@
   double max_wait_per_target = 0.6;
   // Longest expected wait of a late prompt, as a fraction of the time in which
   // its caller still accepts a first byte; waits are hard to predict that far
-  // ahead.
+  // ahead. With 0.35, 0.5 and 0.7 more and more requests ended in vain: 0.023,
+  // 0.030 and 0.037 of them.
   double max_wait_per_time_left = 0.5;
 };
 
@@ -32,7 +33,8 @@
 };
 
 // Added to the priority of late requests, so that they come after the requests
-// of all routes that are in time.
+// of all routes that are in time. Targets know ten priorities, and routes take
+// the first three.
 inline constexpr int kLatePriorityOffset = 5;
 
 // Whether the prompt will miss the latency target. Its own size does not count,
--- a/src/request/passthrough/peer_avoidance.h
+++ b/src/request/passthrough/peer_avoidance.h
@@ -2,9 +2,9 @@
 //
 // Where many instances share a service each one sends few requests to a target,
 // so a crashed target would have to fail at each of them, with a connection
-// timeout and a retry each time. An instance therefore also avoids targets that
-// several others avoid; one report is not enough, as that instance's own
-// network may be broken.
+// timeout of 300 ms and a retry each time. An instance therefore also avoids
+// targets that several others avoid; one report is not enough, as that
+// instance's own network may be broken.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_PEER_AVOIDANCE_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_PEER_AVOIDANCE_H_
 
--- a/src/request/passthrough/prefill_times.cc
+++ b/src/request/passthrough/prefill_times.cc
@@ -12,6 +12,7 @@
 constexpr std::array kInitialSampleTokens{500.0, 2'000.0, 10'000.0};
 // Bounds the slope of a line fitted to noise.
 constexpr double kMaxTokensPerMs = 5'000;
+// Engines of one service differ by less.
 constexpr double kMaxSlowness = 10;
 // Part of its deviation from 1 that an engine's slowness loses with each
 // prefill.
--- a/src/request/passthrough/prefill_times.h
+++ b/src/request/passthrough/prefill_times.h
@@ -24,7 +24,7 @@
   double initial_fetch_ms = 12;
   double initial_handover_ms = 20;
   // Weight of a sample after the next one; the estimate covers about 1 / (1 -
-  // decay) samples.
+  // decay) samples: 33, which a busy instance sees in less than two seconds.
   double decay = 0.97;
   // A sample above this many times the expected time was probably delayed by an
   // unknown request, and is clamped to it.
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -57,7 +57,8 @@
   base::Duration min_time_left = std::chrono::milliseconds(30);
   // Retry-After of refused requests: this, or a fraction of the time left if
   // that is longer, plus up to 100% of random jitter so that callers do not
-  // come back together.
+  // come back together. Bursts last for seconds, and most callers come back
+  // once.
   base::Duration retry_after = std::chrono::milliseconds(300);
   double retry_after_of_time_left = 0.1;
   // For callers that state no timeout; a shorter timeout of the route applies.
--- a/src/request/passthrough/zone_health.h
+++ b/src/request/passthrough/zone_health.h
@@ -1,9 +1,10 @@
 // Detects that the targets of an availability zone cannot be reached.
 //
 // When zones are partitioned every target there would have to fail
-// individually, at a connection timeout each. A zone counts as unreachable when
-// several different targets of it could not be reached and none was reached in
-// between. A single request at a time then probes it.
+// individually, at a connection timeout of 300 ms for each request. A zone
+// counts as unreachable when several different targets of it could not be
+// reached and none was reached in between. A single request at a time then
+// probes it.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_ZONE_HEALTH_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_ZONE_HEALTH_H_
 
