--- a/src/process/peers/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -104,7 +104,7 @@
   const auto read_before = last_store_read_;
   while (true) {
     const base::Time now = clock_();
-    if (now >= FreshUntil() || !replica_.complete()) {
+    if (now >= ServableUntil(query) || !replica_.complete()) {
       // A relay that starts together with the asker is ready soon. Without the
       // wait hundreds of askers would take the time that it needs for that.
       const bool starting =
@@ -166,6 +166,16 @@
   return known != recent_levels_.end() && known->Covers(levels_);
 }
 
+// A snapshot may be older than changes: the asker's next watch shows what it
+// lacks. Otherwise a relay that sends a snapshot to a whole zone would be stale
+// before its askers have all pages, and each would begin again.
+base::Time WatchSharing::ServableUntil(const ChangesQuery& query) const {
+  if (!query.snapshot_start || !last_store_read_) {
+    return FreshUntil();
+  }
+  return *last_store_read_ + options_.max_snapshot_staleness;
+}
+
 base::Time WatchSharing::FreshUntil() const {
   return last_store_read_ ? *last_store_read_ + options_.max_staleness
                           : base::Time::min();
--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -54,6 +54,9 @@
   // changes must take effect within three seconds at every instance that
   // reaches the store.
   base::Duration max_staleness = std::chrono::milliseconds(1700);
+  // The same for a page of a snapshot; less than the store's history reaches
+  // back.
+  base::Duration max_snapshot_staleness = std::chrono::seconds(10);
   // A relay that failed is not queried for this long; doubled with each further
   // failure, up to the maximum.
   base::Duration relay_backoff = std::chrono::milliseconds(2000);
@@ -215,6 +218,8 @@
                         RelayFault fault);
   void LogRole(Role role, const std::vector<base::InstanceId>& relays);
   base::Time FreshUntil() const;
+  // Until when the query is answered without another store read.
+  base::Time ServableUntil(const ChangesQuery& query) const;
   void CountWatch(const char* source);
 
   connection::event::asio::io_context& loop_;
--- a/tests/process/peers/watch_sharing_test.cc
+++ b/tests/process/peers/watch_sharing_test.cc
@@ -407,6 +407,30 @@
   EXPECT_EQ(fault, RelayFault::kNotWatching);
 }
 
+// A relay that is busy with the snapshots of its zone reads the store late. It
+// goes on to serve their pages, or none of the askers would ever get all.
+TEST_F(WatchSharingTest, RelayThatReadsLateStillServesSnapshots) {
+  StartZone(10);
+  now_ += std::chrono::seconds(4);
+  const base::InstanceId relay = Relays()[0];
+  const auto at = std::ranges::find(peers_, relay, &InstancePeer::instance);
+  ChangesQuery query;
+  query.after = base::Revision(-1);
+  query.snapshot_start = base::Revision(0);
+  std::optional<ChangesAnswer> answer;
+  RelayFault fault{};
+  asio::co_spawn(
+      loop_,
+      [&]() -> Awaitable<void> {
+        answer = co_await zone_[at - peers_.begin()]->watches.ServeChanges(
+            query, &fault);
+      },
+      asio::detached);
+  store::RunReady(loop_);
+  ASSERT_TRUE(answer) << ToString(fault);
+  EXPECT_FALSE(answer->changes.items.empty());
+}
+
 TEST_F(WatchSharingTest, TooLargeChangesComeFromTheStore) {
   StartZone(10);
   store_.Write("big", std::string(2 * kMaxRelayedBytes + 1, 'x'));
