--- a/src/base/units.h
+++ b/src/base/units.h
@@ -54,6 +54,8 @@
 // Start time of a target's process in Unix milliseconds, by the target's clock.
 // Identifies one lifetime of the target; must not be used for ordering.
 using StartMillis = StrongNumber<struct StartMillisTag, std::int64_t>;
+// A rate of events.
+using PerSecond = StrongNumber<struct PerSecondTag, double>;
 // A revision of the platform's key-value service; 0 means none.
 using Revision = StrongNumber<struct RevisionTag, std::int64_t>;
 // Carried by each order; a greater token means that a newer holder has taken
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -122,7 +122,7 @@
   bool rejected = false;
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
     const AnswerInfo info = deps_.protocol.parse_answer(exchange.head());
-    RecordLoad(*pick.prefill_engine, info);
+    RecordStatements(*pick.prefill_engine, info, started_at);
     if (info.misdirected) {
       MarkMisdirected(*pick.prefill_engine, entry_changes, deps_.clock());
     }
@@ -222,7 +222,7 @@
                                              const EngineHandle& target,
                                              int entry_changes) {
   const AnswerInfo info = deps_.protocol.parse_answer(exchange.head());
-  RecordLoad(*target, info);
+  RecordStatements(*target, info, sent_at_);
   if (info.misdirected) {
     MarkMisdirected(*target, entry_changes, deps_.clock());
   }
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -163,12 +163,14 @@
        {"time_left_ms", base::ToMillis(TimeLeft())}});
 }
 
-void RelayRun::LogAttempt(const EnginePick& pick, AttemptEnd end) const {
+void RelayRun::LogAttempt(const EnginePick& pick, AttemptEnd end) {
   deps_.metrics
       .GetCounter("lynxglade_attempt_ends_total",
                   {{"end", std::string(ToString(end))}})
       .Add();
-  const Engine& runner = *pick.runner;
+  Engine& runner = *pick.runner;
+  const base::Time now = deps_.clock();
+  const auto& limit = runner.limit.rate();
   Log(LogLevel::kInfo, "attempt",
       {{"request", terms_.request_id},
        {"route", route_->name},
@@ -185,6 +187,10 @@
        {"read_ms", base::ToMillis(pick.prefill_time)},
        {"expected_ms", base::ToMillis(pick.expected)},
        {"in_flight", runner.in_flight},
+       {"limit", limit ? limit->value() : -1.0},
+       {"limit_age_ms",
+        limit ? base::ToMillis(now - runner.limit.received_at()) : -1},
+       {"own_sends", static_cast<std::int64_t>(runner.sends.Total(now))},
        {"targets_age_ms", base::ToMillis(deps_.view_age())},
        {"configuration", table_->version()},
        {"end", ToString(end)},
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -150,7 +150,12 @@
   void RecordReach(const Engine& engine, const Exchange& exchange);
   // `runner` did not run the request.
   void RecordRejection(Engine& runner, const AnswerInfo& info);
-  void RecordLoad(Engine& engine, const AnswerInfo& info);
+  // The load and the limit that the answer states, to a request sent at
+  // `sent_at`.
+  void RecordStatements(Engine& engine,
+                        const AnswerInfo& info,
+                        base::Time sent_at);
+  void RecordLimit(Engine& engine, const AnswerInfo& info, base::Time sent_at);
   // Terms for the target of any attempt.
   SendTerms MakeTerms(const EngineHandle& target) const;
   connection::event::OutgoingRequest Message(const SendTerms& terms) const;
@@ -160,7 +165,7 @@
   bool IsStopped() const noexcept;
   // Logs the state of the engine for which the first attempt was not made.
   void LogNotAttempted(const EnginePick& pick, EndReason reason) const;
-  void LogAttempt(const EnginePick& pick, AttemptEnd end) const;
+  void LogAttempt(const EnginePick& pick, AttemptEnd end);
   void LogEnd() const;
 
   RelayDependencies& deps_;
--- a/src/request/passthrough/sliding_window_sum.h
+++ b/src/request/passthrough/sliding_window_sum.h
@@ -19,10 +19,22 @@
     const auto later = std::ranges::upper_bound(amounts_, at, {}, &Amount::at);
     amounts_.insert(later, {at, amount});
     total_ += amount;
+    DropExpired(at);
   }
 
   // `now` must not decrease.
   double Total(base::Time now) {
+    DropExpired(now);
+    return total_;
+  }
+
+ private:
+  struct Amount {
+    base::Time at{};
+    double amount = 0;
+  };
+
+  void DropExpired(base::Time now) {
     while (!amounts_.empty() && amounts_.front().at < now - life_) {
       total_ -= amounts_.front().amount;
       amounts_.pop_front();
@@ -31,15 +43,8 @@
       // Clears rounding errors.
       total_ = 0;
     }
-    return total_;
   }
 
- private:
-  struct Amount {
-    base::Time at{};
-    double amount = 0;
-  };
-
   const base::Duration life_;
   std::deque<Amount> amounts_;
   double total_ = 0;
--- a/src/request/passthrough/target_protocol.h
+++ b/src/request/passthrough/target_protocol.h
@@ -17,6 +17,7 @@
 #include "base/time.h"
 #include "connection/event/http_types.h"
 #include "request/passthrough/engine_table.h"
+#include "request/passthrough/named_limit.h"
 #include "request/passthrough/prompt.h"
 
 namespace lynxglade::request::passthrough {
@@ -74,6 +75,9 @@
   // Carries the target's proof of origin, and the body is unmodified.
   bool authenticated = false;
   std::optional<ReportedLoad> load;
+  LimitStatement limit;
+  // Headers that are named like those of the protocol but are not known.
+  int unknown_headers = 0;
 };
 
 struct TargetProtocol {
--- a/tests/platform/target_protocol_test.cc
+++ b/tests/platform/target_protocol_test.cc
@@ -1,13 +1,16 @@
 #include "platform/target_protocol.h"
 
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
 namespace lynxglade::platform {
 namespace {
 
+using request::passthrough::LimitStatement;
 using request::passthrough::ReportedLoad;
 
 std::optional<ReportedLoad> LoadOf(const std::string& text) {
@@ -40,5 +43,49 @@
   }
 }
 
+LimitStatement LimitOf(const std::vector<std::string>& values) {
+  connection::event::ResponseHead head;
+  for (const std::string& value : values) {
+    head.insert("Server-Limit", value);
+  }
+  return MakeTargetProtocol().parse_answer(head).limit;
+}
+
+TEST(TargetProtocol, AnswerMayNameALimit) {
+  EXPECT_EQ(LimitOf({}).kind, LimitStatement::Kind::kNone);
+  for (const auto& [text, rate] :
+       std::map<std::string, double>{{"7.5", 7.5},
+                                     {"4", 4},
+                                     {"0", 0},
+                                     {"0.0", 0},
+                                     {"3.1415926", 3.1415926}}) {
+    const LimitStatement limit = LimitOf({text});
+    EXPECT_EQ(limit.kind, LimitStatement::Kind::kNamed) << text;
+    EXPECT_DOUBLE_EQ(limit.rate.value(), rate) << text;
+  }
+}
+
+TEST(TargetProtocol, UnreadableLimitIsNotTakenForNone) {
+  for (const char* text : {"", "-1", "-0", "x", "nan", "inf", "1e400", "1e2",
+                           "4.6 a second", "4,6", "0x10", "1.2.3", "."}) {
+    EXPECT_EQ(LimitOf({text}).kind, LimitStatement::Kind::kMalformed) << text;
+  }
+  EXPECT_EQ(LimitOf({"4", "8"}).kind, LimitStatement::Kind::kMalformed);
+  EXPECT_EQ(LimitOf({"4", "4"}).kind, LimitStatement::Kind::kMalformed);
+}
+
+// A field that is new in the protocol must not be dropped unnoticed.
+TEST(TargetProtocol, HeadersNamedLikeTheProtocolsAreCounted) {
+  connection::event::ResponseHead head;
+  head.set("Lynxglade-Instance-Load", "3,1,8");
+  head.set("lynxglade-attempt-id", "r1");
+  head.set("Server", "s");
+  head.set("Keep-Alive", "timeout=5");
+  EXPECT_EQ(MakeTargetProtocol().parse_answer(head).unknown_headers, 0);
+  head.set("Server-Quota", "1");
+  head.set("lynxglade-cooling", "1");
+  EXPECT_EQ(MakeTargetProtocol().parse_answer(head).unknown_headers, 2);
+}
+
 }  // namespace
 }  // namespace lynxglade::platform
