--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -46,6 +46,7 @@
                              .prefills = peer_prefills,
                              .avoidance = peer_avoidance,
                              .retry_budget = retry_budget,
+                             .limits = limits,
                              .is_served =
                                  [this](const base::ServiceName& service) {
                                    return views.routes() &&
@@ -208,7 +209,14 @@
               },
           .members_version = [this] { return presence.peers_version(); },
           .instance_count = [this] { return presence.Count(); },
-          .view_age = [this] { return ViewAge(); }};
+          .view_age = [this] { return ViewAge(); },
+          .on_own_change =
+              [this](const request::passthrough::Engine& engine,
+                     const request::passthrough::AnswerTimes& times) {
+                if (peers) {
+                  peers->limit_sharing().OnOwnChange(engine, times);
+                }
+              }};
 }
 
 CallerServerLimits EntryDaemon::Details::Bounds() const {
--- a/src/main/entry_peers.cc
+++ b/src/main/entry_peers.cc
@@ -54,6 +54,13 @@
                    deps.clock,
                    deps.random,
                    deps.metrics),
+      limit_sharing_(deps.engines,
+                     deps.limits,
+                     deps.presence,
+                     datagrams_,
+                     {.group = sharing_},
+                     deps.clock,
+                     deps.random),
       change_relay_(deps.loop,
                     EndpointOf(endpoint),
                     deps.watches,
@@ -71,6 +78,7 @@
   prefill_sharing_.Start();
   avoidance_sharing_.Start();
   retry_loans_.Start();
+  limit_sharing_.Start();
   return change_relay_.Start(reason);
 }
 
--- a/src/main/entry_peers.h
+++ b/src/main/entry_peers.h
@@ -1,5 +1,5 @@
 // What an entry instance exchanges with the others: work at engines, targets
-// to avoid, loans of retry budget and changes of the store.
+// to avoid and their limits, loans of retry budget and changes of the store.
 #ifndef LYNXGLADE_MAIN_ENTRY_PEERS_H_
 #define LYNXGLADE_MAIN_ENTRY_PEERS_H_
 
@@ -14,6 +14,7 @@
 #include "process/peers/avoidance_sharing.h"
 #include "process/peers/change_relay.h"
 #include "process/peers/instance_presence.h"
+#include "process/peers/limit_sharing.h"
 #include "process/peers/peer_datagrams.h"
 #include "process/peers/prefill_sharing.h"
 #include "process/peers/retry_loans.h"
@@ -21,6 +22,7 @@
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/peer_avoidance.h"
 #include "request/passthrough/peer_prefills.h"
+#include "request/passthrough/send_limits.h"
 #include "request/passthrough/shared_retry_budget.h"
 
 namespace lynxglade {
@@ -34,6 +36,7 @@
   request::passthrough::PeerPrefills& prefills;
   request::passthrough::PeerAvoidance& avoidance;
   request::passthrough::SharedRetryBudget& retry_budget;
+  request::passthrough::SendLimits& limits;
   // Whether the configuration names the service.
   std::function<bool(const base::ServiceName&)> is_served;
   base::Clock clock;
@@ -55,6 +58,9 @@
 
   process::peers::PeerDatagrams& datagrams() noexcept { return datagrams_; }
   process::peers::RetryLoans& retry_loans() noexcept { return retry_loans_; }
+  process::peers::LimitSharing& limit_sharing() noexcept {
+    return limit_sharing_;
+  }
 
  private:
   // The peers that load is shared with.
@@ -66,6 +72,7 @@
   process::peers::PrefillSharing prefill_sharing_;
   process::peers::AvoidanceSharing avoidance_sharing_;
   process::peers::RetryLoans retry_loans_;
+  process::peers::LimitSharing limit_sharing_;
   process::peers::ChangeRelay change_relay_;
 };
 
--- a/src/process/peers/peer_datagrams.h
+++ b/src/process/peers/peer_datagrams.h
@@ -36,6 +36,8 @@
   kUsageUpdate = 5,
   kUsageAck = 6,
   kUsageRequest = 7,
+  // Request limits that targets name (limit_sharing.h).
+  kLimits = 8,
 };
 
 // Not thread-safe: runs on the event loop.
--- a/src/request/passthrough/send_limits.cc
+++ b/src/request/passthrough/send_limits.cc
@@ -54,6 +54,9 @@
     limit.share.reset();
   }
   LogChange(engine, change, times, source, now);
+  if (hooks_.on_own_change && std::holds_alternative<std::string>(source)) {
+    hooks_.on_own_change(engine, times);
+  }
   return change;
 }
 
--- a/src/request/passthrough/send_limits.h
+++ b/src/request/passthrough/send_limits.h
@@ -43,6 +43,10 @@
   std::function<int()> instance_count;
   // Age of the view of the fleet.
   std::function<base::Duration()> view_age;
+  // Called when an answer of this instance changed a target's limit. May be
+  // empty.
+  std::function<void(const Engine& engine, const AnswerTimes& times)>
+      on_own_change;
   // How a limit is split among the instances.
   decltype(SelectLimitShare)* select_share = SelectLimitShare;
 };
--- a/src/request/passthrough/sliding_window_sum.h
+++ b/src/request/passthrough/sliding_window_sum.h
@@ -30,9 +30,8 @@
 
   // When the oldest amount no longer counts; nothing may be left out.
   base::Time ExpiryOfOldest() const {
-    return amounts_.empty()
-               ? base::Time()
-               : amounts_.front().at + life_ + base::Duration(1);
+    return amounts_.empty() ? base::Time()
+                            : amounts_.front().at + life_ + base::Duration(1);
   }
 
  private:
--- a/tests/process/peers/peer_fixture.h
+++ b/tests/process/peers/peer_fixture.h
@@ -23,26 +23,28 @@
 
   // The parts that every instance needs.
   struct PeerParts {
-    PeerParts(PeerTest& test, const std::string& name)
-        : endpoint(FreeEndpoint()),
+    PeerParts(PeerTest& test,
+              const std::string& name,
+              const std::string& zone_name = "a")
+        : zone(zone_name),
+          endpoint(FreeEndpoint()),
           presence(test.loop_,
                    test.store_,
                    {.instance = base::InstanceId(name),
-                    .zone = base::ZoneId("a"),
+                    .zone = zone,
                     .peer_endpoint = Endpoint{"127.0.0.1", endpoint.port()}},
                    base::BootClock::now),
           datagrams(test.loop_, presence, endpoint, metrics) {
       connection::event::asio::co_spawn(test.loop_, presence.Run(),
                                         connection::event::asio::detached);
     }
-    InstancePeer Peer() const {
-      return {presence.instance(), base::ZoneId("a"), endpoint};
-    }
+    InstancePeer Peer() const { return {presence.instance(), zone, endpoint}; }
     std::int64_t Counted(const std::string& metric,
                          const std::string& outcome) {
       return metrics.GetCounter(metric, {{"outcome", outcome}}).Get();
     }
 
+    base::ZoneId zone;
     Udp::endpoint endpoint;
     base::Metrics metrics;
     InstancePresence presence;
