--- a/src/request/passthrough/engine_limit.h
+++ b/src/request/passthrough/engine_limit.h
@@ -32,6 +32,9 @@
   base::PerSecond share_of;
   std::uint64_t members_version = 0;
   int instance_count = 0;
+  // When the next request of a sender is due. One may be sent an interval
+  // earlier, to make up for one that came late.
+  base::Time send_due{};
   // No request as a sender before this.
   base::Time sender_from{};
 };
--- a/src/request/passthrough/limit_share.h
+++ b/src/request/passthrough/limit_share.h
@@ -5,11 +5,13 @@
 // request each, as many requests as there are instances may come at once, and
 // without a burst no share is ever large enough for one. Only a few instances
 // therefore send regularly: the senders, selected by rendezvous hashing among
-// the instances, those of the target's availability zone first. In any window
-// of `t` seconds `k` senders that space their requests evenly send at most
-// rate * t + k. The other instances only probe, each in its own short slots of
-// a long cycle, so that each learns in the end that the limit is over even if
-// it is never told.
+// the instances, those of the target's availability zone first. If the requests
+// of each of k senders in a window exceed its part by one at most, those of all
+// exceed the rate by k.
+//
+// The other instances only probe, each in its own short slots of a long cycle,
+// so that each learns in the end that the limit is over even if it is never
+// told.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_LIMIT_SHARE_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_LIMIT_SHARE_H_
 
--- a/src/request/passthrough/send_limits.cc
+++ b/src/request/passthrough/send_limits.cc
@@ -90,11 +90,8 @@
 
 base::Time SendLimits::NextAsSender(const EngineLimit& limit,
                                     base::Time now) const {
-  base::Time next = std::max(now, limit.sender_from);
-  if (limit.last_send) {
-    next = std::max(next, *limit.last_send + SendInterval(limit.share->rate));
-  }
-  return next;
+  const base::Time permitted = limit.send_due - SendInterval(limit.share->rate);
+  return std::max({now, limit.sender_from, permitted});
 }
 
 base::Time SendLimits::NextProbe(const EngineLimit& limit,
@@ -108,8 +105,13 @@
 }
 
 void SendLimits::OnSend(Engine& engine, base::Time now) {
-  engine.limit.sends.Add(1, now);
-  engine.limit.last_send = now;
+  EngineLimit& limit = engine.limit;
+  limit.sends.Add(1, now);
+  limit.last_send = now;
+  if (limit.share && limit.share->is_sender) {
+    limit.send_due =
+        std::max(limit.send_due, now) + SendInterval(limit.share->rate);
+  }
 }
 
 const LimitShare& SendLimits::ShareOf(Engine& engine, base::Time now) {
--- a/src/request/passthrough/send_limits.h
+++ b/src/request/passthrough/send_limits.h
@@ -2,9 +2,9 @@
 //
 // A target in need states in its answers how many requests a second it accepts
 // from all instances together. Each instance computes its share on its own (see
-// limit_share.h), spaces its requests by it, and sends none while its requests
-// of the last window exceed it, so that a limit which falls takes effect on
-// what was sent before as well.
+// limit_share.h) and spaces its requests by it, with a burst of two. None is
+// sent while those of the last window exceed the share, so that a limit which
+// falls takes effect on what was sent before as well.
 //
 // Instances may disagree for a while on who is a sender. An instance that
 // becomes one therefore waits until the instance that it replaces has learnt of
--- a/tests/request/passthrough/send_limits_test.cc
+++ b/tests/request/passthrough/send_limits_test.cc
@@ -1,5 +1,6 @@
 #include "request/passthrough/send_limits.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <vector>
@@ -88,9 +89,31 @@
 TEST_F(SendLimitsTest, RequestsAreSpacedByTheShare) {
   SetFleet(4);
   Name(8);
+  // One more at the beginning.
+  EXPECT_EQ(SendFor(seconds(10)), 21);
   EXPECT_EQ(SendFor(seconds(10)), 20);
 }
 
+// The sum over the senders relies on it.
+TEST_F(SendLimitsTest, WindowHoldsOneRequestMoreThanTheShareAtMost) {
+  for (const double limit : {0.5, 1.0, 4.6, 8.0, 33.3}) {
+    Name(limit);
+    std::vector<base::Time> sent;
+    // Idle at times, so that the share is saved up.
+    for (int i = 0; i < 6000; ++i, now_ += milliseconds(10)) {
+      const bool idle = i / 700 % 2 == 1;
+      if (!idle && TrySend()) {
+        sent.push_back(now_);
+      }
+    }
+    for (auto it = sent.begin(); it != sent.end(); ++it) {
+      const auto end = std::lower_bound(it, sent.end(), *it + kLimitWindow);
+      EXPECT_LE(static_cast<double>(end - it), 4 * limit + 1) << limit;
+    }
+    now_ += seconds(10);
+  }
+}
+
 // What was sent before the limit was lowered counts in the window as well.
 TEST_F(SendLimitsTest, LowerLimitWaitsUntilEarlierRequestsLeaveTheWindow) {
   Name(50);
@@ -103,6 +126,7 @@
 TEST_F(SendLimitsTest, EndedLimitNoLongerHoldsBack) {
   Name(1);
   EXPECT_TRUE(TrySend());
+  EXPECT_TRUE(TrySend());
   EXPECT_FALSE(TrySend());
   now_ += milliseconds(1);
   End();
@@ -113,6 +137,7 @@
   Name(2);
   EXPECT_EQ(limits_.NextSend(engine_, now_), now_);
   EXPECT_TRUE(TrySend());
+  EXPECT_TRUE(TrySend());
   EXPECT_EQ(limits_.NextSend(engine_, now_), now_ + milliseconds(500));
 }
 
