--- a/src/process/stages/generation_demand.cc
+++ b/src/process/stages/generation_demand.cc
@@ -33,6 +33,7 @@
                                double admitted_fraction,
                                base::Time now) {
   decode_engines_ = 0;
+  limited_engines_ = 0;
   double target_answers = 0;
   int in_flight = 0;
   for (const EngineHandle& engine : engines) {
@@ -40,11 +41,16 @@
         !engine->entry.draining) {
       ++decode_engines_;
       in_flight += KnownLoad(*engine, now);
-      target_answers += TargetAnswers(*engine, now);
+      if (engine->limit.named.rate()) {
+        ++limited_engines_;
+      } else {
+        target_answers += TargetAnswers(*engine, now);
+      }
     }
   }
-  if (decode_engines_ > 0) {
-    answers_per_engine_ = std::max(target_answers / decode_engines_, 1.0);
+  if (decode_engines_ > limited_engines_) {
+    answers_per_engine_ =
+        std::max(target_answers / (decode_engines_ - limited_engines_), 1.0);
   }
   const double answers =
       in_flight / std::max(admitted_fraction, 1 / options_.max_offered_ratio);
@@ -71,11 +77,12 @@
   }
   const double needed = answers_ / answers_per_engine_;
   const bool prefill_busy = backlog_ > options_.max_backlog;
-  if (needed > decode_engines_ && !prefill_busy) {
-    return static_cast<int>(std::ceil(needed));
+  if (needed + limited_engines_ > decode_engines_ && !prefill_busy) {
+    return static_cast<int>(std::ceil(needed)) + limited_engines_;
   }
   const int enough =
-      static_cast<int>(std::ceil(needed * options_.scale_down_margin));
+      static_cast<int>(std::ceil(needed * options_.scale_down_margin)) +
+      limited_engines_;
   if (enough < decode_engines_ && prefill_busy) {
     return enough;
   }
--- a/src/process/stages/generation_demand.h
+++ b/src/process/stages/generation_demand.h
@@ -6,7 +6,9 @@
 // reports and this instance's own requests, scaled up by the fraction that
 // admission rejects, and compared with the capacity of each engine. Without the
 // scaling the capacity of the present decode engines would limit the demand for
-// more of them.
+// more of them. Engines that name a request limit do not count as capacity:
+// what they accept may be little, and the answers that they do not get are not
+// seen.
 #ifndef LYNXGLADE_PROCESS_STAGES_GENERATION_DEMAND_H_
 #define LYNXGLADE_PROCESS_STAGES_GENERATION_DEMAND_H_
 
@@ -74,9 +76,11 @@
   base::Time last_observed_at_{};
   double answers_ = 0;
   base::Duration backlog_{};
-  // Decode engines at the last observation.
+  // Decode engines at the last observation, and those of them that name a
+  // request limit.
   int decode_engines_ = 0;
-  // Mean of TargetAnswers() over the decode engines.
+  int limited_engines_ = 0;
+  // Mean of TargetAnswers() over the decode engines without a limit.
   double answers_per_engine_ = 1;
 };
 
--- a/tests/process/stages/generation_demand_test.cc
+++ b/tests/process/stages/generation_demand_test.cc
@@ -146,5 +146,22 @@
   RC_ASSERT(planned() == first);
 }
 
+// Guards against requests that are rejected because all decode engines are at
+// the request limits that they name, while prefill engines are idle.
+TEST_F(GenerationDemandTest, EnginesWithALimitDoNotCountAsCapacity) {
+  Run(60, kLowBacklog, seconds(10));
+  EXPECT_EQ(demand_.DesiredEngines(), 3);
+  for (int i = 0; i < 3; ++i) {
+    engines_[i]->limit.named.Observe(
+        {.kind = request::passthrough::LimitStatement::Kind::kNamed,
+         .rate = base::PerSecond(5)},
+        {now_, now_});
+  }
+  Run(60, kLowBacklog, seconds(1));
+  EXPECT_EQ(demand_.DesiredEngines(), 3 + 2);
+  Run(60, kHighBacklog, seconds(10));
+  EXPECT_LE(demand_.DesiredEngines(), 5);
+}
+
 }  // namespace
 }  // namespace lynxglade::process::stages
