--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -49,6 +49,9 @@
   // How long a request whose prompt is prefilled waits for a target that is not
   // at its limit, and how often it checks.
   base::Duration permit_timeout = std::chrono::milliseconds(500);
+  // Within this time targets must permit a request whose prompt is to be
+  // prefilled: the usual time of a prefill and part of `permit_timeout`.
+  base::Duration permit_horizon = std::chrono::milliseconds(500);
   base::Duration permit_poll_interval = std::chrono::milliseconds(10);
   // A request is retried after at most this many unreachable targets. They use
   // no retry budget, but a connection timeout each.
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -192,6 +192,7 @@
   if (!deps_.limits.MaySend(*target, deps_.clock())) {
     co_return AttemptEnd::kNotRun;
   }
+  claim_.reset();
   tried_.push_back(target->entry.id);
   if (!endpoint) {
     co_return AttemptEnd::kNotRun;
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -199,6 +200,9 @@
                            options_.admission)) {
     return EndReason::kWaitTooLong;
   }
+  if (pick.prefill_engine && !WillBePermitted()) {
+    return EndReason::kOverLimit;
+  }
   const RequestedAnswer answer{.expected_tokens = terms_.expected_tokens,
                                .max_tokens = terms_.max_tokens,
                                .timeout = route_->timeout};
@@ -208,6 +212,17 @@
   return std::nullopt;
 }
 
+bool RelayRun::WillBePermitted() const {
+  std::vector<EngineHandle> runners;
+  std::ranges::copy_if(deps_.engines.OfService(service_),
+                       std::back_inserter(runners), [](const EngineHandle& it) {
+                         return !it->entry.draining &&
+                                it->entry.stage != EngineStage::kPrefill;
+                       });
+  return deps_.limits.MayClaim(service_, runners, options_.permit_horizon,
+                               deps_.clock());
+}
+
 base::Duration RelayRun::FirstByteTimeout() const {
   if (route_->kind != RouteKind::kStream) {
     return TimeLeft();
@@ -328,6 +343,7 @@
 
 Awaitable<AttemptEnd> RelayRun::Attempt(EnginePick pick) {
   if (pick.prefill_engine && !source_) {
+    claim_.emplace(deps_.limits, service_);
     const bool prefilled = co_await PrefillPrompt(pick);
     if (IsStopped()) {
       co_return AttemptEnd::kStopped;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -97,6 +97,9 @@
   EnginePick PickFirst();
   // Why the first attempt should not be made, if so.
   std::optional<EndReason> CheckFirstAttempt(const EnginePick& pick) const;
+  // Whether a target will accept the request after its prefill, as far as
+  // limits go.
+  bool WillBePermitted() const;
   // How long the caller will wait for the first byte.
   base::Duration FirstByteTimeout() const;
   // 0 is the most urgent; late requests come after all that can be in time.
@@ -213,10 +216,12 @@
   // There was no budget for a first prefill: the runner prefills if the prompt
   // is short.
   bool prefill_denied_ = false;
-  // Targets that the last pick left out because they are at their limits.
+  // Targets that the last pick left out because they are at their limits, and
+  // whether it found no runner for that reason.
   int over_limit_ = 0;
-  // It found no runner for that reason.
   bool stopped_by_limits_ = false;
+  // Held from the prefill until the request is sent to its runner.
+  std::optional<SendLimits::Claim> claim_;
   // KV cache of this request's prompt, to be fetched by the runner.
   std::optional<KvSource> source_;
   bool outcome_unknown_ = false;
--- a/src/request/passthrough/send_limits.cc
+++ b/src/request/passthrough/send_limits.cc
@@ -114,6 +114,34 @@
   }
 }
 
+SendLimits::Claim::Claim(SendLimits& limits, const base::ServiceName& service)
+    : claims_(limits.claims_[service]) {
+  ++claims_;
+}
+
+SendLimits::Claim::~Claim() {
+  --claims_;
+}
+
+bool SendLimits::MayClaim(const base::ServiceName& service,
+                          const std::vector<EngineHandle>& targets,
+                          base::Duration time,
+                          base::Time now) {
+  double permits = 0;
+  for (const EngineHandle& engine : targets) {
+    if (!engine->limit.named.rate()) {
+      return true;
+    }
+    const base::Duration wait = NextSend(*engine, now) - now;
+    if (wait <= time) {
+      const base::Duration interval = SendInterval(engine->limit.share->rate);
+      permits +=
+          1 + base::ToFineMillis(time - wait) / base::ToFineMillis(interval);
+    }
+  }
+  return claims_[service] + 1 <= permits;
+}
+
 const LimitShare& SendLimits::ShareOf(Engine& engine, base::Time now) {
   const EngineLimit& limit = engine.limit;
   const bool is_current = limit.share &&
--- a/src/request/passthrough/send_limits.h
+++ b/src/request/passthrough/send_limits.h
@@ -15,8 +15,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/metrics.h"
@@ -80,6 +82,26 @@
   // A request is being sent, with or without permission.
   void OnSend(Engine& engine, base::Time now);
 
+  // Counts requests whose prompts are being prefilled and that will then need
+  // permission to be sent to a target of the service. Without the count more
+  // prompts would be prefilled than targets with limits accept.
+  class Claim {
+   public:
+    Claim(SendLimits& limits, const base::ServiceName& service);
+    ~Claim();
+    Claim(const Claim&) = delete;
+    Claim& operator=(const Claim&) = delete;
+
+   private:
+    int& claims_;
+  };
+  // Whether the targets will permit one request more than those that have a
+  // claim within `time`.
+  bool MayClaim(const base::ServiceName& service,
+                const std::vector<EngineHandle>& targets,
+                base::Duration time,
+                base::Time now);
+
  private:
   // The share in force; updates it if what it depends on has changed.
   const LimitShare& ShareOf(Engine& engine, base::Time now);
@@ -98,6 +120,7 @@
   const base::Clock clock_;
   base::Metrics& metrics_;
   const base::Time started_at_;
+  std::map<base::ServiceName, int> claims_;
   FleetView fleet_;
   std::uint64_t fleet_version_ = 0;
 };
--- a/tests/request/passthrough/send_limits_test.cc
+++ b/tests/request/passthrough/send_limits_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <list>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -213,5 +215,39 @@
   EXPECT_EQ(SendFor(seconds(4)), 1);
 }
 
+// Guards against prompts that are prefilled in vain, as no target accepts the
+// request afterwards.
+TEST_F(SendLimitsTest, ClaimsAreBoundedByWhatTargetsWillPermit) {
+  const base::ServiceName service("s");
+  const std::vector<EngineHandle> targets{std::make_shared<Engine>(),
+                                          std::make_shared<Engine>()};
+  const auto may_claim = [&] {
+    return limits_.MayClaim(service, targets, seconds(1), now_);
+  };
+  EXPECT_TRUE(may_claim());
+  limits_.Observe(
+      *targets[0],
+      {.kind = LimitStatement::Kind::kNamed, .rate = base::PerSecond(2)},
+      {now_, now_}, "r1");
+  std::list<SendLimits::Claim> claims;
+  for (int i = 0; i < 10; ++i) {
+    claims.emplace_back(limits_, service);
+  }
+  // One target has no limit.
+  EXPECT_TRUE(may_claim());
+  limits_.Observe(
+      *targets[1],
+      {.kind = LimitStatement::Kind::kNamed, .rate = base::PerSecond(1)},
+      {now_, now_}, "r1");
+  EXPECT_FALSE(may_claim());
+  // Within a second: one now and two more, and one now and another one.
+  while (claims.size() > 4) {
+    claims.pop_back();
+  }
+  EXPECT_TRUE(may_claim());
+  claims.emplace_back(limits_, service);
+  EXPECT_FALSE(may_claim());
+}
+
 }  // namespace
 }  // namespace lynxglade::request::passthrough
