--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -50,6 +50,8 @@
   void Spawn(connection::event::Awaitable<void> task);
   request::passthrough::RelayDependencies MakeRelayDependencies();
   request::passthrough::SendLimitsHooks LimitHooks();
+  // Calls to engines, which count against the limits that these name.
+  process::stages::StageOrderHooks OrderHooks();
   // Starts the exchange with peer instances through this address.
   void JoinPeers(const process::Endpoint& endpoint);
   process::store::PrefixFollowerHooks InstanceKeysHooks();
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -17,7 +17,6 @@
 #include "main/details/entry_daemon_details.h"
 #include "main/exit_status.h"
 #include "main/tcp_endpoint.h"
-#include "platform/engine_orders.h"
 
 namespace lynxglade {
 
@@ -104,7 +103,7 @@
           loop,
           views.engines(),
           authority,
-          platform::MakeStageOrderHooks(loop, channels),
+          OrderHooks(),
           {.instance = s.instance, .plan = {.decode_share = s.decode_share}},
           [this] {
             return views.routes() ? views.routes()->StagedServices()
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "main/details/entry_daemon_details.h"
+#include "platform/engine_orders.h"
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
 
@@ -219,6 +220,22 @@
               }};
 }
 
+process::stages::StageOrderHooks EntryDaemon::Details::OrderHooks() {
+  using request::passthrough::EngineHandle;
+  process::stages::StageOrderHooks hooks =
+      platform::MakeStageOrderHooks(loop, channels);
+  hooks.report = [this, report = hooks.report](EngineHandle engine) {
+    limits.OnSend(*engine, clock());
+    return report(std::move(engine));
+  };
+  hooks.order = [this, order = hooks.order](EngineHandle engine,
+                                            process::stages::StageOrder it) {
+    limits.OnSend(*engine, clock());
+    return order(std::move(engine), std::move(it));
+  };
+  return hooks;
+}
+
 CallerServerLimits EntryDaemon::Details::Bounds() const {
   CallerServerLimits bounds;
   if (!views.routes()) {
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -110,8 +110,10 @@
   }
   // Another target wrote the answer to a misdirected request. A target that
   // rejects one does not have to state its limit.
-  const bool states_limit = info.limit.kind != LimitStatement::Kind::kNone ||
-                            info.outcome != base::Outcome::kNotRun;
+  const bool may_end_limit = engine.limit.named.rate().has_value() &&
+                             info.outcome != base::Outcome::kNotRun;
+  const bool states_limit =
+      info.limit.kind != LimitStatement::Kind::kNone || may_end_limit;
   if (!info.misdirected && states_limit) {
     deps_.limits.Observe(engine, info.limit, {sent_at, deps_.clock()},
                          terms_.request_id);
