--- a/src/request/passthrough/send_limits.h
+++ b/src/request/passthrough/send_limits.h
@@ -8,8 +8,9 @@
 //
 // Instances may disagree for a while on who is a sender. An instance that
 // becomes one therefore waits until the instance that it replaces has learnt of
-// it and that one's requests have left the window; one whose view of the fleet
-// is older than the lease of an instance's key acts as if it was no sender.
+// it and that one's requests have left the window; a sender whose view of the
+// fleet is nearly as old as the lease of an instance's key sends nothing until
+// the view is current again.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_SEND_LIMITS_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_SEND_LIMITS_H_
 
