Relay: an attempt's log line carries the content's hash

Cause: repeats of one content could be told only by the size of its prompt, so that the hypotheses of the incident rested on a guess.

--- a/src/process/serving_plane.cc
+++ b/src/process/serving_plane.cc
@@ -102,23 +102,13 @@
   for (const base::TargetId& target : entry.crashed) {
     crashed.push_back(target.str());
   }
-  return {{"content", base::ToHex(entry.content.value())},
+  return {{"content", request::ToHex(entry.content)},
           {"quarantined", entry.quarantined},
           {"crashed", std::move(crashed)},
           {"shared_with", entry.shared_with},
           {"expires_in_ms", base::ToMillis(entry.expires_in)}};
 }
 
-std::optional<request::ContentHash> ParseContent(const std::string& hex) {
-  std::uint64_t n = 0;
-  const char* end = hex.data() + hex.size();
-  const auto [rest, ec] = std::from_chars(hex.data(), end, n, 16);
-  if (ec != std::errc() || rest != end || hex.empty()) {
-    return std::nullopt;
-  }
-  return request::ContentHash(n);
-}
-
 }  // namespace
 
 // --- Construction -----------------------------------------------------------
@@ -499,7 +489,7 @@
   }
   const std::string prefix = std::string(kQuarantinePath) + "/";
   if (call.method == "DELETE" && call.path.starts_with(prefix)) {
-    const auto content = ParseContent(call.path.substr(prefix.size()));
+    const auto content = request::ParseContentHash(call.path.substr(prefix.size()));
     if (content && quarantine_.Lift(*content, now)) {
       return {200, R"({"lifted":true})"};
     }
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -181,6 +181,7 @@
   const auto& limit = runner.limit.named.rate();
   Log(LogLevel::kInfo, "attempt",
       {{"request", terms_.request_id},
+       {"content", ToHex(content_)},
        {"route", route_->name},
        {"target", tried_.empty() ? runner.entry.id.str() : tried_.back().str()},
        {"reader", pick.prefill_engine ? pick.prefill_engine->entry.id.str()
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -94,9 +94,19 @@
     return EndReason::kNoService;
   }
   service_ = *service;
+  content_ = Content();
   return std::nullopt;
 }
 
+ContentHash RelayRun::Content() const {
+  const auto& head = request_->head;
+  return HashContent(
+      {View(head.method_string()), View(head[http::field::host]),
+       View(head.target()),
+       organisation_ ? std::string_view(organisation_->id.str()) : "",
+       request_->body});
+}
+
 std::optional<EndReason> RelayRun::Authenticate() {
   if (!table_->keys()) {
     return std::nullopt;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "connection/event/exchange.h"
+#include "request/content_hash.h"
 #include "request/passthrough/event_splitter.h"
 #include "request/passthrough/relay.h"
 
@@ -80,6 +81,9 @@
   // Finds the organisation that holds the caller's key.
   std::optional<EndReason> Authenticate();
   void SetDeadline(std::optional<base::Duration> timeout);
+  // What identifies the request's content to any instance, when it is sent
+  // again with another id.
+  ContentHash Content() const;
   void StartTimer();
   // Makes attempts until one is final.
   Awaitable<void> RunAttempts();
@@ -193,6 +197,7 @@
   const Organisation* organisation_ = nullptr;
   base::ServiceName service_;
   RequestTerms terms_;
+  ContentHash content_;
   base::Time deadline_{};
   bool expired_ = false;
   // Will miss its latency target and has a lower priority.
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -1,8 +1,6 @@
 #include "request/quarantine_mark.h"
 
 #include <algorithm>
-#include <charconv>
-#include <system_error>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -147,7 +145,7 @@
       base::Hash64(self.str()) & ((std::uint64_t{1} << kSourceBits) - 1);
   process::ViewItem item;
   item.kind = process::ViewKind::kQuarantine;
-  item.key = base::ToHex(content.value());
+  item.key = ToHex(content);
   item.version = {mark.epoch, (mark.counter << kSourceBits) | source};
   item.source = self;
   item.as_of = now;
@@ -161,15 +159,13 @@
       item.body.size() > kMaxBody) {
     return std::nullopt;
   }
-  std::uint64_t content = 0;
-  const char* end = item.key.data() + item.key.size();
-  const auto [rest, ec] = std::from_chars(item.key.data(), end, content, 16);
+  const auto content = ParseContentHash(item.key);
   const Json json = base::ParseBoundedJson(item.body).value_or(Json());
-  if (ec != std::errc() || rest != end || !json.is_object()) {
+  if (!content || !json.is_object()) {
     return std::nullopt;
   }
   try {
-    return DecodedMark{ContentHash(content), ToMark(json, item)};
+    return DecodedMark{*content, ToMark(json, item)};
   } catch (const Json::exception&) {
     // A member has the wrong type.
     return std::nullopt;
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -13,12 +13,10 @@
 #include "base/time.h"
 #include "base/units.h"
 #include "process/view_item.h"
+#include "request/content_hash.h"
 
 namespace lynxglade::request {
 
-// Identifies content: the hash of what a target would run.
-using ContentHash = base::StrongNumber<struct ContentHashTag, std::uint64_t>;
-
 // One crash of a target at which a content was in flight.
 struct Evidence {
   std::string crash_id;  // "<observing instance>/<number>"
