Entry daemon: a failing test for requests that crash their engines

Cause: an entry instance does not recognise content that comes again under a new id, so each copy runs at another engine and ends it. Change: system_entry_crashes_test: three daemons, twelve engines, nine copies; entry_process shared with the test of limits; ScriptedServer::Crash().

--- a/tests/connection/scripted_server.cc
+++ b/tests/connection/scripted_server.cc
@@ -61,6 +61,13 @@
   ::close(listener_);
 }
 
+void ScriptedServer::Crash() {
+  const std::lock_guard lock(mutex_);
+  ending_ = true;
+  ::shutdown(listener_, SHUT_RDWR);
+  std::ranges::for_each(fds_, Reset);
+}
+
 int ScriptedServer::connections() const {
   const std::lock_guard lock(mutex_);
   return static_cast<int>(fds_.size());
@@ -140,15 +147,19 @@
     }
   }
   if (then == Then::kReset) {
-    // connect() with AF_UNSPEC resets the connection and keeps the descriptor
-    // open.
-    sockaddr none{};
-    none.sa_family = AF_UNSPEC;
-    if (::connect(fd, &none, sizeof(none)) == 0) {
-      return;
-    }
+    Reset(fd);
+    return;
   }
   ::shutdown(fd, SHUT_RDWR);
 }
 
+// connect() with AF_UNSPEC resets the connection and keeps the descriptor open.
+void ScriptedServer::Reset(int fd) {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  if (::connect(fd, &none, sizeof(none)) != 0) {
+    ::shutdown(fd, SHUT_RDWR);
+  }
+}
+
 }  // namespace lynxglade::connection
--- a/tests/connection/scripted_server.h
+++ b/tests/connection/scripted_server.h
@@ -30,6 +30,9 @@
 
   int port() const noexcept { return port_; }
   int connections() const;
+  // Ends like a process that crashes: resets all connections and refuses new
+  // ones. May be called by the handler, whose reply must then have no bytes.
+  void Crash();
   // Complete requests in order of arrival.
   std::vector<std::string> requests() const;
   // Waits until the server has ended `count` connections; returns false if it
@@ -43,6 +46,7 @@
   // Returns false if the peer closed the connection before the end.
   static bool ReadRequest(int fd, std::string* request);
   static void End(int fd, Then then);
+  static void Reset(int fd);
 
   const Handler handler_;
   int listener_ = -1;
--- /dev/null
+++ b/tests/system/entry_crashes_test.cc
@@ -0,0 +1,115 @@
+// Guards against a request that crashes engine after engine: several
+// `lynxgladed entry` processes, to which a caller sends the same content again
+// and again, each time under a new id.
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "connection/scripted_server.h"
+#include "system/entry_process.h"
+#include "system/scripted_store.h"
+
+namespace lynxglade::system_test {
+namespace {
+
+using connection::ScriptedServer;
+using Reply = ScriptedServer::Reply;
+
+constexpr char kConfiguration[] =
+    R"({"version":1,"routes":[{"name":"r","hostname":"h","pathPrefix":"/a/",)"
+    R"("type":"streaming","timeoutMs":5000,"backend":"s","maxAttempts":1}],)"
+    R"("services":[{"name":"s","healthPath":"/h"}]})";
+
+constexpr char kCrashingBody[] = "crashes its engine";
+
+// Answers every request with a stream, except one that crashes it.
+class Engine {
+ public:
+  int port() const noexcept { return server_.port(); }
+  bool crashed() const noexcept { return crashed_; }
+
+ private:
+  Reply Serve(const std::string& request) {
+    if (request.find(kCrashingBody) != std::string::npos) {
+      crashed_ = true;
+      server_.Crash();
+      return {"", ScriptedServer::Then::kReset};
+    }
+    return {"HTTP/1.1 200 OK\r\n" + AnswerLines(request) +
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n"};
+  }
+
+  std::atomic<bool> crashed_ = false;
+  ScriptedServer server_{[this](const std::string& it) { return Serve(it); }};
+};
+
+class EntryCrashesTest : public testing::Test {
+ protected:
+  static constexpr int kEntries = 3;
+  static constexpr int kEngines = 12;
+
+  void SetUp() override {
+    store_.Put("op/config", kConfiguration);
+    for (int i = 0; i < kEngines; ++i) {
+      engines_.push_back(std::make_unique<Engine>());
+      store_.Put(Key(engines_.size() - 1), TargetEntry(engines_.back()->port()));
+    }
+    for (int i = 0; i < kEntries; ++i) {
+      entries_.push_back(std::make_unique<EntryProcess>(i, store_.port()));
+    }
+    ASSERT_TRUE(AllShow("lynxglade_instances_assumed 3"));
+    ASSERT_TRUE(AllShow("lynxglade_configuration_version 1"));
+  }
+  static std::string Key(std::size_t engine) {
+    return "servers/e" + std::to_string(engine);
+  }
+  bool AllShow(const std::string& line) {
+    return std::ranges::all_of(entries_, [&](const auto& entry) {
+      return WaitFor([&] { return entry->Shows(line); });
+    });
+  }
+  int Crashed() const {
+    return static_cast<int>(std::ranges::count_if(
+        engines_, [](const auto& it) { return it->crashed(); }));
+  }
+  // Removes the entries of crashed engines, and waits until all instances know.
+  void ExpireCrashed() {
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (engines_[i]->crashed()) {
+        store_.Remove(Key(i));
+      }
+    }
+    ASSERT_TRUE(AllShow("lynxglade_targets_known " +
+                        std::to_string(kEngines - Crashed())));
+  }
+  // Sends the body through the instances in turn, each time with a new id.
+  std::string Send(const std::string& body) {
+    const std::string id = "r" + std::to_string(sent_);
+    return entries_[static_cast<std::size_t>(sent_++) % kEntries]->Post(
+        "/a/x", id, body);
+  }
+
+  ScriptedStore store_;
+  std::vector<std::unique_ptr<Engine>> engines_;
+  std::vector<std::unique_ptr<EntryProcess>> entries_;
+  int sent_ = 0;
+};
+
+// Guards against BUDGET: a request that crashes its engines, sent again under
+// new ids at any instance, is kept from further engines by all of them.
+TEST_F(EntryCrashesTest, RequestThatCrashesItsEnginesRunsAtMostTwice) {
+  for (int i = 0; i < 3 * kEntries; ++i) {
+    EXPECT_FALSE(IsStatus(Send(kCrashingBody), "200"));
+    ExpireCrashed();
+    EXPECT_TRUE(IsStatus(Send("harmless"), "200")) << "after copy " << i;
+  }
+  EXPECT_LE(Crashed(), 2);
+}
+
+}  // namespace
+}  // namespace lynxglade::system_test
--- a/tests/system/entry_limits_test.cc
+++ b/tests/system/entry_limits_test.cc
@@ -3,7 +3,6 @@
 // other of limits.
 #include <algorithm>
 #include <chrono>
-#include <filesystem>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -11,8 +10,8 @@
 
 #include <gtest/gtest.h>
 
-#include "connection/raw_client.h"
 #include "connection/scripted_server.h"
+#include "system/entry_process.h"
 #include "system/process.h"
 #include "system/scripted_store.h"
 
@@ -20,7 +19,6 @@
 namespace {
 
 using connection::ScriptedServer;
-using tests::RawClient;
 using Reply = ScriptedServer::Reply;
 using Clock = std::chrono::steady_clock;
 
@@ -62,13 +60,8 @@
   Reply Serve(const std::string& request) {
     const std::lock_guard lock(mutex_);
     arrivals_.push_back(Clock::now());
-    const std::string name = "Lynxglade-Attempt-Id: ";
-    const std::size_t at = request.find(name) + name.size();
-    return {"HTTP/1.1 200 OK\r\n" + name +
-            request.substr(at, request.find("\r\n", at) - at) + "\r\n" +
-            limit_line_ +
-            "Lynxglade-Instance-Signature: s\r\nContent-Length: 4\r\n\r\n"
-            "fine"};
+    return {"HTTP/1.1 200 OK\r\n" + AnswerLines(request) + limit_line_ +
+            "Content-Length: 4\r\n\r\nfine"};
   }
 
   std::mutex mutex_;
@@ -77,57 +70,6 @@
   ScriptedServer server_{[this](const std::string& it) { return Serve(it); }};
 };
 
-int FreePort() {
-  return ScriptedServer([](const std::string&) { return Reply{}; }).port();
-}
-
-// An entry instance.
-class Entry {
- public:
-  Entry(int number, int store_port)
-      : name_("i" + std::to_string(number)),
-        process_({LYNXGLADED, "entry", "--instance-id", name_, "--zone", "a",
-                  "--listen", Address(port_), "--health-listen",
-                  Address(health_port_), "--peer-listen", Address(FreePort()),
-                  "--store=" + Address(store_port)},
-                 std::filesystem::path(testing::TempDir()) /
-                     ("entry-limits-" + std::to_string(port_))) {}
-
-  std::string Call() { return Get(port_, "/a/x"); }
-  // Whether the metrics page has the line.
-  bool Shows(const std::string& line) {
-    return Get(health_port_, "/metrics").find(line + "\n") != std::string::npos;
-  }
-  std::string Key() const { return "lynxglade/instances/a/" + name_; }
-  Process& process() noexcept { return process_; }
-
- private:
-  static std::string Address(int port) {
-    return "127.0.0.1:" + std::to_string(port);
-  }
-  // Returns an empty string if the connection is refused.
-  static std::string Get(int port, const std::string& path) {
-    try {
-      RawClient client(port);
-      client.Send("GET " + path +
-                  " HTTP/1.1\r\nHost: h\r\nLynxglade-Attempt-Id: r1\r\n"
-                  "Lynxglade-Deadline-Ms: 5000\r\nConnection: close\r\n\r\n");
-      return client.ReadToEnd();
-    } catch (const std::runtime_error&) {
-      return {};
-    }
-  }
-
-  const std::string name_;
-  const int port_ = FreePort();
-  const int health_port_ = FreePort();
-  Process process_;
-};
-
-bool IsStatus(const std::string& answer, const std::string& status) {
-  return answer.starts_with("HTTP/1.1 " + status);
-}
-
 class EntryLimitsTest : public testing::Test {
  protected:
   void SetUp() override {
@@ -135,10 +77,10 @@
     AddTarget("limited", limited_.port());
     AddTarget("other", other_.port());
     for (int i = 0; i < 3; ++i) {
-      entries_.push_back(std::make_unique<Entry>(i, store_.port()));
+      entries_.push_back(std::make_unique<EntryProcess>(i, store_.port()));
     }
     for (const auto& it : entries_) {
-      ASSERT_TRUE(WaitFor([&] { return IsStatus(it->Call(), "200"); }));
+      ASSERT_TRUE(WaitFor([&] { return IsStatus(it->Get("/a/x"), "200"); }));
       ASSERT_TRUE(WaitFor([&] { return store_.Has(it->Key()); }));
     }
     for (const auto& it : entries_) {
@@ -147,18 +89,15 @@
     }
   }
   void AddTarget(const std::string& id, int port) {
-    store_.Put("servers/" + id,
-               R"({"backend":"s","address":"127.0.0.1:)" +
-                   std::to_string(port) +
-                   R"(","zone":"a","version":"v1","slots":8,"phase":"ready",)"
-                   R"("coldRemainingMs":0,"sequence":1})");
+    store_.Put("servers/" + id, TargetEntry(port));
   }
   // Returns the number of answers with status 200.
   int CallInTurn(int calls) {
     int answered = 0;
     for (int i = 0; i < calls; ++i) {
       answered +=
-          IsStatus(entries_[static_cast<std::size_t>(i) % 3]->Call(), "200")
+          IsStatus(entries_[static_cast<std::size_t>(i) % 3]->Get("/a/x"),
+                   "200")
               ? 1
               : 0;
     }
@@ -172,14 +111,14 @@
   ScriptedStore store_;
   Target limited_;
   Target other_;
-  std::vector<std::unique_ptr<Entry>> entries_;
+  std::vector<std::unique_ptr<EntryProcess>> entries_;
 };
 
 TEST_F(EntryLimitsTest, LimitIsKeptByAllInstancesUntilItEnds) {
   limited_.NameLimit("2");
   // One instance learns it from an answer, the others from that instance.
   ASSERT_TRUE(WaitFor([&] {
-    entries_[0]->Call();
+    entries_[0]->Get("/a/x");
     return entries_[0]->Shows("lynxglade_limits_in_force 1");
   }));
   ASSERT_TRUE(WaitFor([&] { return AllShow("lynxglade_limits_in_force 1"); }));
@@ -207,7 +146,7 @@
     return AllShow("lynxglade_limits_in_force 1");
   }));
   ASSERT_TRUE(WaitFor([&] {
-    const std::string answer = entries_[0]->Call();
+    const std::string answer = entries_[0]->Get("/a/x");
     return IsStatus(answer, "503") &&
            answer.find("Retry-After: ") != std::string::npos &&
            entries_[0]->process().Output().find(R"("by":"over_limit")") !=
