--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -20,14 +20,17 @@
 #include "platform/store_client.h"
 #include "process/duties/duty_holder.h"
 #include "process/peers/instance_presence.h"
+#include "process/peers/quarantine_records.h"
 #include "process/peers/watch_sharing.h"
 #include "process/stages/stage_orders.h"
 #include "process/store/prefix_follower.h"
+#include "request/passthrough/crash_checks.h"
 #include "request/passthrough/peer_avoidance.h"
 #include "request/passthrough/peer_prefills.h"
 #include "request/passthrough/relay.h"
 #include "request/passthrough/sample_demand.h"
 #include "request/passthrough/send_limits.h"
+#include "request/quarantine.h"
 
 namespace lynxglade {
 
@@ -52,6 +55,8 @@
   request::passthrough::SendLimitsHooks LimitHooks();
   // Calls to engines, which count against the limits that these name.
   process::stages::StageOrderHooks OrderHooks();
+  void OnQuarantineEvent(const request::QuarantineEvent& event);
+  process::peers::QuarantineRecordsHooks QuarantineHooks();
   // Starts the exchange with peer instances through this address.
   void JoinPeers(const process::Endpoint& endpoint);
   process::store::PrefixFollowerHooks InstanceKeysHooks();
@@ -84,6 +89,13 @@
   request::passthrough::SendLimits limits;
   request::passthrough::EnginePicker picker;
   request::passthrough::SharedRetryBudget retry_budget;
+  request::Quarantine quarantine;
+  request::passthrough::CrashChecks crash_checks{loop,
+                                                 quarantine,
+                                                 {},
+                                                 clock,
+                                                 metrics};
+  process::peers::QuarantineRecords quarantine_records;
   process::peers::InstancePresence presence;
   // Source of the store follower: the store, or another instance that watches
   // it.
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -17,6 +17,7 @@
 #include "main/details/entry_daemon_details.h"
 #include "main/exit_status.h"
 #include "main/tcp_endpoint.h"
+#include "request/passthrough/quarantine_options.h"
 
 namespace lynxglade {
 
@@ -78,6 +79,18 @@
                        peers->retry_loans().RequestLoan(service, missing);
                      }
                    }),
+      quarantine(
+          request::passthrough::FleetQuarantineOptions(),
+          s.instance,
+          [this](const process::ViewItem& item) {
+            if (peers) {
+              peers->quarantine_sharing().OnPublish(item);
+            }
+          },
+          [this](const request::QuarantineEvent& it) {
+            OnQuarantineEvent(it);
+          }),
+      quarantine_records(loop, store, QuarantineHooks(), {}, clock, metrics),
       presence(loop,
                store,
                {.instance = s.instance,
@@ -157,6 +170,9 @@
     co_await SleepFor(loop, kMaintenancePeriod);
     views.engines().Expire(clock());
     channels.CloseIdle();
+    if (peers) {
+      peers->quarantine_sharing().Tick();
+    }
   }
 }
 
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/log.h"
 #include "main/details/entry_daemon_details.h"
 #include "platform/engine_orders.h"
 #include "platform/store_documents.h"
@@ -48,6 +49,8 @@
                              .avoidance = peer_avoidance,
                              .retry_budget = retry_budget,
                              .limits = limits,
+                             .quarantine = quarantine,
+                             .view_age = [this] { return ViewAge(); },
                              .is_served =
                                  [this](const base::ServiceName& service) {
                                    return views.routes() &&
@@ -143,6 +146,7 @@
       .on_list =
           [this](const std::vector<StoreItem>& items) {
             presence.OnList(items);
+            quarantine_records.OnList(items);
             authority.OnList(items);
             if (duties) {
               duties->OnList(items);
@@ -151,6 +155,7 @@
       .on_change =
           [this](const StoreItem& it) {
             presence.OnChange(it);
+            quarantine_records.OnChange(it);
             authority.OnChange(it);
             if (duties) {
               duties->OnChange(it);
@@ -172,6 +177,8 @@
       .answers = answers,
       .retry_budget = retry_budget,
       .limits = limits,
+      .quarantine = quarantine,
+      .crash_checks = crash_checks,
       .zones = zones,
       .run_times = run_times,
       .metrics = metrics,
@@ -220,6 +227,56 @@
               }};
 }
 
+process::peers::QuarantineRecordsHooks EntryDaemon::Details::QuarantineHooks() {
+  return {.read =
+              [this](request::ContentHash content) {
+                return quarantine.Export(content, clock());
+              },
+          .time_left =
+              [this](request::ContentHash content) {
+                return quarantine.TimeLeft(content, clock());
+              },
+          .merge =
+              [this](const process::ViewItem& mark) {
+                if (peers) {
+                  peers->quarantine_sharing().Merge(mark);
+                } else {
+                  quarantine.Merge(mark, clock());
+                }
+              },
+          .lift =
+              [this](request::ContentHash content) {
+                if (peers) {
+                  peers->quarantine_sharing().Lift(content);
+                } else {
+                  quarantine.Lift(content, clock());
+                }
+              }};
+}
+
+void EntryDaemon::Details::OnQuarantineEvent(
+    const request::QuarantineEvent& event) {
+  using request::QuarantineChange;
+  metrics
+      .GetCounter("lynxglade_quarantine_changes_total",
+                  {{"change", std::string(ToString(event.change))},
+                   {"source", event.merged ? "peer" : "own"}})
+      .Add();
+  base::Log(base::LogLevel::kInfo, "quarantine",
+            {{"change", ToString(event.change)},
+             {"content", ToHex(event.content)},
+             {"crashes", static_cast<std::int64_t>(event.crashes)},
+             {"confirmed", static_cast<std::int64_t>(event.confirmed)},
+             {"alone", static_cast<std::int64_t>(event.alone)},
+             {"age_ms", base::ToMillis(event.age)},
+             {"target", event.target.str()},
+             {"in_flight", event.shared},
+             {"source", event.merged ? "peer" : "own"}});
+  if (event.change == QuarantineChange::kQuarantined && event.own_evidence) {
+    quarantine_records.OnVerdict(event.content);
+  }
+}
+
 process::stages::StageOrderHooks EntryDaemon::Details::OrderHooks() {
   using request::passthrough::EngineHandle;
   process::stages::StageOrderHooks hooks =
@@ -290,6 +347,12 @@
     });
     return static_cast<double>(n);
   });
+  metrics.AddGauge("lynxglade_contents_suspected", {}, [this] {
+    return static_cast<double>(quarantine.Count(clock()).suspects);
+  });
+  metrics.AddGauge("lynxglade_contents_quarantined", {}, [this] {
+    return static_cast<double>(quarantine.Count(clock()).quarantined);
+  });
   metrics.AddGauge("lynxglade_targets_used", {}, [this] {
     return static_cast<double>(views.engines().used());
   });
--- a/src/main/entry_peers.cc
+++ b/src/main/entry_peers.cc
@@ -61,6 +61,15 @@
                      {.group = sharing_},
                      deps.clock,
                      deps.random),
+      quarantine_sharing_(deps.loop,
+                          deps.quarantine,
+                          deps.presence,
+                          datagrams_,
+                          deps.view_age,
+                          {},
+                          deps.clock,
+                          deps.random,
+                          deps.metrics),
       change_relay_(deps.loop,
                     EndpointOf(endpoint),
                     deps.watches,
@@ -79,6 +88,7 @@
   avoidance_sharing_.Start();
   retry_loans_.Start();
   limit_sharing_.Start();
+  quarantine_sharing_.Start();
   return change_relay_.Start(reason);
 }
 
--- a/src/main/entry_peers.h
+++ b/src/main/entry_peers.h
@@ -1,5 +1,6 @@
 // What an entry instance exchanges with the others: work at engines, targets
-// to avoid and their limits, loans of retry budget and changes of the store.
+// to avoid and their limits, contents that crash targets, loans of retry budget
+// and changes of the store.
 #ifndef LYNXGLADE_MAIN_ENTRY_PEERS_H_
 #define LYNXGLADE_MAIN_ENTRY_PEERS_H_
 
@@ -17,6 +18,7 @@
 #include "process/peers/limit_sharing.h"
 #include "process/peers/peer_datagrams.h"
 #include "process/peers/prefill_sharing.h"
+#include "process/peers/quarantine_sharing.h"
 #include "process/peers/retry_loans.h"
 #include "process/peers/watch_sharing.h"
 #include "request/passthrough/engine_table.h"
@@ -37,6 +39,9 @@
   request::passthrough::PeerAvoidance& avoidance;
   request::passthrough::SharedRetryBudget& retry_budget;
   request::passthrough::SendLimits& limits;
+  request::Quarantine& quarantine;
+  // Age of the view of the store.
+  std::function<base::Duration()> view_age;
   // Whether the configuration names the service.
   std::function<bool(const base::ServiceName&)> is_served;
   base::Clock clock;
@@ -61,6 +66,9 @@
   process::peers::LimitSharing& limit_sharing() noexcept {
     return limit_sharing_;
   }
+  process::peers::QuarantineSharing& quarantine_sharing() noexcept {
+    return quarantine_sharing_;
+  }
 
  private:
   // The peers that load is shared with.
@@ -73,6 +81,7 @@
   process::peers::AvoidanceSharing avoidance_sharing_;
   process::peers::RetryLoans retry_loans_;
   process::peers::LimitSharing limit_sharing_;
+  process::peers::QuarantineSharing quarantine_sharing_;
   process::peers::ChangeRelay change_relay_;
 };
 
--- a/src/process/peers/peer_datagrams.h
+++ b/src/process/peers/peer_datagrams.h
@@ -38,6 +38,9 @@
   kUsageRequest = 7,
   // Request limits that targets name (limit_sharing.h).
   kLimits = 8,
+  // Marks of the quarantine, and a request for them (quarantine_sharing.h).
+  kMarks = 9,
+  kMarksRequest = 10,
 };
 
 // Not thread-safe: runs on the event loop.
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -3,8 +3,9 @@
 // The relay finds the route, picks the target, sends the request, forwards the
 // answer, and retries where this is safe: a request that did not run may go to
 // another target; one of unknown outcome only if its route allows it to run
-// twice; a broken stream is resumed after its last complete event. A refusal
-// that states "not run" is sent only if no target has run the request or will.
+// twice; a broken stream is resumed after its last complete event. Content that
+// crashes its targets is refused. A refusal that states "not run" is sent only
+// if no target has run the request or will.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_H_
 
@@ -18,6 +19,7 @@
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
 #include "request/passthrough/answer_admission.h"
+#include "request/passthrough/crash_checks.h"
 #include "request/passthrough/engine_picker.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/generation_times.h"
@@ -29,6 +31,7 @@
 #include "request/passthrough/shared_retry_budget.h"
 #include "request/passthrough/target_protocol.h"
 #include "request/passthrough/zone_health.h"
+#include "request/quarantine.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -56,6 +59,12 @@
   // A request is retried after at most this many unreachable targets. They use
   // no retry budget, but a connection timeout each.
   int max_unreachable = 4;
+  // Likewise for targets at which a suspect may not be rerun now.
+  int max_held_back = 4;
+  // How long a request waits for checks of targets that broke its connection,
+  // and how often it asks for their result.
+  base::Duration evidence_timeout = std::chrono::milliseconds(700);
+  base::Duration evidence_poll_interval = std::chrono::milliseconds(10);
   LatencyAdmissionOptions admission;
   // An answer that is not a stream is buffered up to this size, so that the
   // caller never gets a truncated one; a larger answer is forwarded piece by
@@ -84,6 +93,8 @@
   AnswerAdmission& answers;
   SharedRetryBudget& retry_budget;
   SendLimits& limits;
+  Quarantine& quarantine;
+  CrashChecks& crash_checks;
   ZoneHealth& zones;
   RunTimes& run_times;
   base::Metrics& metrics;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -197,6 +197,10 @@
   if (!endpoint) {
     co_return AttemptEnd::kNotRun;
   }
+  QuarantineRun run(deps_.quarantine, deps_.clock);
+  if (!StartRun(run, *target)) {
+    co_return AttemptEnd::kNotRun;
+  }
   const bool prefills = !source_;
   sent_at_ = deps_.clock();
   met_free_slot_ = !IsFull(*target) && target->in_flight < target->entry.slots;
@@ -223,6 +227,7 @@
     runs_ += exchange.sent() ? 1 : 0;
     end = EndAfterFailure(exchange, target);
   }
+  RecordEvidence(run, exchange, target, end);
   current_ = nullptr;
   co_return end;
 }
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -2,12 +2,14 @@
 #include <chrono>
 #include <utility>
 
+#include "connection/event/sleep.h"
 #include "request/passthrough/relay_run.h"
 
 namespace lynxglade::request::passthrough {
 
 namespace {
 
+using connection::event::Awaitable;
 using connection::event::ExchangeState;
 
 // Fraction of the latency target beyond which the wait for a prefill counts as
@@ -88,6 +90,50 @@
   }
 }
 
+std::optional<EndReason> RelayRun::CheckContent() {
+  denial_ = deps_.quarantine.Check(content_, deps_.clock());
+  return denial_ ? std::optional(DenialReason()) : std::nullopt;
+}
+
+EndReason RelayRun::DenialReason() const {
+  return denial_ == QuarantineDenial::kQuarantined ? EndReason::kQuarantined
+                                                   : EndReason::kHeldBack;
+}
+
+Awaitable<bool> RelayRun::WaitForEvidence() {
+  const base::Time wait_until = deps_.clock() + options_.evidence_timeout;
+  while (CheckContent() && denial_ == QuarantineDenial::kEvidencePending &&
+         !IsStopped() && deps_.clock() < wait_until) {
+    co_await connection::event::SleepFor(deps_.loop,
+                                         options_.evidence_poll_interval);
+  }
+  co_return !denial_;
+}
+
+bool RelayRun::StartRun(QuarantineRun& run, const Engine& target) {
+  denial_ = run.Start(content_, QuarantineTarget(target));
+  held_back_ += denial_ ? 1 : 0;
+  return !denial_;
+}
+
+void RelayRun::RecordEvidence(QuarantineRun& run,
+                              const Exchange& exchange,
+                              const EngineHandle& target,
+                              AttemptEnd end) {
+  if (exchange.state() == ExchangeState::kWhole && end != AttemptEnd::kNotRun) {
+    run.OnDelivered();
+    return;
+  }
+  // A target that leaves may break off what it still has.
+  const bool leaves =
+      target->entry.draining || deps_.engines.Find(target->entry.id) != target;
+  if (exchange.state() == ExchangeState::kBroken && exchange.sent() &&
+      !exchange.unacknowledged() && !leaves) {
+    run.OnLost();
+    deps_.crash_checks.Start(target);
+  }
+}
+
 void RelayRun::RecordRejection(Engine& runner, const AnswerInfo& info) {
   ++rejections_;
   if (info.misdirected) {
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -43,6 +43,8 @@
     Refusal{EndReason::kOverLimit, 503, "Service Unavailable", true},
     Refusal{EndReason::kRetryBudget, 503, "Service Unavailable", true},
     Refusal{EndReason::kRejected, 503, "Service Unavailable", true},
+    Refusal{EndReason::kQuarantined, 503, "Service Unavailable", true},
+    Refusal{EndReason::kHeldBack, 503, "Service Unavailable", true},
     Refusal{EndReason::kUnknownOutcome, 502, "Bad Gateway", false},
     Refusal{EndReason::kTimeout, 504, "Gateway Timeout", false},
 };
@@ -89,6 +91,10 @@
       return "allowance";
     case EndReason::kRejected:
       return "rejected";
+    case EndReason::kQuarantined:
+      return "quarantined";
+    case EndReason::kHeldBack:
+      return "held_back";
     case EndReason::kUnknownOutcome:
       return "unknown_outcome";
     case EndReason::kTimeout:
@@ -139,13 +145,9 @@
   if (refusal.promises_not_run) {
     const base::Duration part = std::chrono::duration_cast<base::Duration>(
         options_.retry_after_of_time_left * TimeLeft());
-    const base::Time now = deps_.clock();
-    const base::Duration until_permit = reason == EndReason::kOverLimit
-                                            ? NextPermit().value_or(now) - now
-                                            : base::Duration(0);
     const double min_seconds =
         std::chrono::duration<double>(
-            std::max({options_.retry_after, part, until_permit}))
+            std::max({options_.retry_after, part, UntilAccepted(reason)}))
             .count();
     head.fields.set(
         http::field::retry_after,
@@ -154,6 +156,17 @@
   co_await reply_.SendWhole(std::move(head), {});
 }
 
+base::Duration RelayRun::UntilAccepted(EndReason reason) {
+  const base::Time now = deps_.clock();
+  if (reason == EndReason::kOverLimit) {
+    return NextPermit().value_or(now) - now;
+  }
+  if (reason == EndReason::kQuarantined) {
+    return deps_.quarantine.TimeLeft(content_, now);
+  }
+  return base::Duration::zero();
+}
+
 void RelayRun::LogNotAttempted(const EnginePick& pick, EndReason reason) const {
   const Engine& runner = *pick.runner;
   const base::Time now = deps_.clock();
@@ -225,6 +238,8 @@
         organisation_ ? organisation_->id.str() : std::string()},
        {"configuration", table_ ? table_->version() : -1},
        {"by", ended_by_},
+       {"content", ToHex(content_)},
+       {"denial", denial_ ? ToString(*denial_) : std::string_view()},
        {"prompt_tokens", terms_.prompt.TotalTokens()},
        {"expected_tokens", terms_.expected_tokens},
        {"most_tokens", terms_.max_tokens},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -95,7 +95,7 @@
   }
   service_ = *service;
   content_ = Content();
-  return std::nullopt;
+  return CheckContent();
 }
 
 ContentHash RelayRun::Content() const {
@@ -352,6 +352,10 @@
 }
 
 Awaitable<AttemptEnd> RelayRun::Attempt(EnginePick pick) {
+  const bool may_run = co_await WaitForEvidence();
+  if (!may_run) {
+    co_return AttemptEnd::kNotRun;
+  }
   if (pick.prefill_engine && !source_) {
     claim_.emplace(deps_.limits, service_);
     const bool prefilled = co_await PrefillPrompt(pick);
@@ -384,8 +388,12 @@
       TimeLeft() < options_.min_time_left) {
     return false;
   }
+  if (denial_ && !CanTryOtherTarget(*denial_)) {
+    return false;
+  }
   if (end == AttemptEnd::kNotRun) {
-    return rejections_ <= options_.max_rejections &&
+    return held_back_ <= options_.max_held_back &&
+           rejections_ <= options_.max_rejections &&
            failed_prefills_ <= kMaxFailedPrefills + 1 &&
            unreachable_ <= options_.max_unreachable;
   }
@@ -414,6 +422,10 @@
                              : EndReason::kUnknownOutcome);
     co_return;
   }
+  if (denial_) {
+    co_await Refuse(DenialReason());
+    co_return;
+  }
   if (stopped_by_limits_) {
     co_await Refuse(EndReason::kOverLimit);
     co_return;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -15,6 +15,7 @@
 #include "request/content_hash.h"
 #include "request/passthrough/event_splitter.h"
 #include "request/passthrough/relay.h"
+#include "request/quarantine_run.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -36,6 +37,10 @@
   kOverLimit,
   kRetryBudget,
   kRejected,
+  // The content crashed its targets.
+  kQuarantined,
+  // It was in flight in a crash and may not be rerun now.
+  kHeldBack,
   kUnknownOutcome,
   kTimeout,
 };
@@ -84,6 +89,20 @@
   // What identifies the request's content to any instance, when it is sent
   // again with another id.
   ContentHash Content() const;
+  // Why the quarantine lets no target run the content now, if so.
+  std::optional<EndReason> CheckContent();
+  EndReason DenialReason() const;
+  // Waits while it is being found out whether the content's last targets have
+  // crashed; false if it may not run after that.
+  Awaitable<bool> WaitForEvidence();
+  // Registers an attempt with the quarantine, unless the content may not run at
+  // the target now.
+  bool StartRun(QuarantineRun& run, const Engine& target);
+  // What the end of an attempt says about the content.
+  void RecordEvidence(QuarantineRun& run,
+                      const Exchange& exchange,
+                      const EngineHandle& target,
+                      AttemptEnd end);
   void StartTimer();
   // Makes attempts until one is final.
   Awaitable<void> RunAttempts();
@@ -152,6 +171,9 @@
   bool MayRetry(AttemptEnd end) const;
   Awaitable<void> Finish(AttemptEnd end);
   Awaitable<void> Refuse(EndReason reason);
+  // How long a request that is refused for this reason would still be refused;
+  // zero if unknown.
+  base::Duration UntilAccepted(EndReason reason);
   Awaitable<void> SendSavedAnswer();
   // A target ran the request from `began`. The first call counts.
   void RecordRun(base::Time began);
@@ -224,6 +246,10 @@
   // Targets that the last pick left out because they are at their limits, and
   // whether it found no runner for that reason.
   int over_limit_ = 0;
+  // Why the quarantine did not let the last attempt start, and how often that
+  // happened.
+  std::optional<QuarantineDenial> denial_;
+  int held_back_ = 0;
   bool stopped_by_limits_ = false;
   // Held from the prefill until the request is sent to its runner.
   std::optional<SendLimits::Claim> claim_;
--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -1,6 +1,8 @@
 #include "request/quarantine.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace lynxglade::request {
@@ -21,8 +23,12 @@
 
 Quarantine::Quarantine(QuarantineOptions options,
                        base::InstanceId self,
-                       Publish publish)
-    : options_(options), self_(std::move(self)), publish_(std::move(publish)) {}
+                       Publish publish,
+                       Observe observe)
+    : options_(options),
+      self_(std::move(self)),
+      publish_(std::move(publish)),
+      observe_(std::move(observe)) {}
 
 bool Quarantine::IsQuarantined(ContentHash content, base::Time now) {
   Outbox outbox;
@@ -31,12 +37,35 @@
     const std::scoped_lock lock(mutex_);
     Sweep(now, &outbox);
     is_quarantined =
-        RefreshMark(content, now) && marks_.at(content).quarantined;
+        RefreshMark(content, now, &outbox) && marks_.at(content).quarantined;
   }
   PublishAll(outbox);
   return is_quarantined;
 }
 
+std::optional<QuarantineDenial> Quarantine::Check(ContentHash content,
+                                                  base::Time now) {
+  Outbox outbox;
+  std::optional<QuarantineDenial> denied;
+  {
+    const std::scoped_lock lock(mutex_);
+    Sweep(now, &outbox);
+    if (RefreshMark(content, now, &outbox)) {
+      denied = CheckSuspect(content, now);
+    }
+  }
+  PublishAll(outbox);
+  return denied;
+}
+
+base::Duration Quarantine::TimeLeft(ContentHash content, base::Time now) const {
+  const std::scoped_lock lock(mutex_);
+  const auto it = marks_.find(content);
+  return it == marks_.end()
+             ? base::Duration::zero()
+             : std::max(it->second.expires - now, base::Duration::zero());
+}
+
 bool Quarantine::TryStart(ContentHash content,
                           const base::TargetId& target,
                           const base::AttemptId& attempt,
@@ -47,14 +76,23 @@
   {
     const std::scoped_lock lock(mutex_);
     Sweep(now, &outbox);
-    const bool is_suspect = RefreshMark(content, now);
+    const bool is_suspect = RefreshMark(content, now, &outbox);
     if (is_suspect) {
-      denied = CheckSuspect(content, target, now);
+      denied = CheckSuspect(content, now);
+    }
+    if (is_suspect && !denied) {
+      denied = CheckTarget(content, target, now);
     }
     if (!denied) {
-      runs_.insert_or_assign(attempt,
-                             Run{content, target, now, is_suspect, is_suspect});
+      const bool alone = is_suspect && !HasSuspect(target, content, now);
+      runs_.insert_or_assign(attempt, Run{.content = content,
+                                          .target = target,
+                                          .started = now,
+                                          .suspect = is_suspect,
+                                          .rerun = is_suspect,
+                                          .alone = alone});
       if (is_suspect) {
+        MarkNotAlone(target, content);
         ClaimRerun(content, target, now, &outbox);
       }
     }
@@ -73,9 +111,9 @@
     const auto run = EndRun(attempt, now, &outbox);
     // A complete answer does not clear quarantined content: two crashes are
     // stronger evidence.
-    if (run && RefreshMark(run->content, now) &&
+    if (run && RefreshMark(run->content, now, &outbox) &&
         !marks_.at(run->content).quarantined) {
-      ClearMark(run->content, now, &outbox);
+      ClearMark(run->content, QuarantineChange::kCleared, now, &outbox);
     }
   }
   PublishAll(outbox);
@@ -101,10 +139,8 @@
       crash.contents.insert(run->content);
       const auto shared = static_cast<int>(crash.contents.size());
       for (const ContentHash it : crash.contents) {
-        for (Evidence& evidence : marks_[it].evidence) {
-          if (evidence.crash_id == crash.crash_id) {
-            evidence.shared = shared;
-          }
+        if (Evidence* evidence = FindEvidence(it, crash)) {
+          evidence->shared = shared;
         }
       }
       QuarantineMark& mark = marks_[run->content];
@@ -112,12 +148,15 @@
       if (std::ranges::find(mark.evidence, crash.crash_id,
                             &Evidence::crash_id) == mark.evidence.end()) {
         mark.evidence.push_back({crash.crash_id, run->target, crash.at, shared,
-                                 crash.confirmed, run->rerun, false});
+                                 crash.confirmed, run->alone, false});
+      }
+      if (options_.observer_reruns_first) {
+        mark.owner = self_;
+        mark.owned_until = now + options_.rerun_lease;
       }
-      mark.owner = self_;
-      mark.owned_until = now + options_.rerun_lease;
       mark.expires = std::max(mark.expires, now + options_.suspect_ttl);
-      UpdateQuarantine(run->content, now);
+      Note(QuarantineChange::kSuspected, run->content, false, now, &outbox);
+      UpdateQuarantine(run->content, now, false, &outbox);
       PublishChange(run->content, now, &outbox);
       ClaimRunningAttempts(run->content, now, &outbox);
       ReleaseExplained(now, &outbox);
@@ -153,17 +192,20 @@
   if (crashes == crashes_.end()) {
     return;
   }
-  const auto is_refuted = [seen_at](const Crash& crash) {
-    return !crash.confirmed && seen_at - crash.at >= kSameCrashWindow;
+  const auto is_refuted = [&](const Crash& crash) {
+    return !crash.confirmed && seen_at - crash.at >= options_.alive_margin;
   };
   for (const Crash& crash : crashes->second) {
     if (!is_refuted(crash)) {
       continue;
     }
     for (const ContentHash it : crash.contents) {
-      std::erase_if(marks_[it].evidence, [&crash](const Evidence& evidence) {
-        return evidence.crash_id == crash.crash_id;
-      });
+      if (FindEvidence(it, crash)) {
+        std::erase_if(marks_.at(it).evidence,
+                      [&crash](const Evidence& evidence) {
+                        return evidence.crash_id == crash.crash_id;
+                      });
+      }
     }
   }
   std::erase_if(crashes->second, is_refuted);
@@ -193,6 +235,7 @@
       EvictIfFull();
     }
     QuarantineMark& mark = marks_[content];
+    const bool was_quarantined = mark.quarantined;
     bool must_publish = false;
     if (is_new) {
       mark = decoded->mark;
@@ -200,12 +243,19 @@
     } else {
       changed = MergeMarks(decoded->mark, now, mark, &must_publish);
     }
-    const bool was_quarantined = mark.quarantined;
-    UpdateQuarantine(content, now);
-    if (must_publish || mark.quarantined != was_quarantined) {
+    const bool is_learnt = changed && mark.quarantined && !was_quarantined;
+    const bool had_verdict = mark.quarantined;
+    UpdateQuarantine(content, now, true, &outbox);
+    if (is_learnt) {
+      Note(QuarantineChange::kQuarantined, content, true, now, &outbox);
+    }
+    if (must_publish || mark.quarantined != had_verdict) {
       PublishChange(content, now, &outbox);
     }
     if (changed) {
+      if (mark.owner != self_ && mark.owned_until > now) {
+        MarkNotAlone(mark.rerun_target, content);
+      }
       ClaimRunningAttempts(content, now, &outbox);
       ReleaseExplained(now, &outbox);
     }
@@ -225,6 +275,15 @@
   return items;
 }
 
+std::optional<process::ViewItem> Quarantine::Export(ContentHash content,
+                                                    base::Time now) {
+  const std::scoped_lock lock(mutex_);
+  const auto it = marks_.find(content);
+  return it == marks_.end() || it->second.expires <= now
+             ? std::nullopt
+             : std::optional(EncodeMark(content, it->second, self_, now));
+}
+
 std::vector<QuarantineEntry> Quarantine::List(base::Time now) {
   Outbox outbox;
   std::vector<QuarantineEntry> entries;
@@ -255,24 +314,35 @@
   Outbox outbox;
   {
     const std::scoped_lock lock(mutex_);
-    if (!RefreshMark(content, now)) {
+    if (!RefreshMark(content, now, &outbox) ||
+        marks_.at(content).evidence.empty()) {
       return false;
     }
-    ClearMark(content, now, &outbox);
+    ClearMark(content, QuarantineChange::kLifted, now, &outbox);
   }
   PublishAll(outbox);
   return true;
 }
 
-std::optional<QuarantineDenial> Quarantine::CheckSuspect(
-    ContentHash content,
-    const base::TargetId& target,
-    base::Time now) const {
+QuarantineCounts Quarantine::Count(base::Time now) const {
+  const std::scoped_lock lock(mutex_);
+  QuarantineCounts counts;
+  for (const auto& [content, mark] : marks_) {
+    if (mark.expires > now) {
+      counts.quarantined += mark.quarantined ? 1 : 0;
+      counts.suspects += !mark.quarantined && mark.is_suspect() ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
+std::optional<QuarantineDenial> Quarantine::CheckSuspect(ContentHash content,
+                                                         base::Time now) const {
   const QuarantineMark& mark = marks_.at(content);
   if (mark.quarantined) {
     return QuarantineDenial::kQuarantined;
   }
-  if (CountEvidence(mark, false).warrants_quarantine()) {
+  if (IsConclusive(mark, false)) {
     return QuarantineDenial::kEvidencePending;
   }
   if (std::ranges::any_of(runs_, [content](const auto& it) {
@@ -283,15 +353,38 @@
   if (mark.owner != self_ && !mark.owner.empty() && mark.owned_until > now) {
     return QuarantineDenial::kSuspectElsewhere;
   }
+  return std::nullopt;
+}
+
+std::optional<QuarantineDenial> Quarantine::CheckTarget(
+    ContentHash content,
+    const base::TargetId& target,
+    base::Time now) const {
   if (CrashedRecently(target, now)) {
     return QuarantineDenial::kTargetCrashedLately;
   }
-  if (HasSuspect(target, content, now)) {
+  const QuarantineMark& mark = marks_.at(content);
+  const bool must_be_alone =
+      mark.on_probation ||
+      CountEvidence(mark, false).all >= options_.lone_rerun_after;
+  if (must_be_alone && HasSuspect(target, content, now)) {
     return QuarantineDenial::kTargetHasSuspect;
   }
   return std::nullopt;
 }
 
+void Quarantine::MarkNotAlone(const base::TargetId& target,
+                              ContentHash started) {
+  if (options_.lone_rerun_after <= 1) {
+    return;
+  }
+  for (auto& [attempt, run] : runs_) {
+    if (run.target == target && run.content != started) {
+      run.alone = false;
+    }
+  }
+}
+
 bool Quarantine::HasSuspect(const base::TargetId& target,
                             ContentHash content,
                             base::Time now) const {
@@ -302,7 +395,7 @@
     // The content may have become a suspect after the run started.
     const auto mark = marks_.find(it.second.content);
     return it.second.suspect ||
-           (mark != marks_.end() && !mark->second.evidence.empty());
+           (mark != marks_.end() && mark->second.is_suspect());
   });
   return here || std::ranges::any_of(marks_, [&](const auto& it) {
            const QuarantineMark& mark = it.second;
@@ -361,17 +454,24 @@
   }
   crash.confirmed = true;
   for (const ContentHash content : crash.contents) {
-    QuarantineMark& mark = marks_[content];
-    const auto it =
-        std::ranges::find(mark.evidence, crash.crash_id, &Evidence::crash_id);
-    if (it != mark.evidence.end()) {
-      it->confirmed = true;
-      UpdateQuarantine(content, now);
+    if (Evidence* evidence = FindEvidence(content, crash)) {
+      evidence->confirmed = true;
+      UpdateQuarantine(content, now, false, outbox);
       PublishChange(content, now, outbox);
     }
   }
 }
 
+Evidence* Quarantine::FindEvidence(ContentHash content, const Crash& crash) {
+  const auto mark = marks_.find(content);
+  if (mark == marks_.end()) {
+    return nullptr;
+  }
+  const auto it = std::ranges::find(mark->second.evidence, crash.crash_id,
+                                    &Evidence::crash_id);
+  return it == mark->second.evidence.end() ? nullptr : &*it;
+}
+
 std::optional<Quarantine::Run> Quarantine::EndRun(
     const base::AttemptId& attempt,
     base::Time now,
@@ -418,19 +518,40 @@
   }
 }
 
-bool Quarantine::RefreshMark(ContentHash content, base::Time now) {
+bool Quarantine::RefreshMark(ContentHash content,
+                             base::Time now,
+                             Outbox* outbox) {
   const auto it = marks_.find(content);
   if (it == marks_.end()) {
     return false;
   }
-  if (it->second.expires <= now) {
+  if (Expire(content, it->second, now, outbox)) {
     marks_.erase(it);
     return false;
   }
   std::erase_if(it->second.evidence, [&](const Evidence& evidence) {
     return !evidence.confirmed && now - evidence.at >= options_.confirm_timeout;
   });
-  return !it->second.evidence.empty();
+  return it->second.is_suspect();
+}
+
+bool Quarantine::Expire(ContentHash content,
+                        QuarantineMark& mark,
+                        base::Time now,
+                        Outbox* outbox) {
+  if (mark.expires > now) {
+    return false;
+  }
+  if (!mark.quarantined) {
+    return true;
+  }
+  Note(QuarantineChange::kExpired, content, false, now, outbox);
+  ++mark.epoch;
+  mark.evidence.clear();
+  mark.quarantined = false;
+  mark.on_probation = true;
+  mark.expires = now + std::max(options_.suspect_ttl, options_.quarantine_ttl);
+  return false;
 }
 
 void Quarantine::Sweep(base::Time now, Outbox* outbox) {
@@ -438,8 +559,10 @@
     return;
   }
   next_sweep_ = now + kSweepInterval;
-  std::erase_if(marks_,
-                [now](const auto& it) { return it.second.expires <= now; });
+  for (auto it = marks_.begin(); it != marks_.end();) {
+    const bool is_over = Expire(it->first, it->second, now, outbox);
+    it = is_over ? marks_.erase(it) : std::next(it);
+  }
   for (auto& [target, crashes] : crashes_) {
     std::erase_if(crashes, [&](const Crash& it) {
       const base::Duration age = now - it.at;
@@ -458,11 +581,25 @@
   }
 }
 
-void Quarantine::UpdateQuarantine(ContentHash content, base::Time now) {
+bool Quarantine::IsConclusive(const QuarantineMark& mark,
+                              bool confirmed_only) const {
+  const EvidenceCount count = CountEvidence(mark, confirmed_only);
+  const std::size_t needed = mark.on_probation ? 1 : 2;
+  // If only lone reruns are allowed, a second crash implies one.
+  const bool was_alone = options_.lone_rerun_after <= 1 || count.alone >= 1;
+  return count.all >= needed && count.unexplained >= 1 && was_alone;
+}
+
+void Quarantine::UpdateQuarantine(ContentHash content,
+                                  base::Time now,
+                                  bool merged,
+                                  Outbox* outbox) {
   QuarantineMark& mark = marks_.at(content);
-  if (!mark.quarantined && CountEvidence(mark, true).warrants_quarantine()) {
+  if (!mark.quarantined && IsConclusive(mark, true)) {
     mark.quarantined = true;
-    mark.expires = now + options_.quarantine_ttl;
+    mark.expires = now + (mark.on_probation ? options_.quarantine_ttl
+                                            : options_.first_quarantine_ttl);
+    Note(QuarantineChange::kQuarantined, content, merged, now, outbox);
   }
 }
 
@@ -481,6 +618,7 @@
     mark.quarantined = false;
     ++mark.epoch;
     mark.expires = now + options_.suspect_ttl;
+    Note(QuarantineChange::kReleased, content, false, now, outbox);
     PublishChange(content, now, outbox);
   }
 }
@@ -517,27 +655,40 @@
   if (crashes == crashes_.end()) {
     return false;
   }
-  const auto is_unattributed = [&](const Crash& crash) {
-    return crash.confirmed &&
-           std::ranges::none_of(crash.contents, [&](ContentHash it) {
-             const auto mark = marks_.find(it);
-             return it == content ||
-                    (mark != marks_.end() && mark->second.quarantined);
-           });
-  };
-  const auto n = std::ranges::count_if(crashes->second, is_unattributed);
+  const auto n =
+      std::ranges::count_if(crashes->second, [&](const Crash& crash) {
+        return crash.confirmed && !IsAttributed(target, crash, content);
+      });
   return static_cast<std::size_t>(n) >= options_.unstable_crash_count;
 }
 
+// Also by the evidence of other instances: content that ran through them is not
+// in this instance's record of the crash.
+bool Quarantine::IsAttributed(const base::TargetId& target,
+                              const Crash& crash,
+                              ContentHash content) const {
+  const Evidence own{
+      .crash_id = crash.crash_id, .target = target, .at = crash.at};
+  return crash.contents.contains(content) ||
+         std::ranges::any_of(marks_, [&](const auto& it) {
+           const auto& [other, mark] = it;
+           return (other == content || mark.quarantined) &&
+                  (crash.contents.contains(other) || HasSameCrash(mark, own));
+         });
+}
+
 void Quarantine::ClearMark(ContentHash content,
+                           QuarantineChange change,
                            base::Time now,
                            Outbox* outbox) {
   QuarantineMark& mark = marks_.at(content);
+  Note(change, content, false, now, outbox);
   // Keep the empty mark until it expires: its higher epoch supersedes older
   // marks that still arrive from other instances.
   ++mark.epoch;
   mark.evidence.clear();
   mark.quarantined = false;
+  mark.on_probation = change == QuarantineChange::kLifted;
   mark.owner = base::InstanceId();
   mark.rerun_target = base::TargetId();
   mark.expires = now + std::max(options_.suspect_ttl, options_.quarantine_ttl);
@@ -549,7 +700,35 @@
                                Outbox* outbox) {
   QuarantineMark& mark = marks_.at(content);
   ++mark.counter;
-  outbox->push_back(EncodeMark(content, mark, self_, now));
+  outbox->items.push_back(EncodeMark(content, mark, self_, now));
+}
+
+void Quarantine::Note(QuarantineChange change,
+                      ContentHash content,
+                      bool merged,
+                      base::Time now,
+                      Outbox* outbox) const {
+  if (!observe_) {
+    return;
+  }
+  const QuarantineMark& mark = marks_.at(content);
+  const EvidenceCount count = CountEvidence(mark, false);
+  QuarantineEvent event{.change = change,
+                        .content = content,
+                        .crashes = count.all,
+                        .confirmed = CountEvidence(mark, true).all,
+                        .alone = count.alone,
+                        .merged = merged};
+  if (!mark.evidence.empty()) {
+    event.age = now - std::ranges::min(mark.evidence, {}, &Evidence::at).at;
+    event.target = mark.evidence.back().target;
+    event.shared = mark.evidence.back().shared;
+    event.own_evidence =
+        std::ranges::any_of(mark.evidence, [this](const Evidence& it) {
+          return it.crash_id.starts_with(self_.str() + "/");
+        });
+  }
+  outbox->events.push_back(std::move(event));
 }
 
 void Quarantine::EvictIfFull() {
@@ -557,13 +736,18 @@
     return;
   }
   marks_.erase(std::ranges::min_element(marks_, {}, [](const auto& it) {
-    return std::pair(it.second.quarantined, it.second.expires);
+    const QuarantineMark& mark = it.second;
+    return std::tuple(mark.quarantined, mark.on_probation, mark.evidence.size(),
+                      mark.expires);
   }));
 }
 
 void Quarantine::PublishAll(const Outbox& outbox) const {
   if (publish_) {
-    std::ranges::for_each(outbox, publish_);
+    std::ranges::for_each(outbox.items, publish_);
+  }
+  if (observe_) {
+    std::ranges::for_each(outbox.events, observe_);
   }
 }
 
@@ -572,6 +756,24 @@
          denial == QuarantineDenial::kTargetCrashedLately;
 }
 
+std::string_view ToString(QuarantineChange change) noexcept {
+  switch (change) {
+    case QuarantineChange::kSuspected:
+      return "suspected";
+    case QuarantineChange::kQuarantined:
+      return "quarantined";
+    case QuarantineChange::kCleared:
+      return "cleared";
+    case QuarantineChange::kReleased:
+      return "released";
+    case QuarantineChange::kLifted:
+      return "lifted";
+    case QuarantineChange::kExpired:
+      break;
+  }
+  return "expired";
+}
+
 std::string_view ToString(QuarantineDenial denial) noexcept {
   switch (denial) {
     case QuarantineDenial::kQuarantined:
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -3,12 +3,14 @@
 // Requests are identified by their content, the hash of what a target would
 // run. Content that was in flight at a target when the target crashed becomes a
 // suspect. A suspect is rerun by one attempt at a time, at a target that has
-// not crashed recently and runs no other suspect. A second crash quarantines
-// the content; a complete answer clears it. Quarantined content whose crashes
+// not crashed recently and, from a number of crashes on, runs no other suspect.
+// A second crash, during a rerun without other suspects, quarantines the
+// content; a complete answer clears it. Quarantined content whose crashes
 // all turn out to have another cause (other content that was in flight in the
 // same crash, or an unstable target) becomes a suspect again. Marks are shared
-// with the other instances, expire, and can be lifted by an operator. See
-// docs/design/retries-and-quarantine.md.
+// with the other instances, expire, and can be lifted by an operator; content
+// whose quarantine has ended is on probation, where one crash of a rerun
+// quarantines it again. See docs/design/retries-and-quarantine.md.
 #ifndef LYNXGLADE_REQUEST_QUARANTINE_H_
 #define LYNXGLADE_REQUEST_QUARANTINE_H_
 
@@ -49,22 +51,75 @@
   // Lifetime of the marks of suspects and of quarantined content.
   base::Duration suspect_ttl = std::chrono::minutes(10);
   base::Duration quarantine_ttl = std::chrono::hours(1);
+  // The same for content that is quarantined for the first time. Content that
+  // was beside two crashes of other causes is served again after this.
+  base::Duration first_quarantine_ttl = std::chrono::hours(1);
   // A lost connection counts as a crash unless the crash stays unconfirmed for
   // this long.
   base::Duration confirm_timeout = std::chrono::seconds(10);
-  // For how long the instance that observed a crash has the exclusive right to
-  // rerun the content.
+  // How much later than a loss a sign of life must be to refute the crash.
+  base::Duration alive_margin = kSameCrashWindow;
+  // For how long an instance that reruns a content without renewal excludes the
+  // others.
   base::Duration rerun_lease = std::chrono::seconds(30);
+  // Whether the instance that observed a crash may rerun the content before the
+  // others, for `rerun_lease`.
+  bool observer_reruns_first = true;
+  // Number of crashes from which a suspect is rerun only at a target that runs
+  // no other suspect. With 1, every rerun is conclusive, but of the contents
+  // that were in flight in a crash only one a target can be rerun at once. With
+  // 2, a crash during a rerun beside other suspects is not conclusive.
+  std::size_t lone_rerun_after = 1;
   // For how long suspects are not run at a target that crashed.
   base::Duration crash_avoidance_time = std::chrono::minutes(2);
   // A target is unstable if it had this many confirmed crashes within
   // suspect_ttl in which no quarantined content was in flight.
   std::size_t unstable_crash_count = 2;
-  // Maximum number of marks. When full, the suspect that expires first is
-  // dropped, and a quarantined content only if there is no suspect.
+  // Maximum number of marks. When full, the mark with the least evidence is
+  // dropped, of these the one that expires first, and a quarantined content
+  // only if there is no suspect.
   std::size_t max_marks = 10000;
 };
 
+// Number of marks by state.
+struct QuarantineCounts {
+  std::size_t suspects = 0;
+  std::size_t quarantined = 0;
+};
+
+// A change of what a content may do.
+enum class QuarantineChange {
+  // It was in flight when a connection to its target was lost.
+  kSuspected,
+  kQuarantined,
+  // A complete answer, or another cause of its crashes.
+  kCleared,
+  kReleased,
+  kLifted,
+  kExpired,
+};
+std::string_view ToString(QuarantineChange change) noexcept;
+
+// For logs and metrics.
+struct QuarantineEvent {
+  QuarantineChange change = QuarantineChange::kSuspected;
+  ContentHash content;
+  // Crashes in the mark, those that are confirmed, and those during a rerun
+  // without other suspects.
+  std::size_t crashes = 0;
+  std::size_t confirmed = 0;
+  std::size_t alone = 0;
+  // Time since the first of them.
+  base::Duration age{};
+  // The last target, and the number of contents that were in flight there.
+  base::TargetId target;
+  int shared = 0;
+  // Learnt from another instance or the store.
+  bool merged = false;
+  // Some of the evidence is this instance's own.
+  bool own_evidence = false;
+};
+
 // A mark as shown to operators.
 struct QuarantineEntry {
   ContentHash content;
@@ -84,12 +139,22 @@
   // Receives each mark that changed here, to be sent to the other instances.
   using Publish = std::function<void(const process::ViewItem&)>;
 
-  Quarantine(QuarantineOptions options, base::InstanceId self, Publish publish);
+  // Receives what changed here; may be empty.
+  using Observe = std::function<void(const QuarantineEvent&)>;
+
+  Quarantine(QuarantineOptions options,
+             base::InstanceId self,
+             Publish publish,
+             Observe observe = {});
   Quarantine(const Quarantine&) = delete;
   Quarantine& operator=(const Quarantine&) = delete;
 
   // Whether the content is quarantined, to refuse it before it is queued.
   bool IsQuarantined(ContentHash content, base::Time now);
+  // Why the content may not run at any target now, if so.
+  std::optional<QuarantineDenial> Check(ContentHash content, base::Time now);
+  // Until the mark of the content expires; zero if there is none.
+  base::Duration TimeLeft(ContentHash content, base::Time now) const;
 
   // Call before the first byte of each attempt is sent. If it returns true, the
   // attempt is registered and must be ended by exactly one of OnDelivered,
@@ -126,11 +191,14 @@
   bool Merge(const process::ViewItem& item, base::Time now);
   // All marks, for an instance that joins.
   std::vector<process::ViewItem> Export(base::Time now);
+  // The mark of one content; nothing if it has none.
+  std::optional<process::ViewItem> Export(ContentHash content, base::Time now);
 
   // For operators: the marked contents, and removing a mark on all instances.
   // Lift returns false if the content has no mark.
   std::vector<QuarantineEntry> List(base::Time now);
   bool Lift(ContentHash content, base::Time now);
+  QuarantineCounts Count(base::Time now) const;
 
  private:
   struct Run {
@@ -141,6 +209,8 @@
     bool suspect = false;
     // The content was a suspect when the run started.
     bool rerun = false;
+    // No other suspect was rerun at the target at the same time.
+    bool alone = false;
   };
   // A crash of a target as observed by this instance.
   struct Crash {
@@ -149,11 +219,18 @@
     std::set<ContentHash> contents;
     bool confirmed = false;
   };
-  using Outbox = std::vector<process::ViewItem>;
+  // What to publish once the lock is released.
+  struct Outbox {
+    std::vector<process::ViewItem> items;
+    std::vector<QuarantineEvent> events;
+  };
 
+  // Whether a suspect may run at any target, and at this one.
   std::optional<QuarantineDenial> CheckSuspect(ContentHash content,
-                                               const base::TargetId& target,
                                                base::Time now) const;
+  std::optional<QuarantineDenial> CheckTarget(ContentHash content,
+                                              const base::TargetId& target,
+                                              base::Time now) const;
   bool HasSuspect(const base::TargetId& target,
                   ContentHash content,
                   base::Time now) const;
@@ -161,6 +238,8 @@
   Crash& FindOrAddCrash(const base::TargetId& target,
                         base::Time started,
                         base::Time now);
+  // The content's evidence of the crash; null if it was cleared or dropped.
+  Evidence* FindEvidence(ContentHash content, const Crash& crash);
   void Confirm(const base::TargetId& target,
                Crash& crash,
                base::Time now,
@@ -177,25 +256,51 @@
   void ClaimRunningAttempts(ContentHash content,
                             base::Time now,
                             Outbox* outbox);
+  // Two suspects are rerun at one target: a crash there is not conclusive.
+  void MarkNotAlone(const base::TargetId& target, ContentHash started);
   // Removes the mark if it expired, and its evidence that was not confirmed in
-  // time. Returns whether any evidence is left.
-  bool RefreshMark(ContentHash content, base::Time now);
+  // time. Returns whether the content is a suspect.
+  bool RefreshMark(ContentHash content, base::Time now, Outbox* outbox);
+  // Ends a quarantine that has expired. Returns whether the mark is to be
+  // removed.
+  bool Expire(ContentHash content,
+              QuarantineMark& mark,
+              base::Time now,
+              Outbox* outbox);
   void Sweep(base::Time now, Outbox* outbox);
-  void UpdateQuarantine(ContentHash content, base::Time now);
+  // Whether the evidence is sufficient for a quarantine.
+  bool IsConclusive(const QuarantineMark& mark, bool confirmed_only) const;
+  void UpdateQuarantine(ContentHash content,
+                        base::Time now,
+                        bool merged,
+                        Outbox* outbox);
   // Turns quarantined contents whose crashes all have another cause back into
   // suspects.
   void ReleaseExplained(base::Time now, Outbox* outbox);
   bool IsExplained(ContentHash content, const Evidence& evidence) const;
   bool IsUnstable(const base::TargetId& target, ContentHash content) const;
-  void ClearMark(ContentHash content, base::Time now, Outbox* outbox);
+  // Whether the content, or quarantined content, was in flight in the crash.
+  bool IsAttributed(const base::TargetId& target,
+                    const Crash& crash,
+                    ContentHash content) const;
+  void ClearMark(ContentHash content,
+                 QuarantineChange change,
+                 base::Time now,
+                 Outbox* outbox);
   void PublishChange(ContentHash content, base::Time now, Outbox* outbox);
+  void Note(QuarantineChange change,
+            ContentHash content,
+            bool merged,
+            base::Time now,
+            Outbox* outbox) const;
   void EvictIfFull();
   void PublishAll(const Outbox& outbox) const;
 
   const QuarantineOptions options_;
   const base::InstanceId self_;
   const Publish publish_;
-  std::mutex mutex_;
+  const Observe observe_;
+  mutable std::mutex mutex_;
   std::uint64_t next_event_ = 1;
   base::Time next_sweep_{};
   std::map<ContentHash, QuarantineMark> marks_;
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -68,6 +68,7 @@
   mark.owned_until = item.as_of + Millis(json, "owned_ms");
   mark.rerun_target = base::TargetId(json.value("rerun_at", ""));
   mark.quarantined = json.value("quarantined", false);
+  mark.on_probation = json.value("probation", false);
   mark.expires = item.as_of + Millis(json, "expires_ms");
   const Json evidence = json.value("evidence", Json::array());
   if (evidence.is_array() && evidence.size() <= kMaxEvidence) {
@@ -107,21 +108,26 @@
 
 EvidenceCount CountEvidence(const QuarantineMark& mark, bool confirmed_only) {
   EvidenceCount count;
-  std::vector<const Evidence*> seen;
+  // Several instances may have recorded the same crash.
+  std::vector<Evidence> crashes;
   for (const Evidence& it : mark.evidence) {
     if (confirmed_only && !it.confirmed) {
       continue;
     }
-    // Several instances may have recorded the same crash.
-    const bool is_known = std::ranges::any_of(
-        seen, [&it](const auto* other) { return IsSameCrash(*other, it); });
-    if (is_known) {
-      continue;
+    const auto known = std::ranges::find_if(
+        crashes,
+        [&it](const Evidence& other) { return IsSameCrash(other, it); });
+    if (known == crashes.end()) {
+      crashes.push_back(it);
+    } else {
+      known->alone = known->alone || it.alone;
     }
-    seen.push_back(&it);
-    ++count.all;
-    count.unexplained += it.explained ? 0 : 1;
   }
+  count.all = crashes.size();
+  count.unexplained = static_cast<std::size_t>(
+      std::ranges::count(crashes, false, &Evidence::explained));
+  count.alone = static_cast<std::size_t>(
+      std::ranges::count(crashes, true, &Evidence::alone));
   return count;
 }
 
@@ -136,6 +142,7 @@
                {"owned_ms", millis_until(mark.owned_until)},
                {"rerun_at", mark.rerun_target.str()},
                {"quarantined", mark.quarantined},
+               {"probation", mark.on_probation},
                {"expires_ms", millis_until(mark.expires)},
                {"evidence", Json::array()}};
   for (const Evidence& it : mark.evidence) {
@@ -215,6 +222,7 @@
   local.counter = std::max(local.counter, remote.counter);
   changed = changed || (remote.quarantined && !local.quarantined);
   local.quarantined = local.quarantined || remote.quarantined;
+  local.on_probation = local.on_probation || remote.on_probation;
   local.expires = std::max(local.expires, remote.expires);
   return changed;
 }
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -35,11 +35,8 @@
 struct EvidenceCount {
   std::size_t all = 0;
   std::size_t unexplained = 0;
-
-  // At least two crashes, of which at least one has no other known cause.
-  bool warrants_quarantine() const noexcept {
-    return all >= 2 && unexplained >= 1;
-  }
+  // During a rerun without other suspects at the target.
+  std::size_t alone = 0;
 };
 
 struct QuarantineMark {
@@ -55,7 +52,12 @@
   base::TargetId rerun_target;
   std::vector<Evidence> evidence;
   bool quarantined = false;
+  // A quarantine has ended: without evidence the content is a suspect, and one
+  // crash quarantines it.
+  bool on_probation = false;
   base::Time expires{};
+
+  bool is_suspect() const noexcept { return !evidence.empty() || on_probation; }
 };
 
 // Losses at one target within this time count as one crash.
--- a/tests/platform/named_limit_sum_test.cc
+++ b/tests/platform/named_limit_sum_test.cc
@@ -182,6 +182,14 @@
         return limits_.MaySend(engine, now);
       }};
   passthrough::SharedRetryBudget retry_budget_{{}};
+  request::Quarantine quarantine_{passthrough::FleetQuarantineOptions(),
+                                  base::InstanceId("i"),
+                                  {}};
+  passthrough::CrashChecks crash_checks_{loop_,
+                                         quarantine_,
+                                         {},
+                                         clock_,
+                                         metrics_};
   passthrough::ZoneHealth zones_;
   passthrough::RunTimes run_times_;
   passthrough::Relay relay_{{.loop = loop_,
@@ -193,6 +201,8 @@
                              .answers = answers_,
                              .retry_budget = retry_budget_,
                              .limits = limits_,
+                             .quarantine = quarantine_,
+                             .crash_checks = crash_checks_,
                              .zones = zones_,
                              .run_times = run_times_,
                              .metrics = metrics_,
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -140,6 +140,8 @@
           .answers = answers_,
           .retry_budget = retry_budget_,
           .limits = limits_,
+          .quarantine = quarantine_,
+          .crash_checks = crash_checks_,
           .zones = zones_,
           .run_times = run_times_,
           .metrics = metrics_,
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -17,6 +17,7 @@
 #include "connection/event/channel_pool.h"
 #include "connection/event/loop_thread.h"
 #include "connection/scripted_server.h"
+#include "request/passthrough/quarantine_options.h"
 #include "request/passthrough/relay.h"
 
 namespace lynxglade::platform {
@@ -111,6 +112,15 @@
         return limits_.MaySend(engine, now);
       }};
   request::passthrough::SharedRetryBudget retry_budget_{{}};
+  request::Quarantine quarantine_{
+      request::passthrough::FleetQuarantineOptions(),
+      base::InstanceId("i0"),
+      {}};
+  request::passthrough::CrashChecks crash_checks_{loop_,
+                                                  quarantine_,
+                                                  {},
+                                                  base::BootClock::now,
+                                                  metrics_};
   request::passthrough::ZoneHealth zones_;
   request::passthrough::RunTimes run_times_;
   // Organisations of which a target ran a request, in order.
