Quarantine: a crash during an answer needs a second one of a lone rerun

Change: evidence says whether the answer had begun. In a fleet one lone crash is conclusive before that, after it two are.

--- a/src/process/peers/quarantine_messages.cc
+++ b/src/process/peers/quarantine_messages.cc
@@ -38,7 +38,8 @@
 constexpr std::uint64_t kConfirmed = 1;
 constexpr std::uint64_t kAlone = 2;
 constexpr std::uint64_t kExplained = 4;
-constexpr std::uint64_t kAllFlags = 7;
+constexpr std::uint64_t kAnswering = 8;
+constexpr std::uint64_t kAllFlags = 15;
 
 std::uint64_t Millis(base::Duration d) {
   return static_cast<std::uint64_t>(
@@ -46,9 +47,9 @@
 }
 
 json EncodeCrash(const Evidence& it, base::Time now) {
-  const std::uint64_t flags = (it.confirmed ? kConfirmed : 0) |
-                              (it.alone ? kAlone : 0) |
-                              (it.explained ? kExplained : 0);
+  const std::uint64_t flags =
+      (it.confirmed ? kConfirmed : 0) | (it.alone ? kAlone : 0) |
+      (it.explained ? kExplained : 0) | (it.answering ? kAnswering : 0);
   return {it.crash_id, it.target.str(), Millis(now - it.at),
           static_cast<std::uint64_t>(it.shared), flags};
 }
@@ -100,7 +101,8 @@
                   .shared = static_cast<int>(*shared),
                   .confirmed = (*flags & kConfirmed) != 0,
                   .alone = (*flags & kAlone) != 0,
-                  .explained = (*flags & kExplained) != 0};
+                  .explained = (*flags & kExplained) != 0,
+                  .answering = (*flags & kAnswering) != 0};
 }
 
 // Nothing if the value is not an array, or has a malformed element.
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -202,6 +202,7 @@
     co_return AttemptEnd::kNotRun;
   }
   const bool prefills = !source_;
+  const int events_before = events_.events();
   sent_at_ = deps_.clock();
   met_free_slot_ = !IsFull(*target) && target->in_flight < target->entry.slots;
   InFlightRequest in_flight(target, Priority(),
@@ -227,7 +228,8 @@
     runs_ += exchange.sent() ? 1 : 0;
     end = EndAfterFailure(exchange, target);
   }
-  RecordEvidence(run, exchange, target, end);
+  RecordEvidence(run, exchange, target, end,
+                 /*answering=*/events_.events() > events_before);
   current_ = nullptr;
   co_return end;
 }
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -119,7 +119,8 @@
 void RelayRun::RecordEvidence(QuarantineRun& run,
                               const Exchange& exchange,
                               const EngineHandle& target,
-                              AttemptEnd end) {
+                              AttemptEnd end,
+                              bool answering) {
   if (exchange.state() == ExchangeState::kWhole && end != AttemptEnd::kNotRun) {
     run.OnDelivered();
     return;
@@ -129,7 +130,7 @@
       target->entry.draining || deps_.engines.Find(target->entry.id) != target;
   if (exchange.state() == ExchangeState::kBroken && exchange.sent() &&
       !exchange.unacknowledged() && !leaves) {
-    run.OnLost();
+    run.OnLost(answering);
     deps_.crash_checks.Start(target);
   }
 }
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -98,11 +98,13 @@
   // Registers an attempt with the quarantine, unless the content may not run at
   // the target now.
   bool StartRun(QuarantineRun& run, const Engine& target);
-  // What the end of an attempt says about the content.
+  // What the end of an attempt says about the content. `answering`: events of
+  // this attempt had arrived.
   void RecordEvidence(QuarantineRun& run,
                       const Exchange& exchange,
                       const EngineHandle& target,
-                      AttemptEnd end);
+                      AttemptEnd end,
+                      bool answering);
   void StartTimer();
   // Makes attempts until one is final.
   Awaitable<void> RunAttempts();
--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -128,7 +128,9 @@
   PublishAll(outbox);
 }
 
-void Quarantine::OnLost(const base::AttemptId& attempt, base::Time now) {
+void Quarantine::OnLost(const base::AttemptId& attempt,
+                        base::Time now,
+                        bool answering) {
   Outbox outbox;
   {
     const std::scoped_lock lock(mutex_);
@@ -147,8 +149,13 @@
       // Count a crash once even if several attempts of the content were lost.
       if (std::ranges::find(mark.evidence, crash.crash_id,
                             &Evidence::crash_id) == mark.evidence.end()) {
-        mark.evidence.push_back({crash.crash_id, run->target, crash.at, shared,
-                                 crash.confirmed, run->alone, false});
+        mark.evidence.push_back({.crash_id = crash.crash_id,
+                                 .target = run->target,
+                                 .at = crash.at,
+                                 .shared = shared,
+                                 .confirmed = crash.confirmed,
+                                 .alone = run->alone,
+                                 .answering = answering});
       }
       if (options_.observer_reruns_first) {
         mark.owner = self_;
@@ -585,9 +592,12 @@
                               bool confirmed_only) const {
   const EvidenceCount count = CountEvidence(mark, confirmed_only);
   const std::size_t needed = mark.on_probation ? 1 : 2;
+  if (count.all < needed || count.unexplained == 0) {
+    return false;
+  }
   // If only lone reruns are allowed, a second crash implies one.
-  const bool was_alone = options_.lone_rerun_after <= 1 || count.alone >= 1;
-  return count.all >= needed && count.unexplained >= 1 && was_alone;
+  return options_.lone_rerun_after <= 1 || count.alone_at_start >= 1 ||
+         count.alone >= needed;
 }
 
 void Quarantine::UpdateQuarantine(ContentHash content,
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -68,7 +68,8 @@
   // Number of crashes from which a suspect is rerun only at a target that runs
   // no other suspect. With 1, every rerun is conclusive, but of the contents
   // that were in flight in a crash only one a target can be rerun at once. With
-  // 2, a crash during a rerun beside other suspects is not conclusive.
+  // 2, a crash during a rerun beside other suspects is not conclusive; nor is
+  // one after the answer began, unless it is the second of a lone rerun.
   std::size_t lone_rerun_after = 1;
   // For how long suspects are not run at a target that crashed.
   base::Duration crash_avoidance_time = std::chrono::minutes(2);
@@ -171,8 +172,11 @@
   void OnEnded(const base::AttemptId& attempt, base::Time now);
   // The connection was lost after bytes were sent and before the answer was
   // complete. Counts as a crash, unless OnTargetAlive refutes it or it is not
-  // confirmed within confirm_timeout.
-  void OnLost(const base::AttemptId& attempt, base::Time now);
+  // confirmed within confirm_timeout. `answering`: part of the answer had
+  // arrived.
+  void OnLost(const base::AttemptId& attempt,
+              base::Time now,
+              bool answering = false);
 
   // The target is known to have crashed (connection refused after a loss, or a
   // new incarnation). Confirms the recent losses at the target.
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -45,7 +45,8 @@
           {"shared", it.shared},
           {"confirmed", it.confirmed},
           {"alone", it.alone},
-          {"explained", it.explained}};
+          {"explained", it.explained},
+          {"answering", it.answering}};
 }
 
 Evidence ToEvidence(const Json& json, base::Time as_of) {
@@ -57,6 +58,7 @@
   it.confirmed = json.value("confirmed", false);
   it.alone = json.value("alone", false);
   it.explained = json.value("explained", false);
+  it.answering = json.value("answering", false);
   return it;
 }
 
@@ -121,6 +123,7 @@
       crashes.push_back(it);
     } else {
       known->alone = known->alone || it.alone;
+      known->answering = known->answering && it.answering;
     }
   }
   count.all = crashes.size();
@@ -128,6 +131,8 @@
       std::ranges::count(crashes, false, &Evidence::explained));
   count.alone = static_cast<std::size_t>(
       std::ranges::count(crashes, true, &Evidence::alone));
+  count.alone_at_start = static_cast<std::size_t>(std::ranges::count_if(
+      crashes, [](const Evidence& it) { return it.alone && !it.answering; }));
   return count;
 }
 
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -29,6 +29,8 @@
   bool alone = false;
   // The crash was attributed to another cause.
   bool explained = false;
+  // Part of the answer had arrived: the target had run the content for a while.
+  bool answering = false;
 };
 
 // Number of distinct crashes in a mark.
@@ -37,6 +39,8 @@
   std::size_t unexplained = 0;
   // During a rerun without other suspects at the target.
   std::size_t alone = 0;
+  // Of these, before the answer began.
+  std::size_t alone_at_start = 0;
 };
 
 struct QuarantineMark {
--- a/src/request/quarantine_run.h
+++ b/src/request/quarantine_run.h
@@ -48,9 +48,10 @@
     }
   }
   // The target broke the connection before the answer was complete.
-  void OnLost() {
+  // `answering`: part of it had arrived.
+  void OnLost(bool answering) {
     if (const auto attempt = std::exchange(attempt_, std::nullopt)) {
-      quarantine_.OnLost(*attempt, clock_());
+      quarantine_.OnLost(*attempt, clock_(), answering);
     }
   }
 
--- a/tests/process/peers/quarantine_sharing_test.cc
+++ b/tests/process/peers/quarantine_sharing_test.cc
@@ -43,7 +43,8 @@
          .shared = *rc::gen::inRange(1, 50),
          .confirmed = *rc::gen::arbitrary<bool>(),
          .alone = *rc::gen::arbitrary<bool>(),
-         .explained = *rc::gen::arbitrary<bool>()});
+         .explained = *rc::gen::arbitrary<bool>(),
+         .answering = *rc::gen::arbitrary<bool>()});
   }
   return mark;
 }
--- a/tests/request/fleet_quarantine_test.cc
+++ b/tests/request/fleet_quarantine_test.cc
@@ -115,6 +115,18 @@
   EXPECT_TRUE(Start(2, "t4", "d", kNow));
 }
 
+// Guards against innocents that are refused: streams that had run for a while
+// at two targets that crashed one after the other.
+TEST_F(FleetQuarantineUnitTest, CrashesDuringAnAnswerTakeOneMore) {
+  for (const char* target : {"t1", "t2", "t3"}) {
+    EXPECT_FALSE(IsQuarantined(1, kNow)) << target;
+    ASSERT_TRUE(Start(1, target, target, kNow));
+    quarantine_.OnLost(base::AttemptId(target), kNow, /*answering=*/true);
+    quarantine_.OnTargetCrashed(base::TargetId(target), kNow);
+  }
+  EXPECT_TRUE(IsQuarantined(1, kNow));
+}
+
 TEST_F(FleetQuarantineUnitTest, AnyInstanceRerunsASuspectAtOnce) {
   ASSERT_TRUE(Start(1, "t1", "a", kNow));
   Crash("t1", {"a"}, kNow);
