Quarantine: its decisions in files by what they are about

Change: suspects, evidence, marks and names apart; no logic. Measured: quarantine_test, fleet_quarantine_test, content_hash_test and system_entry_crashes_test pass.

--- a/src/request/content_hash.cc
+++ b/src/request/content_hash.cc
@@ -42,8 +42,9 @@
 
 std::optional<std::uint64_t> ParseWord(std::string_view hex) {
   std::uint64_t n = 0;
-  const char* end = hex.data() + hex.size();
-  const auto [rest, ec] = std::from_chars(hex.data(), end, n, kHex);
+  const char* begin = std::to_address(hex.begin());
+  const char* end = std::to_address(hex.end());
+  const auto [rest, ec] = std::from_chars(begin, end, n, kHex);
   if (ec != std::errc() || rest != end) {
     return std::nullopt;
   }
--- /dev/null
+++ b/src/request/quarantine_suspects.cc
@@ -0,0 +1,140 @@
+// Whether a suspect may be rerun, and by whom.
+#include <algorithm>
+#include <utility>
+
+#include "request/quarantine.h"
+
+namespace lynxglade::request {
+
+std::optional<QuarantineDenial> Quarantine::CheckSuspect(ContentHash content,
+                                                         base::Time now) const {
+  const QuarantineMark& mark = marks_.at(content);
+  if (mark.quarantined) {
+    return QuarantineDenial::kQuarantined;
+  }
+  if (IsConclusive(mark, false)) {
+    return QuarantineDenial::kEvidencePending;
+  }
+  if (std::ranges::any_of(runs_, [content](const auto& it) {
+        return it.second.content == content;
+      })) {
+    return QuarantineDenial::kSuspectRunning;
+  }
+  if (mark.owner != self_ && !mark.owner.empty() && mark.owned_until > now) {
+    return QuarantineDenial::kSuspectElsewhere;
+  }
+  return std::nullopt;
+}
+
+std::optional<QuarantineDenial> Quarantine::CheckTarget(
+    ContentHash content,
+    const base::TargetId& target,
+    base::Time now) const {
+  if (CrashedRecently(target, now)) {
+    return QuarantineDenial::kTargetCrashedLately;
+  }
+  const QuarantineMark& mark = marks_.at(content);
+  const bool must_be_alone =
+      mark.on_probation ||
+      CountEvidence(mark, false).all >= options_.lone_rerun_after;
+  if (must_be_alone && HasSuspect(target, content, now)) {
+    return QuarantineDenial::kTargetHasSuspect;
+  }
+  return std::nullopt;
+}
+
+void Quarantine::MarkNotAlone(const base::TargetId& target,
+                              ContentHash started) {
+  if (options_.lone_rerun_after <= 1) {
+    return;
+  }
+  for (auto& [attempt, run] : runs_) {
+    if (run.target == target && run.content != started) {
+      run.alone = false;
+    }
+  }
+}
+
+bool Quarantine::HasSuspect(const base::TargetId& target,
+                            ContentHash content,
+                            base::Time now) const {
+  const bool here = std::ranges::any_of(runs_, [&](const auto& it) {
+    if (it.second.target != target) {
+      return false;
+    }
+    // The content may have become a suspect after the run started.
+    const auto mark = marks_.find(it.second.content);
+    return it.second.suspect ||
+           (mark != marks_.end() && mark->second.is_suspect());
+  });
+  return here || std::ranges::any_of(marks_, [&](const auto& it) {
+           const QuarantineMark& mark = it.second;
+           return it.first != content && mark.rerun_target == target &&
+                  mark.owner != self_ && mark.owned_until > now;
+         });
+}
+
+bool Quarantine::CrashedRecently(const base::TargetId& target,
+                                 base::Time now) const {
+  const auto is_recent = [&](base::Time at) {
+    return now - at < options_.crash_avoidance_time;
+  };
+  const auto crashes = crashes_.find(target);
+  if (crashes != crashes_.end() &&
+      std::ranges::any_of(crashes->second, is_recent, &Crash::at)) {
+    return true;
+  }
+  return std::ranges::any_of(marks_, [&](const auto& mark) {
+    return std::ranges::any_of(mark.second.evidence, [&](const Evidence& it) {
+      return it.target == target && is_recent(it.at);
+    });
+  });
+}
+
+std::optional<Quarantine::Run> Quarantine::EndRun(
+    const base::AttemptId& attempt,
+    base::Time now,
+    Outbox* outbox) {
+  const auto it = runs_.find(attempt);
+  if (it == runs_.end()) {
+    return std::nullopt;
+  }
+  const Run run = it->second;
+  runs_.erase(it);
+  const auto mark = marks_.find(run.content);
+  if (run.suspect && mark != marks_.end() && mark->second.owner == self_) {
+    // Release the lease, so that another instance may rerun the content.
+    mark->second.rerun_target = base::TargetId();
+    mark->second.owned_until = now;
+    PublishChange(run.content, now, outbox);
+  }
+  return run;
+}
+
+void Quarantine::ClaimRerun(ContentHash content,
+                            const base::TargetId& target,
+                            base::Time now,
+                            Outbox* outbox) {
+  QuarantineMark& mark = marks_.at(content);
+  mark.owner = self_;
+  mark.owned_until = now + options_.rerun_lease;
+  mark.rerun_target = target;
+  PublishChange(content, now, outbox);
+}
+
+void Quarantine::ClaimRunningAttempts(ContentHash content,
+                                      base::Time now,
+                                      Outbox* outbox) {
+  if (marks_.at(content).evidence.empty()) {
+    return;
+  }
+  // Claim once per run; otherwise two instances would override each other's
+  // claims indefinitely.
+  for (auto& [attempt, run] : runs_) {
+    if (run.content == content && !std::exchange(run.suspect, true)) {
+      ClaimRerun(content, run.target, now, outbox);
+    }
+  }
+}
+
+}  // namespace lynxglade::request
