--- a/src/request/passthrough/quarantine_options.h
+++ b/src/request/passthrough/quarantine_options.h
@@ -17,7 +17,8 @@
           .rerun_lease = std::chrono::seconds(3),
           .observer_reruns_first = false,
           .lone_rerun_after = 2,
-          .crash_avoidance_time = std::chrono::seconds(3)};
+          .crash_avoidance_time = std::chrono::seconds(3),
+          .answered_memory = std::chrono::seconds(30)};
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -93,6 +93,9 @@
   {
     const std::scoped_lock lock(mutex_);
     const auto run = EndRun(attempt, now, &outbox);
+    if (run) {
+      RememberAnswered(run->content, now);
+    }
     // A complete answer does not clear quarantined content: two crashes are
     // stronger evidence.
     if (run && RefreshMark(run->content, now, &outbox) &&
@@ -119,7 +122,7 @@
   {
     const std::scoped_lock lock(mutex_);
     const auto run = EndRun(attempt, now, &outbox);
-    if (run) {
+    if (run && !IsAnswered(run->content, now)) {
       EvictIfFull();
       Crash& crash = FindOrAddCrash(run->target, run->started, now);
       crash.contents.insert(run->content);
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -76,6 +76,12 @@
   // A target is unstable if it had this many confirmed crashes within
   // suspect_ttl in which no quarantined content was in flight.
   std::size_t unstable_crash_count = 2;
+  // Content that this instance had a complete answer to so recently, at most
+  // twice as long ago, is not suspected: many callers send it, and targets run
+  // it. Zero: off.
+  base::Duration answered_memory{};
+  // Contents that are remembered for that.
+  std::size_t max_answered = 8192;
   // Maximum number of marks. When full, the mark with the least evidence is
   // dropped, of these the one that expires first, and a quarantined content
   // only if there is no suspect.
@@ -248,6 +254,8 @@
                Crash& crash,
                base::Time now,
                Outbox* outbox);
+  void RememberAnswered(ContentHash content, base::Time now);
+  bool IsAnswered(ContentHash content, base::Time now) const;
   std::optional<Run> EndRun(const base::AttemptId& attempt,
                             base::Time now,
                             Outbox* outbox);
@@ -309,6 +317,11 @@
   base::Time next_sweep_{};
   std::map<ContentHash, QuarantineMark> marks_;
   std::map<base::AttemptId, Run> runs_;
+  // Contents with a complete answer, in two generations: the older one is
+  // dropped when the newer one is full or old.
+  std::set<ContentHash> answered_;
+  std::set<ContentHash> answered_before_;
+  base::Time answered_since_{};
   std::map<base::TargetId, std::vector<Crash>> crashes_;
 };
 
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -131,6 +131,8 @@
       std::ranges::count(crashes, false, &Evidence::explained));
   count.alone = static_cast<std::size_t>(
       std::ranges::count(crashes, true, &Evidence::alone));
+  count.at_start = static_cast<std::size_t>(
+      std::ranges::count(crashes, false, &Evidence::answering));
   count.alone_at_start = static_cast<std::size_t>(std::ranges::count_if(
       crashes, [](const Evidence& it) { return it.alone && !it.answering; }));
   return count;
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -39,7 +39,9 @@
   std::size_t unexplained = 0;
   // During a rerun without other suspects at the target.
   std::size_t alone = 0;
-  // Of these, before the answer began.
+  // Before the answer began.
+  std::size_t at_start = 0;
+  // Both.
   std::size_t alone_at_start = 0;
 };
 
--- a/src/request/quarantine_suspects.cc
+++ b/src/request/quarantine_suspects.cc
@@ -34,9 +34,13 @@
     return QuarantineDenial::kTargetCrashedLately;
   }
   const QuarantineMark& mark = marks_.at(content);
+  const EvidenceCount count = CountEvidence(mark, false);
+  // Crashes during answers are weak evidence: many streams are broken by each
+  // crash, and few targets have no suspect then.
+  const std::size_t weight = count.all - (count.at_start == 0 ? 1 : 0);
   const bool must_be_alone =
-      mark.on_probation ||
-      CountEvidence(mark, false).all >= options_.lone_rerun_after;
+      mark.on_probation || options_.lone_rerun_after <= 1 ||
+      (count.all > 0 && weight >= options_.lone_rerun_after);
   if (must_be_alone && HasSuspect(target, content, now)) {
     return QuarantineDenial::kTargetHasSuspect;
   }
@@ -91,6 +95,24 @@
   });
 }
 
+void Quarantine::RememberAnswered(ContentHash content, base::Time now) {
+  if (options_.answered_memory == base::Duration::zero()) {
+    return;
+  }
+  if (now - answered_since_ >= options_.answered_memory ||
+      answered_.size() >= options_.max_answered / 2) {
+    answered_before_ = std::exchange(answered_, {});
+    answered_since_ = now;
+  }
+  answered_.insert(content);
+}
+
+bool Quarantine::IsAnswered(ContentHash content, base::Time now) const {
+  const base::Duration age = now - answered_since_;
+  return (age < 2 * options_.answered_memory && answered_.contains(content)) ||
+         (age < options_.answered_memory && answered_before_.contains(content));
+}
+
 std::optional<Quarantine::Run> Quarantine::EndRun(
     const base::AttemptId& attempt,
     base::Time now,
--- a/tests/request/fleet_quarantine_test.cc
+++ b/tests/request/fleet_quarantine_test.cc
@@ -127,6 +127,22 @@
   EXPECT_TRUE(IsQuarantined(1, kNow));
 }
 
+// Guards against innocents that are refused: a call that many callers send is
+// in flight in many crashes.
+TEST_F(FleetQuarantineUnitTest, ContentWithRecentAnswersIsNotSuspected) {
+  ASSERT_TRUE(Start(1, "t1", "a", kNow));
+  quarantine_.OnDelivered(base::AttemptId("a"), kNow);
+  for (const char* target : {"t1", "t2", "t3"}) {
+    ASSERT_TRUE(Start(1, target, target, kNow + seconds(1)));
+    Crash(target, {target}, kNow + seconds(1));
+  }
+  EXPECT_EQ(quarantine_.Count(kNow + seconds(1)).suspects, 0u);
+  const base::Time later = kNow + 2 * FleetQuarantineOptions().answered_memory;
+  ASSERT_TRUE(Start(1, "t4", "b", later));
+  Crash("t4", {"b"}, later);
+  EXPECT_EQ(quarantine_.Count(later).suspects, 1u);
+}
+
 TEST_F(FleetQuarantineUnitTest, AnyInstanceRerunsASuspectAtOnce) {
   ASSERT_TRUE(Start(1, "t1", "a", kNow));
   Crash("t1", {"a"}, kNow);
