--- a/src/process/peers/quarantine_sharing.h
+++ b/src/process/peers/quarantine_sharing.h
@@ -40,8 +40,9 @@
   // contents that are quarantined.
   double max_saved_rounds = 4;
   std::size_t messages_per_round = 3;
-  // A view older than this was out of date: marks may have been missed.
-  base::Duration stale_view = std::chrono::seconds(2);
+  // A view older than this was out of date: marks may have been missed. Longer
+  // than a watch of the store waits.
+  base::Duration stale_view = std::chrono::seconds(5);
   // Instances that are asked for their marks.
   std::size_t peers_asked = 3;
 };
--- a/src/request/content_hash.cc
+++ b/src/request/content_hash.cc
@@ -45,7 +45,7 @@
   const char* begin = std::to_address(hex.begin());
   const char* end = std::to_address(hex.end());
   const auto [rest, ec] = std::from_chars(begin, end, n, kHex);
-  if (ec != std::errc() || rest != end) {
+  if (ec != std::errc() || rest != end || hex.empty()) {
     return std::nullopt;
   }
   return n;
@@ -75,7 +75,7 @@
 }
 
 std::optional<ContentHash> ParseContentHash(std::string_view hex) {
-  if (hex.size() == kWordDigits) {
+  if (hex.size() <= kWordDigits) {
     const auto low = ParseWord(hex);
     return low ? std::optional(ContentHash(*low)) : std::nullopt;
   }
--- a/src/request/content_hash.h
+++ b/src/request/content_hash.h
@@ -35,7 +35,8 @@
 
 // 32 lower-case hexadecimal digits; 16 for a hash of 64 bits.
 std::string ToHex(ContentHash content);
-// The reverse of ToHex(); nothing for any other text.
+// The reverse of ToHex(); a hash of 64 bits may lack leading zeros. Nothing for
+// any other text.
 std::optional<ContentHash> ParseContentHash(std::string_view hex);
 
 }  // namespace lynxglade::request
