Quarantine: no crash is excused by an unstable target in a fleet

Cause: an instance counts a target as unstable after two crashes there without content that is quarantined. Several contents that crash their targets at once look like that to it until they are quarantined, and every verdict was released again: with seven of them over four targets each crashed 87 in half an hour. Measured: the new test fails with 87 where 6 are allowed, and passes. The five tests of the quarantine pass, the simulated fleet's bound on refused harmless requests included.

--- a/src/request/passthrough/quarantine_options.h
+++ b/src/request/passthrough/quarantine_options.h
@@ -8,6 +8,8 @@
 
 // Streams that a crash broke are resumed at once wherever there is room, by any
 // instance: only a second crash makes a content wait for a target of its own.
+// No crash is excused by an unstable target; a first quarantine is short
+// instead.
 inline QuarantineOptions FleetQuarantineOptions() {
   return {.suspect_ttl = std::chrono::minutes(10),
           .quarantine_ttl = std::chrono::minutes(10),
@@ -18,6 +20,7 @@
           .observer_reruns_first = false,
           .lone_rerun_after = 2,
           .crash_avoidance_time = std::chrono::seconds(3),
+          .unstable_crash_count = 0,
           .answered_memory = std::chrono::seconds(30)};
 }
 
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -74,7 +74,9 @@
   // For how long suspects are not run at a target that crashed.
   base::Duration crash_avoidance_time = std::chrono::minutes(2);
   // A target is unstable if it had this many confirmed crashes within
-  // suspect_ttl in which no quarantined content was in flight.
+  // suspect_ttl in which no quarantined content was in flight. Zero: no target
+  // is, as several contents that crash their targets look the same until they
+  // are quarantined.
   std::size_t unstable_crash_count = 2;
   // Content that this instance had a complete answer to so recently, at most
   // twice as long ago, is not suspected: many callers send it, and targets run
--- a/src/request/quarantine_evidence.cc
+++ b/src/request/quarantine_evidence.cc
@@ -144,7 +144,7 @@
 bool Quarantine::IsUnstable(const base::TargetId& target,
                             ContentHash content) const {
   const auto crashes = crashes_.find(target);
-  if (crashes == crashes_.end()) {
+  if (crashes == crashes_.end() || options_.unstable_crash_count == 0) {
     return false;
   }
   const auto n =
--- a/tests/request/fleet_quarantine_test.cc
+++ b/tests/request/fleet_quarantine_test.cc
@@ -2,6 +2,8 @@
 #include "request/passthrough/quarantine_options.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -198,7 +200,7 @@
 }
 
 // The crashes of quarantined content that ran through other instances do not
-// make its targets unstable, which would release it.
+// release it.
 TEST_F(FleetQuarantineUnitTest, CrashesSeenBesidePoisonDoNotReleaseIt) {
   Quarantine other(FleetQuarantineOptions(), base::InstanceId("other"), {});
   const auto exchange = [&](base::Time now) {
@@ -228,6 +230,47 @@
   EXPECT_TRUE(quarantine_.IsQuarantined(kPoison, later));
 }
 
+// Guards against requests that crash engine after engine for hours: several of
+// them do not make the targets count as unstable, which would release them all.
+TEST_F(FleetQuarantineUnitTest, EachPoisonOfManyCostsOneTargetAQuarantine) {
+  constexpr auto kLength = std::chrono::minutes(30);
+  Quarantine other(FleetQuarantineOptions(), base::InstanceId("other"), {});
+  const auto exchange = [](Quarantine& from, Quarantine& to, base::Time now) {
+    for (const auto& it : from.Export(now)) {
+      to.Merge(it, now);
+    }
+  };
+  std::map<std::uint64_t, int> crashes;
+  std::uint64_t sent = 0;
+  for (base::Duration at{}; at < kLength; at += seconds(2)) {
+    const base::Time now = kNow + at;
+    // Sent through both instances in turn; each has a harmless request at the
+    // target.
+    const std::uint64_t poison = 1 + ++sent % 7;
+    const base::TargetId target("t" + std::to_string(sent % 4));
+    Quarantine& first = sent % 2 == 0 ? quarantine_ : other;
+    Quarantine& second = sent % 2 == 0 ? other : quarantine_;
+    const base::AttemptId run("p");
+    const base::AttemptId beside("h");
+    if (!first.TryStart(ContentHash(poison), target, run, now, &denial_)) {
+      continue;
+    }
+    ++crashes[poison];
+    ASSERT_TRUE(second.TryStart(ContentHash(1000 + sent), target, beside, now,
+                                &denial_));
+    first.OnLost(run, now);
+    second.OnLost(beside, now);
+    first.OnTargetCrashed(target, now);
+    second.OnTargetCrashed(target, now);
+    exchange(first, second, now);
+    exchange(second, first, now);
+  }
+  for (const auto& [poison, n] : crashes) {
+    EXPECT_LE(n, 3 + kLength / FleetQuarantineOptions().quarantine_ttl)
+        << poison;
+  }
+}
+
 TEST_F(FleetQuarantineUnitTest, ChangesAreReportedWithTheirEvidence) {
   CrashTwice(1, kNow);
   ASSERT_EQ(events_.size(), 3u);
