Known red: a test of crashing content, seen once under load

Cause: not traced. Beside eight processes that open ports, one of 96 sanitized runs saw no refused connection at a crashed stand-in; its port may have been taken.

--- a/tests/platform/crashing_content_test.cc
+++ b/tests/platform/crashing_content_test.cc
@@ -83,7 +83,7 @@
   for (int i = 1; i <= 2; ++i) {
     EXPECT_TRUE(IsStatus(
         Call(Message("/stream/x", "r" + std::to_string(i), kCrashes)), "502"));
-    ASSERT_TRUE(AwaitChecks("crashed", i));
+    ASSERT_TRUE(AwaitChecks("crashed", i)) << metrics_.Render();
   }
   EXPECT_EQ(Count().quarantined, 1u);
   const std::size_t arrivals = Arrivals();
