--- /dev/null
+++ b/tests/rig/checker.h
@@ -0,0 +1,88 @@
+// Checks what callers and engines saw against the bounds on repeated work and
+// on the service of large requests.
+#ifndef LYNXGLADE_TESTS_RIG_CHECKER_H_
+#define LYNXGLADE_TESTS_RIG_CHECKER_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "bench/retries/retry_bound.h"
+#include "rig/records.h"
+
+namespace lynxglade::rig {
+
+enum class RigBound {
+  // Arrivals beyond the first of each request, in any window.
+  kRetries,
+  // Targets that run one attempt of a caller.
+  kTargets,
+  // Time handed on to engines.
+  kTime,
+  // Runs of a request that crashes its engines.
+  kCrashes,
+  // Service of a kind's largest requests against that of the whole kind.
+  kSizes,
+};
+std::string_view ToString(RigBound bound) noexcept;
+
+struct RigTerms {
+  bench::RetryBoundTerms retries;
+  // Requests that may run at more targets than allowed.
+  int max_requests_over_targets = 3;
+  // By how much engines may be given more time than is left, and how often,
+  // as a number and as a fraction of the arrivals.
+  base::Duration time_slack = std::chrono::milliseconds(500);
+  int max_over_time = 20;
+  double max_over_time_share = 0.2;
+  // Engines that a content may crash before further runs count, the delay from
+  // which they count, and their bound.
+  int free_crashes = 3;
+  base::Duration crash_notice = std::chrono::seconds(3);
+  int max_runs_after = 3;
+  // The least that a class of sizes is served, against its whole kind.
+  double min_served_ratio = 0.5;
+  // Kinds with fewer requests are not judged.
+  std::size_t min_requests = 200;
+};
+
+// Use of one bound.
+struct BoundUse {
+  RigBound bound = RigBound::kRetries;
+  // The service, the kind and class of sizes, or empty.
+  std::string subject;
+  // 1 is all that is allowed.
+  double used = 0;
+  std::string detail;
+
+  bool Holds() const noexcept { return used <= 1; }
+};
+
+// Uses of all bounds, in the order of RigBound.
+std::vector<BoundUse> CheckRun(const RunRecords& records,
+                               const RigTerms& terms);
+
+// Requests of one kind by their size.
+struct SizeClass {
+  std::string name;
+  std::size_t requests = 0;
+  std::size_t served = 0;
+  std::int64_t from = 0;
+  std::int64_t to = 0;
+
+  double Rate() const noexcept {
+    return requests == 0
+               ? 0
+               : static_cast<double>(served) / static_cast<double>(requests);
+  }
+};
+
+// The whole kind, its largest tenth, the fifth below that, and the rest.
+// Without requests that were broken off.
+std::vector<SizeClass> ClassifySizes(const RunRecords& records,
+                                     const std::string& kind);
+
+}  // namespace lynxglade::rig
+
+#endif  // LYNXGLADE_TESTS_RIG_CHECKER_H_
--- /dev/null
+++ b/tests/rig/checker_test.cc
@@ -0,0 +1,173 @@
+// The rig's checker finds each bound that is broken, and only that one.
+#include "rig/checker.h"
+
+#include <algorithm>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace lynxglade::rig {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::Time kStart = base::Time() + std::chrono::hours(1);
+
+// A run in which each request is prefilled at one engine and served by another.
+class CheckerTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    for (int i = 0; i < kRequests; ++i) {
+      AddRequest(i);
+    }
+  }
+  void AddRequest(int i) {
+    const base::Time at = kStart + milliseconds(20 * i);
+    const std::string id = "r" + std::to_string(i);
+    CallerRequestRecord request;
+    request.kind = "album";
+    request.service = "llm";
+    request.size = 1000 + 10 * i;
+    request.attempts.push_back({id, at, seconds(5)});
+    request.end = RequestEnd::kServed;
+    records_.requests.push_back(request);
+    AddArrival(id, at + milliseconds(5), ArrivalEnd::kPrefilled);
+    AddArrival(id, at + milliseconds(200), ArrivalEnd::kRan);
+  }
+  Arrival& AddArrival(const std::string& id, base::Time at, ArrivalEnd end) {
+    Arrival arrival;
+    arrival.attempt = id;
+    arrival.service = "llm";
+    arrival.engine = "e" + std::to_string(records_.arrivals.size() % 7);
+    arrival.at = at;
+    arrival.timeout = seconds(4);
+    arrival.prefill_only = end == ArrivalEnd::kPrefilled;
+    arrival.content = records_.arrivals.size();
+    arrival.end = end;
+    records_.arrivals.push_back(arrival);
+    return records_.arrivals.back();
+  }
+  static base::Time Sent(int i) { return kStart + milliseconds(20 * i); }
+  std::vector<RigBound> Broken() const {
+    std::vector<RigBound> broken;
+    for (const BoundUse& it : CheckRun(records_, terms_)) {
+      if (!it.Holds()) {
+        broken.push_back(it.bound);
+      }
+    }
+    return broken;
+  }
+  // Names of the bounds that are broken.
+  std::string BrokenNames() const {
+    std::string names;
+    for (const RigBound it : Broken()) {
+      names += std::string(ToString(it)) + " ";
+    }
+    return names;
+  }
+
+  static constexpr int kRequests = 400;
+  RunRecords records_;
+  RigTerms terms_;
+};
+
+TEST_F(CheckerTest, CleanRunHolds) {
+  EXPECT_EQ(BrokenNames(), "");
+}
+
+// 400 requests in 8 s earn 80 repeats; 50 are allowed besides.
+TEST_F(CheckerTest, FindsRetriesBeyondTheBudget) {
+  for (int i = 0; i < 130; ++i) {
+    AddArrival("r" + std::to_string(i), Sent(399), ArrivalEnd::kRejected);
+  }
+  EXPECT_EQ(BrokenNames(), "");
+  AddArrival("r200", Sent(399), ArrivalEnd::kRejected);
+  EXPECT_EQ(BrokenNames(), "retries ");
+}
+
+TEST_F(CheckerTest, CountsSecondPrefillsAndRejectedOnes) {
+  for (int i = 0; i < 65; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    AddArrival(id, Sent(399), ArrivalEnd::kPrefilled);
+    AddArrival(id, Sent(399), ArrivalEnd::kRejected).prefill_only = true;
+  }
+  EXPECT_EQ(BrokenNames(), "");
+  AddArrival("r200", Sent(399), ArrivalEnd::kPrefilled);
+  EXPECT_EQ(BrokenNames(), "retries ");
+}
+
+TEST_F(CheckerTest, FindsRequestsThatRunAtTooManyTargets) {
+  for (int i = 0; i < 3; ++i) {
+    AddArrival("r" + std::to_string(i), Sent(300), ArrivalEnd::kRan).engine =
+        "other";
+  }
+  EXPECT_EQ(BrokenNames(), "");
+  AddArrival("r100", Sent(300), ArrivalEnd::kRan).engine = "other";
+  EXPECT_EQ(BrokenNames(), "targets ");
+}
+
+TEST_F(CheckerTest, FindsRunsOfRequestsThatNobodySent) {
+  for (int i = 0; i < 4; ++i) {
+    AddArrival("unknown" + std::to_string(i), Sent(300), ArrivalEnd::kRan);
+  }
+  EXPECT_EQ(BrokenNames(), "targets ");
+}
+
+TEST_F(CheckerTest, FindsTimeThatWasNotLeft) {
+  for (std::size_t i = 0; i < records_.arrivals.size() / 2; ++i) {
+    records_.arrivals[i].timeout = milliseconds(5600);
+  }
+  EXPECT_EQ(BrokenNames(), "time ");
+}
+
+TEST_F(CheckerTest, FindsTimeThatStartsAnewWithARetry) {
+  terms_.retries.allowance = 1000;
+  for (int i = 0; i < 250; ++i) {
+    Arrival& it = AddArrival("r" + std::to_string(i), Sent(i) + seconds(3),
+                             ArrivalEnd::kRejected);
+    it.timeout = seconds(5);
+  }
+  EXPECT_EQ(BrokenNames(), "time ");
+}
+
+TEST_F(CheckerTest, FindsContentThatGoesOnCrashingEngines) {
+  constexpr std::uint64_t kContent = 1'000'000;
+  for (int i = 0; i < 6; ++i) {
+    Arrival& it = AddArrival("r" + std::to_string(i), Sent(0) + seconds(2 * i),
+                             ArrivalEnd::kRan);
+    it.content = kContent;
+    it.crashed = true;
+  }
+  EXPECT_EQ(BrokenNames(), "");
+  for (int i = 6; i < 9; ++i) {
+    Arrival& it = AddArrival("r" + std::to_string(i), Sent(0) + seconds(2 * i),
+                             ArrivalEnd::kRan);
+    it.content = kContent;
+    it.crashed = true;
+  }
+  EXPECT_EQ(BrokenNames(), "crashes ");
+}
+
+TEST_F(CheckerTest, FindsLargeRequestsThatAreLeftUnserved) {
+  for (int i = kRequests * 9 / 10; i < kRequests * 9 / 10 + 19; ++i) {
+    records_.requests[static_cast<std::size_t>(i)].end = RequestEnd::kRefused;
+  }
+  EXPECT_EQ(BrokenNames(), "");
+  for (int i = kRequests * 9 / 10; i < kRequests; ++i) {
+    records_.requests[static_cast<std::size_t>(i)].end = RequestEnd::kRefused;
+  }
+  EXPECT_EQ(BrokenNames(), "sizes ");
+}
+
+TEST_F(CheckerTest, LeavesOutRequestsThatWereBrokenOff) {
+  for (int i = kRequests * 9 / 10; i < kRequests; ++i) {
+    auto& it = records_.requests[static_cast<std::size_t>(i)];
+    it.end = RequestEnd::kFailed;
+    it.broken_off = true;
+  }
+  EXPECT_EQ(BrokenNames(), "");
+}
+
+}  // namespace
+}  // namespace lynxglade::rig
--- /dev/null
+++ b/tests/rig/engine.cc
@@ -0,0 +1,576 @@
+#include "rig/engine.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "connection/event/sleep.h"
+
+namespace lynxglade::rig {
+
+namespace {
+
+using connection::event::AnswerHead;
+using connection::event::Awaitable;
+using connection::event::CallerReply;
+using connection::event::CallerRequest;
+using connection::event::ErrorCode;
+using connection::event::Into;
+using connection::event::SleepFor;
+using connection::event::View;
+using nlohmann::json;
+namespace asio = connection::event::asio;
+
+constexpr base::Duration kIdlePoll = std::chrono::milliseconds(1);
+constexpr base::Duration kForever = std::chrono::hours(1);
+// A decode engine prefills at half the speed, in pieces of a quarter.
+constexpr double kDecodePrefillSlowness = 2;
+constexpr std::int64_t kDecodeChunkDivisor = 4;
+constexpr double kStepMsPerThousandTokens = 0.00138;
+constexpr int kDefaultPriority = 5;
+
+std::string Field(const CallerRequest& request, const char* name) {
+  const auto it = request.head.find(name);
+  return it == request.head.end() ? std::string()
+                                  : std::string(View(it->value()));
+}
+
+std::int64_t Number(const std::string& text, std::int64_t otherwise) {
+  char* end = nullptr;
+  const long long n = std::strtoll(text.c_str(), &end, 10);
+  return text.empty() || end == text.c_str() ? otherwise : n;
+}
+
+std::vector<std::string> Split(const std::string& text, char separator) {
+  std::vector<std::string> words;
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    const std::size_t end = std::min(text.find(separator, begin), text.size());
+    words.push_back(text.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  return words;
+}
+
+}  // namespace
+
+// A request at the engine.
+struct Engine::Run {
+  explicit Run(asio::io_context& loop) : changed(loop, kForever) {}
+
+  std::int64_t number = 0;
+  std::string attempt;
+  std::string expected_engine;
+  std::string body;
+  base::Time deadline{};
+  int priority = kDefaultPriority;
+  bool prefill_only = false;
+  bool expects_stage = false;
+  // KV cache to fetch, and when it was made.
+  bool has_source = false;
+  base::Time source_made{};
+  bool fetches_parts = false;
+  std::vector<std::pair<std::string, std::int64_t>> parts;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t tokens_to_prefill = 0;
+  std::int64_t tokens_to_generate = 0;
+  std::int64_t generated = 0;
+  bool cache_used = false;
+  bool began = false;
+  bool done = false;
+  bool expired = false;
+  bool left = false;
+  // Events that are ready to be sent.
+  int events = 0;
+  asio::steady_timer changed;
+
+  bool prefilled() const noexcept { return tokens_to_prefill <= 0; }
+  std::int64_t tokens() const noexcept { return prompt_tokens + generated; }
+};
+
+Engine::Engine(asio::io_context& loop,
+               EngineSettings settings,
+               WriteJournal write_journal,
+               std::function<void(bool)> on_stage,
+               std::function<void()> crash,
+               base::Clock clock,
+               base::RandomSource random)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      write_journal_(std::move(write_journal)),
+      on_stage_(std::move(on_stage)),
+      crash_(std::move(crash)),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      prefills_(settings_.prefills) {}
+
+Engine::~Engine() = default;
+
+base::Duration Engine::Scaled(double ms) const {
+  return base::FromFineMillis(ms * Slowness() / settings_.speed);
+}
+
+double Engine::Slowness() const {
+  double factor = 1;
+  const base::Time now = clock_();
+  for (const EngineFault& it : settings_.faults) {
+    if (it.kind == EngineFault::Kind::kSlow && now >= it.from &&
+        now < it.until) {
+      factor *= it.factor;
+    }
+  }
+  return factor;
+}
+
+bool Engine::Fails(EngineFault::Kind kind) const {
+  const base::Time now = clock_();
+  return std::ranges::any_of(settings_.faults, [&](const EngineFault& it) {
+    return it.kind == kind && now >= it.from && now < it.until &&
+           base::UniformReal(random_) < it.share;
+  });
+}
+
+// --- HTTP
+
+Awaitable<void> Engine::Serve(std::shared_ptr<CallerRequest> request,
+                              CallerReply& reply) {
+  const std::string target(View(request->head.target()));
+  if (target == "/report") {
+    co_await ServeReport(reply);
+  } else if (target == "/order") {
+    co_await ServeOrder(request->body, reply);
+  } else if (target == "/healthz" || target.starts_with("/kv-handle/")) {
+    AnswerHead head;
+    head.status = 200;
+    head.fields.set("Lynxglade-Instance-Id", settings_.id);
+    co_await reply.SendWhole(std::move(head), {});
+  } else {
+    co_await ServeRequest(*request, reply);
+  }
+}
+
+Awaitable<void> Engine::ServeReport(CallerReply& reply) {
+  AnswerHead head;
+  head.status = 200;
+  head.fields.set("Content-Type", "application/json");
+  const json body{{"stage", prefills_ ? "prefill" : "decode"},
+                  {"busy", busy_},
+                  {"sequence", orders_},
+                  {"queued", queue_.size()},
+                  {"active", running_.size()},
+                  {"models", json::array()}};
+  co_await reply.SendWhole(std::move(head), body.dump());
+}
+
+Awaitable<void> Engine::ServeOrder(const std::string& body,
+                                   CallerReply& reply) {
+  const json order = json::parse(body, nullptr, false);
+  AnswerHead head;
+  head.status = 202;
+  if (!order.is_object() || order.value("operation", "") != "stage") {
+    head.status = 400;
+  } else if (busy_ || order.value("ifRevision", orders_) != orders_) {
+    head.status = 409;
+  } else {
+    const bool prefills = order.value("stage", "") == "prefill";
+    if (prefills == prefills_) {
+      head.status = 200;
+    } else {
+      ++orders_;
+      busy_ = true;
+      asio::co_spawn(loop_, ChangeStage(prefills), asio::detached);
+    }
+  }
+  co_await reply.SendWhole(std::move(head), "{}");
+}
+
+// What is running ends first.
+Awaitable<void> Engine::ChangeStage(bool prefills) {
+  while (!running_.empty()) {
+    co_await SleepFor(loop_, kIdlePoll);
+  }
+  co_await SleepFor(loop_, settings_.stage_change);
+  prefills_ = prefills;
+  busy_ = false;
+  on_stage_(prefills);
+}
+
+Engine::RunHandle Engine::Admit(const CallerRequest& request) {
+  auto run = std::make_shared<Run>(loop_);
+  run->number = ++arrivals_;
+  run->attempt = Field(request, "Lynxglade-Attempt-Id");
+  run->expected_engine = Field(request, "Lynxglade-Expect-Instance");
+  run->body = request.body;
+  const std::int64_t timeout_ms =
+      Number(Field(request, "Lynxglade-Deadline-Ms"), 30'000);
+  run->deadline = clock_() + std::chrono::milliseconds(timeout_ms);
+  run->priority = static_cast<int>(
+      Number(Field(request, "Lynxglade-Request-Priority"), kDefaultPriority));
+  run->prefill_only = Field(request, "Lynxglade-Stage") == "prefill";
+  const std::string source = Field(request, "Lynxglade-Kv-Source");
+  run->has_source = !source.empty();
+  if (run->has_source) {
+    run->source_made = base::Time(
+        base::Duration(Number(source.substr(source.find('/') + 1), 0)));
+  }
+  run->fetches_parts = !Field(request, "Kv-Fetch").empty();
+  const auto sizes = Split(Field(request, "Lynxglade-Token-Usage"), ',');
+  if (sizes.size() == 2) {
+    run->prompt_tokens = Number(sizes[0], 0);
+    // The rig's callers state the size of the answer exactly.
+    run->tokens_to_generate = Number(sizes[1], 1);
+  }
+  for (const std::string& it :
+       Split(Field(request, "Lynxglade-Prefix-Hash"), ',')) {
+    const std::size_t colon = it.find(':');
+    run->parts.emplace_back(it.substr(0, colon),
+                            Number(it.substr(colon + 1), 0));
+  }
+  run->tokens_to_prefill = run->has_source ? 0 : run->prompt_tokens;
+  write_journal_(json{
+      {"n", run->number},
+      {"attempt", run->attempt},
+      {"service", settings_.service},
+      {"engine", settings_.id},
+      {"at", clock_().time_since_epoch().count()},
+      {"timeout_ms", timeout_ms},
+      {"prefill", run->prefill_only},
+      {"content",
+       base::Hash64(std::string(View(request.head.target())) + request.body)}}
+                     .dump());
+  return run;
+}
+
+unsigned Engine::RejectionFor(const Run& run) const {
+  if (!run.expected_engine.empty() && run.expected_engine != settings_.id) {
+    return 421;
+  }
+  if (settings_.is_model && run.prefill_only != prefills_) {
+    return 421;
+  }
+  const bool stale =
+      run.has_source && clock_() > run.source_made + settings_.handle_ttl;
+  const bool full = queue_.size() >= static_cast<std::size_t>(settings_.queue);
+  const bool too_large = run.prompt_tokens > settings_.kv_tokens;
+  if (stale || full || too_large || busy_ ||
+      Fails(EngineFault::Kind::kReject)) {
+    return 503;
+  }
+  return 0;
+}
+
+Awaitable<void> Engine::Reject(const RunHandle& run,
+                               unsigned status,
+                               CallerReply& reply) {
+  WriteEnd(*run, "rejected");
+  AnswerHead head = Head(status, *run);
+  head.fields.set("Lynxglade-Not-Executed", "1");
+  co_await reply.SendWhole(std::move(head), {});
+}
+
+Awaitable<void> Engine::ServeRequest(CallerRequest& request,
+                                     CallerReply& reply) {
+  const RunHandle run = Admit(request);
+  if (const unsigned status = RejectionFor(*run)) {
+    co_await Reject(run, status, reply);
+    co_return;
+  }
+  if (Fails(EngineFault::Kind::kReset)) {
+    WriteEnd(*run, "lost");
+    reply.Abort();
+    co_return;
+  }
+  queue_.push_back(run);
+  reply.OnDisconnect([run] {
+    run->left = true;
+    run->changed.cancel();
+  });
+  FillSlots();
+  if (settings_.is_model) {
+    co_await ServeStream(run, reply);
+  } else {
+    co_await ServePlain(run, reply);
+  }
+  reply.OnDisconnect({});
+  Drop(run);
+}
+
+Awaitable<void> Engine::ServePlain(const RunHandle& run, CallerReply& reply) {
+  while (!run->began && !run->left) {
+    if (clock_() > run->deadline) {
+      co_await Reject(run, 503, reply);
+      co_return;
+    }
+    co_await SleepFor(loop_, kIdlePoll);
+    FillSlots();
+  }
+  if (run->left) {
+    WriteEnd(*run, "lost");
+    co_return;
+  }
+  WriteEnd(*run, "ran");
+  const double spread = 0.6 + 0.8 * base::UniformReal(random_);
+  co_await SleepFor(loop_, Scaled(settings_.work_ms * spread));
+  const bool failed = base::UniformReal(random_) < settings_.error_share;
+  co_await reply.SendWhole(Head(failed ? 500 : 200, *run),
+                           std::string(800, 'x'));
+}
+
+Awaitable<void> Engine::ServeStream(const RunHandle& run, CallerReply& reply) {
+  int sent = 0;
+  while (!run->left) {
+    if (run->expired) {
+      if (!run->began) {
+        co_await Reject(run, 503, reply);
+      } else {
+        reply.Abort();
+      }
+      co_return;
+    }
+    if (run->prefill_only && run->done) {
+      WriteEnd(*run, "prefilled");
+      const json body{
+          {"kvHandle", std::to_string(clock_().time_since_epoch().count())},
+          {"tokens", run->prompt_tokens},
+          {"version", 1}};
+      co_await reply.SendWhole(Head(200, *run), body.dump());
+      co_return;
+    }
+    while (sent < run->events && !run->left) {
+      if (!reply.begun()) {
+        AnswerHead head = Head(200, *run);
+        head.fields.set("Content-Type", "text/event-stream");
+        reply.Begin(std::move(head));
+      }
+      ++sent;
+      const std::string event = "id: " + std::to_string(sent) +
+                                "\ndata: " + std::string(75, 'x') + "\n\n";
+      co_await reply.SendPiece(event);
+    }
+    if (run->done) {
+      co_await reply.End();
+      co_return;
+    }
+    ErrorCode ec;
+    run->changed.expires_after(kForever);
+    if (sent == run->events && !run->done && !run->left && !run->expired) {
+      co_await run->changed.async_wait(Into(ec));
+    }
+  }
+  if (!run->began) {
+    WriteEnd(*run, "lost");
+  }
+}
+
+AnswerHead Engine::Head(unsigned status, const Run& run) const {
+  AnswerHead head;
+  head.status = status;
+  head.fields.set("Lynxglade-Attempt-Id", run.attempt);
+  head.fields.set("Lynxglade-Instance-Signature", "rig." + settings_.id);
+  head.fields.set("Lynxglade-Instance-Load",
+                  std::to_string(running_.size()) + ',' +
+                      std::to_string(queue_.size()) + ',' +
+                      std::to_string(settings_.slots));
+  return head;
+}
+
+void Engine::WriteEnd(const Run& run, std::string_view end) {
+  write_journal_(json{{"n", run.number}, {"end", end}}.dump());
+}
+
+// --- slots and steps
+
+void Engine::FillSlots() {
+  std::ranges::stable_sort(queue_, {},
+                           [](const RunHandle& it) { return it->priority; });
+  while (!queue_.empty() &&
+         running_.size() < static_cast<std::size_t>(settings_.slots)) {
+    const RunHandle run = queue_.front();
+    if (settings_.is_model &&
+        RunningTokens() + run->tokens() + run->tokens_to_generate >
+            settings_.kv_tokens) {
+      return;
+    }
+    queue_.erase(queue_.begin());
+    running_.push_back(run);
+    if (settings_.is_model) {
+      MakeRoom(run->tokens() + run->tokens_to_generate);
+      continue;
+    }
+    run->began = true;
+    if (Crashes(*run)) {
+      WriteEnd(*run, "crashed");
+      crash_();
+    }
+  }
+}
+
+bool Engine::Crashes(const Run& run) const {
+  return !settings_.crashing_body.empty() &&
+         run.body.find(settings_.crashing_body) != std::string::npos;
+}
+
+void Engine::Drop(const RunHandle& run) {
+  std::erase(queue_, run);
+  std::erase(running_, run);
+  FillSlots();
+}
+
+Awaitable<void> Engine::RunSteps() {
+  base::Time due = clock_();
+  while (true) {
+    base::Duration took = Step();
+    if (took == base::Duration::zero()) {
+      co_await SleepFor(loop_, kIdlePoll);
+      due = clock_();
+      continue;
+    }
+    // Steps are timed from the end of the one before, so that late timers do
+    // not slow the engine down.
+    due = std::max(due + took, clock_() - std::chrono::milliseconds(50));
+    if (due > clock_()) {
+      co_await SleepFor(loop_, due - clock_());
+    }
+  }
+}
+
+base::Duration Engine::Step() {
+  const base::Time now = clock_();
+  for (const auto* runs : {&queue_, &running_}) {
+    for (const RunHandle& it : *runs) {
+      if (!it->expired && now > it->deadline) {
+        it->expired = true;
+        it->changed.cancel();
+      }
+    }
+  }
+  double ms = PrefillChunk();
+  std::size_t generating = 0;
+  for (const RunHandle& it : running_) {
+    if (it->prefilled() && !it->prefill_only && !it->done && !it->left) {
+      Generate(*it);
+      ++generating;
+    }
+  }
+  if (generating > 0) {
+    ms +=
+        settings_.step_ms +
+        settings_.step_ms_per_run * static_cast<double>(generating) +
+        kStepMsPerThousandTokens * static_cast<double>(RunningTokens()) / 1000;
+  }
+  return ms > 0 ? Scaled(ms) : base::Duration::zero();
+}
+
+double Engine::PrefillChunk() {
+  RunHandle next;
+  for (const RunHandle& it : running_) {
+    if (!it->prefilled() && !it->left && !it->expired &&
+        (!next || it->priority < next->priority)) {
+      next = it;
+    }
+  }
+  if (!next) {
+    return 0;
+  }
+  double ms = 0;
+  if (!next->cache_used) {
+    next->cache_used = true;
+    UseCache(*next);
+    ms += next->fetches_parts ? settings_.fetch_ms : 0;
+  }
+  const std::int64_t chunk =
+      std::min(next->tokens_to_prefill,
+               prefills_ ? settings_.chunk_tokens
+                         : settings_.chunk_tokens / kDecodeChunkDivisor);
+  next->tokens_to_prefill -= chunk;
+  ms += static_cast<double>(chunk) / settings_.prefill_tokens_per_ms *
+        (prefills_ ? 1 : kDecodePrefillSlowness);
+  if (next->prefilled()) {
+    ms += settings_.first_ms;
+    KeepParts(*next);
+    if (next->prefill_only) {
+      // The answer is sent when the chunk has been read.
+      next->done = true;
+      asio::co_spawn(loop_, Announce(next, Scaled(ms)), asio::detached);
+    }
+  }
+  return ms;
+}
+
+Awaitable<void> Engine::Announce(RunHandle run, base::Duration wait) {
+  co_await SleepFor(loop_, wait);
+  run->changed.cancel();
+}
+
+void Engine::Generate(Run& run) {
+  if (!run.began) {
+    run.began = true;
+    if (Crashes(run)) {
+      WriteEnd(run, "crashed");
+      crash_();
+      return;
+    }
+    WriteEnd(run, "ran");
+  }
+  ++run.generated;
+  run.done = run.generated >= run.tokens_to_generate;
+  if (run.done || run.generated == 1 ||
+      run.generated % settings_.tokens_per_event == 0) {
+    ++run.events;
+    run.changed.cancel();
+  }
+}
+
+void Engine::UseCache(Run& run) {
+  for (const auto& [id, tokens] : run.parts) {
+    const auto it = std::ranges::find(
+        cache_, id, [](const auto& part) { return part.first; });
+    // The last part belongs to the request itself.
+    const bool fetched = run.fetches_parts && id != run.parts.back().first;
+    if (it == cache_.end() && !fetched) {
+      break;
+    }
+    run.tokens_to_prefill -= tokens;
+    if (it != cache_.end()) {
+      cache_.splice(cache_.begin(), cache_, it);
+    }
+  }
+  // The end of a prompt is always read.
+  run.tokens_to_prefill = std::max<std::int64_t>(run.tokens_to_prefill, 1);
+}
+
+void Engine::KeepParts(const Run& run) {
+  for (std::size_t i = 0; i + 1 < run.parts.size(); ++i) {
+    const auto& part = run.parts[i];
+    if (std::ranges::find(cache_, part.first, [](const auto& it) {
+          return it.first;
+        }) == cache_.end()) {
+      MakeRoom(part.second);
+      cache_.push_front(part);
+      cached_tokens_ += part.second;
+    }
+  }
+}
+
+void Engine::MakeRoom(std::int64_t tokens) {
+  while (!cache_.empty() &&
+         cached_tokens_ + RunningTokens() + tokens > settings_.kv_tokens) {
+    cached_tokens_ -= cache_.back().second;
+    cache_.pop_back();
+  }
+}
+
+std::int64_t Engine::RunningTokens() const {
+  std::int64_t tokens = 0;
+  for (const RunHandle& it : running_) {
+    tokens += it->tokens();
+  }
+  return tokens;
+}
+
+}  // namespace lynxglade::rig
--- /dev/null
+++ b/tests/rig/records.h
@@ -0,0 +1,81 @@
+// What callers and engines saw in a run of the rig: the checker's only input.
+#ifndef LYNXGLADE_TESTS_RIG_RECORDS_H_
+#define LYNXGLADE_TESTS_RIG_RECORDS_H_
+
+#include <cstdint>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace lynxglade::rig {
+
+// How an arrival ended at its engine.
+enum class ArrivalEnd {
+  // The engine rejected it and did not run it.
+  kRejected,
+  // The engine prefilled the prompt and keeps its KV cache.
+  kPrefilled,
+  // The engine began to run it.
+  kRan,
+  // The engine ended, or the caller left, before that.
+  kLost,
+};
+
+// A request that reached an engine.
+struct Arrival {
+  std::string attempt;
+  std::string service;
+  // Each lifetime of an engine has its own id.
+  std::string engine;
+  base::Time at{};
+  // The time that the engine was given.
+  base::Duration timeout{};
+  bool prefill_only = false;
+  // Of the request's body.
+  std::uint64_t content = 0;
+  // It ended the engine.
+  bool crashed = false;
+  ArrivalEnd end = ArrivalEnd::kLost;
+};
+
+// How a caller's request ended, after its own retries.
+enum class RequestEnd { kServed, kRefused, kFailed, kLeft };
+
+// One attempt of a caller, under an id of its own.
+struct CallerAttempt {
+  std::string id;
+  base::Time sent_at{};
+  base::Duration timeout{};
+};
+
+// A request of a caller, with its retries.
+struct CallerRequestRecord {
+  std::string kind;
+  std::string service;
+  // Prompt tokens plus ten times the output tokens; 0 for plain calls.
+  std::int64_t size = 0;
+  // Most targets that may run one attempt.
+  int max_targets = 1;
+  std::vector<CallerAttempt> attempts;
+  RequestEnd end = RequestEnd::kFailed;
+  // Its connection broke in a run of its engine or its instance.
+  bool broken_off = false;
+  std::optional<base::Duration> first_byte;
+};
+
+struct RunRecords {
+  std::vector<Arrival> arrivals;
+  std::vector<CallerRequestRecord> requests;
+};
+
+// Appends the arrivals that an engine process wrote to `journal`. An incomplete
+// last line, of an engine that was killed, is ignored.
+void ReadJournal(const std::filesystem::path& journal,
+                 std::vector<Arrival>* arrivals);
+
+}  // namespace lynxglade::rig
+
+#endif  // LYNXGLADE_TESTS_RIG_RECORDS_H_
--- /dev/null
+++ b/tests/rig/traffic.cc
@@ -0,0 +1,310 @@
+#include "rig/traffic.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "connection/event/sleep.h"
+
+namespace lynxglade::rig {
+
+namespace {
+
+using connection::event::Awaitable;
+using connection::event::CancelAfter;
+using connection::event::Exchange;
+using connection::event::ExchangeState;
+using connection::event::OutgoingRequest;
+using connection::event::SleepFor;
+using connection::event::Tcp;
+using connection::event::View;
+namespace asio = connection::event::asio;
+namespace http = connection::event::http;
+
+constexpr base::Duration kClosePoll = std::chrono::milliseconds(20);
+constexpr std::int64_t kOutputTokenWeight = 10;
+constexpr unsigned kOk = 200;
+// Callers wait for the next event for the longest of these.
+constexpr base::Duration kMinEventTimeout = std::chrono::seconds(2);
+constexpr int kTargetsPerEventTimeout = 4;
+constexpr int kPausesPerEventTimeout = 8;
+// Part of the time left that callers wait at most before a retry.
+constexpr int kRetryAfterDivisor = 3;
+// Instances that are tried if one does not accept the connection.
+constexpr std::size_t kMaxConnects = 7;
+
+base::Duration EventTimeout(const RequestKind& kind) {
+  return std::max({kMinEventTimeout,
+                   kTargetsPerEventTimeout * kind.latency_target,
+                   kPausesPerEventTimeout * kind.pause_target});
+}
+
+bool PromisesNotRun(unsigned status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+}  // namespace
+
+// A request before it is sent.
+struct Traffic::Draft {
+  const RequestKind* kind = nullptr;
+  std::size_t caller = 0;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t output_tokens = 0;
+  std::string parts;
+  std::string body;
+};
+
+struct Traffic::AttemptResult {
+  unsigned status = 0;
+  bool connected = false;
+  bool complete = false;
+  bool left = false;
+  std::optional<base::Duration> retry_after;
+};
+
+Traffic::Traffic(asio::io_context& loop,
+                 TrafficSettings settings,
+                 base::Clock clock)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      clock_(clock),
+      random_(base::SeededRandom(settings_.seed)),
+      channels_(loop, std::move(clock)) {}
+
+Awaitable<void> Traffic::Run() {
+  const base::Time end = clock_() + settings_.length;
+  for (const RequestKind& it : settings_.kinds) {
+    asio::co_spawn(loop_, SendKind(it, end), asio::detached);
+  }
+  if (settings_.crashing_copies > 0) {
+    asio::co_spawn(loop_, SendCrashing(), asio::detached);
+  }
+  while (clock_() < end || pending_ > 0) {
+    channels_.CloseIdle();
+    co_await SleepFor(loop_, kClosePoll);
+  }
+}
+
+Awaitable<void> Traffic::SendKind(const RequestKind& kind, base::Time end) {
+  while (true) {
+    const double seconds = -std::log(1 - base::UniformReal(random_)) /
+                           (kind.per_second * settings_.load);
+    co_await SleepFor(loop_, base::FromFineMillis(1000 * seconds));
+    if (clock_() >= end) {
+      co_return;
+    }
+    ++pending_;
+    asio::co_spawn(loop_, ServeDraft(Draw(kind)), asio::detached);
+  }
+}
+
+Awaitable<void> Traffic::SendCrashing() {
+  co_await SleepFor(loop_, settings_.crashing_at);
+  const Draft draft = [this] {
+    Draft it = Draw(settings_.kinds.front());
+    it.body = settings_.crashing_body;
+    return it;
+  }();
+  for (int i = 0; i < settings_.crashing_copies; ++i) {
+    ++pending_;
+    Draft copy = draft;
+    copy.caller = base::UniformBelow(
+        random_, static_cast<std::uint64_t>(settings_.callers));
+    asio::co_spawn(loop_, ServeDraft(std::move(copy)), asio::detached);
+    co_await SleepFor(loop_, std::chrono::milliseconds(700));
+  }
+}
+
+// Lognormal, cut off at `max`.
+double Traffic::DrawSize(double mean, double spread, double max) {
+  const double u = 1 - base::UniformReal(random_);
+  const double v = base::UniformReal(random_);
+  constexpr double kPi = 3.14159265358979;
+  const double normal = std::sqrt(-2 * std::log(u)) * std::cos(2 * kPi * v);
+  const double size = mean * std::exp(spread * normal - spread * spread / 2);
+  return max > 0 ? std::min(size, max) : size;
+}
+
+Traffic::Draft Traffic::Draw(const RequestKind& kind) {
+  Draft draft;
+  draft.kind = &kind;
+  draft.caller = base::UniformBelow(
+      random_, static_cast<std::uint64_t>(settings_.callers));
+  draft.body.assign(static_cast<std::size_t>(
+                        DrawSize(static_cast<double>(kind.body_mean), 0.8,
+                                 static_cast<double>(kind.body_max))),
+                    'b');
+  if (kind.own_mean <= 0) {
+    return draft;
+  }
+  const auto shared = base::UniformBelow(
+      random_, static_cast<std::uint64_t>(kind.shared.count));
+  // Each shared part keeps its size.
+  const base::RandomSource part = base::SeededRandom(shared + 1);
+  const double deviation =
+      kind.shared.spread * (2 * base::UniformReal(part) - 1);
+  const auto shared_tokens =
+      static_cast<std::int64_t>(kind.shared.mean_tokens * std::exp(deviation));
+  const auto own_tokens =
+      1 + static_cast<std::int64_t>(
+              DrawSize(kind.own_mean, kind.own_spread, kind.own_max));
+  const double events =
+      DrawSize(kind.events_mean, kind.events_spread, kind.events_max);
+  draft.prompt_tokens = shared_tokens + own_tokens;
+  draft.output_tokens =
+      1 + static_cast<std::int64_t>(events * settings_.tokens_per_event);
+  draft.parts = kind.name + std::to_string(shared) + ':' +
+                std::to_string(shared_tokens) + ",own" +
+                std::to_string(next_id_++) + ':' + std::to_string(own_tokens);
+  return draft;
+}
+
+OutgoingRequest Traffic::Message(const Draft& draft,
+                                 const std::string& id,
+                                 base::Duration timeout) const {
+  const RequestKind& kind = *draft.kind;
+  OutgoingRequest message(kind.type == RequestType::kIdempotent
+                              ? http::verb::get
+                              : http::verb::post,
+                          kind.Path() + "x", 11, draft.body);
+  message.set(http::field::host, "rig");
+  message.set("Lynxglade-Attempt-Id", id);
+  message.set("Lynxglade-Deadline-Ms", std::to_string(base::ToMillis(timeout)));
+  if (draft.prompt_tokens > 0) {
+    message.set("Lynxglade-Model", "m");
+    message.set("Lynxglade-Token-Usage",
+                std::to_string(draft.prompt_tokens) + ',' +
+                    std::to_string(draft.output_tokens));
+    message.set("Lynxglade-Length-Hint", std::to_string(draft.output_tokens));
+    message.set("Lynxglade-Prefix-Hash", draft.parts);
+  }
+  if (kind.type != RequestType::kIdempotent) {
+    message.content_length(draft.body.size());
+  }
+  return message;
+}
+
+Awaitable<void> Traffic::ServeDraft(Draft draft) {
+  const RequestKind& kind = *draft.kind;
+  CallerRequestRecord record;
+  record.kind = kind.name;
+  record.service = kind.service;
+  record.size = draft.prompt_tokens + kOutputTokenWeight * draft.output_tokens;
+  record.max_targets = kind.max_targets;
+  const base::Time deadline = clock_() + kind.timeout;
+  std::size_t instance = draft.caller % settings_.ports.size();
+  bool retry = true;
+  while (retry) {
+    AttemptResult result =
+        co_await Send(draft, instance, deadline - clock_(), record);
+    if (result.complete && result.status == kOk) {
+      record.end = RequestEnd::kServed;
+      break;
+    }
+    record.end = result.left                     ? RequestEnd::kLeft
+                 : PromisesNotRun(result.status) ? RequestEnd::kRefused
+                                                 : RequestEnd::kFailed;
+    record.broken_off = result.status == 0 && !result.left;
+    const base::Duration left = deadline - clock_();
+    const bool may_repeat =
+        kind.type == RequestType::kIdempotent || PromisesNotRun(result.status);
+    // One retry, at another instance.
+    retry = record.attempts.size() < 2 && may_repeat && !result.left &&
+            left > std::chrono::milliseconds(50);
+    if (retry) {
+      co_await SleepFor(
+          loop_, std::min(result.retry_after.value_or(base::Duration::zero()),
+                          left / kRetryAfterDivisor));
+      instance = (instance + 1 +
+                  base::UniformBelow(random_, settings_.ports.size() - 1)) %
+                 settings_.ports.size();
+      retry = deadline > clock_();
+    }
+  }
+  if (settings_.refuse_large && draft.prompt_tokens > 3 * kind.own_mean) {
+    record.end = RequestEnd::kRefused;
+  }
+  records_.push_back(std::move(record));
+  --pending_;
+}
+
+Awaitable<Traffic::AttemptResult> Traffic::Send(const Draft& draft,
+                                                std::size_t instance,
+                                                base::Duration timeout,
+                                                CallerRequestRecord& record) {
+  AttemptResult result;
+  const std::string id =
+      std::to_string(settings_.seed) + "-" + std::to_string(next_id_++);
+  const base::Time sent_at = clock_();
+  record.attempts.push_back({id, sent_at, timeout});
+  // A connection that is not accepted is the balancer's to place again.
+  for (std::size_t i = 0; i < kMaxConnects && !result.connected; ++i) {
+    const std::size_t at = (instance + i) % settings_.ports.size();
+    const Tcp::endpoint endpoint(
+        asio::ip::address_v4::loopback(),
+        static_cast<std::uint16_t>(settings_.ports[at]));
+    Exchange exchange(channels_);
+    const ExchangeState state =
+        co_await Start(exchange, endpoint, draft, id, timeout);
+    result.connected = state != ExchangeState::kNotSent;
+    if (result.connected) {
+      co_await Receive(exchange, draft, sent_at, result, record);
+    }
+  }
+  co_return result;
+}
+
+Awaitable<ExchangeState> Traffic::Start(Exchange& exchange,
+                                        Tcp::endpoint endpoint,
+                                        const Draft& draft,
+                                        const std::string& id,
+                                        base::Duration timeout) {
+  const RequestKind& kind = *draft.kind;
+  const CancelAfter cancel(loop_, exchange,
+                           kind.type == RequestType::kStream
+                               ? std::min(timeout, EventTimeout(kind))
+                               : timeout);
+  OutgoingRequest message = Message(draft, id, timeout);
+  const bool may_repeat = kind.type == RequestType::kIdempotent;
+  co_return co_await exchange.Start(endpoint, std::move(message), {},
+                                    /*recent_only=*/!may_repeat);
+}
+
+Awaitable<void> Traffic::Receive(Exchange& exchange,
+                                 const Draft& draft,
+                                 base::Time sent_at,
+                                 AttemptResult& result,
+                                 CallerRequestRecord& record) {
+  result.left = exchange.state() == ExchangeState::kCancelled;
+  if (exchange.state() != ExchangeState::kHead &&
+      exchange.state() != ExchangeState::kWhole) {
+    co_return;
+  }
+  const auto& head = exchange.head();
+  result.status = head.result_int();
+  const auto after = head.find(http::field::retry_after);
+  if (after != head.end()) {
+    result.retry_after = base::FromFineMillis(
+        1000 * std::strtod(std::string(View(after->value())).c_str(), nullptr));
+  }
+  const base::Duration event_timeout = EventTimeout(*draft.kind);
+  while (exchange.state() == ExchangeState::kHead) {
+    const CancelAfter cancel(loop_, exchange, event_timeout);
+    const std::string_view bytes = co_await exchange.ReadSome();
+    if (!bytes.empty() && !record.first_byte) {
+      record.first_byte = clock_() - sent_at;
+    }
+  }
+  result.complete = exchange.state() == ExchangeState::kWhole;
+  result.left = exchange.state() == ExchangeState::kCancelled;
+  if (!result.complete && result.status == kOk) {
+    result.status = 0;
+  }
+}
+
+}  // namespace lynxglade::rig
--- a/tests/system/entry_process.cc
+++ b/tests/system/entry_process.cc
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <stdexcept>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -60,27 +61,54 @@
 }
 
 EntryProcess::EntryProcess(int number, int store_port)
-    : name_("i" + std::to_string(number)),
-      process_({LYNXGLADED, "entry", "--instance-id", name_, "--zone", "a",
-                "--listen", Address(port_), "--health-listen",
-                Address(health_port_), "--peer-listen", Address(FreePort()),
-                "--store=" + Address(store_port)},
-               std::filesystem::path(testing::TempDir()) /
-                   ("entry-process-" + std::to_string(port_))) {}
+    : EntryProcess({.name = "i" + std::to_string(number),
+                    .store_port = store_port,
+                    .port = FreePort(),
+                    .health_port = FreePort(),
+                    .peer_port = FreePort(),
+                    .folder = testing::TempDir()}) {}
+
+EntryProcess::EntryProcess(EntryProcessSettings settings)
+    : settings_(std::move(settings)) {
+  Restart();
+}
+
+void EntryProcess::Restart() {
+  std::vector<std::string> arguments{
+      LYNXGLADED,
+      "entry",
+      "--instance-id",
+      settings_.name,
+      "--zone",
+      settings_.zone,
+      "--listen",
+      Address(settings_.port),
+      "--health-listen",
+      Address(settings_.health_port),
+      "--peer-listen",
+      Address(settings_.peer_port),
+      "--store=" + Address(settings_.store_port)};
+  arguments.insert(arguments.end(), settings_.flags.begin(),
+                   settings_.flags.end());
+  const std::string log = "entry-process-" + std::to_string(settings_.port) +
+                          '-' + std::to_string(lifetimes_++);
+  process_.emplace(std::move(arguments), settings_.folder / log);
+}
 
 std::string EntryProcess::Get(const std::string& path) const {
-  return Send(port_, Head("GET " + path, "r1") + "\r\n");
+  return Send(settings_.port, Head("GET " + path, "r1") + "\r\n");
 }
 
 std::string EntryProcess::Post(const std::string& path,
                                const std::string& id,
                                const std::string& body) const {
-  return Send(port_, Head("POST " + path, id) + "Content-Length: " +
-                         std::to_string(body.size()) + "\r\n\r\n" + body);
+  return Send(settings_.port, Head("POST " + path, id) + "Content-Length: " +
+                                  std::to_string(body.size()) + "\r\n\r\n" +
+                                  body);
 }
 
 bool EntryProcess::Shows(const std::string& line) const {
-  return Send(health_port_, Head("GET /metrics", "r1") + "\r\n")
+  return Send(settings_.health_port, Head("GET /metrics", "r1") + "\r\n")
              .find(line + "\n") != std::string::npos;
 }
 
--- a/tests/system/entry_process.h
+++ b/tests/system/entry_process.h
@@ -2,7 +2,10 @@
 #ifndef LYNXGLADE_TESTS_SYSTEM_ENTRY_PROCESS_H_
 #define LYNXGLADE_TESTS_SYSTEM_ENTRY_PROCESS_H_
 
+#include <filesystem>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "system/process.h"
 
@@ -20,10 +23,28 @@
 // line that proves its origin.
 std::string AnswerLines(const std::string& request);
 
-// An entry instance of zone "a" that takes part in the exchange with its peers.
+struct EntryProcessSettings {
+  std::string name;
+  std::string zone = "a";
+  int store_port = 0;
+  int port = 0;
+  int health_port = 0;
+  int peer_port = 0;
+  // Where its output goes, one file a lifetime.
+  std::filesystem::path folder;
+  // Further flags.
+  std::vector<std::string> flags = {};
+};
+
+// An entry instance that takes part in the exchange with its peers. It keeps
+// its name and ports when it is started again.
 class EntryProcess {
  public:
+  // In zone "a", with free ports.
   EntryProcess(int number, int store_port);
+  explicit EntryProcess(EntryProcessSettings settings);
+  // Kills the process if it runs, and starts it again.
+  void Restart();
 
   // Returns the whole answer; an empty string if the connection is refused.
   std::string Get(const std::string& path) const;
@@ -33,15 +54,17 @@
   // Whether the metrics page has the line.
   bool Shows(const std::string& line) const;
   // The instance's key in the store.
-  std::string Key() const { return "lynxglade/instances/a/" + name_; }
-  int health_port() const noexcept { return health_port_; }
-  Process& process() noexcept { return process_; }
+  std::string Key() const {
+    return "lynxglade/instances/" + settings_.zone + '/' + settings_.name;
+  }
+  int port() const noexcept { return settings_.port; }
+  int health_port() const noexcept { return settings_.health_port; }
+  Process& process() noexcept { return *process_; }
 
  private:
-  const std::string name_;
-  const int port_ = FreePort();
-  const int health_port_ = FreePort();
-  Process process_;
+  const EntryProcessSettings settings_;
+  int lifetimes_ = 0;
+  std::optional<Process> process_;
 };
 
 }  // namespace lynxglade::system_test
--- a/tests/system/scripted_store.cc
+++ b/tests/system/scripted_store.cc
@@ -1,5 +1,6 @@
 #include "system/scripted_store.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -50,10 +51,28 @@
 
 void ScriptedStore::Remove(const std::string& key) {
   const std::lock_guard lock(mutex_);
+  Erase(key);
+}
+
+void ScriptedStore::Erase(const std::string& key) {
   values_.erase(key);
+  key_leases_.erase(key);
   Note(key, true);
 }
 
+void ScriptedStore::ExpireLeases() {
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(leases_,
+                [now](const auto& it) { return it.second.expires_at <= now; });
+  std::vector<std::string> expired;
+  for (const auto& [key, lease] : key_leases_) {
+    if (!leases_.contains(lease)) {
+      expired.push_back(key);
+    }
+  }
+  std::ranges::for_each(expired, [this](const auto& it) { Erase(it); });
+}
+
 bool ScriptedStore::Has(const std::string& key) {
   const std::lock_guard lock(mutex_);
   return values_.contains(key);
@@ -71,6 +90,10 @@
       request.substr(first, request.find(' ', first) - first);
   const std::string body = request.substr(request.find("\r\n\r\n") + 4);
   const std::string prefix = Parameter(target, "pathPrefix");
+  {
+    const std::lock_guard lock(mutex_);
+    ExpireLeases();
+  }
   if (target.starts_with("/kv-range")) {
     return Http(200, Range(prefix).dump());
   }
@@ -82,9 +105,9 @@
     return Key(Parameter(target, "key"));
   }
   if (target.starts_with("/kv-txn")) {
-    return Http(200, Transaction(json::parse(body)).dump());
+    return Transaction(json::parse(body));
   }
-  return Http(200, json{{"lease", 7}, {"ttlMs", 10000}}.dump());
+  return Lease(target, json::parse(body, nullptr, false));
 }
 
 json ScriptedStore::Item(const std::string& key) {
@@ -129,15 +152,63 @@
   return values_.contains(key) ? Http(200, Item(key).dump()) : Http(404, "{}");
 }
 
-json ScriptedStore::Transaction(const json& body) {
+ScriptedStore::Reply ScriptedStore::Transaction(const json& body) {
   const std::lock_guard lock(mutex_);
-  for (const json& write : body.at("writes")) {
+  for (const json& condition : body.value("ifRevision", json::array())) {
+    const std::string key = condition.at("key");
+    const std::int64_t revision = values_.contains(key) ? revisions_[key] : 0;
+    if (revision != condition.at("revision")) {
+      const json items =
+          values_.contains(key) ? json::array({Item(key)}) : json::array();
+      return Http(412, json{{"items", items}}.dump());
+    }
+  }
+  for (const json& write : body.value("writes", json::array())) {
+    const std::int64_t lease = write.value("lease", std::int64_t{0});
+    if (lease != 0 && !leases_.contains(lease)) {
+      return Http(404, "{}");
+    }
+  }
+  for (const json& write : body.value("writes", json::array())) {
     const std::string key = write.at("key");
     values_[key] =
         *connection::Base64Decode(write.at("value").get<std::string>());
+    key_leases_.erase(key);
+    const std::int64_t lease = write.value("lease", std::int64_t{0});
+    if (lease != 0) {
+      key_leases_[key] = lease;
+    }
     Note(key, false);
   }
-  return {{"revision", revision_}};
+  for (const json& key : body.value("remove", json::array())) {
+    Erase(key.get<std::string>());
+  }
+  return Http(200, json{{"revision", revision_}}.dump());
+}
+
+ScriptedStore::Reply ScriptedStore::Lease(const std::string& target,
+                                          const json& body) {
+  const std::lock_guard lock(mutex_);
+  const auto now = std::chrono::steady_clock::now();
+  if (target == "/kv-lease") {
+    const std::chrono::milliseconds ttl(body.at("ttlMs").get<std::int64_t>());
+    leases_[next_lease_] = {ttl, now + ttl};
+    return Http(200,
+                json{{"lease", next_lease_++}, {"ttlMs", ttl.count()}}.dump());
+  }
+  const std::int64_t lease = std::stoll(target.substr(target.rfind('/') + 1));
+  const auto it = leases_.find(lease);
+  if (it == leases_.end()) {
+    return Http(404, "{}");
+  }
+  if (target.starts_with("/kv-lease-end/")) {
+    leases_.erase(it);
+    ExpireLeases();
+    return Http(200, "{}");
+  }
+  it->second.expires_at = now + it->second.ttl;
+  return Http(200,
+              json{{"lease", lease}, {"ttlMs", it->second.ttl.count()}}.dump());
 }
 
 }  // namespace lynxglade::system_test
--- a/tests/system/scripted_store.h
+++ b/tests/system/scripted_store.h
@@ -1,9 +1,10 @@
 // A scripted key-value store with the subset of its HTTP and JSON protocol that
-// an entry instance uses. Implemented independently of the client and transport
-// under test.
+// an entry instance uses: ranges, watches, conditional transactions and leases.
+// Implemented independently of the client and transport under test.
 #ifndef LYNXGLADE_SYSTEM_SCRIPTED_STORE_H_
 #define LYNXGLADE_SYSTEM_SCRIPTED_STORE_H_
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -37,11 +38,19 @@
   nlohmann::json Range(const std::string& prefix);
   nlohmann::json Watch(const std::string& prefix, std::int64_t after);
   Reply Key(const std::string& key);
-  nlohmann::json Transaction(const nlohmann::json& body);
+  Reply Transaction(const nlohmann::json& body);
+  Reply Lease(const std::string& target, const nlohmann::json& body);
+  // Requires `mutex_`.
+  void Erase(const std::string& key);
+  void ExpireLeases();
   nlohmann::json Item(const std::string& key);
   // Requires `mutex_`.
   void Note(const std::string& key, bool deleted);
 
+  struct GrantedLease {
+    std::chrono::milliseconds ttl{};
+    std::chrono::steady_clock::time_point expires_at{};
+  };
   struct Change {
     std::int64_t revision;
     std::string key;
@@ -55,6 +64,10 @@
   std::map<std::string, std::string> values_;
   std::map<std::string, std::int64_t> revisions_;
   std::vector<Change> history_;
+  std::int64_t next_lease_ = 1;
+  std::map<std::int64_t, GrantedLease> leases_;
+  // The lease that a key is bound to.
+  std::map<std::string, std::int64_t> key_leases_;
   // Declared last: its threads use the other members.
   connection::ScriptedServer server_;
 };
