Observability: use of the retry budget, ends by size, first bytes foreseen and real

The hypotheses on BUDGET and SIZES could not be told apart: no line said what an instance had spent of which share, nor when a first byte had been foreseen. retry_paid, retry_denied and the new reading_denied carry share, spent, lent, reserved and borrowed arrivals; lynxglade_retry_budget{part} shows them. request_end carries foreseen_ms; lynxglade_prompts_total and lynxglade_answers_total count ends by size, lynxglade_first_bytes_late_seconds the error of the forecast. No decision changes.

--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -353,6 +353,20 @@
   metrics.AddGauge("lynxglade_contents_quarantined", {}, [this] {
     return static_cast<double>(quarantine.Count(clock()).quarantined);
   });
+  const auto add_budget_gauge =
+      [this](const char* part,
+             double request::passthrough::RetryBudgetUse::* value) {
+        metrics.AddGauge(
+            "lynxglade_retry_budget", {{"part", part}}, [this, value] {
+              return retry_budget.Use(presence.Count(), clock()).*value;
+            });
+      };
+  using Use = request::passthrough::RetryBudgetUse;
+  add_budget_gauge("share", &Use::share);
+  add_budget_gauge("spent", &Use::spent);
+  add_budget_gauge("lent", &Use::lent);
+  add_budget_gauge("reserved", &Use::reserved);
+  add_budget_gauge("borrowed", &Use::borrowed);
   metrics.AddGauge("lynxglade_targets_used", {}, [this] {
     return static_cast<double>(views.engines().used());
   });
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -78,6 +78,7 @@
         .GetCounter("lynxglade_retry_denials_total",
                     {{"reason", "first_reading"}})
         .Add();
+    LogBudget("reading_denied", "", 1);
     co_return false;
   }
   connection::event::asio::steady_timer timer(deps_.loop,
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -18,7 +18,12 @@
 using connection::event::Awaitable;
 namespace http = connection::event::http;
 
+constexpr unsigned kFirstFailure = 400;
 constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kServiceUnavailable = 503;
+// Upper bounds of the buckets in which sizes are counted, in tokens.
+constexpr std::array<std::int64_t, 6> kSizeBuckets{64,    256,    1'024,
+                                                   4'096, 16'384, 65'536};
 
 // Reply to the caller if there is no target's answer. Those that promise that
 // the request has not run and will not run carry Retry-After.
@@ -56,6 +61,12 @@
   return std::string(buf.data(), static_cast<std::size_t>(std::max(n, 0)));
 }
 
+// The upper bound of the size's bucket.
+std::string SizeBucket(std::int64_t tokens) {
+  const auto it = std::ranges::lower_bound(kSizeBuckets, tokens);
+  return it == kSizeBuckets.end() ? "more" : std::to_string(*it);
+}
+
 // -1 if unset, for log lines.
 std::int64_t MillisOrNone(const std::optional<base::Duration>& d) {
   return d ? base::ToMillis(*d) : -1;
@@ -223,7 +234,58 @@
        {"ms", base::ToMillis(Elapsed())}});
 }
 
+void RelayRun::LogBudget(const char* event,
+                         std::string_view after,
+                         int arrivals) {
+  const int instances = deps_.instances();
+  const RetryBudgetUse use =
+      deps_.retry_budget.Use(service_, instances, deps_.clock());
+  Log(LogLevel::kInfo, event,
+      {{"request", terms_.request_id},
+       {"service", service_.str()},
+       {"after", after},
+       {"arrivals", arrivals},
+       {"instances", instances},
+       {"share", use.share},
+       {"spent", use.spent},
+       {"lent", use.lent},
+       {"reserved", use.reserved},
+       {"borrowed", use.borrowed}});
+}
+
+bool RelayRun::IsServed() const noexcept {
+  return ended_by_ == "answer" && status_ != 0 && status_ < kFirstFailure;
+}
+
+void RelayRun::CountSize() const {
+  const std::int64_t prompt_tokens = terms_.prompt.TotalTokens();
+  if (prompt_tokens == 0) {
+    return;
+  }
+  const char* outcome = IsServed()                       ? "served"
+                        : reply_.disconnected()          ? "left"
+                        : status_ == kServiceUnavailable ? "refused"
+                                                         : "failed";
+  deps_.metrics
+      .GetCounter("lynxglade_prompts_total",
+                  {{"tokens", SizeBucket(prompt_tokens)}, {"outcome", outcome}})
+      .Add();
+  deps_.metrics
+      .GetCounter("lynxglade_answers_total",
+                  {{"tokens", SizeBucket(terms_.expected_tokens)},
+                   {"outcome", outcome}})
+      .Add();
+  if (foreseen_ && first_bytes_at_) {
+    deps_.metrics
+        .GetLatency("lynxglade_first_bytes_late_seconds",
+                    {{"prompt_tokens", SizeBucket(prompt_tokens)}})
+        .Record(
+            std::max(*first_bytes_at_ - *foreseen_, base::Duration::zero()));
+  }
+}
+
 void RelayRun::LogEnd() const {
+  CountSize();
   deps_.metrics.GetLatency("lynxglade_answer_seconds").Record(Elapsed());
   if (first_bytes_at_) {
     deps_.metrics.GetLatency("lynxglade_first_bytes_seconds")
@@ -244,6 +306,7 @@
        {"expected_tokens", terms_.expected_tokens},
        {"most_tokens", terms_.max_tokens},
        {"events", events_.events()},
+       {"foreseen_ms", MillisOrNone(foreseen_)},
        {"first_bytes_ms", MillisOrNone(first_bytes_at_)},
        {"status", status_},
        {"runs", runs_},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -163,6 +163,7 @@
     }
     const auto reason = first ? CheckFirstAttempt(pick) : std::nullopt;
     if (first) {
+      foreseen_ = Elapsed() + pick.expected;
       RecordPlacement(pick, reason.has_value());
     }
     if (reason) {
@@ -326,12 +327,7 @@
           {{paid ? "after" : "reason",
             paid ? std::string(ToString(after)) : "allowance"}})
       .Add();
-  Log(LogLevel::kInfo, paid ? "retry_paid" : "retry_denied",
-      {{"request", terms_.request_id},
-       {"service", service_.str()},
-       {"after", ToString(after)},
-       {"arrivals", arrivals},
-       {"instances", deps_.instances()}});
+  LogBudget(paid ? "retry_paid" : "retry_denied", ToString(after), arrivals);
   co_return reserved;
 }
 
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -204,6 +204,11 @@
   // Logs the state of the engine for which the first attempt was not made.
   void LogNotAttempted(const EnginePick& pick, EndReason reason) const;
   void LogAttempt(const EnginePick& pick, AttemptEnd end);
+  // A reservation was made or denied, and how much of the budget is used.
+  void LogBudget(const char* event, std::string_view after, int arrivals);
+  // Counts the end by size.
+  void CountSize() const;
+  bool IsServed() const noexcept;
   void LogEnd() const;
 
   RelayDependencies& deps_;
@@ -266,9 +271,11 @@
     std::string body;
   };
   std::optional<SavedAnswer> saved_answer_;
-  // For logs, since the request's arrival: end of the prefill, and first bytes
-  // of the answer.
+  // For logs and metrics, since the request's arrival: end of the prefill, and
+  // first bytes of the answer.
   std::optional<base::Duration> prefilled_at_;
+  // When the first bytes were expected before the first attempt.
+  std::optional<base::Duration> foreseen_;
   std::optional<base::Duration> first_bytes_at_;
   base::Duration last_bytes_at_{};
   base::Duration longest_pause_{};
--- a/src/request/passthrough/shared_retry_budget.cc
+++ b/src/request/passthrough/shared_retry_budget.cc
@@ -119,16 +119,51 @@
                                               : options_.max_retry_fraction;
 }
 
+double SharedRetryBudget::Share(Account& account,
+                                int instances,
+                                base::Time now) const {
+  const double earned = options_.ratio * account.requests.Total(now);
+  const double granted = options_.allowance / std::max(instances, 1);
+  return earned + granted;
+}
+
 double SharedRetryBudget::OwnRemaining(Account& account,
                                        double fraction,
                                        int instances,
                                        base::Time now) const {
-  const double earned = options_.ratio * account.requests.Total(now);
-  const double granted = options_.allowance / std::max(instances, 1);
-  return fraction * (earned + granted) - account.spent.Total(now) -
+  return fraction * Share(account, instances, now) - account.spent.Total(now) -
          account.lent.Total(now) - account.reserved;
 }
 
+RetryBudgetUse SharedRetryBudget::Use(const base::ServiceName& service,
+                                      int instances,
+                                      base::Time now) {
+  return UseOf(Find(service), instances, now);
+}
+
+RetryBudgetUse SharedRetryBudget::Use(int instances, base::Time now) {
+  RetryBudgetUse sum;
+  for (auto& [service, account] : accounts_) {
+    const RetryBudgetUse use = UseOf(account, instances, now);
+    sum.share += use.share;
+    sum.spent += use.spent;
+    sum.lent += use.lent;
+    sum.reserved += use.reserved;
+    sum.borrowed += use.borrowed;
+  }
+  return sum;
+}
+
+RetryBudgetUse SharedRetryBudget::UseOf(Account& account,
+                                        int instances,
+                                        base::Time now) const {
+  return {.share = Share(account, instances, now),
+          .spent = account.spent.Total(now),
+          .lent = account.lent.Total(now),
+          .reserved = account.reserved,
+          .borrowed = Borrowed(account, now)};
+}
+
 double SharedRetryBudget::Borrowed(Account& account, base::Time now) {
   std::erase_if(account.loans,
                 [now](const Loan& it) { return it.until <= now; });
--- a/src/request/passthrough/shared_retry_budget.h
+++ b/src/request/passthrough/shared_retry_budget.h
@@ -56,6 +56,19 @@
   base::Time reserved_at{};
 };
 
+// How much of a share is used, in arrivals.
+struct RetryBudgetUse {
+  // What this instance may use of the budget now; all of the rest counts
+  // against it, but for loans of others.
+  double share = 0;
+  // In the last window, and lent to others in the time for which that counts.
+  double spent = 0;
+  double lent = 0;
+  double reserved = 0;
+  // Loans of others that are not spent.
+  double borrowed = 0;
+};
+
 // What arrivals are for.
 enum class ArrivalPurpose {
   // A request is sent again. Counts if it reaches a target.
@@ -107,6 +120,13 @@
               double wanted,
               int instances,
               base::Time now);
+  // For logs and metrics. Without `service`: of all services
+  // together.
+  RetryBudgetUse Use(const base::ServiceName& service,
+                     int instances,
+                     base::Time now);
+  RetryBudgetUse Use(int instances, base::Time now);
+
   // Adds a loan from another instance that was requested at `requested_at`.
   void Borrow(const base::ServiceName& service,
               double arrivals,
@@ -135,6 +155,9 @@
   };
 
   Account& Find(const base::ServiceName& service);
+  RetryBudgetUse UseOf(Account& account, int instances, base::Time now) const;
+  // What the instance may use of the budget, before any part is kept back.
+  double Share(Account& account, int instances, base::Time now) const;
   // What remains of the fraction `fraction` of the own share; negative if more
   // was spent before, or the share has shrunk.
   double OwnRemaining(Account& account,
