Retry budget: an instance that starts again uses little until its past no longer counts

Callers saw repeats piled up beyond what is allowed. A restarted instance had its share of the allowance again, and what its earlier lifetime had spent, lent and reserved was forgotten, while the bound counts the fleet's arrivals.

No memory survives a loss of power everywhere, so both lifetimes are bounded: 0.8 of a share at most, and 0.15 until no window can hold an arrival that the earlier lifetime paid for (15 s); the part of the allowance accrues meanwhile, so that a series of short lifetimes has it once. Retries leave 0.55 of a share to first prefills where there are any (0.2 before), and use all of it elsewhere. A long prompt that cannot be paid for after a start is prefilled by its runner instead of being refused.

The ports of rigs that run at the same time no longer overlap.

--- a/bench/retries/retry_fleet.cc
+++ b/bench/retries/retry_fleet.cc
@@ -67,7 +67,8 @@
     for (std::size_t i = 0; i < instances_.size(); ++i) {
       instances_[i].weight = 0.4 + 1.2 * base::UniformReal(random_);
       total_weight_ += instances_[i].weight;
-      instances_[i].budget = MakeBudget(i);
+      // Before the run, all have been up for long.
+      instances_[i].budget = MakeBudget(i, base::Time());
     }
   }
 
@@ -93,11 +94,14 @@
     events_.emplace(std::max(at, now_), std::move(event));
   }
 
-  std::unique_ptr<SharedRetryBudget> MakeBudget(std::size_t i) {
+  std::unique_ptr<SharedRetryBudget> MakeBudget(std::size_t i,
+                                                base::Time started_at) {
     return std::make_unique<SharedRetryBudget>(
-        settings_.budget, [this, i](const base::ServiceName&, double missing) {
+        settings_.budget,
+        [this, i](const base::ServiceName&, double missing) {
           RequestLoan(i, missing);
-        });
+        },
+        started_at);
   }
 
   void Kill(const FleetKill& kill) {
@@ -126,7 +130,7 @@
     instances_[i].up = true;
     instances_[i].started_at = now_;
     if (!settings_.remembers) {
-      instances_[i].budget = MakeBudget(i);
+      instances_[i].budget = MakeBudget(i, now_);
     }
   }
 
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -71,14 +71,16 @@
           [this](request::passthrough::Engine& engine, base::Time now) {
             return limits.MaySend(engine, now);
           }),
-      retry_budget({.ratio = s.retry_ratio,
-                    .allowance = s.retry_allowance,
-                    .window = s.retry_window},
-                   [this](const base::ServiceName& service, double missing) {
-                     if (peers) {
-                       peers->retry_loans().RequestLoan(service, missing);
-                     }
-                   }),
+      retry_budget(
+          {.ratio = s.retry_ratio,
+           .allowance = s.retry_allowance,
+           .window = s.retry_window},
+          [this](const base::ServiceName& service, double missing) {
+            if (peers) {
+              peers->retry_loans().RequestLoan(service, missing);
+            }
+          },
+          clock()),
       quarantine(
           request::passthrough::FleetQuarantineOptions(),
           s.instance,
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -46,9 +46,13 @@
   // How long a request waits for budget, that is for released reservations and
   // loans of other instances, and how often it checks. After that a retry is
   // denied; a prompt that cannot be prefilled separately is refused or, if it
-  // is short, prefilled by the engine that runs it.
+  // is short or this instance has just started, prefilled by the engine that
+  // runs it.
   base::Duration budget_timeout = std::chrono::milliseconds(500);
   base::Duration budget_poll_interval = std::chrono::milliseconds(10);
+  // How long a first prefill waits for budget after this instance's start: for
+  // a loan. A longer wait would be in vain, and the runner may prefill then.
+  base::Duration start_budget_timeout = std::chrono::milliseconds(50);
   // How long a request whose prompt is prefilled waits for a target that is not
   // at its limit, and how often it checks.
   base::Duration permit_timeout = std::chrono::milliseconds(500);
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -71,7 +71,10 @@
         service_, 1, ArrivalPurpose::kFirstPrefill, deps_.instances(), now);
     return reserved->has_value();
   };
-  const bool paid = co_await WaitForBudget(reserve);
+  const bool paid = co_await WaitForBudget(
+      reserve, deps_.retry_budget.IsStarting(deps_.clock())
+                   ? options_.start_budget_timeout
+                   : options_.budget_timeout);
   if (!paid) {
     prefill_denied_ = true;
     deps_.metrics
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -155,9 +155,10 @@
       break;
     }
     if (prefill_denied_ && runs_ == 0 &&
-        deps_.picker.PrefillStallsDecode(pick)) {
+        deps_.picker.PrefillStallsDecode(pick) &&
+        !deps_.retry_budget.IsStarting(deps_.clock())) {
       // Prefilled by its runner, the prompt would stall other requests'
-      // streams.
+      // streams. That is borne for the few seconds after a start.
       co_await Refuse(EndReason::kRetryBudget);
       co_return;
     }
@@ -320,7 +321,7 @@
         service_, arrivals, ArrivalPurpose::kRetry, deps_.instances(), now);
     return reserved.has_value();
   };
-  const bool paid = co_await WaitForBudget(reserve);
+  const bool paid = co_await WaitForBudget(reserve, options_.budget_timeout);
   deps_.metrics
       .GetCounter(
           paid ? "lynxglade_retries_total" : "lynxglade_retry_denials_total",
@@ -332,8 +333,9 @@
 }
 
 Awaitable<bool> RelayRun::WaitForBudget(
-    const std::function<bool(base::Time now)>& reserve) {
-  const base::Time wait_until = deps_.clock() + options_.budget_timeout;
+    const std::function<bool(base::Time now)>& reserve,
+    base::Duration timeout) {
+  const base::Time wait_until = deps_.clock() + timeout;
   while (!IsStopped()) {
     const base::Time now = deps_.clock();
     if (reserve(now)) {
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -138,10 +138,11 @@
   // Sends the prompt to its prefill engine and sets source_; false on failure.
   // Charges the shared retry budget if the arrival counts.
   Awaitable<bool> PrefillPrompt(const EnginePick& pick);
-  // Calls `reserve` until it succeeds; false after RelayOptions::budget_timeout
-  // or once the request is stopped.
+  // Calls `reserve` until it succeeds; false after `timeout` or once the
+  // request is stopped.
   Awaitable<bool> WaitForBudget(
-      const std::function<bool(base::Time now)>& reserve);
+      const std::function<bool(base::Time now)>& reserve,
+      base::Duration timeout);
   // Sends the prefill for PrefillPrompt(); sets `may_count` if it reached its
   // engine and was not accepted.
   Awaitable<bool> SendPrefill(const EnginePick& pick, bool* may_count);
--- a/src/request/passthrough/shared_retry_budget.cc
+++ b/src/request/passthrough/shared_retry_budget.cc
@@ -7,8 +7,11 @@
 namespace lynxglade::request::passthrough {
 
 SharedRetryBudget::SharedRetryBudget(SharedRetryBudgetOptions options,
-                                     OnShortfall on_shortfall)
-    : options_(options), on_shortfall_(std::move(on_shortfall)) {}
+                                     OnShortfall on_shortfall,
+                                     base::Time started_at)
+    : options_(options),
+      on_shortfall_(std::move(on_shortfall)),
+      started_at_(started_at) {}
 
 void SharedRetryBudget::OnRequest(const base::ServiceName& service,
                                   base::Time now) {
@@ -23,9 +26,13 @@
     int instances,
     base::Time now) {
   Account& account = Find(service);
+  if (use == ArrivalPurpose::kFirstPrefill) {
+    account.prefilled_at = now;
+  }
   const double borrowed = Borrowed(account, now);
-  const double own =
-      std::max(OwnRemaining(account, FractionFor(use), instances, now), 0.0);
+  const double own = std::max(
+      OwnRemaining(account, FractionFor(account, use, now), instances, now),
+      0.0);
   if (borrowed + own < arrivals) {
     if (on_shortfall_) {
       on_shortfall_(service, arrivals - borrowed - own);
@@ -85,7 +92,8 @@
   Account& account = Find(service);
   const double lent = std::min(
       std::max(wanted, options_.min_loan),
-      OwnRemaining(account, options_.max_retry_fraction, instances, now));
+      OwnRemaining(account, FractionFor(account, ArrivalPurpose::kRetry, now),
+                   instances, now));
   if (lent < options_.min_loan) {
     return 0;
   }
@@ -114,17 +122,33 @@
   return accounts_.try_emplace(service, options_).first->second;
 }
 
-double SharedRetryBudget::FractionFor(ArrivalPurpose use) const noexcept {
-  return use == ArrivalPurpose::kFirstPrefill ? options_.max_fraction
-                                              : options_.max_retry_fraction;
+bool SharedRetryBudget::IsStarting(base::Time now) const noexcept {
+  return now - started_at_ <= options_.window + options_.loan_ttl;
+}
+
+double SharedRetryBudget::FractionFor(const Account& account,
+                                      ArrivalPurpose use,
+                                      base::Time now) const noexcept {
+  if (IsStarting(now)) {
+    return options_.max_start_fraction;
+  }
+  const bool prefills =
+      account.prefilled_at && now - *account.prefilled_at <= options_.window;
+  return use == ArrivalPurpose::kRetry && prefills ? options_.max_retry_fraction
+                                                   : options_.max_fraction;
 }
 
+// While an instance starts, its part of the allowance accrues: a series of
+// lifetimes, each too short for a window, gets it once.
 double SharedRetryBudget::Share(Account& account,
                                 int instances,
                                 base::Time now) const {
   const double earned = options_.ratio * account.requests.Total(now);
   const double granted = options_.allowance / std::max(instances, 1);
-  return earned + granted;
+  const double accrued = std::min(base::ToFineMillis(now - started_at_) /
+                                      base::ToFineMillis(options_.window),
+                                  1.0);
+  return earned + accrued * granted;
 }
 
 double SharedRetryBudget::OwnRemaining(Account& account,
--- a/src/request/passthrough/shared_retry_budget.h
+++ b/src/request/passthrough/shared_retry_budget.h
@@ -8,6 +8,12 @@
 // are many instances that part is small while load differs, so instances lend
 // each other what they do not need.
 //
+// An instance that starts again does not know what its earlier lifetime spent
+// and lent. Until no window can contain any of that, it uses a small fraction
+// of its share, and its part of the allowance accrues over a window; in return,
+// no instance ever uses its whole share. The sum over all lifetimes thus keeps
+// to the budget, however often and whichever instances start again.
+//
 // A loan is deducted from the lender from when it is granted until no window
 // can contain an arrival that it paid for. Shares together thus never exceed
 // the budget, even if loans are lost or late; a loan that does not arrive is
@@ -31,13 +37,17 @@
   double ratio = 0.2;
   double allowance = 50;
   base::Duration window = std::chrono::seconds(10);
-  // Fraction of the budget that is spent at most: a margin for instances whose
-  // windows or instance counts differ.
-  double max_fraction = 0.95;
-  // Fraction that retries and loans may use. The rest is reserved for first
-  // prefills, which rarely count against the budget, and without which long
-  // prompts are rejected.
-  double max_retry_fraction = 0.8;
+  // Fraction of its share that an instance spends at most.
+  double max_fraction = 0.8;
+  // The same right after its start, for as long as a window can contain an
+  // arrival that its earlier lifetime paid for. Both lifetimes together keep to
+  // the share if this and `max_fraction` add up to less than 1; the rest is a
+  // margin for instances whose windows or instance counts differ.
+  double max_start_fraction = 0.15;
+  // Fraction that retries and loans may use where prompts are prefilled
+  // separately. The rest is kept for first prefills, which rarely count against
+  // the budget, and without which long prompts are rejected.
+  double max_retry_fraction = 0.45;
   // A loan may be spent until this long after it was requested. A longer time
   // covers more prefills of a prompt, but the loan is deducted from the lender
   // for this time plus `window`.
@@ -88,11 +98,16 @@
   // `on_shortfall` may be empty; it is called for every failed reservation.
   // Loans are not requested earlier: they would expire unspent but stay
   // deducted from their lenders for much longer.
+  // `started_at`: when this instance started; the default is long ago.
   explicit SharedRetryBudget(SharedRetryBudgetOptions options,
-                             OnShortfall on_shortfall = {});
+                             OnShortfall on_shortfall = {},
+                             base::Time started_at = {});
   SharedRetryBudget(const SharedRetryBudget&) = delete;
   SharedRetryBudget& operator=(const SharedRetryBudget&) = delete;
 
+  // Whether the share is still reduced after the start.
+  bool IsStarting(base::Time now) const noexcept;
+
   // Counts a request for the service received from a caller.
   void OnRequest(const base::ServiceName& service, base::Time now);
   // Reserves `arrivals`; nothing if own share and loans do not cover them. Each
@@ -150,6 +165,8 @@
     // Reserved of the own share, and the number of open reservations.
     double reserved = 0;
     int reservations = 0;
+    // Whether prompts are prefilled separately.
+    std::optional<base::Time> prefilled_at;
     // Unspent loans, ordered by expiry.
     std::vector<Loan> loans;
   };
@@ -165,13 +182,16 @@
                       int instances,
                       base::Time now) const;
   static double Borrowed(Account& account, base::Time now);
-  double FractionFor(ArrivalPurpose use) const noexcept;
+  double FractionFor(const Account& account,
+                     ArrivalPurpose use,
+                     base::Time now) const noexcept;
   static void SpendLoans(Account& account, double arrivals);
   static void AddLoan(Account& account, const Loan& loan);
   static void DropReservation(Account& account,
                               const ReservedArrivals& reserved);
   const SharedRetryBudgetOptions options_;
   const OnShortfall on_shortfall_;
+  const base::Time started_at_;
   std::map<base::ServiceName, Account> accounts_;
 };
 
--- a/tests/request/passthrough/shared_retry_budget_test.cc
+++ b/tests/request/passthrough/shared_retry_budget_test.cc
@@ -147,6 +147,7 @@
                             .allowance = 10,
                             .max_fraction = 1,
                             .max_retry_fraction = 0.8});
+  ASSERT_TRUE(CanReserve(budget, kNow));
   int taken = 0;
   while (Take(budget, 1, 1, kNow)) {
     ++taken;
@@ -158,6 +159,52 @@
   EXPECT_FALSE(ReservePrefill(budget, 1, kNow));
 }
 
+TEST(SharedRetryBudget, RetriesUseAllWhereNothingIsPrefilledSeparately) {
+  SharedRetryBudget budget({.ratio = 0,
+                            .allowance = 10,
+                            .max_fraction = 0.9,
+                            .max_retry_fraction = 0.5});
+  int taken = 0;
+  while (Take(budget, 1, 1, kNow)) {
+    ++taken;
+  }
+  EXPECT_EQ(taken, 9);
+}
+
+// Guards against BUDGET: a restarted instance has its whole share again, though
+// a window may hold what its earlier lifetime spent, or a loan that it granted.
+TEST(SharedRetryBudget, RestartedInstanceUsesLittleWhileItsPastCounts) {
+  const SharedRetryBudgetOptions options{.ratio = 1,
+                                         .allowance = 0,
+                                         .max_fraction = 0.75,
+                                         .max_start_fraction = 0.25,
+                                         .max_retry_fraction = 0.75};
+  SharedRetryBudget budget(options, {}, kNow);
+  const base::Time last_of_start = kNow + options.window + options.loan_ttl;
+  for (int i = 0; i < 8; ++i) {
+    budget.OnRequest(kService, last_of_start);
+  }
+  EXPECT_TRUE(budget.IsStarting(last_of_start));
+  EXPECT_EQ(budget.Lend(kService, 5, 1, last_of_start), 2);
+  EXPECT_FALSE(CanReserve(budget, last_of_start));
+  const base::Time later = last_of_start + milliseconds(1);
+  EXPECT_FALSE(budget.IsStarting(later));
+  EXPECT_TRUE(Take(budget, 4, 1, later));
+  EXPECT_FALSE(CanReserve(budget, later));
+}
+
+// A series of short lifetimes has the allowance once.
+TEST(SharedRetryBudget, AllowanceAccruesAfterARestart) {
+  SharedRetryBudget budget(
+      {.ratio = 0, .allowance = 10, .max_start_fraction = 0.4}, {}, kNow);
+  EXPECT_FALSE(CanReserve(budget, kNow));
+  EXPECT_FALSE(CanReserve(budget, kNow + milliseconds(2400)));
+  EXPECT_TRUE(Take(budget, 1, 1, kNow + milliseconds(2600)));
+  EXPECT_FALSE(CanReserve(budget, kNow + milliseconds(4900)));
+  EXPECT_TRUE(Take(budget, 3, 1, kNow + seconds(10)));
+  EXPECT_FALSE(CanReserve(budget, kNow + seconds(10)));
+}
+
 TEST(SharedRetryBudget, ReportsTheShortfall) {
   double missing = 0;
   SharedRetryBudget budget(
@@ -211,8 +258,12 @@
  public:
   LendingFleet(int instances,
                const SharedRetryBudgetOptions& options,
-               base::RandomSource random)
-      : options_(options), random_(std::move(random)), bound_(options) {
+               base::RandomSource random,
+               bool restarts = false)
+      : options_(options),
+        random_(std::move(random)),
+        restarts_(restarts),
+        bound_(options) {
     for (int i = 0; i < instances; ++i) {
       fleet_.push_back(std::make_unique<SharedRetryBudget>(options));
     }
@@ -221,6 +272,9 @@
   void Step() {
     now_ += milliseconds(base::UniformBelow(random_, 60));
     const int at = Random(static_cast<int>(fleet_.size()));
+    if (restarts_ && Random(40) == 0) {
+      Restart(at);
+    }
     const auto act = base::UniformBelow(random_, 7);
     if (act == 0) {
       fleet_[at]->OnRequest(kService, now_);
@@ -272,6 +326,16 @@
       reservations_.push_back({at, *reserved});
     }
   }
+  // The new lifetime knows nothing of reservations and loans. What is reserved
+  // has been counted, and loans that others have stay good.
+  void Restart(int at) {
+    fleet_[at] = std::make_unique<SharedRetryBudget>(
+        options_, SharedRetryBudget::OnShortfall(), now_);
+    std::erase_if(reservations_,
+                  [at](const Reservation& it) { return it.instance == at; });
+    std::erase_if(loans_,
+                  [at](const LoanInTransit& it) { return it.to == at; });
+  }
   // A reserved arrival is rejected, at any time after it was sent.
   void ChargeRandom() {
     if (reservations_.empty()) {
@@ -307,6 +371,7 @@
 
   const SharedRetryBudgetOptions options_;
   const base::RandomSource random_;
+  const bool restarts_;
   base::Time now_ = kNow;
   Bound bound_;
   std::vector<std::unique_ptr<SharedRetryBudget>> fleet_;
@@ -329,6 +394,19 @@
   }
 }
 
+// Guards against BUDGET: the same while instances restart at random, each time
+// without memory of what they spent, lent and reserved.
+RC_GTEST_PROP(SharedRetryBudget, InstancesKeepToTheBoundOverRestarts, ()) {
+  const int instances = *rc::gen::element(1, 2, 7, 40, 300);
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  LendingFleet fleet(instances, {.ratio = 0.2, .allowance = 20},
+                     base::SeededRandom(seed), /*restarts=*/true);
+  for (int step = 0; step < 2000; ++step) {
+    fleet.Step();
+    RC_ASSERT(fleet.KeepsToBound());
+  }
+}
+
 // Without requests no safety margin is needed: the shares add up to the
 // budget, lent or not.
 RC_GTEST_PROP(SharedRetryBudget, LoansDoNotIncreaseTheAllowance, ()) {
--- a/tests/rig/rig.cc
+++ b/tests/rig/rig.cc
@@ -1,9 +1,9 @@
 #include "rig/rig.h"
 
-#include <unistd.h>
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -35,16 +35,33 @@
 constexpr base::Duration kPieceDelay = std::chrono::milliseconds(30);
 // Below the range from which the system takes the ports of connections.
 constexpr int kFirstPort = 20'000;
-constexpr int kPortSpread = 8'000;
-// Between the first ports of two runs at the same time.
-constexpr int kPortStep = 64;
+constexpr int kPortsPerRun = 100;
+constexpr int kMaxRuns = 80;
 
-// Ports that are free and that no outgoing connection can take.
-std::vector<int> FindPorts(std::size_t n) {
+// Takes a block of ports for this run: its first port is bound until the end of
+// the run, so that runs at the same time do not share ports.
+asio::ip::udp::socket ReservePorts(asio::io_context& loop) {
+  for (int i = 0; i < kMaxRuns; ++i) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + i * kPortsPerRun);
+    asio::ip::udp::socket socket(loop);
+    ErrorCode ec;
+    socket.open(asio::ip::udp::v4(), ec);
+    socket.bind({asio::ip::address_v4::loopback(), port}, ec);
+    if (!ec) {
+      return socket;
+    }
+  }
+  throw std::runtime_error("no free ports");
+}
+
+// Ports of the block that are free.
+std::vector<int> FindPorts(int first, std::size_t n) {
   asio::io_context loop;
   std::vector<int> ports;
-  int port = kFirstPort + getpid() * kPortStep % kPortSpread;
-  while (ports.size() < n) {
+  for (int port = first + 1; ports.size() < n; ++port) {
+    if (port >= first + kPortsPerRun) {
+      throw std::runtime_error("too few free ports");
+    }
     ErrorCode ec;
     Tcp::acceptor acceptor(loop);
     acceptor.open(Tcp::v4(), ec);
@@ -54,7 +71,6 @@
     if (!ec) {
       ports.push_back(port);
     }
-    ++port;
   }
   return ports;
 }
@@ -65,12 +81,14 @@
     : settings_(std::move(settings)),
       day_(DrawDay(settings_.day)),
       epoch_(base::BootClock::now() + kWarmUp),
-      loop_(1) {
+      loop_(1),
+      reservation_(ReservePorts(loop_)) {
   std::filesystem::create_directories(settings_.folder);
   const std::size_t engines =
       settings_.day.models + settings_.day.plain_targets;
   ports_ =
-      FindPorts(engines + settings_.day.links + 3 * settings_.day.instances);
+      FindPorts(reservation_.local_endpoint().port(),
+                engines + settings_.day.links + 3 * settings_.day.instances);
   store_.Put("op/config", MakeConfiguration(settings_.traffic.kinds).dump());
   StartEngines();
   StartInstances();
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/ip/udp.hpp>
+
 #include "base/random.h"
 #include "base/time.h"
 #include "bench/retries/retry_bound.h"
@@ -85,6 +87,8 @@
   const Day day_;
   const base::Time epoch_;
   connection::event::asio::io_context loop_;
+  // Held for the run; see ReservePorts().
+  connection::event::asio::ip::udp::socket reservation_;
   system_test::ScriptedStore store_;
   std::vector<int> ports_;
   std::vector<EngineSlot> engines_;
