Retry budget: a start is confirmed by a mark in the store, and has its part at once

An instance creates a key without a lease at its start and removes it when its past no longer counts. If it could create the key, no earlier lifetime started lately, and its part of the allowance is there at once; otherwise it accrues. The fractions add up to 0.95: 0.4 in general, 0.3 after a confirmed start, 0.25 after another one. Nothing is lent after a start: loans that expire unspent used up what all had. A long prompt is prefilled by its runner only while that prefills nothing else.

--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -100,6 +100,13 @@
                 .peer_endpoint = s.peer_listen,
                 .link_mbps = static_cast<int>(s.link_mbps)},
                clock),
+      start_mark(
+          loop,
+          store,
+          {.instance = s.instance, .lifetime = retry_budget.StartPhase()},
+          [this] { retry_budget.ConfirmStart(); },
+          clock,
+          random),
       watches(loop,
               store,
               SharingOptions(),
@@ -253,6 +260,7 @@
   }
   details_->Spawn(details_->store_follower.Run());
   details_->Spawn(details_->presence.Run());
+  details_->Spawn(details_->start_mark.Run());
   details_->Spawn(details_->authority.Run());
   details_->Spawn(details_->stage_orders.Run());
   details_->Spawn(details_->RunMaintenance());
--- a/src/process/store/store_port.h
+++ b/src/process/store/store_port.h
@@ -96,6 +96,10 @@
                                      std::string value,
                                      LeaseId lease,
                                      StoreFault* fault) = 0;
+  // Deletes a key that has the revision; kConflict if it has another.
+  virtual Result<base::Revision> Remove(std::string key,
+                                        base::Revision if_revision,
+                                        StoreFault* fault) = 0;
 };
 
 }  // namespace lynxglade::process::store
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -52,7 +52,7 @@
   base::Duration budget_poll_interval = std::chrono::milliseconds(10);
   // How long a first prefill waits for budget after this instance's start: for
   // a loan. A longer wait would be in vain, and the runner may prefill then.
-  base::Duration start_budget_timeout = std::chrono::milliseconds(50);
+  base::Duration start_budget_timeout = std::chrono::milliseconds(200);
   // How long a request whose prompt is prefilled waits for a target that is not
   // at its limit, and how often it checks.
   base::Duration permit_timeout = std::chrono::milliseconds(500);
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -155,10 +155,7 @@
       break;
     }
     if (prefill_denied_ && runs_ == 0 &&
-        deps_.picker.PrefillStallsDecode(pick) &&
-        !deps_.retry_budget.IsStarting(deps_.clock())) {
-      // Prefilled by its runner, the prompt would stall other requests'
-      // streams. That is borne for the few seconds after a start.
+        deps_.picker.PrefillStallsDecode(pick) && !MayStallDecode(pick)) {
       co_await Refuse(EndReason::kRetryBudget);
       co_return;
     }
@@ -206,6 +203,13 @@
   return Pick();
 }
 
+// Prefilled by its runner, the prompt stalls other requests' streams. That is
+// borne for the few seconds after a start, while its runner has nothing else to
+// prefill.
+bool RelayRun::MayStallDecode(const EnginePick& pick) const {
+  return deps_.retry_budget.IsStarting(deps_.clock()) && pick.no_other_prefills;
+}
+
 std::optional<EndReason> RelayRun::CheckFirstAttempt(
     const EnginePick& pick) const {
   if (ExceedsCallerTimeout({pick.wait, pick.expected}, FirstByteTimeout(),
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -120,6 +120,8 @@
   // Engines for the first attempt; marks the request as late if it will miss
   // its latency target.
   EnginePick PickFirst();
+  // Whether the runner may prefill a long prompt.
+  bool MayStallDecode(const EnginePick& pick) const;
   // Why the first attempt should not be made, if so.
   std::optional<EndReason> CheckFirstAttempt(const EnginePick& pick) const;
   // Whether a target will accept the request after its prefill, as far as
--- a/src/request/passthrough/shared_retry_budget.cc
+++ b/src/request/passthrough/shared_retry_budget.cc
@@ -89,6 +89,9 @@
                                double wanted,
                                int instances,
                                base::Time now) {
+  if (IsStarting(now)) {
+    return 0;
+  }
   Account& account = Find(service);
   const double lent = std::min(
       std::max(wanted, options_.min_loan),
@@ -123,14 +126,15 @@
 }
 
 bool SharedRetryBudget::IsStarting(base::Time now) const noexcept {
-  return now - started_at_ <= options_.window + options_.loan_ttl;
+  return now - started_at_ <= StartPhase();
 }
 
 double SharedRetryBudget::FractionFor(const Account& account,
                                       ArrivalPurpose use,
                                       base::Time now) const noexcept {
   if (IsStarting(now)) {
-    return options_.max_start_fraction;
+    return start_confirmed_ ? options_.max_start_fraction
+                            : options_.max_unconfirmed_fraction;
   }
   const bool prefills =
       account.prefilled_at && now - *account.prefilled_at <= options_.window;
@@ -138,16 +142,18 @@
                                                    : options_.max_fraction;
 }
 
-// While an instance starts, its part of the allowance accrues: a series of
-// lifetimes, each too short for a window, gets it once.
 double SharedRetryBudget::Share(Account& account,
                                 int instances,
                                 base::Time now) const {
   const double earned = options_.ratio * account.requests.Total(now);
   const double granted = options_.allowance / std::max(instances, 1);
-  const double accrued = std::min(base::ToFineMillis(now - started_at_) /
-                                      base::ToFineMillis(options_.window),
-                                  1.0);
+  // An unconfirmed start may be one of a series of short lifetimes.
+  const bool accrues = IsStarting(now) && !start_confirmed_;
+  const double accrued = accrues
+                             ? std::min(base::ToFineMillis(now - started_at_) /
+                                            base::ToFineMillis(options_.window),
+                                        1.0)
+                             : 1;
   return earned + accrued * granted;
 }
 
--- a/src/request/passthrough/shared_retry_budget.h
+++ b/src/request/passthrough/shared_retry_budget.h
@@ -10,9 +10,12 @@
 //
 // An instance that starts again does not know what its earlier lifetime spent
 // and lent. Until no window can contain any of that, it uses a small fraction
-// of its share, and its part of the allowance accrues over a window; in return,
-// no instance ever uses its whole share. The sum over all lifetimes thus keeps
-// to the budget, however often and whichever instances start again.
+// of its share; in return, no instance ever uses its whole share. That covers
+// one start in that time, which has to be confirmed (process/peers/start_mark).
+// A start that is not uses still less, and its part of the allowance accrues
+// over a window, so that a series of short lifetimes has it once. The sum over
+// all lifetimes thus keeps to the budget, however often and whichever instances
+// start again.
 //
 // A loan is deducted from the lender from when it is granted until no window
 // can contain an arrival that it paid for. Shares together thus never exceed
@@ -38,16 +41,18 @@
   double allowance = 50;
   base::Duration window = std::chrono::seconds(10);
   // Fraction of its share that an instance spends at most.
-  double max_fraction = 0.8;
-  // The same right after its start, for as long as a window can contain an
-  // arrival that its earlier lifetime paid for. Both lifetimes together keep to
-  // the share if this and `max_fraction` add up to less than 1; the rest is a
-  // margin for instances whose windows or instance counts differ.
-  double max_start_fraction = 0.15;
+  double max_fraction = 0.4;
+  // The same after its start, for as long as a window can contain an arrival
+  // that its earlier lifetime paid for: once the start is confirmed, and
+  // before. All lifetimes together keep to the share if these and
+  // `max_fraction` add up to less than 1; the rest is a margin for instances
+  // whose windows or instance counts differ.
+  double max_start_fraction = 0.3;
+  double max_unconfirmed_fraction = 0.25;
   // Fraction that retries and loans may use where prompts are prefilled
   // separately. The rest is kept for first prefills, which rarely count against
   // the budget, and without which long prompts are rejected.
-  double max_retry_fraction = 0.45;
+  double max_retry_fraction = 0.3;
   // A loan may be spent until this long after it was requested. A longer time
   // covers more prefills of a prompt, but the loan is deducted from the lender
   // for this time plus `window`.
@@ -107,6 +112,12 @@
 
   // Whether the share is still reduced after the start.
   bool IsStarting(base::Time now) const noexcept;
+  // How long that is.
+  base::Duration StartPhase() const noexcept {
+    return options_.window + options_.loan_ttl;
+  }
+  // No earlier lifetime of this instance started within that time.
+  void ConfirmStart() noexcept { start_confirmed_ = true; }
 
   // Counts a request for the service received from a caller.
   void OnRequest(const base::ServiceName& service, base::Time now);
@@ -130,7 +141,9 @@
 
   // Grants up to `wanted` arrivals, at least `min_loan`, to another instance
   // and returns how many; 0 if less is left. Nothing is kept back, as this
-  // instance can borrow itself.
+  // instance can borrow itself. After a start it lends nothing: a
+  // loan counts for longer than it can be spent, and if all start at once,
+  // loans to each other would use up what all have.
   double Lend(const base::ServiceName& service,
               double wanted,
               int instances,
@@ -192,6 +205,7 @@
   const SharedRetryBudgetOptions options_;
   const OnShortfall on_shortfall_;
   const base::Time started_at_;
+  bool start_confirmed_ = false;
   std::map<base::ServiceName, Account> accounts_;
 };
 
--- a/tests/process/store/fake_store_port.cc
+++ b/tests/process/store/fake_store_port.cc
@@ -231,6 +231,22 @@
   co_return co_await Put(key, value, lease, fault);
 }
 
+StorePort::Result<base::Revision> FakeStorePort::Remove(
+    std::string key,
+    base::Revision if_revision,
+    StoreFault* fault) {
+  if (Failing(fault)) {
+    co_return std::nullopt;
+  }
+  const auto it = items_.find(key);
+  if (it == items_.end() || it->second.revision != if_revision) {
+    *fault = StoreFault::kConflict;
+    co_return std::nullopt;
+  }
+  Remove(key);
+  co_return base::Revision(revision_);
+}
+
 StorePort::Result<base::Revision> FakeStorePort::Put(std::string key,
                                                      std::string value,
                                                      LeaseId lease,
--- a/tests/process/store/fake_store_port.h
+++ b/tests/process/store/fake_store_port.h
@@ -76,6 +76,9 @@
                              std::string value,
                              LeaseId lease,
                              StoreFault* fault) override;
+  Result<base::Revision> Remove(std::string key,
+                                base::Revision if_revision,
+                                StoreFault* fault) override;
 
  private:
   bool Failing(StoreFault* fault) const;
