Relay: an unanswered first prefill alone does not count against the retry budget

Callers that left while their prompt was prefilled used up the budget: each such prefill was charged, though the first arrival of a request never counts if no other one follows.

--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -93,6 +93,8 @@
     }
   });
   const bool prefilled = co_await SendPrefill(pick, &may_count);
+  // The first arrival of a request never counts, if no other one follows.
+  may_count = may_count && !(IsStopped() && arrivals_ <= 1);
   if (*reserved && may_count) {
     deps_.retry_budget.Charge(service_, **reserved);
   } else if (*reserved) {
--- a/tests/platform/first_prefills_test.cc
+++ b/tests/platform/first_prefills_test.cc
@@ -2,6 +2,7 @@
 // beyond the first of each request.
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -96,6 +97,23 @@
   EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "200"));
 }
 
+// Guards against callers that leave early and use up the retry budget: the
+// first arrival of a request does not count if no other one follows.
+TEST_F(ExhaustedRetryBudgetTest, AnUnansweredFirstPrefillAloneIsNotCharged) {
+  const ScriptedServer& prefill_engine = AddTarget(
+      [](const std::string&) { return ScriptedServer::Reply{"", Then::kHang}; },
+      EngineStage::kPrefill);
+  AddTarget([](const std::string& request) {
+    return Stream(request, 1, 2, Then::kKeep);
+  });
+  std::string request = Request("/stream/x", kPromptLines);
+  constexpr std::string_view kTimeout = "5000";
+  request.replace(request.find(kTimeout), kTimeout.size(), "300");
+  EXPECT_FALSE(IsStatus(Call(request), "200"));
+  EXPECT_EQ(prefill_engine.requests().size(), 1U);
+  EXPECT_EQ(retry_budget_.Use(kService, 1, base::BootClock::now()).spent, 0);
+}
+
 // Prefilling a long prompt on a decode engine would delay that engine's
 // streams.
 TEST_F(ExhaustedRetryBudgetTest, WithoutALoanALongPromptIsRejected) {
