Sizes: the share that is served by size is held, whatever is scarce

Large requests were left unserved: all sizes were refused alike, and large ones were lost besides, as they wait longer and run into their timeouts.

Each route's requests are classed by size (the largest tenth, the fifth below it, the rest), and an instance counts how often each class is served. While a larger class falls short of 0.9 of its route, pressure rises: smaller requests may use a part of the engines' capacity and of the longest wait only, and engines are filled less, so that larger answers finish. Without a shortfall engines take more than before. The class of an answer that ended follows from its real size. It replaces the preference for larger answers within one limit, which counted admissions instead of answers.

--- a/bench/sizes/size_fleet.h
+++ b/bench/sizes/size_fleet.h
@@ -44,6 +44,8 @@
   double slowness = 1;
   // Multiplies the rates of all kinds.
   double load = 1;
+  // Whether admission holds the share that is served by size.
+  bool by_size = true;
   base::Duration length = std::chrono::seconds(60);
   // Fraction of the shared parts that are not cached.
   double uncached = 0.05;
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -83,6 +83,7 @@
   request::passthrough::PrefillTimes prefill_times;
   request::passthrough::GenerationTimes generation_times;
   request::passthrough::AnswerAdmission answers{generation_times};
+  request::passthrough::ServedSizes served_sizes;
   const request::passthrough::EngineCapacity capacity =
       [this](const request::passthrough::Engine& engine, base::Time now) {
         return answers.Capacity(engine, now);
--- a/src/request/passthrough/answer_admission.cc
+++ b/src/request/passthrough/answer_admission.cc
@@ -34,16 +34,10 @@
   }
   RouteSizes& sizes = RecordRequest(engine.entry.service, route, answer, now);
   const double capacity = CapacityFor(engine, sizes);
-  const bool larger = IsLarger(sizes, answer);
-  const double limit = MayUseFullCapacity(sizes, larger)
-                           ? capacity
-                           : options_.shared_capacity_fraction * capacity;
   // A full engine rejects requests itself.
   const bool admitted =
-      capacity >= Slots(engine) || KnownLoad(engine, now) < limit;
-  Share& share = larger ? sizes.larger : sizes.smaller;
-  share.seen = options_.share_decay * share.seen + 1;
-  share.admitted = options_.share_decay * share.admitted + (admitted ? 1 : 0);
+      (capacity >= Slots(engine) && answer.capacity_fraction >= 1) ||
+      KnownLoad(engine, now) < answer.capacity_fraction * capacity;
   RecordAdmission(engine.entry.service, admitted, now);
   return admitted;
 }
@@ -86,6 +80,7 @@
   RouteSizes& sizes = routes[route];
   sizes.max_tokens = answer.max_tokens;
   sizes.timeout = answer.timeout;
+  sizes.deviations = answer.deviations;
   sizes.last_at = now;
   if (answer.expected_tokens > 0) {
     sizes.requests += 1;
@@ -99,21 +94,6 @@
   return sizes;
 }
 
-bool AnswerAdmission::IsLarger(const RouteSizes& sizes,
-                               const RequestedAnswer& answer) const noexcept {
-  return answer.expected_tokens > 0 &&
-         LogTokens(answer) > sizes.mean_log + options_.larger_deviations *
-                                                  std::sqrt(sizes.variance_log);
-}
-
-bool AnswerAdmission::MayUseFullCapacity(const RouteSizes& sizes,
-                                         bool larger) const noexcept {
-  const bool larger_behind =
-      sizes.larger.Rate() <
-      options_.larger_admission_ratio * sizes.smaller.Rate();
-  return larger == larger_behind;
-}
-
 double AnswerAdmission::Capacity(const Engine& engine, base::Time now) const {
   double capacity = Slots(engine);
   const auto service = routes_.find(engine.entry.service);
@@ -133,8 +113,8 @@
   if (sizes.requests < options_.min_requests && sizes.max_tokens > 0) {
     return sizes.max_tokens;
   }
-  const double log_tokens = sizes.mean_log + options_.large_deviations *
-                                                 std::sqrt(sizes.variance_log);
+  const double log_tokens =
+      sizes.mean_log + sizes.deviations * std::sqrt(sizes.variance_log);
   const std::int64_t large = std::llround(std::exp(log_tokens));
   return sizes.max_tokens > 0 ? std::min(large, sizes.max_tokens) : large;
 }
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -5,8 +5,9 @@
 // the longest answers would run into their timeout and the work would be
 // wasted. Each engine therefore gets only as many requests as let a large
 // answer of every route finish in time at its own pace. Further requests are
-// rejected at once, whatever their size, as short answers slow down long ones
-// too.
+// rejected at once, also short ones, as these slow down long ones too. How
+// large an answer is, and which part of the capacity a request may use, follows
+// from how often requests of its size are served (served_sizes.h).
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 
@@ -30,21 +31,6 @@
   // its slots that an engine may fill.
   double default_ms_per_token = 2;
   double default_capacity_fraction = 0.6;
-  // A large answer is this many standard deviations above the mean of the
-  // logarithms of its route's sizes: one in forty of a normal distribution is
-  // larger.
-  double large_deviations = 2;
-  // At limited capacity, the admission rate of larger answers is kept at this
-  // ratio of the rate of smaller ones.
-  double larger_admission_ratio = 0.6;
-  // An answer counts as one of the larger of its route from this many standard
-  // deviations above the mean (the largest third of a normal distribution).
-  double larger_deviations = 0.5;
-  // Fraction of the capacity that the group (larger or smaller answers) with
-  // more than its share of the admissions may use.
-  double shared_capacity_fraction = 0.92;
-  // Weight of a request in the admission rates after the next one.
-  double share_decay = 0.95;
   // Requests of a route before its size statistics are used; until then the
   // size of a large answer is the caller's limit.
   double min_requests = 20;
@@ -64,6 +50,11 @@
   std::int64_t max_tokens = 0;
   // The route's timeout, after which the engine stops.
   base::Duration timeout{};
+  // Part of the capacity that the request may use.
+  double capacity_fraction = 1;
+  // A large answer of the route is this many standard deviations above the mean
+  // of the logarithms of its sizes.
+  double deviations = 2;
 };
 
 // Not thread-safe: used on the event loop only.
@@ -96,13 +87,6 @@
     double admitted = 0;
     base::Time last_at{};
   };
-  // Recent requests, and how many were admitted.
-  struct Share {
-    double seen = 0;
-    double admitted = 0;
-
-    double Rate() const noexcept { return seen > 0 ? admitted / seen : 1; }
-  };
   // Answer sizes requested on one route.
   struct RouteSizes {
     double requests = 0;
@@ -110,9 +94,8 @@
     double variance_log = 0;
     std::int64_t max_tokens = 0;
     base::Duration timeout{};
+    double deviations = 0;
     base::Time last_at{};
-    Share larger;
-    Share smaller;
   };
 
   void RecordAdmission(const base::ServiceName& service,
@@ -122,11 +105,6 @@
                             const std::string& route,
                             const RequestedAnswer& answer,
                             base::Time now);
-  // Whether it is one of the larger answers of its route.
-  bool IsLarger(const RouteSizes& sizes,
-                const RequestedAnswer& answer) const noexcept;
-  // Whether the group (larger or smaller answers) may use the whole capacity.
-  bool MayUseFullCapacity(const RouteSizes& sizes, bool larger) const noexcept;
   std::int64_t LargeTokens(const RouteSizes& sizes) const noexcept;
   double CapacityFor(const Engine& engine, const RouteSizes& sizes) const;
   double DefaultCapacity(const Engine& engine,
--- a/src/request/passthrough/generation_times.cc
+++ b/src/request/passthrough/generation_times.cc
@@ -50,6 +50,16 @@
   service.log_tokens_per_event += step * (seen - service.log_tokens_per_event);
 }
 
+std::optional<std::int64_t> GenerationTimes::TokensOf(
+    const base::ServiceName& name,
+    int events) const {
+  const auto it = services_.find(name);
+  if (it == services_.end() || it->second.answers < options_.min_answers) {
+    return std::nullopt;
+  }
+  return std::llround(events * std::exp(it->second.log_tokens_per_event));
+}
+
 std::optional<int> GenerationTimes::MaxRequests(const Engine& engine,
                                                 std::int64_t tokens,
                                                 base::Duration within) const {
--- a/src/request/passthrough/generation_times.h
+++ b/src/request/passthrough/generation_times.h
@@ -51,6 +51,11 @@
                         std::int64_t tokens,
                         int events);
 
+  // Tokens of an answer of `events` events; nothing while there are too few
+  // samples.
+  std::optional<std::int64_t> TokensOf(const base::ServiceName& service,
+                                       int events) const;
+
   // Number of concurrent requests with which the engine generates `tokens`
   // within `within`: at least 1, at most its slots. Nothing while there are too
   // few samples.
--- a/src/request/passthrough/latency_admission.cc
+++ b/src/request/passthrough/latency_admission.cc
@@ -11,9 +11,11 @@
 
 bool ExceedsCallerTimeout(const LatencyForecast& forecast,
                           base::Duration time_left,
-                          const LatencyAdmissionOptions& options) noexcept {
+                          const LatencyAdmissionOptions& options,
+                          double capacity_fraction) noexcept {
   return forecast.expected > time_left ||
-         forecast.wait > options.max_wait_per_time_left * time_left;
+         forecast.wait >
+             capacity_fraction * options.max_wait_per_time_left * time_left;
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -1,4 +1,5 @@
 // What a request adds to the estimates and counts that later requests use.
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -18,6 +19,32 @@
 
 }  // namespace
 
+void RelayRun::ClassifySize() {
+  if (terms_.prompt.empty()) {
+    return;
+  }
+  standing_ = deps_.served_sizes.Classify(
+      service_, route_->name,
+      RequestSize(terms_.prompt.TotalTokens(), terms_.expected_tokens),
+      deps_.clock());
+}
+
+// The size of a whole answer is known; one that was broken off may be longer
+// than expected.
+void RelayRun::RecordServedSize() const {
+  if (terms_.prompt.empty() || !route_) {
+    return;
+  }
+  const std::int64_t generated =
+      deps_.generation_times.TokensOf(service_, events_.events()).value_or(0);
+  const std::int64_t tokens = IsServed() && generated > 0
+                                  ? generated
+                                  : std::max(generated, terms_.expected_tokens);
+  deps_.served_sizes.RecordEnd(service_, route_->name,
+                               RequestSize(terms_.prompt.TotalTokens(), tokens),
+                               IsServed(), deps_.clock());
+}
+
 void RelayRun::RecordPrefill(const EnginePick& pick, base::Duration took) {
   if (!pick.no_other_prefills) {
     return;
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -270,6 +270,11 @@
       .GetCounter("lynxglade_prompts_total",
                   {{"tokens", SizeBucket(prompt_tokens)}, {"outcome", outcome}})
       .Add();
+  deps_.metrics
+      .GetCounter("lynxglade_size_classes_total",
+                  {{"size", std::string(ToString(standing_.size))},
+                   {"outcome", outcome}})
+      .Add();
   deps_.metrics
       .GetCounter("lynxglade_answers_total",
                   {{"tokens", SizeBucket(terms_.expected_tokens)},
@@ -285,6 +290,7 @@
 }
 
 void RelayRun::LogEnd() const {
+  RecordServedSize();
   CountSize();
   deps_.metrics.GetLatency("lynxglade_answer_seconds").Record(Elapsed());
   if (first_bytes_at_) {
@@ -306,6 +312,9 @@
        {"expected_tokens", terms_.expected_tokens},
        {"most_tokens", terms_.max_tokens},
        {"events", events_.events()},
+       {"size", ToString(standing_.size)},
+       {"capacity_fraction", standing_.capacity_fraction},
+       {"deviations", standing_.deviations},
        {"foreseen_ms", MillisOrNone(foreseen_)},
        {"first_bytes_ms", MillisOrNone(first_bytes_at_)},
        {"status", status_},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -53,6 +53,7 @@
     co_return;
   }
   deps_.retry_budget.OnRequest(service_, deps_.clock());
+  ClassifySize();
   StartTimer();
   reply_.OnDisconnect([this] {
     if (current_) {
@@ -213,7 +214,7 @@
 std::optional<EndReason> RelayRun::CheckFirstAttempt(
     const EnginePick& pick) const {
   if (ExceedsCallerTimeout({pick.wait, pick.expected}, FirstByteTimeout(),
-                           options_.admission)) {
+                           options_.admission, standing_.capacity_fraction)) {
     return EndReason::kWaitTooLong;
   }
   if (pick.prefill_engine && !WillBePermitted()) {
@@ -221,7 +222,9 @@
   }
   const RequestedAnswer answer{.expected_tokens = terms_.expected_tokens,
                                .max_tokens = terms_.max_tokens,
-                               .timeout = route_->timeout};
+                               .timeout = route_->timeout,
+                               .capacity_fraction = standing_.capacity_fraction,
+                               .deviations = standing_.deviations};
   if (!deps_.answers.Admit(*pick.runner, route_->name, answer, deps_.clock())) {
     return EndReason::kNoCapacity;
   }
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -209,6 +209,10 @@
   void LogAttempt(const EnginePick& pick, AttemptEnd end);
   // A reservation was made or denied, and how much of the budget is used.
   void LogBudget(const char* event, std::string_view after, int arrivals);
+  // Classes the request by its size among those of its route.
+  void ClassifySize();
+  // Adds the end of a request to what is known of its size.
+  void RecordServedSize() const;
   // Counts the end by size.
   void CountSize() const;
   bool IsServed() const noexcept;
@@ -230,6 +234,7 @@
   base::ServiceName service_;
   RequestTerms terms_;
   ContentHash content_;
+  SizeStanding standing_;
   base::Time deadline_{};
   bool expired_ = false;
   // Will miss its latency target and has a lower priority.
--- a/tests/platform/named_limit_sum_test.cc
+++ b/tests/platform/named_limit_sum_test.cc
@@ -181,6 +181,7 @@
       [this](passthrough::Engine& engine, base::Time now) {
         return limits_.MaySend(engine, now);
       }};
+  passthrough::ServedSizes served_sizes_;
   passthrough::SharedRetryBudget retry_budget_{{}};
   request::Quarantine quarantine_{passthrough::FleetQuarantineOptions(),
                                   base::InstanceId("i"),
@@ -199,6 +200,7 @@
                              .prefill_times = prefill_times_,
                              .generation_times = generation_times_,
                              .answers = answers_,
+                             .served_sizes = served_sizes_,
                              .retry_budget = retry_budget_,
                              .limits = limits_,
                              .quarantine = quarantine_,
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -111,6 +111,7 @@
       [this](request::passthrough::Engine& engine, base::Time now) {
         return limits_.MaySend(engine, now);
       }};
+  request::passthrough::ServedSizes served_sizes_;
   request::passthrough::SharedRetryBudget retry_budget_{{}};
   request::Quarantine quarantine_{
       request::passthrough::FleetQuarantineOptions(),
--- /dev/null
+++ b/tests/request/passthrough/served_sizes_test.cc
@@ -0,0 +1,104 @@
+#include "request/passthrough/served_sizes.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace lynxglade::request::passthrough {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::ServiceName kService("llm");
+const std::string kRoute = "drafts";
+const base::Time kNow = base::Time() + std::chrono::hours(1);
+
+// Sizes of 1 to 100; the largest tenth is above 90, the fifth below above 70.
+class ServedSizesTest : public testing::Test {
+ protected:
+  // Offers requests of all sizes; those of the largest tenth are served as
+  // often as `largest_served` says, all others always.
+  void Offer(int rounds, double largest_served) {
+    double due = 0;
+    for (std::int64_t i = 0; i < 100 * rounds; ++i) {
+      now_ += milliseconds(10);
+      const std::int64_t size = 1 + i * 37 % 100;
+      const SizeStanding standing = Standing(size);
+      bool served = true;
+      if (standing.size == SizeClass::kLargest) {
+        due += largest_served;
+        served = due >= 1;
+        due -= served ? 1 : 0;
+      }
+      sizes_.RecordEnd(kService, kRoute, size, served, now_);
+    }
+  }
+  SizeStanding Standing(std::int64_t size) {
+    return sizes_.Classify(kService, kRoute, size, now_);
+  }
+
+  base::Time now_ = kNow;
+  ServedSizes sizes_;
+};
+
+TEST_F(ServedSizesTest, ClassesFollowRecentSizes) {
+  Offer(3, 1);
+  EXPECT_EQ(Standing(50).size, SizeClass::kTypical);
+  EXPECT_EQ(Standing(80).size, SizeClass::kLarge);
+  EXPECT_EQ(Standing(99).size, SizeClass::kLargest);
+}
+
+TEST_F(ServedSizesTest, WithoutSizesAllAreTypical) {
+  EXPECT_EQ(Standing(1'000'000).size, SizeClass::kTypical);
+}
+
+TEST_F(ServedSizesTest, NothingIsWithheldAtTheStart) {
+  EXPECT_EQ(Standing(50).capacity_fraction, 1);
+  EXPECT_NEAR(Standing(50).deviations, ServedSizesOptions().max_deviations,
+              0.2);
+}
+
+TEST_F(ServedSizesTest, NothingIsWithheldWhileAllAreServed) {
+  Offer(5, 1);
+  EXPECT_EQ(Standing(50).capacity_fraction, 1);
+  EXPECT_EQ(Standing(99).capacity_fraction, 1);
+  EXPECT_EQ(Standing(50).deviations, ServedSizesOptions().min_deviations);
+}
+
+// Guards against SIZES: smaller requests take what is scarce while the largest
+// are served less than their share.
+TEST_F(ServedSizesTest, SmallerRequestsGiveWayToLargestThatAreLeftOut) {
+  Offer(5, 0.4);
+  EXPECT_NEAR(Standing(50).capacity_fraction,
+              1 - ServedSizesOptions().max_withheld, 0.1);
+  EXPECT_LT(Standing(80).capacity_fraction, 1);
+  EXPECT_EQ(Standing(99).capacity_fraction, 1);
+  EXPECT_GT(Standing(50).deviations, 2);
+}
+
+// What cannot be served costs the others a bounded part.
+TEST_F(ServedSizesTest, LargestThatAreNeverServedWithholdABoundedPart) {
+  Offer(50, 0);
+  EXPECT_GE(Standing(50).capacity_fraction,
+            1 - ServedSizesOptions().max_withheld - 1e-9);
+}
+
+TEST_F(ServedSizesTest, PressureFallsOnceTheLargestAreServed) {
+  Offer(5, 0.2);
+  Offer(40, 1);
+  EXPECT_EQ(Standing(50).capacity_fraction, 1);
+}
+
+TEST_F(ServedSizesTest, RoutesAreApart) {
+  Offer(5, 0.2);
+  EXPECT_EQ(sizes_.Classify(kService, "other", 1, now_).size,
+            SizeClass::kTypical);
+  EXPECT_LT(Standing(50).capacity_fraction,
+            sizes_.Classify(kService, "other", 1, now_).capacity_fraction);
+}
+
+}  // namespace
+}  // namespace lynxglade::request::passthrough
