Presence: the instance count is held from when keys vanish, not from the last change

The count divides the retry budget and is to fall only after 15 s. The time was taken from the last change of any key, so that after a quiet quarter of a minute keys that lapsed together halved the count at once, and each instance took a larger share. The new test got 1 instead of 2 before.

--- a/src/process/peers/instance_presence.cc
+++ b/src/process/peers/instance_presence.cc
@@ -98,6 +98,7 @@
 }
 
 void InstancePresence::OnList(const std::vector<store::StoreItem>& items) {
+  HoldCount();
   keys_.clear();
   peers_.clear();
   ++peers_version_;
@@ -108,6 +109,7 @@
 }
 
 void InstancePresence::OnChange(const store::StoreItem& item) {
+  HoldCount();
   ApplyItem(item);
   UpdateCount();
 }
@@ -169,6 +171,12 @@
           base::WholeMember(*text, "link_mbps", 0, kMaxLinkMbps).value_or(0))};
 }
 
+void InstancePresence::HoldCount() {
+  if (static_cast<int>(keys_.size()) == peak_count_) {
+    peak_seen_at_ = clock_();
+  }
+}
+
 void InstancePresence::UpdateCount() {
   const int n = static_cast<int>(keys_.size());
   const base::Time now = clock_();
--- a/src/process/peers/instance_presence.h
+++ b/src/process/peers/instance_presence.h
@@ -99,6 +99,8 @@
   bool IsKeyMissing() const;
   // Applies one written or deleted key.
   void ApplyItem(const store::StoreItem& item);
+  // The keys are about to change: the highest count was true until now.
+  void HoldCount();
   void UpdateCount();
   std::string SerializeSelf() const;
   std::optional<InstancePeer> ParsePeer(const store::StoreItem& item) const;
--- a/tests/process/peers/instance_presence_test.cc
+++ b/tests/process/peers/instance_presence_test.cc
@@ -79,6 +79,22 @@
   EXPECT_EQ(presence_.Count(), 1);
 }
 
+// Guards against BUDGET: all keys lapse at once after a long time without any
+// change, and each instance takes the whole budget for its own.
+TEST_F(InstancePresenceTest, CountIsHeldAfterALongTimeWithoutChange) {
+  store_.Write("lynxglade/instances/z/a", "a");
+  store_.Write("lynxglade/instances/z/b", "b");
+  Show();
+  now_ += std::chrono::hours(1);
+  store_.Remove("lynxglade/instances/z/a");
+  store_.Remove("lynxglade/instances/z/b");
+  Show();
+  EXPECT_EQ(presence_.Count(), 2);
+  now_ += std::chrono::seconds(16);
+  Show();
+  EXPECT_EQ(presence_.Count(), 1);
+}
+
 // Peers are named by the id in their key, without prefix and zone.
 TEST_F(InstancePresenceTest, PeersAreNamedById) {
   store_.Write("lynxglade/instances/z/edge-1",
