Admission: requests that are being prefilled count at the engines that will run them

While prompts took long to prefill, engines that generate were filled by requests on their way, which admission did not see; it then refused all sizes until they had drained, so that what was withheld from smaller requests did not reach the larger ones. The mean of what prefill engines have is added to an engine's load.

--- a/src/request/passthrough/answer_admission.cc
+++ b/src/request/passthrough/answer_admission.cc
@@ -37,7 +37,8 @@
   // A full engine rejects requests itself.
   const bool admitted =
       (capacity >= Slots(engine) && answer.capacity_fraction >= 1) ||
-      KnownLoad(engine, now) < answer.capacity_fraction * capacity;
+      KnownLoad(engine, now) + answer.arriving <
+          answer.capacity_fraction * capacity;
   RecordAdmission(engine.entry.service, admitted, now);
   return admitted;
 }
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -52,6 +52,8 @@
   base::Duration timeout{};
   // Part of the capacity that the request may use.
   double capacity_fraction = 1;
+  // Requests that are being prefilled and will reach the engine, on average.
+  double arriving = 0;
   // A large answer of the route is this many standard deviations above the mean
   // of the logarithms of its sizes.
   double deviations = 2;
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -29,6 +29,20 @@
       deps_.clock());
 }
 
+double RelayRun::ArrivingPerRunner() const {
+  const base::Time now = deps_.clock();
+  int prefilling = 0;
+  int runners = 0;
+  for (const EngineHandle& it : deps_.engines.OfService(service_)) {
+    if (it->entry.stage == EngineStage::kPrefill) {
+      prefilling += KnownLoad(*it, now);
+    } else if (!it->entry.draining) {
+      ++runners;
+    }
+  }
+  return static_cast<double>(prefilling) / std::max(runners, 1);
+}
+
 // The size of a whole answer is known; one that was broken off may be longer
 // than expected.
 void RelayRun::RecordServedSize() const {
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -224,6 +224,7 @@
                                .max_tokens = terms_.max_tokens,
                                .timeout = route_->timeout,
                                .capacity_fraction = standing_.capacity_fraction,
+                               .arriving = ArrivingPerRunner(),
                                .deviations = standing_.deviations};
   if (!deps_.answers.Admit(*pick.runner, route_->name, answer, deps_.clock())) {
     return EndReason::kNoCapacity;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -124,6 +124,8 @@
   bool MayStallDecode(const EnginePick& pick) const;
   // Why the first attempt should not be made, if so.
   std::optional<EndReason> CheckFirstAttempt(const EnginePick& pick) const;
+  // Requests at the service's prefill engines, for each engine that runs them.
+  double ArrivingPerRunner() const;
   // Whether a target will accept the request after its prefill, as far as
   // limits go.
   bool WillBePermitted() const;
