--- a/bench/retries/retry_fleet.cc
+++ b/bench/retries/retry_fleet.cc
@@ -108,9 +108,8 @@
   }
 
   void Kill(const FleetKill& kill) {
-    const auto n = std::max<std::size_t>(
-        1, static_cast<std::size_t>(
-               kill.share * static_cast<double>(instances_.size()) + 0.5));
+    const auto n = static_cast<std::size_t>(std::max<long>(
+        1, std::lround(kill.share * static_cast<double>(instances_.size()))));
     std::vector<std::size_t> order(instances_.size());
     for (std::size_t i = 0; i < order.size(); ++i) {
       order[i] = i;
