--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -106,6 +106,13 @@
   co_return prefilled;
 }
 
+// Prefilled by its runner, the prompt stalls other requests' streams. That is
+// borne for the few seconds after a start, while its runner has nothing else to
+// prefill.
+bool RelayRun::MayStallDecode(const EnginePick& pick) const {
+  return deps_.retry_budget.IsStarting(deps_.clock()) && pick.no_other_prefills;
+}
+
 Awaitable<bool> RelayRun::SendPrefill(const EnginePick& pick, bool* may_count) {
   const auto endpoint = EndpointOf(*pick.prefill_engine);
   if (!endpoint) {
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -204,13 +204,6 @@
   return Pick();
 }
 
-// Prefilled by its runner, the prompt stalls other requests' streams. That is
-// borne for the few seconds after a start, while its runner has nothing else to
-// prefill.
-bool RelayRun::MayStallDecode(const EnginePick& pick) const {
-  return deps_.retry_budget.IsStarting(deps_.clock()) && pick.no_other_prefills;
-}
-
 std::optional<EndReason> RelayRun::CheckFirstAttempt(
     const EnginePick& pick) const {
   if (ExceedsCallerTimeout({pick.wait, pick.expected}, FirstByteTimeout(),
