Retry budget: much is spent only with a mark in the store

An instance now writes its mark before it uses more than 0.4, up to 0.75, and removes it once that no longer counts; a start that finds a mark keeps to 0.2, which accrues.

--- a/bench/retries/retry_fleet.cc
+++ b/bench/retries/retry_fleet.cc
@@ -26,6 +26,7 @@
 constexpr base::Duration kBudgetTimeout = milliseconds(500);
 constexpr base::Duration kBudgetPoll = milliseconds(10);
 constexpr base::Duration kRejectionWindow = milliseconds(50);
+constexpr base::Duration kMarkPoll = milliseconds(250);
 constexpr base::Duration kStoreDelay = milliseconds(10);
 constexpr base::Duration kLoanDelay = milliseconds(4);
 constexpr base::Duration kMinLoanInterval = milliseconds(20);
@@ -44,8 +45,9 @@
   int lifetime = 0;
   bool up = true;
   base::Time started_at{};
-  // In the store, from the start of a lifetime until its start phase is over.
+  // In the store.
   bool marked = false;
+  bool mark_requested = false;
   base::Time asked_at{};
   base::Duration ask_interval = kMinLoanInterval;
   bool answered = true;
@@ -102,6 +104,7 @@
     return std::make_unique<SharedRetryBudget>(
         settings_.budget,
         [this, i](const base::ServiceName&, double missing) {
+          RequestMark(i);
           RequestLoan(i, missing);
         },
         started_at);
@@ -135,12 +138,13 @@
       return;
     }
     instances_[i].budget = MakeBudget(i, now_);
-    At(now_ + kStoreDelay,
-       [this, i, lifetime = instances_[i].lifetime] { Mark(i, lifetime); });
+    At(now_ + kStoreDelay, [this, i, lifetime = instances_[i].lifetime] {
+      MarkStart(i, lifetime);
+    });
   }
 
-  // As process/peers/start_mark does.
-  void Mark(std::size_t i, int lifetime) {
+  // Marks as process/peers/spending_mark keeps them.
+  void MarkStart(std::size_t i, int lifetime) {
     Instance& self = instances_[i];
     if (self.lifetime != lifetime) {
       return;
@@ -151,7 +155,36 @@
     }
     At(self.started_at + self.budget->StartPhase(), [this, i, lifetime] {
       if (instances_[i].lifetime == lifetime) {
-        instances_[i].marked = false;
+        instances_[i].budget->SetMarked(true);
+        PollMark(i, lifetime);
+      }
+    });
+  }
+  void PollMark(std::size_t i, int lifetime) {
+    Instance& self = instances_[i];
+    if (self.lifetime != lifetime || !self.marked) {
+      return;
+    }
+    if (self.budget->NeedsMark(settings_.instances, now_)) {
+      At(now_ + kMarkPoll, [this, i, lifetime] { PollMark(i, lifetime); });
+    } else {
+      self.budget->SetMarked(false);
+      self.marked = false;
+    }
+  }
+  void RequestMark(std::size_t i) {
+    Instance& self = instances_[i];
+    if (self.marked || self.mark_requested || self.budget->IsStarting(now_)) {
+      return;
+    }
+    self.mark_requested = true;
+    At(now_ + kStoreDelay, [this, i, lifetime = self.lifetime] {
+      Instance& it = instances_[i];
+      it.mark_requested = false;
+      if (it.lifetime == lifetime) {
+        it.marked = true;
+        it.budget->SetMarked(true);
+        At(now_ + kMarkPoll, [this, i, lifetime] { PollMark(i, lifetime); });
       }
     });
   }
--- a/bench/retries/retry_ways.cc
+++ b/bench/retries/retry_ways.cc
@@ -19,19 +19,19 @@
 struct Way {
   const char* name;
   double max_fraction;
-  double max_retry_fraction;
+  double max_marked_fraction;
+  double max_retry_part;
   double max_start_fraction;
-  double max_unconfirmed_fraction;
+  double max_restart_fraction;
   bool remembers = false;
 };
 constexpr std::array kWays{
-    Way{"memory of all lifetimes", 0.95, 0.8, 0.95, 0.95, true},
-    Way{"share accrues", 0.95, 0.8, 0.95, 0.95},
-    Way{"nothing after a start", 0.95, 0.8, 0, 0},
-    Way{"0.80, accruing 0.15", 0.8, 0.45, 0.15, 0.15},
-    Way{"0.78, a confirmed start 0.15", 0.78, 0.45, 0.15, 0.05},
-    Way{"0.60, a confirmed start 0.20", 0.6, 0.4, 0.2, 0.15},
-    Way{"0.40, a confirmed start 0.30", 0.4, 0.3, 0.3, 0.25}};
+    Way{"memory of all lifetimes", 0.95, 0.95, 0.85, 0.95, 0.95, true},
+    Way{"share accrues", 0.95, 0.95, 0.85, 0.95, 0.95},
+    Way{"nothing after a start", 0.95, 0.95, 0.85, 0, 0},
+    Way{"0.80, then 0.15", 0.8, 0.8, 0.6, 0.15, 0.15},
+    Way{"0.40, then 0.30 and 0.25", 0.4, 0.4, 0.75, 0.3, 0.25},
+    Way{"0.40 or marked 0.75, then 0.30 or 0.20", 0.4, 0.75, 0.7, 0.3, 0.2}};
 
 struct Series {
   const char* name;
@@ -63,9 +63,10 @@
     settings.budget.ratio = 0.2;
     settings.budget.allowance = 54 * std::max(1.0, instances / 60.0);
     settings.budget.max_fraction = way.max_fraction;
-    settings.budget.max_retry_fraction = way.max_retry_fraction;
+    settings.budget.max_marked_fraction = way.max_marked_fraction;
+    settings.budget.max_retry_part = way.max_retry_part;
     settings.budget.max_start_fraction = way.max_start_fraction;
-    settings.budget.max_unconfirmed_fraction = way.max_unconfirmed_fraction;
+    settings.budget.max_restart_fraction = way.max_restart_fraction;
     settings.remembers = way.remembers;
     settings.rejected = rejected;
     settings.kills = series.kills;
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -21,7 +21,7 @@
 #include "process/duties/duty_holder.h"
 #include "process/peers/instance_presence.h"
 #include "process/peers/quarantine_records.h"
-#include "process/peers/start_mark.h"
+#include "process/peers/spending_mark.h"
 #include "process/peers/watch_sharing.h"
 #include "process/stages/stage_orders.h"
 #include "process/store/prefix_follower.h"
@@ -99,7 +99,7 @@
                                                  metrics};
   process::peers::QuarantineRecords quarantine_records;
   process::peers::InstancePresence presence;
-  process::peers::StartMark start_mark;
+  process::peers::SpendingMark spending_mark;
   // Source of the store follower: the store, or another instance that watches
   // it.
   process::peers::WatchSharing watches;
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -76,6 +76,7 @@
            .allowance = s.retry_allowance,
            .window = s.retry_window},
           [this](const base::ServiceName& service, double missing) {
+            spending_mark.Request();
             if (peers) {
               peers->retry_loans().RequestLoan(service, missing);
             }
@@ -100,11 +101,16 @@
                 .peer_endpoint = s.peer_listen,
                 .link_mbps = static_cast<int>(s.link_mbps)},
                clock),
-      start_mark(
+      spending_mark(
           loop,
           store,
-          {.instance = s.instance, .lifetime = retry_budget.StartPhase()},
-          [this] { retry_budget.ConfirmStart(); },
+          {.instance = s.instance, .count_time = retry_budget.StartPhase()},
+          {.on_unmarked_start = [this] { retry_budget.ConfirmStart(); },
+           .on_marked = [this](bool marked) { retry_budget.SetMarked(marked); },
+           .needs_mark =
+               [this] {
+                 return retry_budget.NeedsMark(presence.Count(), clock());
+               }},
           clock,
           random),
       watches(loop,
@@ -260,7 +266,7 @@
   }
   details_->Spawn(details_->store_follower.Run());
   details_->Spawn(details_->presence.Run());
-  details_->Spawn(details_->start_mark.Run());
+  details_->Spawn(details_->spending_mark.Run());
   details_->Spawn(details_->authority.Run());
   details_->Spawn(details_->stage_orders.Run());
   details_->Spawn(details_->RunMaintenance());
--- a/src/request/passthrough/shared_retry_budget.cc
+++ b/src/request/passthrough/shared_retry_budget.cc
@@ -129,17 +129,31 @@
   return now - started_at_ <= StartPhase();
 }
 
-double SharedRetryBudget::FractionFor(const Account& account,
-                                      ArrivalPurpose use,
-                                      base::Time now) const noexcept {
+double SharedRetryBudget::Limit(base::Time now) const noexcept {
   if (IsStarting(now)) {
     return start_confirmed_ ? options_.max_start_fraction
-                            : options_.max_unconfirmed_fraction;
+                            : options_.max_restart_fraction;
   }
+  return marked_ ? options_.max_marked_fraction : options_.max_fraction;
+}
+
+double SharedRetryBudget::FractionFor(const Account& account,
+                                      ArrivalPurpose use,
+                                      base::Time now) const noexcept {
   const bool prefills =
       account.prefilled_at && now - *account.prefilled_at <= options_.window;
-  return use == ArrivalPurpose::kRetry && prefills ? options_.max_retry_fraction
-                                                   : options_.max_fraction;
+  return use == ArrivalPurpose::kRetry && prefills
+             ? options_.max_retry_part * Limit(now)
+             : Limit(now);
+}
+
+bool SharedRetryBudget::NeedsMark(int instances, base::Time now) {
+  for (auto& [service, account] : accounts_) {
+    if (OwnRemaining(account, options_.max_fraction, instances, now) < 0) {
+      high_use_at_ = now;
+    }
+  }
+  return now - high_use_at_ <= StartPhase();
 }
 
 double SharedRetryBudget::Share(Account& account,
--- a/src/request/passthrough/shared_retry_budget.h
+++ b/src/request/passthrough/shared_retry_budget.h
@@ -9,13 +9,13 @@
 // each other what they do not need.
 //
 // An instance that starts again does not know what its earlier lifetime spent
-// and lent. Until no window can contain any of that, it uses a small fraction
-// of its share; in return, no instance ever uses its whole share. That covers
-// one start in that time, which has to be confirmed (process/peers/start_mark).
-// A start that is not uses still less, and its part of the allowance accrues
-// over a window, so that a series of short lifetimes has it once. The sum over
-// all lifetimes thus keeps to the budget, however often and whichever instances
-// start again.
+// and lent. Until no window can contain any of that, it uses a part of its
+// share that the earlier lifetime left: a large one if that is known to have
+// spent little, and a small one, of an allowance that accrues over a window, if
+// it may have spent much or had just started itself. To spend much, an instance
+// needs a mark in the store that its next lifetime finds
+// (process/peers/spending_mark). The sum over all lifetimes thus keeps to the
+// budget, however often and whichever instances start again.
 //
 // A loan is deducted from the lender from when it is granted until no window
 // can contain an arrival that it paid for. Shares together thus never exceed
@@ -40,19 +40,20 @@
   double ratio = 0.2;
   double allowance = 50;
   base::Duration window = std::chrono::seconds(10);
-  // Fraction of its share that an instance spends at most.
+  // Fraction of its share that an instance uses at most: without a mark in the
+  // store, and with one.
   double max_fraction = 0.4;
+  double max_marked_fraction = 0.75;
   // The same after its start, for as long as a window can contain an arrival
-  // that its earlier lifetime paid for: once the start is confirmed, and
-  // before. All lifetimes together keep to the share if these and
-  // `max_fraction` add up to less than 1; the rest is a margin for instances
-  // whose windows or instance counts differ.
+  // that its earlier lifetime paid for: if that had no mark, and otherwise. The
+  // fractions of successive lifetimes add up to less than 1; the rest is a
+  // margin for instances whose windows or instance counts differ.
   double max_start_fraction = 0.3;
-  double max_unconfirmed_fraction = 0.25;
-  // Fraction that retries and loans may use where prompts are prefilled
+  double max_restart_fraction = 0.2;
+  // Part of these that retries and loans may use where prompts are prefilled
   // separately. The rest is kept for first prefills, which rarely count against
   // the budget, and without which long prompts are rejected.
-  double max_retry_fraction = 0.3;
+  double max_retry_part = 0.7;
   // A loan may be spent until this long after it was requested. A longer time
   // covers more prefills of a prompt, but the loan is deducted from the lender
   // for this time plus `window`.
@@ -116,8 +117,12 @@
   base::Duration StartPhase() const noexcept {
     return options_.window + options_.loan_ttl;
   }
-  // No earlier lifetime of this instance started within that time.
+  // The earlier lifetime of this instance had no mark when this one started.
   void ConfirmStart() noexcept { start_confirmed_ = true; }
+  // Whether this instance has a mark in the store.
+  void SetMarked(bool marked) noexcept { marked_ = marked; }
+  // Whether a window may contain more than an instance without a mark may use.
+  bool NeedsMark(int instances, base::Time now);
 
   // Counts a request for the service received from a caller.
   void OnRequest(const base::ServiceName& service, base::Time now);
@@ -195,6 +200,7 @@
                       int instances,
                       base::Time now) const;
   static double Borrowed(Account& account, base::Time now);
+  double Limit(base::Time now) const noexcept;
   double FractionFor(const Account& account,
                      ArrivalPurpose use,
                      base::Time now) const noexcept;
@@ -206,6 +212,8 @@
   const OnShortfall on_shortfall_;
   const base::Time started_at_;
   bool start_confirmed_ = false;
+  bool marked_ = false;
+  base::Time high_use_at_{};
   std::map<base::ServiceName, Account> accounts_;
 };
 
--- a/tests/process/peers/retry_loans_test.cc
+++ b/tests/process/peers/retry_loans_test.cc
@@ -26,7 +26,7 @@
           allowance({.ratio = 0,
                      .allowance = share,
                      .max_fraction = 1,
-                     .max_retry_fraction = 1}),
+                     .max_retry_part = 1}),
           loans(
               allowance,
               datagrams,
--- a/tests/request/passthrough/retry_budget_fleet_test.cc
+++ b/tests/request/passthrough/retry_budget_fleet_test.cc
@@ -2,8 +2,8 @@
 // start again.
 #include <algorithm>
 #include <cstdint>
-#include <map>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -66,6 +66,7 @@
     if (restarts_ && Random(40) == 0) {
       Restart(at);
     }
+    UpdateMark(at);
     const auto act = base::UniformBelow(random_, 7);
     if (act == 0) {
       fleet_[at]->OnRequest(kService, now_);
@@ -117,16 +118,29 @@
       reservations_.push_back({at, *reserved});
     }
   }
+  // Marks come and go at any time at which the daemon allows it.
+  void UpdateMark(int at) {
+    SharedRetryBudget& budget = *fleet_[at];
+    if (budget.IsStarting(now_)) {
+      return;
+    }
+    const bool marked = budget.NeedsMark(Size(), now_) || Random(3) == 0;
+    budget.SetMarked(marked);
+    if (marked) {
+      marked_.insert(at);
+    } else {
+      marked_.erase(at);
+    }
+  }
   // The new lifetime knows nothing of reservations and loans. What is reserved
   // has been counted, and loans that others have stay good.
   void Restart(int at) {
     fleet_[at] = std::make_unique<SharedRetryBudget>(
         options_, SharedRetryBudget::OnShortfall(), now_);
-    base::Time& unmarked_at = unmarked_at_[at];
-    if (now_ > unmarked_at) {
+    if (!marked_.contains(at)) {
       fleet_[at]->ConfirmStart();
     }
-    unmarked_at = now_ + fleet_[at]->StartPhase();
+    marked_.insert(at);
     std::erase_if(reservations_,
                   [at](const Reservation& it) { return it.instance == at; });
     std::erase_if(loans_,
@@ -171,8 +185,8 @@
   base::Time now_ = kNow;
   bench::RetryBound bound_;
   std::vector<std::unique_ptr<SharedRetryBudget>> fleet_;
-  // When the mark of each instance's last start ends.
-  std::map<int, base::Time> unmarked_at_;
+  // Instances with a mark.
+  std::set<int> marked_;
   std::vector<Reservation> reservations_;
   std::vector<LoanInTransit> loans_;
   std::size_t extra_ = 0;
@@ -214,7 +228,7 @@
                      {.ratio = 0,
                       .allowance = 2.0 * instances,
                       .max_fraction = 1,
-                      .max_retry_fraction = 1},
+                      .max_retry_part = 1},
                      base::SeededRandom(seed));
   for (int step = 0; step < 2000; ++step) {
     fleet.Step();
--- a/tests/request/passthrough/shared_retry_budget_test.cc
+++ b/tests/request/passthrough/shared_retry_budget_test.cc
@@ -47,10 +47,8 @@
 }
 
 TEST(SharedRetryBudget, IdleInstanceMaySpendItsPartOfTheAllowance) {
-  SharedRetryBudget budget({.ratio = 0.2,
-                            .allowance = 50,
-                            .max_fraction = 1,
-                            .max_retry_fraction = 1});
+  SharedRetryBudget budget(
+      {.ratio = 0.2, .allowance = 50, .max_fraction = 1, .max_retry_part = 1});
   int taken = 0;
   while (Take(budget, 1, 5, kNow)) {
     ++taken;
@@ -61,7 +59,7 @@
 
 TEST(SharedRetryBudget, ServicesHaveSeparateBudgets) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 1, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 1, .max_fraction = 1, .max_retry_part = 1});
   EXPECT_TRUE(Take(budget, 1, 1, kNow));
   EXPECT_FALSE(Take(budget, 1, 1, kNow));
   EXPECT_TRUE(Take(budget, 1, 1, kNow, base::ServiceName("portal")));
@@ -69,14 +67,14 @@
 
 TEST(SharedRetryBudget, FailedReservationTakesNothing) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 1, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 1, .max_fraction = 1, .max_retry_part = 1});
   EXPECT_FALSE(Take(budget, 2, 1, kNow));
   EXPECT_TRUE(Take(budget, 1, 1, kNow));
 }
 
 TEST(SharedRetryBudget, ReservationsCountUntilReleased) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 2, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 2, .max_fraction = 1, .max_retry_part = 1});
   const auto first = ReservePrefill(budget, 1, kNow);
   const auto second = ReservePrefill(budget, 1, kNow);
   ASSERT_TRUE(first && second);
@@ -88,7 +86,7 @@
 
 TEST(SharedRetryBudget, ChargedReservationsCountForAWindow) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 1, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 1, .max_fraction = 1, .max_retry_part = 1});
   const auto reserved = ReservePrefill(budget, 1, kNow);
   ASSERT_TRUE(reserved);
   budget.Charge(kService, *reserved);
@@ -98,7 +96,7 @@
 
 TEST(SharedRetryBudget, LoansExpire) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 0, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 0, .max_fraction = 1, .max_retry_part = 1});
   budget.Borrow(kService, 1.5, kNow);
   EXPECT_TRUE(Take(budget, 1, 1, kNow + seconds(4)));
   budget.Borrow(kService, 0.5, kNow + seconds(1));
@@ -107,7 +105,7 @@
 
 TEST(SharedRetryBudget, ReleasedLoanKeepsItsExpiry) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 0, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 0, .max_fraction = 1, .max_retry_part = 1});
   budget.Borrow(kService, 1, kNow);
   const auto reserved = ReservePrefill(budget, 1, kNow);
   ASSERT_TRUE(reserved);
@@ -120,7 +118,7 @@
 // Until then a window can contain an arrival that the loan paid for.
 TEST(SharedRetryBudget, LoanBindsItsLenderForItsTtlAndAWindow) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 4, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 4, .max_fraction = 1, .max_retry_part = 1});
   EXPECT_EQ(budget.Lend(kService, 3, 1, kNow), 3);
   EXPECT_EQ(budget.Lend(kService, 3, 1, kNow + seconds(15)), 1);
   EXPECT_EQ(budget.Lend(kService, 3, 1, kNow + milliseconds(15'001)), 3);
@@ -128,7 +126,7 @@
 
 TEST(SharedRetryBudget, LendsNothingWithoutOwnBudgetLeft) {
   SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 2, .max_fraction = 1, .max_retry_fraction = 1});
+      {.ratio = 0, .allowance = 2, .max_fraction = 1, .max_retry_part = 1});
   EXPECT_TRUE(Take(budget, 2, 1, kNow));
   EXPECT_EQ(budget.Lend(kService, 1, 1, kNow), 0);
   // Loans are not passed on.
@@ -139,10 +137,8 @@
 // Guards against retries using the whole budget, so that prompts cannot be
 // prefilled separately any more.
 TEST(SharedRetryBudget, RetriesLeaveAPartForFirstPrefills) {
-  SharedRetryBudget budget({.ratio = 0,
-                            .allowance = 10,
-                            .max_fraction = 1,
-                            .max_retry_fraction = 0.8});
+  SharedRetryBudget budget(
+      {.ratio = 0, .allowance = 10, .max_fraction = 1, .max_retry_part = 0.8});
   ASSERT_TRUE(CanReserve(budget, kNow));
   int taken = 0;
   while (Take(budget, 1, 1, kNow)) {
@@ -159,7 +155,7 @@
   SharedRetryBudget budget({.ratio = 0,
                             .allowance = 10,
                             .max_fraction = 0.9,
-                            .max_retry_fraction = 0.5});
+                            .max_retry_part = 0.5});
   int taken = 0;
   while (Take(budget, 1, 1, kNow)) {
     ++taken;
@@ -174,7 +170,7 @@
                                          .allowance = 0,
                                          .max_fraction = 0.75,
                                          .max_start_fraction = 0.25,
-                                         .max_retry_fraction = 0.75};
+                                         .max_retry_part = 1};
   SharedRetryBudget budget(options, {}, kNow);
   budget.ConfirmStart();
   const base::Time last_of_start = kNow + options.window + options.loan_ttl;
@@ -199,11 +195,30 @@
   EXPECT_GT(budget.Lend(kService, 1, 1, kNow + seconds(16)), 0);
 }
 
-TEST(SharedRetryBudget, ConfirmedRestartHasItsPartAtOnce) {
+// Guards against a next lifetime that takes this one to have spent little.
+TEST(SharedRetryBudget, MarkIsNeededForAHighUseAndWhileItCounts) {
+  SharedRetryBudget budget({.ratio = 0,
+                            .allowance = 10,
+                            .max_fraction = 0.4,
+                            .max_marked_fraction = 0.8,
+                            .max_retry_part = 1});
+  EXPECT_TRUE(Take(budget, 4, 1, kNow));
+  EXPECT_FALSE(Take(budget, 1, 1, kNow));
+  EXPECT_FALSE(budget.NeedsMark(1, kNow));
+  budget.SetMarked(true);
+  EXPECT_TRUE(Take(budget, 4, 1, kNow));
+  EXPECT_FALSE(CanReserve(budget, kNow));
+  EXPECT_TRUE(budget.NeedsMark(1, kNow));
+  EXPECT_TRUE(budget.NeedsMark(1, kNow + seconds(15)));
+  EXPECT_FALSE(budget.NeedsMark(1, kNow + seconds(31)));
+}
+
+TEST(SharedRetryBudget, RestartWithoutAMarkHasItsPartAtOnce) {
   SharedRetryBudget budget({.ratio = 0,
                             .allowance = 10,
                             .max_start_fraction = 0.4,
-                            .max_unconfirmed_fraction = 0},
+                            .max_restart_fraction = 0,
+                            .max_retry_part = 1},
                            {}, kNow);
   EXPECT_FALSE(CanReserve(budget, kNow));
   budget.ConfirmStart();
@@ -212,9 +227,12 @@
 }
 
 // A series of short lifetimes has the allowance once.
-TEST(SharedRetryBudget, AllowanceAccruesAfterAnUnconfirmedRestart) {
-  SharedRetryBudget budget(
-      {.ratio = 0, .allowance = 10, .max_unconfirmed_fraction = 0.4}, {}, kNow);
+TEST(SharedRetryBudget, AllowanceAccruesAfterARestartWithAMark) {
+  SharedRetryBudget budget({.ratio = 0,
+                            .allowance = 10,
+                            .max_restart_fraction = 0.4,
+                            .max_retry_part = 1},
+                           {}, kNow);
   EXPECT_FALSE(CanReserve(budget, kNow));
   EXPECT_FALSE(CanReserve(budget, kNow + milliseconds(2400)));
   EXPECT_TRUE(Take(budget, 1, 1, kNow + milliseconds(2600)));
@@ -226,10 +244,7 @@
 TEST(SharedRetryBudget, ReportsTheShortfall) {
   double missing = 0;
   SharedRetryBudget budget(
-      {.ratio = 0,
-       .allowance = 1.5,
-       .max_fraction = 1,
-       .max_retry_fraction = 1},
+      {.ratio = 0, .allowance = 1.5, .max_fraction = 1, .max_retry_part = 1},
       [&missing](const base::ServiceName&, double n) { missing = n; });
   ASSERT_TRUE(ReservePrefill(budget, 1, kNow));
   EXPECT_EQ(missing, 0);
