Retry budget: its tests share their calls; an unused include

No behaviour and no assertion changes. Measured: the two tests and spending_mark_test pass (18, 3 and 6 cases), format and the linter on spending_mark.cc are clean.

--- a/src/process/peers/spending_mark.cc
+++ b/src/process/peers/spending_mark.cc
@@ -1,6 +1,5 @@
 #include "process/peers/spending_mark.h"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
--- a/tests/request/passthrough/retry_budget_fleet_test.cc
+++ b/tests/request/passthrough/retry_budget_fleet_test.cc
@@ -12,6 +12,7 @@
 
 #include "base/random.h"
 #include "bench/retries/retry_bound.h"
+#include "request/passthrough/budget_calls.h"
 #include "request/passthrough/shared_retry_budget.h"
 
 namespace lynxglade::request::passthrough {
@@ -19,30 +20,6 @@
 
 using std::chrono::milliseconds;
 
-const base::Time kNow = base::Time() + std::chrono::hours(1);
-const base::ServiceName kService("llm");
-
-std::optional<ReservedArrivals> ReservePrefill(SharedRetryBudget& budget,
-                                               int instances,
-                                               base::Time now) {
-  return budget.TryReserve(kService, 1, ArrivalPurpose::kFirstPrefill,
-                           instances, now);
-}
-
-// Reserves and charges retries.
-bool Take(SharedRetryBudget& budget,
-          int arrivals,
-          int instances,
-          base::Time now,
-          const base::ServiceName& service = kService) {
-  const auto reserved = budget.TryReserve(
-      service, arrivals, ArrivalPurpose::kRetry, instances, now);
-  if (reserved) {
-    budget.Charge(service, *reserved);
-  }
-  return reserved.has_value();
-}
-
 // Instances that take, reserve and lend in random order; loan requests and
 // loans may be late, or the loan lost.
 class LendingFleet {
--- a/tests/request/passthrough/shared_retry_budget_test.cc
+++ b/tests/request/passthrough/shared_retry_budget_test.cc
@@ -7,36 +7,14 @@
 
 #include <gtest/gtest.h>
 
+#include "request/passthrough/budget_calls.h"
+
 namespace lynxglade::request::passthrough {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const base::Time kNow = base::Time() + std::chrono::hours(1);
-const base::ServiceName kService("llm");
-
-std::optional<ReservedArrivals> ReservePrefill(SharedRetryBudget& budget,
-                                               int instances,
-                                               base::Time now) {
-  return budget.TryReserve(kService, 1, ArrivalPurpose::kFirstPrefill,
-                           instances, now);
-}
-
-// Reserves and charges retries.
-bool Take(SharedRetryBudget& budget,
-          int arrivals,
-          int instances,
-          base::Time now,
-          const base::ServiceName& service = kService) {
-  const auto reserved = budget.TryReserve(
-      service, arrivals, ArrivalPurpose::kRetry, instances, now);
-  if (reserved) {
-    budget.Charge(service, *reserved);
-  }
-  return reserved.has_value();
-}
-
 // Whether one more arrival could be reserved, with a single instance.
 bool CanReserve(SharedRetryBudget& budget, base::Time now) {
   const auto reserved = ReservePrefill(budget, 1, now);
