--- a/tests/rig/checker.cc
+++ b/tests/rig/checker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -228,9 +229,17 @@
     case RigBound::kCrashes:
       return "crashes";
     case RigBound::kSizes:
+      return "sizes";
+    case RigBound::kKinds:
+      return "kinds";
+    case RigBound::kZones:
+      return "zones";
+    case RigBound::kSubjects:
+      return "subjects";
+    case RigBound::kCallers:
       break;
   }
-  return "sizes";
+  return "callers";
 }
 
 std::vector<SizeClass> ClassifySizes(const RunRecords& records,
@@ -271,6 +280,7 @@
   CheckTime(groups, sent, terms, &uses);
   CheckCrashes(records, terms, &uses);
   CheckSizes(records, terms, &uses);
+  std::ranges::move(CheckGroups(records, terms), std::back_inserter(uses));
   return uses;
 }
 
--- a/tests/rig/checker.h
+++ b/tests/rig/checker.h
@@ -1,8 +1,10 @@
 // Checks what callers and engines saw against the bounds on repeated work and
-// on the service of large requests.
+// on the service of groups of requests.
 #ifndef LYNXGLADE_TESTS_RIG_CHECKER_H_
 #define LYNXGLADE_TESTS_RIG_CHECKER_H_
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +26,13 @@
   kCrashes,
   // Service of a kind's largest requests against that of the whole kind.
   kSizes,
+  // Service of a kind, and of a zone's callers, against that of all requests.
+  kKinds,
+  kZones,
+  // Subjects of a kind, and callers, that ask again and again and are never
+  // served.
+  kSubjects,
+  kCallers,
 };
 std::string_view ToString(RigBound bound) noexcept;
 
@@ -45,6 +54,18 @@
   double min_served_ratio = 0.5;
   // Kinds with fewer requests are not judged.
   std::size_t min_requests = 200;
+  // The least that a kind or a zone is served, against all requests, and the
+  // fewest requests for which it is judged.
+  double min_group_ratio = 0.25;
+  std::size_t min_group_requests = 50;
+  // Subjects and callers are judged if they ask this often over this time. A
+  // number and a fraction of them may go without, or this many times as many as
+  // by chance.
+  std::size_t min_asked = 4;
+  base::Duration min_asked_time = std::chrono::seconds(8);
+  double free_unserved = 2;
+  double free_unserved_fraction = 0.04;
+  double max_unserved_by_chance = 3;
 };
 
 // Use of one bound.
@@ -78,6 +99,26 @@
   }
 };
 
+// Requests of one group, by its name.
+struct ServedGroup {
+  std::size_t requests = 0;
+  std::size_t served = 0;
+
+  double Rate() const noexcept {
+    return requests == 0
+               ? 0
+               : static_cast<double>(served) / static_cast<double>(requests);
+  }
+};
+using GroupName = std::function<std::string(const CallerRequestRecord&)>;
+// Groups of the requests for which `name` is not empty.
+std::map<std::string, ServedGroup> GroupRequests(const RunRecords& records,
+                                                 const GroupName& name);
+
+// Uses of the bounds on kinds, zones, subjects and callers.
+std::vector<BoundUse> CheckGroups(const RunRecords& records,
+                                  const RigTerms& terms);
+
 // The whole kind, its largest tenth, the fifth below that, and the rest.
 // Without requests that were broken off.
 std::vector<SizeClass> ClassifySizes(const RunRecords& records,
--- a/tests/rig/checker_test.cc
+++ b/tests/rig/checker_test.cc
@@ -2,6 +2,7 @@
 #include "rig/checker.h"
 
 #include <algorithm>
+#include <functional>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -29,6 +30,9 @@
     request.kind = "album";
     request.service = "llm";
     request.size = 1000 + 10 * i;
+    request.caller = static_cast<std::size_t>(i % kCallers);
+    request.zone = i % 3 == 0 ? "a" : "b";
+    request.subject = "album" + std::to_string(i / 2 % kSubjects);
     request.attempts.push_back({id, at, seconds(5)});
     request.end = RequestEnd::kServed;
     records_.requests.push_back(request);
@@ -67,7 +71,19 @@
     return names;
   }
 
+  // Refuses the requests that `picks` chooses by their number.
+  void RefuseIf(const std::function<bool(int)>& picks) {
+    for (int i = 0; i < kRequests; ++i) {
+      if (picks(i)) {
+        records_.requests[static_cast<std::size_t>(i)].end =
+            RequestEnd::kRefused;
+      }
+    }
+  }
+
   static constexpr int kRequests = 400;
+  static constexpr int kCallers = 37;
+  static constexpr int kSubjects = 40;
   RunRecords records_;
   RigTerms terms_;
 };
@@ -169,5 +185,53 @@
   EXPECT_EQ(BrokenNames(), "");
 }
 
+// Beside another kind, of which all are served.
+TEST_F(CheckerTest, FindsKindsThatAreLeftUnserved) {
+  for (int i = 0; i < kRequests; ++i) {
+    CallerRequestRecord plain;
+    plain.kind = "receipt";
+    plain.service = "portal";
+    plain.zone = i % 2 == 0 ? "a" : "b";
+    records_.requests.push_back(plain);
+    records_.requests.back().end = RequestEnd::kServed;
+  }
+  RefuseIf([](int i) { return i % 5 != 0; });
+  EXPECT_EQ(BrokenNames(), "");
+  RefuseIf([](int i) { return i % 8 != 0; });
+  EXPECT_EQ(BrokenNames(), "kinds ");
+}
+
+TEST_F(CheckerTest, FindsZonesThatAreLeftUnserved) {
+  RefuseIf([](int i) { return i % 3 == 0 && i % 4 != 0; });
+  EXPECT_EQ(BrokenNames(), "");
+  RefuseIf([](int i) { return i % 3 == 0 && i % 24 != 0; });
+  EXPECT_EQ(BrokenNames(), "zones ");
+}
+
+// Of 40 subjects three may go without, as 3.6 are allowed.
+TEST_F(CheckerTest, FindsSubjectsThatAreNeverServed) {
+  terms_.min_asked_time = seconds(5);
+  RefuseIf([](int i) { return i / 2 % kSubjects < 3; });
+  EXPECT_EQ(BrokenNames(), "");
+  RefuseIf([](int i) { return i / 2 % kSubjects < 4; });
+  EXPECT_EQ(BrokenNames(), "subjects ");
+}
+
+// Of 37 callers three may go without, as 3.5 are allowed.
+TEST_F(CheckerTest, FindsCallersThatAreNeverServed) {
+  terms_.min_asked_time = seconds(5);
+  RefuseIf([](int i) { return i % kCallers < 3; });
+  EXPECT_EQ(BrokenNames(), "");
+  RefuseIf([](int i) { return i % kCallers < 4; });
+  EXPECT_EQ(BrokenNames(), "callers ");
+}
+
+// With a kind that is rarely served, many go without by chance.
+TEST_F(CheckerTest, AllowsSubjectsThatGoWithoutByChance) {
+  terms_.min_asked_time = seconds(5);
+  RefuseIf([](int i) { return i % 11 != 0; });
+  EXPECT_EQ(BrokenNames(), "");
+}
+
 }  // namespace
 }  // namespace lynxglade::rig
--- a/tests/rig/records.h
+++ b/tests/rig/records.h
@@ -2,6 +2,7 @@
 #ifndef LYNXGLADE_TESTS_RIG_RECORDS_H_
 #define LYNXGLADE_TESTS_RIG_RECORDS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
 #include <optional>
@@ -55,6 +56,11 @@
 struct CallerRequestRecord {
   std::string kind;
   std::string service;
+  std::size_t caller = 0;
+  // Of the instance that the caller connects to first.
+  std::string zone;
+  // The last shared part of the prompt; empty for plain calls.
+  std::string subject;
   // Prompt tokens plus ten times the output tokens; 0 for plain calls.
   std::int64_t size = 0;
   // Most targets that may run one attempt.
--- a/tests/rig/rig.cc
+++ b/tests/rig/rig.cc
@@ -54,7 +54,8 @@
   throw std::runtime_error("no free ports");
 }
 
-// Ports of the block that are free.
+// Ports of the block on which nothing listens. Connections of an earlier run
+// may still wait for their end there, which does not keep a listener out.
 std::vector<int> FindPorts(int first, std::size_t n) {
   asio::io_context loop;
   std::vector<int> ports;
@@ -65,6 +66,7 @@
     ErrorCode ec;
     Tcp::acceptor acceptor(loop);
     acceptor.open(Tcp::v4(), ec);
+    acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
     acceptor.bind(
         {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
         ec);
@@ -194,6 +196,7 @@
                       std::to_string(settings_.retries.allowance),
                       "--retry-window", std::to_string(window)}}));
     settings_.traffic.ports.push_back(ports[0]);
+    settings_.traffic.zones.emplace_back(kZones[i % kZones.size()]);
   }
 }
 
--- a/tests/rig/rig_main.cc
+++ b/tests/rig/rig_main.cc
@@ -51,6 +51,8 @@
       "", "engine-speed", "divides the engines' times", false, 1, "x", line);
   TCLAP::ValueArg<double> load("", "load", "multiplies the rates", false, 1,
                                "x", line);
+  TCLAP::ValueArg<int> callers("", "callers", "number of callers", false, 37,
+                               "n", line);
   TCLAP::ValueArg<double> slow("", "slow", "factor of the series slow", false,
                                3, "x", line);
   TCLAP::ValueArg<int> crashing("", "crashing",
@@ -72,6 +74,7 @@
   rig.traffic.kinds = AlbumMix();
   rig.traffic.length = rig.day.length;
   rig.traffic.load = load.getValue();
+  rig.traffic.callers = callers.getValue();
   rig.traffic.seed = seed.getValue();
   rig.traffic.refuse_large = refuse.getValue();
   rig.traffic.crashing_copies = crashing.getValue();
--- a/tests/rig/traffic.cc
+++ b/tests/rig/traffic.cc
@@ -55,6 +55,7 @@
   std::size_t caller = 0;
   std::int64_t prompt_tokens = 0;
   std::int64_t output_tokens = 0;
+  std::string subject;
   std::string parts;
   std::string body;
 };
@@ -158,7 +159,8 @@
   draft.prompt_tokens = shared_tokens + own_tokens;
   draft.output_tokens =
       1 + static_cast<std::int64_t>(events * settings_.tokens_per_event);
-  draft.parts = kind.name + std::to_string(shared) + ':' +
+  draft.subject = kind.name + std::to_string(shared);
+  draft.parts = draft.subject + ':' +
                 std::to_string(shared_tokens) + ",own" +
                 std::to_string(next_id_++) + ':' + std::to_string(own_tokens);
   return draft;
@@ -196,8 +198,11 @@
   record.service = kind.service;
   record.size = draft.prompt_tokens + kOutputTokenWeight * draft.output_tokens;
   record.max_targets = kind.max_targets;
+  record.caller = draft.caller;
+  record.subject = draft.subject;
   const base::Time deadline = clock_() + kind.timeout;
   std::size_t instance = draft.caller % settings_.ports.size();
+  record.zone = settings_.zones[instance];
   bool retry = true;
   while (retry) {
     AttemptResult result =
--- a/tests/rig/traffic.h
+++ b/tests/rig/traffic.h
@@ -67,6 +67,8 @@
   std::vector<RequestKind> kinds;
   // Ports of the instances that callers connect to.
   std::vector<int> ports;
+  // The zones of these instances.
+  std::vector<std::string> zones;
   // Multiplies the rates of all kinds.
   double load = 1;
   base::Duration length{};
