Admission: the room for answers does not depend on the limit of who asks

Cause: the large answer that a route must have time for was cut to the limit of the present request, so that a request with a small limit saw room for 17 (median) where one with a large limit saw room for 1. Change: the limit is the largest that the route's last 200 to 400 requests stated. An answer that the engine could not generate in time even alone limits nothing: the engine may fill a quarter of its slots then. A part of a small room is granted by chance, as 0.6 of one place is no whole number. An estimate is cut to the request's limit.

--- a/bench/sizes/fleet_traffic.cc
+++ b/bench/sizes/fleet_traffic.cc
@@ -6,7 +6,7 @@
 #include <iterator>
 #include <numbers>
 
-#include "request/passthrough/served_sizes.h"
+#include "request/passthrough/served_shares.h"
 
 namespace lynxglade::bench {
 
--- a/bench/sizes/size_fleet.cc
+++ b/bench/sizes/size_fleet.cc
@@ -13,7 +13,7 @@
 #include "request/passthrough/generation_times.h"
 #include "request/passthrough/latency_admission.h"
 #include "request/passthrough/prefill_times.h"
-#include "request/passthrough/served_sizes.h"
+#include "request/passthrough/served_shares.h"
 
 namespace lynxglade::bench {
 
@@ -34,9 +34,9 @@
   explicit Instance(std::size_t engines) : engines(engines) {}
 
   GenerationTimes times;
-  AnswerAdmission answers{times};
+  AnswerAdmission answers{times, base::SeededRandom(1)};
   PrefillTimes prefills;
-  ServedSizes sizes;
+  ServedShares sizes;
   // Its view of the engines that generate, then of those that prefill.
   std::vector<Engine> engines;
 };
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -82,8 +82,8 @@
   request::passthrough::RunTimes run_times;
   request::passthrough::PrefillTimes prefill_times;
   request::passthrough::GenerationTimes generation_times;
-  request::passthrough::AnswerAdmission answers{generation_times};
-  request::passthrough::ServedSizes served_sizes;
+  request::passthrough::AnswerAdmission answers{generation_times, random};
+  request::passthrough::ServedShares served_shares;
   const request::passthrough::EngineCapacity capacity =
       [this](const request::passthrough::Engine& engine, base::Time now) {
         return answers.Capacity(engine, now);
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -175,7 +175,7 @@
       .prefill_times = prefill_times,
       .generation_times = generation_times,
       .answers = answers,
-      .served_sizes = served_sizes,
+      .served_shares = served_shares,
       .retry_budget = retry_budget,
       .limits = limits,
       .quarantine = quarantine,
--- a/src/request/passthrough/answer_admission.cc
+++ b/src/request/passthrough/answer_admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace lynxglade::request::passthrough {
 
@@ -22,8 +23,9 @@
 }  // namespace
 
 AnswerAdmission::AnswerAdmission(const GenerationTimes& times,
+                                 base::RandomSource random,
                                  AnswerAdmissionOptions options)
-    : times_(times), options_(options) {}
+    : times_(times), random_(std::move(random)), options_(options) {}
 
 bool AnswerAdmission::Admit(const Engine& engine,
                             const std::string& route,
@@ -37,12 +39,33 @@
   // A full engine rejects requests itself.
   const bool admitted =
       (capacity >= Slots(engine) && answer.capacity_fraction >= 1) ||
-      KnownLoad(engine, now) + answer.arriving <
-          answer.capacity_fraction * capacity;
+      HasRoom(KnownLoad(engine, now) + answer.arriving,
+              answer.capacity_fraction, capacity);
   RecordAdmission(engine.entry.service, admitted, now);
   return admitted;
 }
 
+bool AnswerAdmission::HasRoom(double load,
+                              double fraction,
+                              double capacity) const {
+  const double places = fraction * capacity;
+  if (fraction >= 1) {
+    return load < capacity;
+  }
+  const double whole = std::floor(places);
+  return load < whole ||
+         (load < whole + 1 && base::UniformReal(random_) < places - whole);
+}
+
+void AnswerAdmission::RecordLimit(RouteSizes& sizes,
+                                  std::int64_t max_tokens) const {
+  if (++sizes.limit_requests > options_.limit_requests) {
+    sizes.previous_max_tokens = std::exchange(sizes.max_tokens, 0);
+    sizes.limit_requests = 0;
+  }
+  sizes.max_tokens = std::max(sizes.max_tokens, max_tokens);
+}
+
 void AnswerAdmission::RecordAdmission(const base::ServiceName& service,
                                       bool admitted,
                                       base::Time now) {
@@ -79,7 +102,7 @@
     });
   }
   RouteSizes& sizes = routes[route];
-  sizes.max_tokens = answer.max_tokens;
+  RecordLimit(sizes, answer.max_tokens);
   sizes.timeout = answer.timeout;
   sizes.deviations = answer.deviations;
   sizes.last_at = now;
@@ -111,13 +134,27 @@
 
 std::int64_t AnswerAdmission::LargeTokens(
     const RouteSizes& sizes) const noexcept {
-  if (sizes.requests < options_.min_requests && sizes.max_tokens > 0) {
-    return sizes.max_tokens;
+  const std::int64_t limit = sizes.Limit();
+  if (sizes.requests < options_.min_requests && limit > 0) {
+    return limit;
   }
   const double log_tokens =
       sizes.mean_log + sizes.deviations * std::sqrt(sizes.variance_log);
   const std::int64_t large = std::llround(std::exp(log_tokens));
-  return sizes.max_tokens > 0 ? std::min(large, sizes.max_tokens) : large;
+  return limit > 0 ? std::min(large, limit) : large;
+}
+
+std::int64_t AnswerAdmission::FeasibleTokens(const Engine& engine,
+                                             const RouteSizes& sizes,
+                                             base::Duration time_limit) const {
+  const std::int64_t large = LargeTokens(sizes);
+  const auto alone = times_.MaxTokens(engine, 1, time_limit);
+  if (!alone || large <= *alone) {
+    return large;
+  }
+  const int requests = std::max(
+      static_cast<int>(options_.min_capacity_fraction * Slots(engine)), 1);
+  return times_.MaxTokens(engine, requests, time_limit).value_or(large);
 }
 
 double AnswerAdmission::CapacityFor(const Engine& engine,
@@ -127,7 +164,7 @@
   }
   const auto time_limit = std::chrono::duration_cast<base::Duration>(
       options_.timeout_fraction * sizes.timeout);
-  const std::int64_t large = LargeTokens(sizes);
+  const std::int64_t large = FeasibleTokens(engine, sizes, time_limit);
   const auto max_requests = times_.MaxRequests(engine, large, time_limit);
   return max_requests ? *max_requests
                       : DefaultCapacity(engine, large, time_limit);
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -5,17 +5,19 @@
 // the longest answers would run into their timeout and the work would be
 // wasted. Each engine therefore gets only as many requests as let a large
 // answer of every route finish in time at its own pace. Further requests are
-// rejected at once, also short ones, as these slow down long ones too. How
-// large an answer is, and which part of the capacity a request may use, follows
-// from how often requests of its size are served (served_sizes.h).
+// rejected at once, also short ones, as these slow down long ones too. An
+// answer that no engine could generate in time limits nothing. How large an answer is, and which part of the capacity a request may use, follows
+// from how often requests of its size are served (served_shares.h).
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
 
 #include "base/ids.h"
+#include "base/random.h"
 #include "base/time.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/generation_times.h"
@@ -31,6 +33,12 @@
   // its slots that an engine may fill.
   double default_ms_per_token = 2;
   double default_capacity_fraction = 0.6;
+  // Where the large answers of a route would not finish in time even alone, the
+  // fraction of its slots that an engine may fill at least.
+  double min_capacity_fraction = 0.25;
+  // Requests of a route from which the largest stated limit is taken; up to
+  // twice as many.
+  int limit_requests = 200;
   // Requests of a route before its size statistics are used; until then the
   // size of a large answer is the caller's limit.
   double min_requests = 20;
@@ -62,8 +70,9 @@
 // Not thread-safe: used on the event loop only.
 class AnswerAdmission {
  public:
-  explicit AnswerAdmission(const GenerationTimes& times,
-                           AnswerAdmissionOptions options = {});
+  AnswerAdmission(const GenerationTimes& times,
+                  base::RandomSource random,
+                  AnswerAdmissionOptions options = {});
   AnswerAdmission(const AnswerAdmission&) = delete;
   AnswerAdmission& operator=(const AnswerAdmission&) = delete;
 
@@ -94,12 +103,26 @@
     double requests = 0;
     double mean_log = 0;
     double variance_log = 0;
+    // The largest limit that a request of the current and of the previous
+    // period stated, and the number of requests in the current one. A request's
+    // own limit must not decide how much room it finds.
     std::int64_t max_tokens = 0;
+    std::int64_t previous_max_tokens = 0;
+    int limit_requests = 0;
     base::Duration timeout{};
     double deviations = 0;
     base::Time last_at{};
+
+    std::int64_t Limit() const noexcept {
+      return std::max(max_tokens, previous_max_tokens);
+    }
   };
 
+  // Whether an engine with `load` requests may have one more, if the request may
+  // use a part of the capacity. Fractions of a place are granted by chance, so
+  // that a part of a small capacity is served as well.
+  bool HasRoom(double load, double fraction, double capacity) const;
+  void RecordLimit(RouteSizes& sizes, std::int64_t max_tokens) const;
   void RecordAdmission(const base::ServiceName& service,
                        bool admitted,
                        base::Time now);
@@ -108,12 +131,17 @@
                             const RequestedAnswer& answer,
                             base::Time now);
   std::int64_t LargeTokens(const RouteSizes& sizes) const noexcept;
+  // The same, unless the engine could not generate that many in time alone.
+  std::int64_t FeasibleTokens(const Engine& engine,
+                              const RouteSizes& sizes,
+                              base::Duration time_limit) const;
   double CapacityFor(const Engine& engine, const RouteSizes& sizes) const;
   double DefaultCapacity(const Engine& engine,
                          std::int64_t tokens,
                          base::Duration time_limit) const noexcept;
 
   const GenerationTimes& times_;
+  const base::RandomSource random_;
   const AnswerAdmissionOptions options_;
   std::map<base::ServiceName, std::map<std::string, RouteSizes>> routes_;
   std::map<base::ServiceName, Offered> offered_;
--- a/src/request/passthrough/generation_times.cc
+++ b/src/request/passthrough/generation_times.cc
@@ -63,21 +63,42 @@
 std::optional<int> GenerationTimes::MaxRequests(const Engine& engine,
                                                 std::int64_t tokens,
                                                 base::Duration within) const {
-  const auto it = services_.find(engine.entry.service);
-  if (tokens <= 0 || it == services_.end() ||
-      it->second.event_ms.weight() < options_.min_events ||
-      it->second.answers < options_.min_answers) {
+  const Service* service = FindKnown(engine.entry.service);
+  if (tokens <= 0 || !service) {
     return std::nullopt;
   }
-  const Service& service = it->second;
   const double events =
-      static_cast<double>(tokens) / std::exp(service.log_tokens_per_event);
+      static_cast<double>(tokens) / std::exp(service->log_tokens_per_event);
   const double max_event_ms =
       base::ToFineMillis(within) / events / engine.generation_slowness;
-  const Line line = service.event_ms.Fit(kMinSlopeMs);
+  const Line line = service->event_ms.Fit(kMinSlopeMs);
   const double n = (max_event_ms - line.base) / line.slope;
   const double slots = std::max(engine.entry.slots, 1);
   return static_cast<int>(std::clamp(n, 1.0, slots));
 }
 
+std::optional<std::int64_t> GenerationTimes::MaxTokens(
+    const Engine& engine,
+    int requests,
+    base::Duration within) const {
+  const Service* service = FindKnown(engine.entry.service);
+  if (!service) {
+    return std::nullopt;
+  }
+  const double event_ms =
+      engine.generation_slowness *
+      service->event_ms.Fit(kMinSlopeMs).At(static_cast<double>(requests));
+  return std::llround(base::ToFineMillis(within) / event_ms *
+                      std::exp(service->log_tokens_per_event));
+}
+
+const GenerationTimes::Service* GenerationTimes::FindKnown(
+    const base::ServiceName& name) const {
+  const auto it = services_.find(name);
+  const bool known = it != services_.end() &&
+                     it->second.event_ms.weight() >= options_.min_events &&
+                     it->second.answers >= options_.min_answers;
+  return known ? &it->second : nullptr;
+}
+
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/generation_times.h
+++ b/src/request/passthrough/generation_times.h
@@ -62,6 +62,11 @@
   std::optional<int> MaxRequests(const Engine& engine,
                                  std::int64_t tokens,
                                  base::Duration within) const;
+  // Tokens that the engine generates within `within` for one of `requests`
+  // concurrent requests. Nothing while there are too few samples.
+  std::optional<std::int64_t> MaxTokens(const Engine& engine,
+                                        int requests,
+                                        base::Duration within) const;
 
  private:
   struct Service {
@@ -72,6 +77,9 @@
     double log_tokens_per_event = 0;
   };
 
+  // Null while there are too few samples.
+  const Service* FindKnown(const base::ServiceName& service) const;
+
   const GenerationTimesOptions options_;
   std::map<base::ServiceName, Service> services_;
 };
--- a/src/request/passthrough/latency_admission.h
+++ b/src/request/passthrough/latency_admission.h
@@ -45,7 +45,7 @@
 
 // Whether to reject the prompt; `time_left`: how long its caller waits for the
 // first byte. `capacity_fraction`: part of the longest wait that it may have
-// (served_sizes.h).
+// (served_shares.h).
 bool ExceedsCallerTimeout(const LatencyForecast& forecast,
                           base::Duration time_left,
                           const LatencyAdmissionOptions& options,
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -28,7 +28,7 @@
 #include "request/passthrough/route_table.h"
 #include "request/passthrough/run_times.h"
 #include "request/passthrough/send_limits.h"
-#include "request/passthrough/served_sizes.h"
+#include "request/passthrough/served_shares.h"
 #include "request/passthrough/shared_retry_budget.h"
 #include "request/passthrough/target_protocol.h"
 #include "request/passthrough/zone_health.h"
@@ -96,7 +96,7 @@
   PrefillTimes& prefill_times;
   GenerationTimes& generation_times;
   AnswerAdmission& answers;
-  ServedSizes& served_sizes;
+  ServedShares& served_shares;
   SharedRetryBudget& retry_budget;
   SendLimits& limits;
   Quarantine& quarantine;
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -23,7 +23,7 @@
   if (terms_.prompt.empty()) {
     return;
   }
-  standing_ = deps_.served_sizes.Classify(
+  standing_ = deps_.served_shares.Classify(
       service_, route_->name,
       RequestSize(terms_.prompt.TotalTokens(), terms_.expected_tokens),
       deps_.clock());
@@ -54,7 +54,7 @@
   const std::int64_t tokens = IsServed() && generated > 0
                                   ? generated
                                   : std::max(generated, terms_.expected_tokens);
-  deps_.served_sizes.RecordEnd(service_, route_->name,
+  deps_.served_shares.RecordEnd(service_, route_->name,
                                RequestSize(terms_.prompt.TotalTokens(), tokens),
                                IsServed(), deps_.clock());
 }
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -85,6 +85,11 @@
     return EndReason::kMalformedTerms;
   }
   terms_ = std::move(*terms);
+  // Estimates are often far off, but no answer is longer than its limit.
+  if (terms_.max_tokens > 0) {
+    terms_.expected_tokens =
+        std::min(terms_.expected_tokens, terms_.max_tokens);
+  }
   if (const auto fault = Authenticate()) {
     return fault;
   }
--- a/src/request/passthrough/served_sizes.cc
+++ b/src/request/passthrough/served_shares.cc
@@ -1,4 +1,4 @@
-#include "request/passthrough/served_sizes.h"
+#include "request/passthrough/served_shares.h"
 
 #include <algorithm>
 #include <cmath>
@@ -31,9 +31,9 @@
   return "largest";
 }
 
-ServedSizes::ServedSizes(ServedSizesOptions options) : options_(options) {}
+ServedShares::ServedShares(ServedSharesOptions options) : options_(options) {}
 
-SizeStanding ServedSizes::Classify(const base::ServiceName& service,
+SizeStanding ServedShares::Classify(const base::ServiceName& service,
                                    const std::string& name,
                                    std::int64_t size,
                                    base::Time now) {
@@ -46,7 +46,7 @@
                     route.deviation_pressure)};
 }
 
-void ServedSizes::UpdatePressure(Route& route) const {
+void ServedShares::UpdatePressure(Route& route) const {
   const double shortfall = std::max(Shortfall(route, SizeClass::kLarge),
                                     Shortfall(route, SizeClass::kLargest));
   const double change = shortfall > 0
@@ -58,7 +58,7 @@
   }
 }
 
-double ServedSizes::Withheld(const Route& route,
+double ServedShares::Withheld(const Route& route,
                              SizeClass size) const noexcept {
   const double most = options_.max_withheld * route.pressure;
   switch (size) {
@@ -76,7 +76,7 @@
   return 0;
 }
 
-void ServedSizes::RecordEnd(const base::ServiceName& service,
+void ServedShares::RecordEnd(const base::ServiceName& service,
                             const std::string& name,
                             std::int64_t size,
                             bool served,
@@ -89,7 +89,7 @@
   share.served += served ? 1 : 0;
 }
 
-ServedSizes::Route& ServedSizes::Find(const base::ServiceName& service,
+ServedShares::Route& ServedShares::Find(const base::ServiceName& service,
                                       const std::string& name,
                                       base::Time now) {
   auto& routes = routes_[service];
@@ -103,7 +103,7 @@
   return route;
 }
 
-void ServedSizes::AddSize(Route& route, std::int64_t size) const {
+void ServedShares::AddSize(Route& route, std::int64_t size) const {
   route.sizes.push_back(size);
   if (route.sizes.size() > options_.max_sizes) {
     route.sizes.pop_front();
@@ -124,7 +124,7 @@
   route.large_from = at(1 - kLargestPart - kLargePart);
 }
 
-SizeClass ServedSizes::ClassOf(const Route& route,
+SizeClass ServedShares::ClassOf(const Route& route,
                                std::int64_t size) const noexcept {
   if (route.sizes.size() < options_.min_sizes || size < route.large_from) {
     return SizeClass::kTypical;
@@ -132,7 +132,7 @@
   return size < route.largest_from ? SizeClass::kLarge : SizeClass::kLargest;
 }
 
-double ServedSizes::Shortfall(const Route& route,
+double ServedShares::Shortfall(const Route& route,
                               SizeClass size) const noexcept {
   Share all;
   for (const Share& it : route.shares) {
@@ -149,7 +149,7 @@
   return std::max(1 - served / seen / (options_.aim * rate), 0.0);
 }
 
-void ServedSizes::Decay(Share& share, base::Time now) const {
+void ServedShares::Decay(Share& share, base::Time now) const {
   const double factor = std::exp(-base::ToFineMillis(now - share.last_at) /
                                  base::ToFineMillis(options_.averaging_time));
   share.seen *= factor;
--- a/src/request/passthrough/served_sizes.h
+++ b/src/request/passthrough/served_shares.h
@@ -7,8 +7,8 @@
 // part of what is scarce, and engines are filled less, so that larger ones
 // finish in time. Without such a shortfall the pressure falls, and engines take
 // as many requests as typical answers allow.
-#ifndef LYNXGLADE_REQUEST_PASSTHROUGH_SERVED_SIZES_H_
-#define LYNXGLADE_REQUEST_PASSTHROUGH_SERVED_SIZES_H_
+#ifndef LYNXGLADE_REQUEST_PASSTHROUGH_SERVED_SHARES_H_
+#define LYNXGLADE_REQUEST_PASSTHROUGH_SERVED_SHARES_H_
 
 #include <array>
 #include <cstddef>
@@ -42,7 +42,7 @@
   return prompt_tokens + kPromptTokensPerOutputToken * output_tokens;
 }
 
-struct ServedSizesOptions {
+struct ServedSharesOptions {
   // A class should be served at least this often, against its whole route.
   double aim = 0.9;
   // At full pressure, the part of a capacity that is withheld from the smaller
@@ -76,16 +76,16 @@
   SizeClass size = SizeClass::kTypical;
   // Part of a capacity that it may use.
   double capacity_fraction = 1;
-  // Of the route; see ServedSizesOptions.
+  // Of the route; see ServedSharesOptions.
   double deviations = 2;
 };
 
 // Not thread-safe: used on the event loop only.
-class ServedSizes {
+class ServedShares {
  public:
-  explicit ServedSizes(ServedSizesOptions options = {});
-  ServedSizes(const ServedSizes&) = delete;
-  ServedSizes& operator=(const ServedSizes&) = delete;
+  explicit ServedShares(ServedSharesOptions options = {});
+  ServedShares(const ServedShares&) = delete;
+  ServedShares& operator=(const ServedShares&) = delete;
 
   // The standing of a new request. `size`: RequestSize(), as its caller expects
   // it.
@@ -133,10 +133,10 @@
   double Shortfall(const Route& route, SizeClass size) const noexcept;
   void Decay(Share& share, base::Time now) const;
 
-  const ServedSizesOptions options_;
+  const ServedSharesOptions options_;
   std::map<base::ServiceName, std::map<std::string, Route>> routes_;
 };
 
 }  // namespace lynxglade::request::passthrough
 
-#endif  // LYNXGLADE_REQUEST_PASSTHROUGH_SERVED_SIZES_H_
+#endif  // LYNXGLADE_REQUEST_PASSTHROUGH_SERVED_SHARES_H_
--- a/tests/platform/named_limit_sum_test.cc
+++ b/tests/platform/named_limit_sum_test.cc
@@ -168,7 +168,8 @@
   passthrough::EngineTable engines_{base::Duration(0)};
   passthrough::PrefillTimes prefill_times_;
   passthrough::GenerationTimes generation_times_;
-  passthrough::AnswerAdmission answers_{generation_times_};
+  passthrough::AnswerAdmission answers_{generation_times_,
+                                         base::SeededRandom(1)};
   passthrough::SendLimits limits_;
   passthrough::EnginePicker picker_{
       {.zone = base::ZoneId("a")},
@@ -181,7 +182,7 @@
       [this](passthrough::Engine& engine, base::Time now) {
         return limits_.MaySend(engine, now);
       }};
-  passthrough::ServedSizes served_sizes_;
+  passthrough::ServedShares served_shares_;
   passthrough::SharedRetryBudget retry_budget_{{}};
   request::Quarantine quarantine_{passthrough::FleetQuarantineOptions(),
                                   base::InstanceId("i"),
@@ -200,7 +201,7 @@
                              .prefill_times = prefill_times_,
                              .generation_times = generation_times_,
                              .answers = answers_,
-                             .served_sizes = served_sizes_,
+                             .served_shares = served_shares_,
                              .retry_budget = retry_budget_,
                              .limits = limits_,
                              .quarantine = quarantine_,
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -138,7 +138,7 @@
           .prefill_times = prefill_times_,
           .generation_times = generation_times_,
           .answers = answers_,
-          .served_sizes = served_sizes_,
+          .served_shares = served_shares_,
           .retry_budget = retry_budget_,
           .limits = limits_,
           .quarantine = quarantine_,
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -87,7 +87,8 @@
   request::passthrough::EngineTable engines_{base::Duration(0)};
   request::passthrough::PrefillTimes prefill_times_;
   request::passthrough::GenerationTimes generation_times_;
-  request::passthrough::AnswerAdmission answers_{generation_times_};
+  request::passthrough::AnswerAdmission answers_{generation_times_,
+                                         base::SeededRandom(1)};
   request::passthrough::SendLimits limits_{
       {.instance = base::InstanceId("i0")},
       {.members =
@@ -111,7 +112,7 @@
       [this](request::passthrough::Engine& engine, base::Time now) {
         return limits_.MaySend(engine, now);
       }};
-  request::passthrough::ServedSizes served_sizes_;
+  request::passthrough::ServedShares served_shares_;
   request::passthrough::SharedRetryBudget retry_budget_{{}};
   request::Quarantine quarantine_{
       request::passthrough::FleetQuarantineOptions(),
--- a/tests/request/passthrough/answer_admission_test.cc
+++ b/tests/request/passthrough/answer_admission_test.cc
@@ -12,7 +12,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "base/random.h"
-#include "request/passthrough/served_sizes.h"
+#include "request/passthrough/served_shares.h"
 
 namespace lynxglade::request::passthrough {
 namespace {
@@ -122,8 +122,8 @@
   const base::RandomSource random_;
   Engine engine_ = MakeEngine(64);
   GenerationTimes times_;
-  AnswerAdmission admission_{times_};
-  ServedSizes sizes_;
+  AnswerAdmission admission_{times_, base::SeededRandom(1)};
+  ServedShares sizes_;
   std::vector<Answer> answers_;
   int asked_ = 0;
   int asked_long_ = 0;
@@ -174,12 +174,12 @@
 
   Engine engine = MakeEngine(64);
   GenerationTimes times;
-  AnswerAdmission answers{times};
+  AnswerAdmission answers{times, base::SeededRandom(1)};
 };
 
 TEST(AnswerAdmission, AdmittedFractionFollowsRecentRequests) {
   GenerationTimes times;
-  AnswerAdmission admission(times);
+  AnswerAdmission admission(times, base::SeededRandom(1));
   EXPECT_EQ(admission.AdmittedFraction(kService, kNow), 1);
   Engine engine = MakeEngine(64);
   const RequestedAnswer answer{
@@ -241,7 +241,7 @@
 // fills engines up to their slots, so that the largest answers time out.
 TEST(AnswerAdmission, WithoutSamplesEnginesAreNotFilledWithLongAnswers) {
   const GenerationTimes times;
-  AnswerAdmission answers(times);
+  AnswerAdmission answers(times, base::SeededRandom(1));
   Engine engine = MakeEngine(64);
   engine.in_flight = 30;
   EXPECT_TRUE(answers.Admit(engine, "drafts", kDraft, kNow));
@@ -253,7 +253,7 @@
 
 TEST(AnswerAdmission, WithoutSamplesAllSlotsTakeShortAnswers) {
   const GenerationTimes times;
-  AnswerAdmission answers(times);
+  AnswerAdmission answers(times, base::SeededRandom(1));
   Engine engine = MakeEngine(64);
   engine.in_flight = 63;
   EXPECT_TRUE(answers.Admit(engine, "verdicts", kVerdict, kNow));
@@ -265,7 +265,7 @@
 // gets twice that load; an answer lasts for 10 to 110 further requests.
 RC_GTEST_PROP(AnswerAdmission, LargerAnswersKeepTheirShareOfTheCapacity, ()) {
   PaceSamples samples;
-  ServedSizes served_sizes;
+  ServedShares served_shares;
   const auto random = base::SeededRandom(*rc::gen::inRange(1, 1'000'000));
   std::multiset<int> ends;
   int seen[2] = {0, 0};
@@ -277,7 +277,7 @@
     const int large = tokens > 5'000 ? 1 : 0;
     ++seen[large];
     const SizeStanding standing =
-        served_sizes.Classify(kService, "drafts", std::llround(tokens), kNow);
+        served_shares.Classify(kService, "drafts", std::llround(tokens), kNow);
     const bool admits =
         samples.answers.Admit(samples.engine, "drafts",
                               {.expected_tokens = std::llround(tokens),
@@ -285,7 +285,7 @@
                                .timeout = seconds(15),
                                .capacity_fraction = standing.capacity_fraction},
                               kNow);
-    served_sizes.RecordEnd(kService, "drafts", std::llround(tokens), admits,
+    served_shares.RecordEnd(kService, "drafts", std::llround(tokens), admits,
                            kNow);
     if (admits) {
       ++admitted[large];
--- a/tests/request/passthrough/answer_limits_test.cc
+++ b/tests/request/passthrough/answer_limits_test.cc
@@ -49,7 +49,7 @@
   }
 
   GenerationTimes times_;
-  AnswerAdmission answers_{times_};
+  AnswerAdmission answers_{times_, base::SeededRandom(1)};
   Engine engine_;
 };
 
@@ -65,5 +65,31 @@
   }
 }
 
+// An answer that no engine can generate in time must not keep others out.
+TEST_F(AnswerLimitsTest, InfeasibleAnswersLimitNothing) {
+  for (int i = 0; i < 400; ++i) {
+    Admits(i % 2 == 0 ? 60 : 5'000, 0);
+  }
+  EXPECT_TRUE(Admits(60, 15));
+  EXPECT_FALSE(Admits(60, 16));
+}
+
+// Part of a single place is granted by chance.
+TEST_F(AnswerLimitsTest, PartOfASmallRoomIsServedAsOften) {
+  constexpr int kTries = 2'000;
+  int admitted = 0;
+  for (int i = 0; i < kTries; ++i) {
+    // The whole room is one answer.
+    const bool admits = answers_.Admit(engine_, kRoute,
+                                       {.expected_tokens = 480,
+                                        .max_tokens = 480,
+                                        .timeout = seconds(6),
+                                        .capacity_fraction = 0.6},
+                                       kNow);
+    admitted += admits ? 1 : 0;
+  }
+  EXPECT_NEAR(admitted, 0.6 * kTries, 0.05 * kTries);
+}
+
 }  // namespace
 }  // namespace lynxglade::request::passthrough
--- a/tests/request/passthrough/long_answers_test.cc
+++ b/tests/request/passthrough/long_answers_test.cc
@@ -11,7 +11,7 @@
 
 #include "base/random.h"
 #include "request/passthrough/answer_admission.h"
-#include "request/passthrough/served_sizes.h"
+#include "request/passthrough/served_shares.h"
 
 namespace lynxglade::request::passthrough {
 namespace {
@@ -67,8 +67,8 @@
 
  private:
   GenerationTimes times_;
-  AnswerAdmission answers_{times_};
-  ServedSizes sizes_;
+  AnswerAdmission answers_{times_, base::SeededRandom(1)};
+  ServedShares sizes_;
 };
 
 // A step takes 0.723 ms plus 0.0252 ms per answer in flight, times `slowness`.
--- a/tests/request/passthrough/served_sizes_test.cc
+++ b/tests/request/passthrough/served_shares_test.cc
@@ -1,4 +1,4 @@
-#include "request/passthrough/served_sizes.h"
+#include "request/passthrough/served_shares.h"
 
 #include <chrono>
 #include <cstdint>
@@ -17,7 +17,7 @@
 const base::Time kNow = base::Time() + std::chrono::hours(1);
 
 // Sizes of 1 to 100; the largest tenth is above 90, the fifth below above 70.
-class ServedSizesTest : public testing::Test {
+class ServedSharesTest : public testing::Test {
  protected:
   // Offers requests of all sizes; those of the largest tenth are served as
   // often as `largest_served` says, all others always.
@@ -41,58 +41,58 @@
   }
 
   base::Time now_ = kNow;
-  ServedSizes sizes_;
+  ServedShares sizes_;
 };
 
-TEST_F(ServedSizesTest, ClassesFollowRecentSizes) {
+TEST_F(ServedSharesTest, ClassesFollowRecentSizes) {
   Offer(3, 1);
   EXPECT_EQ(Standing(50).size, SizeClass::kTypical);
   EXPECT_EQ(Standing(80).size, SizeClass::kLarge);
   EXPECT_EQ(Standing(99).size, SizeClass::kLargest);
 }
 
-TEST_F(ServedSizesTest, WithoutSizesAllAreTypical) {
+TEST_F(ServedSharesTest, WithoutSizesAllAreTypical) {
   EXPECT_EQ(Standing(1'000'000).size, SizeClass::kTypical);
 }
 
-TEST_F(ServedSizesTest, NothingIsWithheldAtTheStart) {
+TEST_F(ServedSharesTest, NothingIsWithheldAtTheStart) {
   EXPECT_EQ(Standing(50).capacity_fraction, 1);
-  EXPECT_NEAR(Standing(50).deviations, ServedSizesOptions().max_deviations,
+  EXPECT_NEAR(Standing(50).deviations, ServedSharesOptions().max_deviations,
               0.2);
 }
 
-TEST_F(ServedSizesTest, NothingIsWithheldWhileAllAreServed) {
+TEST_F(ServedSharesTest, NothingIsWithheldWhileAllAreServed) {
   Offer(5, 1);
   EXPECT_EQ(Standing(50).capacity_fraction, 1);
   EXPECT_EQ(Standing(99).capacity_fraction, 1);
-  EXPECT_EQ(Standing(50).deviations, ServedSizesOptions().min_deviations);
+  EXPECT_EQ(Standing(50).deviations, ServedSharesOptions().min_deviations);
 }
 
 // Guards against SIZES: smaller requests take what is scarce while the largest
 // are served less than their share.
-TEST_F(ServedSizesTest, SmallerRequestsGiveWayToLargestThatAreLeftOut) {
+TEST_F(ServedSharesTest, SmallerRequestsGiveWayToLargestThatAreLeftOut) {
   Offer(5, 0.4);
   EXPECT_NEAR(Standing(50).capacity_fraction,
-              1 - ServedSizesOptions().max_withheld, 0.1);
+              1 - ServedSharesOptions().max_withheld, 0.1);
   EXPECT_LT(Standing(80).capacity_fraction, 1);
   EXPECT_EQ(Standing(99).capacity_fraction, 1);
   EXPECT_GT(Standing(50).deviations, 2);
 }
 
 // What cannot be served costs the others a bounded part.
-TEST_F(ServedSizesTest, LargestThatAreNeverServedWithholdABoundedPart) {
+TEST_F(ServedSharesTest, LargestThatAreNeverServedWithholdABoundedPart) {
   Offer(50, 0);
   EXPECT_GE(Standing(50).capacity_fraction,
-            1 - ServedSizesOptions().max_withheld - 1e-9);
+            1 - ServedSharesOptions().max_withheld - 1e-9);
 }
 
-TEST_F(ServedSizesTest, PressureFallsOnceTheLargestAreServed) {
+TEST_F(ServedSharesTest, PressureFallsOnceTheLargestAreServed) {
   Offer(5, 0.2);
   Offer(40, 1);
   EXPECT_EQ(Standing(50).capacity_fraction, 1);
 }
 
-TEST_F(ServedSizesTest, RoutesAreApart) {
+TEST_F(ServedSharesTest, RoutesAreApart) {
   Offer(5, 0.2);
   EXPECT_EQ(sizes_.Classify(kService, "other", 1, now_).size,
             SizeClass::kTypical);
