--- a/bench/sizes/fleet_traffic.cc
+++ b/bench/sizes/fleet_traffic.cc
@@ -26,18 +26,17 @@
   const auto n = static_cast<double>(jobs.size());
   const auto begin = jobs.begin() + static_cast<std::ptrdiff_t>(from * n);
   const auto end = jobs.begin() + static_cast<std::ptrdiff_t>(to * n);
-  const auto served = std::count_if(
-      begin, end, [](const JobHandle& it) { return it->served; });
+  const auto served =
+      std::count_if(begin, end, [](const JobHandle& it) { return it->served; });
   return {static_cast<std::size_t>(end - begin),
           static_cast<std::size_t>(served)};
 }
 
 KindResult SummariseKind(const std::string& name, std::vector<JobHandle> jobs) {
   std::ranges::sort(jobs, {}, [](const JobHandle& it) { return it->size; });
-  KindResult result{name, CountServed(jobs, 0, 1),
-                    CountServed(jobs, 1 - kLargestPart, 1),
-                    CountServed(jobs, 1 - kLargestPart - kLargePart,
-                                1 - kLargestPart)};
+  KindResult result{
+      name, CountServed(jobs, 0, 1), CountServed(jobs, 1 - kLargestPart, 1),
+      CountServed(jobs, 1 - kLargestPart - kLargePart, 1 - kLargestPart)};
   const auto in_vain = std::ranges::count_if(
       jobs, [](const JobHandle& it) { return it->admitted && !it->served; });
   result.in_vain = static_cast<double>(in_vain) /
@@ -55,9 +54,9 @@
 }
 
 std::vector<SizedKind> DraftKinds() {
-  return {{"verdict", 0, 171, seconds(2), 6'300, 2'890, 1, 39'600, 63, 1.4, 252},
-          {"draft", 1, 12.1, seconds(15), 79, 141, 0.8, 1'020, 3'790, 0.84,
-           8'946}};
+  return {
+      {"verdict", 0, 171, seconds(2), 6'300, 2'890, 1, 39'600, 63, 1.4, 252},
+      {"draft", 1, 12.1, seconds(15), 79, 141, 0.8, 1'020, 3'790, 0.84, 8'946}};
 }
 
 FleetTraffic::FleetTraffic(const SizeFleetSettings& settings)
@@ -125,9 +124,8 @@
 double ServedCount::Shortfall(double rate) const noexcept {
   const auto n = static_cast<double>(requests);
   const double deviation = std::sqrt(n * rate * (1 - rate));
-  return deviation > 0
-             ? (n * rate - static_cast<double>(served)) / deviation
-             : 0;
+  return deviation > 0 ? (n * rate - static_cast<double>(served)) / deviation
+                       : 0;
 }
 
 double KindResult::WorstRatio() const noexcept {
--- a/bench/sizes/size_fleet.cc
+++ b/bench/sizes/size_fleet.cc
@@ -158,7 +158,7 @@
     const SizedKind& kind = settings_.kinds[job->kind];
     const ShareStanding standing =
         settings_.by_size ? instance.shares.Classify(kService, kind.name,
-                                                    StatedSize(*job), now_)
+                                                     StatedSize(*job), now_)
                           : ShareStanding();
     if (standing.guaranteed) {
       job->priority = 0;
@@ -186,17 +186,17 @@
                                                LatencyAdmissionOptions(),
                                                standing.capacity_fraction);
     const bool admitted =
-        !hopeless && instance.answers.Admit(
-                         DecodeView(instance, decode), kind.name,
-                         {.expected_tokens = job->expected_tokens,
-                          .max_tokens = job->max_tokens,
-                          .timeout = kind.timeout,
-                          .capacity_fraction = standing.capacity_fraction,
-                          .arriving = ArrivingPerRunner(),
-                          .deviations = standing.deviations,
-                          .yields_to = standing.yields_to,
-                          .yield = standing.yield},
-                         now_);
+        !hopeless &&
+        instance.answers.Admit(DecodeView(instance, decode), kind.name,
+                               {.expected_tokens = job->expected_tokens,
+                                .max_tokens = job->max_tokens,
+                                .timeout = kind.timeout,
+                                .capacity_fraction = standing.capacity_fraction,
+                                .arriving = ArrivingPerRunner(),
+                                .deviations = standing.deviations,
+                                .yields_to = standing.yields_to,
+                                .yield = standing.yield},
+                               now_);
     if (!admitted) {
       End(job, false);
       return;
@@ -236,9 +236,8 @@
   void BeginPrefill(PrefillEngine& engine) {
     engine.began = now_;
     engine.ms_left =
-        settings_.slowness *
-        (kFirstMs + engine.queue.front()->prefill_tokens /
-                        settings_.prefill_tokens_per_ms);
+        settings_.slowness * (kFirstMs + engine.queue.front()->prefill_tokens /
+                                             settings_.prefill_tokens_per_ms);
     engine.alone = engine.queue.size() == 1;
   }
 
@@ -289,8 +288,8 @@
     }
     const double step_ms =
         settings_.slowness *
-        (settings_.step_ms +
-         settings_.step_ms_per_request * static_cast<double>(engine.running.size()));
+        (settings_.step_ms + settings_.step_ms_per_request *
+                                 static_cast<double>(engine.running.size()));
     const double tokens = base::ToFineMillis(kTick) / step_ms;
     for (const JobHandle& job : engine.running) {
       job->generated += tokens;
@@ -329,13 +328,12 @@
   }
 
   void RecordForecast(const Job& job) {
-    instances_[job.instance]->errors.Record(
-        kService, job.priority,
-        {.foreseen = job.foreseen,
-         .took = now_ - job.arrived,
-         .given_up = !job.has_bytes,
-         .time_limit = kFirstByteTimeout},
-        now_);
+    instances_[job.instance]->errors.Record(kService, job.priority,
+                                            {.foreseen = job.foreseen,
+                                             .took = now_ - job.arrived,
+                                             .given_up = !job.has_bytes,
+                                             .time_limit = kFirstByteTimeout},
+                                            now_);
   }
 
   void End(const JobHandle& job, bool served) {
--- a/src/main/entry_peers.h
+++ b/src/main/entry_peers.h
@@ -1,6 +1,6 @@
 // What an entry instance exchanges with the others: work at engines, targets
-// to avoid and their limits, contents that crash targets, loans of retry budget,
-// shares of requests served and changes of the store.
+// to avoid and their limits, contents that crash targets, loans of retry
+// budget, shares of requests served and changes of the store.
 #ifndef LYNXGLADE_MAIN_ENTRY_PEERS_H_
 #define LYNXGLADE_MAIN_ENTRY_PEERS_H_
 
--- a/src/process/peers/share_sharing.cc
+++ b/src/process/peers/share_sharing.cc
@@ -33,9 +33,8 @@
 constexpr double kHundredths = 100;
 
 std::uint64_t ToHundredths(double count) {
-  return static_cast<std::uint64_t>(
-      std::llround(std::clamp(kHundredths * count, 0.0,
-                              static_cast<double>(kMaxHundredths))));
+  return static_cast<std::uint64_t>(std::llround(std::clamp(
+      kHundredths * count, 0.0, static_cast<double>(kMaxHundredths))));
 }
 
 std::optional<double> ParseCount(const json& value) {
--- a/src/request/passthrough/answer_admission.h
+++ b/src/request/passthrough/answer_admission.h
@@ -6,8 +6,9 @@
 // wasted. Each engine therefore gets only as many requests as let a large
 // answer of every route finish in time at its own pace. Further requests are
 // rejected at once, also short ones, as these slow down long ones too. An
-// answer that no engine could generate in time limits nothing. How large an answer is, and which part of the capacity a request may use, follows
-// from how often requests of its size are served (served_shares.h).
+// answer that no engine could generate in time limits nothing. How large an
+// answer is, and which part of the capacity a request may use, follows from how
+// often requests of its size are served (served_shares.h).
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_ANSWER_ADMISSION_H_
 
@@ -122,9 +123,9 @@
     }
   };
 
-  // Whether an engine with `load` requests may have one more, if the request may
-  // use a part of the capacity. Fractions of a place are granted by chance, so
-  // that a part of a small capacity is served as well.
+  // Whether an engine with `load` requests may have one more, if the request
+  // may use a part of the capacity. Fractions of a place are granted by chance,
+  // so that a part of a small capacity is served as well.
   bool HasRoom(double load, double fraction, double capacity) const;
   void RecordLimit(RouteSizes& sizes, std::int64_t max_tokens) const;
   void RecordAdmission(const base::ServiceName& service,
--- a/src/request/passthrough/forecast_errors.cc
+++ b/src/request/passthrough/forecast_errors.cc
@@ -18,9 +18,8 @@
                         base::ToFineMillis(outcome.time_limit)) {
     return;
   }
-  const double took_ms =
-      std::max(base::ToFineMillis(outcome.took), 1.0) *
-      (outcome.given_up ? options_.given_up_factor : 1);
+  const double took_ms = std::max(base::ToFineMillis(outcome.took), 1.0) *
+                         (outcome.given_up ? options_.given_up_factor : 1);
   const double bound = std::log(options_.max_factor);
   const double ratio =
       std::clamp(std::log(took_ms / foreseen_ms), -bound, bound);
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -33,13 +33,12 @@
 // the first one would have taken.
 void RelayRun::RecordForecast() {
   if (forecast_ && rejections_ == 0 && unreachable_ == 0) {
-    deps_.forecast_errors.Record(
-        service_, forecast_->priority,
-        {.foreseen = forecast_->expected,
-         .took = Elapsed() - forecast_->made_after,
-         .given_up = !first_bytes_at_,
-         .time_limit = forecast_->time_limit},
-        deps_.clock());
+    deps_.forecast_errors.Record(service_, forecast_->priority,
+                                 {.foreseen = forecast_->expected,
+                                  .took = Elapsed() - forecast_->made_after,
+                                  .given_up = !first_bytes_at_,
+                                  .time_limit = forecast_->time_limit},
+                                 deps_.clock());
   }
   forecast_.reset();
 }
@@ -74,9 +73,9 @@
   const std::int64_t tokens = IsServed() && generated > 0
                                   ? generated
                                   : std::max(generated, terms_.expected_tokens);
-  deps_.served_shares.RecordEnd(service_, route_->name,
-                               RequestSize(terms_.prompt.TotalTokens(), tokens),
-                               IsServed(), deps_.clock());
+  deps_.served_shares.RecordEnd(
+      service_, route_->name, RequestSize(terms_.prompt.TotalTokens(), tokens),
+      IsServed(), deps_.clock());
 }
 
 void RelayRun::RecordPrefill(const EnginePick& pick, base::Duration took) {
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -1,6 +1,7 @@
 // One request in the relay; implementation detail of relay.h. The flow is in
-// relay_run.cc, attempts at targets in relay_attempt.cc, what they add to the
-// estimates in relay_records.cc, refusals and logs in relay_report.cc.
+// relay_run.cc, attempts at targets in relay_attempt.cc, what these reserve of
+// the retry budget in relay_budget.cc, what they add to the estimates in
+// relay_records.cc, refusals and logs in relay_report.cc.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_RUN_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_RUN_H_
 
--- a/src/request/passthrough/served_shares.cc
+++ b/src/request/passthrough/served_shares.cc
@@ -68,8 +68,7 @@
                 route.deviation_pressure);
   standing.route_share = ShareOf(route, all);
   const double guarantee = GuaranteeFor(standing.route_share);
-  standing.guaranteed =
-      guarantee > 0 && base::UniformReal(random_) < guarantee;
+  standing.guaranteed = guarantee > 0 && base::UniformReal(random_) < guarantee;
   if (guarantee <= 0) {
     FindYield(service, name, all, standing);
   }
@@ -281,9 +280,8 @@
 }
 
 void ServedShares::Decay(Route& route, base::Time now) const {
-  const double factor =
-      std::exp(-base::ToFineMillis(now - route.counted_at) /
-               base::ToFineMillis(options_.averaging_time));
+  const double factor = std::exp(-base::ToFineMillis(now - route.counted_at) /
+                                 base::ToFineMillis(options_.averaging_time));
   for (ShareCount& it : route.counts) {
     it.seen *= factor;
     it.served *= factor;
--- a/tests/bench/draft_fleet_test.cc
+++ b/tests/bench/draft_fleet_test.cc
@@ -17,8 +17,7 @@
   constexpr std::uint64_t kFleets = 100;
   int starved = 0;
   for (std::uint64_t seed = 1; seed <= kFleets; ++seed) {
-    const SizeFleetSettings settings =
-        DrawFleet(seed, 3, 6, DrawnMix::kDrafts);
+    const SizeFleetSettings settings = DrawFleet(seed, 3, 6, DrawnMix::kDrafts);
     const SizeFleetResult result = RunSizeFleet(settings);
     const bool holds = result.KindShortfall(kMinRatio) <= kMaxDeviations;
     starved += holds ? 0 : 1;
--- a/tests/bench/kind_bound.h
+++ b/tests/bench/kind_bound.h
@@ -15,7 +15,7 @@
 constexpr double kMaxDeviations = 3;
 
 inline std::string Describe(const SizeFleetSettings& settings,
-                     const SizeFleetResult& result) {
+                            const SizeFleetResult& result) {
   std::string text = "seed " + std::to_string(settings.seed) + ", " +
                      std::to_string(settings.instances) +
                      " instances, slowness " +
@@ -23,8 +23,8 @@
                      std::to_string(settings.load) + ", served " +
                      std::to_string(result.served) + ":";
   for (const KindResult& it : result.kinds) {
-    text += " " + it.name + " " + std::to_string(it.all.Rate()) +
-            " (in vain " + std::to_string(it.in_vain) + ")";
+    text += " " + it.name + " " + std::to_string(it.all.Rate()) + " (in vain " +
+            std::to_string(it.in_vain) + ")";
   }
   return text;
 }
--- a/tests/bench/kind_fleet_test.cc
+++ b/tests/bench/kind_fleet_test.cc
@@ -20,8 +20,7 @@
   double worst = 0;
   double served = 0;
   for (std::uint64_t seed = 1; seed <= kFleets; ++seed) {
-    const SizeFleetSettings settings =
-        DrawFleet(seed, 3, 6, DrawnMix::kAlbums);
+    const SizeFleetSettings settings = DrawFleet(seed, 3, 6, DrawnMix::kAlbums);
     const SizeFleetResult result = RunSizeFleet(settings);
     const double shortfall = result.KindShortfall(kMinRatio);
     worst = std::max(worst, shortfall);
--- a/tests/platform/named_limit_sum_test.cc
+++ b/tests/platform/named_limit_sum_test.cc
@@ -169,7 +169,7 @@
   passthrough::PrefillTimes prefill_times_;
   passthrough::GenerationTimes generation_times_;
   passthrough::AnswerAdmission answers_{generation_times_,
-                                         base::SeededRandom(1)};
+                                        base::SeededRandom(1)};
   passthrough::SendLimits limits_;
   passthrough::EnginePicker picker_{
       {.zone = base::ZoneId("a")},
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -88,7 +88,7 @@
   request::passthrough::PrefillTimes prefill_times_;
   request::passthrough::GenerationTimes generation_times_;
   request::passthrough::AnswerAdmission answers_{generation_times_,
-                                         base::SeededRandom(1)};
+                                                 base::SeededRandom(1)};
   request::passthrough::SendLimits limits_{
       {.instance = base::InstanceId("i0")},
       {.members =
--- a/tests/process/peers/share_sharing_test.cc
+++ b/tests/process/peers/share_sharing_test.cc
@@ -79,8 +79,7 @@
               base::SeededRandom(2)) {}
     // What it knows of the route, by what it would decide.
     double RouteShare() {
-      return shares
-          .Classify(kService, "album", 1'000, base::BootClock::now())
+      return shares.Classify(kService, "album", 1'000, base::BootClock::now())
           .route_share;
     }
 
--- a/tests/request/passthrough/answer_admission_test.cc
+++ b/tests/request/passthrough/answer_admission_test.cc
@@ -288,7 +288,7 @@
                                .capacity_fraction = standing.capacity_fraction},
                               kNow);
     served_shares.RecordEnd(kService, "drafts", std::llround(tokens), admits,
-                           kNow);
+                            kNow);
     if (admits) {
       ++admitted[large];
       ends.insert(i + 10 + static_cast<int>(tokens / 90));
--- a/tests/request/passthrough/answer_limits_test.cc
+++ b/tests/request/passthrough/answer_limits_test.cc
@@ -70,11 +70,9 @@
 TEST_F(AnswerLimitsTest, RouteGivesWayToOneThatNeedsEmptierEngines) {
   for (int i = 0; i < 100; ++i) {
     Admits(240, 0);
-    answers_.Admit(engine_, "verdicts",
-                   {.expected_tokens = 20,
-                    .max_tokens = 20,
-                    .timeout = seconds(6)},
-                   kNow);
+    answers_.Admit(
+        engine_, "verdicts",
+        {.expected_tokens = 20, .max_tokens = 20, .timeout = seconds(6)}, kNow);
   }
   const auto admits_verdict = [&](int load, double yield) {
     engine_.reported = {.running = load, .waiting = 0, .slots = kSlots};
--- a/tests/rig/group_checks.cc
+++ b/tests/rig/group_checks.cc
@@ -37,8 +37,8 @@
                 const GroupName& name,
                 const RigTerms& terms,
                 std::vector<BoundUse>* uses) {
-  const auto all = GroupRequests(
-      records, [](const CallerRequestRecord&) { return "all"; });
+  const auto all =
+      GroupRequests(records, [](const CallerRequestRecord&) { return "all"; });
   if (all.empty() || all.begin()->second.served == 0) {
     return;
   }
--- a/tests/rig/traffic.cc
+++ b/tests/rig/traffic.cc
@@ -160,8 +160,7 @@
   draft.output_tokens =
       1 + static_cast<std::int64_t>(events * settings_.tokens_per_event);
   draft.subject = kind.name + std::to_string(shared);
-  draft.parts = draft.subject + ':' +
-                std::to_string(shared_tokens) + ",own" +
+  draft.parts = draft.subject + ':' + std::to_string(shared_tokens) + ",own" +
                 std::to_string(next_id_++) + ':' + std::to_string(own_tokens);
   return draft;
 }
