Shares: only requests that were admitted count

Cause: found by reading the change. Requests without a valid key, or with quarantined content, counted as not served, so that callers without a key could make a route look badly served and have its requests treated as most urgent. Change: a request counts once it has passed admission by configuration, key and content. A further test shows the guaranteed priority at the engine.

--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -60,9 +60,6 @@
 // The size of a whole answer is known; one that was broken off may be longer
 // than expected.
 void RelayRun::RecordShare() const {
-  if (!route_) {
-    return;
-  }
   if (terms_.prompt.empty()) {
     deps_.served_shares.RecordEnd(service_, route_->name, 0, IsServed(),
                                   deps_.clock());
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -290,7 +290,6 @@
 }
 
 void RelayRun::LogEnd() const {
-  RecordShare();
   CountSize();
   deps_.metrics.GetLatency("lynxglade_answer_seconds").Record(Elapsed());
   if (first_bytes_at_) {
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -62,6 +62,7 @@
     }
   });
   co_await RunAttempts();
+  RecordShare();
   LogEnd();
 }
 
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -216,7 +216,8 @@
   void Classify();
   // The first bytes have arrived, or their time is over.
   void RecordForecast();
-  // Adds the end of a request to the shares that are served.
+  // Adds the end of a request that was admitted to the shares that are served;
+  // one without a valid key, or with quarantined content, was never owed.
   void RecordShare() const;
   // Counts the end by size.
   void CountSize() const;
--- a/tests/platform/organisation_test.cc
+++ b/tests/platform/organisation_test.cc
@@ -111,6 +111,47 @@
   EXPECT_EQ(Refused("missing_key"), 4);
 }
 
+// Guards against callers without a key that make a route look badly served.
+TEST_F(OrganisationTest, RequestsWithoutAKnownKeyDoNotCountTowardsShares) {
+  AddTarget(Ok);
+  const auto routes_seen = [this] {
+    return thread_->Do(
+        [this] { return served_shares_.Own(base::BootClock::now()).size(); });
+  };
+  Call(Request("/safe/x", kUnknownKey));
+  EXPECT_EQ(routes_seen(), 0U);
+  Call(Request("/safe/x", kKeyA));
+  thread_->Await([this] {
+    return served_shares_.Own(base::BootClock::now()).size() == 1;
+  });
+}
+
+// Guards against STARVED: the prompts of a route that is served too rarely are
+// prefilled as urgently as any.
+TEST_F(OrganisationTest, APromptOfARarelyServedRouteIsMostUrgent) {
+  ScriptedServer& prefill_engine =
+      AddTarget(PrefillDone, EngineStage::kPrefill);
+  AddTarget([](const std::string& request) {
+    return Stream(request, 1, 2, ScriptedServer::Then::kKeep);
+  });
+  const auto priority = [&](const std::string& id) {
+    Call(Request("/resumable/x", std::string(kKeyB) + kPromptLines, id));
+    return Header(prefill_engine.requests().back(),
+                  "Lynxglade-Request-Priority");
+  };
+  EXPECT_EQ(priority("r1"), "3");
+  const std::string route = routes_->Find("h", "/resumable/x")->name;
+  thread_->Do([this, &route] {
+    const base::Time now = base::BootClock::now();
+    const base::ServiceName service("s");
+    for (int i = 0; i < 200; ++i) {
+      served_shares_.RecordEnd(service, route, 1'000, false, now);
+      served_shares_.RecordEnd(service, "other", 1'000, true, now);
+    }
+  });
+  EXPECT_EQ(priority("r2"), "0");
+}
+
 TEST_F(OrganisationTest, ARunIsRecordedOncePerRequestThatATargetRan) {
   std::atomic<int> calls = 0;
   const auto fail_once = [&calls](const std::string& request) {
