--- a/tests/rig/rig.cc
+++ b/tests/rig/rig.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -54,6 +55,28 @@
   throw std::runtime_error("no free ports");
 }
 
+constexpr std::string_view kJournalPrefix = "engine-";
+constexpr std::string_view kJournalSuffix = ".out";
+
+bool IsJournal(const std::filesystem::path& path) {
+  const std::string name = path.filename().string();
+  return name.starts_with(kJournalPrefix) && name.ends_with(kJournalSuffix);
+}
+
+// An engine of an earlier run may have had more lifetimes than in this one, and
+// requests of the same seed have the same ids.
+void RemoveJournals(const std::filesystem::path& folder) {
+  std::vector<std::filesystem::path> journals;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    if (IsJournal(file.path())) {
+      journals.push_back(file.path());
+    }
+  }
+  std::ranges::for_each(journals, [](const std::filesystem::path& it) {
+    std::filesystem::remove(it);
+  });
+}
+
 // Ports of the block on which nothing listens. Connections of an earlier run
 // may still wait for their end there, which does not keep a listener out.
 std::vector<int> FindPorts(int first, std::size_t n) {
@@ -86,6 +109,7 @@
       loop_(1),
       reservation_(ReservePorts(loop_)) {
   std::filesystem::create_directories(settings_.folder);
+  RemoveJournals(settings_.folder);
   const std::size_t engines =
       settings_.day.models + settings_.day.plain_targets;
   ports_ =
@@ -328,8 +352,7 @@
   RunRecords records;
   for (const auto& file :
        std::filesystem::directory_iterator(settings_.folder)) {
-    const std::string name = file.path().filename().string();
-    if (name.starts_with("engine-") && name.ends_with(".out")) {
+    if (IsJournal(file.path())) {
       ReadJournal(file.path(), &records.arrivals);
     }
   }
