Rig and simulated fleet: one count of what is served, one Format

Cause: read again, the change had written the rate of served requests three times, the formatting of the checker's findings twice, a draw beside its twin, and an expression for a forecast twice. Change: bench/sizes/served_count.h serves the simulated fleet and the rig's checker; rig/format.h; size_fleet_test draws by drawn_fleet.h; an unused include goes. No behaviour, bound or assertion changes.

--- a/bench/sizes/fleet_traffic.cc
+++ b/bench/sizes/fleet_traffic.cc
@@ -121,13 +121,6 @@
   return job;
 }
 
-double ServedCount::Shortfall(double rate) const noexcept {
-  const auto n = static_cast<double>(requests);
-  const double deviation = std::sqrt(n * rate * (1 - rate));
-  return deviation > 0 ? (n * rate - static_cast<double>(served)) / deviation
-                       : 0;
-}
-
 double KindResult::WorstRatio() const noexcept {
   return all.served > 0 ? std::min(largest.Rate(), large.Rate()) / all.Rate()
                         : 1;
--- a/bench/sizes/size_fleet.cc
+++ b/bench/sizes/size_fleet.cc
@@ -177,11 +177,12 @@
                            instance.prefills.TokensPerMs(prefill_view);
     const double prefill_ms = instance.prefills.PrefillMs(
         prefill_view, std::llround(job->prefill_tokens));
+    const double expected_ms = wait_ms + prefill_ms + kHandoverMs;
     const LatencyForecast forecast{
         base::FromFineMillis(wait_ms),
         base::FromFineMillis(
             instance.errors.Factor(kService, job->priority, now_) *
-            (wait_ms + prefill_ms + kHandoverMs))};
+            expected_ms)};
     const bool hopeless = ExceedsCallerTimeout(forecast, kFirstByteTimeout,
                                                LatencyAdmissionOptions(),
                                                standing.capacity_fraction);
@@ -202,7 +203,7 @@
       return;
     }
     job->admitted = true;
-    job->foreseen = base::FromFineMillis(wait_ms + prefill_ms + kHandoverMs);
+    job->foreseen = base::FromFineMillis(expected_ms);
     PrefillEngine& engine = prefill_engines_[prefill];
     engine.Push(job);
     if (engine.queue.size() == 1) {
--- a/bench/sizes/size_fleet.h
+++ b/bench/sizes/size_fleet.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "bench/sizes/served_count.h"
 
 namespace lynxglade::bench {
 
@@ -62,19 +63,6 @@
   std::uint64_t seed = 1;
 };
 
-struct ServedCount {
-  std::size_t requests = 0;
-  std::size_t served = 0;
-
-  double Rate() const noexcept {
-    return requests == 0
-               ? 0
-               : static_cast<double>(served) / static_cast<double>(requests);
-  }
-  // By how many standard deviations of chance fewer are served than at `rate`.
-  double Shortfall(double rate) const noexcept;
-};
-
 struct KindResult {
   std::string name;
   ServedCount all;
--- a/src/request/passthrough/served_shares.cc
+++ b/src/request/passthrough/served_shares.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <utility>
 
 #include "base/hash.h"
--- a/tests/bench/size_fleet_test.cc
+++ b/tests/bench/size_fleet_test.cc
@@ -23,10 +23,6 @@
          ", of the fifth below " + std::to_string(it.large.Rate());
 }
 
-double Draw(const base::RandomSource& random, double from, double to) {
-  return from + (to - from) * base::UniformReal(random);
-}
-
 // Draws speed, load, number of engines, mix and sizes. The largest answers can
 // end in time at an engine that runs nothing else, as otherwise no admission
 // could serve them.
@@ -36,15 +32,15 @@
   it.seed = seed;
   // Long enough that chance decides little.
   it.length = std::chrono::seconds(180);
-  it.slowness = Draw(random, 1, 2.5);
-  it.load = Draw(random, 0.6, 1.8);
-  it.prefill_engines = static_cast<int>(Draw(random, 3, 9));
-  it.decode_engines = static_cast<int>(Draw(random, 6, 15));
-  it.uncached = Draw(random, 0, 0.15);
+  it.slowness = DrawReal(random, 1, 2.5);
+  it.load = DrawReal(random, 0.6, 1.8);
+  it.prefill_engines = static_cast<int>(DrawReal(random, 3, 9));
+  it.decode_engines = static_cast<int>(DrawReal(random, 6, 15));
+  it.uncached = DrawReal(random, 0, 0.15);
   for (SizedKind& kind : it.kinds) {
-    kind.per_second *= Draw(random, 0.5, 1.5);
-    kind.own_tokens *= Draw(random, 0.5, 1.5);
-    kind.answer_tokens *= Draw(random, 0.5, 1.5);
+    kind.per_second *= DrawReal(random, 0.5, 1.5);
+    kind.own_tokens *= DrawReal(random, 0.5, 1.5);
+    kind.answer_tokens *= DrawReal(random, 0.5, 1.5);
     const double seconds = base::ToFineMillis(kind.timeout) / 1000;
     // A step of 3.79 ms a token, and half of the time for all else.
     kind.answer_max =
--- a/tests/rig/checker.cc
+++ b/tests/rig/checker.cc
@@ -1,11 +1,12 @@
 #include "rig/checker.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <iterator>
 #include <map>
 #include <set>
 
+#include "rig/format.h"
+
 namespace lynxglade::rig {
 
 namespace {
@@ -13,14 +14,6 @@
 constexpr double kLargestPart = 0.1;
 constexpr double kLargePart = 0.2;
 
-template <typename... Args>
-std::string Format(const char* format, Args... args) {
-  std::string text(200, '\0');
-  const int n = std::snprintf(text.data(), text.size(), format, args...);
-  text.resize(static_cast<std::size_t>(std::max(n, 0)));
-  return text;
-}
-
 // What a caller sent, by the id of the attempt.
 struct SentAttempt {
   const CallerRequestRecord* request = nullptr;
@@ -257,7 +250,9 @@
   const auto large =
       static_cast<std::size_t>(count * (1 - kLargestPart - kLargePart));
   const auto make = [&](std::string name, std::size_t begin, std::size_t end) {
-    SizeClass it{std::move(name), end - begin};
+    SizeClass it;
+    it.name = std::move(name);
+    it.requests = end - begin;
     for (std::size_t i = begin; i < end; ++i) {
       it.served += requests[i]->end == RequestEnd::kServed ? 1 : 0;
     }
--- a/tests/rig/checker.h
+++ b/tests/rig/checker.h
@@ -3,6 +3,7 @@
 #ifndef LYNXGLADE_TESTS_RIG_CHECKER_H_
 #define LYNXGLADE_TESTS_RIG_CHECKER_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -11,6 +12,7 @@
 
 #include "base/time.h"
 #include "bench/retries/retry_bound.h"
+#include "bench/sizes/served_count.h"
 #include "rig/records.h"
 
 namespace lynxglade::rig {
@@ -85,35 +87,17 @@
                                const RigTerms& terms);
 
 // Requests of one kind by their size.
-struct SizeClass {
+struct SizeClass : bench::ServedCount {
   std::string name;
-  std::size_t requests = 0;
-  std::size_t served = 0;
   std::int64_t from = 0;
   std::int64_t to = 0;
-
-  double Rate() const noexcept {
-    return requests == 0
-               ? 0
-               : static_cast<double>(served) / static_cast<double>(requests);
-  }
 };
 
-// Requests of one group, by its name.
-struct ServedGroup {
-  std::size_t requests = 0;
-  std::size_t served = 0;
-
-  double Rate() const noexcept {
-    return requests == 0
-               ? 0
-               : static_cast<double>(served) / static_cast<double>(requests);
-  }
-};
 using GroupName = std::function<std::string(const CallerRequestRecord&)>;
 // Groups of the requests for which `name` is not empty.
-std::map<std::string, ServedGroup> GroupRequests(const RunRecords& records,
-                                                 const GroupName& name);
+std::map<std::string, bench::ServedCount> GroupRequests(
+    const RunRecords& records,
+    const GroupName& name);
 
 // Uses of the bounds on kinds, zones, subjects and callers.
 std::vector<BoundUse> CheckGroups(const RunRecords& records,
--- a/tests/rig/group_checks.cc
+++ b/tests/rig/group_checks.cc
@@ -1,10 +1,9 @@
 // Service of kinds, zones, subjects and callers.
 #include <algorithm>
-#include <cmath>
-#include <cstdio>
 #include <utility>
 
 #include "rig/checker.h"
+#include "rig/format.h"
 
 namespace lynxglade::rig {
 
@@ -20,14 +19,6 @@
   double unserved_by_chance = 1;
 };
 
-template <typename... Args>
-std::string Format(const char* format, Args... args) {
-  std::string text(200, '\0');
-  const int n = std::snprintf(text.data(), text.size(), format, args...);
-  text.resize(static_cast<std::size_t>(std::max(n, 0)));
-  return text;
-}
-
 std::string KindOf(const CallerRequestRecord& it) {
   return it.kind;
 }
@@ -97,13 +88,14 @@
 
 }  // namespace
 
-std::map<std::string, ServedGroup> GroupRequests(const RunRecords& records,
-                                                 const GroupName& name) {
-  std::map<std::string, ServedGroup> groups;
+std::map<std::string, bench::ServedCount> GroupRequests(
+    const RunRecords& records,
+    const GroupName& name) {
+  std::map<std::string, bench::ServedCount> groups;
   for (const CallerRequestRecord& it : records.requests) {
     const std::string group = name(it);
     if (!group.empty()) {
-      ServedGroup& served = groups[group];
+      bench::ServedCount& served = groups[group];
       ++served.requests;
       served.served += it.end == RequestEnd::kServed ? 1 : 0;
     }
