Relay: attempts log how an answer was delimited and how it ended

The lines of an answer that was broken off and of a whole one were the same. An attempt now tells what delimits the answer (length, chunks, the end of the connection), how far it was read, and the bytes of an incomplete event that were held back. No change of behaviour.

--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -39,6 +39,36 @@
 
 }  // namespace
 
+std::string_view ToString(ExchangeState state) noexcept {
+  switch (state) {
+    case ExchangeState::kNotSent:
+      return "not_sent";
+    case ExchangeState::kBroken:
+      return "broken";
+    case ExchangeState::kHead:
+      return "head";
+    case ExchangeState::kWhole:
+      return "whole";
+    case ExchangeState::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+std::string_view ToString(BodyFraming framing) noexcept {
+  switch (framing) {
+    case BodyFraming::kNone:
+      return "none";
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunks:
+      return "chunks";
+    case BodyFraming::kConnection:
+      break;
+  }
+  return "connection";
+}
+
 // Shared with the write operation, which may outlive the exchange.
 struct Exchange::Sending {
   explicit Sending(OutgoingRequest it) : request(std::move(it)) {}
@@ -251,6 +281,20 @@
   return parser_->get();
 }
 
+BodyFraming Exchange::framing() const {
+  if (!parser_ || !parser_->is_header_done()) {
+    return BodyFraming::kNone;
+  }
+  if (parser_->chunked()) {
+    return BodyFraming::kChunks;
+  }
+  if (parser_->need_eof()) {
+    return BodyFraming::kConnection;
+  }
+  return parser_->content_length().value_or(0) > 0 ? BodyFraming::kLength
+                                                   : BodyFraming::kNone;
+}
+
 CancelAfter::CancelAfter(asio::io_context& loop,
                          Exchange& exchange,
                          base::Duration wait)
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -35,6 +35,18 @@
   // Ended by Cancel().
   kCancelled,
 };
+std::string_view ToString(ExchangeState state) noexcept;
+
+// What ends the body of an answer.
+enum class BodyFraming {
+  // The answer has no body, or its head was not read.
+  kNone,
+  kLength,
+  kChunks,
+  // The end of the connection: a body that the peer broke off looks complete.
+  kConnection,
+};
+std::string_view ToString(BodyFraming framing) noexcept;
 
 struct ExchangeOptions {
   // Limit on skipped answers that belong to earlier requests on a reused
@@ -84,6 +96,7 @@
   bool unacknowledged() const noexcept;
   // Head of the answer; valid once state() is kHead or kWhole.
   const ResponseHead& head() const;
+  BodyFraming framing() const;
 
  private:
   struct Sending;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -228,6 +228,7 @@
       events_.last_id().empty() ? terms_.last_event_id : events_.last_id();
   RecordAttempt(*target);
   const int entry_changes = target->entry_changes;
+  answer_ = {};
   Exchange exchange(deps_.channels);
   current_ = &exchange;
   const ExchangeState state = co_await exchange.Start(
@@ -243,6 +244,8 @@
   }
   RecordEvidence(run, exchange, target, end,
                  /*answering=*/events_.events() > events_before);
+  answer_.framing = exchange.framing();
+  answer_.state = exchange.state();
   current_ = nullptr;
   co_return end;
 }
@@ -322,6 +325,7 @@
                                    events_.events() - events_before, piece);
     }
   }
+  answer_.held_bytes = events_.partial().size();
   if (!sent) {
     exchange.Cancel();
     co_return AttemptEnd::kFinished;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -285,6 +285,16 @@
     std::string body;
   };
   std::optional<SavedAnswer> saved_answer_;
+  // For logs: how the last target delimited its answer, how far it was read,
+  // and the size of an incomplete event that was held back at its end.
+  struct AnswerTrace {
+    connection::event::BodyFraming framing =
+        connection::event::BodyFraming::kNone;
+    connection::event::ExchangeState state =
+        connection::event::ExchangeState::kNotSent;
+    std::size_t held_bytes = 0;
+  };
+  AnswerTrace answer_;
   // For logs and metrics, since the request's arrival: end of the prefill, and
   // first bytes of the answer.
   std::optional<base::Duration> prefilled_at_;
