--- a/tests/connection/raw_client.cc
+++ b/tests/connection/raw_client.cc
@@ -44,6 +44,7 @@
   while ((n = ::recv(socket_, buf.data(), buf.size(), 0)) > 0) {
     all.append(buf.data(), static_cast<std::size_t>(n));
   }
+  reset_ = n < 0;
   return all;
 }
 
--- a/tests/connection/raw_client.h
+++ b/tests/connection/raw_client.h
@@ -21,9 +21,12 @@
   std::string ReadToEnd();
   // Reads up to the end of one answer's head.
   std::string ReadHead();
+  // Whether the last read found the connection reset.
+  bool reset() const noexcept { return reset_; }
 
  private:
   int socket_;
+  bool reset_ = false;
 };
 
 }  // namespace lynxglade::tests
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -95,6 +95,11 @@
          "chunked\r\n\r\n";
 }
 
+std::string UnframedStreamHead(const std::string& request) {
+  return "HTTP/1.1 200 OK\r\n" + Echo(request) + kProofLine +
+         "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+}
+
 Reply Stream(const std::string& request, int first, int last, Then then) {
   std::string bytes = StreamHead(request);
   for (int id = first; id <= last; ++id) {
@@ -207,6 +212,18 @@
   return client.ReadToEnd();
 }
 
+tests::AnswerText RelayTest::CallAndRead(const std::string& request) {
+  if (!thread_) {
+    StartRelay();
+  }
+  RawClient client(server_->port());
+  client.Send(request);
+  tests::AnswerText answer;
+  answer.Feed(client.ReadToEnd());
+  answer.EndConnection(client.reset());
+  return answer;
+}
+
 void RelayTest::ExhaustRetryBudget() {
   const base::ServiceName service("s");
   while (const auto reserved = retry_budget_.TryReserve(
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -13,6 +13,7 @@
 #include <gtest/gtest.h>
 
 #include "base/metrics.h"
+#include "connection/answer_text.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
 #include "connection/event/loop_thread.h"
@@ -54,6 +55,8 @@
 std::string Event(int id);
 std::string Chunk(const std::string& bytes);
 std::string StreamHead(const std::string& request);
+// The head of a stream with neither a length nor chunks.
+std::string UnframedStreamHead(const std::string& request);
 
 // Routes /safe/, /unsafe/, /stream/ and /resumable/ to service "s".
 std::shared_ptr<const request::passthrough::RouteTable> MakeRoutes();
@@ -76,6 +79,8 @@
                              const std::string& id = "r1");
   // Sends the request and returns all bytes of the answer.
   std::string Call(const std::string& request);
+  // The same, as its caller reads it.
+  tests::AnswerText CallAndRead(const std::string& request);
   // Number of requests that all targets have received.
   std::size_t Arrivals() const;
   // Spends the retry budget: retries and charged first prefills are rejected.
