Relay: a stream that ends inside an event is not a whole answer

Callers got 200, a complete framing and a short body when an engine broke off its stream. The transport alone decided that an answer was whole: without a length and chunks it took any end of the connection for the end of the message, and the incomplete event was sent on as a rest before the reply was ended.

AnswerReader now owns the verdict: the message ended by its own framing and, for events, the last event ended. Forwarding, resuming at another target, evidence of crashes, the target's health, learnt sizes and the log follow from its AnswerEnd. Where the connection is all that ends a stream, a cut line or a stream without any event is a cut, too. EventSplitter reads lines that end with LF, CRLF or CR, a byte order mark and comments; before, a stream with CR alone was held until its end and would now count as cut. An answer that is not of type text/event-stream has no events and is whole by its framing.

--- a/src/request/passthrough/event_splitter.cc
+++ b/src/request/passthrough/event_splitter.cc
@@ -1,54 +1,125 @@
 #include "request/passthrough/event_splitter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lynxglade::request::passthrough {
 
 namespace {
 
-// End of the last event in `text`, or npos. Events end with an empty line;
-// lines end with LF or CRLF.
-std::size_t EndOfLastEvent(std::string_view text) {
-  const std::size_t lf = text.rfind("\n\n");
-  const std::size_t crlf = text.rfind("\n\r\n");
-  const std::size_t lf_end = lf == std::string_view::npos ? 0 : lf + 2;
-  const std::size_t crlf_end = crlf == std::string_view::npos ? 0 : crlf + 3;
-  const std::size_t end = std::max(lf_end, crlf_end);
-  return end == 0 ? std::string_view::npos : end;
-}
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+constexpr std::string_view kIdField = "id:";
+constexpr char kComment = ':';
 
 }  // namespace
 
-std::string EventSplitter::Feed(std::string_view bytes) {
-  partial_.append(bytes);
-  const std::size_t end = EndOfLastEvent(partial_);
-  if (end == std::string_view::npos) {
-    return {};
-  }
-  std::string whole = partial_.substr(0, end);
-  partial_.erase(0, end);
-  RecordIds(whole);
-  return whole;
-}
-
-void EventSplitter::RecordIds(std::string_view events) {
-  constexpr std::string_view kField = "id:";
-  while (!events.empty()) {
-    const std::size_t end = events.find('\n');
-    std::string_view line = events.substr(0, end);
-    events.remove_prefix(end == std::string_view::npos ? events.size()
-                                                       : end + 1);
-    if (!line.starts_with(kField)) {
-      continue;
-    }
-    line.remove_prefix(kField.size());
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
+void EventSplitter::Restart() {
+  buffer_.clear();
+  released_ = line_start_ = searched_ = 0;
+  at_start_ = true;
+  after_cr_ = uses_crlf_ = in_event_ = has_event_ = has_id_ = false;
+  id_.clear();
+}
+
+std::string_view EventSplitter::Feed(std::string_view bytes) {
+  buffer_.erase(0, released_);
+  line_start_ -= released_;
+  searched_ -= released_;
+  released_ = 0;
+  buffer_.append(bytes);
+  if (!at_start_ || SkipByteOrderMark()) {
+    while (ReadLine()) {
     }
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
+  }
+  forwarded_ = forwarded_ || released_ > 0;
+  return std::string_view(buffer_).substr(0, released_);
+}
+
+std::string_view EventSplitter::Finish() {
+  released_ = buffer_.size();
+  return buffer_;
+}
+
+StreamPosition EventSplitter::position() const noexcept {
+  const std::string_view line = std::string_view(buffer_).substr(line_start_);
+  if (in_event_ || (!line.empty() && line.front() != kComment)) {
+    return StreamPosition::kInEvent;
+  }
+  return line.empty() && !(after_cr_ && uses_crlf_)
+             ? StreamPosition::kBetweenEvents
+             : StreamPosition::kInLine;
+}
+
+// A mark is for the start of the caller's stream only.
+bool EventSplitter::SkipByteOrderMark() {
+  if (buffer_.size() < kByteOrderMark.size() &&
+      kByteOrderMark.starts_with(buffer_)) {
+    return false;
+  }
+  at_start_ = false;
+  if (!buffer_.starts_with(kByteOrderMark)) {
+    return true;
+  }
+  if (forwarded_) {
+    buffer_.erase(0, kByteOrderMark.size());
+  } else {
+    line_start_ = searched_ = kByteOrderMark.size();
+  }
+  return true;
+}
+
+bool EventSplitter::ReadLine() {
+  if (after_cr_ && line_start_ < buffer_.size()) {
+    after_cr_ = false;
+    if (buffer_[line_start_] == '\n') {
+      uses_crlf_ = true;
+      searched_ = ++line_start_;
+      released_ = in_event_ ? released_ : line_start_;
     }
-    last_id_ = std::string(line);
+  }
+  const auto begin = buffer_.begin() + static_cast<std::ptrdiff_t>(searched_);
+  const auto it = std::find_if(begin, buffer_.end(),
+                               [](char c) { return c == '\n' || c == '\r'; });
+  searched_ = static_cast<std::size_t>(it - buffer_.begin());
+  if (it == buffer_.end()) {
+    return false;
+  }
+  const std::string_view line =
+      std::string_view(buffer_).substr(line_start_, searched_ - line_start_);
+  after_cr_ = *it == '\r';
+  HandleLine(line);
+  line_start_ = ++searched_;
+  released_ = in_event_ ? released_ : line_start_;
+  return true;
+}
+
+void EventSplitter::HandleLine(std::string_view line) {
+  if (line.empty()) {
+    EndEvent();
+    return;
+  }
+  if (line.front() == kComment) {
+    return;
+  }
+  in_event_ = true;
+  if (!line.starts_with(kIdField)) {
+    return;
+  }
+  line.remove_prefix(kIdField.size());
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  id_ = line;
+  has_id_ = true;
+}
+
+void EventSplitter::EndEvent() {
+  if (!std::exchange(in_event_, false)) {
+    return;
+  }
+  has_event_ = true;
+  if (std::exchange(has_id_, false)) {
+    last_id_ = std::move(id_);
     ++events_;
   }
 }
--- a/src/request/passthrough/event_splitter.h
+++ b/src/request/passthrough/event_splitter.h
@@ -9,24 +9,70 @@
 
 namespace lynxglade::request::passthrough {
 
+// Where a stream stands after the bytes that were read.
+enum class StreamPosition {
+  kBetweenEvents,
+  // In a line outside of events: a comment, or a CRLF of which only the CR was
+  // read.
+  kInLine,
+  kInEvent,
+};
+
+// Lines end with LF, CRLF or CR, and an event with an empty line. A byte order
+// mark may precede the first line. Comments and empty lines between events are
+// forwarded as they come.
 class EventSplitter {
  public:
-  // Takes the next bytes; returns the events that they complete.
-  std::string Feed(std::string_view bytes);
-  // Drops an incomplete event before another engine resumes the stream.
-  void DiscardPartial() noexcept { partial_.clear(); }
+  // The stream goes on with the answer of another target, after the last
+  // complete event.
+  void Restart();
+  // Takes the next bytes; returns those that can be forwarded, valid until the
+  // next call.
+  std::string_view Feed(std::string_view bytes);
+  // The stream has ended outside of an event: returns what the last Feed()
+  // did, and an unfinished line. Only Restart() may follow.
+  std::string_view Finish();
 
-  // The bytes of the incomplete event.
-  const std::string& partial() const noexcept { return partial_; }
+  StreamPosition position() const noexcept;
+  // Size of what is held back.
+  std::size_t held_bytes() const noexcept { return buffer_.size() - released_; }
+  // Whether an event was completed since Restart().
+  bool has_event() const noexcept { return has_event_; }
   // Id of the last complete event with an id; empty if there was none.
   const std::string& last_id() const noexcept { return last_id_; }
   // Number of complete events with an id.
   int events() const noexcept { return events_; }
 
  private:
-  void RecordIds(std::string_view events);
+  // Returns false until the first bytes show whether they are a byte order
+  // mark.
+  bool SkipByteOrderMark();
+  // Reads the next complete line; false if there is none.
+  bool ReadLine();
+  void HandleLine(std::string_view line);
+  void EndEvent();
+
+  // Bytes since the last complete event; those before `released_` were returned
+  // by the last call.
+  std::string buffer_;
+  std::size_t released_ = 0;
+  // Start of the current line, and how far it was searched for its end.
+  std::size_t line_start_ = 0;
+  std::size_t searched_ = 0;
+
+  bool at_start_ = true;
+  // Bytes of this or an earlier answer were returned.
+  bool forwarded_ = false;
+  // The last line ended with a CR; a LF that follows belongs to it.
+  bool after_cr_ = false;
+  // An earlier line of this answer ended with CRLF.
+  bool uses_crlf_ = false;
+  bool in_event_ = false;
+  bool has_event_ = false;
+  // Of the current event.
+  std::string id_;
+  bool has_id_ = false;
 
-  std::string partial_;
   std::string last_id_;
   int events_ = 0;
 };
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include <boost/beast/core/string.hpp>
+
 #include "base/log.h"
 #include "connection/event/call.h"
 #include "connection/event/hop_headers.h"
@@ -42,6 +44,13 @@
   return answer;
 }
 
+// A target may leave the type of a stream out.
+bool IsEventStream(const ResponseHead& head) {
+  const auto type = head[http::field::content_type];
+  return type.empty() || boost::beast::iequals(type.substr(0, type.find(';')),
+                                               "text/event-stream");
+}
+
 }  // namespace
 
 // The runner has free slots and accepts other requests, so the KV cache is
@@ -235,22 +244,25 @@
       *endpoint, Message(terms), AnswerFilter(), !route_->CanRetry());
   RecordReach(*target, exchange);
   in_flight.OnPrefillDone(deps_.clock());
+  AnswerReader answer(exchange);
   AttemptEnd end = AttemptEnd::kNotRun;
   if (state == ExchangeState::kHead || state == ExchangeState::kWhole) {
-    end = co_await HandleAnswer(exchange, target, entry_changes);
+    end = co_await HandleAnswer(exchange, answer, target, entry_changes);
   } else {
     runs_ += exchange.sent() ? 1 : 0;
     end = EndAfterFailure(exchange, target);
   }
-  RecordEvidence(run, exchange, target, end,
+  RecordEvidence(run, answer, target, end,
                  /*answering=*/events_.events() > events_before);
-  answer_.framing = exchange.framing();
-  answer_.state = exchange.state();
+  answer_ = {.framing = exchange.framing(),
+             .end = answer.end(),
+             .held_bytes = answer.held_bytes()};
   current_ = nullptr;
   co_return end;
 }
 
 Awaitable<AttemptEnd> RelayRun::HandleAnswer(Exchange& exchange,
+                                             AnswerReader& answer,
                                              const EngineHandle& target,
                                              int entry_changes) {
   const AnswerInfo info = deps_.protocol.parse_answer(exchange.head());
@@ -272,33 +284,35 @@
     exchange.Cancel();
     co_return EndAfterFailure(exchange, target);
   }
-  const bool stream =
-      route_->kind == RouteKind::kStream && status < kFirstFailure;
-  if (stream) {
-    co_return co_await ForwardStream(exchange, target);
+  const bool events = route_->kind == RouteKind::kStream &&
+                      status < kFirstFailure && IsEventStream(exchange.head());
+  if (events) {
+    answer.ReadAsEvents(events_);
+    co_return co_await ForwardStream(answer, target);
   }
   if (reply_.begun()) {
     co_return AttemptEnd::kBroken;
   }
-  co_return co_await ForwardBuffered(exchange, target);
+  co_return co_await ForwardBuffered(answer, target);
 }
 
-Awaitable<AttemptEnd> RelayRun::ForwardBuffered(Exchange& exchange,
+Awaitable<AttemptEnd> RelayRun::ForwardBuffered(AnswerReader& answer,
                                                 const EngineHandle& target) {
+  const Exchange& exchange = answer.exchange();
   std::string body;
-  while (exchange.state() == ExchangeState::kHead &&
+  while (answer.end() == AnswerEnd::kOpen &&
          body.size() <= options_.max_buffered_bytes) {
-    body.append(co_await exchange.ReadSome());
+    body.append(co_await answer.ReadSome());
   }
-  if (exchange.state() == ExchangeState::kHead) {
+  if (answer.end() == AnswerEnd::kOpen) {
     reply_.Begin(HeadForCaller(exchange.head()));
     const bool sent = co_await reply_.SendPiece(body);
     if (!sent) {
       co_return AttemptEnd::kFinished;
     }
-    co_return co_await ForwardStream(exchange, target);
+    co_return co_await ForwardStream(answer, target);
   }
-  if (exchange.state() != ExchangeState::kWhole) {
+  if (answer.end() != AnswerEnd::kWhole) {
     co_return EndAfterFailure(exchange, target);
   }
   RecordFinishedRun(*target);
@@ -312,35 +326,28 @@
   co_return AttemptEnd::kFinished;
 }
 
-Awaitable<AttemptEnd> RelayRun::ForwardStream(Exchange& exchange,
+Awaitable<AttemptEnd> RelayRun::ForwardStream(AnswerReader& answer,
                                               const EngineHandle& target) {
-  const bool events = route_->kind == RouteKind::kStream;
   bool sent = true;
-  while (sent && exchange.state() == ExchangeState::kHead) {
-    const std::string_view bytes = co_await exchange.ReadSome();
+  while (sent && answer.end() == AnswerEnd::kOpen) {
     const int events_before = events_.events();
-    const std::string piece = events ? events_.Feed(bytes) : std::string(bytes);
+    const std::string_view piece = co_await answer.ReadSome();
     if (!piece.empty()) {
-      sent = co_await ForwardPiece(exchange, *target,
+      sent = co_await ForwardPiece(answer, *target,
                                    events_.events() - events_before, piece);
     }
   }
-  answer_.held_bytes = events_.partial().size();
   if (!sent) {
-    exchange.Cancel();
+    answer.Cancel();
     co_return AttemptEnd::kFinished;
   }
-  if (exchange.state() != ExchangeState::kWhole) {
-    events_.DiscardPartial();
-    co_return EndAfterFailure(exchange, target);
-  }
-  if (events && !events_.partial().empty()) {
-    co_await ForwardPiece(exchange, *target, 0, events_.partial());
+  if (answer.end() != AnswerEnd::kWhole) {
+    co_return EndAfterFailure(answer.exchange(), target);
   }
   if (!reply_.begun()) {
-    reply_.Begin(HeadForCaller(exchange.head()));
+    reply_.Begin(HeadForCaller(answer.exchange().head()));
   }
-  status_ = exchange.head().result_int();
+  status_ = answer.exchange().head().result_int();
   if (runs_ == 1 && terms_.last_event_id.empty()) {
     deps_.generation_times.RecordAnswerSize(service_, terms_.expected_tokens,
                                             events_.events());
@@ -349,7 +356,7 @@
   co_return AttemptEnd::kFinished;
 }
 
-Awaitable<bool> RelayRun::ForwardPiece(Exchange& exchange,
+Awaitable<bool> RelayRun::ForwardPiece(const AnswerReader& answer,
                                        Engine& target,
                                        int events,
                                        std::string_view bytes) {
@@ -361,7 +368,7 @@
     if (prefilled_at_) {
       deps_.prefill_times.RecordHandover(service_, now - *prefilled_at_);
     }
-    reply_.Begin(HeadForCaller(exchange.head()));
+    reply_.Begin(HeadForCaller(answer.exchange().head()));
   } else {
     longest_pause_ = std::max(longest_pause_, now - last_bytes_at_);
     RecordPace(target, events, now - last_bytes_at_);
@@ -370,7 +377,7 @@
   co_return co_await reply_.SendPiece(bytes);
 }
 
-AttemptEnd RelayRun::EndAfterFailure(Exchange& exchange,
+AttemptEnd RelayRun::EndAfterFailure(const Exchange& exchange,
                                      const EngineHandle& target) {
   const bool sent = exchange.sent();
   if (sent) {
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -174,19 +174,29 @@
 }
 
 void RelayRun::RecordEvidence(QuarantineRun& run,
-                              const Exchange& exchange,
+                              const AnswerReader& answer,
                               const EngineHandle& target,
                               AttemptEnd end,
                               bool answering) {
-  if (exchange.state() == ExchangeState::kWhole && end != AttemptEnd::kNotRun) {
-    run.OnDelivered();
-    return;
-  }
+  switch (answer.end()) {
+    case AnswerEnd::kWhole:
+      if (end != AttemptEnd::kNotRun) {
+        run.OnDelivered();
+      }
+      return;
+    case AnswerEnd::kOpen:
+    case AnswerEnd::kStopped:
+      return;
+    case AnswerEnd::kMessageCut:
+    case AnswerEnd::kEventCut:
+    case AnswerEnd::kNoEvent:
+      break;
+  }
+  const Exchange& exchange = answer.exchange();
   // A target that leaves may break off what it still has.
   const bool leaves =
       target->entry.draining || deps_.engines.Find(target->entry.id) != target;
-  if (exchange.state() == ExchangeState::kBroken && exchange.sent() &&
-      !exchange.unacknowledged() && !leaves) {
+  if (exchange.sent() && !exchange.unacknowledged() && !leaves) {
     run.OnLost(answering);
     deps_.crash_checks.Start(target);
   }
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -14,6 +14,7 @@
 
 #include "connection/event/exchange.h"
 #include "request/content_hash.h"
+#include "request/passthrough/answer_reader.h"
 #include "request/passthrough/event_splitter.h"
 #include "request/passthrough/relay.h"
 #include "request/quarantine_run.h"
@@ -102,7 +103,7 @@
   // What the end of an attempt says about the content. `answering`: events of
   // this attempt had arrived.
   void RecordEvidence(QuarantineRun& run,
-                      const Exchange& exchange,
+                      const AnswerReader& answer,
                       const EngineHandle& target,
                       AttemptEnd end,
                       bool answering);
@@ -161,20 +162,22 @@
   Awaitable<AttemptEnd> SendRequest(const EnginePick& pick);
   // `entry_changes`: of the target's entry when the request was sent.
   Awaitable<AttemptEnd> HandleAnswer(Exchange& exchange,
+                                     AnswerReader& answer,
                                      const EngineHandle& target,
                                      int entry_changes);
-  Awaitable<AttemptEnd> ForwardBuffered(Exchange& exchange,
+  Awaitable<AttemptEnd> ForwardBuffered(AnswerReader& answer,
                                         const EngineHandle& target);
-  Awaitable<AttemptEnd> ForwardStream(Exchange& exchange,
+  Awaitable<AttemptEnd> ForwardStream(AnswerReader& answer,
                                       const EngineHandle& target);
   // `events`: number of events that the piece completes.
-  Awaitable<bool> ForwardPiece(Exchange& exchange,
+  Awaitable<bool> ForwardPiece(const AnswerReader& answer,
                                Engine& target,
                                int events,
                                std::string_view bytes);
   // The piece arrived `took` after the previous one.
   void RecordPace(Engine& target, int events, base::Duration took);
-  AttemptEnd EndAfterFailure(Exchange& exchange, const EngineHandle& target);
+  AttemptEnd EndAfterFailure(const Exchange& exchange,
+                             const EngineHandle& target);
   // Whether another attempt may follow.
   bool MayRetry(AttemptEnd end) const;
   Awaitable<void> Finish(AttemptEnd end);
@@ -285,13 +288,12 @@
     std::string body;
   };
   std::optional<SavedAnswer> saved_answer_;
-  // For logs: how the last target delimited its answer, how far it was read,
-  // and the size of an incomplete event that was held back at its end.
+  // For logs: how the last target delimited its answer, how it ended, and the
+  // size of an incomplete event that was held back at its end.
   struct AnswerTrace {
     connection::event::BodyFraming framing =
         connection::event::BodyFraming::kNone;
-    connection::event::ExchangeState state =
-        connection::event::ExchangeState::kNotSent;
+    AnswerEnd end = AnswerEnd::kOpen;
     std::size_t held_bytes = 0;
   };
   AnswerTrace answer_;
--- a/tests/platform/answer_framing_test.cc
+++ b/tests/platform/answer_framing_test.cc
@@ -76,6 +76,17 @@
   EXPECT_TRUE(answer.complete());
 }
 
+TEST_F(AnswerFramingTest, AnAnswerOfAnotherTypeHasNoEvents) {
+  AddTarget([](const std::string& request) {
+    return Answer(request, "200 OK", R"({"text":"fine"})",
+                  std::string(kProofLine) +
+                      "Content-Type: application/json; charset=utf-8\r\n");
+  });
+  const auto answer = CallAndRead(Request("/stream/x"));
+  EXPECT_EQ(answer.body(), R"({"text":"fine"})");
+  EXPECT_TRUE(answer.complete());
+}
+
 // A head of HTTP/1.1 without "Connection: close" does not say that the
 // connection may be used again.
 TEST_F(AnswerFramingTest, AConnectionThatEndedAnAnswerIsNotReused) {
