Caller replies: an answer that is not complete ends with a reset

Callers of HTTP/1.0, to which the end of the connection is the end of the body, got a plain close and so a complete answer when a handler ended without ending its reply, or when the process ended in the middle. The relay resets a stream that it breaks off itself; all other ends were left to the socket's destructor or the kernel. Such a reply now has the socket reset on any close until its end, and the server aborts a reply that its handler left open.

--- a/src/connection/event/caller_reply.cc
+++ b/src/connection/event/caller_reply.cc
@@ -50,10 +50,12 @@
 void CallerReply::Begin(AnswerHead head) {
   message_ = std::make_unique<Message>();
   FillHead(*message_, std::move(head));
-  // HTTP/1.0 has no chunked coding: the end of the connection ends the body.
+  // HTTP/1.0 has no chunked coding: the end of the connection ends the body, so
+  // it must be a reset until the body is complete.
   if (http_version_ <= kHttp10) {
     closes_ = true;
     message_->keep_alive(false);
+    SetResetOnClose(socket_, true);
   } else {
     message_->chunked(true);
   }
@@ -83,6 +85,9 @@
   ErrorCode ec;
   co_await http::async_write(socket_, *serializer_, Into(ec));
   whole_ = !ec;
+  if (whole_ && http_version_ <= kHttp10) {
+    SetResetOnClose(socket_, false);
+  }
   co_return whole_;
 }
 
--- a/src/connection/event/caller_reply.h
+++ b/src/connection/event/caller_reply.h
@@ -38,7 +38,8 @@
   // Sends a complete answer. Returns false if not all of it could be written.
   Awaitable<bool> SendWhole(AnswerHead head, std::string_view body);
   // Starts an answer that is sent in pieces. The head is sent with the first
-  // piece.
+  // piece. Until End(), the caller cannot take the end of the connection for
+  // that of the answer.
   void Begin(AnswerHead head);
   Awaitable<bool> SendPiece(std::string_view bytes);
   Awaitable<bool> End();
--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -298,6 +298,9 @@
   ++shared_->busy;
   co_await shared_->handler(std::move(request), *reply);
   --shared_->busy;
+  if (reply->begun() && !reply->whole()) {
+    reply->Abort();
+  }
   co_return reply->reusable();
 }
 
--- a/src/connection/event/socket_probe.cc
+++ b/src/connection/event/socket_probe.cc
@@ -67,6 +67,14 @@
   CloseSocket(socket);
 }
 
+// Set past Asio, which clears an option of its own before the destructor
+// closes.
+void SetResetOnClose(Tcp::socket& socket, bool reset) noexcept {
+  const linger option{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+  setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+             sizeof(option));
+}
+
 void ShutdownAndClose(Tcp::socket& socket) noexcept {
   ErrorCode ec;
   std::ignore = socket.shutdown(Tcp::socket::shutdown_send, ec);
--- a/src/connection/event/socket_probe.h
+++ b/src/connection/event/socket_probe.h
@@ -23,6 +23,9 @@
 // kernel would go on sending it, possibly seconds later when a network
 // partition ends.
 void ResetSocket(Tcp::socket& socket) noexcept;
+// While set, any close of the socket resets the connection, also one by the end
+// of the process.
+void SetResetOnClose(Tcp::socket& socket, bool reset) noexcept;
 // Shuts down the sending side, then closes.
 void ShutdownAndClose(Tcp::socket& socket) noexcept;
 // Cancels pending operations on the socket, which stays open.
