Exchange: the answer to a HEAD request ends with its head

Callers of HEAD got 504 at their deadline: the transport waited for the body whose length the head states. The parser is now told that none follows. answer_framing_test: the new test failed (504 after 5 s) before, passes now.

--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -196,6 +196,8 @@
   parser_ = std::make_unique<Parser>();
   parser_->header_limit(options_.max_head_bytes);
   parser_->body_limit(kNoBodyLimit);
+  // Its answer states the length of a body that does not follow.
+  parser_->skip(sending_->request.method() == http::verb::head);
 }
 
 Awaitable<std::string_view> Exchange::ReadSome() {
--- a/tests/platform/answer_framing_test.cc
+++ b/tests/platform/answer_framing_test.cc
@@ -118,6 +118,17 @@
   EXPECT_TRUE(answer.complete());
 }
 
+// Its head may state the length that the body would have.
+TEST_F(AnswerFramingTest, TheAnswerToAHeadRequestHasNoBody) {
+  AddTarget([](const std::string& request) {
+    return Reply{"HTTP/1.1 200 OK\r\n" + Echo(request) + kProofLine +
+                 "Content-Length: 800\r\n\r\n"};
+  });
+  std::string request = Request("/safe/x");
+  request.replace(0, 4, "HEAD");
+  EXPECT_EQ(CallAndRead(request).status(), 200U);
+}
+
 // HTTP calls it an error that may hide a second answer.
 TEST_F(AnswerFramingTest, AnAnswerWithALengthAndChunksIsRefused) {
   AddTarget([](const std::string& request) {
