Relay: a stream is resumed only if its last event carried an id

Callers got events twice when a resumable stream broke after an event without an id: the next target resumed after the last id that was seen, or started from the beginning. Such a stream is now broken off.

cut_answers_test: the new test failed before (one event twice), passes now.

--- a/src/request/passthrough/event_splitter.cc
+++ b/src/request/passthrough/event_splitter.cc
@@ -9,6 +9,7 @@
 
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data";
 constexpr char kComment = ':';
 
 }  // namespace
@@ -17,7 +18,7 @@
   buffer_.clear();
   released_ = line_start_ = searched_ = 0;
   at_start_ = true;
-  after_cr_ = uses_crlf_ = in_event_ = has_event_ = has_id_ = false;
+  after_cr_ = uses_crlf_ = in_event_ = has_event_ = has_id_ = has_data_ = false;
   id_.clear();
 }
 
@@ -102,6 +103,7 @@
     return;
   }
   in_event_ = true;
+  has_data_ = has_data_ || line.starts_with(kDataField);
   if (!line.starts_with(kIdField)) {
     return;
   }
@@ -118,9 +120,13 @@
     return;
   }
   has_event_ = true;
+  const bool has_data = std::exchange(has_data_, false);
   if (std::exchange(has_id_, false)) {
     last_id_ = std::move(id_);
+    can_resume_ = !last_id_.empty();
     ++events_;
+  } else if (has_data) {
+    can_resume_ = false;
   }
 }
 
--- a/src/request/passthrough/event_splitter.h
+++ b/src/request/passthrough/event_splitter.h
@@ -38,6 +38,9 @@
   std::size_t held_bytes() const noexcept { return buffer_.size() - released_; }
   // Whether an event was completed since Restart().
   bool has_event() const noexcept { return has_event_; }
+  // Whether a target that resumes after last_id() repeats nothing that was
+  // forwarded.
+  bool can_resume() const noexcept { return can_resume_; }
   // Id of the last complete event with an id; empty if there was none.
   const std::string& last_id() const noexcept { return last_id_; }
   // Number of complete events with an id.
@@ -72,7 +75,9 @@
   // Of the current event.
   std::string id_;
   bool has_id_ = false;
+  bool has_data_ = false;
 
+  bool can_resume_ = true;
   std::string last_id_;
   int events_ = 0;
 };
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -369,7 +369,8 @@
            failed_prefills_ <= kMaxFailedPrefills + 1 &&
            unreachable_ <= options_.max_unreachable;
   }
-  if (end == AttemptEnd::kBroken && !route_->resumable) {
+  if (end == AttemptEnd::kBroken &&
+      !(route_->resumable && events_.can_resume())) {
     return false;
   }
   return route_->CanRetry() && runs_ < route_->max_attempts;
--- a/tests/platform/cut_answers_test.cc
+++ b/tests/platform/cut_answers_test.cc
@@ -117,6 +117,19 @@
   EXPECT_EQ(resumed_after_, "");
 }
 
+// It would be sent again: a target resumes after the last id.
+TEST_F(CutAnswersTest, AStreamIsNotResumedAfterAnEventWithoutAnId) {
+  for (const std::string& whole :
+       {Event(1) + "data: y\n\n", std::string("data: y\n\n")}) {
+    calls_ = 0;
+    AddResumingTargets(whole + kHalfEvent, 1);
+    const auto answer = CallAndRead(Request("/resumable/x"));
+    EXPECT_EQ(answer.body(), whole);
+    EXPECT_TRUE(answer.broken());
+    EXPECT_EQ(calls_, 1);
+  }
+}
+
 // The end of the connection is the end of the body for such a caller, so only a
 // reset shows that it came too early.
 TEST_F(CutAnswersTest, ACallerWithoutChunksGetsAReset) {
--- a/tests/request/passthrough/event_splitter_test.cc
+++ b/tests/request/passthrough/event_splitter_test.cc
@@ -33,6 +33,22 @@
   EXPECT_TRUE(events.has_event());
 }
 
+// A field that sets only the delay of a reconnect may be repeated.
+TEST(EventSplitter, CanResumeOnlyAfterTheLastEventsId) {
+  EventSplitter events;
+  EXPECT_TRUE(events.can_resume());
+  events.Feed("retry: 5\n\n");
+  EXPECT_TRUE(events.can_resume());
+  events.Feed("data: a\n\n");
+  EXPECT_FALSE(events.can_resume());
+  events.Feed("id: 1\ndata: b\n\ndata: c\n");
+  EXPECT_TRUE(events.can_resume());
+  events.Restart();
+  EXPECT_TRUE(events.can_resume());
+  events.Feed("id:\ndata: d\n\n");
+  EXPECT_FALSE(events.can_resume());
+}
+
 TEST(EventSplitter, AcceptsLinesThatEndWithCrLf) {
   EventSplitter events;
   EXPECT_EQ(events.Feed("id:7\r\ndata: a\r\n\r\n"), "id:7\r\ndata: a\r\n\r\n");
