Relay: a single event is held back up to a bound

An event without an end was buffered without limit, and its caller got nothing of it until its deadline.

--- a/src/request/passthrough/event_splitter.cc
+++ b/src/request/passthrough/event_splitter.cc
@@ -19,6 +19,7 @@
   released_ = line_start_ = searched_ = 0;
   at_start_ = true;
   after_cr_ = uses_crlf_ = in_event_ = has_event_ = has_id_ = has_data_ = false;
+  in_rest_of_line_ = partly_released_ = false;
   id_.clear();
 }
 
@@ -32,6 +33,9 @@
     while (ReadLine()) {
     }
   }
+  if (held_bytes() > max_held_bytes_) {
+    ReleasePart();
+  }
   forwarded_ = forwarded_ || released_ > 0;
   return std::string_view(buffer_).substr(0, released_);
 }
@@ -42,13 +46,17 @@
 }
 
 StreamPosition EventSplitter::position() const noexcept {
-  const std::string_view line = std::string_view(buffer_).substr(line_start_);
-  if (in_event_ || (!line.empty() && line.front() != kComment)) {
+  if (in_event_ || IsInField()) {
     return StreamPosition::kInEvent;
   }
-  return line.empty() && !(after_cr_ && uses_crlf_)
-             ? StreamPosition::kBetweenEvents
-             : StreamPosition::kInLine;
+  const bool in_line = line_start_ < buffer_.size() || in_rest_of_line_;
+  return in_line || (after_cr_ && uses_crlf_) ? StreamPosition::kInLine
+                                              : StreamPosition::kBetweenEvents;
+}
+
+bool EventSplitter::IsInField() const noexcept {
+  return line_start_ < buffer_.size() && !in_rest_of_line_ &&
+         buffer_[line_start_] != kComment;
 }
 
 // A mark is for the start of the caller's stream only.
@@ -95,6 +103,10 @@
 }
 
 void EventSplitter::HandleLine(std::string_view line) {
+  if (std::exchange(in_rest_of_line_, false)) {
+    partly_released_ = in_event_;
+    return;
+  }
   if (line.empty()) {
     EndEvent();
     return;
@@ -120,6 +132,7 @@
     return;
   }
   has_event_ = true;
+  partly_released_ = false;
   const bool has_data = std::exchange(has_data_, false);
   if (std::exchange(has_id_, false)) {
     last_id_ = std::move(id_);
@@ -130,4 +143,15 @@
   }
 }
 
+void EventSplitter::ReleasePart() {
+  const std::string_view line = std::string_view(buffer_).substr(line_start_);
+  if (IsInField()) {
+    in_event_ = true;
+    has_data_ = has_data_ || line.starts_with(kDataField);
+  }
+  in_rest_of_line_ = in_rest_of_line_ || !line.empty();
+  partly_released_ = true;
+  released_ = line_start_ = searched_ = buffer_.size();
+}
+
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/event_splitter.h
+++ b/src/request/passthrough/event_splitter.h
@@ -20,9 +20,13 @@
 
 // Lines end with LF, CRLF or CR, and an event with an empty line. A byte order
 // mark may precede the first line. Comments and empty lines between events are
-// forwarded as they come.
+// forwarded as they come. An event or comment of which more is held back than
+// allowed is forwarded in parts.
 class EventSplitter {
  public:
+  explicit EventSplitter(std::size_t max_held_bytes)
+      : max_held_bytes_(max_held_bytes) {}
+
   // The stream goes on with the answer of another target, after the last
   // complete event.
   void Restart();
@@ -40,7 +44,7 @@
   bool has_event() const noexcept { return has_event_; }
   // Whether a target that resumes after last_id() repeats nothing that was
   // forwarded.
-  bool can_resume() const noexcept { return can_resume_; }
+  bool can_resume() const noexcept { return can_resume_ && !partly_released_; }
   // Id of the last complete event with an id; empty if there was none.
   const std::string& last_id() const noexcept { return last_id_; }
   // Number of complete events with an id.
@@ -54,7 +58,12 @@
   bool ReadLine();
   void HandleLine(std::string_view line);
   void EndEvent();
+  // Whether the current line, as far as it is held, belongs to an event.
+  bool IsInField() const noexcept;
+  // Releases what is held back, although it is incomplete.
+  void ReleasePart();
 
+  const std::size_t max_held_bytes_;
   // Bytes since the last complete event; those before `released_` were returned
   // by the last call.
   std::string buffer_;
@@ -70,6 +79,10 @@
   bool after_cr_ = false;
   // An earlier line of this answer ended with CRLF.
   bool uses_crlf_ = false;
+  // The start of the current line, and a part of the current event or comment,
+  // were released by ReleasePart().
+  bool in_rest_of_line_ = false;
+  bool partly_released_ = false;
   bool in_event_ = false;
   bool has_event_ = false;
   // Of the current event.
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -280,7 +280,7 @@
   // KV cache of this request's prompt, to be fetched by the runner.
   std::optional<KvSource> source_;
   bool outcome_unknown_ = false;
-  EventSplitter events_;
+  EventSplitter events_{options_.max_buffered_bytes};
   // A server error of a target, sent to the caller if no later attempt
   // succeeds.
   struct SavedAnswer {
--- a/tests/platform/answer_framing_test.cc
+++ b/tests/platform/answer_framing_test.cc
@@ -101,6 +101,47 @@
   EXPECT_EQ(targets_[0]->connections(), 3);
 }
 
+class LargeEventTest : public AnswerFramingTest {
+ protected:
+  // An event of which more is held than is allowed.
+  std::string LargeData() const {
+    return "data: " + std::string(2 * options_.max_buffered_bytes, 'x');
+  }
+};
+
+TEST_F(LargeEventTest, IsForwardedBeforeItsEnd) {
+  AddTarget([this](const std::string& request) {
+    return Reply{UnframedStreamHead(request) + LargeData(), Then::kHang};
+  });
+  std::string request = Request("/stream/x");
+  request.replace(request.find("5000"), 4, "500");
+  const auto answer = CallAndRead(request);
+  EXPECT_EQ(answer.status(), 200U);
+  EXPECT_GT(answer.body().size(), options_.max_buffered_bytes);
+  EXPECT_TRUE(answer.broken());
+}
+
+TEST_F(LargeEventTest, IsWholeWithItsEmptyLine) {
+  const std::string body = Event(1) + LargeData() + "\nid: 2\n\n" + Event(3);
+  const auto answer = StreamOf(body);
+  EXPECT_TRUE(answer.body() == body);
+  EXPECT_TRUE(answer.complete());
+}
+
+// A part of it was forwarded.
+TEST_F(LargeEventTest, IsNotResumed) {
+  for (int i = 0; i < 2; ++i) {
+    AddTarget([this](const std::string& request) {
+      return Reply{UnframedStreamHead(request) + Event(1) + LargeData(),
+                   Then::kClose};
+    });
+  }
+  const auto answer = CallAndRead(Request("/resumable/x"));
+  EXPECT_TRUE(answer.body().starts_with(Event(1)));
+  EXPECT_TRUE(answer.broken());
+  EXPECT_EQ(Arrivals(), 1U);
+}
+
 // The first part in chunks, the rest without.
 TEST_F(AnswerFramingTest, AResumedStreamMayBeDelimitedInAnotherWay) {
   std::atomic<int> calls = 0;
--- a/tests/request/passthrough/event_splitter_test.cc
+++ b/tests/request/passthrough/event_splitter_test.cc
@@ -11,8 +11,10 @@
 namespace lynxglade::request::passthrough {
 namespace {
 
+constexpr std::size_t kMaxHeldBytes = 1000;
+
 TEST(EventSplitter, HoldsBackAnIncompleteEvent) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
   EXPECT_EQ(events.last_id(), "1");
   EXPECT_EQ(events.held_bytes(), 8U);
@@ -24,7 +26,7 @@
 }
 
 TEST(EventSplitter, ResumesAfterTheLastCompleteEvent) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   events.Feed("id: 1\ndata: a\n\nid: 2\ndata");
   events.Restart();
   EXPECT_FALSE(events.has_event());
@@ -35,7 +37,7 @@
 
 // A field that sets only the delay of a reconnect may be repeated.
 TEST(EventSplitter, CanResumeOnlyAfterTheLastEventsId) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_TRUE(events.can_resume());
   events.Feed("retry: 5\n\n");
   EXPECT_TRUE(events.can_resume());
@@ -50,13 +52,13 @@
 }
 
 TEST(EventSplitter, AcceptsLinesThatEndWithCrLf) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed("id:7\r\ndata: a\r\n\r\n"), "id:7\r\ndata: a\r\n\r\n");
   EXPECT_EQ(events.last_id(), "7");
 }
 
 TEST(EventSplitter, AcceptsLinesThatEndWithCr) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed("id:7\rdata: a\r\rid:8\r"), "id:7\rdata: a\r\r");
   EXPECT_EQ(events.last_id(), "7");
   EXPECT_EQ(events.Feed("data: b\r\r"), "id:8\rdata: b\r\r");
@@ -66,7 +68,7 @@
 
 // The event is complete with the CR; a LF may or may not follow.
 TEST(EventSplitter, ACrLfMayBeSplit) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed("id:7\r\ndata: a\r\n\r"), "id:7\r\ndata: a\r\n\r");
   EXPECT_EQ(events.last_id(), "7");
   EXPECT_EQ(events.position(), StreamPosition::kInLine);
@@ -77,7 +79,7 @@
 }
 
 TEST(EventSplitter, ForwardsCommentsAndEmptyLinesBetweenEvents) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed(": hello\n\n: ag"), ": hello\n\n");
   EXPECT_FALSE(events.has_event());
   EXPECT_EQ(events.position(), StreamPosition::kInLine);
@@ -88,14 +90,41 @@
 }
 
 TEST(EventSplitter, ReturnsAnUnfinishedLineAtTheEnd) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed("data: x\n\n: by"), "data: x\n\n");
   EXPECT_EQ(events.Finish(), "data: x\n\n: by");
   EXPECT_EQ(events.held_bytes(), 0U);
 }
 
+TEST(EventSplitter, ReleasesALargeEventInParts) {
+  EventSplitter events(/*max_held_bytes=*/10);
+  EXPECT_EQ(events.Feed("id: 1\n\nid: 2\nda"), "id: 1\n\n");
+  EXPECT_TRUE(events.can_resume());
+  EXPECT_EQ(events.Feed("ta: x"), "id: 2\ndata: x");
+  EXPECT_EQ(events.position(), StreamPosition::kInEvent);
+  EXPECT_FALSE(events.can_resume());
+  // Neither an empty line nor an id.
+  EXPECT_EQ(events.Feed("\n"), "");
+  EXPECT_FALSE(events.can_resume());
+  EXPECT_EQ(events.Feed("\n"), "\n\n");
+  EXPECT_EQ(events.last_id(), "2");
+  EXPECT_EQ(events.position(), StreamPosition::kBetweenEvents);
+  EXPECT_TRUE(events.can_resume());
+}
+
+TEST(EventSplitter, ReleasesALargeCommentInParts) {
+  EventSplitter events(/*max_held_bytes=*/10);
+  EXPECT_EQ(events.Feed(": 0123456789"), ": 0123456789");
+  EXPECT_EQ(events.position(), StreamPosition::kInLine);
+  EXPECT_FALSE(events.can_resume());
+  EXPECT_EQ(events.Feed("id: 1\n\n"), "id: 1\n\n");
+  EXPECT_EQ(events.last_id(), "");
+  EXPECT_EQ(events.position(), StreamPosition::kBetweenEvents);
+  EXPECT_TRUE(events.can_resume());
+}
+
 TEST(EventSplitter, AFieldWithoutDataIsAnEventToo) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed("retry: 100\n"), "");
   EXPECT_EQ(events.position(), StreamPosition::kInEvent);
   EXPECT_EQ(events.Feed("\n"), "retry: 100\n\n");
@@ -103,7 +132,7 @@
 }
 
 TEST(EventSplitter, AByteOrderMarkIsNoPartOfTheFirstLine) {
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   EXPECT_EQ(events.Feed("\xEF\xBB"), "");
   EXPECT_EQ(events.Feed("\xBFid: 1\n\n"), "\xEF\xBB\xBFid: 1\n\n");
   EXPECT_EQ(events.last_id(), "1");
@@ -149,12 +178,15 @@
 // However the stream is split, the same bytes come out, in complete events.
 RC_GTEST_PROP(EventSplitter, SplittingOfTheInputMakesNoDifference, ()) {
   const DrawnStream stream = DrawStream();
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
+  EventSplitter small_events(*rc::gen::inRange<std::size_t>(0, 60));
   std::string passed;
+  std::string passed_in_parts;
   std::size_t at = 0;
   while (at < stream.bytes.size()) {
     const auto n = *rc::gen::inRange<std::size_t>(1, 50);
     passed += events.Feed(stream.bytes.substr(at, n));
+    passed_in_parts += small_events.Feed(stream.bytes.substr(at, n));
     at += n;
     RC_ASSERT(stream.bytes.starts_with(passed));
     // A CRLF may be split after a boundary.
@@ -168,6 +200,8 @@
   RC_ASSERT(passed == stream.bytes);
   RC_ASSERT(events.events() == stream.ids);
   RC_ASSERT(events.position() == StreamPosition::kBetweenEvents);
+  RC_ASSERT(passed_in_parts == stream.bytes);
+  RC_ASSERT(small_events.position() == StreamPosition::kBetweenEvents);
 }
 
 // A stream cut anywhere passes its complete events, and tells whether it was
@@ -175,7 +209,7 @@
 RC_GTEST_PROP(EventSplitter, ACutInsideAnEventShows, ()) {
   const DrawnStream stream = DrawStream();
   const auto cut = *rc::gen::inRange<std::size_t>(0, stream.bytes.size() + 1);
-  EventSplitter events;
+  EventSplitter events(kMaxHeldBytes);
   const std::string passed(events.Feed(stream.bytes.substr(0, cut)));
   const auto next = std::ranges::upper_bound(stream.boundaries, cut);
   const std::size_t last = *(next - 1);
