Store: a page without items does not end a list that has more

A page that stated more to come but had no item ended the list, so that a part of the targets or limits was taken for all of them.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -43,6 +43,11 @@
                                  Freshness freshness) {
     std::size_t next = 0;
     ScriptedServer server([&](const std::string& request) {
+      if (unframed_) {
+        return ScriptedServer::Reply{
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + pages[next++],
+            ScriptedServer::Then::kClose};
+      }
       return Answer(request, "200 OK", pages[next++], "");
     });
     asio::io_context loop;
@@ -67,6 +72,8 @@
     return listed;
   }
 
+  // Answers have neither a length nor chunks.
+  bool unframed_ = false;
   std::vector<std::string> requests_;
 };
 
@@ -100,6 +107,26 @@
   EXPECT_EQ(listed->revision, base::Revision(30));
 }
 
+// Guards against a part of a list taken for all of it: targets and limits would
+// be gone. There is no key to go on after.
+TEST_F(StoreClientTest, APageWithoutItemsIsNotTheEndOfALongerList) {
+  EXPECT_FALSE(List({Page(50, {{"a", 10}}, true), Page(50, {}, true)},
+                    Freshness::kCurrent));
+  EXPECT_FALSE(
+      List({R"({"at":50,"hasMore":1,"items":[]})"}, Freshness::kCurrent));
+}
+
+// Without a length, only the document itself shows where it ends.
+TEST_F(StoreClientTest, ACutAnswerIsNotAList) {
+  const std::string page = Page(50, {{"a", 10}}, false);
+  for (std::size_t n = 0; n <= page.size(); ++n) {
+    unframed_ = true;
+    EXPECT_EQ(List({page.substr(0, n)}, Freshness::kCurrent).has_value(),
+              n == page.size())
+        << n;
+  }
+}
+
 TEST_F(StoreClientTest, AnEmptyStaleListHasRevisionZero) {
   const auto listed = List({Page(50, {}, false)}, Freshness::kMayBeStale);
   ASSERT_TRUE(listed);
