--- a/src/request/passthrough/event_splitter.cc
+++ b/src/request/passthrough/event_splitter.cc
@@ -28,6 +28,7 @@
   line_start_ -= released_;
   searched_ -= released_;
   released_ = 0;
+  next_lf_.reset();
   buffer_.append(bytes);
   if (!at_start_ || SkipByteOrderMark()) {
     while (ReadLine()) {
@@ -86,22 +87,30 @@
       released_ = in_event_ ? released_ : line_start_;
     }
   }
-  const auto begin = buffer_.begin() + static_cast<std::ptrdiff_t>(searched_);
-  const auto it = std::find_if(begin, buffer_.end(),
-                               [](char c) { return c == '\n' || c == '\r'; });
-  searched_ = static_cast<std::size_t>(it - buffer_.begin());
-  if (it == buffer_.end()) {
+  searched_ = FindLineEnd();
+  if (searched_ == buffer_.size()) {
     return false;
   }
   const std::string_view line =
       std::string_view(buffer_).substr(line_start_, searched_ - line_start_);
-  after_cr_ = *it == '\r';
+  after_cr_ = buffer_[searched_] == '\r';
   HandleLine(line);
   line_start_ = ++searched_;
   released_ = in_event_ ? released_ : line_start_;
   return true;
 }
 
+// The next LF is searched once for all lines before it.
+std::size_t EventSplitter::FindLineEnd() {
+  if (!next_lf_ || *next_lf_ < searched_) {
+    next_lf_ = std::min(buffer_.find('\n', searched_), buffer_.size());
+  }
+  const std::string_view before_lf =
+      std::string_view(buffer_).substr(searched_, *next_lf_ - searched_);
+  const std::size_t cr = before_lf.find('\r');
+  return cr == std::string_view::npos ? *next_lf_ : searched_ + cr;
+}
+
 void EventSplitter::HandleLine(std::string_view line) {
   if (std::exchange(in_rest_of_line_, false)) {
     partly_released_ = in_event_;
--- a/src/request/passthrough/event_splitter.h
+++ b/src/request/passthrough/event_splitter.h
@@ -4,6 +4,7 @@
 #define LYNXGLADE_REQUEST_PASSTHROUGH_EVENT_SPLITTER_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,8 @@
   bool SkipByteOrderMark();
   // Reads the next complete line; false if there is none.
   bool ReadLine();
+  // The next line end from `searched_` on, or the size of the buffer.
+  std::size_t FindLineEnd();
   void HandleLine(std::string_view line);
   void EndEvent();
   // Whether the current line, as far as it is held, belongs to an event.
@@ -71,6 +74,7 @@
   // Start of the current line, and how far it was searched for its end.
   std::size_t line_start_ = 0;
   std::size_t searched_ = 0;
+  std::optional<std::size_t> next_lf_;
 
   bool at_start_ = true;
   // Bytes of this or an earlier answer were returned.
