--- a/tests/connection/scripted_server.cc
+++ b/tests/connection/scripted_server.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -101,9 +102,7 @@
       requests_.push_back(request);
     }
     const Reply reply = handler_(request);
-    if (!reply.bytes.empty()) {
-      ::send(fd, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
-    }
+    Send(fd, reply);
     if (reply.then != Then::kKeep) {
       End(fd, reply.then);
       CountEnded();
@@ -114,6 +113,23 @@
   CountEnded();
 }
 
+void ScriptedServer::Send(int fd, const Reply& reply) {
+  if (reply.piece_bytes > 0) {
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  }
+  std::string_view rest = reply.bytes;
+  while (!rest.empty()) {
+    const std::string_view piece =
+        rest.substr(0, reply.piece_bytes > 0 ? reply.piece_bytes : rest.size());
+    const ssize_t n = ::send(fd, piece.data(), piece.size(), MSG_NOSIGNAL);
+    if (n <= 0) {
+      return;
+    }
+    rest.remove_prefix(static_cast<std::size_t>(n));
+  }
+}
+
 void ScriptedServer::CountEnded() {
   const std::lock_guard lock(mutex_);
   ++ended_;
--- a/tests/connection/scripted_server.h
+++ b/tests/connection/scripted_server.h
@@ -3,6 +3,7 @@
 #define LYNXGLADE_TESTS_CONNECTION_SCRIPTED_SERVER_H_
 
 #include <condition_variable>
+#include <cstddef>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -19,6 +20,8 @@
   struct Reply {
     std::string bytes;
     Then then = Then::kKeep;
+    // Bytes of each send; 0: all at once.
+    std::size_t piece_bytes = 0;
   };
   // Receives the complete request, head and body.
   using Handler = std::function<Reply(const std::string& request)>;
@@ -45,6 +48,7 @@
   void CountEnded();
   // Returns false if the peer closed the connection before the end.
   static bool ReadRequest(int fd, std::string* request);
+  static void Send(int fd, const Reply& reply);
   static void End(int fd, Then then);
   static void Reset(int fd);
 
