--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -55,20 +55,6 @@
   return "cancelled";
 }
 
-std::string_view ToString(BodyFraming framing) noexcept {
-  switch (framing) {
-    case BodyFraming::kNone:
-      return "none";
-    case BodyFraming::kLength:
-      return "length";
-    case BodyFraming::kChunks:
-      return "chunks";
-    case BodyFraming::kConnection:
-      break;
-  }
-  return "connection";
-}
-
 // Shared with the write operation, which may outlive the exchange.
 struct Exchange::Sending {
   explicit Sending(OutgoingRequest it) : request(std::move(it)) {}
@@ -284,17 +270,7 @@
 }
 
 BodyFraming Exchange::framing() const {
-  if (!parser_ || !parser_->is_header_done()) {
-    return BodyFraming::kNone;
-  }
-  if (parser_->chunked()) {
-    return BodyFraming::kChunks;
-  }
-  if (parser_->need_eof()) {
-    return BodyFraming::kConnection;
-  }
-  return parser_->content_length().value_or(0) > 0 ? BodyFraming::kLength
-                                                   : BodyFraming::kNone;
+  return parser_ ? FramingOf(*parser_) : BodyFraming::kNone;
 }
 
 CancelAfter::CancelAfter(asio::io_context& loop,
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -16,6 +16,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "connection/event/body_framing.h"
 #include "connection/event/channel_pool.h"
 #include "connection/event/http_types.h"
 
@@ -37,17 +38,6 @@
 };
 std::string_view ToString(ExchangeState state) noexcept;
 
-// What ends the body of an answer.
-enum class BodyFraming {
-  // The answer has no body, or its head was not read.
-  kNone,
-  kLength,
-  kChunks,
-  // The end of the connection: a body that the peer broke off looks complete.
-  kConnection,
-};
-std::string_view ToString(BodyFraming framing) noexcept;
-
 struct ExchangeOptions {
   // Limit on skipped answers that belong to earlier requests on a reused
   // connection.
--- a/src/request/passthrough/answer_reader.cc
+++ b/src/request/passthrough/answer_reader.cc
@@ -3,27 +3,8 @@
 namespace lynxglade::request::passthrough {
 
 using connection::event::Awaitable;
-using connection::event::BodyFraming;
 using connection::event::ExchangeState;
 
-std::string_view ToString(AnswerEnd end) noexcept {
-  switch (end) {
-    case AnswerEnd::kOpen:
-      return "open";
-    case AnswerEnd::kWhole:
-      return "whole";
-    case AnswerEnd::kMessageCut:
-      return "message_cut";
-    case AnswerEnd::kEventCut:
-      return "event_cut";
-    case AnswerEnd::kNoEvent:
-      return "no_event";
-    case AnswerEnd::kStopped:
-      break;
-  }
-  return "stopped";
-}
-
 void AnswerReader::ReadAsEvents(EventSplitter& events) {
   events_ = &events;
   events_->Restart();
@@ -50,21 +31,8 @@
     case ExchangeState::kWhole:
       break;
   }
-  return events_ ? EndOfEvents() : AnswerEnd::kWhole;
-}
-
-AnswerEnd AnswerReader::EndOfEvents() const {
-  const StreamPosition position = events_->position();
-  if (position == StreamPosition::kInEvent) {
-    return AnswerEnd::kEventCut;
-  }
-  if (exchange_.framing() != BodyFraming::kConnection) {
-    return AnswerEnd::kWhole;
-  }
-  if (position == StreamPosition::kInLine) {
-    return AnswerEnd::kEventCut;
-  }
-  return events_->has_event() ? AnswerEnd::kWhole : AnswerEnd::kNoEvent;
+  return events_ ? EndOfEvents(exchange_.framing(), *events_)
+                 : AnswerEnd::kWhole;
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/answer_reader.h
+++ b/src/request/passthrough/answer_reader.h
@@ -6,31 +6,13 @@
 #include <string_view>
 
 #include "connection/event/exchange.h"
+#include "request/passthrough/answer_end.h"
 #include "request/passthrough/event_splitter.h"
 
 namespace lynxglade::request::passthrough {
 
-// How an answer ended.
-enum class AnswerEnd {
-  // It has not.
-  kOpen,
-  kWhole,
-  // No head was read, or the connection ended before the message did.
-  kMessageCut,
-  // The message ended inside an event or, if the connection's end was all that
-  // ended it, inside a line.
-  kEventCut,
-  // The connection's end was all that ended a stream without an event. Every
-  // run has one.
-  kNoEvent,
-  // The caller left, or the time was over.
-  kStopped,
-};
-std::string_view ToString(AnswerEnd end) noexcept;
-
-// A message that ended by its own framing is not enough for a stream: its last
-// event must have ended, too. Forwarding, retries, evidence of crashes, health
-// of targets and learnt sizes all follow from end().
+// Forwarding, retries, evidence of crashes, health of targets and learnt sizes
+// follow from end().
 //
 // Not thread-safe: runs on the event loop.
 class AnswerReader {
@@ -62,8 +44,6 @@
   void Cancel() noexcept { exchange_.Cancel(); }
 
  private:
-  AnswerEnd EndOfEvents() const;
-
   connection::event::Exchange& exchange_;
   EventSplitter* events_ = nullptr;
 };
