Rig: answers are delimited and broken off in all ways, and checked byte for byte

The rig could not find an answer that looks complete and is not: its engines always sent chunks, and its callers took the verdict of the transport under test.

Engines have a server of their own now; they draw length, chunks or neither, end a part of their answers inside an event, between two, by a close or a reset, and resume after Last-Event-Id. Each event belongs to its request. Callers read by the tests' own reader, a tenth of them with HTTP/1.0. The new bound, order, holds what they read against what the engine's run would have made: missing, doubled, joined, cut, complete and short; rig_checker_test breaks each. What nothing shows (no framing, a close between two events) is counted apart.

--- a/tests/rig/checker.cc
+++ b/tests/rig/checker.cc
@@ -230,9 +230,11 @@
     case RigBound::kSubjects:
       return "subjects";
     case RigBound::kCallers:
+      return "callers";
+    case RigBound::kOrder:
       break;
   }
-  return "callers";
+  return "order";
 }
 
 std::vector<SizeClass> ClassifySizes(const RunRecords& records,
@@ -276,6 +278,7 @@
   CheckCrashes(records, terms, &uses);
   CheckSizes(records, terms, &uses);
   std::ranges::move(CheckGroups(records, terms), std::back_inserter(uses));
+  uses.push_back(CheckOrder(records));
   return uses;
 }
 
--- a/tests/rig/checker.h
+++ b/tests/rig/checker.h
@@ -1,5 +1,5 @@
-// Checks what callers and engines saw against the bounds on repeated work and
-// on the service of groups of requests.
+// Checks what callers and engines saw against the bounds on repeated work, on
+// the service of groups of requests, and on what answers must look like.
 #ifndef LYNXGLADE_TESTS_RIG_CHECKER_H_
 #define LYNXGLADE_TESTS_RIG_CHECKER_H_
 
@@ -35,6 +35,9 @@
   // served.
   kSubjects,
   kCallers,
+  // Answers that are not what their run made: a piece missing, doubled or of
+  // another run, a part of an event, or complete and short.
+  kOrder,
 };
 std::string_view ToString(RigBound bound) noexcept;
 
@@ -86,6 +89,9 @@
 std::vector<BoundUse> CheckRun(const RunRecords& records,
                                const RigTerms& terms);
 
+// Use of RigBound::kOrder. No answer may break it.
+BoundUse CheckOrder(const RunRecords& records);
+
 // Requests of one kind by their size.
 struct SizeClass : bench::ServedCount {
   std::string name;
--- a/tests/rig/checker_test.cc
+++ b/tests/rig/checker_test.cc
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include "rig/answer_data.h"
+
 namespace lynxglade::rig {
 namespace {
 
@@ -34,11 +36,28 @@
     request.zone = i % 3 == 0 ? "a" : "b";
     request.subject = "album" + std::to_string(i / 2 % kSubjects);
     request.attempts.push_back({id, at, seconds(5)});
+    request.attempts.back().status = 200;
+    request.attempts.back().complete = true;
+    request.attempts.back().body = Events(id, 1, kEvents);
     request.end = RequestEnd::kServed;
     records_.requests.push_back(request);
     AddArrival(id, at + milliseconds(5), ArrivalEnd::kPrefilled);
     AddArrival(id, at + milliseconds(200), ArrivalEnd::kRan);
   }
+  static std::string Events(const std::string& id, int first, int last) {
+    std::string events;
+    for (int i = first; i <= last; ++i) {
+      events += EventText(id, i);
+    }
+    return events;
+  }
+  CallerAttempt& Attempt(int i) {
+    return records_.requests[static_cast<std::size_t>(i)].attempts.front();
+  }
+  // The run of a request.
+  Arrival& Run(int i) {
+    return records_.arrivals[static_cast<std::size_t>(2 * i + 1)];
+  }
   Arrival& AddArrival(const std::string& id, base::Time at, ArrivalEnd end) {
     Arrival arrival;
     arrival.attempt = id;
@@ -49,6 +68,8 @@
     arrival.prefill_only = end == ArrivalEnd::kPrefilled;
     arrival.content = records_.arrivals.size();
     arrival.end = end;
+    arrival.events = kEvents;
+    arrival.ending = AnswerEnding::kWhole;
     records_.arrivals.push_back(arrival);
     return records_.arrivals.back();
   }
@@ -81,6 +102,7 @@
     }
   }
 
+  static constexpr int kEvents = 4;
   static constexpr int kRequests = 400;
   static constexpr int kCallers = 37;
   static constexpr int kSubjects = 40;
@@ -226,6 +248,63 @@
   EXPECT_EQ(BrokenNames(), "callers ");
 }
 
+TEST_F(CheckerTest, FindsAnswersThatAreNotWhatTheirRunMade) {
+  // Missing, doubled, and joined with those of another run.
+  for (const std::string& body : {Events("r7", 1, 1) + Events("r7", 3, 4),
+                                  Events("r7", 1, 2) + Events("r7", 2, 4),
+                                  Events("r7", 1, 2) + Events("r8", 3, 4)}) {
+    Attempt(7).body = body;
+    EXPECT_EQ(BrokenNames(), "order ");
+    // Also in an answer that was broken off.
+    Attempt(7).complete = false;
+    EXPECT_EQ(BrokenNames(), "order ");
+    Attempt(7).complete = true;
+  }
+}
+
+TEST_F(CheckerTest, FindsAnswersThatAreCompleteAndShort) {
+  Attempt(7).body = Events("r7", 1, 3);
+  EXPECT_EQ(BrokenNames(), "order ");
+  Attempt(7).complete = false;
+  EXPECT_EQ(BrokenNames(), "");
+  Attempt(7).complete = true;
+  Run(7).until_close = true;
+  for (const AnswerEnding it :
+       {AnswerEnding::kWhole, AnswerEnding::kCut, AnswerEnding::kReset}) {
+    Run(7).ending = it;
+    EXPECT_EQ(BrokenNames(), "order ");
+  }
+  // Nothing that was sent shows these.
+  for (const AnswerEnding it :
+       {AnswerEnding::kUnknown, AnswerEnding::kCutBetween}) {
+    Run(7).ending = it;
+    EXPECT_EQ(BrokenNames(), "");
+  }
+  Attempt(7).body.clear();
+  EXPECT_EQ(BrokenNames(), "order ");
+}
+
+TEST_F(CheckerTest, FindsPartsOfEvents) {
+  Attempt(7).complete = false;
+  Attempt(7).body.resize(Attempt(7).body.size() - 10);
+  EXPECT_EQ(BrokenNames(), "order ");
+}
+
+TEST_F(CheckerTest, FindsPlainAnswersWithOtherBytes) {
+  Run(7).events = 0;
+  Attempt(7).body = PlainBody("r7");
+  EXPECT_EQ(BrokenNames(), "");
+  Attempt(7).body = PlainBody("r8");
+  EXPECT_EQ(BrokenNames(), "order ");
+  Attempt(7).body = PlainBody("r7").substr(0, 400);
+  EXPECT_EQ(BrokenNames(), "order ");
+}
+
+TEST_F(CheckerTest, FindsAnswersThatNoEngineMade) {
+  Run(7).end = ArrivalEnd::kRejected;
+  EXPECT_EQ(BrokenNames(), "order ");
+}
+
 // With a kind that is rarely served, many go without by chance.
 TEST_F(CheckerTest, AllowsSubjectsThatGoWithoutByChance) {
   terms_.min_asked_time = seconds(5);
--- a/tests/rig/day.cc
+++ b/tests/rig/day.cc
@@ -35,6 +35,10 @@
       case Series::kSlow:
         Slow();
         break;
+      case Series::kBrokenAnswers:
+        BreakAnswers();
+        KillEngines();
+        break;
       case Series::kMixed:
         Mix();
         break;
@@ -89,6 +93,23 @@
     }
   }
 
+  void BreakAnswers() {
+    const base::Duration length = settings_.length - kCalmStart - kCalmEnd;
+    const double share = Real(0.05, 0.2);
+    for (std::size_t i = 0; i < Targets(); ++i) {
+      AddWindow("break_off", i, kCalmStart, length, share, 1);
+    }
+  }
+
+  void KillEngines() {
+    base::Duration at = kCalmStart + milliseconds(2'000);
+    while (at < settings_.length - kCalmEnd) {
+      day_.faults.push_back({FaultKind::kKillEngine, at, Millis(500, 2'000),
+                             base::UniformBelow(random_, settings_.models)});
+      at += Millis(1'500, 3'000);
+    }
+  }
+
   void KillInstances() {
     base::Duration at = kCalmStart + milliseconds(3'000);
     while (at < settings_.length - kCalmEnd) {
@@ -117,6 +138,9 @@
     if (Real(0, 1) < 0.5) {
       Reject();
     }
+    if (Real(0, 1) < 0.5) {
+      BreakAnswers();
+    }
   }
 
   void AddSeries() {
--- a/tests/rig/day.h
+++ b/tests/rig/day.h
@@ -56,6 +56,8 @@
   kRejections,
   // All engines take longer for everything.
   kSlow,
+  // Engines break off a part of their answers, some are killed.
+  kBrokenAnswers,
   // All kinds of faults in overlapping series.
   kMixed,
 };
--- a/tests/rig/engine.cc
+++ b/tests/rig/engine.cc
@@ -1,6 +1,7 @@
 #include "rig/engine.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <utility>
 
@@ -16,10 +17,7 @@
 
 namespace {
 
-using connection::event::AnswerHead;
 using connection::event::Awaitable;
-using connection::event::CallerReply;
-using connection::event::CallerRequest;
 using connection::event::ErrorCode;
 using connection::event::Into;
 using connection::event::SleepFor;
@@ -29,11 +27,13 @@
 
 constexpr base::Duration kIdlePoll = std::chrono::milliseconds(1);
 constexpr base::Duration kForever = std::chrono::hours(1);
+// Parts of the answers that are broken off.
+constexpr double kCutInsideShare = 0.7;
+constexpr double kResetShare = 0.3;
 
-std::string Field(const CallerRequest& request, const char* name) {
-  const auto it = request.head.find(name);
-  return it == request.head.end() ? std::string()
-                                  : std::string(View(it->value()));
+std::string Field(const EngineRequest& request, const char* name) {
+  const auto it = request.find(name);
+  return it == request.end() ? std::string() : std::string(View(it->value()));
 }
 
 std::int64_t Number(const std::string& text, std::int64_t otherwise) {
@@ -99,25 +99,25 @@
 
 // --- HTTP
 
-Awaitable<void> Engine::Serve(std::shared_ptr<CallerRequest> request,
-                              CallerReply& reply) {
-  const std::string target(View(request->head.target()));
+Awaitable<void> Engine::Serve(const EngineRequest& request,
+                              EngineReply& reply) {
+  const std::string target(View(request.target()));
   if (target == "/report") {
     co_await ServeReport(reply);
   } else if (target == "/order") {
-    co_await ServeOrder(request->body, reply);
+    co_await ServeOrder(request.body(), reply);
   } else if (target == "/healthz" || target.starts_with("/kv-handle/")) {
-    AnswerHead head;
+    EngineAnswerHead head;
     head.status = 200;
     head.fields.set("Lynxglade-Instance-Id", settings_.id);
-    co_await reply.SendWhole(std::move(head), {});
+    co_await reply.SendWhole(std::move(head), {}, AnswerFraming::kLength);
   } else {
-    co_await ServeRequest(*request, reply);
+    co_await ServeRequest(request, reply);
   }
 }
 
-Awaitable<void> Engine::ServeReport(CallerReply& reply) {
-  AnswerHead head;
+Awaitable<void> Engine::ServeReport(EngineReply& reply) {
+  EngineAnswerHead head;
   head.status = 200;
   head.fields.set("Content-Type", "application/json");
   const json body{{"stage", prefills_ ? "prefill" : "decode"},
@@ -126,13 +126,14 @@
                   {"queued", queue_.size()},
                   {"active", running_.size()},
                   {"models", json::array()}};
-  co_await reply.SendWhole(std::move(head), body.dump());
+  co_await reply.SendWhole(std::move(head), body.dump(),
+                           AnswerFraming::kLength);
 }
 
 Awaitable<void> Engine::ServeOrder(const std::string& body,
-                                   CallerReply& reply) {
+                                   EngineReply& reply) {
   const json order = json::parse(body, nullptr, false);
-  AnswerHead head;
+  EngineAnswerHead head;
   head.status = 202;
   if (!order.is_object() || order.value("operation", "") != "stage") {
     head.status = 400;
@@ -148,7 +149,7 @@
       asio::co_spawn(loop_, ChangeStage(prefills), asio::detached);
     }
   }
-  co_await reply.SendWhole(std::move(head), "{}");
+  co_await reply.SendWhole(std::move(head), "{}", AnswerFraming::kLength);
 }
 
 // What is running ends first.
@@ -162,12 +163,12 @@
   on_stage_(prefills);
 }
 
-Engine::RunHandle Engine::Admit(const CallerRequest& request) {
+Engine::RunHandle Engine::Admit(const EngineRequest& request) {
   auto run = std::make_shared<Run>(loop_);
   run->number = ++arrivals_;
   run->attempt = Field(request, "Lynxglade-Attempt-Id");
   run->expected_engine = Field(request, "Lynxglade-Expect-Instance");
-  run->body = request.body;
+  run->body = request.body();
   const std::int64_t timeout_ms =
       Number(Field(request, "Lynxglade-Deadline-Ms"), 30'000);
   run->deadline = clock_() + std::chrono::milliseconds(timeout_ms);
@@ -194,17 +195,29 @@
                             Number(it.substr(colon + 1), 0));
   }
   run->tokens_to_prefill = run->has_source ? 0 : run->prompt_tokens;
-  write_journal_(json{
-      {"n", run->number},
-      {"attempt", run->attempt},
-      {"service", settings_.service},
-      {"engine", settings_.id},
-      {"at", clock_().time_since_epoch().count()},
-      {"timeout_ms", timeout_ms},
-      {"prefill", run->prefill_only},
-      {"content",
-       base::Hash64(std::string(View(request.head.target())) + request.body)}}
-                     .dump());
+  run->total_events = settings_.is_model ? EventsOf(run->tokens_to_generate,
+                                                    settings_.tokens_per_event)
+                                         : 0;
+  run->first_event =
+      std::min(static_cast<int>(Number(Field(request, "Last-Event-Id"), 0)),
+               run->total_events);
+  run->events = run->sent = run->first_event;
+  run->generated = TokensAt(run->first_event, run->tokens_to_generate,
+                            settings_.tokens_per_event);
+  DrawEnd(*run);
+  write_journal_(
+      json{{"n", run->number},
+           {"attempt", run->attempt},
+           {"service", settings_.service},
+           {"engine", settings_.id},
+           {"at", clock_().time_since_epoch().count()},
+           {"timeout_ms", timeout_ms},
+           {"prefill", run->prefill_only},
+           {"events", run->total_events},
+           {"until_close", run->framing == AnswerFraming::kConnection},
+           {"content",
+            base::Hash64(std::string(View(request.target())) + request.body())}}
+          .dump());
   return run;
 }
 
@@ -228,15 +241,15 @@
 
 Awaitable<void> Engine::Reject(const RunHandle& run,
                                unsigned status,
-                               CallerReply& reply) {
+                               EngineReply& reply) {
   WriteEnd(*run, "rejected");
-  AnswerHead head = Head(status, *run);
+  EngineAnswerHead head = Head(status, *run);
   head.fields.set("Lynxglade-Not-Executed", "1");
-  co_await reply.SendWhole(std::move(head), {});
+  co_await reply.SendWhole(std::move(head), {}, AnswerFraming::kLength);
 }
 
-Awaitable<void> Engine::ServeRequest(CallerRequest& request,
-                                     CallerReply& reply) {
+Awaitable<void> Engine::ServeRequest(const EngineRequest& request,
+                                     EngineReply& reply) {
   const RunHandle run = Admit(request);
   if (const unsigned status = RejectionFor(*run)) {
     co_await Reject(run, status, reply);
@@ -244,7 +257,7 @@
   }
   if (Fails(EngineFault::Kind::kReset)) {
     WriteEnd(*run, "lost");
-    reply.Abort();
+    reply.BreakOff(/*reset=*/true);
     co_return;
   }
   queue_.push_back(run);
@@ -262,7 +275,7 @@
   Drop(run);
 }
 
-Awaitable<void> Engine::ServePlain(const RunHandle& run, CallerReply& reply) {
+Awaitable<void> Engine::ServePlain(const RunHandle& run, EngineReply& reply) {
   while (!run->began && !run->left) {
     if (clock_() > run->deadline) {
       co_await Reject(run, 503, reply);
@@ -279,18 +292,26 @@
   const double spread = 0.6 + 0.8 * base::UniformReal(random_);
   co_await SleepFor(loop_, Scaled(settings_.work_ms * spread));
   const bool failed = base::UniformReal(random_) < settings_.error_share;
-  co_await reply.SendWhole(Head(failed ? 500 : 200, *run),
-                           std::string(800, 'x'));
+  const std::string body = PlainBody(run->attempt);
+  if (!run->early_end || failed) {
+    co_await reply.SendWhole(Head(failed ? 500 : 200, *run), body,
+                             run->framing);
+    WriteEnd(*run, "whole");
+    co_return;
+  }
+  co_await reply.Begin(Head(200, *run), run->framing, body.size());
+  co_await reply.SendPiece(body.substr(0, body.size() / 2));
+  BreakOff(*run, reply);
 }
 
-Awaitable<void> Engine::ServeStream(const RunHandle& run, CallerReply& reply) {
-  int sent = 0;
+Awaitable<void> Engine::ServeStream(const RunHandle& run, EngineReply& reply) {
   while (!run->left) {
     if (run->expired) {
       if (!run->began) {
         co_await Reject(run, 503, reply);
       } else {
-        reply.Abort();
+        WriteEnd(*run, "reset");
+        reply.BreakOff(/*reset=*/true);
       }
       co_return;
     }
@@ -300,27 +321,22 @@
           {"kvHandle", std::to_string(clock_().time_since_epoch().count())},
           {"tokens", run->prompt_tokens},
           {"version", 1}};
-      co_await reply.SendWhole(Head(200, *run), body.dump());
+      co_await reply.SendWhole(Head(200, *run), body.dump(),
+                               AnswerFraming::kLength);
       co_return;
     }
-    while (sent < run->events && !run->left) {
-      if (!reply.begun()) {
-        AnswerHead head = Head(200, *run);
-        head.fields.set("Content-Type", "text/event-stream");
-        reply.Begin(std::move(head));
-      }
-      ++sent;
-      const std::string event = "id: " + std::to_string(sent) +
-                                "\ndata: " + std::string(75, 'x') + "\n\n";
-      co_await reply.SendPiece(event);
+    const bool unbroken = co_await SendEvents(run, reply);
+    if (!unbroken) {
+      co_return;
     }
-    if (run->done) {
+    if (run->done && run->sent == run->events) {
       co_await reply.End();
+      WriteEnd(*run, "whole");
       co_return;
     }
     ErrorCode ec;
     run->changed.expires_after(kForever);
-    if (sent == run->events && !run->done && !run->left && !run->expired) {
+    if (run->sent == run->events && !run->done && !run->left && !run->expired) {
       co_await run->changed.async_wait(Into(ec));
     }
   }
@@ -329,8 +345,61 @@
   }
 }
 
-AnswerHead Engine::Head(unsigned status, const Run& run) const {
-  AnswerHead head;
+Awaitable<bool> Engine::SendEvents(const RunHandle& run, EngineReply& reply) {
+  const bool starts = run->sent < run->events || run->done;
+  if (starts && !reply.begun()) {
+    EngineAnswerHead head = Head(200, *run);
+    head.fields.set("Content-Type", "text/event-stream");
+    std::size_t length = 0;
+    for (int i = run->first_event + 1; i <= run->total_events; ++i) {
+      length += EventText(run->attempt, i).size();
+    }
+    co_await reply.Begin(std::move(head), run->framing, length);
+  }
+  while (run->sent < run->events && !run->left) {
+    std::string event = EventText(run->attempt, run->sent + 1);
+    const bool ends_here =
+        run->early_end && run->sent == run->early_end->after_events;
+    if (ends_here && run->early_end->inside_event) {
+      co_await reply.SendPiece(event.substr(0, event.size() / 2));
+    }
+    if (ends_here) {
+      BreakOff(*run, reply);
+      co_return false;
+    }
+    ++run->sent;
+    co_await reply.SendPiece(std::move(event));
+  }
+  co_return true;
+}
+
+void Engine::BreakOff(const Run& run, EngineReply& reply) {
+  WriteEnd(run, run.early_end->reset          ? "reset"
+                : run.early_end->inside_event ? "cut"
+                                              : "cut_between");
+  reply.BreakOff(run.early_end->reset);
+}
+
+// A plain answer without a length that ends by a close would be a whole one.
+void Engine::DrawEnd(Run& run) {
+  constexpr std::array kFramings{AnswerFraming::kLength, AnswerFraming::kChunks,
+                                 AnswerFraming::kConnection};
+  run.framing = kFramings[base::UniformBelow(random_, kFramings.size())];
+  if (run.prefill_only || !Fails(EngineFault::Kind::kBreakOff)) {
+    return;
+  }
+  const int left = run.total_events - run.first_event;
+  const auto events = static_cast<int>(base::UniformBelow(
+      random_, static_cast<std::uint64_t>(std::max(left, 1))));
+  const bool inside = base::UniformReal(random_) < kCutInsideShare;
+  const bool reset =
+      base::UniformReal(random_) < kResetShare ||
+      (!settings_.is_model && run.framing == AnswerFraming::kConnection);
+  run.early_end = {run.first_event + events, inside, reset};
+}
+
+EngineAnswerHead Engine::Head(unsigned status, const Run& run) const {
+  EngineAnswerHead head;
   head.status = status;
   head.fields.set("Lynxglade-Attempt-Id", run.attempt);
   head.fields.set("Lynxglade-Instance-Signature", "rig." + settings_.id);
--- a/tests/rig/engine.h
+++ b/tests/rig/engine.h
@@ -19,9 +19,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "connection/event/caller_reply.h"
-#include "connection/event/caller_server.h"
 #include "connection/event/http_types.h"
+#include "rig/engine_server.h"
 
 namespace lynxglade::rig {
 
@@ -33,6 +32,8 @@
     kReset,
     // Takes `factor` times as long for everything.
     kSlow,
+    // Ends a part of its answers early, and goes on with the others.
+    kBreakOff,
   };
   Kind kind = Kind::kReject;
   base::Time from{};
@@ -89,9 +90,8 @@
   Engine(const Engine&) = delete;
   Engine& operator=(const Engine&) = delete;
 
-  connection::event::Awaitable<void> Serve(
-      std::shared_ptr<connection::event::CallerRequest> request,
-      connection::event::CallerReply& reply);
+  connection::event::Awaitable<void> Serve(const EngineRequest& request,
+                                           EngineReply& reply);
   // Runs the engine's steps until the loop stops.
   connection::event::Awaitable<void> RunSteps();
 
@@ -101,20 +101,22 @@
   template <typename T>
   using Awaitable = connection::event::Awaitable<T>;
 
-  Awaitable<void> ServeRequest(connection::event::CallerRequest& request,
-                               connection::event::CallerReply& reply);
-  Awaitable<void> ServePlain(const RunHandle& run,
-                             connection::event::CallerReply& reply);
-  Awaitable<void> ServeStream(const RunHandle& run,
-                              connection::event::CallerReply& reply);
-  Awaitable<void> ServeReport(connection::event::CallerReply& reply);
-  Awaitable<void> ServeOrder(const std::string& body,
-                             connection::event::CallerReply& reply);
+  Awaitable<void> ServeRequest(const EngineRequest& request,
+                               EngineReply& reply);
+  Awaitable<void> ServePlain(const RunHandle& run, EngineReply& reply);
+  Awaitable<void> ServeStream(const RunHandle& run, EngineReply& reply);
+  // Sends the events that are ready; false if the answer was broken off.
+  Awaitable<bool> SendEvents(const RunHandle& run, EngineReply& reply);
+  Awaitable<void> ServeReport(EngineReply& reply);
+  Awaitable<void> ServeOrder(const std::string& body, EngineReply& reply);
   Awaitable<void> ChangeStage(bool prefills);
   Awaitable<void> Reject(const RunHandle& run,
                          unsigned status,
-                         connection::event::CallerReply& reply);
-  RunHandle Admit(const connection::event::CallerRequest& request);
+                         EngineReply& reply);
+  RunHandle Admit(const EngineRequest& request);
+  // Draws what delimits the run's answer, and whether it ends early.
+  void DrawEnd(Run& run);
+  void BreakOff(const Run& run, EngineReply& reply);
   // Why the request is not run, as a status; 0 if it is admitted.
   unsigned RejectionFor(const Run& run) const;
   // Moves queued runs to slots, the most urgent first.
@@ -135,7 +137,7 @@
   std::int64_t RunningTokens() const;
   double Slowness() const;
   bool Fails(EngineFault::Kind kind) const;
-  connection::event::AnswerHead Head(unsigned status, const Run& run) const;
+  EngineAnswerHead Head(unsigned status, const Run& run) const;
   void WriteEnd(const Run& run, std::string_view end);
   base::Duration Scaled(double ms) const;
 
--- a/tests/rig/engine_main.cc
+++ b/tests/rig/engine_main.cc
@@ -12,13 +12,12 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
-#include "base/metrics.h"
 #include "base/random.h"
 #include "connection/base64.h"
 #include "connection/event/call.h"
-#include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
 #include "rig/engine.h"
+#include "rig/engine_server.h"
 
 namespace lynxglade::rig {
 namespace {
@@ -88,9 +87,10 @@
     return false;
   }
   const std::string word = kind;
-  fault->kind = word == "reject"  ? EngineFault::Kind::kReject
-                : word == "reset" ? EngineFault::Kind::kReset
-                                  : EngineFault::Kind::kSlow;
+  fault->kind = word == "reject"      ? EngineFault::Kind::kReject
+                : word == "reset"     ? EngineFault::Kind::kReset
+                : word == "break_off" ? EngineFault::Kind::kBreakOff
+                                      : EngineFault::Kind::kSlow;
   fault->from = epoch + std::chrono::milliseconds(from_ms);
   fault->until = fault->from + std::chrono::milliseconds(for_ms);
   return true;
@@ -150,7 +150,6 @@
   const EngineOptions options = ParseOptions(argc, argv);
   asio::io_context loop(1);
   const base::Clock clock = base::BootClock::now;
-  base::Metrics metrics;
   connection::event::ChannelPool channels(loop, clock);
   Engine engine(
       loop, options.settings,
@@ -163,21 +162,11 @@
                        asio::detached);
       },
       [] { _exit(kCrashStatus); }, clock, base::SeededRandom(options.seed));
-  connection::event::CallerServer server(
-      loop,
-      {.endpoint = {asio::ip::address_v4::loopback(), options.port},
-       .max_connections = kMaxConnections},
-      [] { return connection::event::CallerServerLimits(); },
-      [&engine](std::shared_ptr<connection::event::CallerRequest> request,
-                connection::event::CallerReply& reply) {
-        return engine.Serve(std::move(request), reply);
-      },
-      clock, metrics);
-  std::string reason;
-  if (!server.Start(&reason)) {
-    std::cerr << reason << "\n";
-    return 1;
-  }
+  const EngineServer server(
+      loop, options.port, kMaxConnections,
+      [&engine](const EngineRequest& request, EngineReply& reply) {
+        return engine.Serve(request, reply);
+      });
   asio::co_spawn(loop, engine.RunSteps(), asio::detached);
   asio::co_spawn(loop,
                  Register(loop, channels, options, options.settings.prefills),
--- a/tests/rig/engine_run.h
+++ b/tests/rig/engine_run.h
@@ -4,12 +4,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "base/time.h"
 #include "connection/event/http_types.h"
+#include "rig/answer_data.h"
 #include "rig/engine.h"
 
 namespace lynxglade::rig {
@@ -37,13 +39,26 @@
   std::int64_t tokens_to_prefill = 0;
   std::int64_t tokens_to_generate = 0;
   std::int64_t generated = 0;
+  AnswerFraming framing = AnswerFraming::kLength;
+  // Events of the whole answer, and of what the caller had before.
+  int total_events = 0;
+  int first_event = 0;
+  // How the answer is broken off: after this many events of the whole answer,
+  // or inside the next one.
+  struct EarlyEnd {
+    int after_events = 0;
+    bool inside_event = false;
+    bool reset = false;
+  };
+  std::optional<EarlyEnd> early_end;
   bool cache_used = false;
   bool began = false;
   bool done = false;
   bool expired = false;
   bool left = false;
-  // Events that are ready to be sent.
+  // Events of the whole answer that are ready, and that were sent.
   int events = 0;
+  int sent = 0;
   connection::event::asio::steady_timer changed;
 
   bool prefilled() const noexcept { return tokens_to_prefill <= 0; }
--- a/tests/rig/engine_steps.cc
+++ b/tests/rig/engine_steps.cc
@@ -160,6 +160,12 @@
     }
     WriteEnd(run, "ran");
   }
+  // It goes on after the last event.
+  if (run.generated >= run.tokens_to_generate) {
+    run.done = true;
+    run.changed.cancel();
+    return;
+  }
   ++run.generated;
   run.done = run.generated >= run.tokens_to_generate;
   if (run.done || run.generated == 1 ||
--- a/tests/rig/records.cc
+++ b/tests/rig/records.cc
@@ -20,6 +20,8 @@
   arrival.timeout = std::chrono::milliseconds(line.at("timeout_ms"));
   arrival.prefill_only = line.at("prefill");
   arrival.content = line.at("content");
+  arrival.events = line.at("events");
+  arrival.until_close = line.at("until_close");
   return arrival;
 }
 
@@ -33,6 +35,19 @@
   return word == "lost" ? ArrivalEnd::kLost : ArrivalEnd::kRan;
 }
 
+AnswerEnding ParseEnding(const std::string& word) {
+  if (word == "whole") {
+    return AnswerEnding::kWhole;
+  }
+  if (word == "cut") {
+    return AnswerEnding::kCut;
+  }
+  if (word == "cut_between") {
+    return AnswerEnding::kCutBetween;
+  }
+  return word == "reset" ? AnswerEnding::kReset : AnswerEnding::kUnknown;
+}
+
 }  // namespace
 
 void ReadJournal(const std::filesystem::path& journal,
@@ -53,6 +68,10 @@
     Arrival& arrival = arrivals->at(by_number.at(number));
     const std::string word = line.at("end");
     arrival.crashed = arrival.crashed || word == "crashed";
+    if (const AnswerEnding ending = ParseEnding(word);
+        ending != AnswerEnding::kUnknown) {
+      arrival.ending = ending;
+    }
     // What ran stays so, whatever becomes of it.
     if (arrival.end != ArrivalEnd::kRan) {
       arrival.end = ParseEnd(word);
--- a/tests/rig/records.h
+++ b/tests/rig/records.h
@@ -25,6 +25,17 @@
   kLost,
 };
 
+// How an engine ended an answer.
+enum class AnswerEnding {
+  // It did not: it ended itself, or the caller left.
+  kUnknown,
+  kWhole,
+  // By a close, inside an event or between two.
+  kCut,
+  kCutBetween,
+  kReset,
+};
+
 // A request that reached an engine.
 struct Arrival {
   std::string attempt;
@@ -40,6 +51,12 @@
   // It ended the engine.
   bool crashed = false;
   ArrivalEnd end = ArrivalEnd::kLost;
+  // Events of the whole answer; 0 for plain calls.
+  int events = 0;
+  // The answer has neither a length nor chunks.
+  bool until_close = false;
+  // How the engine ended its answer, as far as it knows.
+  AnswerEnding ending = AnswerEnding::kUnknown;
 };
 
 // How a caller's request ended, after its own retries.
@@ -50,6 +67,10 @@
   std::string id;
   base::Time sent_at{};
   base::Duration timeout{};
+  // The answer as the caller read it; status 0: none.
+  unsigned status = 0;
+  bool complete = false;
+  std::string body = {};
 };
 
 // A request of a caller, with its retries.
--- a/tests/rig/rig_main.cc
+++ b/tests/rig/rig_main.cc
@@ -27,6 +27,7 @@
       {"kills", Series::kKills},
       {"rejections", Series::kRejections},
       {"slow", Series::kSlow},
+      {"broken_answers", Series::kBrokenAnswers},
       {"mixed", Series::kMixed}};
   return names;
 }
--- a/tests/rig/traffic.cc
+++ b/tests/rig/traffic.cc
@@ -15,17 +15,12 @@
 namespace {
 
 using connection::event::Awaitable;
-using connection::event::CancelAfter;
-using connection::event::Exchange;
-using connection::event::ExchangeState;
-using connection::event::OutgoingRequest;
 using connection::event::SleepFor;
 using connection::event::Tcp;
-using connection::event::View;
+using tests::AnswerText;
 namespace asio = connection::event::asio;
-namespace http = connection::event::http;
 
-constexpr base::Duration kClosePoll = std::chrono::milliseconds(20);
+constexpr base::Duration kEndPoll = std::chrono::milliseconds(20);
 constexpr std::int64_t kOutputTokenWeight = 10;
 constexpr unsigned kOk = 200;
 // Callers wait for the next event for the longest of these.
@@ -36,6 +31,7 @@
 constexpr int kRetryAfterDivisor = 3;
 // Instances that are tried if one does not accept the connection.
 constexpr std::size_t kMaxConnects = 7;
+constexpr double kHttp10Share = 0.1;
 
 base::Duration EventTimeout(const RequestKind& kind) {
   return std::max({kMinEventTimeout,
@@ -58,11 +54,12 @@
   std::string subject;
   std::string parts;
   std::string body;
+  // The caller speaks HTTP/1.0, in which a connection's end ends an answer.
+  bool http10 = false;
 };
 
 struct Traffic::AttemptResult {
   unsigned status = 0;
-  bool connected = false;
   bool complete = false;
   bool left = false;
   std::optional<base::Duration> retry_after;
@@ -75,7 +72,7 @@
       settings_(std::move(settings)),
       clock_(clock),
       random_(base::SeededRandom(settings_.seed)),
-      channels_(loop, std::move(clock)) {}
+      channels_(std::move(clock)) {}
 
 Awaitable<void> Traffic::Run() {
   const base::Time end = clock_() + settings_.length;
@@ -86,8 +83,7 @@
     asio::co_spawn(loop_, SendCrashing(), asio::detached);
   }
   while (clock_() < end || pending_ > 0) {
-    channels_.CloseIdle();
-    co_await SleepFor(loop_, kClosePoll);
+    co_await SleepFor(loop_, kEndPoll);
   }
 }
 
@@ -140,6 +136,7 @@
                         DrawSize(static_cast<double>(kind.body_mean), 0.8,
                                  static_cast<double>(kind.body_max))),
                     'b');
+  draft.http10 = base::UniformReal(random_) < kHttp10Share;
   if (kind.own_mean <= 0) {
     return draft;
   }
@@ -165,29 +162,28 @@
   return draft;
 }
 
-OutgoingRequest Traffic::Message(const Draft& draft,
-                                 const std::string& id,
-                                 base::Duration timeout) const {
+std::string Traffic::Message(const Draft& draft,
+                             const std::string& id,
+                             base::Duration timeout) {
   const RequestKind& kind = *draft.kind;
-  OutgoingRequest message(kind.type == RequestType::kIdempotent
-                              ? http::verb::get
-                              : http::verb::post,
-                          kind.Path() + "x", 11, draft.body);
-  message.set(http::field::host, "rig");
-  message.set("Lynxglade-Attempt-Id", id);
-  message.set("Lynxglade-Deadline-Ms", std::to_string(base::ToMillis(timeout)));
+  const bool idempotent = kind.type == RequestType::kIdempotent;
+  std::string text =
+      (idempotent ? "GET " : "POST ") + kind.Path() + "x" +
+      (draft.http10 ? " HTTP/1.0" : " HTTP/1.1") +
+      "\r\nHost: rig\r\nLynxglade-Attempt-Id: " + id +
+      "\r\nLynxglade-Deadline-Ms: " + std::to_string(base::ToMillis(timeout)) +
+      "\r\n";
   if (draft.prompt_tokens > 0) {
-    message.set("Lynxglade-Model", "m");
-    message.set("Lynxglade-Token-Usage",
-                std::to_string(draft.prompt_tokens) + ',' +
-                    std::to_string(draft.output_tokens));
-    message.set("Lynxglade-Length-Hint", std::to_string(draft.output_tokens));
-    message.set("Lynxglade-Prefix-Hash", draft.parts);
+    const std::string output = std::to_string(draft.output_tokens);
+    text += "Lynxglade-Model: m\r\nLynxglade-Token-Usage: " +
+            std::to_string(draft.prompt_tokens) + ',' + output +
+            "\r\nLynxglade-Length-Hint: " + output +
+            "\r\nLynxglade-Prefix-Hash: " + draft.parts + "\r\n";
   }
-  if (kind.type != RequestType::kIdempotent) {
-    message.content_length(draft.body.size());
+  if (!idempotent) {
+    text += "Content-Length: " + std::to_string(draft.body.size()) + "\r\n";
   }
-  return message;
+  return text + "\r\n" + (idempotent ? std::string() : draft.body);
 }
 
 Awaitable<void> Traffic::ServeDraft(Draft draft) {
@@ -247,68 +243,78 @@
   const base::Time sent_at = clock_();
   record.attempts.push_back({id, sent_at, timeout});
   // A connection that is not accepted is the balancer's to place again.
-  for (std::size_t i = 0; i < kMaxConnects && !result.connected; ++i) {
+  std::unique_ptr<CallerChannel> channel;
+  for (std::size_t i = 0; i < kMaxConnects && !channel; ++i) {
     const std::size_t at = (instance + i) % settings_.ports.size();
-    const Tcp::endpoint endpoint(
-        asio::ip::address_v4::loopback(),
-        static_cast<std::uint16_t>(settings_.ports[at]));
-    Exchange exchange(channels_);
-    const ExchangeState state =
-        co_await Start(exchange, endpoint, draft, id, timeout);
-    result.connected = state != ExchangeState::kNotSent;
-    if (result.connected) {
-      co_await Receive(exchange, draft, sent_at, result, record);
-    }
+    channel =
+        co_await Connect({asio::ip::address_v4::loopback(),
+                          static_cast<std::uint16_t>(settings_.ports[at])},
+                         timeout);
+  }
+  if (!channel) {
+    co_return result;
+  }
+  AnswerText answer;
+  co_await Exchange(*channel, draft, sent_at, timeout, answer, record);
+  CallerAttempt& attempt = record.attempts.back();
+  attempt.status = answer.status();
+  attempt.complete = answer.complete();
+  attempt.body = answer.body();
+  result.complete = answer.complete();
+  result.left = channel->left();
+  result.status =
+      result.complete || answer.status() != kOk ? answer.status() : 0;
+  const std::string after = answer.Header("Retry-After");
+  if (!after.empty()) {
+    result.retry_after =
+        base::FromFineMillis(1000 * std::strtod(after.c_str(), nullptr));
+  }
+  if (answer.keeps_connection()) {
+    channels_.Keep(std::move(channel));
   }
   co_return result;
 }
 
-Awaitable<ExchangeState> Traffic::Start(Exchange& exchange,
-                                        Tcp::endpoint endpoint,
-                                        const Draft& draft,
-                                        const std::string& id,
-                                        base::Duration timeout) {
-  const RequestKind& kind = *draft.kind;
-  const CancelAfter cancel(loop_, exchange,
-                           kind.type == RequestType::kStream
-                               ? std::min(timeout, EventTimeout(kind))
-                               : timeout);
-  OutgoingRequest message = Message(draft, id, timeout);
-  const bool may_repeat = kind.type == RequestType::kIdempotent;
-  co_return co_await exchange.Start(endpoint, std::move(message), {},
-                                    /*recent_only=*/!may_repeat);
+Awaitable<std::unique_ptr<CallerChannel>> Traffic::Connect(
+    Tcp::endpoint endpoint,
+    base::Duration timeout) {
+  if (auto kept = channels_.Take(endpoint)) {
+    co_return kept;
+  }
+  auto channel = std::make_unique<CallerChannel>(loop_, endpoint);
+  const LeaveAfter leave(loop_, *channel, timeout);
+  const bool connected = co_await channel->Connect();
+  if (!connected) {
+    channel.reset();
+  }
+  co_return channel;
 }
 
-Awaitable<void> Traffic::Receive(Exchange& exchange,
-                                 const Draft& draft,
-                                 base::Time sent_at,
-                                 AttemptResult& result,
-                                 CallerRequestRecord& record) {
-  result.left = exchange.state() == ExchangeState::kCancelled;
-  if (exchange.state() != ExchangeState::kHead &&
-      exchange.state() != ExchangeState::kWhole) {
-    co_return;
-  }
-  const auto& head = exchange.head();
-  result.status = head.result_int();
-  const auto after = head.find(http::field::retry_after);
-  if (after != head.end()) {
-    result.retry_after = base::FromFineMillis(
-        1000 * std::strtod(std::string(View(after->value())).c_str(), nullptr));
+Awaitable<void> Traffic::Exchange(CallerChannel& channel,
+                                  const Draft& draft,
+                                  base::Time sent_at,
+                                  base::Duration timeout,
+                                  AnswerText& answer,
+                                  CallerRequestRecord& record) {
+  const RequestKind& kind = *draft.kind;
+  const base::Duration event_timeout =
+      kind.type == RequestType::kStream ? EventTimeout(kind) : timeout;
+  const std::string message =
+      Message(draft, record.attempts.back().id, timeout);
+  {
+    const LeaveAfter leave(loop_, channel, timeout);
+    co_await channel.Send(message);
   }
-  const base::Duration event_timeout = EventTimeout(*draft.kind);
-  while (exchange.state() == ExchangeState::kHead) {
-    const CancelAfter cancel(loop_, exchange, event_timeout);
-    const std::string_view bytes = co_await exchange.ReadSome();
-    if (!bytes.empty() && !record.first_byte) {
+  while (!answer.complete() && !answer.broken()) {
+    const base::Duration left = sent_at + timeout - clock_();
+    const bool begun = !answer.body().empty();
+    const LeaveAfter leave(
+        loop_, channel, begun ? event_timeout : std::min(left, event_timeout));
+    co_await channel.ReadSome(answer);
+    if (!answer.body().empty() && !record.first_byte) {
       record.first_byte = clock_() - sent_at;
     }
   }
-  result.complete = exchange.state() == ExchangeState::kWhole;
-  result.left = exchange.state() == ExchangeState::kCancelled;
-  if (!result.complete && result.status == kOk) {
-    result.status = 0;
-  }
 }
 
 }  // namespace lynxglade::rig
--- a/tests/rig/traffic.h
+++ b/tests/rig/traffic.h
@@ -13,8 +13,9 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "connection/event/channel_pool.h"
-#include "connection/event/exchange.h"
+#include "connection/answer_text.h"
+#include "connection/event/http_types.h"
+#include "rig/caller_channel.h"
 #include "rig/records.h"
 
 namespace lynxglade::rig {
@@ -113,28 +114,26 @@
                                 std::size_t instance,
                                 base::Duration timeout,
                                 CallerRequestRecord& record);
-  // Sends the request and waits for the first bytes of its answer.
-  Awaitable<connection::event::ExchangeState> Start(
-      connection::event::Exchange& exchange,
+  // Sends the request and reads its answer.
+  Awaitable<void> Exchange(CallerChannel& channel,
+                           const Draft& draft,
+                           base::Time sent_at,
+                           base::Duration timeout,
+                           tests::AnswerText& answer,
+                           CallerRequestRecord& record);
+  Awaitable<std::unique_ptr<CallerChannel>> Connect(
       connection::event::Tcp::endpoint endpoint,
-      const Draft& draft,
-      const std::string& id,
       base::Duration timeout);
-  Awaitable<void> Receive(connection::event::Exchange& exchange,
-                          const Draft& draft,
-                          base::Time sent_at,
-                          AttemptResult& result,
-                          CallerRequestRecord& record);
-  connection::event::OutgoingRequest Message(const Draft& draft,
-                                             const std::string& id,
-                                             base::Duration timeout) const;
+  static std::string Message(const Draft& draft,
+                             const std::string& id,
+                             base::Duration timeout);
   double DrawSize(double mean, double spread, double max);
 
   connection::event::asio::io_context& loop_;
   const TrafficSettings settings_;
   const base::Clock clock_;
   const base::RandomSource random_;
-  connection::event::ChannelPool channels_;
+  KeptChannels channels_;
   std::vector<CallerRequestRecord> records_;
   std::uint64_t next_id_ = 0;
   int pending_ = 0;
--- a/tests/system/deployment.cc
+++ b/tests/system/deployment.cc
@@ -1,7 +1,6 @@
 #include "system/deployment.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <iterator>
 #include <sstream>
 #include <utility>
@@ -38,13 +37,6 @@
 constexpr int kPlainOffset = 20;
 constexpr int kLinkStride = 28;
 
-// The daemon under test; the environment variable LYNXGLADED selects another
-// build.
-std::string DaemonProgram() {
-  const char* other = std::getenv("LYNXGLADED");
-  return other != nullptr ? other : LYNXGLADED;
-}
-
 std::string Url(int port) {
   return "http://" + std::string(kAddress) + ":" + std::to_string(port);
 }
@@ -270,7 +262,7 @@
 int Deployment::AddInstance(int zone, const std::vector<std::string>& flags) {
   const int n = static_cast<int>(instances_.size());
   const int base = ports_.base();
-  std::vector<std::string> arguments = {DaemonProgram(),
+  std::vector<std::string> arguments = {DaemonProgram(LYNXGLADED),
                                         "--instance-id",
                                         InstanceName(n),
                                         "--zone",
--- a/tests/system/entry_process.cc
+++ b/tests/system/entry_process.cc
@@ -75,7 +75,7 @@
 
 void EntryProcess::Restart() {
   std::vector<std::string> arguments{
-      LYNXGLADED,
+      DaemonProgram(LYNXGLADED),
       "entry",
       "--instance-id",
       settings_.name,
--- a/tests/system/process.cc
+++ b/tests/system/process.cc
@@ -1,6 +1,7 @@
 #include "system/process.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -51,6 +52,11 @@
   return true;
 }
 
+std::string DaemonProgram(const char* built) {
+  const char* other = std::getenv("LYNXGLADED");
+  return other != nullptr ? other : built;
+}
+
 Process::Process(std::vector<std::string> arguments, std::filesystem::path log)
     : log_(std::move(log)) {
   std::vector<char*> argv;
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -17,6 +17,10 @@
 bool WaitFor(const std::function<bool()>& condition,
              std::chrono::milliseconds bound = std::chrono::seconds(15));
 
+// The daemon under test: `built`, unless the environment variable LYNXGLADED
+// names another build.
+std::string DaemonProgram(const char* built);
+
 // Not thread-safe. The destructor ends and reaps the process.
 class Process {
  public:
