Emulated engines: streams without a length or chunks

The other daemon's streams end with a marker of their own and its plain answers need a known length, so the end of a connection is not taken for the end of a message there. Proved for unframed streams: cut at every third byte before the marker they are truncated (target_client_test), and an answer stays whole through an unframed stream that is broken off (answers_test).

--- a/tests/connection/target_client_test.cc
+++ b/tests/connection/target_client_test.cc
@@ -248,6 +248,22 @@
   EXPECT_EQ(text_.find("two"), std::string::npos);
 }
 
+// With neither a length nor chunks, only the end marker shows the end.
+TEST_F(TargetClientTest, AnUnframedStreamCutAnywhereIsNotComplete) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "X-Attempt-Id: " +
+      std::string(kAttempt) + "\r\n\r\n";
+  const std::string stream = WholeStream();
+  const std::size_t marker = stream.find("[DONE]");
+  for (std::size_t n = 0; n < marker; n += 3) {
+    EXPECT_EQ(RunAgainst({head + stream.substr(0, n), Then::kClose}).end,
+              AttemptEnd::kTruncated)
+        << n;
+  }
+  EXPECT_EQ(RunAgainst({head + stream, Then::kClose}).end, AttemptEnd::kWhole);
+}
+
 TEST_F(TargetClientTest, CompleteStreamDoesNotNeedTheMessageEnd) {
   const AttemptReport report =
       RunAgainst({StreamHead() + Chunk(WholeStream()), Then::kHang});
--- a/tests/fakes/engine_core.cc
+++ b/tests/fakes/engine_core.cc
@@ -26,6 +26,7 @@
       {"reset_after", 0},
       {"truncate", 0},
       {"truncate_after", 1},
+      {"unframed", 0},
       {"stall", 0},
       {"stall_after", 1},
       {"crossed", 0},
--- a/tests/fakes/engine_routes.cc
+++ b/tests/fakes/engine_routes.cc
@@ -44,6 +44,7 @@
   ChatWriter writer;
   StreamFault fault;
   std::int64_t sent;
+  bool ended = false;
 };
 using StreamPtr = std::shared_ptr<Stream>;
 
@@ -129,21 +130,32 @@
     const std::string end = stream.writer.End(UsageOf(stream));
     sink.write(end.data(), end.size());
     sink.done();
+    stream.ended = true;
   }
   return true;
 }
 
 void AnswerStream(const StreamPtr& stream, Response& res) {
   res.set_header("Cache-Control", "no-cache");
-  res.set_chunked_content_provider(
+  const auto go_on = [stream](std::size_t, httplib::DataSink& sink) {
+    return Continue(*stream, sink);
+  };
+  // Cancels the run if the connection closed before its end.
+  const auto cancel = [stream](bool) {
+    stream->host->core().End(*stream->session, RunState::kCancelled);
+  };
+  if (!stream->host->core().TakeFault("unframed")) {
+    res.set_chunked_content_provider("text/event-stream", go_on, cancel);
+    return;
+  }
+  // Neither a length nor chunks: the end of the connection ends the stream.
+  res.set_header("Connection", "close");
+  res.set_content_provider(
       "text/event-stream",
-      [stream](std::size_t, httplib::DataSink& sink) {
-        return Continue(*stream, sink);
+      [stream, go_on](std::size_t offset, httplib::DataSink& sink) {
+        return go_on(offset, sink) && !stream->ended;
       },
-      [stream](bool) {
-        // Cancels the run if the connection closed before its end.
-        stream->host->core().End(*stream->session, RunState::kCancelled);
-      });
+      cancel);
 }
 
 // Serves a response without streaming; the same faults apply.
--- a/tests/system/answers_test.cc
+++ b/tests/system/answers_test.cc
@@ -66,6 +66,8 @@
 
 TEST_F(AnswersTest, AnswerIsWholeThroughEachFaultOfAnEngine) {
   ExpectWholeThrough({{"truncate", 1}, {"truncate_after", 5}}, "truncated");
+  ExpectWholeThrough({{"truncate", 1}, {"truncate_after", 5}, {"unframed", -1}},
+                     "truncated");
   ExpectWholeThrough({{"crossed", 1}}, "crossed");
   ExpectWholeThrough({{"reset_before", 1}}, "reset");
   ExpectWholeThrough({{"reset_after", 1}}, "truncated");
