Metrics: how answers end, by what delimits them; tests of requests that are cut

lynxglade_answer_ends_total{end,framing} counts what an attempt's line tells. A request that its caller cuts off, by a close of its sending side, is not served, and one of HTTP/1.0 without a length has no body: both held before.

--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -72,9 +72,9 @@
   base::Duration evidence_timeout = std::chrono::milliseconds(700);
   base::Duration evidence_poll_interval = std::chrono::milliseconds(10);
   LatencyAdmissionOptions admission;
-  // An answer that is not a stream, and a single event of one, is buffered up to
-  // this size, so that the caller never gets a truncated one; a larger one is
-  // forwarded piece by piece.
+  // An answer that is not a stream, and a single event of one, is buffered up
+  // to this size, so that the caller never gets a truncated one; a larger one
+  // is forwarded piece by piece.
   std::size_t max_buffered_bytes = std::size_t{256} * 1024;
   // Least time before the deadline at which a request is still retried.
   base::Duration min_time_left = std::chrono::milliseconds(30);
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -200,6 +200,11 @@
       .GetCounter("lynxglade_attempt_ends_total",
                   {{"end", std::string(ToString(end))}})
       .Add();
+  deps_.metrics
+      .GetCounter("lynxglade_answer_ends_total",
+                  {{"end", std::string(ToString(answer_.end))},
+                   {"framing", std::string(ToString(answer_.framing))}})
+      .Add();
   Engine& runner = *pick.runner;
   const base::Time now = deps_.clock();
   const auto& limit = runner.limit.named.rate();
--- a/tests/connection/event/caller_server_test.cc
+++ b/tests/connection/event/caller_server_test.cc
@@ -102,6 +102,30 @@
   EXPECT_TRUE(client.ReadToEnd().ends_with("ab"));
 }
 
+// The end of a connection does not end a request.
+TEST_F(CallerServerTest, DoesNotServeRequestsThatTheirCallerCutOff) {
+  for (const char* bytes :
+       {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab",
+        "POST /a HTTP/1.0\r\nHost: h\r\nContent-Length: 3\r\n\r\nab",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nab\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\n"}) {
+    RawClient client(server_.port());
+    client.Send(bytes);
+    client.CloseSending();
+    EXPECT_EQ(client.ReadToEnd(), "") << bytes;
+  }
+  EXPECT_TRUE(bodies_.empty());
+}
+
+// So a request with neither a length nor chunks has no body.
+TEST_F(CallerServerTest, ARequestWithoutALengthHasNoBody) {
+  RawClient client(server_.port());
+  client.Send("POST /a HTTP/1.0\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(client.ReadToEnd().ends_with("\r\n\r\n"));
+  EXPECT_EQ(bodies_, std::vector<std::string>{""});
+}
+
 // Each of these could be parsed as one request or as two.
 TEST_F(CallerServerTest, RejectsAmbiguousFraming) {
   const std::vector<std::string> heads = {
--- a/tests/connection/raw_client.cc
+++ b/tests/connection/raw_client.cc
@@ -37,6 +37,10 @@
   return true;
 }
 
+void RawClient::CloseSending() {
+  ::shutdown(socket_, SHUT_WR);
+}
+
 std::string RawClient::ReadToEnd() {
   std::string all;
   std::array<char, 4096> buf{};
--- a/tests/connection/raw_client.h
+++ b/tests/connection/raw_client.h
@@ -17,6 +17,8 @@
 
   // Returns false if the server has closed the connection.
   bool Send(std::string_view bytes);
+  // The server reads the end of the connection, and may still answer.
+  void CloseSending();
   // Reads up to the end of the connection.
   std::string ReadToEnd();
   // Reads up to the end of one answer's head.
