--- a/bench/event_splitter_benchmark.cc
+++ b/bench/event_splitter_benchmark.cc
@@ -19,7 +19,7 @@
          "\ndata: " + std::string(data_bytes, 'x') + "\n\n";
 }
 
-void BM_WholeEvents(benchmark::State& state) {
+void FeedWholeEvents(benchmark::State& state) {
   constexpr std::size_t kDataBytes = 75;
   std::string piece;
   for (int id = 1; id <= state.range(0); ++id) {
@@ -32,9 +32,9 @@
   state.SetBytesProcessed(state.iterations() *
                           static_cast<std::int64_t>(piece.size()));
 }
-BENCHMARK(BM_WholeEvents)->Arg(1)->Arg(10)->Arg(80);
+BENCHMARK(FeedWholeEvents)->Arg(1)->Arg(10)->Arg(80);
 
-void BM_EventInPieces(benchmark::State& state) {
+void FeedEventInPieces(benchmark::State& state) {
   const std::string event =
       Event(1, static_cast<std::size_t>(state.range(0)) * kPieceBytes);
   EventSplitter events(kMaxHeldBytes);
@@ -46,7 +46,7 @@
   state.SetBytesProcessed(state.iterations() *
                           static_cast<std::int64_t>(event.size()));
 }
-BENCHMARK(BM_EventInPieces)->Arg(2)->Arg(16);
+BENCHMARK(FeedEventInPieces)->Arg(2)->Arg(16);
 
 }  // namespace
 }  // namespace lynxglade::request::passthrough
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -39,22 +39,6 @@
 
 }  // namespace
 
-std::string_view ToString(ExchangeState state) noexcept {
-  switch (state) {
-    case ExchangeState::kNotSent:
-      return "not_sent";
-    case ExchangeState::kBroken:
-      return "broken";
-    case ExchangeState::kHead:
-      return "head";
-    case ExchangeState::kWhole:
-      return "whole";
-    case ExchangeState::kCancelled:
-      break;
-  }
-  return "cancelled";
-}
-
 // Shared with the write operation, which may outlive the exchange.
 struct Exchange::Sending {
   explicit Sending(OutgoingRequest it) : request(std::move(it)) {}
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -36,7 +36,6 @@
   // Ended by Cancel().
   kCancelled,
 };
-std::string_view ToString(ExchangeState state) noexcept;
 
 struct ExchangeOptions {
   // Limit on skipped answers that belong to earlier requests on a reused
--- a/src/request/passthrough/answer_end.h
+++ b/src/request/passthrough/answer_end.h
@@ -21,7 +21,8 @@
   // The connection's end was all that ended a stream without an event. Every
   // run has one.
   kNoEvent,
-  // The caller left, or the time was over.
+  // Not read to its end: the caller left, the time was over, or the head is not
+  // acceptable.
   kStopped,
 };
 std::string_view ToString(AnswerEnd end) noexcept;
--- a/src/request/passthrough/event_splitter.h
+++ b/src/request/passthrough/event_splitter.h
@@ -25,6 +25,7 @@
 // allowed is forwarded in parts.
 class EventSplitter {
  public:
+  // `max_held_bytes`: of an incomplete event or comment.
   explicit EventSplitter(std::size_t max_held_bytes)
       : max_held_bytes_(max_held_bytes) {}
 
@@ -74,6 +75,8 @@
   // Start of the current line, and how far it was searched for its end.
   std::size_t line_start_ = 0;
   std::size_t searched_ = 0;
+  // Offset of the next LF, or the size of the buffer; empty until it is
+  // searched.
   std::optional<std::size_t> next_lf_;
 
   bool at_start_ = true;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -237,7 +237,6 @@
       events_.last_id().empty() ? terms_.last_event_id : events_.last_id();
   RecordAttempt(*target);
   const int entry_changes = target->entry_changes;
-  answer_ = {};
   Exchange exchange(deps_.channels);
   current_ = &exchange;
   const ExchangeState state = co_await exchange.Start(
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -324,6 +324,7 @@
 }
 
 Awaitable<AttemptEnd> RelayRun::Attempt(EnginePick pick) {
+  answer_ = {};
   const bool may_run = co_await WaitForEvidence();
   if (!may_run) {
     co_return AttemptEnd::kNotRun;
