--- a/tests/connection/target_client_test.cc
+++ b/tests/connection/target_client_test.cc
@@ -12,6 +12,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "base/time.h"
+#include "connection/chunk.h"
 #include "connection/scripted_server.h"
 #include "connection/target_client_stream.h"
 
@@ -26,6 +27,8 @@
 using Then = ScriptedServer::Then;
 using Reply = ScriptedServer::Reply;
 
+using tests::Chunk;
+
 constexpr char kAttempt[] = "a1";
 
 std::string Event(const std::string& id,
@@ -49,12 +52,6 @@
   return Event(id, "one ", 0, 1) + Event(id, "two ", 1, 1) + LastEvents(id, 2);
 }
 
-std::string Chunk(const std::string& bytes) {
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
-  return size + bytes + "\r\n";
-}
-
 std::string StreamHead(const std::string& attempt = kAttempt) {
   return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
          "Transfer-Encoding: chunked\r\nX-Attempt-Id: " +
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -1,7 +1,5 @@
 #include "platform/relay_fixture.h"
 
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include "connection/raw_client.h"
@@ -83,12 +81,6 @@
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-std::string Chunk(const std::string& bytes) {
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx", bytes.size());
-  return std::string(size.data()) + "\r\n" + bytes + "\r\n";
-}
-
 std::string StreamHead(const std::string& request) {
   return "HTTP/1.1 200 OK\r\n" + Echo(request) + kProofLine +
          "Content-Type: text/event-stream\r\nTransfer-Encoding: "
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -14,6 +14,7 @@
 
 #include "base/metrics.h"
 #include "connection/answer_text.h"
+#include "connection/chunk.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
 #include "connection/event/loop_thread.h"
@@ -51,9 +52,9 @@
                                          int first,
                                          int last,
                                          connection::ScriptedServer::Then then);
-// One event of a stream, and one chunk of a chunked body.
+// One event of a stream.
 std::string Event(int id);
-std::string Chunk(const std::string& bytes);
+using tests::Chunk;
 std::string StreamHead(const std::string& request);
 // The head of a stream with neither a length nor chunks.
 std::string UnframedStreamHead(const std::string& request);
--- a/tests/rig/engine_server.cc
+++ b/tests/rig/engine_server.cc
@@ -1,7 +1,5 @@
 #include "rig/engine_server.h"
 
-#include <array>
-#include <cstdio>
 #include <memory>
 #include <utility>
 
@@ -13,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "connection/chunk.h"
 #include "connection/event/socket_probe.h"
 
 namespace lynxglade::rig {
@@ -28,12 +27,6 @@
 
 constexpr int kBacklog = 1024;
 
-std::string ChunkOf(const std::string& bytes) {
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx", bytes.size());
-  return std::string(size.data()) + "\r\n" + bytes + "\r\n";
-}
-
 std::string HeadText(const EngineAnswerHead& head,
                      AnswerFraming framing,
                      std::size_t length) {
@@ -66,7 +59,7 @@
   framing_ = framing;
   std::string text = HeadText(head, framing, body.size());
   if (framing == AnswerFraming::kChunks) {
-    text += (body.empty() ? std::string() : ChunkOf(body)) + "0\r\n\r\n";
+    text += (body.empty() ? std::string() : tests::Chunk(body)) + "0\r\n\r\n";
   } else {
     text += body;
   }
@@ -86,7 +79,7 @@
 
 Awaitable<void> EngineReply::SendPiece(std::string bytes) {
   if (framing_ == AnswerFraming::kChunks) {
-    bytes = ChunkOf(bytes);
+    bytes = tests::Chunk(bytes);
   }
   co_await Write(std::move(bytes));
 }
