Relay: attempts log how their connection was made

An attempt that was not sent looked the same whether the target refused the connection, did not answer in time, or a kept channel broke. The line has 'connection' (kept, connected, refused, no_answer) and 'unacknowledged' now. Connecting within a time was written twice, in the pool and in the crash checks; both use Connect().

--- a/src/connection/event/channel_pool.cc
+++ b/src/connection/event/channel_pool.cc
@@ -31,22 +31,15 @@
   return channel;
 }
 
-Awaitable<bool> ChannelPool::Open(std::shared_ptr<Channel> channel) {
-  asio::steady_timer timer(loop_, options_.connect_timeout);
-  timer.async_wait([channel](const ErrorCode& ec) {
-    if (!ec) {
-      CloseSocket(channel->socket);
-    }
-  });
+Awaitable<ConnectEnd> ChannelPool::Open(std::shared_ptr<Channel> channel) {
   ++opened_;
-  ErrorCode ec;
-  co_await channel->socket.async_connect(channel->endpoint, Into(ec));
-  timer.cancel();
-  if (ec || !channel->socket.is_open()) {
-    co_return false;
+  const std::shared_ptr<Tcp::socket> socket(channel, &channel->socket);
+  const ConnectEnd end = co_await Connect(loop_, socket, channel->endpoint,
+                                          options_.connect_timeout);
+  if (end == ConnectEnd::kConnected) {
+    TuneSocket(channel->socket, options_.user_timeout);
   }
-  TuneSocket(channel->socket, options_.user_timeout);
-  co_return true;
+  co_return end;
 }
 
 void ChannelPool::Keep(std::shared_ptr<Channel> channel) {
--- a/src/connection/event/channel_pool.h
+++ b/src/connection/event/channel_pool.h
@@ -15,6 +15,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "base/time.h"
+#include "connection/event/connect.h"
 #include "connection/event/http_types.h"
 
 namespace lynxglade::connection::event {
@@ -62,9 +63,8 @@
   // max_recent_idle are reused.
   std::shared_ptr<Channel> Take(const Tcp::endpoint& endpoint,
                                 bool recent_only);
-  // Connects; returns false on failure or timeout. Closing the channel's socket
-  // cancels the attempt.
-  Awaitable<bool> Open(std::shared_ptr<Channel> channel);
+  // Connects. Closing the channel's socket cancels the attempt.
+  Awaitable<ConnectEnd> Open(std::shared_ptr<Channel> channel);
   // Returns the connection to the pool. Call only after the answer was read
   // completely, and if the peer did not announce a close.
   void Keep(std::shared_ptr<Channel> channel);
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -64,7 +64,8 @@
   channel_ = pool_.Take(endpoint, recent_only);
   if (!channel_->socket.is_open()) {
     const auto channel = channel_;
-    if (!co_await pool_.Open(channel)) {
+    connect_end_ = co_await pool_.Open(channel);
+    if (connect_end_ != ConnectEnd::kConnected) {
       co_return state_;
     }
   }
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -83,6 +84,10 @@
   // request in time. The peer may still have received it, if only the path back
   // is broken.
   bool unacknowledged() const noexcept;
+  // How the connection was made; nothing if a kept one was used.
+  std::optional<ConnectEnd> connect_end() const noexcept {
+    return connect_end_;
+  }
   // Head of the answer; valid once state() is kHead or kWhole.
   const ResponseHead& head() const;
   BodyFraming framing() const;
@@ -108,6 +113,7 @@
   std::unique_ptr<Parser> parser_;
   std::array<char, 8192> piece_{};
   ExchangeState state_ = ExchangeState::kNotSent;
+  std::optional<ConnectEnd> connect_end_;
   // The answer being read belongs to another request.
   bool skipping_ = false;
 };
--- a/src/request/passthrough/crash_checks.cc
+++ b/src/request/passthrough/crash_checks.cc
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/error.hpp>
 
 #include "base/log.h"
 #include "connection/event/sleep.h"
@@ -18,8 +17,8 @@
 namespace {
 
 using connection::event::Awaitable;
-using connection::event::ErrorCode;
-using connection::event::Into;
+using connection::event::Connect;
+using connection::event::ConnectEnd;
 using connection::event::SleepFor;
 using connection::event::Tcp;
 namespace asio = connection::event::asio;
@@ -51,17 +50,17 @@
   const base::TargetId target = QuarantineTarget(*engine);
   const base::Time lost_at = clock_();
   const auto endpoint = EndpointOf(*engine);
-  Finding finding = Finding::kNoAnswer;
+  ConnectEnd finding = ConnectEnd::kNoAnswer;
   for (int i = 0; endpoint && i < options_.max_connections; ++i) {
     if (i > 0) {
       co_await SleepFor(loop_, options_.interval);
     }
-    finding = co_await Connect(*endpoint);
-    if (finding == Finding::kRefused) {
+    finding = co_await ConnectTo(*endpoint);
+    if (finding == ConnectEnd::kRefused) {
       quarantine_.OnTargetCrashed(target, clock_());
       break;
     }
-    if (finding == Finding::kAccepted && i > 0) {
+    if (finding == ConnectEnd::kConnected && i > 0) {
       quarantine_.OnTargetAlive(target, clock_());
       break;
     }
@@ -79,34 +78,21 @@
              {"ms", base::ToMillis(clock_() - lost_at)}});
 }
 
-Awaitable<CrashChecks::Finding> CrashChecks::Connect(Tcp::endpoint endpoint) {
+Awaitable<ConnectEnd> CrashChecks::ConnectTo(Tcp::endpoint endpoint) {
   const auto socket = std::make_shared<Tcp::socket>(loop_);
-  asio::steady_timer timer(loop_, options_.connect_timeout);
-  timer.async_wait([socket](const ErrorCode& ec) {
-    if (!ec) {
-      connection::event::CloseSocket(*socket);
-    }
-  });
-  ErrorCode ec;
-  co_await socket->async_connect(endpoint, Into(ec));
-  if (!ec) {
-    connection::event::ResetSocket(*socket);
-    co_return Finding::kAccepted;
-  }
-  connection::event::CloseSocket(*socket);
-  co_return ec == asio::error::connection_refused ||
-          ec == asio::error::connection_reset
-      ? Finding::kRefused
-      : Finding::kNoAnswer;
+  const ConnectEnd end =
+      co_await Connect(loop_, socket, endpoint, options_.connect_timeout);
+  connection::event::ResetSocket(*socket);
+  co_return end;
 }
 
-std::string_view CrashChecks::ToString(Finding finding) noexcept {
+std::string_view CrashChecks::ToString(ConnectEnd finding) noexcept {
   switch (finding) {
-    case Finding::kAccepted:
+    case ConnectEnd::kConnected:
       return "alive";
-    case Finding::kRefused:
+    case ConnectEnd::kRefused:
       return "crashed";
-    case Finding::kNoAnswer:
+    case ConnectEnd::kNoAnswer:
       break;
   }
   return "unknown";
--- a/src/request/passthrough/crash_checks.h
+++ b/src/request/passthrough/crash_checks.h
@@ -14,6 +14,7 @@
 #include "base/ids.h"
 #include "base/metrics.h"
 #include "base/time.h"
+#include "connection/event/connect.h"
 #include "connection/event/http_types.h"
 #include "request/passthrough/engine_table.h"
 #include "request/quarantine.h"
@@ -48,11 +49,11 @@
   void Start(const EngineHandle& engine);
 
  private:
-  enum class Finding { kAccepted, kRefused, kNoAnswer };
-  static std::string_view ToString(Finding finding) noexcept;
+  static std::string_view ToString(
+      connection::event::ConnectEnd finding) noexcept;
 
   connection::event::Awaitable<void> Check(EngineHandle engine);
-  connection::event::Awaitable<Finding> Connect(
+  connection::event::Awaitable<connection::event::ConnectEnd> ConnectTo(
       connection::event::Tcp::endpoint endpoint);
 
   connection::event::asio::io_context& loop_;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -44,6 +44,11 @@
   return answer;
 }
 
+// How the connection was made, for logs.
+std::string_view ConnectionName(const Exchange& exchange) {
+  return exchange.connect_end() ? ToString(*exchange.connect_end()) : "kept";
+}
+
 // A target may leave the type of a stream out.
 bool IsEventStream(const ResponseHead& head) {
   const auto type = head[http::field::content_type];
@@ -184,6 +189,8 @@
              {"status",
               rejected ? static_cast<std::int64_t>(exchange.head().result_int())
                        : std::int64_t{0}},
+             {"connection", ConnectionName(exchange)},
+             {"unacknowledged", exchange.unacknowledged()},
              {"counts", *may_count},
              {"stopped", IsStopped()},
              {"ms", base::ToMillis(deps_.clock() - started_at)}});
@@ -255,7 +262,9 @@
                  /*answering=*/events_.events() > events_before);
   answer_ = {.framing = exchange.framing(),
              .end = answer.end(),
-             .held_bytes = answer.held_bytes()};
+             .held_bytes = answer.held_bytes(),
+             .connection = ConnectionName(exchange),
+             .unacknowledged = exchange.unacknowledged()};
   current_ = nullptr;
   co_return end;
 }
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -233,6 +233,8 @@
        {"targets_age_ms", base::ToMillis(deps_.view_age())},
        {"configuration", table_->version()},
        {"end", ToString(end)},
+       {"connection", answer_.connection},
+       {"unacknowledged", answer_.unacknowledged},
        {"framing", ToString(answer_.framing)},
        {"answer_end", ToString(answer_.end)},
        {"held_bytes", static_cast<std::int64_t>(answer_.held_bytes)},
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -288,13 +288,17 @@
     std::string body;
   };
   std::optional<SavedAnswer> saved_answer_;
-  // For logs: how the last target delimited its answer, how it ended, and the
-  // size of an incomplete event that was held back at its end.
+  // For logs: how the last target was reached, how it delimited its answer, how
+  // that ended, and the size of an incomplete event that was held back.
   struct AnswerTrace {
     connection::event::BodyFraming framing =
         connection::event::BodyFraming::kNone;
     AnswerEnd end = AnswerEnd::kOpen;
     std::size_t held_bytes = 0;
+    // How the connection to the target was made.
+    std::string_view connection = "none";
+    // The target did not acknowledge the request in time.
+    bool unacknowledged = false;
   };
   AnswerTrace answer_;
   // For logs and metrics, since the request's arrival: end of the prefill, and
