--- a/tests/system/scripted_store.h
+++ b/tests/system/scripted_store.h
@@ -30,11 +30,12 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   bool Has(const std::string& key);
+  // Answers one request of the protocol.
+  connection::ScriptedServer::Reply Answer(const std::string& request);
 
  private:
   using Reply = connection::ScriptedServer::Reply;
 
-  Reply Answer(const std::string& request);
   nlohmann::json Range(const std::string& prefix);
   nlohmann::json Watch(const std::string& prefix, std::int64_t after);
   Reply Key(const std::string& key);
