Instances that are cut off from targets connect through others

Cause: an instance had no way to a target but its own; each request tried up to five targets and was refused.

A connection that is not made within 60 ms races with one through another instance: an HTTP upgrade on the peers' listener, after which bytes pass unchanged. All decisions, records and evidence stay with the instance that took the request. TargetPaths keeps which targets only others reach, by service and zone, with an age; probes of the own way renew it. A target that neither reaches fails at once. Crash checks ask others, too, so that a cut is no crash; a request that hangs on a way known to be cut is reset early.

--- a/src/connection/event/caller_reply.cc
+++ b/src/connection/event/caller_reply.cc
@@ -1,6 +1,7 @@
 #include "connection/event/caller_reply.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -91,6 +92,20 @@
   co_return whole_;
 }
 
+Awaitable<Tcp::socket*> CallerReply::SwitchProtocols(
+    std::string_view protocol) {
+  http::response<http::empty_body> message(http::status::switching_protocols,
+                                           http_version_);
+  message.set(http::field::connection, "Upgrade");
+  message.set(http::field::upgrade,
+              boost::beast::string_view(protocol.data(), protocol.size()));
+  ErrorCode ec;
+  co_await http::async_write(socket_, message, Into(ec));
+  whole_ = true;
+  closes_ = true;
+  co_return ec ? nullptr : &socket_;
+}
+
 void CallerReply::Abort() noexcept {
   // A reset, because a plain close would look like the end of an answer that is
   // delimited by the connection's end.
--- a/src/connection/event/caller_reply.h
+++ b/src/connection/event/caller_reply.h
@@ -43,6 +43,10 @@
   void Begin(AnswerHead head);
   Awaitable<bool> SendPiece(std::string_view bytes);
   Awaitable<bool> End();
+  // Agrees to another protocol on this connection (101), which the handler then
+  // speaks on the returned socket until it returns. Null if the answer could
+  // not be written.
+  Awaitable<Tcp::socket*> SwitchProtocols(std::string_view protocol);
   // Resets the connection, so that the caller cannot take a partial answer for
   // a complete one.
   void Abort() noexcept;
--- a/src/connection/event/channel_pool.cc
+++ b/src/connection/event/channel_pool.cc
@@ -6,10 +6,20 @@
 
 namespace lynxglade::connection::event {
 
+void Channel::Abandon() noexcept {
+  abandoned = true;
+  ResetSocket(socket);
+  opening.cancel();
+}
+
 ChannelPool::ChannelPool(asio::io_context& loop,
                          base::Clock clock,
-                         ChannelPoolOptions options)
-    : loop_(loop), clock_(std::move(clock)), options_(options) {}
+                         ChannelPoolOptions options,
+                         ChannelPoolHooks hooks)
+    : loop_(loop),
+      clock_(std::move(clock)),
+      options_(options),
+      hooks_(std::move(hooks)) {}
 
 std::shared_ptr<Channel> ChannelPool::Take(const Tcp::endpoint& endpoint,
                                            bool recent_only) {
@@ -22,7 +32,8 @@
     if (recent_only) {
       limit = std::min(limit, options_.max_recent_idle);
     }
-    if (now - channel->idle_since < limit && !HasInput(channel->socket)) {
+    if (now - channel->idle_since < limit && !HasInput(channel->socket) &&
+        IsTrusted(*channel)) {
       return channel;
     }
   }
@@ -33,15 +44,30 @@
 
 Awaitable<ConnectEnd> ChannelPool::Open(std::shared_ptr<Channel> channel) {
   ++opened_;
-  const std::shared_ptr<Tcp::socket> socket(channel, &channel->socket);
-  const ConnectEnd end = co_await Connect(loop_, socket, channel->endpoint,
-                                          options_.connect_timeout);
+  ConnectEnd end = ConnectEnd::kNoAnswer;
+  if (hooks_.open) {
+    end = co_await hooks_.open(channel);
+  } else {
+    const std::shared_ptr<Tcp::socket> socket(channel, &channel->socket);
+    end = co_await Connect(loop_, socket, channel->endpoint,
+                           options_.connect_timeout);
+  }
   if (end == ConnectEnd::kConnected) {
     TuneSocket(channel->socket, options_.user_timeout);
   }
   co_return end;
 }
 
+bool ChannelPool::IsTrusted(const Channel& channel) const {
+  return !hooks_.is_trusted || hooks_.is_trusted(channel);
+}
+
+void ChannelPool::OnUnacknowledged(const Channel& channel) const {
+  if (hooks_.on_unacknowledged) {
+    hooks_.on_unacknowledged(channel);
+  }
+}
+
 void ChannelPool::Keep(std::shared_ptr<Channel> channel) {
   auto& kept = idle_[channel->endpoint];
   if (kept.size() >= options_.max_idle_per_endpoint) {
@@ -57,7 +83,7 @@
   for (auto& [endpoint, kept] : idle_) {
     std::erase_if(kept, [&](const std::shared_ptr<Channel>& channel) {
       return now - channel->idle_since >= IdleLimit(*channel) ||
-             HasInput(channel->socket);
+             HasInput(channel->socket) || !IsTrusted(*channel);
     });
   }
   std::erase_if(idle_, [](const auto& row) { return row.second.empty(); });
--- a/src/connection/event/channel_pool.h
+++ b/src/connection/event/channel_pool.h
@@ -7,6 +7,7 @@
 #define LYNXGLADE_CONNECTION_EVENT_CHANNEL_POOL_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +15,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "base/ids.h"
 #include "base/time.h"
 #include "connection/event/connect.h"
 #include "connection/event/http_types.h"
@@ -37,9 +39,17 @@
 };
 
 struct Channel {
-  explicit Channel(asio::io_context& loop) : socket(loop) {}
+  explicit Channel(asio::io_context& loop) : socket(loop), opening(loop) {}
+
+  // Resets the connection, or ends its opening.
+  void Abandon() noexcept;
 
   Tcp::socket socket;
+  // Waited on while the connection is opened; cancelled when it is abandoned.
+  asio::steady_timer opening;
+  bool abandoned = false;
+  // The instance through which the connection leads; empty if it is direct.
+  base::InstanceId via;
   boost::beast::flat_buffer buffer;
   Tcp::endpoint endpoint;
   // Number of requests answered on this connection.
@@ -49,12 +59,24 @@
   std::optional<base::Duration> idle_limit;
 };
 
+// What else than a direct connection leads to an endpoint. Hooks may be empty.
+struct ChannelPoolHooks {
+  // Opens the channel's socket in place of a direct connection.
+  std::function<Awaitable<ConnectEnd>(std::shared_ptr<Channel>)> open;
+  // Whether a connection that is idle, or whose peer does not acknowledge a
+  // request, may still work.
+  std::function<bool(const Channel&)> is_trusted;
+  // The peer has not acknowledged a request for a while.
+  std::function<void(const Channel&)> on_unacknowledged;
+};
+
 // Not thread-safe: runs on the event loop. Must outlive its channels.
 class ChannelPool {
  public:
   ChannelPool(asio::io_context& loop,
               base::Clock clock,
-              ChannelPoolOptions options = {});
+              ChannelPoolOptions options = {},
+              ChannelPoolHooks hooks = {});
   ChannelPool(const ChannelPool&) = delete;
   ChannelPool& operator=(const ChannelPool&) = delete;
 
@@ -63,13 +85,17 @@
   // max_recent_idle are reused.
   std::shared_ptr<Channel> Take(const Tcp::endpoint& endpoint,
                                 bool recent_only);
-  // Connects. Closing the channel's socket cancels the attempt.
+  // Connects, by the hook if there is one. Abandoning the channel cancels the
+  // attempt.
   Awaitable<ConnectEnd> Open(std::shared_ptr<Channel> channel);
+  // See ChannelPoolHooks.
+  bool IsTrusted(const Channel& channel) const;
+  void OnUnacknowledged(const Channel& channel) const;
   // Returns the connection to the pool. Call only after the answer was read
   // completely, and if the peer did not announce a close.
   void Keep(std::shared_ptr<Channel> channel);
-  // Closes connections that have been idle for too long or were closed by the
-  // peer. Call about every second.
+  // Closes connections that have been idle for too long, were closed by the
+  // peer or may not be reused. Call about every second.
   void CloseIdle();
   // Closes the idle connections to an endpoint that stopped answering, since
   // they may be broken, too.
@@ -84,6 +110,7 @@
   asio::io_context& loop_;
   const base::Clock clock_;
   const ChannelPoolOptions options_;
+  const ChannelPoolHooks hooks_;
   std::uint64_t opened_ = 0;
   std::map<Tcp::endpoint, std::vector<std::shared_ptr<Channel>>> idle_;
 };
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -72,6 +72,7 @@
   if (state_ == ExchangeState::kCancelled) {
     co_return state_;
   }
+  via_ = channel_->via;
   Send(std::move(request));
   WatchSending();
   const bool got_head = co_await ReadHead(is_answer);
@@ -101,21 +102,50 @@
 
 void Exchange::WatchSending() {
   sending_->watch = std::make_unique<asio::steady_timer>(
-      channel_->socket.get_executor(), options_.acknowledge_timeout);
-  sending_->watch->async_wait([sending = std::weak_ptr(sending_),
+      channel_->socket.get_executor(), options_.suspect_timeout);
+  sending_->watch->async_wait([&pool = pool_, options = options_,
+                               sending = std::weak_ptr(sending_),
                                channel = channel_](const ErrorCode& ec) {
-    const bool stuck = !ec && channel->socket.is_open() &&
-                       UnacknowledgedBytes(channel->socket) > 0;
-    if (!stuck) {
+    if (ec || !channel->socket.is_open()) {
       return;
     }
-    if (const auto it = sending.lock()) {
-      it->unacknowledged = true;
+    if (UnacknowledgedBytes(channel->socket) > 0) {
+      pool.OnUnacknowledged(*channel);
     }
-    ResetSocket(channel->socket);
+    WatchSuspect(pool, options, sending, channel, options.suspect_timeout);
   });
 }
 
+// Ends with the first acknowledgement of the whole request.
+void Exchange::WatchSuspect(const ChannelPool& pool,
+                            const ExchangeOptions& options,
+                            const std::weak_ptr<Sending>& sending,
+                            const std::shared_ptr<Channel>& channel,
+                            base::Duration waited) {
+  const auto it = sending.lock();
+  if (!it || !it->watch || !channel->socket.is_open()) {
+    return;
+  }
+  const bool stuck = UnacknowledgedBytes(channel->socket) > 0;
+  if (!stuck && (it->written || waited >= options.acknowledge_timeout)) {
+    return;
+  }
+  if (stuck &&
+      (waited >= options.acknowledge_timeout || !pool.IsTrusted(*channel))) {
+    it->unacknowledged = true;
+    ResetSocket(channel->socket);
+    return;
+  }
+  it->watch->expires_after(options.suspect_period);
+  it->watch->async_wait(
+      [&pool, options, sending, channel, waited](const ErrorCode& ec) {
+        if (!ec) {
+          WatchSuspect(pool, options, sending, channel,
+                       waited + options.suspect_period);
+        }
+      });
+}
+
 Awaitable<bool> Exchange::ReadHead(const AnswerFilter& is_answer) {
   int skipped = 0;
   while (skipped <= options_.max_foreign_answers) {
@@ -246,7 +276,7 @@
   }
   state_ = ExchangeState::kCancelled;
   if (channel_) {
-    ResetSocket(channel_->socket);
+    channel_->Abandon();
   }
 }
 
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -43,9 +43,15 @@
   // connection.
   int max_foreign_answers = 4;
   std::uint32_t max_head_bytes = 32 * 1024;
-  // If the peer has not acknowledged all sent bytes within this time, the
-  // connection is reset. Less than TCP_USER_TIMEOUT, since a connection that
-  // the kernel has ended can no longer be reset.
+  // If the peer has not acknowledged all sent bytes within this time, the pool
+  // is told.
+  base::Duration suspect_timeout = std::chrono::milliseconds(200);
+  // How often it is then asked whether the connection may still work.
+  base::Duration suspect_period = std::chrono::milliseconds(100);
+  // If it does not, or if the peer has not acknowledged within this time, the
+  // connection is reset. Less than
+  // TCP_USER_TIMEOUT, since a connection that the kernel has ended can no
+  // longer be reset.
   base::Duration acknowledge_timeout = std::chrono::milliseconds(900);
 };
 
@@ -84,6 +90,8 @@
   // request in time. The peer may still have received it, if only the path back
   // is broken.
   bool unacknowledged() const noexcept;
+  // The instance through which the connection leads; empty if it is direct.
+  const base::InstanceId& via() const noexcept { return via_; }
   // How the connection was made; nothing if a kept one was used.
   std::optional<ConnectEnd> connect_end() const noexcept {
     return connect_end_;
@@ -94,8 +102,14 @@
 
  private:
   struct Sending;
-  // Resets the connection if the request is not acknowledged in time.
+  // Tells the pool if the request is not acknowledged soon, and resets the
+  // connection if it is not in time.
   void WatchSending();
+  static void WatchSuspect(const ChannelPool& pool,
+                           const ExchangeOptions& options,
+                           const std::weak_ptr<Sending>& sending,
+                           const std::shared_ptr<Channel>& channel,
+                           base::Duration waited);
   using Parser = http::response_parser<http::buffer_body>;
 
   void Send(OutgoingRequest request);
@@ -114,6 +128,7 @@
   std::array<char, 8192> piece_{};
   ExchangeState state_ = ExchangeState::kNotSent;
   std::optional<ConnectEnd> connect_end_;
+  base::InstanceId via_;
   // The answer being read belongs to another request.
   bool skipping_ = false;
 };
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -22,6 +22,7 @@
 #include "process/peers/instance_presence.h"
 #include "process/peers/quarantine_records.h"
 #include "process/peers/spending_mark.h"
+#include "process/peers/target_connector.h"
 #include "process/peers/watch_sharing.h"
 #include "process/stages/stage_orders.h"
 #include "process/store/prefix_follower.h"
@@ -31,6 +32,7 @@
 #include "request/passthrough/relay.h"
 #include "request/passthrough/sample_demand.h"
 #include "request/passthrough/send_limits.h"
+#include "request/passthrough/target_paths.h"
 #include "request/quarantine.h"
 
 namespace lynxglade {
@@ -58,6 +60,8 @@
   process::stages::StageOrderHooks OrderHooks();
   void OnQuarantineEvent(const request::QuarantineEvent& event);
   process::peers::QuarantineRecordsHooks QuarantineHooks();
+  process::peers::TargetConnectorHooks ConnectorHooks();
+  request::passthrough::ReachTarget ReachThroughConnector();
   // Starts the exchange with peer instances through this address.
   void JoinPeers(const process::Endpoint& endpoint);
   process::store::PrefixFollowerHooks InstanceKeysHooks();
@@ -72,10 +76,16 @@
   const base::RandomSource random = base::SystemRandom();
   connection::event::asio::io_context loop{1};
   base::Metrics metrics;
+  // Direct connections, to the platform and to other instances; also those of
+  // orders, which a target takes as given by the instance that connects.
   connection::event::ChannelPool channels{loop, clock};
   platform::StoreClient store;
 
   EntryViews views{clock, metrics};
+  request::passthrough::TargetPaths paths;
+  process::peers::TargetConnector connector;
+  // Connections for requests, some of which lead through other instances.
+  connection::event::ChannelPool target_channels;
   request::passthrough::PeerPrefills peer_prefills;
   request::passthrough::PeerAvoidance peer_avoidance;
   request::passthrough::ZoneHealth zones;
@@ -93,11 +103,8 @@
   request::passthrough::EnginePicker picker;
   request::passthrough::SharedRetryBudget retry_budget;
   request::Quarantine quarantine;
-  request::passthrough::CrashChecks crash_checks{loop,
-                                                 quarantine,
-                                                 {},
-                                                 clock,
-                                                 metrics};
+  request::passthrough::CrashChecks crash_checks{
+      loop, quarantine, {}, clock, metrics, ReachThroughConnector()};
   process::peers::QuarantineRecords quarantine_records;
   process::peers::InstancePresence presence;
   process::peers::SpendingMark spending_mark;
@@ -123,6 +130,8 @@
   // New requests are rejected, as they might not finish before the process
   // exits.
   bool rejecting = false;
+  // How late the last maintenance began.
+  base::Duration loop_lag{};
 };
 
 }  // namespace lynxglade
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -51,6 +51,15 @@
 EntryDaemon::Details::Details(const process::EntrySettings& s)
     : settings(s),
       store(loop, channels, {.endpoint = EndpointOf(s.store)}, metrics),
+      connector(loop,
+                views.engines(),
+                paths,
+                {.choice = {.instance = s.instance, .zone = s.zone}},
+                ConnectorHooks(),
+                clock,
+                random,
+                metrics),
+      target_channels(loop, clock, {}, connector.PoolHooks()),
       limits({.instance = s.instance}, LimitHooks(), clock, metrics),
       picker(
           {.zone = s.zone},
@@ -182,9 +191,12 @@
 
 Awaitable<void> EntryDaemon::Details::RunMaintenance() {
   while (true) {
+    const base::Time due = clock() + kMaintenancePeriod;
     co_await SleepFor(loop, kMaintenancePeriod);
+    loop_lag = clock() - due;
     views.engines().Expire(clock());
     channels.CloseIdle();
+    target_channels.CloseIdle();
     if (peers) {
       peers->quarantine_sharing().Tick();
     }
@@ -228,7 +240,8 @@
       rejecting = true;
       callers.CloseIdle();
     }
-    if (balancer_noticed && callers.connections() == 0) {
+    const bool tunnels_open = peers && peers->tunnels().open() > 0;
+    if (balancer_noticed && callers.connections() == 0 && !tunnels_open) {
       break;
     }
     co_await SleepFor(loop, kDrainPollPeriod);
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -12,6 +12,7 @@
 #include "platform/engine_orders.h"
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
+#include "process/peers/change_relay.h"
 
 namespace lynxglade {
 
@@ -30,6 +31,9 @@
 // After this time without a request, all engines may change stage, or be
 // replaced, at once.
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(3);
+// An instance whose event loop is later than this has no processor time left
+// for others.
+constexpr base::Duration kMaxLoopLag = std::chrono::milliseconds(50);
 // Delay after a watch that returned changes, to batch a burst of changes. It is
 // shorter if one instance watches the store for the others: its calls cost
 // little, and a change is delayed at each step of the way.
@@ -39,27 +43,48 @@
 
 }  // namespace
 
+process::peers::TargetConnectorHooks EntryDaemon::Details::ConnectorHooks() {
+  return {
+      .peers = [this]() -> const std::vector<process::peers::InstancePeer>& {
+        return presence.Peers();
+      },
+      .on_cut =
+          [this](request::passthrough::Engine& target) {
+            target.health.Clear();
+            zones.OnReached(target.entry.zone);
+          }};
+}
+
+request::passthrough::ReachTarget
+EntryDaemon::Details::ReachThroughConnector() {
+  return [this](request::passthrough::EngineHandle target) {
+    return connector.Reach(std::move(target));
+  };
+}
+
 void EntryDaemon::Details::JoinPeers(const process::Endpoint& endpoint) {
   peers.emplace(
-      EntryPeersDependencies{.loop = loop,
-                             .presence = presence,
-                             .watches = watches,
-                             .engines = views.engines(),
-                             .prefills = peer_prefills,
-                             .avoidance = peer_avoidance,
-                             .retry_budget = retry_budget,
-                             .limits = limits,
-                             .served_shares = served_shares,
-                             .quarantine = quarantine,
-                             .view_age = [this] { return ViewAge(); },
-                             .is_served =
-                                 [this](const base::ServiceName& service) {
-                                   return views.routes() &&
-                                          views.routes()->FindService(service);
-                                 },
-                             .clock = clock,
-                             .random = random,
-                             .metrics = metrics},
+      EntryPeersDependencies{
+          .loop = loop,
+          .presence = presence,
+          .watches = watches,
+          .engines = views.engines(),
+          .paths = paths,
+          .prefills = peer_prefills,
+          .avoidance = peer_avoidance,
+          .retry_budget = retry_budget,
+          .limits = limits,
+          .served_shares = served_shares,
+          .quarantine = quarantine,
+          .view_age = [this] { return ViewAge(); },
+          .is_served =
+              [this](const base::ServiceName& service) {
+                return views.routes() && views.routes()->FindService(service);
+              },
+          .busy = [this] { return stopping || loop_lag > kMaxLoopLag; },
+          .clock = clock,
+          .random = random,
+          .metrics = metrics},
       settings, endpoint);
   if (settings.duty_calls) {
     duties.emplace(
@@ -170,7 +195,7 @@
 EntryDaemon::Details::MakeRelayDependencies() {
   return {
       .loop = loop,
-      .channels = channels,
+      .channels = target_channels,
       .engines = views.engines(),
       .picker = picker,
       .prefill_times = prefill_times,
@@ -393,8 +418,15 @@
   metrics.AddGauge("lynxglade_configuration_version", {}, [this] {
     return views.routes() ? static_cast<double>(views.routes()->version()) : -1;
   });
-  metrics.AddGauge("lynxglade_connections_opened", {},
-                   [this] { return static_cast<double>(channels.opened()); });
+  metrics.AddGauge("lynxglade_connections_opened", {}, [this] {
+    return static_cast<double>(channels.opened() + target_channels.opened());
+  });
+  metrics.AddGauge("lynxglade_targets_through_others", {}, [this] {
+    return static_cast<double>(paths.CountThroughOthers(clock()));
+  });
+  metrics.AddGauge("lynxglade_tunnels_open", {}, [this] {
+    return peers ? static_cast<double>(peers->tunnels().open()) : 0;
+  });
   metrics.AddGauge("lynxglade_callers_connected", {}, [this] {
     return static_cast<double>(callers.connections());
   });
--- a/src/main/entry_peers.cc
+++ b/src/main/entry_peers.cc
@@ -77,11 +77,24 @@
           {},
           deps.clock,
           deps.random),
-      change_relay_(deps.loop,
-                    EndpointOf(endpoint),
-                    deps.watches,
-                    deps.clock,
-                    deps.metrics) {}
+      tunnels_(
+          deps.loop,
+          deps.engines,
+          deps.paths,
+          {},
+          {.peers =
+               [this]() -> const std::vector<process::peers::InstancePeer>& {
+             return presence_.Peers();
+           },
+           .busy = deps.busy},
+          deps.clock,
+          deps.metrics),
+      server_(deps.loop,
+              EndpointOf(endpoint),
+              deps.watches,
+              &tunnels_,
+              deps.clock,
+              deps.metrics) {}
 
 std::vector<process::peers::InstancePeer> EntryPeers::SharingPeers() const {
   return process::peers::SharingPeers(presence_.Peers(), sharing_);
@@ -105,7 +118,7 @@
   limit_sharing_.Start();
   quarantine_sharing_.Start();
   share_sharing_.Start();
-  return change_relay_.Start(reason);
+  return server_.Start(reason);
 }
 
 }  // namespace lynxglade
--- a/src/main/entry_peers.h
+++ b/src/main/entry_peers.h
@@ -1,6 +1,7 @@
 // What an entry instance exchanges with the others: work at engines, targets
 // to avoid and their limits, contents that crash targets, loans of retry
-// budget, shares of requests served and changes of the store.
+// budget, shares of requests served, changes of the store and connections to
+// targets.
 #ifndef LYNXGLADE_MAIN_ENTRY_PEERS_H_
 #define LYNXGLADE_MAIN_ENTRY_PEERS_H_
 
@@ -13,14 +14,15 @@
 #include "base/time.h"
 #include "process/entry_settings.h"
 #include "process/peers/avoidance_sharing.h"
-#include "process/peers/change_relay.h"
 #include "process/peers/instance_presence.h"
 #include "process/peers/limit_sharing.h"
 #include "process/peers/peer_datagrams.h"
+#include "process/peers/peer_server.h"
 #include "process/peers/prefill_sharing.h"
 #include "process/peers/quarantine_sharing.h"
 #include "process/peers/retry_loans.h"
 #include "process/peers/share_sharing.h"
+#include "process/peers/target_tunnels.h"
 #include "process/peers/watch_sharing.h"
 #include "request/passthrough/engine_table.h"
 #include "request/passthrough/peer_avoidance.h"
@@ -37,6 +39,7 @@
   const process::peers::InstancePresence& presence;
   process::peers::WatchSharing& watches;
   const request::passthrough::EngineTable& engines;
+  request::passthrough::TargetPaths& paths;
   request::passthrough::PeerPrefills& prefills;
   request::passthrough::PeerAvoidance& avoidance;
   request::passthrough::SharedRetryBudget& retry_budget;
@@ -47,6 +50,8 @@
   std::function<base::Duration()> view_age;
   // Whether the configuration names the service.
   std::function<bool(const base::ServiceName&)> is_served;
+  // Whether this instance accepts no further work of others now.
+  std::function<bool()> busy;
   base::Clock clock;
   base::RandomSource random;
   base::Metrics& metrics;
@@ -72,6 +77,9 @@
   process::peers::QuarantineSharing& quarantine_sharing() noexcept {
     return quarantine_sharing_;
   }
+  const process::peers::TargetTunnels& tunnels() const noexcept {
+    return tunnels_;
+  }
 
  private:
   // The peers that load is shared with.
@@ -87,7 +95,8 @@
   process::peers::LimitSharing limit_sharing_;
   process::peers::QuarantineSharing quarantine_sharing_;
   process::peers::ShareSharing share_sharing_;
-  process::peers::ChangeRelay change_relay_;
+  process::peers::TargetTunnels tunnels_;
+  process::peers::PeerServer server_;
 };
 
 }  // namespace lynxglade
--- a/src/process/peers/change_relay.cc
+++ b/src/process/peers/change_relay.cc
@@ -15,7 +15,6 @@
 using connection::event::Call;
 using connection::event::CallerReply;
 using connection::event::CallerRequest;
-using connection::event::CallerServerLimits;
 using connection::event::ExchangeState;
 using connection::event::OutgoingRequest;
 using connection::event::Tcp;
@@ -26,8 +25,6 @@
 // Added to the wait for the round trip and a busy relay.
 constexpr base::Duration kResponseMargin = std::chrono::milliseconds(400);
 constexpr std::size_t kMaxResponseBytes = std::size_t{512} * 1024;
-// Connections from instances of the zone; far more than a zone has instances.
-constexpr std::size_t kMaxConnections = 512;
 constexpr unsigned kHttp11 = 11;
 
 constexpr http::status kNotWatchingStatus = http::status::service_unavailable;
@@ -94,24 +91,9 @@
   };
 }
 
-ChangeRelay::ChangeRelay(asio::io_context& loop,
-                         Tcp::endpoint endpoint,
-                         WatchSharing& watches,
-                         base::Clock clock,
-                         base::Metrics& metrics)
-    : watches_(watches),
-      server_(
-          loop,
-          {.endpoint = std::move(endpoint), .max_connections = kMaxConnections},
-          [] { return CallerServerLimits(); },
-          [this](std::shared_ptr<CallerRequest> request, CallerReply& reply) {
-            return Serve(std::move(request), reply);
-          },
-          std::move(clock),
-          metrics) {}
-
-Awaitable<void> ChangeRelay::Serve(std::shared_ptr<CallerRequest> request,
-                                   CallerReply& reply) {
+Awaitable<void> ServeQuery(WatchSharing& watches,
+                           std::shared_ptr<CallerRequest> request,
+                           CallerReply& reply) {
   connection::event::AnswerHead head;
   std::string body;
   const auto query = DecodeQuery(View(request->head.target()));
@@ -121,7 +103,7 @@
     co_return;
   }
   RelayFault fault = RelayFault::kAskStore;
-  const auto answer = co_await watches_.ServeChanges(*query, &fault);
+  const auto answer = co_await watches.ServeChanges(*query, &fault);
   auto message = answer ? EncodeAnswer(*answer) : std::nullopt;
   if (message) {
     head.status = static_cast<unsigned>(http::status::ok);
--- a/src/request/passthrough/crash_checks.cc
+++ b/src/request/passthrough/crash_checks.cc
@@ -33,12 +33,14 @@
                          Quarantine& quarantine,
                          CrashCheckOptions options,
                          base::Clock clock,
-                         base::Metrics& metrics)
+                         base::Metrics& metrics,
+                         ReachTarget reach)
     : loop_(loop),
       quarantine_(quarantine),
       options_(options),
       clock_(std::move(clock)),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      reach_(std::move(reach)) {}
 
 void CrashChecks::Start(const EngineHandle& engine) {
   if (running_.insert(QuarantineTarget(*engine)).second) {
@@ -49,13 +51,12 @@
 Awaitable<void> CrashChecks::Check(EngineHandle engine) {
   const base::TargetId target = QuarantineTarget(*engine);
   const base::Time lost_at = clock_();
-  const auto endpoint = EndpointOf(*engine);
   ConnectEnd finding = ConnectEnd::kNoAnswer;
-  for (int i = 0; endpoint && i < options_.max_connections; ++i) {
+  for (int i = 0; i < options_.max_connections; ++i) {
     if (i > 0) {
       co_await SleepFor(loop_, options_.interval);
     }
-    finding = co_await ConnectTo(*endpoint);
+    finding = co_await ConnectTo(engine);
     if (finding == ConnectEnd::kRefused) {
       quarantine_.OnTargetCrashed(target, clock_());
       break;
@@ -78,10 +79,17 @@
              {"ms", base::ToMillis(clock_() - lost_at)}});
 }
 
-Awaitable<ConnectEnd> CrashChecks::ConnectTo(Tcp::endpoint endpoint) {
+Awaitable<ConnectEnd> CrashChecks::ConnectTo(EngineHandle engine) {
+  if (reach_) {
+    co_return co_await reach_(std::move(engine));
+  }
+  const auto endpoint = EndpointOf(*engine);
+  if (!endpoint) {
+    co_return ConnectEnd::kNoAnswer;
+  }
   const auto socket = std::make_shared<Tcp::socket>(loop_);
   const ConnectEnd end =
-      co_await Connect(loop_, socket, endpoint, options_.connect_timeout);
+      co_await Connect(loop_, socket, *endpoint, options_.connect_timeout);
   connection::event::ResetSocket(*socket);
   co_return end;
 }
--- a/src/request/passthrough/crash_checks.h
+++ b/src/request/passthrough/crash_checks.h
@@ -8,6 +8,7 @@
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_CRASH_CHECKS_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_CRASH_CHECKS_H_
 
+#include <functional>
 #include <set>
 #include <string_view>
 
@@ -30,6 +31,11 @@
   int max_connections = 3;
 };
 
+// Whether the target accepts connections.
+using ReachTarget =
+    std::function<connection::event::Awaitable<connection::event::ConnectEnd>(
+        EngineHandle)>;
+
 // What the quarantine takes as the target: its address. A restarted process has
 // another id, but the same machine may crash again and again.
 base::TargetId QuarantineTarget(const Engine& engine);
@@ -37,11 +43,13 @@
 // Not thread-safe: runs on the event loop.
 class CrashChecks {
  public:
+  // `reach` connects to a target and closes the connection; empty: directly.
   CrashChecks(connection::event::asio::io_context& loop,
               Quarantine& quarantine,
               CrashCheckOptions options,
               base::Clock clock,
-              base::Metrics& metrics);
+              base::Metrics& metrics,
+              ReachTarget reach = {});
   CrashChecks(const CrashChecks&) = delete;
   CrashChecks& operator=(const CrashChecks&) = delete;
 
@@ -54,13 +62,14 @@
 
   connection::event::Awaitable<void> Check(EngineHandle engine);
   connection::event::Awaitable<connection::event::ConnectEnd> ConnectTo(
-      connection::event::Tcp::endpoint endpoint);
+      EngineHandle engine);
 
   connection::event::asio::io_context& loop_;
   Quarantine& quarantine_;
   const CrashCheckOptions options_;
   const base::Clock clock_;
   base::Metrics& metrics_;
+  const ReachTarget reach_;
   std::set<base::TargetId> running_;
 };
 
--- a/src/request/passthrough/engine_health.h
+++ b/src/request/passthrough/engine_health.h
@@ -36,6 +36,9 @@
   // It runs a request, or has prefilled a prompt.
   void OnAccepted() noexcept;
 
+  // The failures had another cause than the target.
+  void Clear() noexcept { OnAccepted(); }
+
   // Whether other targets should be preferred.
   bool IsAvoided(base::Time now) const noexcept { return now < avoid_until_; }
   base::Time avoid_until() const noexcept { return avoid_until_; }
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -139,6 +139,18 @@
   indexed_ = false;
 }
 
+EngineHandle EngineTable::FindByAddress(std::string_view ip,
+                                        std::uint16_t port) const {
+  EngineHandle found;
+  for (const auto& [id, engine] : engines_) {
+    const bool matches = engine->entry.port == port && engine->entry.ip == ip;
+    if (matches && (!found || engine->stage_since >= found->stage_since)) {
+      found = engine;
+    }
+  }
+  return found;
+}
+
 EngineHandle EngineTable::Find(const base::TargetId& id) const {
   const auto it = engines_.find(id);
   return it == engines_.end() ? nullptr : it->second;
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -157,6 +157,9 @@
 
   // Null if unknown.
   EngineHandle Find(const base::TargetId& id) const;
+  // The target at an address, of several the one that came last; null if there
+  // is none.
+  EngineHandle FindByAddress(std::string_view ip, std::uint16_t port) const;
   // Targets of a service that requests use, ordered by id, draining ones
   // included.
   const std::vector<EngineHandle>& OfService(
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -190,6 +190,7 @@
               rejected ? static_cast<std::int64_t>(exchange.head().result_int())
                        : std::int64_t{0}},
              {"connection", ConnectionName(exchange)},
+             {"via", exchange.via().str()},
              {"unacknowledged", exchange.unacknowledged()},
              {"counts", *may_count},
              {"stopped", IsStopped()},
@@ -264,6 +265,7 @@
              .end = answer.end(),
              .held_bytes = answer.held_bytes(),
              .connection = ConnectionName(exchange),
+             .via = exchange.via(),
              .unacknowledged = exchange.unacknowledged()};
   current_ = nullptr;
   co_return end;
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -234,6 +234,7 @@
        {"configuration", table_->version()},
        {"end", ToString(end)},
        {"connection", answer_.connection},
+       {"via", answer_.via.str()},
        {"unacknowledged", answer_.unacknowledged},
        {"framing", ToString(answer_.framing)},
        {"answer_end", ToString(answer_.end)},
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -297,6 +297,8 @@
     std::size_t held_bytes = 0;
     // How the connection to the target was made.
     std::string_view connection = "none";
+    // The instance through which it leads; empty if it is direct.
+    base::InstanceId via;
     // The target did not acknowledge the request in time.
     bool unacknowledged = false;
   };
--- a/tests/process/peers/watch_sharing_test.cc
+++ b/tests/process/peers/watch_sharing_test.cc
@@ -16,6 +16,7 @@
 
 #include "process/peers/change_messages.h"
 #include "process/peers/change_relay.h"
+#include "process/peers/peer_server.h"
 #include "process/store/fake_store_port.h"
 #include "process/store/prefix_follower.h"
 
@@ -524,11 +525,12 @@
     peers_ = Peers(10);
     instance_ = std::make_unique<Instance>(loop_, store_, Relays()[0].str(),
                                            peers_, MakeFakeQuery(), now_);
-    relay_ = std::make_unique<ChangeRelay>(
+    relay_ = std::make_unique<PeerServer>(
         loop_,
         connection::event::Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
                                          0),
-        instance_->watches, [this] { return now_; }, metrics_);
+        instance_->watches, /*tunnels=*/nullptr, [this] { return now_; },
+        metrics_);
     std::string reason;
     EXPECT_TRUE(relay_->Start(&reason)) << reason;
   }
@@ -559,7 +561,7 @@
   base::Metrics metrics_;
   connection::event::ChannelPool channels_{loop_, base::BootClock::now};
   std::unique_ptr<Instance> instance_;
-  std::unique_ptr<ChangeRelay> relay_;
+  std::unique_ptr<PeerServer> relay_;
 };
 
 TEST_F(ChangeRelayTest, InstanceWithoutWatchReportsNotWatching) {
