Transport: what a peer sends without end is read ahead up to a bound

Bytes that are no answer may come until the connection is closed. Beast reads a chunk's size line, its extensions and trailers ahead until their end, into a buffer without a limit; informational answers were skipped without a count. Callers of requests waited until their deadline while memory grew.

With it tests of tunnels and of the choice between instances; observations of paths that no request uses are no longer renewed by their own probes, which target_paths_test found.

--- a/src/connection/event/channel_pool.h
+++ b/src/connection/event/channel_pool.h
@@ -44,13 +44,17 @@
   // Resets the connection, or ends its opening.
   void Abandon() noexcept;
 
+  // Bytes read ahead at most: more than a head may have, and than what a chunk's
+  // size line or trailers ever need.
+  static constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
+
   Tcp::socket socket;
   // Waited on while the connection is opened; cancelled when it is abandoned.
   asio::steady_timer opening;
   bool abandoned = false;
   // The instance through which the connection leads; empty if it is direct.
   base::InstanceId via;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxReadAhead};
   Tcp::endpoint endpoint;
   // Number of requests answered on this connection.
   int answered = 0;
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -148,6 +148,7 @@
 
 Awaitable<bool> Exchange::ReadHead(const AnswerFilter& is_answer) {
   int skipped = 0;
+  int informational = 0;
   while (skipped <= options_.max_foreign_answers) {
     MakeParser();
     ErrorCode ec;
@@ -159,6 +160,9 @@
       co_return false;
     }
     if (parser_->get().result_int() < kFirstFinalStatus) {
+      if (++informational > options_.max_informational_answers) {
+        break;
+      }
       continue;
     }
     if (IsOurs(is_answer, skipped)) {
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -42,6 +42,8 @@
   // Limit on skipped answers that belong to earlier requests on a reused
   // connection.
   int max_foreign_answers = 4;
+  // Limit on informational answers (1xx) before the final one.
+  int max_informational_answers = 8;
   std::uint32_t max_head_bytes = 32 * 1024;
   // If the peer has not acknowledged all sent bytes within this time, the pool
   // is told.
--- a/src/process/peers/tunnel_choice.cc
+++ b/src/process/peers/tunnel_choice.cc
@@ -13,6 +13,8 @@
 
 // Time constant with which the count of tunnels opened decays.
 constexpr base::Duration kLoadDecay = std::chrono::seconds(2);
+// What an instance replied longer ago has no effect any more.
+constexpr base::Duration kMaxStateAge = std::chrono::seconds(10);
 
 double Decayed(double count, base::Duration age) {
   return count *
@@ -70,7 +72,11 @@
                            const TargetGroup& group,
                            TunnelReply reply,
                            base::Time now) {
+  std::erase_if(peers_, [now](const auto& row) {
+    return now - row.second.told_at > kMaxStateAge;
+  });
   PeerState& it = peers_[peer];
+  it.told_at = now;
   switch (reply) {
     case TunnelReply::kOpened:
       it.opened = Decayed(it.opened, now - it.opened_at) + 1;
--- a/src/process/peers/tunnel_choice.h
+++ b/src/process/peers/tunnel_choice.h
@@ -65,6 +65,7 @@
   double LoadOf(const base::InstanceId& peer, base::Time now) const;
 
   struct PeerState {
+    base::Time told_at{};
     base::Time left_out_until{};
     std::map<TargetGroup, base::Time> unreached_until;
     // Decays with time.
--- a/src/request/passthrough/target_paths.cc
+++ b/src/request/passthrough/target_paths.cc
@@ -39,7 +39,9 @@
                                base::Time began,
                                base::Time now) {
   Group& group = groups_[KeyOf(target)];
-  group.used_at = std::max(group.used_at, now);
+  if (group.targets.empty()) {
+    group.used_at = now;
+  }
   Observation& it = group.targets[target.id];
   const TargetPath path =
       others_reach ? TargetPath::kThroughOthers : TargetPath::kNone;
