Caller server: endless chunk heads and trailers end the connection

A caller's chunk size line, extension or trailer without an end was read into memory without a limit. The new test sent 8 MiB without being stopped; now the connection ends at 64 KiB beyond the limit on heads.

--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -29,6 +29,10 @@
 // descriptors.
 constexpr base::Duration kAcceptPause = std::chrono::milliseconds(50);
 
+// Bytes read ahead beyond a head: more than the size line of a chunk or trailers
+// ever need.
+constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
+
 using BodyParser = http::request_parser<http::string_body>;
 
 // Why the next request of a connection could not be read.
@@ -190,6 +194,7 @@
   if (!begun) {
     co_return nullptr;
   }
+  buffer_.max_size(bounds.max_header_bytes + kMaxReadAhead);
   BodyParser parser;
   parser.header_limit(static_cast<std::uint32_t>(bounds.max_header_bytes));
   parser.body_limit(bounds.max_body_bytes);
--- a/tests/connection/event/caller_server_test.cc
+++ b/tests/connection/event/caller_server_test.cc
@@ -102,6 +102,25 @@
   EXPECT_TRUE(client.ReadToEnd().ends_with("ab"));
 }
 
+// Guards against bytes that are no request and come without end: the size line
+// of a chunk, or trailers, were read ahead without a bound.
+TEST_F(CallerServerTest, EndsConnectionsWithEndlessChunkHeads) {
+  constexpr std::size_t kMaxSent = std::size_t{8} * 1024 * 1024;
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* start : {"5;a=", "0\r\nA: ", "0"}) {
+    RawClient client(server_.port());
+    client.Send(head + start);
+    const std::string piece(4096, start[0] == '0' && start[1] == 0 ? '0' : 'x');
+    std::size_t sent = 0;
+    while (sent < kMaxSent && client.Send(piece)) {
+      sent += piece.size();
+    }
+    EXPECT_LT(sent, kMaxSent) << start;
+  }
+  EXPECT_TRUE(bodies_.empty());
+}
+
 // The end of a connection does not end a request.
 TEST_F(CallerServerTest, DoesNotServeRequestsThatTheirCallerCutOff) {
   for (const char* bytes :
