Stage orders: an instance cut off from the engines hands its authority on

Orders are never sent through another instance, since engines take the one that connects for the holder.

A holder that others outreach at most of a service's engines for a second resigns for ten. The new test fails without the change: the key stays.

--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -309,6 +309,15 @@
   using request::passthrough::EngineHandle;
   process::stages::StageOrderHooks hooks =
       platform::MakeStageOrderHooks(loop, channels);
+  hooks.cut_off = [this](const base::ServiceName& service) {
+    const auto& targets = views.engines().OfService(service);
+    const auto cut = std::ranges::count_if(
+        targets, [this](const request::passthrough::EngineHandle& it) {
+          return paths.PathTo(it->entry, clock()) ==
+                 request::passthrough::TargetPath::kThroughOthers;
+        });
+    return 2 * cut > std::ssize(targets);
+  };
   hooks.report = [this, report = hooks.report](EngineHandle engine) {
     limits.OnSend(*engine, clock());
     return report(std::move(engine));
--- a/src/process/stages/stage_orders.cc
+++ b/src/process/stages/stage_orders.cc
@@ -65,11 +65,23 @@
   while (!stopped_) {
     // Tracked without the authority too, so that a new holder can plan at once.
     UpdateDemand();
+    if (IsCutOff()) {
+      co_await authority_.Resign(options_.back_off);
+    }
     co_await ReconcileOnce();
     co_await SleepFor(loop_, options_.period);
   }
 }
 
+bool StageOrders::IsCutOff() {
+  const auto services = services_();
+  const bool cut =
+      hooks_.cut_off && std::ranges::any_of(services, hooks_.cut_off);
+  const base::Time now = clock_();
+  cut_since_ = cut ? cut_since_.value_or(now) : std::optional<base::Time>();
+  return cut && now - *cut_since_ >= options_.max_cut;
+}
+
 Awaitable<void> StageOrders::ReconcileOnce() {
   if (!authority_.HeldToken()) {
     co_return;
--- a/src/process/stages/stage_orders.h
+++ b/src/process/stages/stage_orders.h
@@ -72,6 +72,9 @@
       request::passthrough::EngineHandle,
       StageOrder)>
       order;
+  // Whether this instance reaches fewer than half of the service's engines
+  // while others reach them. May be empty.
+  std::function<bool(const base::ServiceName&)> cut_off;
 };
 
 struct StageOrdersOptions {
@@ -83,6 +86,10 @@
   // The same after an order without a response, which an engine may carry out
   // up to twelve seconds late.
   base::Duration settle_time_unknown = std::chrono::seconds(15);
+  // An instance that is cut off from the engines for this long gives the
+  // authority up, and does not acquire it for the second time.
+  base::Duration max_cut = std::chrono::seconds(1);
+  base::Duration back_off = std::chrono::seconds(10);
   StagePlanOptions plan;
 };
 
@@ -118,6 +125,8 @@
   connection::event::Awaitable<void> SendOrder(StageChange change);
   std::vector<StageChange> DueChanges(const base::ServiceName& service);
   void UpdateDemand();
+  // Whether this instance has been cut off from engines for too long.
+  bool IsCutOff();
   GenerationDemand& DemandOf(const base::ServiceName& service);
 
   connection::event::asio::io_context& loop_;
@@ -133,6 +142,7 @@
   const base::Clock clock_;
   base::Metrics& metrics_;
   bool stopped_ = false;
+  std::optional<base::Time> cut_since_;
   std::map<base::ServiceName, GenerationDemand> demand_;
   // Engines that get no order before the given time.
   std::map<base::TargetId, base::Time> settling_until_;
--- a/tests/process/stages/stage_orders_test.cc
+++ b/tests/process/stages/stage_orders_test.cc
@@ -57,7 +57,8 @@
                  table_.Put(entry, now_);
                }
                co_return result_;
-             }},
+             },
+             .cut_off = [this](const base::ServiceName&) { return cut_off_; }},
             {.instance = base::InstanceId("me"), .period = milliseconds(1)},
             [] { return std::vector<base::ServiceName>{kService}; },
             [this] { return idle_; },
@@ -101,6 +102,7 @@
   }
 
   base::Time now_ = base::Time() + std::chrono::hours(1);
+  bool cut_off_ = false;
   const base::Clock clock_ = [this] { return now_; };
   asio::io_context loop_;
   base::Metrics metrics_;
@@ -207,5 +209,23 @@
   EXPECT_TRUE(sent_.empty());
 }
 
+// Guards against orders that nobody gives: the holder of the authority is cut
+// off from the engines, but not from the store.
+TEST_F(StageOrdersTest, InstanceThatIsCutOffHandsTheAuthorityOn) {
+  Start();
+  EXPECT_TRUE(authority_.HeldToken());
+  cut_off_ = true;
+  RunPeriods(5);
+  EXPECT_TRUE(authority_.HeldToken());
+  now_ += seconds(1);
+  store::RunUntil(loop_, [this] {
+    return !store_.items().contains("lynxglade/orders/holder");
+  });
+  EXPECT_FALSE(authority_.HeldToken());
+  // It does not acquire it again at once.
+  RunPeriods(20);
+  EXPECT_FALSE(store_.items().contains("lynxglade/orders/holder"));
+}
+
 }  // namespace
 }  // namespace lynxglade::process::stages
