--- a/tests/rig/checker.cc
+++ b/tests/rig/checker.cc
@@ -232,9 +232,11 @@
     case RigBound::kCallers:
       return "callers";
     case RigBound::kOrder:
+      return "order";
+    case RigBound::kReach:
       break;
   }
-  return "order";
+  return "reach";
 }
 
 std::vector<SizeClass> ClassifySizes(const RunRecords& records,
@@ -279,6 +281,7 @@
   CheckSizes(records, terms, &uses);
   std::ranges::move(CheckGroups(records, terms), std::back_inserter(uses));
   uses.push_back(CheckOrder(records));
+  std::ranges::move(CheckReach(records, terms), std::back_inserter(uses));
   return uses;
 }
 
--- a/tests/rig/checker.h
+++ b/tests/rig/checker.h
@@ -38,6 +38,9 @@
   // Answers that are not what their run made: a piece missing, doubled or of
   // another run, a part of an event, or complete and short.
   kOrder,
+  // First tries at instances that are cut off from the engines, against those
+  // at the others.
+  kReach,
 };
 std::string_view ToString(RigBound bound) noexcept;
 
@@ -71,6 +74,13 @@
   double free_unserved = 2;
   double free_unserved_fraction = 0.04;
   double max_unserved_by_chance = 3;
+  // From this long after its begin a cut counts. First tries are to be served
+  // at least this often against the others; a number and a fraction of all
+  // first tries may fail in any case.
+  base::Duration cut_notice = std::chrono::seconds(3);
+  double min_reach_ratio = 2.0 / 3;
+  double free_unreached = 10;
+  double free_unreached_fraction = 0.02;
 };
 
 // Use of one bound.
@@ -92,6 +102,10 @@
 // Use of RigBound::kOrder. No answer may break it.
 BoundUse CheckOrder(const RunRecords& records);
 
+// Use of RigBound::kReach; nothing if no instance was cut off for long.
+std::vector<BoundUse> CheckReach(const RunRecords& records,
+                                 const RigTerms& terms);
+
 // Requests of one kind by their size.
 struct SizeClass : bench::ServedCount {
   std::string name;
--- a/tests/rig/checker_test.cc
+++ b/tests/rig/checker_test.cc
@@ -312,5 +312,42 @@
   EXPECT_EQ(BrokenNames(), "");
 }
 
+// --- Instances that are cut off
+
+TEST_F(CheckerTest, FindsCutOffInstancesThatAreServedFarWorse) {
+  records_.cuts = {{0, kStart, kStart + seconds(8)}};
+  // A quarter of the requests comes to the instance; all are sent in 8 s.
+  for (int i = 0; i < kRequests; ++i) {
+    records_.requests[static_cast<std::size_t>(i)].instance =
+        static_cast<std::size_t>(i % 4);
+  }
+  EXPECT_EQ(BrokenNames(), "");
+  int failed = 0;
+  for (int i = 0; i < kRequests; i += 4) {
+    const bool counts = Sent(i) >= kStart + terms_.cut_notice;
+    // Two of five are not served, less than two thirds.
+    if (counts && i / 4 % 5 < 2) {
+      Attempt(i).status = 503;
+      Attempt(i).body.clear();
+      ++failed;
+    }
+  }
+  ASSERT_GT(failed, 15);
+  EXPECT_EQ(BrokenNames(), "reach ");
+}
+
+TEST_F(CheckerTest, ServiceInTheFirstSecondsOfACutIsFree) {
+  records_.cuts = {{0, kStart, kStart + seconds(8)}};
+  for (int i = 0; i < kRequests; ++i) {
+    records_.requests[static_cast<std::size_t>(i)].instance =
+        static_cast<std::size_t>(i % 4);
+    if (i % 4 == 0 && Sent(i) < kStart + terms_.cut_notice) {
+      Attempt(i).status = 503;
+      Attempt(i).body.clear();
+    }
+  }
+  EXPECT_EQ(BrokenNames(), "");
+}
+
 }  // namespace
 }  // namespace lynxglade::rig
--- a/tests/rig/day.cc
+++ b/tests/rig/day.cc
@@ -1,6 +1,7 @@
 #include "rig/day.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <numeric>
 
@@ -39,6 +40,9 @@
         BreakAnswers();
         KillEngines();
         break;
+      case Series::kCutOff:
+        CutInstances();
+        break;
       case Series::kMixed:
         Mix();
         break;
@@ -110,6 +114,28 @@
     }
   }
 
+  void CutInstances() {
+    constexpr std::array kCuts{LinkCut::kSilent, LinkCut::kReset,
+                               LinkCut::kSilentToNew, LinkCut::kRefusesNew};
+    base::Duration at = kCalmStart;
+    while (at + milliseconds(5'000) < settings_.length - kCalmEnd) {
+      const LinkCut cut = kCuts.at(base::UniformBelow(random_, kCuts.size()));
+      const base::Duration length = Millis(5'000, 7'000);
+      const auto cut_off = Choose(settings_.instances, Real(0.25, 0.6));
+      for (const std::size_t it : cut_off) {
+        day_.faults.push_back({FaultKind::kCutInstance, at, length, it, cut});
+      }
+      const std::size_t other =
+          base::UniformBelow(random_, settings_.instances);
+      if (std::ranges::find(cut_off, other) == cut_off.end()) {
+        day_.faults.push_back({FaultKind::kTerminateInstance,
+                               at + Millis(1'000, 3'000),
+                               base::Duration::zero(), other});
+      }
+      at += length + Millis(1'000, 2'000);
+    }
+  }
+
   void KillInstances() {
     base::Duration at = kCalmStart + milliseconds(3'000);
     while (at < settings_.length - kCalmEnd) {
@@ -166,6 +192,7 @@
       case FaultKind::kKillInstance:
       case FaultKind::kStopInstance:
       case FaultKind::kTerminateInstance:
+      case FaultKind::kCutInstance:
         return settings_.instances;
       case FaultKind::kKillEngine:
       case FaultKind::kStopEngine:
@@ -202,9 +229,11 @@
     case FaultKind::kStallLink:
       return "stall link";
     case FaultKind::kDelayLink:
+      return "delay link";
+    case FaultKind::kCutInstance:
       break;
   }
-  return "delay link";
+  return "cut instance off";
 }
 
 Day DrawDay(const DaySettings& settings) {
--- a/tests/rig/day.h
+++ b/tests/rig/day.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "rig/link_proxy.h"
 
 namespace lynxglade::rig {
 
@@ -25,6 +26,8 @@
   kResetLink,
   kStallLink,
   kDelayLink,
+  // Links of one instance to all engines: cut.
+  kCutInstance,
 };
 std::string_view ToString(FaultKind kind) noexcept;
 
@@ -36,6 +39,8 @@
   base::Duration length{};
   // Which instance, engine or link.
   std::size_t index = 0;
+  // Of kCutInstance.
+  LinkCut cut = LinkCut::kWhole;
 };
 
 // A fault of the engine itself, as its process is told.
@@ -58,6 +63,9 @@
   kSlow,
   // Engines break off a part of their answers, some are killed.
   kBrokenAnswers,
+  // Some instances are cut off from all engines, again and again; others stop
+  // meanwhile.
+  kCutOff,
   // All kinds of faults in overlapping series.
   kMixed,
 };
--- a/tests/rig/records.h
+++ b/tests/rig/records.h
@@ -78,7 +78,8 @@
   std::string kind;
   std::string service;
   std::size_t caller = 0;
-  // Of the instance that the caller connects to first.
+  // The instance that the caller connects to first, and its zone.
+  std::size_t instance = 0;
   std::string zone;
   // The last shared part of the prompt; empty for plain calls.
   std::string subject;
@@ -93,7 +94,15 @@
   std::optional<base::Duration> first_byte;
 };
 
+// An instance that does not reach the engines.
+struct CutSpan {
+  std::size_t instance = 0;
+  base::Time from{};
+  base::Time to{};
+};
+
 struct RunRecords {
+  std::vector<CutSpan> cuts;
   std::vector<Arrival> arrivals;
   std::vector<CallerRequestRecord> requests;
 };
--- a/tests/rig/rig.cc
+++ b/tests/rig/rig.cc
@@ -36,8 +36,8 @@
 constexpr base::Duration kPieceDelay = std::chrono::milliseconds(30);
 // Below the range from which the system takes the ports of connections.
 constexpr int kFirstPort = 20'000;
-constexpr int kPortsPerRun = 100;
-constexpr int kMaxRuns = 80;
+constexpr int kPortsPerRun = 250;
+constexpr int kMaxRuns = 50;
 
 // Takes a block of ports for this run: its first port is bound until the end of
 // the run, so that runs at the same time do not share ports.
@@ -114,7 +114,10 @@
       settings_.day.models + settings_.day.plain_targets;
   ports_ =
       FindPorts(reservation_.local_endpoint().port(),
-                engines + settings_.day.links + 3 * settings_.day.instances);
+                engines + settings_.day.links + 3 * settings_.day.instances +
+                    (settings_.day.series == Series::kCutOff
+                         ? engines * settings_.day.instances
+                         : 0));
   store_.Put("op/config", MakeConfiguration(settings_.traffic.kinds).dump());
   StartEngines();
   StartInstances();
@@ -205,12 +208,17 @@
       settings_.day.models + settings_.day.plain_targets + settings_.day.links;
   for (std::size_t i = 0; i < settings_.day.instances; ++i) {
     const int* ports = &ports_[first + 3 * i];
+    int store_port = store_.port();
+    if (settings_.day.series == Series::kCutOff) {
+      views_.push_back(LinkInstance(i));
+      store_port = views_.back()->port();
+    }
     const std::int64_t window = base::ToMillis(settings_.retries.window) / 1000;
     instances_.push_back(
         std::make_unique<EntryProcess>(system_test::EntryProcessSettings{
             .name = "i" + std::to_string(i),
             .zone = kZones[i % kZones.size()],
-            .store_port = store_.port(),
+            .store_port = store_port,
             .port = ports[0],
             .health_port = ports[1],
             .peer_port = ports[2],
@@ -224,6 +232,38 @@
   }
 }
 
+std::unique_ptr<system_test::StoreView> Rig::LinkInstance(std::size_t i) {
+  const std::size_t first = settings_.day.models + settings_.day.plain_targets +
+                            settings_.day.links + 3 * settings_.day.instances +
+                            i * engines_.size();
+  auto& links = instance_links_.emplace_back();
+  std::vector<int> ports;
+  for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
+    ports.push_back(ports_[first + engine]);
+    links.push_back(std::make_unique<LinkProxy>(
+        loop_, static_cast<std::uint16_t>(ports.back()),
+        static_cast<std::uint16_t>(engines_[engine].public_port)));
+    asio::co_spawn(loop_, links.back()->Run(), asio::detached);
+  }
+  return std::make_unique<system_test::StoreView>(
+      store_, system_test::WithPorts([ports](const std::string& id) {
+        return ports.at(std::stoul(id.substr(1)));
+      }));
+}
+
+Awaitable<void> Rig::CutInstance(Fault fault) {
+  const auto set = [&](LinkCut cut) {
+    for (const auto& it : instance_links_[fault.index]) {
+      it->SetCut(cut);
+    }
+  };
+  const base::Time from = base::BootClock::now();
+  set(fault.cut);
+  cuts_.push_back({fault.index, from, from + fault.length});
+  co_await SleepFor(loop_, fault.length);
+  set(LinkCut::kWhole);
+}
+
 bool Rig::AwaitReady() {
   const std::string known =
       "lynxglade_targets_known " + std::to_string(engines_.size());
@@ -266,6 +306,8 @@
     }
     Report(std::to_string(base::ToMillis(it.at)) + " ms " +
            std::string(ToString(it.kind)) + " " + std::to_string(it.index) +
+           (it.cut == LinkCut::kWhole ? ""
+                                      : ", " + std::string(ToString(it.cut))) +
            ", " + std::to_string(base::ToMillis(it.length)) + " ms");
     asio::co_spawn(loop_, PlayFault(it), asio::detached);
   }
@@ -301,6 +343,9 @@
     case FaultKind::kDelayLink:
       co_await DisturbLink(fault);
       break;
+    case FaultKind::kCutInstance:
+      co_await CutInstance(fault);
+      break;
   }
 }
 
@@ -356,6 +401,7 @@
       ReadJournal(file.path(), &records.arrivals);
     }
   }
+  records.cuts = cuts_;
   if (traffic_) {
     records.requests = traffic_->records();
   }
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -23,6 +23,7 @@
 #include "system/entry_process.h"
 #include "system/process.h"
 #include "system/scripted_store.h"
+#include "system/store_view.h"
 
 namespace lynxglade::rig {
 
@@ -74,6 +75,9 @@
   void StartEngine(std::size_t i);
   std::string EngineId(std::size_t i) const;
   void StartInstances();
+  // The store as an instance with links of its own to the engines sees it.
+  std::unique_ptr<system_test::StoreView> LinkInstance(std::size_t i);
+  Awaitable<void> CutInstance(Fault fault);
   bool AwaitReady();
   Awaitable<void> Play();
   Awaitable<void> PlayFaults(base::Time begin);
@@ -93,6 +97,10 @@
   std::vector<int> ports_;
   std::vector<EngineSlot> engines_;
   std::vector<std::unique_ptr<LinkProxy>> links_;
+  // By instance and engine, if instances can be cut off.
+  std::vector<std::vector<std::unique_ptr<LinkProxy>>> instance_links_;
+  std::vector<std::unique_ptr<system_test::StoreView>> views_;
+  std::vector<CutSpan> cuts_;
   std::vector<std::unique_ptr<system_test::EntryProcess>> instances_;
   std::unique_ptr<Traffic> traffic_;
 };
--- a/tests/rig/rig_main.cc
+++ b/tests/rig/rig_main.cc
@@ -28,6 +28,7 @@
       {"rejections", Series::kRejections},
       {"slow", Series::kSlow},
       {"broken_answers", Series::kBrokenAnswers},
+      {"cut_off", Series::kCutOff},
       {"mixed", Series::kMixed}};
   return names;
 }
--- a/tests/rig/traffic.cc
+++ b/tests/rig/traffic.cc
@@ -197,6 +197,7 @@
   record.subject = draft.subject;
   const base::Time deadline = clock_() + kind.timeout;
   std::size_t instance = draft.caller % settings_.ports.size();
+  record.instance = instance;
   record.zone = settings_.zones[instance];
   bool retry = true;
   while (retry) {
