Sockets: state when keep-alive gives up

TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. The count of two probes had no effect, and the comment said six seconds for what takes five. (Two files are formatted as well.)

--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -29,8 +29,8 @@
 // descriptors.
 constexpr base::Duration kAcceptPause = std::chrono::milliseconds(50);
 
-// Bytes read ahead beyond a head: more than the size line of a chunk or trailers
-// ever need.
+// Bytes read ahead beyond a head: more than the size line of a chunk or
+// trailers ever need.
 constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
 
 using BodyParser = http::request_parser<http::string_body>;
--- a/src/connection/event/channel_pool.h
+++ b/src/connection/event/channel_pool.h
@@ -44,8 +44,8 @@
   // Resets the connection, or ends its opening.
   void Abandon() noexcept;
 
-  // Bytes read ahead at most: more than a head may have, and than what a chunk's
-  // size line or trailers ever need.
+  // Bytes read ahead at most: more than a head may have, and than what a
+  // chunk's size line or trailers ever need.
   static constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
 
   Tcp::socket socket;
--- a/src/connection/event/socket_probe.cc
+++ b/src/connection/event/socket_probe.cc
@@ -5,19 +5,23 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <tuple>
 
 namespace lynxglade::connection::event {
 
 namespace {
 
-// Keep-alive probes end a dead connection after about six seconds. This is
-// longer than the longest idle time plus the acknowledgement timeout of a
-// request, so that the exchange can still reset the connection itself.
+// An idle connection to a dead peer ends about five seconds after the last
+// byte: TCP_USER_TIMEOUT replaces the count of lost probes, so that the first
+// one that is not answered ends a connection which has been silent for that
+// long. This is longer than the longest idle time plus the acknowledgement
+// timeout of a request, so that the exchange can still reset the connection
+// itself.
 constexpr int kProbeAfterSeconds = 4;
 constexpr int kProbeEverySeconds = 1;
-constexpr int kProbesLost = 2;
 
 enum class Input { kNone, kBytes, kEnd };
 
@@ -86,13 +90,18 @@
   std::ignore = socket.cancel(ec);
 }
 
+base::Duration SilenceLimit(base::Duration user_timeout) noexcept {
+  return std::max(base::Duration(std::chrono::seconds(kProbeAfterSeconds +
+                                                      kProbeEverySeconds)),
+                  user_timeout);
+}
+
 void TuneSocket(Tcp::socket& socket, base::Duration user_timeout) noexcept {
   ErrorCode ec;
   std::ignore = socket.set_option(Tcp::no_delay(true), ec);
   std::ignore = socket.set_option(asio::socket_base::keep_alive(true), ec);
   SetTcpOption(socket, TCP_KEEPIDLE, kProbeAfterSeconds);
   SetTcpOption(socket, TCP_KEEPINTVL, kProbeEverySeconds);
-  SetTcpOption(socket, TCP_KEEPCNT, kProbesLost);
   SetTcpOption(socket, TCP_USER_TIMEOUT,
                static_cast<int>(base::ToMillis(user_timeout)));
 }
--- a/src/connection/event/socket_probe.h
+++ b/src/connection/event/socket_probe.h
@@ -31,9 +31,14 @@
 // Cancels pending operations on the socket, which stays open.
 void CancelWaits(Tcp::socket& socket) noexcept;
 
-// Enables keep-alive probes and TCP_USER_TIMEOUT, so that a dead connection
-// ends, and disables Nagle's algorithm. Errors are ignored, since request
-// deadlines apply in any case.
+// How long a connection that TuneSocket() has set up may be silent, with
+// nothing to acknowledge, before it ends because its peer is dead.
+base::Duration SilenceLimit(base::Duration user_timeout) noexcept;
+
+// Enables keep-alive probes and TCP_USER_TIMEOUT, so that a connection whose
+// peer is dead ends: after `user_timeout` with unacknowledged data, else after
+// SilenceLimit(). Also disables Nagle's algorithm. Errors are ignored, since
+// request deadlines apply in any case.
 void TuneSocket(Tcp::socket& socket, base::Duration user_timeout) noexcept;
 
 }  // namespace lynxglade::connection::event
