--- a/src/connection/event/tunnel.cc
+++ b/src/connection/event/tunnel.cc
@@ -44,6 +44,8 @@
                 "target_silent"},
     ReplyStatus{TunnelReply::kNoOwnWay, http::status::loop_detected,
                 "no_own_way"},
+    ReplyStatus{TunnelReply::kTargetUnreached, http::status::failed_dependency,
+                "target_unreached"},
     ReplyStatus{TunnelReply::kBusy, http::status::service_unavailable, "busy"},
     ReplyStatus{TunnelReply::kForbidden, http::status::forbidden, "forbidden"},
     ReplyStatus{TunnelReply::kNoReply, http::status::unknown, "no_reply"},
--- a/src/connection/event/tunnel.h
+++ b/src/connection/event/tunnel.h
@@ -25,8 +25,10 @@
   kTargetRefused,
   // The target did not answer.
   kTargetSilent,
-  // It does not reach the target itself at present.
+  // It does not reach the target itself at present, others do.
   kNoOwnWay,
+  // Lately neither it nor those that it asked reached the target.
+  kTargetUnreached,
   // It accepts no further tunnels now: it is stopping, or at its limits.
   kBusy,
   // It does not know the target, or the process that asks.
--- a/src/process/peers/target_connector.cc
+++ b/src/process/peers/target_connector.cc
@@ -233,6 +233,7 @@
   std::size_t unreached = 0;
   bool no_own_way = choice_.IsCutOff(group, clock_());
   bool none_left = false;
+  std::size_t told_unreached = 0;
   while (IsSendable(target->entry.id) && tried.size() < options_.max_asked &&
          unreached < options_.min_unreached && clock_() < until) {
     const auto peer = choice_.Choose(hooks_.peers(), group, tried, clock_());
@@ -248,6 +249,7 @@
         loop_, socket, endpoint, target->entry.id.str(), until - clock_());
     choice_.OnReply(peer->instance, group, reply, clock_());
     no_own_way = no_own_way || reply == TunnelReply::kNoOwnWay;
+    told_unreached += reply == TunnelReply::kTargetUnreached ? 1 : 0;
     metrics_
         .GetCounter("lynxglade_tunnels_asked_total",
                     {{"reply", std::string(ToString(reply))}})
@@ -266,8 +268,11 @@
       result.end = std::min(result.end, OthersEnd::kSilent);
     }
   }
-  // All that could be asked are cut off as well.
-  if (result.end == OthersEnd::kUnknown && no_own_way && none_left) {
+  // Instances that are cut off say this of each target, so that it decides only
+  // if none says otherwise.
+  const bool none_reaches = told_unreached >= options_.min_unreached ||
+                            (none_left && (no_own_way || told_unreached > 0));
+  if (result.end == OthersEnd::kUnknown && none_reaches) {
     result.end = OthersEnd::kSilent;
   }
   co_return result;
--- a/src/process/peers/target_tunnels.cc
+++ b/src/process/peers/target_tunnels.cc
@@ -100,7 +100,7 @@
     case TargetPath::kNone:
       break;
   }
-  return TunnelReply::kTargetSilent;
+  return TunnelReply::kTargetUnreached;
 }
 
 Awaitable<TunnelReply> TargetTunnels::Connect(
--- a/src/process/peers/tunnel_choice.cc
+++ b/src/process/peers/tunnel_choice.cc
@@ -95,6 +95,7 @@
       it.unreached_until[group] = now + options_.leave_out_silent;
       break;
     case TunnelReply::kTargetRefused:
+    case TunnelReply::kTargetUnreached:
       break;
   }
 }
--- a/tests/connection/event/tunnel_test.cc
+++ b/tests/connection/event/tunnel_test.cc
@@ -177,7 +177,8 @@
 TEST_F(TunnelTest, RefusalsAreToldApart) {
   for (const TunnelReply it :
        {TunnelReply::kTargetRefused, TunnelReply::kTargetSilent,
-        TunnelReply::kNoOwnWay, TunnelReply::kBusy, TunnelReply::kForbidden}) {
+        TunnelReply::kNoOwnWay, TunnelReply::kTargetUnreached,
+        TunnelReply::kBusy, TunnelReply::kForbidden}) {
     refuse_with_ = it;
     asker_ = std::make_shared<Tcp::socket>(loop_);
     EXPECT_EQ(Open(), it) << ToString(it);
