Relay: test of a target that is silent for a second; ignored results are named

A sound target may fall silent for a second or so and go on. It is neither ejected nor is its answer broken off; the new test passes without a change.

--- a/src/connection/event/tunnel.cc
+++ b/src/connection/event/tunnel.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -140,7 +141,7 @@
     if (ec == asio::error::eof) {
       SetResetOnClose(tunnel->near, false);
       ErrorCode ignored;
-      tunnel->near.shutdown(Tcp::socket::shutdown_send, ignored);
+      std::ignore = tunnel->near.shutdown(Tcp::socket::shutdown_send, ignored);
     } else if (ec) {
       ResetSocket(tunnel->near);
     } else {
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -3,6 +3,8 @@
 #include "request/passthrough/relay.h"
 
 #include <atomic>
+#include <chrono>
+#include <future>
 #include <memory>
 #include <optional>
 #include <string>
@@ -74,6 +76,23 @@
   EXPECT_NE(answer.find("Retry-After: 0."), std::string::npos);
 }
 
+// Guards against a sound target that falls silent for a second and goes on: its
+// answer is neither broken off nor counted against it.
+TEST_F(RelayTest, TargetThatIsSilentForASecondIsWaitedFor) {
+  std::promise<void> never;
+  AddTarget([&never](const std::string& request) {
+    never.get_future().wait_for(std::chrono::milliseconds(1200));
+    return Ok(request);
+  });
+  EXPECT_TRUE(IsStatus(Call(Request("/unsafe/x")), "200"));
+  EXPECT_EQ(Arrivals(), 1U);
+  const bool avoided = thread_->Do([this] {
+    return engines_.Find(base::TargetId("t0"))
+        ->health.IsAvoided(base::BootClock::now());
+  });
+  EXPECT_FALSE(avoided);
+}
+
 // --- Retries
 
 TEST_F(RelayTest, ARequestThatWasNotRunIsRetriedElsewhere) {
