--- a/src/process/peers/target_connector.cc
+++ b/src/process/peers/target_connector.cc
@@ -152,7 +152,8 @@
     std::shared_ptr<Channel> channel,
     EngineHandle target) {
   const base::Time began = clock_();
-  ThroughOther other = co_await AskOthers(target, options_.connect_timeout);
+  ThroughOther other = co_await AskOthers(target, options_.connect_timeout,
+                                          options_.min_unreached);
   if (other.end == OthersEnd::kReached && !channel->abandoned) {
     channel->socket = std::move(*other.socket);
     channel->via = other.via;
@@ -182,7 +183,8 @@
 Awaitable<void> TargetConnector::ConnectThroughOther(
     std::shared_ptr<Race> race) {
   const base::Duration left = race->began + options_.connect_timeout - clock_();
-  ThroughOther other = co_await AskOthers(race->target, left);
+  ThroughOther other =
+      co_await AskOthers(race->target, left, options_.min_unreached);
   race->other = std::move(other);
   Conclude(*race);
 }
@@ -225,7 +227,8 @@
 
 Awaitable<TargetConnector::ThroughOther> TargetConnector::AskOthers(
     EngineHandle target,
-    base::Duration timeout) {
+    base::Duration timeout,
+    std::size_t min_unreached) {
   const base::Time until = clock_() + timeout;
   const TargetGroup group = GroupOf(*target);
   ThroughOther result;
@@ -235,7 +238,7 @@
   bool none_left = false;
   std::size_t told_unreached = 0;
   while (IsSendable(target->entry.id) && tried.size() < options_.max_asked &&
-         unreached < options_.min_unreached && clock_() < until) {
+         unreached < min_unreached && clock_() < until) {
     const auto peer = choice_.Choose(hooks_.peers(), group, tried, clock_());
     if (!peer) {
       none_left = true;
@@ -293,7 +296,7 @@
     }
   }
   const ThroughOther other =
-      co_await AskOthers(target, options_.connect_timeout);
+      co_await AskOthers(target, options_.connect_timeout, options_.max_asked);
   if (other.socket) {
     connection::event::ResetSocket(*other.socket);
   }
@@ -342,8 +345,8 @@
     // Requests show whether the others still reach it.
     RecordFailure(target, OthersEnd::kReached, began);
   } else {
-    const ThroughOther other =
-        co_await AskOthers(target, options_.connect_timeout);
+    const ThroughOther other = co_await AskOthers(
+        target, options_.connect_timeout, options_.min_unreached);
     RecordFailure(target, other.end, began);
   }
   checking_.erase(target->entry.id);
--- a/src/process/peers/target_connector.h
+++ b/src/process/peers/target_connector.h
@@ -71,7 +71,8 @@
   // For the pool of connections to targets.
   connection::event::ChannelPoolHooks PoolHooks();
   // Whether the target accepts connections: of this instance or, where its own
-  // way may be cut, of another.
+  // way may be cut, of another. A refusal is the word of as many instances as
+  // can be asked, since those that are cut off as well may not know it yet.
   connection::event::Awaitable<connection::event::ConnectEnd> Reach(
       request::passthrough::EngineHandle target);
 
@@ -113,8 +114,11 @@
   Awaitable<void> ConnectThroughOther(std::shared_ptr<Race> race);
   // Once both are known.
   void Conclude(const Race& race);
+  // Asks one after the other, until one reaches the target or `min_unreached`
+  // tried in vain.
   Awaitable<ThroughOther> AskOthers(EngineHandle target,
-                                    base::Duration timeout);
+                                    base::Duration timeout,
+                                    std::size_t min_unreached);
   // Finds out anew how the target is reached, unless that is being done.
   void Check(const EngineHandle& target);
   Awaitable<void> RunCheck(EngineHandle target);
--- a/tests/process/peers/target_connector_test.cc
+++ b/tests/process/peers/target_connector_test.cc
@@ -38,6 +38,60 @@
   return {asio::ip::address_v4::loopback(), port};
 }
 
+EngineEntry Target(int n, std::uint16_t port) {
+  EngineEntry entry;
+  entry.id = base::TargetId("t" + std::to_string(n));
+  entry.service = base::ServiceName("s");
+  entry.zone = base::ZoneId("a");
+  entry.ip = "127.0.0.1";
+  entry.port = port;
+  return entry;
+}
+
+// A port where nothing listens.
+std::uint16_t ClosedPort(asio::io_context& loop) {
+  return Tcp::acceptor(loop, Loopback()).local_endpoint().port();
+}
+
+// An instance that is refused by all targets, and does not know yet that others
+// are not.
+class RefusedInstance {
+ public:
+  RefusedInstance(asio::io_context& loop,
+                  const std::vector<InstancePeer>& peers,
+                  base::Metrics& metrics)
+      : tunnels_(loop,
+                 targets_,
+                 paths_,
+                 {},
+                 {.peers = [&peers]() -> const std::vector<InstancePeer>& {
+                    return peers;
+                  },
+                  .busy = [] { return false; }},
+                 base::BootClock::now,
+                 metrics),
+        server_(
+            loop,
+            {.endpoint = Loopback()},
+            [] { return connection::event::CallerServerLimits(); },
+            [this](std::shared_ptr<CallerRequest> request, CallerReply& reply) {
+              return tunnels_.Serve(std::move(request), reply);
+            },
+            base::BootClock::now,
+            metrics) {
+    std::string reason;
+    EXPECT_TRUE(server_.Start(&reason)) << reason;
+    targets_.Put(Target(0, ClosedPort(loop)), {});
+  }
+  std::uint16_t port() const { return server_.port(); }
+
+ private:
+  EngineTable targets_{base::Duration(0)};
+  TargetPaths paths_;
+  TargetTunnels tunnels_;
+  connection::event::CallerServer server_;
+};
+
 // The asker sees the target at an address where nothing listens; the helper
 // sees it where it is.
 class TargetConnectorTest : public testing::Test {
@@ -89,21 +143,10 @@
     for (int i = 0; i < 3; ++i) {
       const EngineEntry there = Target(i, listener_.local_endpoint().port());
       helper_targets_.Put(there, {});
-      // A port that was free a moment ago.
-      Tcp::acceptor closed(loop_, Loopback());
-      targets_.Put(Target(i, closed.local_endpoint().port()), {});
+      targets_.Put(Target(i, ClosedPort(loop_)), {});
     }
   }
 
-  static EngineEntry Target(int n, std::uint16_t port) {
-    EngineEntry entry;
-    entry.id = base::TargetId("t" + std::to_string(n));
-    entry.service = base::ServiceName("s");
-    entry.zone = base::ZoneId("a");
-    entry.ip = "127.0.0.1";
-    entry.port = port;
-    return entry;
-  }
   EngineHandle Find(int n) const {
     return targets_.Find(base::TargetId("t" + std::to_string(n)));
   }
@@ -227,6 +270,30 @@
   EXPECT_EQ(*end, ConnectEnd::kRefused);
 }
 
+// Guards against contents that are quarantined for crashes that were none: when
+// a cut begins, instances that it refuses take each other's word that a target
+// is gone.
+TEST_F(TargetConnectorTest, RefusalsOfSomeInstancesAreNoCrash) {
+  std::vector<std::unique_ptr<RefusedInstance>> refused;
+  for (int i = 0; i < 4; ++i) {
+    refused.push_back(
+        std::make_unique<RefusedInstance>(loop_, known_to_helper_, metrics_));
+    InstancePeer peer = peers_.front();
+    peer.instance = base::InstanceId("refused" + std::to_string(i));
+    peer.endpoint.port(refused.back()->port());
+    peers_.push_back(peer);
+  }
+  for (int i = 0; i < 10; ++i) {
+    std::optional<ConnectEnd> end;
+    const auto reach = [&]() -> Awaitable<void> {
+      end = co_await connector_.Reach(Find(0));
+    };
+    asio::co_spawn(loop_, reach(), asio::detached);
+    RunUntil([&] { return end.has_value(); });
+    EXPECT_EQ(*end, ConnectEnd::kConnected);
+  }
+}
+
 // Tunnels are not used longer than the cut lasts, nor through an instance that
 // leaves.
 TEST_F(TargetConnectorTest, TunnelsAreNotReusedThroughAnInstanceThatLeaves) {
