Targets: one type for a group, one direct connection, one line for its path

Read again as a newcomer: the service and zone of targets that are reached together stood in two types, TargetPaths::GroupKey and TargetGroup; the line target_path and the direct connection to a target each stood two or three times in TargetConnector. Each stands once now, without a change of behaviour.

--- a/src/process/peers/target_connector.cc
+++ b/src/process/peers/target_connector.cc
@@ -29,13 +29,10 @@
 using connection::event::Tcp;
 using connection::event::TunnelReply;
 using request::passthrough::EndpointOf;
+using request::passthrough::TargetGroup;
 using request::passthrough::TargetPath;
 namespace asio = connection::event::asio;
 
-TargetGroup GroupOf(const request::passthrough::Engine& target) {
-  return {target.entry.service, target.entry.zone};
-}
-
 // An id that could not be sent in a header names no target elsewhere.
 bool IsSendable(const base::TargetId& id) {
   return std::ranges::all_of(
@@ -166,14 +163,20 @@
                                              : ConnectEnd::kNoAnswer;
 }
 
-Awaitable<void> TargetConnector::ConnectDirectly(std::shared_ptr<Race> race) {
-  const auto endpoint = EndpointOf(*race->target);
-  ConnectEnd end = ConnectEnd::kNoAnswer;
-  if (endpoint) {
-    end = co_await Connect(loop_, race->direct, *endpoint,
-                           options_.connect_timeout);
+Awaitable<connection::event::ConnectEnd> TargetConnector::ConnectTo(
+    EngineHandle target,
+    std::shared_ptr<Socket> socket,
+    base::Duration timeout) {
+  const auto endpoint = EndpointOf(*target);
+  if (!endpoint) {
+    co_return ConnectEnd::kNoAnswer;
   }
-  race->direct_end = end;
+  co_return co_await Connect(loop_, std::move(socket), *endpoint, timeout);
+}
+
+Awaitable<void> TargetConnector::ConnectDirectly(std::shared_ptr<Race> race) {
+  race->direct_end =
+      co_await ConnectTo(race->target, race->direct, options_.connect_timeout);
   if (race->direct_end == ConnectEnd::kConnected) {
     paths_.OnOwnConnection(race->target->entry);
   }
@@ -210,27 +213,35 @@
   const TargetPath before = paths_.PathTo(target->entry, now);
   paths_.OnOwnFailure(target->entry, reached, began, now);
   const TargetPath after = paths_.PathTo(target->entry, now);
-  if (after != before) {
-    base::Log(base::LogLevel::kInfo, "target_path",
-              {{"target", target->entry.id.str()},
-               {"service", target->entry.service.str()},
-               {"zone", target->entry.zone.str()},
-               {"path", ToString(after)},
-               {"before", ToString(before)},
-               {"ms", base::ToMillis(now - began)}});
-  }
+  LogPath(*target, before, after, now - began);
   if (reached && hooks_.on_cut) {
     hooks_.on_cut(*target);
   }
   StartProbes();
 }
 
+void TargetConnector::LogPath(const request::passthrough::Engine& target,
+                              TargetPath before,
+                              TargetPath after,
+                              base::Duration took) {
+  if (after == before) {
+    return;
+  }
+  base::Log(base::LogLevel::kInfo, "target_path",
+            {{"target", target.entry.id.str()},
+             {"service", target.entry.service.str()},
+             {"zone", target.entry.zone.str()},
+             {"path", ToString(after)},
+             {"before", ToString(before)},
+             {"ms", base::ToMillis(took)}});
+}
+
 Awaitable<TargetConnector::ThroughOther> TargetConnector::AskOthers(
     EngineHandle target,
     base::Duration timeout,
     std::size_t min_unreached) {
   const base::Time until = clock_() + timeout;
-  const TargetGroup group = GroupOf(*target);
+  const TargetGroup group = GroupOf(target->entry);
   ThroughOther result;
   std::vector<base::InstanceId> tried;
   std::size_t unreached = 0;
@@ -285,11 +296,10 @@
     EngineHandle target) {
   const bool own =
       paths_.PathTo(target->entry, clock_()) != TargetPath::kThroughOthers;
-  const auto endpoint = EndpointOf(*target);
   ConnectEnd end = ConnectEnd::kNoAnswer;
-  if (own && endpoint) {
+  if (own) {
     const auto socket = std::make_shared<Socket>(loop_);
-    end = co_await Connect(loop_, socket, *endpoint, options_.connect_timeout);
+    end = co_await ConnectTo(target, socket, options_.connect_timeout);
     connection::event::ResetSocket(*socket);
     if (end == ConnectEnd::kConnected) {
       co_return end;
@@ -324,23 +334,12 @@
 Awaitable<void> TargetConnector::RunCheck(EngineHandle target) {
   const base::Time began = clock_();
   const TargetPath before = paths_.PathTo(target->entry, began);
-  const auto endpoint = EndpointOf(*target);
-  ConnectEnd end = ConnectEnd::kNoAnswer;
-  if (endpoint) {
-    const auto socket = std::make_shared<Socket>(loop_);
-    end = co_await Connect(loop_, socket, *endpoint, options_.check_timeout);
-  }
+  const auto socket = std::make_shared<Socket>(loop_);
+  const ConnectEnd end =
+      co_await ConnectTo(target, socket, options_.check_timeout);
   if (end == ConnectEnd::kConnected) {
     paths_.OnOwnConnection(target->entry);
-    if (before != TargetPath::kOwn) {
-      base::Log(base::LogLevel::kInfo, "target_path",
-                {{"target", target->entry.id.str()},
-                 {"service", target->entry.service.str()},
-                 {"zone", target->entry.zone.str()},
-                 {"path", ToString(TargetPath::kOwn)},
-                 {"before", ToString(before)},
-                 {"ms", base::ToMillis(clock_() - began)}});
-    }
+    LogPath(*target, before, TargetPath::kOwn, clock_() - began);
   } else if (before == TargetPath::kThroughOthers) {
     // Requests show whether the others still reach it.
     RecordFailure(target, OthersEnd::kReached, began);
--- a/src/process/peers/target_connector.h
+++ b/src/process/peers/target_connector.h
@@ -110,6 +110,10 @@
   Awaitable<ConnectEnd> OpenThroughOther(
       std::shared_ptr<connection::event::Channel> channel,
       EngineHandle target);
+  // A direct connection.
+  Awaitable<ConnectEnd> ConnectTo(EngineHandle target,
+                                  std::shared_ptr<Socket> socket,
+                                  base::Duration timeout);
   Awaitable<void> ConnectDirectly(std::shared_ptr<Race> race);
   Awaitable<void> ConnectThroughOther(std::shared_ptr<Race> race);
   // Once both are known.
@@ -128,6 +132,11 @@
   bool IsTrusted(const connection::event::Channel& channel) const;
   void OnUnacknowledged(const connection::event::Channel& channel);
   EngineHandle TargetAt(const connection::event::Tcp::endpoint& endpoint) const;
+  // Unless they are the same.
+  static void LogPath(const request::passthrough::Engine& target,
+                      request::passthrough::TargetPath before,
+                      request::passthrough::TargetPath after,
+                      base::Duration took);
   void RecordFailure(const EngineHandle& target,
                      OthersEnd others,
                      base::Time began);
--- a/src/process/peers/tunnel_choice.cc
+++ b/src/process/peers/tunnel_choice.cc
@@ -10,6 +10,7 @@
 namespace {
 
 using connection::event::TunnelReply;
+using request::passthrough::TargetGroup;
 
 // Time constant with which the count of tunnels opened decays.
 constexpr base::Duration kLoadDecay = std::chrono::seconds(2);
--- a/src/process/peers/tunnel_choice.h
+++ b/src/process/peers/tunnel_choice.h
@@ -7,7 +7,6 @@
 #ifndef LYNXGLADE_PROCESS_PEERS_TUNNEL_CHOICE_H_
 #define LYNXGLADE_PROCESS_PEERS_TUNNEL_CHOICE_H_
 
-#include <compare>
 #include <map>
 #include <optional>
 #include <vector>
@@ -17,6 +16,7 @@
 #include "base/time.h"
 #include "connection/event/tunnel.h"
 #include "process/peers/instance_presence.h"
+#include "request/passthrough/target_paths.h"
 
 namespace lynxglade::process::peers {
 
@@ -29,14 +29,6 @@
   base::Duration leave_out_silent = std::chrono::milliseconds(300);
 };
 
-// Targets that are reached or not reached together.
-struct TargetGroup {
-  base::ServiceName service;
-  base::ZoneId zone;
-
-  friend auto operator<=>(const TargetGroup&, const TargetGroup&) = default;
-};
-
 // Not thread-safe: used on the event loop only.
 class TunnelChoice {
  public:
@@ -46,20 +38,22 @@
 
   // An instance to ask, or nothing if there is none left. `tried`: those asked
   // for this connection before.
-  std::optional<InstancePeer> Choose(const std::vector<InstancePeer>& peers,
-                                     const TargetGroup& group,
-                                     const std::vector<base::InstanceId>& tried,
-                                     base::Time now) const;
+  std::optional<InstancePeer> Choose(
+      const std::vector<InstancePeer>& peers,
+      const request::passthrough::TargetGroup& group,
+      const std::vector<base::InstanceId>& tried,
+      base::Time now) const;
   // Whether an instance said lately that it does not reach the group itself.
-  bool IsCutOff(const TargetGroup& group, base::Time now) const;
+  bool IsCutOff(const request::passthrough::TargetGroup& group,
+                base::Time now) const;
   void OnReply(const base::InstanceId& peer,
-               const TargetGroup& group,
+               const request::passthrough::TargetGroup& group,
                connection::event::TunnelReply reply,
                base::Time now);
 
  private:
   bool IsLeftOut(const base::InstanceId& peer,
-                 const TargetGroup& group,
+                 const request::passthrough::TargetGroup& group,
                  base::Time now) const;
   // Tunnels opened through the instance lately.
   double LoadOf(const base::InstanceId& peer, base::Time now) const;
@@ -67,7 +61,7 @@
   struct PeerState {
     base::Time told_at{};
     base::Time left_out_until{};
-    std::map<TargetGroup, base::Time> unreached_until;
+    std::map<request::passthrough::TargetGroup, base::Time> unreached_until;
     // Decays with time.
     double opened = 0;
     base::Time opened_at{};
--- a/src/request/passthrough/target_paths.cc
+++ b/src/request/passthrough/target_paths.cc
@@ -21,7 +21,7 @@
 // The path to the others of the group is most likely whole again, too; if not,
 // the next connections find out.
 void TargetPaths::OnOwnConnection(const EngineEntry& target) {
-  const auto group = groups_.find(KeyOf(target));
+  const auto group = groups_.find(GroupOf(target));
   if (group == groups_.end()) {
     return;
   }
@@ -38,7 +38,7 @@
                                bool others_reach,
                                base::Time began,
                                base::Time now) {
-  Group& group = groups_[KeyOf(target)];
+  Group& group = groups_[GroupOf(target)];
   if (group.targets.empty()) {
     group.used_at = now;
   }
@@ -54,7 +54,7 @@
 }
 
 TargetPath TargetPaths::Use(const EngineEntry& target, base::Time now) {
-  const auto group = groups_.find(KeyOf(target));
+  const auto group = groups_.find(GroupOf(target));
   if (group == groups_.end()) {
     return TargetPath::kOwn;
   }
@@ -64,7 +64,7 @@
 
 TargetPath TargetPaths::PathTo(const EngineEntry& target,
                                base::Time now) const {
-  const auto group = groups_.find(KeyOf(target));
+  const auto group = groups_.find(GroupOf(target));
   if (group == groups_.end()) {
     return TargetPath::kOwn;
   }
@@ -82,7 +82,7 @@
   if (PathTo(target, now) != TargetPath::kThroughOthers) {
     return std::nullopt;
   }
-  const Group& group = groups_.at(KeyOf(target));
+  const Group& group = groups_.at(GroupOf(target));
   base::Time since = now;
   for (const auto& [id, it] : group.targets) {
     if (it.path == TargetPath::kThroughOthers && IsFresh(it, now)) {
--- a/src/request/passthrough/target_paths.h
+++ b/src/request/passthrough/target_paths.h
@@ -33,6 +33,18 @@
 };
 std::string_view ToString(TargetPath path) noexcept;
 
+// Targets of one service in one zone, which are most often reached or not
+// reached together.
+struct TargetGroup {
+  base::ServiceName service;
+  base::ZoneId zone;
+
+  friend auto operator<=>(const TargetGroup&, const TargetGroup&) = default;
+};
+inline TargetGroup GroupOf(const EngineEntry& target) {
+  return {target.service, target.zone};
+}
+
 struct TargetPathsOptions {
   // Targets of a service in a zone that only others reach, after which the same
   // is assumed of all there.
@@ -79,13 +91,6 @@
   std::size_t CountThroughOthers(base::Time now) const;
 
  private:
-  // Targets of one service in one zone.
-  struct GroupKey {
-    base::ServiceName service;
-    base::ZoneId zone;
-
-    friend auto operator<=>(const GroupKey&, const GroupKey&) = default;
-  };
   struct Observation {
     TargetPath path = TargetPath::kOwn;
     base::Time since{};
@@ -98,9 +103,6 @@
     base::Time probed_at{};
   };
 
-  static GroupKey KeyOf(const EngineEntry& target) {
-    return {target.service, target.zone};
-  }
   bool IsFresh(const Observation& it, base::Time now) const noexcept {
     return now - it.seen_at < options_.ttl;
   }
@@ -110,7 +112,7 @@
                  std::vector<base::TargetId>& probes) const;
 
   const TargetPathsOptions options_;
-  std::map<GroupKey, Group> groups_;
+  std::map<TargetGroup, Group> groups_;
 };
 
 }  // namespace lynxglade::request::passthrough
--- a/tests/process/peers/tunnel_choice_test.cc
+++ b/tests/process/peers/tunnel_choice_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 using connection::event::TunnelReply;
+using request::passthrough::TargetGroup;
 using std::chrono::milliseconds;
 
 const base::Time kNow = base::Time() + std::chrono::hours(1);
