--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -292,6 +292,7 @@
       .Add();
   base::Log(base::LogLevel::kInfo, "quarantine",
             {{"change", ToString(event.change)},
+             {"grain", event.is_part ? "part" : "content"},
              {"content", ToHex(event.content)},
              {"crashes", static_cast<std::int64_t>(event.crashes)},
              {"confirmed", static_cast<std::int64_t>(event.confirmed)},
@@ -300,7 +301,9 @@
              {"target", event.target.str()},
              {"in_flight", event.shared},
              {"source", event.merged ? "peer" : "own"}});
-  if (event.change == QuarantineChange::kQuarantined && event.own_evidence) {
+  if ((event.change == QuarantineChange::kQuarantined &&
+       event.own_evidence) ||
+      event.change == QuarantineChange::kExtended) {
     quarantine_records.OnVerdict(event.content);
   }
 }
--- a/src/process/peers/quarantine_messages.cc
+++ b/src/process/peers/quarantine_messages.cc
@@ -18,16 +18,17 @@
 using request::Evidence;
 using request::QuarantineMark;
 
-constexpr std::uint64_t kVersion = 1;
+constexpr std::uint64_t kVersion = 2;
 constexpr std::size_t kMarkParts = 9;
-constexpr std::size_t kCrashParts = 5;
+constexpr std::size_t kCrashParts = 8;
 constexpr std::size_t kMaxNameBytes = 200;
 constexpr std::uint64_t kMaxMillis = std::uint64_t{1000} * 60 * 60 * 24;
 constexpr std::uint64_t kMaxInFlight = 1'000'000;
+constexpr std::uint64_t kMaxAnswers = 1'000;
 // Counters are shifted when they are compared.
 constexpr std::uint64_t kMaxCounter = std::uint64_t{1} << 47;
 constexpr connection::CborLimits kLimits{
-    .max_bytes = 4096,
+    .max_bytes = kMaxMarksBytes,
     .max_depth = 4,
     .max_elements =
         kMaxMarks * (kMarkParts + 1 + kMaxMarkCrashes * (kCrashParts + 1)) + 2};
@@ -35,6 +36,7 @@
 // Flags of marks and of crashes.
 constexpr std::uint64_t kQuarantined = 1;
 constexpr std::uint64_t kOnProbation = 2;
+constexpr std::uint64_t kIsPart = 4;
 constexpr std::uint64_t kConfirmed = 1;
 constexpr std::uint64_t kAlone = 2;
 constexpr std::uint64_t kExplained = 4;
@@ -50,8 +52,14 @@
   const std::uint64_t flags =
       (it.confirmed ? kConfirmed : 0) | (it.alone ? kAlone : 0) |
       (it.explained ? kExplained : 0) | (it.answering ? kAnswering : 0);
-  return {it.crash_id, it.target.str(), Millis(now - it.at),
-          static_cast<std::uint64_t>(it.shared), flags};
+  return {it.crash_id,
+          it.target.str(),
+          Millis(now - it.at),
+          static_cast<std::uint64_t>(it.shared),
+          flags,
+          Millis(it.ran),
+          static_cast<std::uint64_t>(it.answers),
+          it.organisation};
 }
 
 json EncodeRow(const DecodedMark& row, base::Time now) {
@@ -62,7 +70,8 @@
       mark.evidence.end() - static_cast<std::ptrdiff_t>(n), mark.evidence.end(),
       [&](const Evidence& it) { crashes.push_back(EncodeCrash(it, now)); });
   const std::uint64_t flags = (mark.quarantined ? kQuarantined : 0) |
-                              (mark.on_probation ? kOnProbation : 0);
+                              (mark.on_probation ? kOnProbation : 0) |
+                              (mark.is_part ? kIsPart : 0);
   return {ToHex(row.content),
           mark.epoch,
           mark.counter,
@@ -92,7 +101,12 @@
   const auto age = CborWhole(row[2], kMaxMillis);
   const auto shared = CborWhole(row[3], kMaxInFlight);
   const auto flags = CborWhole(row[4], kAllFlags);
-  if (!id || !target || !age || !shared || !flags) {
+  const auto ran = CborWhole(row[5], kMaxMillis);
+  const auto answers = CborWhole(row[6], kMaxAnswers);
+  const auto organisation =
+      CborWhole(row[7], std::numeric_limits<std::uint32_t>::max());
+  if (!id || !target || !age || !shared || !flags || !ran || !answers ||
+      !organisation) {
     return std::nullopt;
   }
   return Evidence{.crash_id = *id,
@@ -102,7 +116,10 @@
                   .confirmed = (*flags & kConfirmed) != 0,
                   .alone = (*flags & kAlone) != 0,
                   .explained = (*flags & kExplained) != 0,
-                  .answering = (*flags & kAnswering) != 0};
+                  .answering = (*flags & kAnswering) != 0,
+                  .ran = std::chrono::milliseconds(*ran),
+                  .answers = static_cast<int>(*answers),
+                  .organisation = static_cast<std::uint32_t>(*organisation)};
 }
 
 // Nothing if the value is not an array, or has a malformed element.
@@ -141,7 +158,8 @@
     return std::nullopt;
   }
   return DecodedMark{*content,
-                     {.epoch = *epoch,
+                     {.is_part = (*flags & kIsPart) != 0,
+                      .epoch = *epoch,
                       .counter = *counter,
                       .owner = base::InstanceId(*owner),
                       .owned_until = now + std::chrono::milliseconds(*owned),
--- a/src/process/peers/quarantine_messages.h
+++ b/src/process/peers/quarantine_messages.h
@@ -19,13 +19,16 @@
 // datagram, usually into one packet.
 inline constexpr std::size_t kMaxMarks = 12;
 inline constexpr std::size_t kMaxMarkCrashes = 8;
+// Longer messages are rejected.
+inline constexpr std::size_t kMaxMarksBytes = 4096;
 
 using request::DecodedMark;
 
-// Encodes an array of the version and, for each mark, [content, epoch, counter,
-// flags, owner, owned ms, rerun target, expires in ms, crashes]; a crash is
-// [id, target, age in ms, contents in flight, flags]. Marks beyond the maximum,
-// and the oldest crashes beyond it, are left out.
+// Encodes an array of the version and, for each mark, [content or part, epoch,
+// counter, flags, owner, owned ms, rerun target, expires in ms, crashes]; a
+// crash is [id, target, age in ms, contents in flight, flags, ms that the run
+// had run, answers since, organisation]. Marks beyond the maximum, and the
+// oldest crashes beyond it, are left out.
 std::string EncodeMarks(const std::vector<DecodedMark>& marks, base::Time now);
 // Returns nullopt for malformed bytes.
 std::optional<std::vector<DecodedMark>> DecodeMarks(std::string_view bytes,
--- a/src/process/peers/quarantine_records.cc
+++ b/src/process/peers/quarantine_records.cc
@@ -118,13 +118,18 @@
     co_return created.has_value();
   }
   // Another instance has written the verdict, or a call without a response; or
-  // the record of an earlier quarantine is about to expire.
+  // there is the record of an earlier quarantine.
   const auto existing = co_await store_.Get(key, &fault);
   const auto record =
       existing && !existing->deleted
           ? DecodeQuarantineRecord(key, existing->value, clock_())
           : std::nullopt;
-  co_return record && record->version.epoch >= item->version.epoch;
+  if (!record || record->version.epoch >= item->version.epoch) {
+    co_return record.has_value();
+  }
+  const auto updated = co_await store_.Update(
+      key, EncodeQuarantineRecord(*item), *lease, existing->revision, &fault);
+  co_return updated.has_value();
 }
 
 void QuarantineRecords::OnList(const std::vector<store::StoreItem>& items) {
--- a/src/process/peers/quarantine_sharing.cc
+++ b/src/process/peers/quarantine_sharing.cc
@@ -79,9 +79,11 @@
 
 void QuarantineSharing::OnPublish(const ViewItem& item) {
   auto row = request::DecodeMark(item);
-  // While a mark is merged, only this instance's own claim on a rerun is news.
+  // While a mark is merged, only this instance's own claim on a rerun is news,
+  // and that it released the part because of what it knows itself.
   const bool is_news =
-      row && (!merging_ || row->mark.owner == presence_.instance());
+      row && (!merging_ || row->mark.owner == presence_.instance() ||
+              IsObjection(*row));
   if (!is_news) {
     return;
   }
@@ -89,8 +91,17 @@
   Arm(options_.delay);
 }
 
+// Many instances may release a part at the same time; a few of them say so.
+bool QuarantineSharing::IsObjection(const DecodedMark& row) const {
+  return row.mark.is_part && !row.mark.quarantined &&
+         row.mark.epoch > merged_epoch_ &&
+         base::UniformBelow(random_, presence_.Peers().size() + 1) <
+             options_.objections;
+}
+
 void QuarantineSharing::Merge(const ViewItem& item) {
   merging_ = true;
+  merged_epoch_ = item.version.epoch;
   quarantine_.Merge(item, clock_());
   merging_ = false;
 }
@@ -189,10 +200,12 @@
                              std::vector<DecodedMark> marks) {
   const base::Time now = clock_();
   while (!marks.empty()) {
-    const auto n =
-        static_cast<std::ptrdiff_t>(std::min(marks.size(), kMaxMarks));
-    const std::string bytes =
-        EncodeMarks({marks.begin(), marks.begin() + n}, now);
+    auto n = static_cast<std::ptrdiff_t>(std::min(marks.size(), kMaxMarks));
+    std::string bytes = EncodeMarks({marks.begin(), marks.begin() + n}, now);
+    while (bytes.size() > kMaxMarksBytes && n > 1) {
+      n /= 2;
+      bytes = EncodeMarks({marks.begin(), marks.begin() + n}, now);
+    }
     marks.erase(marks.begin(), marks.begin() + n);
     for (const InstancePeer& peer : peers) {
       datagrams_.Send(peer, DatagramKind::kMarks, bytes);
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -128,6 +128,10 @@
 }
 
 Awaitable<bool> RelayRun::SendPrefill(const EnginePick& pick, bool* may_count) {
+  // The prefill may have waited for budget.
+  if (CheckQuarantine()) {
+    co_return false;
+  }
   const auto endpoint = EndpointOf(*pick.prefill_engine);
   if (!endpoint) {
     ++failed_prefills_;
@@ -231,6 +235,7 @@
   if (!StartRun(run, *target)) {
     co_return AttemptEnd::kNotRun;
   }
+  quarantine_run_ = &run;
   const bool prefills = !source_;
   const int events_before = events_.events();
   sent_at_ = deps_.clock();
@@ -259,6 +264,7 @@
     runs_ += exchange.sent() ? 1 : 0;
     end = EndAfterFailure(exchange, target);
   }
+  quarantine_run_ = nullptr;
   RecordEvidence(run, answer, target, end,
                  /*answering=*/events_.events() > events_before);
   answer_ = {.framing = exchange.framing(),
@@ -343,6 +349,9 @@
     const int events_before = events_.events();
     const std::string_view piece = co_await answer.ReadSome();
     if (!piece.empty()) {
+      if (quarantine_run_) {
+        quarantine_run_->OnAnswering();
+      }
       sent = co_await ForwardPiece(answer, *target,
                                    events_.events() - events_before, piece);
     }
--- a/src/request/passthrough/relay_records.cc
+++ b/src/request/passthrough/relay_records.cc
@@ -147,8 +147,8 @@
   }
 }
 
-std::optional<EndReason> RelayRun::CheckContent() {
-  denial_ = deps_.quarantine.Check(content_, deps_.clock());
+std::optional<EndReason> RelayRun::CheckQuarantine() {
+  denial_ = deps_.quarantine.Check(identity_, deps_.clock());
   return denial_ ? std::optional(DenialReason()) : std::nullopt;
 }
 
@@ -159,7 +159,7 @@
 
 Awaitable<bool> RelayRun::WaitForEvidence() {
   const base::Time wait_until = deps_.clock() + options_.evidence_timeout;
-  while (CheckContent() && denial_ == QuarantineDenial::kEvidencePending &&
+  while (CheckQuarantine() && denial_ == QuarantineDenial::kEvidencePending &&
          !IsStopped() && deps_.clock() < wait_until) {
     co_await connection::event::SleepFor(deps_.loop,
                                          options_.evidence_poll_interval);
@@ -168,7 +168,7 @@
 }
 
 bool RelayRun::StartRun(QuarantineRun& run, const Engine& target) {
-  denial_ = run.Start(content_, QuarantineTarget(target));
+  denial_ = run.Start(identity_, QuarantineTarget(target));
   held_back_ += denial_ ? 1 : 0;
   return !denial_;
 }
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <ranges>
 #include <utility>
 
 #include "base/log.h"
@@ -67,6 +68,17 @@
   return it == kSizeBuckets.end() ? "more" : std::to_string(*it);
 }
 
+// Hashes of the shared parts, as the quarantine lists them; the first ones of
+// many.
+std::string PartsText(const RunIdentity& identity) {
+  constexpr std::size_t kMostParts = 8;
+  std::string text;
+  for (const ContentHash it : identity.parts | std::views::take(kMostParts)) {
+    text += (text.empty() ? "" : ",") + ToHex(it);
+  }
+  return text;
+}
+
 // -1 if unset, for log lines.
 std::int64_t MillisOrNone(const std::optional<base::Duration>& d) {
   return d ? base::ToMillis(*d) : -1;
@@ -173,7 +185,7 @@
     return NextPermit().value_or(now) - now;
   }
   if (reason == EndReason::kQuarantined) {
-    return deps_.quarantine.TimeLeft(content_, now);
+    return deps_.quarantine.TimeLeft(identity_, now);
   }
   return base::Duration::zero();
 }
@@ -210,7 +222,8 @@
   const auto& limit = runner.limit.named.rate();
   Log(LogLevel::kInfo, "attempt",
       {{"request", terms_.request_id},
-       {"content", ToHex(content_)},
+       {"content", ToHex(identity_.content)},
+       {"parts", PartsText(identity_)},
        {"route", route_->name},
        {"target", tried_.empty() ? runner.entry.id.str() : tried_.back().str()},
        {"reader", pick.prefill_engine ? pick.prefill_engine->entry.id.str()
@@ -316,7 +329,8 @@
         organisation_ ? organisation_->id.str() : std::string()},
        {"configuration", table_ ? table_->version() : -1},
        {"by", ended_by_},
-       {"content", ToHex(content_)},
+       {"content", ToHex(identity_.content)},
+       {"parts", PartsText(identity_)},
        {"denial", denial_ ? ToString(*denial_) : std::string_view()},
        {"prompt_tokens", terms_.prompt.TotalTokens()},
        {"expected_tokens", terms_.expected_tokens},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -9,6 +9,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "connection/event/sleep.h"
+#include "request/passthrough/part_hashes.h"
 
 namespace lynxglade::request::passthrough {
 
@@ -26,6 +27,11 @@
 constexpr int kMaxFailedPrefills = 1;
 constexpr int kMostUrgent = 0;
 
+// Never 0 for an organisation.
+std::uint32_t HashOrganisation(std::string_view id) {
+  return id.empty() ? 0 : static_cast<std::uint32_t>(base::Hash64(id)) | 1U;
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -102,17 +108,19 @@
     return EndReason::kNoService;
   }
   service_ = *service;
-  content_ = Content();
-  return CheckContent();
+  identity_ = Identity();
+  return CheckQuarantine();
 }
 
-ContentHash RelayRun::Content() const {
+RunIdentity RelayRun::Identity() const {
   const auto& head = request_->head;
-  return HashContent(
-      {View(head.method_string()), View(head[http::field::host]),
-       View(head.target()),
-       organisation_ ? std::string_view(organisation_->id.str()) : "",
-       request_->body});
+  const std::string_view organisation =
+      organisation_ ? std::string_view(organisation_->id.str()) : "";
+  return {.content = HashContent(
+              {View(head.method_string()), View(head[http::field::host]),
+               View(head.target()), organisation, request_->body}),
+          .parts = HashSharedParts(terms_.prompt),
+          .organisation = HashOrganisation(organisation)};
 }
 
 std::optional<EndReason> RelayRun::Authenticate() {
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -88,11 +88,11 @@
   // Finds the organisation that holds the caller's key.
   std::optional<EndReason> Authenticate();
   void SetDeadline(std::optional<base::Duration> timeout);
-  // What identifies the request's content to any instance, when it is sent
-  // again with another id.
-  ContentHash Content() const;
-  // Why the quarantine lets no target run the content now, if so.
-  std::optional<EndReason> CheckContent();
+  // What identifies the request to any instance, when it is sent again with
+  // another id, or one with a part of its prompt.
+  RunIdentity Identity() const;
+  // Why the quarantine lets no target run the request now, if so.
+  std::optional<EndReason> CheckQuarantine();
   EndReason DenialReason() const;
   // Waits while it is being found out whether the content's last targets have
   // crashed; false if it may not run after that.
@@ -235,6 +235,8 @@
   // For handlers that may outlive this object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Exchange* current_ = nullptr;
+  // The attempt at a runner that is under way.
+  QuarantineRun* quarantine_run_ = nullptr;
 
   std::shared_ptr<const RouteTable> table_;
   const Route* route_ = nullptr;
@@ -242,7 +244,7 @@
   const Organisation* organisation_ = nullptr;
   base::ServiceName service_;
   RequestTerms terms_;
-  ContentHash content_;
+  RunIdentity identity_;
   ShareStanding standing_;
   base::Time deadline_{};
   bool expired_ = false;
--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -29,6 +29,10 @@
     if (RefreshMark(content, now, &outbox)) {
       denied = CheckSuspect(content, now);
     }
+    if (!denied) {
+      std::vector<ContentHash> trials;
+      denied = CheckParts(identity, now, &outbox, &trials);
+    }
   }
   PublishAll(outbox);
   return denied;
@@ -42,6 +46,21 @@
              : std::max(it->second.expires - now, base::Duration::zero());
 }
 
+base::Duration Quarantine::TimeLeft(const RunIdentity& identity,
+                                    base::Time now) const {
+  const std::scoped_lock lock(mutex_);
+  base::Duration left{};
+  const auto count = [&](ContentHash key) {
+    const auto it = marks_.find(key);
+    if (it != marks_.end() && it->second.quarantined) {
+      left = std::max(left, it->second.expires - now);
+    }
+  };
+  count(identity.content);
+  std::ranges::for_each(identity.parts, count);
+  return left;
+}
+
 bool Quarantine::TryStart(const RunIdentity& identity,
                           const base::TargetId& target,
                           const base::AttemptId& attempt,
@@ -60,14 +79,25 @@
     if (is_suspect && !denied) {
       denied = CheckTarget(content, target, now);
     }
+    std::vector<ContentHash> trials;
+    if (!denied) {
+      denied = CheckParts(identity, now, &outbox, &trials);
+    }
     if (!denied) {
       const bool alone = is_suspect && !HasSuspect(target, content, now);
-      runs_.insert_or_assign(attempt, Run{.content = content,
+      for (const ContentHash it : trials) {
+        ClaimRerun(it, target, now, &outbox);
+      }
+      for (const ContentHash it : identity.parts) {
+        ++parts_in_flight_[it];
+      }
+      runs_.insert_or_assign(attempt, Run{.identity = identity,
                                           .target = target,
                                           .started = now,
                                           .suspect = is_suspect,
                                           .rerun = is_suspect,
-                                          .alone = alone});
+                                          .alone = alone,
+                                          .trials = std::move(trials)});
       if (is_suspect) {
         MarkNotAlone(target, content);
         ClaimRerun(content, target, now, &outbox);
@@ -93,15 +123,17 @@
   Outbox outbox;
   {
     const std::scoped_lock lock(mutex_);
-    const auto run = EndRun(attempt, now, &outbox);
+    auto run = EndRun(attempt, now, &outbox);
     if (run) {
-      RememberAnswered(run->content, now);
-    }
-    // A complete answer does not clear quarantined content: two crashes are
-    // stronger evidence.
-    if (run && RefreshMark(run->content, now, &outbox) &&
-        !marks_.at(run->content).quarantined) {
-      ClearMark(run->content, QuarantineChange::kCleared, now, &outbox);
+      const ContentHash content = run->identity.content;
+      RememberAnswered(content, now);
+      CountAnswer(*run, now, &outbox);
+      // A complete answer does not clear quarantined content: two crashes are
+      // stronger evidence.
+      if (RefreshMark(content, now, &outbox) &&
+          !marks_.at(content).quarantined) {
+        ClearMark(content, QuarantineChange::kCleared, now, &outbox);
+      }
     }
   }
   PublishAll(outbox);
@@ -122,38 +154,19 @@
   Outbox outbox;
   {
     const std::scoped_lock lock(mutex_);
-    const auto run = EndRun(attempt, now, &outbox);
-    if (run && !IsAnswered(run->content, now)) {
-      EvictIfFull();
-      Crash& crash = FindOrAddCrash(run->target, run->started, now);
-      crash.contents.insert(run->content);
-      const auto shared = static_cast<int>(crash.contents.size());
-      for (const ContentHash it : crash.contents) {
-        if (Evidence* evidence = FindEvidence(it, crash)) {
-          evidence->shared = shared;
-        }
+    auto run = EndRun(attempt, now, &outbox);
+    if (run) {
+      const bool suspects_content = !IsAnswered(run->identity.content, now);
+      if (HasSettled(*run, now)) {
+        CountAnswer(*run, now, &outbox);
       }
-      QuarantineMark& mark = marks_[run->content];
-      // Count a crash once even if several attempts of the content were lost.
-      if (std::ranges::find(mark.evidence, crash.crash_id,
-                            &Evidence::crash_id) == mark.evidence.end()) {
-        mark.evidence.push_back({.crash_id = crash.crash_id,
-                                 .target = run->target,
-                                 .at = crash.at,
-                                 .shared = shared,
-                                 .confirmed = crash.confirmed,
-                                 .alone = run->alone,
-                                 .answering = answering});
+      Crash& crash = FindOrAddCrash(run->target, run->started, now);
+      if (suspects_content) {
+        AddContentEvidence(*run, crash, answering, now, &outbox);
       }
-      if (options_.observer_reruns_first) {
-        mark.owner = self_;
-        mark.owned_until = now + options_.rerun_lease;
+      if (!run->counted) {
+        AddPartEvidence(*run, crash, now, &outbox);
       }
-      mark.expires = std::max(mark.expires, now + options_.suspect_ttl);
-      Note(QuarantineChange::kSuspected, run->content, false, now, &outbox);
-      UpdateQuarantine(run->content, now, false, &outbox);
-      PublishChange(run->content, now, &outbox);
-      ClaimRunningAttempts(run->content, now, &outbox);
       ReleaseExplained(now, &outbox);
     }
   }
@@ -194,14 +207,16 @@
     if (!is_refuted(crash)) {
       continue;
     }
-    for (const ContentHash it : crash.contents) {
+    const auto refute = [&](ContentHash it) {
       if (FindEvidence(it, crash)) {
         std::erase_if(marks_.at(it).evidence,
                       [&crash](const Evidence& evidence) {
                         return evidence.crash_id == crash.crash_id;
                       });
       }
-    }
+    };
+    std::ranges::for_each(crash.contents, refute);
+    std::ranges::for_each(crash.parts, refute);
   }
   std::erase_if(crashes->second, is_refuted);
 }
@@ -238,6 +253,14 @@
     } else {
       changed = MergeMarks(decoded->mark, now, mark, &must_publish);
     }
+    for (const Evidence& it : decoded->mark.evidence) {
+      if (it.confirmed) {
+        NoteSeenCrash(it.target, it.at);
+      }
+    }
+    if (mark.is_part) {
+      ConfirmSeen(mark);
+    }
     const bool is_learnt = changed && mark.quarantined && !was_quarantined;
     const bool had_verdict = mark.quarantined;
     UpdateQuarantine(content, now, true, &outbox);
@@ -292,6 +315,7 @@
       }
       QuarantineEntry entry;
       entry.content = content;
+      entry.is_part = mark.is_part;
       entry.quarantined = mark.quarantined;
       entry.expires_in = mark.expires - now;
       for (const Evidence& it : mark.evidence) {
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -1,16 +1,17 @@
-// Prevents a request that crashes its targets from being retried indefinitely.
+// Prevents requests that crash their targets from being run indefinitely.
 //
 // Requests are identified by their content, the hash of what a target would
-// run. Content that was in flight at a target when the target crashed becomes a
-// suspect. A suspect is rerun by one attempt at a time, at a target that has
-// not crashed recently and, from a number of crashes on, runs no other suspect.
-// A second crash, during a rerun without other suspects, quarantines the
-// content; a complete answer clears it. Quarantined content whose crashes
-// all turn out to have another cause (other content that was in flight in the
-// same crash, or an unstable target) becomes a suspect again. Marks are shared
-// with the other instances, expire, and can be lifted by an operator; content
-// whose quarantine has ended is on probation, where one crash of a rerun
-// quarantines it again. See docs/design/retries-and-quarantine.md.
+// run, and by the parts of their prompts. Content that was in flight at a
+// target when the target crashed becomes a suspect. A suspect is rerun by one
+// attempt at a time, at a target that has not crashed recently and, from a
+// number of crashes on, runs no other suspect. A second crash, during a rerun
+// without other suspects, quarantines the content; a complete answer clears it.
+// Quarantined content whose crashes all turn out to have another cause (other
+// content that was in flight in the same crash, or an unstable target) becomes
+// a suspect again. Marks are shared with the other instances, expire, and can
+// be lifted by an operator; content whose quarantine has ended is on probation,
+// where one crash of a rerun quarantines it again. See
+// docs/design/retries-and-quarantine.md.
 #ifndef LYNXGLADE_REQUEST_QUARANTINE_H_
 #define LYNXGLADE_REQUEST_QUARANTINE_H_
 
@@ -83,11 +84,33 @@
   // twice as long ago, is not suspected: many callers send it, and targets run
   // it. Zero: off.
   base::Duration answered_memory{};
-  // Contents that are remembered for that.
-  std::size_t max_answered = 8192;
-  // Maximum number of marks. When full, the mark with the least evidence is
-  // dropped, of these the one that expires first, and a quarantined content
-  // only if there is no suspect.
+  // Contents and parts that are remembered for that.
+  std::size_t max_answered = 16384;
+  // An answer that went on for this long speaks for the parts of its prompt,
+  // and so does a complete one.
+  base::Duration settle_time = std::chrono::milliseconds(500);
+  // Answers that take back one crash as evidence against a part.
+  int answers_per_crash = 3;
+  // A part is judged this long after its last crash, when the other instances'
+  // evidence has arrived.
+  base::Duration verdict_delay = std::chrono::milliseconds(80);
+  // Crashes that quarantine a part; if there were crashes without it within
+  // `other_crash_window`; and if it is common.
+  double part_crashes = 2;
+  double part_crashes_beside_others = 3;
+  double common_part_crashes = 4;
+  base::Duration other_crash_window = std::chrono::seconds(10);
+  // A part is common if this instance had so many answers on it within
+  // `answered_memory`, a run in flight counting for several. Some more crashes
+  // than usual may be seen before its next answers are.
+  int common_answers = 24;
+  int answers_per_run = 8;
+  // A quarantine of a part that follows a trial is extended while requests with
+  // it arrive, up to this age of its first crash.
+  base::Duration max_quarantine = std::chrono::hours(6);
+  // Maximum number of marks. When full, marks with the least evidence are
+  // dropped, of these the ones that expire first, and quarantined ones only if
+  // there is no suspect.
   std::size_t max_marks = 10000;
 };
 
@@ -102,6 +125,8 @@
   // It was in flight when a connection to its target was lost.
   kSuspected,
   kQuarantined,
+  // Requests with the quarantined part still arrive.
+  kExtended,
   // A complete answer, or another cause of its crashes.
   kCleared,
   kReleased,
@@ -114,6 +139,7 @@
 struct QuarantineEvent {
   QuarantineChange change = QuarantineChange::kSuspected;
   ContentHash content;
+  bool is_part = false;
   // Crashes in the mark, those that are confirmed, and those during a rerun
   // without other suspects.
   std::size_t crashes = 0;
@@ -133,6 +159,7 @@
 // A mark as shown to operators.
 struct QuarantineEntry {
   ContentHash content;
+  bool is_part = false;
   bool quarantined = false;
   // Targets that crashed while the content was in flight there, in the order
   // that this instance learned of the crashes.
@@ -169,6 +196,8 @@
   }
   // Until the mark of the content expires; zero if there is none.
   base::Duration TimeLeft(ContentHash content, base::Time now) const;
+  // Until the last quarantine of the content or a part expires.
+  base::Duration TimeLeft(const RunIdentity& identity, base::Time now) const;
 
   // Call before the first byte of each attempt is sent. If it returns true, the
   // attempt is registered and must be ended by exactly one of OnDelivered,
@@ -228,7 +257,7 @@
 
  private:
   struct Run {
-    ContentHash content;
+    RunIdentity identity;
     base::TargetId target;
     base::Time started{};
     std::optional<base::Time> answering_since = {};
@@ -238,12 +267,17 @@
     bool rerun = false;
     // No other suspect was rerun at the target at the same time.
     bool alone = false;
+    // Parts of which this run is the trial.
+    std::vector<ContentHash> trials = {};
+    // Its answer has been counted for its parts.
+    bool counted = false;
   };
   // A crash of a target as observed by this instance.
   struct Crash {
     std::string crash_id;
     base::Time at{};
     std::set<ContentHash> contents;
+    std::set<ContentHash> parts;
     bool confirmed = false;
   };
   // What to publish once the lock is released.
@@ -258,6 +292,21 @@
   std::optional<QuarantineDenial> CheckTarget(ContentHash content,
                                               const base::TargetId& target,
                                               base::Time now) const;
+  // Why the parts of a run keep it from any target now. Adds those of which it
+  // is a trial to `*trials`.
+  std::optional<QuarantineDenial> CheckParts(const RunIdentity& identity,
+                                             base::Time now,
+                                             Outbox* outbox,
+                                             std::vector<ContentHash>* trials);
+  // Whether the request can tell whether the quarantined part is the cause of
+  // its crashes.
+  bool IsOpenToTrial(ContentHash part,
+                     const RunIdentity& identity,
+                     base::Time now) const;
+  // Why no trial of the part may start now.
+  std::optional<QuarantineDenial> CheckTrial(ContentHash part,
+                                             base::Time now) const;
+  void Extend(ContentHash part, base::Time now, Outbox* outbox);
   bool HasSuspect(const base::TargetId& target,
                   ContentHash content,
                   base::Time now) const;
@@ -265,13 +314,31 @@
   Crash& FindOrAddCrash(const base::TargetId& target,
                         base::Time started,
                         base::Time now);
+  // The run was lost in the crash.
+  void AddContentEvidence(const Run& run,
+                          Crash& crash,
+                          bool answering,
+                          base::Time now,
+                          Outbox* outbox);
+  void AddPartEvidence(const Run& run,
+                       Crash& crash,
+                       base::Time now,
+                       Outbox* outbox);
+  bool IsSeen(const Evidence& crash) const;
+  // What one instance has confirmed is true of all evidence of the crash.
+  void ConfirmSeen(QuarantineMark& mark) const;
+  void NoteSeenCrash(const base::TargetId& target, base::Time at);
+  // Whether the answer has gone on for long enough to speak for its parts.
+  bool HasSettled(const Run& run, base::Time now) const;
+  // Counts the run's answer for its parts, once.
+  void CountAnswer(Run& run, base::Time now, Outbox* outbox);
   // The content's evidence of the crash; null if it was cleared or dropped.
   Evidence* FindEvidence(ContentHash content, const Crash& crash);
   void Confirm(const base::TargetId& target,
                Crash& crash,
                base::Time now,
                Outbox* outbox);
-  void RememberAnswered(ContentHash content, base::Time now);
+  void RememberAnswered(ContentHash key, base::Time now);
   bool IsAnswered(ContentHash content, base::Time now) const;
   std::optional<Run> EndRun(const base::AttemptId& attempt,
                             base::Time now,
@@ -299,6 +366,34 @@
   void Sweep(base::Time now, Outbox* outbox);
   // Whether the evidence is sufficient for a quarantine.
   bool IsConclusive(const QuarantineMark& mark, bool confirmed_only) const;
+  // `final`: without the crashes that are not confirmed, and those for which
+  // other instances' evidence may still arrive.
+  bool IsPartConclusive(ContentHash part, bool final, base::Time now) const;
+  void JudgeParts(base::Time now, Outbox* outbox);
+  // How strongly the crashes speak against a content or part by themselves, in
+  // crashes of a part that is not common.
+  double Strength(ContentHash key,
+                  const QuarantineMark& mark,
+                  base::Time now) const;
+  // Crashes of the part that no stronger mark explains.
+  std::vector<Evidence> UnexplainedCrashes(ContentHash part,
+                                           bool confirmed_only,
+                                           base::Time now) const;
+  // Whether a stronger mark has the crash: a quarantined one, or any part if
+  // there is no verdict on `key`.
+  bool IsExplainedByStronger(ContentHash key,
+                             const Evidence& evidence,
+                             base::Time now) const;
+  void EraseRecent(base::Time now, std::vector<Evidence>* crashes) const;
+  // Whether another quarantined mark that is as strong has the part's last
+  // crash.
+  bool IsTied(ContentHash part, base::Time now) const;
+  // Whether there were crashes lately that neither the part nor quarantined
+  // marks explain.
+  bool HasOtherCrashes(const QuarantineMark& part, base::Time now) const;
+  bool IsCommon(ContentHash part) const;
+  // Whether a quarantined part is refuted, or its crashes are explained.
+  bool IsPartReleased(ContentHash part, base::Time now) const;
   void UpdateQuarantine(ContentHash content,
                         base::Time now,
                         bool merged,
@@ -322,6 +417,7 @@
             bool merged,
             base::Time now,
             Outbox* outbox) const;
+  // Makes room for one mark.
   void EvictIfFull();
   void PublishAll(const Outbox& outbox) const;
 
@@ -334,11 +430,15 @@
   base::Time next_sweep_{};
   std::map<ContentHash, QuarantineMark> marks_;
   std::map<base::AttemptId, Run> runs_;
-  // Contents with a complete answer, in two generations: the older one is
-  // dropped when the newer one is full or old.
-  std::set<ContentHash> answered_;
-  std::set<ContentHash> answered_before_;
+  // Answers on contents and parts, in two generations: the older one is dropped
+  // when the newer one is full or old.
+  std::map<ContentHash, int> answered_;
+  std::map<ContentHash, int> answered_before_;
   base::Time answered_since_{};
+  // Runs with each part.
+  std::map<ContentHash, int> parts_in_flight_;
+  // Confirmed crashes, of this instance and others.
+  std::vector<Evidence> seen_crashes_;
   std::map<base::TargetId, std::vector<Crash>> crashes_;
 };
 
--- a/src/request/quarantine_evidence.cc
+++ b/src/request/quarantine_evidence.cc
@@ -1,6 +1,7 @@
 // What crashes say about the contents that were in flight.
 #include <algorithm>
 #include <string>
+#include <vector>
 
 #include "request/quarantine.h"
 
@@ -11,12 +12,6 @@
 // Limit on the crashes recorded per target.
 constexpr std::size_t kMaxCrashes = 32;
 
-bool HasSameCrash(const QuarantineMark& mark, const Evidence& evidence) {
-  return std::ranges::any_of(mark.evidence, [&evidence](const Evidence& it) {
-    return IsSameCrash(it, evidence);
-  });
-}
-
 }  // namespace
 
 Quarantine::Crash& Quarantine::FindOrAddCrash(const base::TargetId& target,
@@ -39,7 +34,7 @@
   }
   const std::string crash_id =
       self_.str() + "/" + std::to_string(next_event_++);
-  crashes.push_back({crash_id, now, {}, false});
+  crashes.push_back({.crash_id = crash_id, .at = now});
   return crashes.back();
 }
 
@@ -51,13 +46,53 @@
     return;
   }
   crash.confirmed = true;
-  for (const ContentHash content : crash.contents) {
-    if (Evidence* evidence = FindEvidence(content, crash)) {
+  NoteSeenCrash(target, crash.at);
+  const auto confirm = [&](ContentHash it) {
+    if (Evidence* evidence = FindEvidence(it, crash)) {
       evidence->confirmed = true;
-      UpdateQuarantine(content, now, false, outbox);
-      PublishChange(content, now, outbox);
+      UpdateQuarantine(it, now, false, outbox);
+      PublishChange(it, now, outbox);
+    }
+  };
+  std::ranges::for_each(crash.contents, confirm);
+  std::ranges::for_each(crash.parts, confirm);
+}
+
+void Quarantine::AddContentEvidence(const Run& run,
+                                    Crash& crash,
+                                    bool answering,
+                                    base::Time now,
+                                    Outbox* outbox) {
+  const ContentHash content = run.identity.content;
+  EvictIfFull();
+  crash.contents.insert(content);
+  const auto shared = static_cast<int>(crash.contents.size());
+  for (const ContentHash it : crash.contents) {
+    if (Evidence* evidence = FindEvidence(it, crash)) {
+      evidence->shared = shared;
     }
   }
+  QuarantineMark& mark = marks_[content];
+  // Count a crash once even if several attempts of the content were lost.
+  if (!FindEvidence(content, crash)) {
+    AddEvidence({.crash_id = crash.crash_id,
+                 .target = run.target,
+                 .at = crash.at,
+                 .shared = shared,
+                 .confirmed = crash.confirmed,
+                 .alone = run.alone,
+                 .answering = answering},
+                mark);
+  }
+  if (options_.observer_reruns_first) {
+    mark.owner = self_;
+    mark.owned_until = now + options_.rerun_lease;
+  }
+  mark.expires = std::max(mark.expires, now + options_.suspect_ttl);
+  Note(QuarantineChange::kSuspected, content, false, now, outbox);
+  UpdateQuarantine(content, now, false, outbox);
+  PublishChange(content, now, outbox);
+  ClaimRunningAttempts(content, now, outbox);
 }
 
 Evidence* Quarantine::FindEvidence(ContentHash content, const Crash& crash) {
@@ -87,21 +122,32 @@
                                   bool merged,
                                   Outbox* outbox) {
   QuarantineMark& mark = marks_.at(content);
-  if (!mark.quarantined && IsConclusive(mark, true)) {
+  const bool is_conclusive = mark.is_part ? IsPartConclusive(content, true, now)
+                                          : IsConclusive(mark, true);
+  if (!mark.quarantined && is_conclusive) {
     mark.quarantined = true;
     mark.expires = now + (mark.on_probation ? options_.quarantine_ttl
                                             : options_.first_quarantine_ttl);
     Note(QuarantineChange::kQuarantined, content, merged, now, outbox);
+    if (mark.is_part) {
+      PublishChange(content, now, outbox);
+    }
   }
 }
 
 void Quarantine::ReleaseExplained(base::Time now, Outbox* outbox) {
   for (auto& [content, mark] : marks_) {
+    if (!mark.quarantined) {
+      continue;
+    }
     const ContentHash self = content;
-    if (!mark.quarantined ||
-        !std::ranges::all_of(mark.evidence, [&](const Evidence& it) {
-          return it.explained || IsExplained(self, it);
-        })) {
+    const bool is_released =
+        mark.is_part
+            ? IsPartReleased(self, now)
+            : std::ranges::all_of(mark.evidence, [&](const Evidence& it) {
+                return it.explained || IsExplained(self, it);
+              });
+    if (!is_released) {
       continue;
     }
     for (Evidence& it : mark.evidence) {
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -1,6 +1,7 @@
 #include "request/quarantine_mark.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -16,8 +17,10 @@
 
 // Limits on marks accepted from other instances.
 constexpr std::size_t kMaxBody = 16384;
-constexpr std::size_t kMaxEvidence = 16;
 constexpr std::int64_t kMaxShared = 1'000'000;
+constexpr std::int64_t kMaxAnswers = 1'000;
+constexpr std::int64_t kMaxOrganisation =
+    std::numeric_limits<std::uint32_t>::max();
 constexpr std::int64_t kMaxMillis = std::int64_t{1000} * 60 * 60 * 24 * 30;
 // Low bits of a sequence number that hold a hash of the source, so that the
 // versions of two sources with equal counters differ.
@@ -46,7 +49,10 @@
           {"confirmed", it.confirmed},
           {"alone", it.alone},
           {"explained", it.explained},
-          {"answering", it.answering}};
+          {"answering", it.answering},
+          {"ran_ms", base::ToMillis(it.ran)},
+          {"answers", it.answers},
+          {"organisation", it.organisation}};
 }
 
 Evidence ToEvidence(const Json& json, base::Time as_of) {
@@ -59,6 +65,10 @@
   it.alone = json.value("alone", false);
   it.explained = json.value("explained", false);
   it.answering = json.value("answering", false);
+  it.ran = Millis(json, "ran_ms");
+  it.answers = static_cast<int>(NumberInRange(json, "answers", 0, kMaxAnswers));
+  it.organisation = static_cast<std::uint32_t>(
+      NumberInRange(json, "organisation", 0, kMaxOrganisation));
   return it;
 }
 
@@ -66,6 +76,7 @@
   QuarantineMark mark;
   mark.epoch = item.version.epoch;
   mark.counter = item.version.sequence >> kSourceBits;
+  mark.is_part = json.value("part", false);
   mark.owner = base::InstanceId(json.value("owner", ""));
   mark.owned_until = item.as_of + Millis(json, "owned_ms");
   mark.rerun_target = base::TargetId(json.value("rerun_at", ""));
@@ -81,6 +92,20 @@
   return mark;
 }
 
+// The local evidence of the same crash. Of a part one entry stands for all
+// instances that recorded the crash: many of them ran it there.
+Evidence* FindSame(QuarantineMark& mark, const Evidence& remote) {
+  const auto it =
+      std::ranges::find_if(mark.evidence, [&](const Evidence& local) {
+        return mark.is_part ? IsSameCrash(local, remote)
+                            : local.crash_id == remote.crash_id;
+      });
+  return it == mark.evidence.end() ? nullptr : &*it;
+}
+
+// Crashes of several targets within this time have one cause.
+constexpr base::Duration kAtOnce = std::chrono::milliseconds(100);
+
 // Whether the mark's owner is rerunning the content.
 bool IsRunning(const QuarantineMark& mark, base::Time now) {
   return !mark.rerun_target.empty() && mark.owned_until > now;
@@ -103,14 +128,19 @@
 }  // namespace
 
 bool IsSameCrash(const Evidence& a, const Evidence& b) noexcept {
-  return a.crash_id == b.crash_id ||
+  return (!a.crash_id.empty() && a.crash_id == b.crash_id) ||
          (a.target == b.target &&
           std::chrono::abs(a.at - b.at) < kSameCrashWindow);
 }
 
-EvidenceCount CountEvidence(const QuarantineMark& mark, bool confirmed_only) {
-  EvidenceCount count;
-  // Several instances may have recorded the same crash.
+bool HasSameCrash(const QuarantineMark& mark, const Evidence& crash) {
+  return std::ranges::any_of(mark.evidence, [&crash](const Evidence& it) {
+    return IsSameCrash(it, crash);
+  });
+}
+
+std::vector<Evidence> DistinctCrashes(const QuarantineMark& mark,
+                                      bool confirmed_only) {
   std::vector<Evidence> crashes;
   for (const Evidence& it : mark.evidence) {
     if (confirmed_only && !it.confirmed) {
@@ -124,8 +154,47 @@
     } else {
       known->alone = known->alone || it.alone;
       known->answering = known->answering && it.answering;
+      known->answers = std::max(known->answers, it.answers);
+      known->ran = std::min(known->ran, it.ran);
+    }
+  }
+  return crashes;
+}
+
+double ScoreCrashes(std::vector<Evidence> crashes, int answers_per_crash) {
+  std::ranges::sort(crashes, {}, &Evidence::at);
+  double score = 0;
+  std::optional<base::Time> last;
+  for (const Evidence& it : crashes) {
+    if (!last || it.started() >= *last || it.at - *last >= kAtOnce) {
+      last = it.at;
+      score += 1;
     }
+    score = std::max(0.0, score - 1.0 * it.answers / answers_per_crash);
   }
+  return score;
+}
+
+void AddEvidence(const Evidence& added, QuarantineMark& mark) {
+  if (mark.evidence.size() >= kMaxEvidence) {
+    mark.evidence.erase(
+        std::ranges::min_element(mark.evidence, {}, &Evidence::at));
+  }
+  mark.evidence.push_back(added);
+}
+
+void FoldPartEvidence(const Evidence& added, Evidence& known) {
+  known.confirmed = known.confirmed || added.confirmed;
+  known.answers = std::max(known.answers, added.answers);
+  known.ran = std::min(known.ran, added.ran);
+  if (known.organisation != added.organisation) {
+    known.organisation = 0;
+  }
+}
+
+EvidenceCount CountEvidence(const QuarantineMark& mark, bool confirmed_only) {
+  EvidenceCount count;
+  const std::vector<Evidence> crashes = DistinctCrashes(mark, confirmed_only);
   count.all = crashes.size();
   count.unexplained = static_cast<std::size_t>(
       std::ranges::count(crashes, false, &Evidence::explained));
@@ -145,7 +214,8 @@
   const auto millis_until = [now](base::Time until) {
     return std::max<std::int64_t>(0, base::ToMillis(until - now));
   };
-  Json json = {{"owner", mark.owner.str()},
+  Json json = {{"part", mark.is_part},
+               {"owner", mark.owner.str()},
                {"owned_ms", millis_until(mark.owned_until)},
                {"rerun_at", mark.rerun_target.str()},
                {"quarantined", mark.quarantined},
@@ -201,10 +271,9 @@
   bool changed = false;
   std::size_t in_both = 0;
   for (const Evidence& it : remote.evidence) {
-    const auto known =
-        std::ranges::find(local.evidence, it.crash_id, &Evidence::crash_id);
-    if (known == local.evidence.end()) {
-      local.evidence.push_back(it);
+    Evidence* known = FindSame(local, it);
+    if (!known) {
+      AddEvidence(it, local);
       changed = true;
       continue;
     }
@@ -214,6 +283,10 @@
     known->confirmed = known->confirmed || it.confirmed;
     known->explained = known->explained || it.explained;
     known->shared = std::max(known->shared, it.shared);
+    changed = changed || it.answers > known->answers;
+    if (local.is_part) {
+      FoldPartEvidence(it, *known);
+    }
   }
   const std::size_t added = remote.evidence.size() - in_both;
   *must_publish = *must_publish || local.evidence.size() - added > in_both;
@@ -228,6 +301,7 @@
   }
   local.counter = std::max(local.counter, remote.counter);
   changed = changed || (remote.quarantined && !local.quarantined);
+  local.is_part = local.is_part || remote.is_part;
   local.quarantined = local.quarantined || remote.quarantined;
   local.on_probation = local.on_probation || remote.on_probation;
   local.expires = std::max(local.expires, remote.expires);
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -1,5 +1,5 @@
-// The evidence against one content, its encoding for other instances, and how
-// the marks of two instances are merged.
+// The evidence against one content, or one part of prompts, its encoding for
+// other instances, and how the marks of two instances are merged.
 #ifndef LYNXGLADE_REQUEST_QUARANTINE_MARK_H_
 #define LYNXGLADE_REQUEST_QUARANTINE_MARK_H_
 
@@ -17,7 +17,8 @@
 
 namespace lynxglade::request {
 
-// One crash of a target at which a content was in flight.
+// One crash of a target at which a content, or a run with a part, was in
+// flight.
 struct Evidence {
   std::string crash_id;  // "<observing instance>/<number>"
   base::TargetId target;
@@ -31,6 +32,15 @@
   bool explained = false;
   // Part of the answer had arrived: the target had run the content for a while.
   bool answering = false;
+  // How long the last run of it to start had run.
+  base::Duration ran{};
+  // Of a part: runs with it that began after this crash and before the next
+  // one, and answered.
+  int answers = 0;
+  // Of a part: organisation of the lost runs, as in RunIdentity; 0: several.
+  std::uint32_t organisation = 0;
+
+  base::Time started() const noexcept { return at - ran; }
 };
 
 // Number of distinct crashes in a mark.
@@ -46,6 +56,8 @@
 };
 
 struct QuarantineMark {
+  // The key is a part of prompts, not a content.
+  bool is_part = false;
   // Incremented when the content is cleared, released or lifted. A mark of a
   // later epoch replaces one of an earlier epoch.
   std::uint64_t epoch = 1;
@@ -69,12 +81,35 @@
 // Losses at one target within this time count as one crash.
 inline constexpr base::Duration kSameCrashWindow = std::chrono::seconds(2);
 
+// Crashes kept in one mark.
+inline constexpr std::size_t kMaxEvidence = 16;
+
 // Whether both describe the same crash of a target. Instances assign different
 // ids to the same crash, so the target and time are compared as well.
 bool IsSameCrash(const Evidence& a, const Evidence& b) noexcept;
 
+// Whether the crash is in the mark.
+bool HasSameCrash(const QuarantineMark& mark, const Evidence& crash);
+
+// The crashes in the mark, each once, though several instances recorded it.
+std::vector<Evidence> DistinctCrashes(const QuarantineMark& mark,
+                                      bool confirmed_only);
+
+// Adds the evidence; the oldest one makes room for it.
+void AddEvidence(const Evidence& added, QuarantineMark& mark);
+
+// Joins what another run, or another instance, says of the same crash.
+void FoldPartEvidence(const Evidence& added, Evidence& known);
+
 EvidenceCount CountEvidence(const QuarantineMark& mark, bool confirmed_only);
 
+// How strongly crashes and answers speak against a part, in crashes. A run that
+// is in flight in several crashes at once says no more than in one: a crash
+// counts only if a run began after the one before, or if it was not at about
+// the same time. `answers_per_crash` answers take one crash back; none are
+// saved up for later crashes, as a part may have been harmless until then.
+double ScoreCrashes(std::vector<Evidence> crashes, int answers_per_crash);
+
 // Encodes the mark as a view item. The body is JSON, with times relative to
 // `now`.
 process::ViewItem EncodeMark(ContentHash content,
--- a/src/request/quarantine_marks.cc
+++ b/src/request/quarantine_marks.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr base::Duration kSweepInterval = std::chrono::milliseconds(250);
+// Of full marks, one in so many is dropped at once.
+constexpr std::size_t kEvictedPart = 16;
 
 }  // namespace
 
@@ -59,6 +61,7 @@
     const bool is_over = Expire(it->first, it->second, now, outbox);
     it = is_over ? marks_.erase(it) : std::next(it);
   }
+  JudgeParts(now, outbox);
   for (auto& [target, crashes] : crashes_) {
     std::erase_if(crashes, [&](const Crash& it) {
       const base::Duration age = now - it.at;
@@ -68,13 +71,25 @@
   }
   std::erase_if(crashes_, [](const auto& it) { return it.second.empty(); });
   // Renew the leases of reruns in progress.
-  for (const auto& [attempt, run] : runs_) {
-    const auto it = marks_.find(run.content);
-    if (run.suspect && it != marks_.end() && it->second.owner == self_ &&
-        it->second.owned_until < now + options_.rerun_lease / 2) {
-      ClaimRerun(run.content, run.target, now, outbox);
+  for (auto& [attempt, run] : runs_) {
+    const auto renew = [&](ContentHash key) {
+      const auto it = marks_.find(key);
+      if (it != marks_.end() && it->second.owner == self_ &&
+          it->second.owned_until < now + options_.rerun_lease / 2) {
+        ClaimRerun(key, run.target, now, outbox);
+      }
+    };
+    if (run.suspect) {
+      renew(run.identity.content);
+    }
+    std::ranges::for_each(run.trials, renew);
+    if (HasSettled(run, now)) {
+      CountAnswer(run, now, outbox);
     }
   }
+  std::erase_if(seen_crashes_, [&](const Evidence& it) {
+    return now - it.at >= 2 * options_.other_crash_window;
+  });
 }
 
 void Quarantine::ClearMark(ContentHash content,
@@ -115,6 +130,7 @@
   const EvidenceCount count = CountEvidence(mark, false);
   QuarantineEvent event{.change = change,
                         .content = content,
+                        .is_part = mark.is_part,
                         .crashes = count.all,
                         .confirmed = CountEvidence(mark, true).all,
                         .alone = count.alone,
@@ -131,15 +147,25 @@
   outbox->events.push_back(std::move(event));
 }
 
+// Many at once, as each eviction orders all marks.
 void Quarantine::EvictIfFull() {
   if (marks_.size() < options_.max_marks) {
     return;
   }
-  marks_.erase(std::ranges::min_element(marks_, {}, [](const auto& it) {
-    const QuarantineMark& mark = it.second;
-    return std::tuple(mark.quarantined, mark.on_probation, mark.evidence.size(),
-                      mark.expires);
-  }));
+  std::vector<decltype(marks_)::iterator> least;
+  for (auto it = marks_.begin(); it != marks_.end(); ++it) {
+    least.push_back(it);
+  }
+  const auto n = static_cast<std::ptrdiff_t>(
+      std::max<std::size_t>(1, least.size() / kEvictedPart));
+  std::ranges::nth_element(
+      least, least.begin() + n - 1, {}, [](const auto& it) {
+        const QuarantineMark& mark = it->second;
+        return std::tuple(mark.quarantined, mark.on_probation,
+                          mark.evidence.size(), mark.expires);
+      });
+  std::for_each_n(least.begin(), n,
+                  [this](const auto& it) { marks_.erase(it); });
 }
 
 void Quarantine::PublishAll(const Outbox& outbox) const {
--- a/src/request/quarantine_names.cc
+++ b/src/request/quarantine_names.cc
@@ -14,6 +14,8 @@
       return "suspected";
     case QuarantineChange::kQuarantined:
       return "quarantined";
+    case QuarantineChange::kExtended:
+      return "extended";
     case QuarantineChange::kCleared:
       return "cleared";
     case QuarantineChange::kReleased:
--- /dev/null
+++ b/src/request/quarantine_parts.cc
@@ -0,0 +1,334 @@
+// What crashes and answers say about the parts of prompts, and which requests
+// with a quarantined part are trials.
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "request/quarantine.h"
+
+namespace lynxglade::request {
+
+namespace {
+
+// Crashes that are remembered to recognise those without a given part.
+constexpr std::size_t kMaxSeenCrashes = 256;
+
+// In crashes.
+constexpr double kVerdictMargin = 0.9;
+
+// Answers that are counted between two crashes: they take back all of them.
+constexpr int kMaxAnswersCounted = 100;
+
+// The last crash before the time; null if there is none.
+Evidence* LastBefore(QuarantineMark& mark, base::Time time) {
+  Evidence* last = nullptr;
+  for (Evidence& it : mark.evidence) {
+    if (it.at < time && (!last || it.at > last->at)) {
+      last = &it;
+    }
+  }
+  return last;
+}
+
+}  // namespace
+
+void Quarantine::AddPartEvidence(const Run& run,
+                                 Crash& crash,
+                                 base::Time now,
+                                 Outbox* outbox) {
+  const Evidence lost{
+      .crash_id = crash.crash_id,
+      .target = run.target,
+      .at = crash.at,
+      .shared = static_cast<int>(crash.contents.size()),
+      .confirmed = crash.confirmed,
+      .ran = std::max(crash.at - run.started, base::Duration::zero()),
+      .organisation = run.identity.organisation};
+  for (const ContentHash part : run.identity.parts) {
+    if (!marks_.contains(part)) {
+      EvictIfFull();
+    }
+    crash.parts.insert(part);
+    QuarantineMark& mark = marks_[part];
+    mark.is_part = true;
+    const auto known = std::ranges::find_if(
+        mark.evidence,
+        [&lost](const Evidence& it) { return IsSameCrash(it, lost); });
+    if (known == mark.evidence.end()) {
+      AddEvidence(lost, mark);
+    } else {
+      FoldPartEvidence(lost, *known);
+      // This instance is to find it again when its own check has ended.
+      known->crash_id = crash.crash_id;
+    }
+    ConfirmSeen(mark);
+    mark.expires = std::max(mark.expires, now + options_.suspect_ttl);
+    Note(QuarantineChange::kSuspected, part, false, now, outbox);
+    UpdateQuarantine(part, now, false, outbox);
+    PublishChange(part, now, outbox);
+  }
+}
+
+bool Quarantine::IsSeen(const Evidence& crash) const {
+  return std::ranges::any_of(seen_crashes_, [&crash](const Evidence& it) {
+    return IsSameCrash(crash, it);
+  });
+}
+
+void Quarantine::NoteSeenCrash(const base::TargetId& target, base::Time at) {
+  const Evidence crash{.target = target, .at = at};
+  if (IsSeen(crash) || seen_crashes_.size() >= kMaxSeenCrashes) {
+    return;
+  }
+  seen_crashes_.push_back(crash);
+  for (auto& [key, mark] : marks_) {
+    if (mark.is_part) {
+      ConfirmSeen(mark);
+    }
+  }
+}
+
+void Quarantine::ConfirmSeen(QuarantineMark& mark) const {
+  for (Evidence& it : mark.evidence) {
+    it.confirmed = it.confirmed || IsSeen(it);
+  }
+}
+
+bool Quarantine::HasSettled(const Run& run, base::Time now) const {
+  return run.answering_since &&
+         now - *run.answering_since >= options_.settle_time;
+}
+
+void Quarantine::CountAnswer(Run& run, base::Time now, Outbox* outbox) {
+  if (std::exchange(run.counted, true)) {
+    return;
+  }
+  for (const ContentHash part : run.identity.parts) {
+    RememberAnswered(part, now);
+    const auto it = marks_.find(part);
+    if (it == marks_.end()) {
+      continue;
+    }
+    QuarantineMark& mark = it->second;
+    if (mark.on_probation && !mark.quarantined && mark.evidence.empty()) {
+      ClearMark(part, QuarantineChange::kCleared, now, outbox);
+      continue;
+    }
+    Evidence* before = LastBefore(mark, run.started);
+    if (!before || before->answers >= kMaxAnswersCounted) {
+      continue;
+    }
+    const bool matters = Strength(part, mark, now) > 0;
+    // A trial is one of few runs that may answer.
+    before->answers += mark.quarantined ? options_.answers_per_crash : 1;
+    // Every instance has answers on a common part.
+    if (matters && (mark.quarantined || !IsCommon(part))) {
+      PublishChange(part, now, outbox);
+    }
+  }
+  ReleaseExplained(now, outbox);
+}
+
+bool Quarantine::IsCommon(ContentHash part) const {
+  const auto count = [part](const std::map<ContentHash, int>& answered) {
+    const auto it = answered.find(part);
+    return it == answered.end() ? 0 : it->second;
+  };
+  return count(answered_) + count(answered_before_) +
+             options_.answers_per_run * count(parts_in_flight_) >=
+         options_.common_answers;
+}
+
+double Quarantine::Strength(ContentHash key,
+                            const QuarantineMark& mark,
+                            base::Time now) const {
+  auto crashes = DistinctCrashes(mark, true);
+  EraseRecent(now, &crashes);
+  const double score =
+      ScoreCrashes(std::move(crashes), options_.answers_per_crash);
+  return IsCommon(key)
+             ? score + options_.part_crashes - options_.common_part_crashes
+             : score;
+}
+
+// Evidence of other instances may not have arrived.
+void Quarantine::EraseRecent(base::Time now,
+                             std::vector<Evidence>* crashes) const {
+  std::erase_if(*crashes, [&](const Evidence& it) {
+    return now - it.at < options_.verdict_delay;
+  });
+}
+
+bool Quarantine::IsExplainedByStronger(ContentHash key,
+                                       const Evidence& evidence,
+                                       base::Time now) const {
+  const QuarantineMark& own = marks_.at(key);
+  // A verdict stands against one that is only a little stronger.
+  const double strength =
+      Strength(key, own, now) + (own.quarantined ? kVerdictMargin : 0);
+  return std::ranges::any_of(marks_, [&](const auto& it) {
+    const auto& [other, mark] = it;
+    const bool counts = mark.quarantined || (mark.is_part && !own.quarantined);
+    return other != key && counts && HasSameCrash(mark, evidence) &&
+           Strength(other, mark, now) > strength;
+  });
+}
+
+std::vector<Evidence> Quarantine::UnexplainedCrashes(ContentHash part,
+                                                     bool confirmed_only,
+                                                     base::Time now) const {
+  auto crashes = DistinctCrashes(marks_.at(part), confirmed_only);
+  std::erase_if(crashes, [&](const Evidence& it) {
+    return it.explained || IsExplainedByStronger(part, it, now);
+  });
+  return crashes;
+}
+
+bool Quarantine::IsPartConclusive(ContentHash part,
+                                  bool final,
+                                  base::Time now) const {
+  const QuarantineMark& mark = marks_.at(part);
+  const double least = mark.on_probation ? 1 : options_.part_crashes;
+  // Most marks end here; what follows looks at all of them.
+  if (ScoreCrashes(DistinctCrashes(mark, final), options_.answers_per_crash) <
+      least) {
+    return false;
+  }
+  double needed = least;
+  if (!mark.on_probation) {
+    needed = IsCommon(part)               ? options_.common_part_crashes
+             : HasOtherCrashes(mark, now) ? options_.part_crashes_beside_others
+                                          : options_.part_crashes;
+  }
+  auto crashes = UnexplainedCrashes(part, final, now);
+  if (final) {
+    EraseRecent(now, &crashes);
+  }
+  return ScoreCrashes(std::move(crashes), options_.answers_per_crash) >= needed;
+}
+
+void Quarantine::JudgeParts(base::Time now, Outbox* outbox) {
+  for (const auto& [key, mark] : marks_) {
+    if (mark.is_part && !mark.quarantined && !mark.evidence.empty()) {
+      UpdateQuarantine(key, now, false, outbox);
+    }
+  }
+  ReleaseExplained(now, outbox);
+}
+
+bool Quarantine::HasOtherCrashes(const QuarantineMark& part,
+                                 base::Time now) const {
+  const base::Time last = std::ranges::max(part.evidence, {}, &Evidence::at).at;
+  return std::ranges::any_of(seen_crashes_, [&](const Evidence& crash) {
+    return std::chrono::abs(last - crash.at) < options_.other_crash_window &&
+           !HasSameCrash(part, crash) &&
+           std::ranges::none_of(
+               marks_,
+               [&crash](const auto& other) {
+                 return other.second.quarantined &&
+                        HasSameCrash(other.second, crash);
+               });
+  });
+}
+
+bool Quarantine::IsTied(ContentHash part, base::Time now) const {
+  const QuarantineMark& own = marks_.at(part);
+  if (own.evidence.empty()) {
+    return false;
+  }
+  const Evidence& last = std::ranges::max(own.evidence, {}, &Evidence::at);
+  const double strength = Strength(part, own, now);
+  return std::ranges::any_of(marks_, [&](const auto& it) {
+    const auto& [other, mark] = it;
+    return other != part && mark.quarantined && HasSameCrash(mark, last) &&
+           Strength(other, mark, now) >= strength;
+  });
+}
+
+bool Quarantine::IsPartReleased(ContentHash part, base::Time now) const {
+  return ScoreCrashes(UnexplainedCrashes(part, true, now),
+                      options_.answers_per_crash) <=
+         (marks_.at(part).on_probation ? 0 : 1);
+}
+
+bool Quarantine::IsOpenToTrial(ContentHash part,
+                               const RunIdentity& identity,
+                               base::Time now) const {
+  const auto is_tied = [&](ContentHash it) {
+    const auto mark = marks_.find(it);
+    return mark != marks_.end() && mark->second.quarantined && IsTied(it, now);
+  };
+  if (is_tied(part)) {
+    // With two of them it would tell nothing.
+    return std::ranges::count_if(identity.parts, is_tied) == 1;
+  }
+  if (IsCommon(part) &&
+      Strength(part, marks_.at(part), now) <= options_.part_crashes) {
+    return true;
+  }
+  // Crashes of one organisation's requests may have a cause that only these
+  // have, whatever part they name.
+  std::set<std::uint32_t> organisations;
+  for (const Evidence& it : marks_.at(part).evidence) {
+    organisations.insert(it.organisation);
+  }
+  return organisations.size() == 1 && *organisations.begin() != 0 &&
+         *organisations.begin() != identity.organisation;
+}
+
+std::optional<QuarantineDenial> Quarantine::CheckTrial(ContentHash part,
+                                                       base::Time now) const {
+  if (std::ranges::any_of(runs_, [part](const auto& it) {
+        return std::ranges::find(it.second.trials, part) !=
+               it.second.trials.end();
+      })) {
+    return QuarantineDenial::kSuspectRunning;
+  }
+  const QuarantineMark& mark = marks_.at(part);
+  if (mark.owner != self_ && !mark.owner.empty() && mark.owned_until > now) {
+    return QuarantineDenial::kSuspectElsewhere;
+  }
+  return std::nullopt;
+}
+
+std::optional<QuarantineDenial> Quarantine::CheckParts(
+    const RunIdentity& identity,
+    base::Time now,
+    Outbox* outbox,
+    std::vector<ContentHash>* trials) {
+  std::optional<QuarantineDenial> denied;
+  for (const ContentHash part : identity.parts) {
+    if (!RefreshMark(part, now, outbox)) {
+      continue;
+    }
+    UpdateQuarantine(part, now, false, outbox);
+    const QuarantineMark& mark = marks_.at(part);
+    if (mark.quarantined && !IsOpenToTrial(part, identity, now)) {
+      Extend(part, now, outbox);
+      return QuarantineDenial::kQuarantined;
+    }
+    if (mark.quarantined || (mark.on_probation && mark.evidence.empty())) {
+      denied = denied ? denied : CheckTrial(part, now);
+      trials->push_back(part);
+    } else if (!denied && IsPartConclusive(part, false, now)) {
+      denied = QuarantineDenial::kEvidencePending;
+    }
+  }
+  return denied;
+}
+
+void Quarantine::Extend(ContentHash part, base::Time now, Outbox* outbox) {
+  QuarantineMark& mark = marks_.at(part);
+  if (!mark.on_probation || mark.evidence.empty() ||
+      mark.expires - now >= options_.quarantine_ttl / 2 ||
+      now - std::ranges::min(mark.evidence, {}, &Evidence::at).at >=
+          options_.max_quarantine) {
+    return;
+  }
+  ++mark.epoch;
+  mark.expires = now + options_.quarantine_ttl;
+  Note(QuarantineChange::kExtended, part, false, now, outbox);
+  PublishChange(part, now, outbox);
+}
+
+}  // namespace lynxglade::request
--- a/src/request/quarantine_run.h
+++ b/src/request/quarantine_run.h
@@ -29,18 +29,24 @@
 
   // Call before the first byte is sent. Returns why the content may not run at
   // the target, if so.
-  std::optional<QuarantineDenial> Start(ContentHash content,
+  std::optional<QuarantineDenial> Start(const RunIdentity& identity,
                                         const base::TargetId& target) {
     // Request ids are chosen by callers and need not be unique.
     static std::atomic<std::uint64_t> attempts = 0;
     const base::AttemptId attempt(std::to_string(++attempts));
     QuarantineDenial denial{};
-    if (!quarantine_.TryStart(content, target, attempt, clock_(), &denial)) {
+    if (!quarantine_.TryStart(identity, target, attempt, clock_(), &denial)) {
       return denial;
     }
     attempt_ = attempt;
     return std::nullopt;
   }
+  // The first part of the answer arrived.
+  void OnAnswering() {
+    if (attempt_) {
+      quarantine_.OnAnswering(*attempt_, clock_());
+    }
+  }
   // The complete answer arrived.
   void OnDelivered() {
     if (const auto attempt = std::exchange(attempt_, std::nullopt)) {
--- a/src/request/quarantine_suspects.cc
+++ b/src/request/quarantine_suspects.cc
@@ -16,7 +16,7 @@
     return QuarantineDenial::kEvidencePending;
   }
   if (std::ranges::any_of(runs_, [content](const auto& it) {
-        return it.second.content == content;
+        return it.second.identity.content == content;
       })) {
     return QuarantineDenial::kSuspectRunning;
   }
@@ -53,7 +53,7 @@
     return;
   }
   for (auto& [attempt, run] : runs_) {
-    if (run.target == target && run.content != started) {
+    if (run.target == target && run.identity.content != started) {
       run.alone = false;
     }
   }
@@ -67,7 +67,7 @@
       return false;
     }
     // The content may have become a suspect after the run started.
-    const auto mark = marks_.find(it.second.content);
+    const auto mark = marks_.find(it.second.identity.content);
     return it.second.suspect ||
            (mark != marks_.end() && mark->second.is_suspect());
   });
@@ -95,7 +95,7 @@
   });
 }
 
-void Quarantine::RememberAnswered(ContentHash content, base::Time now) {
+void Quarantine::RememberAnswered(ContentHash key, base::Time now) {
   if (options_.answered_memory == base::Duration::zero()) {
     return;
   }
@@ -104,7 +104,7 @@
     answered_before_ = std::exchange(answered_, {});
     answered_since_ = now;
   }
-  answered_.insert(content);
+  ++answered_[key];
 }
 
 bool Quarantine::IsAnswered(ContentHash content, base::Time now) const {
@@ -121,15 +121,26 @@
   if (it == runs_.end()) {
     return std::nullopt;
   }
-  const Run run = it->second;
+  Run run = std::move(it->second);
   runs_.erase(it);
-  const auto mark = marks_.find(run.content);
-  if (run.suspect && mark != marks_.end() && mark->second.owner == self_) {
-    // Release the lease, so that another instance may rerun the content.
-    mark->second.rerun_target = base::TargetId();
-    mark->second.owned_until = now;
-    PublishChange(run.content, now, outbox);
+  for (const ContentHash part : run.identity.parts) {
+    if (--parts_in_flight_[part] == 0) {
+      parts_in_flight_.erase(part);
+    }
+  }
+  // Releases the lease, so that another instance may rerun the content.
+  const auto release = [&](ContentHash key) {
+    const auto mark = marks_.find(key);
+    if (mark != marks_.end() && mark->second.owner == self_) {
+      mark->second.rerun_target = base::TargetId();
+      mark->second.owned_until = now;
+      PublishChange(key, now, outbox);
+    }
+  };
+  if (run.suspect) {
+    release(run.identity.content);
   }
+  std::ranges::for_each(run.trials, release);
   return run;
 }
 
@@ -153,7 +164,7 @@
   // Claim once per run; otherwise two instances would override each other's
   // claims indefinitely.
   for (auto& [attempt, run] : runs_) {
-    if (run.content == content && !std::exchange(run.suspect, true)) {
+    if (run.identity.content == content && !std::exchange(run.suspect, true)) {
       ClaimRerun(content, run.target, now, outbox);
     }
   }
