Quarantine of parts: verdicts wait for all evidence; a wrong one is not enforced

Change: a crash counts once there was no news of it for 80 ms; what one instance confirmed is true of all evidence; each instance decides for itself whether a verdict holds, and ends it 2 s after the last news. A lost run of answered content records no crash again, as before.

--- a/bench/quarantine/quarantine_fleet.cc
+++ b/bench/quarantine/quarantine_fleet.cc
@@ -95,9 +95,12 @@
                   .seed = settings.seed}),
         engines_(static_cast<std::size_t>(settings.engines)),
         read_(static_cast<std::size_t>(settings.instances)) {
+    request::QuarantineOptions options =
+        settings_.options.value_or(request::QuarantineOptions{});
+    options.instances = [this] { return read_.size(); };
     for (int i = 0; settings_.options && i < settings_.instances; ++i) {
       instances_.push_back(std::make_unique<Quarantine>(
-          *settings_.options, base::InstanceId("i" + std::to_string(i)),
+          options, base::InstanceId("i" + std::to_string(i)),
           [this, i](const process::ViewItem& it) { Publish(i, it); },
           [this](const request::QuarantineEvent& it) { Observe(it); }));
     }
@@ -361,19 +364,11 @@
 
   void Publish(int from, const process::ViewItem& item) {
     // Instances join what they receive; they do not pass it on.
-    if (settings_.shares && (!receiving_ || IsObjection(item))) {
+    if (settings_.shares && !receiving_) {
       log_.push_back({now_ + settings_.delay, from, item});
       result_.marks_received += 1;
     }
   }
-  // Whether the instance released a part that it just received as quarantined,
-  // and is one of the few that say so.
-  bool IsObjection(const process::ViewItem& item) {
-    constexpr double kObjections = 8;
-    const auto row = request::DecodeMark(item);
-    return row && row->mark.is_part && received_epoch_ < row->mark.epoch &&
-           base::UniformReal(random_) * settings_.instances < kObjections;
-  }
   // Merges what has arrived at the instance since it was last used.
   void Receive(std::size_t instance) {
     if (!settings_.options) {
@@ -384,7 +379,6 @@
     for (; read < log_.size() && log_[read].at <= now_; ++read) {
       if (log_[read].from != static_cast<int>(instance) &&
           base::UniformReal(random_) >= settings_.loss) {
-        received_epoch_ = log_[read].item.version.epoch;
         const process::ViewItem item = log_[read].item;
         instances_[instance]->Merge(item, now_);
       }
@@ -458,7 +452,6 @@
   // Messages of the log that each instance has read.
   std::vector<std::size_t> read_;
   bool receiving_ = false;
-  std::uint64_t received_epoch_ = 0;
   std::map<ContentHash, int> losses_;
   std::map<ContentHash, base::Time> first_refused_;
   std::set<ContentHash> condemned_;
--- a/src/process/peers/quarantine_sharing.cc
+++ b/src/process/peers/quarantine_sharing.cc
@@ -79,11 +79,9 @@
 
 void QuarantineSharing::OnPublish(const ViewItem& item) {
   auto row = request::DecodeMark(item);
-  // While a mark is merged, only this instance's own claim on a rerun is news,
-  // and that it released the part because of what it knows itself.
+  // While a mark is merged, only this instance's own claim on a rerun is news.
   const bool is_news =
-      row && (!merging_ || row->mark.owner == presence_.instance() ||
-              IsObjection(*row));
+      row && (!merging_ || row->mark.owner == presence_.instance());
   if (!is_news) {
     return;
   }
@@ -91,17 +89,8 @@
   Arm(options_.delay);
 }
 
-// Many instances may release a part at the same time; a few of them say so.
-bool QuarantineSharing::IsObjection(const DecodedMark& row) const {
-  return row.mark.is_part && !row.mark.quarantined &&
-         row.mark.epoch > merged_epoch_ &&
-         base::UniformBelow(random_, presence_.Peers().size() + 1) <
-             options_.objections;
-}
-
 void QuarantineSharing::Merge(const ViewItem& item) {
   merging_ = true;
-  merged_epoch_ = item.version.epoch;
   quarantine_.Merge(item, clock_());
   merging_ = false;
 }
--- a/src/process/peers/quarantine_sharing.h
+++ b/src/process/peers/quarantine_sharing.h
@@ -10,7 +10,6 @@
 #define LYNXGLADE_PROCESS_PEERS_QUARANTINE_SHARING_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <string_view>
@@ -44,9 +43,6 @@
   // A view older than this was out of date: marks may have been missed. Longer
   // than a watch of the store waits.
   base::Duration stale_view = std::chrono::seconds(5);
-  // Of the instances that release a part which others quarantined, how many
-  // tell all.
-  std::size_t objections = 8;
   // Instances that are asked for their marks.
   std::size_t peers_asked = 3;
 };
@@ -83,7 +79,6 @@
     int repeats_left = 0;
   };
 
-  bool IsObjection(const DecodedMark& row) const;
   void Arm(base::Duration delay);
   connection::event::Awaitable<void> FlushLater(base::Duration delay);
   void Flush();
@@ -111,7 +106,6 @@
   bool armed_ = false;
   // Marks that change now are known to the other instances as well.
   bool merging_ = false;
-  std::uint64_t merged_epoch_ = 0;
   double saved_rounds_;
   base::Time refilled_at_;
   bool view_was_stale_ = true;
--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -155,16 +155,19 @@
   {
     const std::scoped_lock lock(mutex_);
     auto run = EndRun(attempt, now, &outbox);
-    if (run) {
-      const bool suspects_content = !IsAnswered(run->identity.content, now);
-      if (HasSettled(*run, now)) {
-        CountAnswer(*run, now, &outbox);
-      }
+    if (run && HasSettled(*run, now)) {
+      CountAnswer(*run, now, &outbox);
+    }
+    const bool suspects_content =
+        run && !IsAnswered(run->identity.content, now);
+    const bool suspects_parts =
+        run && !run->counted && !run->identity.parts.empty();
+    if (suspects_content || suspects_parts) {
       Crash& crash = FindOrAddCrash(run->target, run->started, now);
       if (suspects_content) {
         AddContentEvidence(*run, crash, answering, now, &outbox);
       }
-      if (!run->counted) {
+      if (suspects_parts) {
         AddPartEvidence(*run, crash, now, &outbox);
       }
       ReleaseExplained(now, &outbox);
@@ -249,13 +252,16 @@
     bool must_publish = false;
     if (is_new) {
       mark = decoded->mark;
+      for (Evidence& it : mark.evidence) {
+        it.learnt = now;
+      }
       changed = true;
     } else {
       changed = MergeMarks(decoded->mark, now, mark, &must_publish);
     }
-    for (const Evidence& it : decoded->mark.evidence) {
-      if (it.confirmed) {
-        NoteSeenCrash(it.target, it.at);
+    for (const Evidence& it : mark.evidence) {
+      if (it.confirmed && it.learnt == now) {
+        NoteSeenCrash(it.target, it.at, now);
       }
     }
     if (mark.is_part) {
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -94,6 +94,9 @@
   // A part is judged this long after its last crash, when the other instances'
   // evidence has arrived.
   base::Duration verdict_delay = std::chrono::milliseconds(80);
+  // A verdict on a part that turns out to be wrong ends this long after its
+  // last crash.
+  base::Duration release_delay = std::chrono::seconds(2);
   // Crashes that quarantine a part; if there were crashes without it within
   // `other_crash_window`; and if it is common.
   double part_crashes = 2;
@@ -105,6 +108,10 @@
   // than usual may be seen before its next answers are.
   int common_answers = 24;
   int answers_per_run = 8;
+  // Every instance has answers on a common part: of so many answers together
+  // one is told to the others by each. Empty: one instance.
+  std::function<std::size_t()> instances = {};
+  std::size_t tellers = 8;
   // A quarantine of a part that follows a trial is extended while requests with
   // it arrive, up to this age of its first crash.
   base::Duration max_quarantine = std::chrono::hours(6);
@@ -324,10 +331,13 @@
                        Crash& crash,
                        base::Time now,
                        Outbox* outbox);
-  bool IsSeen(const Evidence& crash) const;
+  const Evidence* FindSeen(const Evidence& crash) const;
   // What one instance has confirmed is true of all evidence of the crash.
   void ConfirmSeen(QuarantineMark& mark) const;
-  void NoteSeenCrash(const base::TargetId& target, base::Time at);
+  // There is news of the confirmed crash.
+  void NoteSeenCrash(const base::TargetId& target,
+                     base::Time at,
+                     base::Time now);
   // Whether the answer has gone on for long enough to speak for its parts.
   bool HasSettled(const Run& run, base::Time now) const;
   // Counts the run's answer for its parts, once.
@@ -392,7 +402,11 @@
   // marks explain.
   bool HasOtherCrashes(const QuarantineMark& part, base::Time now) const;
   bool IsCommon(ContentHash part) const;
-  // Whether a quarantined part is refuted, or its crashes are explained.
+  // Whether the next answer on a common part is told to the other instances.
+  bool TellsAnswer();
+  // Whether answers, or a stronger mark, speak against the verdict on a part,
+  // and whether they have for long enough to end it at all instances.
+  bool IsPartRefuted(ContentHash part, base::Time now) const;
   bool IsPartReleased(ContentHash part, base::Time now) const;
   void UpdateQuarantine(ContentHash content,
                         base::Time now,
@@ -435,6 +449,7 @@
   std::map<ContentHash, int> answered_;
   std::map<ContentHash, int> answered_before_;
   base::Time answered_since_{};
+  std::size_t common_answers_seen_ = 0;
   // Runs with each part.
   std::map<ContentHash, int> parts_in_flight_;
   // Confirmed crashes, of this instance and others.
--- a/src/request/quarantine_evidence.cc
+++ b/src/request/quarantine_evidence.cc
@@ -46,7 +46,7 @@
     return;
   }
   crash.confirmed = true;
-  NoteSeenCrash(target, crash.at);
+  NoteSeenCrash(target, crash.at, now);
   const auto confirm = [&](ContentHash it) {
     if (Evidence* evidence = FindEvidence(it, crash)) {
       evidence->confirmed = true;
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -156,6 +156,7 @@
       known->answering = known->answering && it.answering;
       known->answers = std::max(known->answers, it.answers);
       known->ran = std::min(known->ran, it.ran);
+      known->learnt = std::min(known->learnt, it.learnt);
     }
   }
   return crashes;
@@ -274,6 +275,7 @@
     Evidence* known = FindSame(local, it);
     if (!known) {
       AddEvidence(it, local);
+      local.evidence.back().learnt = now;
       changed = true;
       continue;
     }
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -30,6 +30,8 @@
   bool alone = false;
   // The crash was attributed to another cause.
   bool explained = false;
+  // When this instance learnt of it.
+  base::Time learnt{};
   // Part of the answer had arrived: the target had run the content for a while.
   bool answering = false;
   // How long the last run of it to start had run.
--- a/src/request/quarantine_parts.cc
+++ b/src/request/quarantine_parts.cc
@@ -62,6 +62,9 @@
       known->crash_id = crash.crash_id;
     }
     ConfirmSeen(mark);
+    if (lost.confirmed) {
+      NoteSeenCrash(lost.target, lost.at, now);
+    }
     mark.expires = std::max(mark.expires, now + options_.suspect_ttl);
     Note(QuarantineChange::kSuspected, part, false, now, outbox);
     UpdateQuarantine(part, now, false, outbox);
@@ -69,15 +72,24 @@
   }
 }
 
-bool Quarantine::IsSeen(const Evidence& crash) const {
-  return std::ranges::any_of(seen_crashes_, [&crash](const Evidence& it) {
-    return IsSameCrash(crash, it);
-  });
+const Evidence* Quarantine::FindSeen(const Evidence& crash) const {
+  const auto it = std::ranges::find_if(
+      seen_crashes_,
+      [&crash](const Evidence& seen) { return IsSameCrash(crash, seen); });
+  return it == seen_crashes_.end() ? nullptr : &*it;
 }
 
-void Quarantine::NoteSeenCrash(const base::TargetId& target, base::Time at) {
-  const Evidence crash{.target = target, .at = at};
-  if (IsSeen(crash) || seen_crashes_.size() >= kMaxSeenCrashes) {
+void Quarantine::NoteSeenCrash(const base::TargetId& target,
+                               base::Time at,
+                               base::Time now) {
+  const Evidence crash{.target = target, .at = at, .learnt = now};
+  for (Evidence& it : seen_crashes_) {
+    if (IsSameCrash(crash, it)) {
+      it.learnt = now;
+      return;
+    }
+  }
+  if (seen_crashes_.size() >= kMaxSeenCrashes) {
     return;
   }
   seen_crashes_.push_back(crash);
@@ -90,7 +102,7 @@
 
 void Quarantine::ConfirmSeen(QuarantineMark& mark) const {
   for (Evidence& it : mark.evidence) {
-    it.confirmed = it.confirmed || IsSeen(it);
+    it.confirmed = it.confirmed || FindSeen(it);
   }
 }
 
@@ -121,14 +133,20 @@
     const bool matters = Strength(part, mark, now) > 0;
     // A trial is one of few runs that may answer.
     before->answers += mark.quarantined ? options_.answers_per_crash : 1;
-    // Every instance has answers on a common part.
-    if (matters && (mark.quarantined || !IsCommon(part))) {
+    if (matters && (!IsCommon(part) || TellsAnswer())) {
       PublishChange(part, now, outbox);
     }
   }
   ReleaseExplained(now, outbox);
 }
 
+bool Quarantine::TellsAnswer() {
+  const std::size_t instances = options_.instances ? options_.instances() : 1;
+  return ++common_answers_seen_ %
+             std::max<std::size_t>(1, instances / options_.tellers) ==
+         0;
+}
+
 bool Quarantine::IsCommon(ContentHash part) const {
   const auto count = [part](const std::map<ContentHash, int>& answered) {
     const auto it = answered.find(part);
@@ -155,7 +173,8 @@
 void Quarantine::EraseRecent(base::Time now,
                              std::vector<Evidence>* crashes) const {
   std::erase_if(*crashes, [&](const Evidence& it) {
-    return now - it.at < options_.verdict_delay;
+    const Evidence* seen = FindSeen(it);
+    return now - (seen ? seen->learnt : it.at) < options_.verdict_delay;
   });
 }
 
@@ -245,12 +264,23 @@
   });
 }
 
-bool Quarantine::IsPartReleased(ContentHash part, base::Time now) const {
+bool Quarantine::IsPartRefuted(ContentHash part, base::Time now) const {
   return ScoreCrashes(UnexplainedCrashes(part, true, now),
                       options_.answers_per_crash) <=
          (marks_.at(part).on_probation ? 0 : 1);
 }
 
+// Until all instances have the same evidence, each decides for itself whether
+// the verdict holds.
+bool Quarantine::IsPartReleased(ContentHash part, base::Time now) const {
+  return std::ranges::all_of(marks_.at(part).evidence,
+                             [&](const Evidence& it) {
+                               return now - std::max(it.at, it.learnt) >=
+                                      options_.release_delay;
+                             }) &&
+         IsPartRefuted(part, now);
+}
+
 bool Quarantine::IsOpenToTrial(ContentHash part,
                                const RunIdentity& identity,
                                base::Time now) const {
@@ -262,8 +292,9 @@
     // With two of them it would tell nothing.
     return std::ranges::count_if(identity.parts, is_tied) == 1;
   }
+  // Most of what has it was harmless until now.
   if (IsCommon(part) &&
-      Strength(part, marks_.at(part), now) <= options_.part_crashes) {
+      Strength(part, marks_.at(part), now) <= options_.common_part_crashes) {
     return true;
   }
   // Crashes of one organisation's requests may have a cause that only these
@@ -303,14 +334,16 @@
     }
     UpdateQuarantine(part, now, false, outbox);
     const QuarantineMark& mark = marks_.at(part);
-    if (mark.quarantined && !IsOpenToTrial(part, identity, now)) {
+    const bool is_quarantined = mark.quarantined && !IsPartRefuted(part, now);
+    if (is_quarantined && !IsOpenToTrial(part, identity, now)) {
       Extend(part, now, outbox);
       return QuarantineDenial::kQuarantined;
     }
-    if (mark.quarantined || (mark.on_probation && mark.evidence.empty())) {
+    if (is_quarantined || (mark.on_probation && mark.evidence.empty())) {
       denied = denied ? denied : CheckTrial(part, now);
       trials->push_back(part);
-    } else if (!denied && IsPartConclusive(part, false, now)) {
+    } else if (!denied && !mark.quarantined &&
+               IsPartConclusive(part, false, now)) {
       denied = QuarantineDenial::kEvidencePending;
     }
   }
--- a/tests/platform/target_protocol_test.cc
+++ b/tests/platform/target_protocol_test.cc
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include "request/passthrough/part_hashes.h"
+
 namespace lynxglade::platform {
 namespace {
 
@@ -74,6 +76,35 @@
   EXPECT_EQ(LimitOf({"4", "4"}).kind, LimitStatement::Kind::kMalformed);
 }
 
+std::vector<request::ContentHash> SharedPartsOf(const std::string& text) {
+  connection::event::RequestHead head;
+  head.set("Lynxglade-Token-Usage", "100,10");
+  head.set("Lynxglade-Prefix-Hash", text);
+  std::string reason;
+  const auto terms = MakeTargetProtocol().parse_terms(head, &reason);
+  return terms ? request::passthrough::HashSharedParts(terms->prompt)
+               : std::vector<request::ContentHash>{};
+}
+
+// A part's number is written in different ways, and it is the same part.
+TEST(TargetProtocol, SharedPartsAreIdentifiedByTheirNumbers) {
+  const auto parts = SharedPartsOf("bad:10,c1:20,own:30");
+  ASSERT_EQ(parts.size(), 2u);
+  EXPECT_EQ(SharedPartsOf("00BAD:11, 0c1:20,other:30"), parts);
+  EXPECT_EQ(SharedPartsOf("c1:20,bad:10,own:30"), parts);
+  EXPECT_EQ(SharedPartsOf("bad:10,BAD:5,c1:20,bad:10,own:30"), parts);
+  EXPECT_NE(SharedPartsOf("bad0:10,c1:20,own:30"), parts);
+  EXPECT_EQ(SharedPartsOf("0:1,x:1").size(), 1u);
+  EXPECT_EQ(SharedPartsOf("000:1,x:1"), SharedPartsOf("0:1,x:1"));
+}
+
+TEST(TargetProtocol, OwnPartIsNotShared) {
+  EXPECT_TRUE(SharedPartsOf("bad:10").empty());
+  EXPECT_TRUE(SharedPartsOf("").empty());
+  EXPECT_TRUE(SharedPartsOf("bad").empty());
+  EXPECT_TRUE(SharedPartsOf("bad:x,own:1").empty());
+}
+
 // A field that is new in the protocol must not be dropped unnoticed.
 TEST(TargetProtocol, HeadersNamedLikeTheProtocolsAreCounted) {
   connection::event::ResponseHead head;
