Rig: series of most new connections at one instance, and its bound

Cause: nothing of ours brought about that most new connections go to one instance, which reads more than it can serve. Change: series one_instance (nine of ten first tries to one instance that has a quarter of a processor, then to another), bound recover, callers that retry a connection closed before an answer.

--- a/tests/rig/checker.cc
+++ b/tests/rig/checker.cc
@@ -234,9 +234,11 @@
     case RigBound::kOrder:
       return "order";
     case RigBound::kReach:
+      return "reach";
+    case RigBound::kRecover:
       break;
   }
-  return "reach";
+  return "recover";
 }
 
 std::vector<SizeClass> ClassifySizes(const RunRecords& records,
@@ -282,6 +284,7 @@
   std::ranges::move(CheckGroups(records, terms), std::back_inserter(uses));
   uses.push_back(CheckOrder(records));
   std::ranges::move(CheckReach(records, terms), std::back_inserter(uses));
+  std::ranges::move(CheckRecover(records, terms), std::back_inserter(uses));
   return uses;
 }
 
--- a/tests/rig/checker.h
+++ b/tests/rig/checker.h
@@ -41,6 +41,9 @@
   // First tries at instances that are cut off from the engines, against those
   // at the others.
   kReach,
+  // First tries that an instance has read while it gets most new connections,
+  // against those before.
+  kRecover,
 };
 std::string_view ToString(RigBound bound) noexcept;
 
@@ -81,6 +84,10 @@
   double min_reach_ratio = 2.0 / 3;
   double free_unreached = 10;
   double free_unreached_fraction = 0.02;
+  // From this long after its begin a flood counts. First tries that the
+  // instance read are to be served at least this often against those before.
+  base::Duration flood_notice = std::chrono::seconds(3);
+  double min_recover_ratio = 0.75;
 };
 
 // Use of one bound.
@@ -106,6 +113,10 @@
 std::vector<BoundUse> CheckReach(const RunRecords& records,
                                  const RigTerms& terms);
 
+// Use of RigBound::kRecover; nothing if no instance was flooded for long.
+std::vector<BoundUse> CheckRecover(const RunRecords& records,
+                                   const RigTerms& terms);
+
 // Requests of one kind by their size.
 struct SizeClass : bench::ServedCount {
   std::string name;
--- a/tests/rig/day.cc
+++ b/tests/rig/day.cc
@@ -43,6 +43,9 @@
       case Series::kCutOff:
         CutInstances();
         break;
+      case Series::kOneInstance:
+        FloodInstances();
+        break;
       case Series::kMixed:
         Mix();
         break;
@@ -136,6 +139,17 @@
     }
   }
 
+  void FloodInstances() {
+    base::Duration at = kCalmStart + milliseconds(2'000);
+    while (at + milliseconds(5'000) < settings_.length - kCalmEnd) {
+      const base::Duration length = Millis(6'000, 8'000);
+      day_.faults.push_back(
+          {FaultKind::kFloodInstance, at, length,
+           base::UniformBelow(random_, settings_.instances)});
+      at += length + Millis(2'000, 4'000);
+    }
+  }
+
   void KillInstances() {
     base::Duration at = kCalmStart + milliseconds(3'000);
     while (at < settings_.length - kCalmEnd) {
@@ -193,6 +207,7 @@
       case FaultKind::kStopInstance:
       case FaultKind::kTerminateInstance:
       case FaultKind::kCutInstance:
+      case FaultKind::kFloodInstance:
         return settings_.instances;
       case FaultKind::kKillEngine:
       case FaultKind::kStopEngine:
@@ -231,9 +246,11 @@
     case FaultKind::kDelayLink:
       return "delay link";
     case FaultKind::kCutInstance:
+      return "cut instance off";
+    case FaultKind::kFloodInstance:
       break;
   }
-  return "cut instance off";
+  return "flood instance";
 }
 
 Day DrawDay(const DaySettings& settings) {
--- a/tests/rig/day.h
+++ b/tests/rig/day.h
@@ -28,6 +28,8 @@
   kDelayLink,
   // Links of one instance to all engines: cut.
   kCutInstance,
+  // Most new connections go to one instance, which has a part of a processor.
+  kFloodInstance,
 };
 std::string_view ToString(FaultKind kind) noexcept;
 
@@ -66,6 +68,8 @@
   // Some instances are cut off from all engines, again and again; others stop
   // meanwhile.
   kCutOff,
+  // Most new connections go to one instance, then to another one.
+  kOneInstance,
   // All kinds of faults in overlapping series.
   kMixed,
 };
--- a/tests/rig/records.h
+++ b/tests/rig/records.h
@@ -71,6 +71,9 @@
   unsigned status = 0;
   bool complete = false;
   std::string body = {};
+  std::size_t instance = 0;
+  // The instance closed the connection without a byte of an answer.
+  bool unread = false;
 };
 
 // A request of a caller, with its retries.
@@ -101,8 +104,12 @@
   base::Time to{};
 };
 
+// Most new connections go to the instance.
+using FloodSpan = CutSpan;
+
 struct RunRecords {
   std::vector<CutSpan> cuts;
+  std::vector<FloodSpan> floods;
   std::vector<Arrival> arrivals;
   std::vector<CallerRequestRecord> requests;
 };
--- a/tests/rig/rig.cc
+++ b/tests/rig/rig.cc
@@ -33,6 +33,9 @@
 constexpr base::Duration kRestartDelay = std::chrono::milliseconds(200);
 constexpr base::Duration kExitPoll = std::chrono::milliseconds(50);
 constexpr base::Duration kExitTimeout = std::chrono::seconds(9);
+// Of a flooded instance: a quarter of a processor.
+constexpr base::Duration kStoppedTime = std::chrono::milliseconds(18);
+constexpr base::Duration kRunningTime = std::chrono::milliseconds(6);
 constexpr base::Duration kPieceDelay = std::chrono::milliseconds(30);
 // Below the range from which the system takes the ports of connections.
 constexpr int kFirstPort = 20'000;
@@ -264,6 +267,20 @@
   set(LinkCut::kWhole);
 }
 
+Awaitable<void> Rig::FloodInstance(Fault fault) {
+  Process& process = instances_[fault.index]->process();
+  const base::Time from = base::BootClock::now();
+  floods_.push_back({fault.index, from, from + fault.length});
+  traffic_->SendMostTo(fault.index);
+  while (base::BootClock::now() < from + fault.length) {
+    process.Send(SIGSTOP);
+    co_await SleepFor(loop_, kStoppedTime);
+    process.Send(SIGCONT);
+    co_await SleepFor(loop_, kRunningTime);
+  }
+  traffic_->SendMostTo(std::nullopt);
+}
+
 bool Rig::AwaitReady() {
   const std::string known =
       "lynxglade_targets_known " + std::to_string(engines_.size());
@@ -346,6 +363,9 @@
     case FaultKind::kCutInstance:
       co_await CutInstance(fault);
       break;
+    case FaultKind::kFloodInstance:
+      co_await FloodInstance(fault);
+      break;
   }
 }
 
@@ -402,6 +422,7 @@
     }
   }
   records.cuts = cuts_;
+  records.floods = floods_;
   if (traffic_) {
     records.requests = traffic_->records();
   }
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -78,6 +78,8 @@
   // The store as an instance with links of its own to the engines sees it.
   std::unique_ptr<system_test::StoreView> LinkInstance(std::size_t i);
   Awaitable<void> CutInstance(Fault fault);
+  // Sends most first tries to the instance, which runs for a part of the time.
+  Awaitable<void> FloodInstance(Fault fault);
   bool AwaitReady();
   Awaitable<void> Play();
   Awaitable<void> PlayFaults(base::Time begin);
@@ -101,6 +103,7 @@
   std::vector<std::vector<std::unique_ptr<LinkProxy>>> instance_links_;
   std::vector<std::unique_ptr<system_test::StoreView>> views_;
   std::vector<CutSpan> cuts_;
+  std::vector<FloodSpan> floods_;
   std::vector<std::unique_ptr<system_test::EntryProcess>> instances_;
   std::unique_ptr<Traffic> traffic_;
 };
--- a/tests/rig/rig_main.cc
+++ b/tests/rig/rig_main.cc
@@ -29,6 +29,7 @@
       {"slow", Series::kSlow},
       {"broken_answers", Series::kBrokenAnswers},
       {"cut_off", Series::kCutOff},
+      {"one_instance", Series::kOneInstance},
       {"mixed", Series::kMixed}};
   return names;
 }
--- a/tests/rig/traffic.cc
+++ b/tests/rig/traffic.cc
@@ -32,6 +32,8 @@
 // Instances that are tried if one does not accept the connection.
 constexpr std::size_t kMaxConnects = 7;
 constexpr double kHttp10Share = 0.1;
+// Of the first tries, while most go to one instance.
+constexpr double kMostShare = 0.9;
 
 base::Duration EventTimeout(const RequestKind& kind) {
   return std::max({kMinEventTimeout,
@@ -197,6 +199,9 @@
   record.subject = draft.subject;
   const base::Time deadline = clock_() + kind.timeout;
   std::size_t instance = draft.caller % settings_.ports.size();
+  if (most_to_ && base::UniformReal(random_) < kMostShare) {
+    instance = *most_to_;
+  }
   record.instance = instance;
   record.zone = settings_.zones[instance];
   bool retry = true;
@@ -210,10 +215,12 @@
     record.end = result.left                     ? RequestEnd::kLeft
                  : PromisesNotRun(result.status) ? RequestEnd::kRefused
                                                  : RequestEnd::kFailed;
-    record.broken_off = result.status == 0 && !result.left;
+    const bool unread = record.attempts.back().unread;
+    record.broken_off = result.status == 0 && !result.left && !unread;
     const base::Duration left = deadline - clock_();
     const bool may_repeat =
-        kind.type == RequestType::kIdempotent || PromisesNotRun(result.status);
+        kind.type == RequestType::kIdempotent ||
+        PromisesNotRun(result.status) || unread;
     // One retry, at another instance.
     retry = record.attempts.size() < 2 && may_repeat && !result.left &&
             left > std::chrono::milliseconds(50);
@@ -242,7 +249,8 @@
   const std::string id =
       std::to_string(settings_.seed) + "-" + std::to_string(next_id_++);
   const base::Time sent_at = clock_();
-  record.attempts.push_back({id, sent_at, timeout});
+  record.attempts.push_back(
+      {.id = id, .sent_at = sent_at, .timeout = timeout, .instance = instance});
   // A connection that is not accepted is the balancer's to place again.
   std::unique_ptr<CallerChannel> channel;
   for (std::size_t i = 0; i < kMaxConnects && !channel; ++i) {
@@ -261,6 +269,7 @@
   attempt.status = answer.status();
   attempt.complete = answer.complete();
   attempt.body = answer.body();
+  attempt.unread = answer.status() == 0 && !channel->left();
   result.complete = answer.complete();
   result.left = channel->left();
   result.status =
@@ -279,8 +288,10 @@
 Awaitable<std::unique_ptr<CallerChannel>> Traffic::Connect(
     Tcp::endpoint endpoint,
     base::Duration timeout) {
-  if (auto kept = channels_.Take(endpoint)) {
-    co_return kept;
+  if (!most_to_) {
+    if (auto kept = channels_.Take(endpoint)) {
+      co_return kept;
+    }
   }
   auto channel = std::make_unique<CallerChannel>(loop_, endpoint);
   const LeaveAfter leave(loop_, *channel, timeout);
--- a/tests/rig/traffic.h
+++ b/tests/rig/traffic.h
@@ -96,6 +96,11 @@
 
   // Sends requests for TrafficSettings::length, and waits for the last ones.
   connection::event::Awaitable<void> Run();
+  // From now on most first tries go to the instance; to the callers' own ones
+  // if there is none.
+  void SendMostTo(std::optional<std::size_t> instance) {
+    most_to_ = instance;
+  }
   const std::vector<CallerRequestRecord>& records() const noexcept {
     return records_;
   }
@@ -135,6 +140,7 @@
   const base::RandomSource random_;
   KeptChannels channels_;
   std::vector<CallerRequestRecord> records_;
+  std::optional<std::size_t> most_to_;
   std::uint64_t next_id_ = 0;
   int pending_ = 0;
 };
