Overload: an instance that cannot keep up leaves new connections unread

What callers saw: while most new connections go to one instance, requests that it had read were not answered before they left. Cause: only 1,500 connections bound what is read, whatever the processor does. Change: LoopLag measures how long handlers have waited all the while; beyond 100 ms new connections are closed before a byte is read, so that their callers turn to another instance.

--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -44,6 +45,7 @@
   kHeadTooLarge,
   kBodyTooLarge,
   kMemory,
+  kOverloaded,
 };
 
 struct FaultAnswer {
@@ -61,6 +63,7 @@
     FaultAnswer{ReadFault::kHeadTooLarge, 431, "head_too_large"},
     FaultAnswer{ReadFault::kBodyTooLarge, 413, "body_too_large"},
     FaultAnswer{ReadFault::kMemory, 503, "memory"},
+    FaultAnswer{ReadFault::kOverloaded, 0, "overloaded"},
 };
 
 const FaultAnswer& AnswerTo(ReadFault fault) {
@@ -103,13 +106,15 @@
          CallerHandler h,
          base::Clock c,
          base::Metrics& m,
-         std::size_t buffered)
+         std::size_t buffered,
+         std::function<bool()> overloaded)
       : loop(l),
         bounds(std::move(b)),
         handler(std::move(h)),
         clock(std::move(c)),
         metrics(m),
-        max_buffered(buffered) {}
+        max_buffered(buffered),
+        is_overloaded(std::move(overloaded)) {}
 
   asio::io_context& loop;
   std::function<CallerServerLimits()> bounds;
@@ -117,10 +122,13 @@
   base::Clock clock;
   base::Metrics& metrics;
   const std::size_t max_buffered;
+  const std::function<bool()> is_overloaded;
   std::set<Session*> sessions;
   std::size_t busy = 0;
   std::size_t buffered = 0;
   bool draining = false;
+
+  bool IsOverloaded() const { return is_overloaded && is_overloaded(); }
 };
 
 // One connection.
@@ -167,6 +175,8 @@
   // Keeps a timer handler that is already queued from cancelling a later wait.
   int timer_generation_ = 0;
   bool idle_ = true;
+  // Nothing has been read from it.
+  bool is_new_ = true;
 };
 
 Awaitable<void> CallerServer::Session::Run() {
@@ -194,6 +204,10 @@
   if (!begun) {
     co_return nullptr;
   }
+  if (std::exchange(is_new_, false) && shared_->IsOverloaded()) {
+    fault_ = ReadFault::kOverloaded;
+    co_return nullptr;
+  }
   buffer_.max_size(bounds.max_header_bytes + kMaxReadAhead);
   BodyParser parser;
   parser.header_limit(static_cast<std::uint32_t>(bounds.max_header_bytes));
@@ -383,7 +397,8 @@
                                        std::move(handler),
                                        std::move(clock),
                                        metrics,
-                                       options.max_buffered_bytes)),
+                                       options.max_buffered_bytes,
+                                       options.is_overloaded)),
       acceptor_(loop),
       options_(std::move(options)) {}
 
@@ -425,10 +440,11 @@
       co_await SleepFor(shared_->loop, kAcceptPause);
       continue;
     }
-    if (shared_->sessions.size() >= options_.max_connections) {
+    const bool is_full = shared_->sessions.size() >= options_.max_connections;
+    if (is_full || shared_->IsOverloaded()) {
       shared_->metrics
           .GetCounter("lynxglade_unread_requests_total",
-                      {{"reason", "connections"}})
+                      {{"reason", is_full ? "connections" : "overloaded"}})
           .Add();
       continue;
     }
--- a/src/connection/event/caller_server.h
+++ b/src/connection/event/caller_server.h
@@ -53,6 +53,9 @@
   std::size_t max_connections = 1500;
   // Limit on incomplete request bodies, summed over all connections.
   std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
+  // While it returns true, new connections are closed before anything is read
+  // from them, so that their callers turn to another instance. May be empty.
+  std::function<bool()> is_overloaded = {};
 };
 
 // Not thread-safe: runs on the event loop.
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
+#include "connection/event/loop_lag.h"
 #include "main/entry_daemon.h"
 #include "main/entry_duties.h"
 #include "main/entry_peers.h"
@@ -59,6 +60,7 @@
   // Calls to engines, which count against the limits that these name.
   process::stages::StageOrderHooks OrderHooks();
   void OnQuarantineEvent(const request::QuarantineEvent& event);
+  request::QuarantineOptions QuarantineSettings();
   process::peers::QuarantineRecordsHooks QuarantineHooks();
   process::peers::TargetConnectorHooks ConnectorHooks();
   request::passthrough::ReachTarget ReachThroughConnector();
@@ -76,6 +78,7 @@
   const base::RandomSource random = base::SystemRandom();
   connection::event::asio::io_context loop{1};
   base::Metrics metrics;
+  connection::event::LoopLag loop_lag{loop, clock};
   // Direct connections, to the platform and to other instances; also those of
   // orders, which a target takes as given by the instance that connects.
   connection::event::ChannelPool channels{loop, clock};
@@ -130,8 +133,6 @@
   // New requests are rejected, as they might not finish before the process
   // exits.
   bool rejecting = false;
-  // How late the last maintenance began.
-  base::Duration loop_lag{};
 };
 
 }  // namespace lynxglade
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -17,7 +17,6 @@
 #include "main/details/entry_daemon_details.h"
 #include "main/exit_status.h"
 #include "main/tcp_endpoint.h"
-#include "request/passthrough/quarantine_options.h"
 
 namespace lynxglade {
 
@@ -36,6 +35,8 @@
 namespace asio = connection::event::asio;
 
 constexpr base::Duration kMaintenancePeriod = std::chrono::milliseconds(250);
+// Beyond this the process has more requests than it can serve in time.
+constexpr base::Duration kMaxStandingLag = std::chrono::milliseconds(100);
 // After SIGTERM, before idle connections are closed. Allows for a load balancer
 // that checks health once a second and removes an instance after two failures.
 constexpr base::Duration kBalancerNoticeTime = std::chrono::milliseconds(2500);
@@ -92,7 +93,7 @@
           },
           clock()),
       quarantine(
-          request::passthrough::FleetQuarantineOptions(),
+          QuarantineSettings(),
           s.instance,
           [this](const process::ViewItem& item) {
             if (peers) {
@@ -167,7 +168,9 @@
       callers(
           loop,
           {.endpoint = EndpointOf(s.listen),
-           .max_connections = s.max_connections},
+           .max_connections = s.max_connections,
+           .is_overloaded =
+               [this] { return loop_lag.standing() > kMaxStandingLag; }},
           [this] { return Bounds(); },
           [this](std::shared_ptr<CallerRequest> request, CallerReply& reply) {
             last_request = clock();
@@ -191,9 +194,7 @@
 
 Awaitable<void> EntryDaemon::Details::RunMaintenance() {
   while (true) {
-    const base::Time due = clock() + kMaintenancePeriod;
     co_await SleepFor(loop, kMaintenancePeriod);
-    loop_lag = clock() - due;
     views.engines().Expire(clock());
     channels.CloseIdle();
     target_channels.CloseIdle();
@@ -282,6 +283,7 @@
   details_->Spawn(details_->spending_mark.Run());
   details_->Spawn(details_->authority.Run());
   details_->Spawn(details_->stage_orders.Run());
+  details_->loop_lag.Start();
   details_->Spawn(details_->RunMaintenance());
   details_->Spawn(details_->WaitForStop());
   return true;
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -13,6 +13,7 @@
 #include "platform/store_documents.h"
 #include "platform/target_protocol.h"
 #include "process/peers/change_relay.h"
+#include "request/passthrough/quarantine_options.h"
 
 namespace lynxglade {
 
@@ -81,7 +82,7 @@
               [this](const base::ServiceName& service) {
                 return views.routes() && views.routes()->FindService(service);
               },
-          .busy = [this] { return stopping || loop_lag > kMaxLoopLag; },
+          .busy = [this] { return stopping || loop_lag.last() > kMaxLoopLag; },
           .clock = clock,
           .random = random,
           .metrics = metrics},
@@ -255,6 +256,14 @@
               }};
 }
 
+request::QuarantineOptions EntryDaemon::Details::QuarantineSettings() {
+  auto options = request::passthrough::FleetQuarantineOptions();
+  options.instances = [this] {
+    return static_cast<std::size_t>(presence.Count());
+  };
+  return options;
+}
+
 process::peers::QuarantineRecordsHooks EntryDaemon::Details::QuarantineHooks() {
   return {.read =
               [this](request::ContentHash content) {
@@ -301,8 +310,7 @@
              {"target", event.target.str()},
              {"in_flight", event.shared},
              {"source", event.merged ? "peer" : "own"}});
-  if ((event.change == QuarantineChange::kQuarantined &&
-       event.own_evidence) ||
+  if ((event.change == QuarantineChange::kQuarantined && event.own_evidence) ||
       event.change == QuarantineChange::kExtended) {
     quarantine_records.OnVerdict(event.content);
   }
--- a/tests/rig/checker.cc
+++ b/tests/rig/checker.cc
@@ -236,9 +236,11 @@
     case RigBound::kReach:
       return "reach";
     case RigBound::kRecover:
+      return "recover";
+    case RigBound::kLost:
       break;
   }
-  return "recover";
+  return "lost";
 }
 
 std::vector<SizeClass> ClassifySizes(const RunRecords& records,
@@ -285,6 +287,8 @@
   uses.push_back(CheckOrder(records));
   std::ranges::move(CheckReach(records, terms), std::back_inserter(uses));
   std::ranges::move(CheckRecover(records, terms), std::back_inserter(uses));
+  std::ranges::move(CheckCrashingParts(records, terms),
+                    std::back_inserter(uses));
   return uses;
 }
 
--- a/tests/rig/checker.h
+++ b/tests/rig/checker.h
@@ -44,6 +44,9 @@
   // First tries that an instance has read while it gets most new connections,
   // against those before.
   kRecover,
+  // Sound requests beside those with a part that crashes engines: how often
+  // they begin at the first attempt, by kind, against before.
+  kLost,
 };
 std::string_view ToString(RigBound bound) noexcept;
 
@@ -61,6 +64,11 @@
   int free_crashes = 3;
   base::Duration crash_notice = std::chrono::seconds(3);
   int max_runs_after = 3;
+  // The same for the requests with a part; sound ones are judged from twice as
+  // late on.
+  int free_part_crashes = 5;
+  double min_begun_ratio = 0.5;
+  std::size_t min_sound = 20;
   // The least that a class of sizes is served, against its whole kind.
   double min_served_ratio = 0.5;
   // Kinds with fewer requests are not judged.
@@ -117,6 +125,11 @@
 std::vector<BoundUse> CheckRecover(const RunRecords& records,
                                    const RigTerms& terms);
 
+// Uses of RigBound::kCrashes by part, and of RigBound::kLost by kind; nothing
+// if no part crashed an engine.
+std::vector<BoundUse> CheckCrashingParts(const RunRecords& records,
+                                         const RigTerms& terms);
+
 // Requests of one kind by their size.
 struct SizeClass : bench::ServedCount {
   std::string name;
--- a/tests/rig/day.cc
+++ b/tests/rig/day.cc
@@ -46,6 +46,11 @@
       case Series::kOneInstance:
         FloodInstances();
         break;
+      case Series::kCrashingParts:
+        if (Real(0, 1) < 0.5) {
+          KillEngines();
+        }
+        break;
       case Series::kMixed:
         Mix();
         break;
@@ -143,9 +148,8 @@
     base::Duration at = kCalmStart + milliseconds(2'000);
     while (at + milliseconds(5'000) < settings_.length - kCalmEnd) {
       const base::Duration length = Millis(6'000, 8'000);
-      day_.faults.push_back(
-          {FaultKind::kFloodInstance, at, length,
-           base::UniformBelow(random_, settings_.instances)});
+      day_.faults.push_back({FaultKind::kFloodInstance, at, length,
+                             base::UniformBelow(random_, settings_.instances)});
       at += length + Millis(2'000, 4'000);
     }
   }
--- a/tests/rig/day.h
+++ b/tests/rig/day.h
@@ -70,6 +70,9 @@
   kCutOff,
   // Most new connections go to one instance, then to another one.
   kOneInstance,
+  // Requests that share a part of their prompts crash the engines that begin
+  // to answer them; some engines are killed meanwhile.
+  kCrashingParts,
   // All kinds of faults in overlapping series.
   kMixed,
 };
--- a/tests/rig/engine.h
+++ b/tests/rig/engine.h
@@ -69,6 +69,8 @@
   std::vector<EngineFault> faults;
   // Ends the process when a request with this body begins to run.
   std::string crashing_body;
+  // The same for a part of its prompt, not the last one, that begins so.
+  std::string crashing_part;
 };
 
 // One line of the engine's journal.
--- a/tests/rig/engine_main.cc
+++ b/tests/rig/engine_main.cc
@@ -116,6 +116,8 @@
                                       false, 0, "ns", line);
   TCLAP::ValueArg<std::string> crashing("", "crashing-body", "body", false, "",
                                         "text", line);
+  TCLAP::ValueArg<std::string> crashing_part("", "crashing-part", "part", false,
+                                             "", "text", line);
   TCLAP::MultiArg<std::string> faults(
       "", "fault", "kind:from_ms:for_ms:share:factor", false, "fault", line);
   line.parse(argc, argv);
@@ -126,6 +128,7 @@
   options.settings.prefills = stage.getValue() == "prefill";
   options.settings.speed = speed.getValue();
   options.settings.crashing_body = crashing.getValue();
+  options.settings.crashing_part = crashing_part.getValue();
   if (!options.settings.is_model) {
     options.settings.slots = 6;
     options.settings.queue = 24;
--- a/tests/rig/engine_steps.cc
+++ b/tests/rig/engine_steps.cc
@@ -54,8 +54,16 @@
 }
 
 bool Engine::Crashes(const Run& run) const {
-  return !settings_.crashing_body.empty() &&
-         run.body.find(settings_.crashing_body) != std::string::npos;
+  const bool by_body =
+      !settings_.crashing_body.empty() &&
+      run.body.find(settings_.crashing_body) != std::string::npos;
+  const auto crashes = [this](const auto& part) {
+    return part.first.starts_with(settings_.crashing_part);
+  };
+  const bool by_part =
+      !settings_.crashing_part.empty() && !run.parts.empty() &&
+      std::any_of(run.parts.begin(), run.parts.end() - 1, crashes);
+  return by_body || by_part;
 }
 
 void Engine::Drop(const RunHandle& run) {
--- a/tests/rig/records.h
+++ b/tests/rig/records.h
@@ -86,6 +86,8 @@
   std::string zone;
   // The last shared part of the prompt; empty for plain calls.
   std::string subject;
+  // The part of its prompt that crashes engines; empty for sound requests.
+  std::string crashing_part;
   // Prompt tokens plus ten times the output tokens; 0 for plain calls.
   std::int64_t size = 0;
   // Most targets that may run one attempt.
--- a/tests/rig/rig.cc
+++ b/tests/rig/rig.cc
@@ -199,6 +199,10 @@
     arguments.insert(arguments.end(),
                      {"--crashing-body", settings_.traffic.crashing_body});
   }
+  if (!settings_.traffic.crashing_part.empty()) {
+    arguments.insert(arguments.end(),
+                     {"--crashing-part", settings_.traffic.crashing_part});
+  }
   for (const std::string& fault : it.faults) {
     arguments.insert(arguments.end(), {"--fault", fault});
   }
@@ -311,6 +315,9 @@
   }
   Report("traffic starts");
   asio::co_spawn(loop_, PlayFaults(base::BootClock::now()), asio::detached);
+  if (settings_.day.series == Series::kCrashingParts) {
+    asio::co_spawn(loop_, RestartCrashed(), asio::detached);
+  }
   co_await traffic_->Run();
   loop_.stop();
 }
@@ -399,6 +406,28 @@
   store_.Remove(key);
 }
 
+Awaitable<void> Rig::RestartCrashed() {
+  while (true) {
+    co_await SleepFor(loop_, kExitPoll);
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      EngineSlot& it = engines_[i];
+      if (it.process->running() || std::exchange(it.restarting, true)) {
+        continue;
+      }
+      const auto restart = [](Rig& rig, std::size_t engine) -> Awaitable<void> {
+        const std::string key = "servers/" + rig.EngineId(engine);
+        co_await SleepFor(rig.loop_, kEntryTtl);
+        rig.store_.Remove(key);
+        if (!rig.engines_[engine].process->running()) {
+          rig.StartEngine(engine);
+        }
+        rig.engines_[engine].restarting = false;
+      };
+      asio::co_spawn(loop_, restart(*this, i), asio::detached);
+    }
+  }
+}
+
 Awaitable<void> Rig::DisturbLink(Fault fault) {
   LinkProxy& link = *links_[fault.index];
   if (fault.kind == FaultKind::kResetLink) {
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -67,6 +67,8 @@
     int lifetimes = 0;
     std::vector<std::string> faults;
     std::unique_ptr<system_test::Process> process;
+    // It ended by itself.
+    bool restarting = false;
   };
   template <typename T>
   using Awaitable = connection::event::Awaitable<T>;
@@ -86,6 +88,8 @@
   Awaitable<void> PlayFault(Fault fault);
   Awaitable<void> TerminateInstance(std::size_t i);
   Awaitable<void> KillEngine(Fault fault);
+  // Starts engines that ended by themselves again.
+  Awaitable<void> RestartCrashed();
   Awaitable<void> DisturbLink(Fault fault);
   void Report(const std::string& line) const;
 
--- a/tests/rig/rig_main.cc
+++ b/tests/rig/rig_main.cc
@@ -30,6 +30,7 @@
       {"broken_answers", Series::kBrokenAnswers},
       {"cut_off", Series::kCutOff},
       {"one_instance", Series::kOneInstance},
+      {"crashing_parts", Series::kCrashingParts},
       {"mixed", Series::kMixed}};
   return names;
 }
@@ -84,6 +85,10 @@
   if (crashing.getValue() > 0) {
     rig.traffic.crashing_body = "crashes its engine";
   }
+  if (rig.day.series == Series::kCrashingParts) {
+    rig.traffic.crashing_part = "bad";
+    rig.traffic.crashing_parts = 2;
+  }
   rig.engine_speed = speed.getValue();
   rig.retries.allowance = 54;
   rig.folder = folder.getValue();
--- a/tests/rig/traffic.cc
+++ b/tests/rig/traffic.cc
@@ -32,6 +32,8 @@
 // Instances that are tried if one does not accept the connection.
 constexpr std::size_t kMaxConnects = 7;
 constexpr double kHttp10Share = 0.1;
+// Kinds of requests that crashing parts are drawn for, the first ones.
+constexpr std::uint64_t kKindsWithParts = 3;
 // Of the first tries, while most go to one instance.
 constexpr double kMostShare = 0.9;
 
@@ -55,6 +57,7 @@
   std::int64_t output_tokens = 0;
   std::string subject;
   std::string parts;
+  std::string crashing_part;
   std::string body;
   // The caller speaks HTTP/1.0, in which a connection's end ends an answer.
   bool http10 = false;
@@ -84,6 +87,12 @@
   if (settings_.crashing_copies > 0) {
     asio::co_spawn(loop_, SendCrashing(), asio::detached);
   }
+  for (int i = 0; i < settings_.crashing_parts; ++i) {
+    asio::co_spawn(
+        loop_,
+        SendCrashingPart(settings_.crashing_part + std::to_string(i), end),
+        asio::detached);
+  }
   while (clock_() < end || pending_ > 0) {
     co_await SleepFor(loop_, kEndPoll);
   }
@@ -119,6 +128,24 @@
   }
 }
 
+// Requests of the first kinds with prompts in turn, each new but for the part.
+Awaitable<void> Traffic::SendCrashingPart(std::string part, base::Time end) {
+  co_await SleepFor(loop_, settings_.crashing_at);
+  while (clock_() < end) {
+    const RequestKind& kind =
+        settings_.kinds[base::UniformBelow(random_, kKindsWithParts)];
+    Draft draft = Draw(kind);
+    // Behind the first part.
+    draft.parts.insert(draft.parts.find(',') + 1, part + ":40,");
+    draft.crashing_part = part;
+    ++pending_;
+    asio::co_spawn(loop_, ServeDraft(std::move(draft)), asio::detached);
+    const double seconds = -std::log(1 - base::UniformReal(random_)) /
+                           settings_.crashing_part_per_second;
+    co_await SleepFor(loop_, base::FromFineMillis(1000 * seconds));
+  }
+}
+
 // Lognormal, cut off at `max`.
 double Traffic::DrawSize(double mean, double spread, double max) {
   const double u = 1 - base::UniformReal(random_);
@@ -161,6 +188,9 @@
   draft.subject = kind.name + std::to_string(shared);
   draft.parts = draft.subject + ':' + std::to_string(shared_tokens) + ",own" +
                 std::to_string(next_id_++) + ':' + std::to_string(own_tokens);
+  if (settings_.crashing_parts > 0) {
+    draft.parts = kind.name + "first:20," + draft.parts;
+  }
   return draft;
 }
 
@@ -197,6 +227,7 @@
   record.max_targets = kind.max_targets;
   record.caller = draft.caller;
   record.subject = draft.subject;
+  record.crashing_part = draft.crashing_part;
   const base::Time deadline = clock_() + kind.timeout;
   std::size_t instance = draft.caller % settings_.ports.size();
   if (most_to_ && base::UniformReal(random_) < kMostShare) {
@@ -218,9 +249,8 @@
     const bool unread = record.attempts.back().unread;
     record.broken_off = result.status == 0 && !result.left && !unread;
     const base::Duration left = deadline - clock_();
-    const bool may_repeat =
-        kind.type == RequestType::kIdempotent ||
-        PromisesNotRun(result.status) || unread;
+    const bool may_repeat = kind.type == RequestType::kIdempotent ||
+                            PromisesNotRun(result.status) || unread;
     // One retry, at another instance.
     retry = record.attempts.size() < 2 && may_repeat && !result.left &&
             left > std::chrono::milliseconds(50);
--- a/tests/rig/traffic.h
+++ b/tests/rig/traffic.h
@@ -81,6 +81,11 @@
   std::string crashing_body;
   int crashing_copies = 0;
   base::Duration crashing_at = std::chrono::seconds(5);
+  // Requests with one of so many parts of prompts that begin so are sent all
+  // the time from `crashing_at` on; all prompts have a first part by kind then.
+  std::string crashing_part;
+  int crashing_parts = 0;
+  double crashing_part_per_second = 1.2;
   // Breaks the records on purpose: every large request counts as refused.
   bool refuse_large = false;
 };
@@ -98,9 +103,7 @@
   connection::event::Awaitable<void> Run();
   // From now on most first tries go to the instance; to the callers' own ones
   // if there is none.
-  void SendMostTo(std::optional<std::size_t> instance) {
-    most_to_ = instance;
-  }
+  void SendMostTo(std::optional<std::size_t> instance) { most_to_ = instance; }
   const std::vector<CallerRequestRecord>& records() const noexcept {
     return records_;
   }
@@ -114,6 +117,7 @@
   Draft Draw(const RequestKind& kind);
   Awaitable<void> SendKind(const RequestKind& kind, base::Time end);
   Awaitable<void> SendCrashing();
+  Awaitable<void> SendCrashingPart(std::string part, base::Time end);
   Awaitable<void> ServeDraft(Draft draft);
   Awaitable<AttemptResult> Send(const Draft& draft,
                                 std::size_t instance,
