Quarantine of parts: a quarantined content explains crashes of other contents' parts

Cause: sound parts that were in both crashes of a content that crashes its targets were as strong as the content, and quarantined with it. Change: evidence against a part says which content the lost run had; a content that was quarantined for a crash explains it for the others.

--- a/src/process/peers/quarantine_messages.cc
+++ b/src/process/peers/quarantine_messages.cc
@@ -20,7 +20,7 @@
 
 constexpr std::uint64_t kVersion = 2;
 constexpr std::size_t kMarkParts = 9;
-constexpr std::size_t kCrashParts = 8;
+constexpr std::size_t kCrashParts = 9;
 constexpr std::size_t kMaxNameBytes = 200;
 constexpr std::uint64_t kMaxMillis = std::uint64_t{1000} * 60 * 60 * 24;
 constexpr std::uint64_t kMaxInFlight = 1'000'000;
@@ -59,7 +59,8 @@
           flags,
           Millis(it.ran),
           static_cast<std::uint64_t>(it.answers),
-          it.organisation};
+          it.organisation,
+          it.content};
 }
 
 json EncodeRow(const DecodedMark& row, base::Time now) {
@@ -105,8 +106,10 @@
   const auto answers = CborWhole(row[6], kMaxAnswers);
   const auto organisation =
       CborWhole(row[7], std::numeric_limits<std::uint32_t>::max());
+  const auto content =
+      CborWhole(row[8], std::numeric_limits<std::uint32_t>::max());
   if (!id || !target || !age || !shared || !flags || !ran || !answers ||
-      !organisation) {
+      !organisation || !content) {
     return std::nullopt;
   }
   return Evidence{.crash_id = *id,
@@ -119,6 +122,7 @@
                   .answering = (*flags & kAnswering) != 0,
                   .ran = std::chrono::milliseconds(*ran),
                   .answers = static_cast<int>(*answers),
+                  .content = static_cast<std::uint32_t>(*content),
                   .organisation = static_cast<std::uint32_t>(*organisation)};
 }
 
--- a/src/process/peers/quarantine_messages.h
+++ b/src/process/peers/quarantine_messages.h
@@ -27,7 +27,7 @@
 // Encodes an array of the version and, for each mark, [content or part, epoch,
 // counter, flags, owner, owned ms, rerun target, expires in ms, crashes]; a
 // crash is [id, target, age in ms, contents in flight, flags, ms that the run
-// had run, answers since, organisation]. Marks beyond the maximum, and the
+// had run, answers since, organisation, tag of the content]. Marks beyond the maximum, and the
 // oldest crashes beyond it, are left out.
 std::string EncodeMarks(const std::vector<DecodedMark>& marks, base::Time now);
 // Returns nullopt for malformed bytes.
--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -19,8 +19,7 @@
 constexpr std::size_t kMaxBody = 16384;
 constexpr std::int64_t kMaxShared = 1'000'000;
 constexpr std::int64_t kMaxAnswers = 1'000;
-constexpr std::int64_t kMaxOrganisation =
-    std::numeric_limits<std::uint32_t>::max();
+constexpr std::int64_t kMaxTag = std::numeric_limits<std::uint32_t>::max();
 constexpr std::int64_t kMaxMillis = std::int64_t{1000} * 60 * 60 * 24 * 30;
 // Low bits of a sequence number that hold a hash of the source, so that the
 // versions of two sources with equal counters differ.
@@ -52,6 +51,7 @@
           {"answering", it.answering},
           {"ran_ms", base::ToMillis(it.ran)},
           {"answers", it.answers},
+          {"content", it.content},
           {"organisation", it.organisation}};
 }
 
@@ -67,8 +67,10 @@
   it.answering = json.value("answering", false);
   it.ran = Millis(json, "ran_ms");
   it.answers = static_cast<int>(NumberInRange(json, "answers", 0, kMaxAnswers));
+  it.content =
+      static_cast<std::uint32_t>(NumberInRange(json, "content", 0, kMaxTag));
   it.organisation = static_cast<std::uint32_t>(
-      NumberInRange(json, "organisation", 0, kMaxOrganisation));
+      NumberInRange(json, "organisation", 0, kMaxTag));
   return it;
 }
 
@@ -191,6 +193,9 @@
   if (known.organisation != added.organisation) {
     known.organisation = 0;
   }
+  if (known.content != added.content) {
+    known.content = 0;
+  }
 }
 
 EvidenceCount CountEvidence(const QuarantineMark& mark, bool confirmed_only) {
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -39,6 +39,8 @@
   // Of a part: runs with it that began after this crash and before the next
   // one, and answered.
   int answers = 0;
+  // Of a part: identifies the content of the lost run; 0: several.
+  std::uint32_t content = 0;
   // Of a part: organisation of the lost runs, as in RunIdentity; 0: several.
   std::uint32_t organisation = 0;
 
--- a/src/request/quarantine_parts.cc
+++ b/src/request/quarantine_parts.cc
@@ -19,6 +19,11 @@
 // Answers that are counted between two crashes: they take back all of them.
 constexpr int kMaxAnswersCounted = 100;
 
+// Tags rarely collide, and then leave a crash unexplained.
+std::uint32_t ContentTag(ContentHash content) {
+  return static_cast<std::uint32_t>(content.low()) + 1;
+}
+
 // The last crash before the time; null if there is none.
 Evidence* LastBefore(QuarantineMark& mark, base::Time time) {
   Evidence* last = nullptr;
@@ -43,6 +48,7 @@
       .shared = static_cast<int>(crash.contents.size()),
       .confirmed = crash.confirmed,
       .ran = std::max(crash.at - run.started, base::Duration::zero()),
+      .content = ContentTag(run.identity.content),
       .organisation = run.identity.organisation};
   for (const ContentHash part : run.identity.parts) {
     if (!marks_.contains(part)) {
@@ -187,9 +193,16 @@
       Strength(key, own, now) + (own.quarantined ? kVerdictMargin : 0);
   return std::ranges::any_of(marks_, [&](const auto& it) {
     const auto& [other, mark] = it;
+    if (other == key || !HasSameCrash(mark, evidence)) {
+      return false;
+    }
+    // A content is quarantined for a crash that it caused alone: runs of other
+    // contents did not.
+    const bool is_cause = !mark.is_part && mark.quarantined &&
+                          evidence.content != 0 &&
+                          evidence.content != ContentTag(other);
     const bool counts = mark.quarantined || (mark.is_part && !own.quarantined);
-    return other != key && counts && HasSameCrash(mark, evidence) &&
-           Strength(other, mark, now) > strength;
+    return is_cause || (counts && Strength(other, mark, now) > strength);
   });
 }
 
