Tests: overload, checker of both series; files of one purpose

Change: tests of recover, crashes by part and lost, of connections left unread and of the loop's lag; settings of the quarantine, faults of callers, ports of the rig and the tally of parts in files of their own. Measured: rig_checker_test, caller_server_test, loop_lag_test and part_quarantine_test pass.

--- a/bench/quarantine/quarantine_fleet.cc
+++ b/bench/quarantine/quarantine_fleet.cc
@@ -1,7 +1,6 @@
 #include "bench/quarantine/quarantine_fleet.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cmath>
 #include <functional>
@@ -15,6 +14,7 @@
 
 #include "base/random.h"
 #include "bench/quarantine/drawn_prompts.h"
+#include "bench/quarantine/part_tally.h"
 
 namespace lynxglade::bench {
 
@@ -43,13 +43,6 @@
 constexpr int kMaxTries = 4;
 constexpr int kMaxReturns = 3;
 
-// Crashes of one part after which requests with it are counted, the delay from
-// which they are, and the one from which sound requests are.
-constexpr int kFreeCrashes = 5;
-constexpr base::Duration kNotice = seconds(3);
-constexpr base::Duration kSoundNotice = 2 * kNotice;
-constexpr int kMinSound = 20;
-
 // Contents by the high half of their hash.
 enum Kind : std::uint64_t {
   kStream = 1,
@@ -69,20 +62,6 @@
   bool is_sound() const { return kind() == kStream || kind() == kCall; }
 };
 
-// A sound request with a prompt.
-struct SoundRequest {
-  base::Time at;
-  ContentHash first_part;
-  bool begun;
-};
-
-// What became of the requests with one crashing part.
-struct PartCrashes {
-  int crashes = 0;
-  int sent_late = 0;
-  base::Time counted_from{};
-};
-
 class Fleet {
  public:
   explicit Fleet(const QuarantineFleetSettings& settings)
@@ -144,7 +123,13 @@
     result_.harmless_quarantined = static_cast<int>(condemned_.size());
     result_.parts_condemned_wrongly = static_cast<int>(condemned_parts_.size());
     for (const CrashingPart& it : prompts_.crashing()) {
-      JudgePart(it);
+      const base::Time first =
+          Start() +
+          std::ranges::min(prompts_.crashing(), {}, &CrashingPart::begin).begin;
+      result_.most_sent_late =
+          std::max(result_.most_sent_late, parts_.SentLate(it.part));
+      result_.least_begun_ratio = std::min(
+          result_.least_begun_ratio, parts_.BegunRatio(it, Start(), first));
     }
     return result_;
   }
@@ -204,7 +189,7 @@
     const bool begun = Send({.identity = {ContentHash(kStream, next_), parts},
                              .resumable = base::UniformReal(random_) <
                                           settings_.resumable_fraction});
-    sound_.push_back({now_, parts.front(), begun});
+    parts_.OnSound(parts.front(), begun, now_);
   }
   void SendWithCrashingPart(const CrashingPart& part) {
     if (now_ < Start() + part.end) {
@@ -280,9 +265,7 @@
       return;
     }
     if (const CrashingPart* part = run.request.crashing) {
-      PartCrashes& counts = part_crashes_[part->part];
-      counts.sent_late +=
-          counts.crashes >= kFreeCrashes && now_ > counts.counted_from ? 1 : 0;
+      parts_.OnSent(part->part, now_);
       if (now_ >= Start() + part->crashes_from &&
           base::UniformReal(random_) < part->probability) {
         CrashLater(engine, number, part->crash_time, part->part);
@@ -327,10 +310,7 @@
     if (by) {
       ++losses_[*by];
       ++result_.engines_lost;
-      PartCrashes& counts = part_crashes_[*by];
-      if (++counts.crashes <= kFreeCrashes) {
-        counts.counted_from = now_ + kNotice;
-      }
+      parts_.OnCrash(*by, now_);
     }
     std::set<std::size_t> observers;
     const auto runs = std::exchange(engines_[engine].runs, {});
@@ -397,42 +377,6 @@
       condemned_parts_.insert(event.content);
     }
   }
-  // Adds up what requests with the part, and sound ones beside them, met.
-  void JudgePart(const CrashingPart& part) {
-    const PartCrashes& counts = part_crashes_[part.part];
-    result_.most_sent_late = std::max(result_.most_sent_late, counts.sent_late);
-    if (counts.crashes == 0 || part.position == 0) {
-      return;
-    }
-    const base::Time first =
-        Start() +
-        std::ranges::min(prompts_.crashing(), {}, &CrashingPart::begin).begin;
-    const base::Time counted = counts.counted_from - kNotice + kSoundNotice;
-    std::map<ContentHash, std::array<int, 4>> by_first_part;
-    for (const SoundRequest& it : sound_) {
-      auto& [before, begun_before, after, begun_after] =
-          by_first_part[it.first_part];
-      const int begun = it.begun ? 1 : 0;
-      if (it.at < first) {
-        ++before;
-        begun_before += begun;
-      } else if (it.at >= counted && it.at < Start() + part.end) {
-        ++after;
-        begun_after += begun;
-      }
-    }
-    for (const auto& [first_part, n] : by_first_part) {
-      const auto [before, begun_before, after, begun_after] = n;
-      const bool shares = part.on_any_route || first_part.low() == part.route;
-      if (shares && before >= kMinSound && after >= kMinSound &&
-          begun_before > 0) {
-        result_.least_begun_ratio = std::min(
-            result_.least_begun_ratio,
-            (1.0 * begun_after / after) / (1.0 * begun_before / before));
-      }
-    }
-  }
-
   static base::TargetId IdOf(std::size_t engine) {
     return base::TargetId("e" + std::to_string(engine));
   }
@@ -456,8 +400,7 @@
   std::map<ContentHash, base::Time> first_refused_;
   std::set<ContentHash> condemned_;
   std::set<ContentHash> condemned_parts_;
-  std::map<ContentHash, PartCrashes> part_crashes_;
-  std::vector<SoundRequest> sound_;
+  PartTally parts_;
   QuarantineFleetResult result_;
 };
 
--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -17,6 +17,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "connection/event/caller_faults.h"
 #include "connection/event/sleep.h"
 #include "connection/event/socket_probe.h"
 
@@ -36,67 +37,6 @@
 
 using BodyParser = http::request_parser<http::string_body>;
 
-// Why the next request of a connection could not be read.
-enum class ReadFault {
-  kClosed,
-  kIdle,
-  kSlow,
-  kMalformed,
-  kHeadTooLarge,
-  kBodyTooLarge,
-  kMemory,
-  kOverloaded,
-};
-
-struct FaultAnswer {
-  ReadFault fault;
-  // 0 closes the connection without an answer.
-  unsigned status;
-  const char* name;
-};
-
-constexpr std::array kFaultAnswers{
-    FaultAnswer{ReadFault::kClosed, 0, "closed"},
-    FaultAnswer{ReadFault::kIdle, 0, "idle"},
-    FaultAnswer{ReadFault::kSlow, 408, "slow"},
-    FaultAnswer{ReadFault::kMalformed, 400, "malformed"},
-    FaultAnswer{ReadFault::kHeadTooLarge, 431, "head_too_large"},
-    FaultAnswer{ReadFault::kBodyTooLarge, 413, "body_too_large"},
-    FaultAnswer{ReadFault::kMemory, 503, "memory"},
-    FaultAnswer{ReadFault::kOverloaded, 0, "overloaded"},
-};
-
-const FaultAnswer& AnswerTo(ReadFault fault) {
-  return *std::ranges::find(kFaultAnswers, fault, &FaultAnswer::fault);
-}
-
-ReadFault FaultOf(const ErrorCode& ec) {
-  if (ec == http::error::header_limit) {
-    return ReadFault::kHeadTooLarge;
-  }
-  if (ec == http::error::body_limit) {
-    return ReadFault::kBodyTooLarge;
-  }
-  const bool is_http =
-      ec.category() ==
-      http::make_error_code(http::error::end_of_stream).category();
-  const bool torn =
-      ec == http::error::end_of_stream || ec == http::error::partial_message;
-  return is_http && !torn ? ReadFault::kMalformed : ReadFault::kClosed;
-}
-
-// Whether the end of the body is unambiguous: either chunked, or at most one
-// Content-Length.
-bool HasUnambiguousLength(const RequestHead& head) {
-  const auto coding = head.find(http::field::transfer_encoding);
-  if (coding == head.end()) {
-    return head.count(http::field::content_length) <= 1;
-  }
-  return head.count(http::field::transfer_encoding) == 1 &&
-         head.count(http::field::content_length) == 0 &&
-         boost::beast::iequals(coding->value(), "chunked");
-}
-
 }  // namespace
 
 // State shared by all sessions, which may outlive the server.
--- a/tests/connection/event/caller_server_test.cc
+++ b/tests/connection/event/caller_server_test.cc
@@ -1,5 +1,6 @@
 #include "connection/event/caller_server.h"
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,7 +23,8 @@
       : server_(
             loop_,
             {.endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(), 0),
-             .max_buffered_bytes = 1000},
+             .max_buffered_bytes = 1000,
+             .is_overloaded = [this] { return overloaded_.load(); }},
             [this] { return bounds_; },
             [this](std::shared_ptr<CallerRequest> request,
                    CallerReply& reply) -> Awaitable<void> {
@@ -70,6 +72,7 @@
   asio::io_context loop_;
   base::Metrics metrics_;
   std::vector<std::string> bodies_;
+  std::atomic<bool> overloaded_ = false;
   bool hold_ = false;
   bool disconnected_ = false;
   CallerServer server_;
@@ -85,6 +88,25 @@
   EXPECT_EQ(bodies_, (std::vector<std::string>{"ab", "cd"}));
 }
 
+// Guards against RECOVER: what an instance cannot serve it leaves unread, so
+// that the caller turns to another one; connections in use go on.
+TEST_F(CallerServerTest, OverloadLeavesNewConnectionsUnread) {
+  const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  RawClient kept(server_.port());
+  kept.Send(request);
+  EXPECT_TRUE(kept.ReadHead().starts_with("HTTP/1.1 200"));
+  overloaded_ = true;
+  EXPECT_EQ(Exchange(request), "");
+  kept.Send(request);
+  EXPECT_TRUE(kept.ReadHead().starts_with("HTTP/1.1 200"));
+  overloaded_ = false;
+  EXPECT_TRUE(Status("GET /a HTTP/1.1\r\nHost: h\r\nConnection: "
+                     "close\r\n\r\n")
+                  .starts_with("HTTP/1.1 200"));
+  thread_.reset();
+  EXPECT_EQ(bodies_.size(), 3u);
+}
+
 TEST_F(CallerServerTest, DecodesChunkedBodies) {
   const std::string answer = Exchange(
       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
--- a/tests/rig/checker_test.cc
+++ b/tests/rig/checker_test.cc
@@ -349,5 +349,72 @@
   EXPECT_EQ(BrokenNames(), "");
 }
 
+// All requests are sent in 8 s; from the fourth second on most come to
+// instance 0.
+TEST_F(CheckerTest, FindsFloodedInstancesThatReadMoreThanTheyServe) {
+  terms_.flood_notice = seconds(1);
+  records_.floods = {{0, kStart + seconds(3), kStart + seconds(8)}};
+  EXPECT_EQ(BrokenNames(), "");
+  int failed = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    // Three of ten are not served.
+    if (Sent(i) >= kStart + seconds(4) && i % 10 < 3) {
+      Attempt(i).status = 0;
+      Attempt(i).complete = false;
+      Attempt(i).body.clear();
+      ++failed;
+    }
+  }
+  ASSERT_GT(failed, 50);
+  EXPECT_EQ(BrokenNames(), "recover ");
+  // What was left unread does not count if a later try is served.
+  for (CallerRequestRecord& it : records_.requests) {
+    CallerAttempt served = it.attempts.front();
+    if (served.status == 0) {
+      it.attempts.front().unread = true;
+      served.status = 200;
+      served.complete = true;
+      served.instance = 1;
+      served.body = Events(served.id, 1, kEvents);
+      it.attempts.push_back(served);
+    }
+  }
+  EXPECT_EQ(BrokenNames(), "");
+}
+
+TEST_F(CheckerTest, FindsPartsThatGoOnCrashingEngines) {
+  terms_.crash_notice = seconds(1);
+  for (int i = 0; i < kRequests; i += 10) {
+    records_.requests[static_cast<std::size_t>(i)].crashing_part = "bad0";
+    Run(i).crashed = i < 50;
+  }
+  // Five crashes by 1 s; those sent after 2 s are 29 requests, two arrivals
+  // each.
+  EXPECT_EQ(BrokenNames(), "crashes ");
+  for (int i = 0; i < kRequests; i += 10) {
+    if (i >= 60) {
+      records_.requests[static_cast<std::size_t>(i)].crashing_part.clear();
+    }
+  }
+  EXPECT_EQ(BrokenNames(), "");
+}
+
+TEST_F(CheckerTest, FindsSoundRequestsThatAreLostBesideACrashingPart) {
+  terms_.crash_notice = seconds(1);
+  for (int i = 100; i < kRequests; i += 100) {
+    records_.requests[static_cast<std::size_t>(i)].crashing_part = "bad0";
+  }
+  Run(100).crashed = true;
+  EXPECT_EQ(BrokenNames(), "");
+  for (int i = 0; i < kRequests; ++i) {
+    // Two of three are not begun, from 2 s after the crash on.
+    if (Sent(i) >= Sent(100) + seconds(2) && i % 3 != 0) {
+      Attempt(i).status = 503;
+      Attempt(i).body.clear();
+    }
+  }
+  EXPECT_EQ(BrokenNames(), "lost ");
+}
+
 }  // namespace
 }  // namespace lynxglade::rig
--- a/tests/rig/rig.cc
+++ b/tests/rig/rig.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "connection/event/sleep.h"
+#include "rig/ports.h"
 
 namespace lynxglade::rig {
 
@@ -37,27 +38,6 @@
 constexpr base::Duration kStoppedTime = std::chrono::milliseconds(18);
 constexpr base::Duration kRunningTime = std::chrono::milliseconds(6);
 constexpr base::Duration kPieceDelay = std::chrono::milliseconds(30);
-// Below the range from which the system takes the ports of connections.
-constexpr int kFirstPort = 20'000;
-constexpr int kPortsPerRun = 250;
-constexpr int kMaxRuns = 50;
-
-// Takes a block of ports for this run: its first port is bound until the end of
-// the run, so that runs at the same time do not share ports.
-asio::ip::udp::socket ReservePorts(asio::io_context& loop) {
-  for (int i = 0; i < kMaxRuns; ++i) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + i * kPortsPerRun);
-    asio::ip::udp::socket socket(loop);
-    ErrorCode ec;
-    socket.open(asio::ip::udp::v4(), ec);
-    socket.bind({asio::ip::address_v4::loopback(), port}, ec);
-    if (!ec) {
-      return socket;
-    }
-  }
-  throw std::runtime_error("no free ports");
-}
-
 constexpr std::string_view kJournalPrefix = "engine-";
 constexpr std::string_view kJournalSuffix = ".out";
 
@@ -80,29 +60,6 @@
   });
 }
 
-// Ports of the block on which nothing listens. Connections of an earlier run
-// may still wait for their end there, which does not keep a listener out.
-std::vector<int> FindPorts(int first, std::size_t n) {
-  asio::io_context loop;
-  std::vector<int> ports;
-  for (int port = first + 1; ports.size() < n; ++port) {
-    if (port >= first + kPortsPerRun) {
-      throw std::runtime_error("too few free ports");
-    }
-    ErrorCode ec;
-    Tcp::acceptor acceptor(loop);
-    acceptor.open(Tcp::v4(), ec);
-    acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
-    acceptor.bind(
-        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
-        ec);
-    if (!ec) {
-      ports.push_back(port);
-    }
-  }
-  return ports;
-}
-
 }  // namespace
 
 Rig::Rig(RigSettings settings)
