Caller server: several connections are accepted in one turn of the loop

Cause: one connection was accepted a turn, so that requests waited in the accept queue for up to 2 s, and the loop's lag stayed under its bound. Change: up to 64 connections a turn; overload begins at a standing lag of 40 ms and ends at 20 ms, each with a log line.

--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -31,6 +31,9 @@
 // descriptors.
 constexpr base::Duration kAcceptPause = std::chrono::milliseconds(50);
 
+// Connections that are accepted before other handlers run.
+constexpr int kMaxAcceptedAtOnce = 64;
+
 // Bytes read ahead beyond a head: more than the size line of a chunk or
 // trailers ever need.
 constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
@@ -365,6 +368,10 @@
   if (failed()) {
     return false;
   }
+  acceptor_.non_blocking(true, ec);
+  if (failed()) {
+    return false;
+  }
   asio::co_spawn(shared_->loop, Accept(), asio::detached);
   return true;
 }
@@ -372,28 +379,39 @@
 Awaitable<void> CallerServer::Accept() {
   while (acceptor_.is_open()) {
     ErrorCode ec;
-    Tcp::socket socket = co_await acceptor_.async_accept(Into(ec));
+    co_await acceptor_.async_wait(Tcp::acceptor::wait_read, Into(ec));
     if (ec == asio::error::operation_aborted) {
       co_return;
     }
-    if (ec) {
-      co_await SleepFor(shared_->loop, kAcceptPause);
-      continue;
+    // Several at once: a request would wait here for as long as the loop is
+    // late, and its lag would not show it.
+    for (int i = 0; i < kMaxAcceptedAtOnce && !ec; ++i) {
+      Tcp::socket socket(shared_->loop);
+      std::ignore = acceptor_.accept(socket, ec);
+      if (!ec) {
+        Begin(std::move(socket));
+      }
     }
-    const bool is_full = shared_->sessions.size() >= options_.max_connections;
-    if (is_full || shared_->IsOverloaded()) {
-      shared_->metrics
-          .GetCounter("lynxglade_unread_requests_total",
-                      {{"reason", is_full ? "connections" : "overloaded"}})
-          .Add();
-      continue;
+    if (ec && ec != asio::error::would_block) {
+      co_await SleepFor(shared_->loop, kAcceptPause);
     }
-    auto session = std::make_shared<Session>(shared_, std::move(socket));
-    asio::co_spawn(
-        shared_->loop, [session] { return session->Run(); }, asio::detached);
   }
 }
 
+void CallerServer::Begin(Tcp::socket socket) {
+  const bool is_full = shared_->sessions.size() >= options_.max_connections;
+  if (is_full || shared_->IsOverloaded()) {
+    shared_->metrics
+        .GetCounter("lynxglade_unread_requests_total",
+                    {{"reason", is_full ? "connections" : "overloaded"}})
+        .Add();
+    return;
+  }
+  auto session = std::make_shared<Session>(shared_, std::move(socket));
+  asio::co_spawn(
+      shared_->loop, [session] { return session->Run(); }, asio::detached);
+}
+
 void CallerServer::BeginDrain() noexcept {
   shared_->draining = true;
 }
--- a/src/connection/event/caller_server.h
+++ b/src/connection/event/caller_server.h
@@ -90,6 +90,9 @@
   struct Shared;
 
   Awaitable<void> Accept();
+  // Serves the connection, unless there are too many or this instance is
+  // overloaded.
+  void Begin(Tcp::socket socket);
 
   std::shared_ptr<Shared> shared_;
   Tcp::acceptor acceptor_;
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -60,6 +60,8 @@
   // Calls to engines, which count against the limits that these name.
   process::stages::StageOrderHooks OrderHooks();
   void OnQuarantineEvent(const request::QuarantineEvent& event);
+  // Whether this instance has more requests than it can serve in time.
+  bool IsOverloaded();
   request::QuarantineOptions QuarantineSettings();
   process::peers::QuarantineRecordsHooks QuarantineHooks();
   process::peers::TargetConnectorHooks ConnectorHooks();
@@ -130,6 +132,7 @@
   // Requests placed since they were last told to a relay.
   request::passthrough::PlacementCounts placements;
   bool stopping = false;
+  bool overloaded = false;
   // New requests are rejected, as they might not finish before the process
   // exits.
   bool rejecting = false;
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -35,8 +35,6 @@
 namespace asio = connection::event::asio;
 
 constexpr base::Duration kMaintenancePeriod = std::chrono::milliseconds(250);
-// Beyond this the process has more requests than it can serve in time.
-constexpr base::Duration kMaxStandingLag = std::chrono::milliseconds(100);
 // After SIGTERM, before idle connections are closed. Allows for a load balancer
 // that checks health once a second and removes an instance after two failures.
 constexpr base::Duration kBalancerNoticeTime = std::chrono::milliseconds(2500);
@@ -169,8 +167,7 @@
           loop,
           {.endpoint = EndpointOf(s.listen),
            .max_connections = s.max_connections,
-           .is_overloaded =
-               [this] { return loop_lag.standing() > kMaxStandingLag; }},
+           .is_overloaded = [this] { return IsOverloaded(); }},
           [this] { return Bounds(); },
           [this](std::shared_ptr<CallerRequest> request, CallerReply& reply) {
             last_request = clock();
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -34,6 +34,10 @@
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(3);
 // An instance whose event loop is later than this has no processor time left
 // for others.
+// Standing lags at which this instance begins to leave new connections unread,
+// and ends it. A request waits for the loop a dozen times before its answer.
+constexpr base::Duration kBeginOfOverloadLag = std::chrono::milliseconds(40);
+constexpr base::Duration kEndOfOverloadLag = std::chrono::milliseconds(20);
 constexpr base::Duration kMaxLoopLag = std::chrono::milliseconds(50);
 // Delay after a watch that returned changes, to batch a burst of changes. It is
 // shorter if one instance watches the store for the others: its calls cost
@@ -256,6 +260,20 @@
               }};
 }
 
+bool EntryDaemon::Details::IsOverloaded() {
+  const base::Duration lag = loop_lag.standing();
+  const bool now = lag > (overloaded ? kEndOfOverloadLag : kBeginOfOverloadLag);
+  if (std::exchange(overloaded, now) != now) {
+    base::Log(
+        base::LogLevel::kWarning, "overload",
+        {{"begins", now},
+         {"lag_ms", base::ToMillis(lag)},
+         {"connections", static_cast<std::int64_t>(callers.connections())},
+         {"busy", static_cast<std::int64_t>(callers.busy())}});
+  }
+  return now;
+}
+
 request::QuarantineOptions EntryDaemon::Details::QuarantineSettings() {
   auto options = request::passthrough::FleetQuarantineOptions();
   options.instances = [this] {
