--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -368,7 +368,7 @@
   if (failed()) {
     return false;
   }
-  acceptor_.non_blocking(true, ec);
+  std::ignore = acceptor_.non_blocking(true, ec);
   if (failed()) {
     return false;
   }
--- a/src/process/peers/quarantine_messages.h
+++ b/src/process/peers/quarantine_messages.h
@@ -27,8 +27,8 @@
 // Encodes an array of the version and, for each mark, [content or part, epoch,
 // counter, flags, owner, owned ms, rerun target, expires in ms, crashes]; a
 // crash is [id, target, age in ms, contents in flight, flags, ms that the run
-// had run, answers since, organisation, tag of the content]. Marks beyond the maximum, and the
-// oldest crashes beyond it, are left out.
+// had run, answers since, organisation, tag of the content]. Marks beyond the
+// maximum, and the oldest crashes beyond it, are left out.
 std::string EncodeMarks(const std::vector<DecodedMark>& marks, base::Time now);
 // Returns nullopt for malformed bytes.
 std::optional<std::vector<DecodedMark>> DecodeMarks(std::string_view bytes,
--- a/tests/system/entry_process.cc
+++ b/tests/system/entry_process.cc
@@ -103,10 +103,9 @@
                                const std::string& id,
                                const std::string& body,
                                const std::string& headers) const {
-  return Send(settings_.port, Head("POST " + path, id) + headers +
-                                  "Content-Length: " +
-                                  std::to_string(body.size()) + "\r\n\r\n" +
-                                  body);
+  return Send(settings_.port,
+              Head("POST " + path, id) + headers + "Content-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 bool EntryProcess::Shows(const std::string& line) const {
