--- a/src/request/quarantine_mark.cc
+++ b/src/request/quarantine_mark.cc
@@ -94,17 +94,6 @@
   return mark;
 }
 
-// The local evidence of the same crash. Of a part one entry stands for all
-// instances that recorded the crash: many of them ran it there.
-Evidence* FindSame(QuarantineMark& mark, const Evidence& remote) {
-  const auto it =
-      std::ranges::find_if(mark.evidence, [&](const Evidence& local) {
-        return mark.is_part ? IsSameCrash(local, remote)
-                            : local.crash_id == remote.crash_id;
-      });
-  return it == mark.evidence.end() ? nullptr : &*it;
-}
-
 // Crashes of several targets within this time have one cause.
 constexpr base::Duration kAtOnce = std::chrono::milliseconds(100);
 
@@ -158,7 +147,6 @@
       known->answering = known->answering && it.answering;
       known->answers = std::max(known->answers, it.answers);
       known->ran = std::min(known->ran, it.ran);
-      known->learnt = std::min(known->learnt, it.learnt);
     }
   }
   return crashes;
@@ -178,6 +166,15 @@
   return score;
 }
 
+Evidence* FindSame(QuarantineMark& mark, const Evidence& crash) {
+  const auto known =
+      std::ranges::find_if(mark.evidence, [&](const Evidence& it) {
+        return mark.is_part ? IsSameCrash(it, crash)
+                            : it.crash_id == crash.crash_id;
+      });
+  return known == mark.evidence.end() ? nullptr : &*known;
+}
+
 void AddEvidence(const Evidence& added, QuarantineMark& mark) {
   if (mark.evidence.size() >= kMaxEvidence) {
     mark.evidence.erase(
--- a/src/request/quarantine_mark.h
+++ b/src/request/quarantine_mark.h
@@ -99,6 +99,10 @@
 std::vector<Evidence> DistinctCrashes(const QuarantineMark& mark,
                                       bool confirmed_only);
 
+// The mark's evidence of the crash; null if it has none. Of a part one entry
+// stands for all instances that recorded the crash: many of them ran it there.
+Evidence* FindSame(QuarantineMark& mark, const Evidence& crash);
+
 // Adds the evidence; the oldest one makes room for it.
 void AddEvidence(const Evidence& added, QuarantineMark& mark);
 
--- a/src/request/quarantine_parts.cc
+++ b/src/request/quarantine_parts.cc
@@ -50,6 +50,9 @@
       .ran = std::max(crash.at - run.started, base::Duration::zero()),
       .content = ContentTag(run.identity.content),
       .organisation = run.identity.organisation};
+  if (lost.confirmed) {
+    NoteSeenCrash(lost.target, lost.at, now);
+  }
   for (const ContentHash part : run.identity.parts) {
     if (!marks_.contains(part)) {
       EvictIfFull();
@@ -57,20 +60,14 @@
     crash.parts.insert(part);
     QuarantineMark& mark = marks_[part];
     mark.is_part = true;
-    const auto known = std::ranges::find_if(
-        mark.evidence,
-        [&lost](const Evidence& it) { return IsSameCrash(it, lost); });
-    if (known == mark.evidence.end()) {
-      AddEvidence(lost, mark);
-    } else {
+    if (Evidence* known = FindSame(mark, lost)) {
       FoldPartEvidence(lost, *known);
       // This instance is to find it again when its own check has ended.
       known->crash_id = crash.crash_id;
+    } else {
+      AddEvidence(lost, mark);
     }
     ConfirmSeen(mark);
-    if (lost.confirmed) {
-      NoteSeenCrash(lost.target, lost.at, now);
-    }
     mark.expires = std::max(mark.expires, now + options_.suspect_ttl);
     Note(QuarantineChange::kSuspected, part, false, now, outbox);
     UpdateQuarantine(part, now, false, outbox);
