Quarantine of parts: only answers end a verdict at all instances

Cause: an instance that had not received one message of a crash took another part of the same requests for the stronger suspect, and released the guilty one; a release has a later epoch, so that it replaced the marks of all. Change: a verdict that other evidence speaks against is not enforced where that evidence is, as before, but ends everywhere only once answers came after the last crash. News of a crash is compared with each mark once, not with all crashes of each; marks with one crash are judged without a look at it.

--- a/src/request/quarantine_parts.cc
+++ b/src/request/quarantine_parts.cc
@@ -35,6 +35,12 @@
   return last;
 }
 
+// Whether there were so many answers on the part after its last crash.
+bool HasAnsweredSince(const QuarantineMark& mark, int answers) {
+  return !mark.evidence.empty() &&
+         std::ranges::max(mark.evidence, {}, &Evidence::at).answers >= answers;
+}
+
 }  // namespace
 
 void Quarantine::AddPartEvidence(const Run& run,
@@ -97,8 +103,8 @@
   }
   seen_crashes_.push_back(crash);
   for (auto& [key, mark] : marks_) {
-    if (mark.is_part) {
-      ConfirmSeen(mark);
+    for (Evidence& it : mark.evidence) {
+      it.confirmed = it.confirmed || (mark.is_part && IsSameCrash(it, crash));
     }
   }
 }
@@ -219,8 +225,9 @@
   const QuarantineMark& mark = marks_.at(part);
   const double least = mark.on_probation ? 1 : options_.part_crashes;
   // Most marks end here; what follows looks at all of them.
-  if (ScoreCrashes(DistinctCrashes(mark, final), options_.answers_per_crash) <
-      least) {
+  if (static_cast<double>(mark.evidence.size()) < least ||
+      ScoreCrashes(DistinctCrashes(mark, final), options_.answers_per_crash) <
+          least) {
     return false;
   }
   double needed = least;
@@ -281,9 +288,12 @@
 }
 
 // Until all instances have the same evidence, each decides for itself whether
-// the verdict holds.
+// the verdict holds. An instance that lacks some of the evidence may take
+// another part for the cause: only answers end the verdict at all of them.
 bool Quarantine::IsPartReleased(ContentHash part, base::Time now) const {
-  return std::ranges::all_of(marks_.at(part).evidence,
+  const QuarantineMark& mark = marks_.at(part);
+  return HasAnsweredSince(mark, options_.answers_per_crash) &&
+         std::ranges::all_of(mark.evidence,
                              [&](const Evidence& it) {
                                return now - std::max(it.at, it.learnt) >=
                                       options_.release_delay;
--- a/tests/request/part_quarantine_test.cc
+++ b/tests/request/part_quarantine_test.cc
@@ -171,6 +171,36 @@
   EXPECT_TRUE(IsRefused({kBad}));
 }
 
+// Guards against an instance that did not receive one message of a crash, and
+// ended the verdict on a part at all instances.
+TEST_F(PartQuarantineTest, MissingEvidenceEndsNoVerdict) {
+  std::vector<Run> runs;
+  for (int i = 0; i < 3; ++i) {
+    runs.push_back(*Start({kCompanion, kBad}));
+  }
+  std::vector<QuarantineEvent> events;
+  Quarantine other(FleetQuarantineOptions(), base::InstanceId("other"), {},
+                   [&](const QuarantineEvent& it) { events.push_back(it); });
+  for (const Run& it : runs) {
+    Crash(it);
+    quarantine_.Tick(now_);
+    for (const ContentHash part : {kCompanion, kBad}) {
+      if (part == kCompanion || &it != &runs.back()) {
+        other.Merge(*quarantine_.Export(part, now_), now_);
+      }
+    }
+  }
+  now_ += 2 * FleetQuarantineOptions().release_delay;
+  other.Tick(now_);
+  EXPECT_EQ(std::ranges::count(events, QuarantineChange::kReleased,
+                               &QuarantineEvent::change),
+            0);
+  for (const auto& it : other.Export(now_)) {
+    quarantine_.Merge(it, now_);
+  }
+  EXPECT_TRUE(IsRefused({kCompanion, kBad}));
+}
+
 // Guards against a caller who has others' requests refused by naming their
 // part in requests that crash targets by something else.
 TEST_F(PartQuarantineTest, CrashesOfOneOrganisationRefuseNobodyElse) {
