Quarantine of parts: a content explains no more crashes than it has

Cause: a quarantined content was the cause of a crash whatever else spoke against the part. Change: it explains a part's crashes only if it was in as many.

--- a/src/request/quarantine_parts.cc
+++ b/src/request/quarantine_parts.cc
@@ -200,12 +200,13 @@
       return false;
     }
     // A content is quarantined for a crash that it caused alone: runs of other
-    // contents did not.
+    // contents did not. That does not explain more crashes than it has.
     const bool is_cause = !mark.is_part && mark.quarantined &&
                           evidence.content != 0 &&
                           evidence.content != ContentTag(other);
     const bool counts = mark.quarantined || (mark.is_part && !own.quarantined);
-    return is_cause || (counts && Strength(other, mark, now) > strength);
+    const double rival = Strength(other, mark, now);
+    return (is_cause && rival >= strength) || (counts && rival > strength);
   });
 }
 
--- a/tests/request/part_quarantine_test.cc
+++ b/tests/request/part_quarantine_test.cc
@@ -201,6 +201,31 @@
   EXPECT_TRUE(IsRefused({kCompanion, kBad}));
 }
 
+// Guards against a sound content that was rerun in two crashes of a part, and
+// was taken for the cause of all of them.
+TEST_F(PartQuarantineTest, ContentExplainsNoMoreCrashesThanItHas) {
+  const RunIdentity sound = NewRequest({kOther});
+  for (int i = 0; i < 2; ++i) {
+    const base::TargetId target("shared" + std::to_string(i));
+    const base::AttemptId first("sound" + std::to_string(i));
+    const base::AttemptId second("bad" + std::to_string(i));
+    ASSERT_TRUE(quarantine_.TryStart(sound, target, first, now_, &denial_));
+    ASSERT_TRUE(quarantine_.TryStart(NewRequest({kFirst, kBad}), target, second,
+                                     now_, &denial_));
+    now_ += kRunTime;
+    quarantine_.OnLost(first, now_);
+    quarantine_.OnLost(second, now_);
+    quarantine_.OnTargetCrashed(target, now_);
+    now_ += kGap;
+    const auto answered = Start({kFirst});
+    ASSERT_TRUE(answered);
+    Answer(*answered);
+  }
+  ASSERT_EQ(quarantine_.Check(sound.content, now_),
+            QuarantineDenial::kQuarantined);
+  EXPECT_EQ(CrashTargets({kBad}, 10), 1);
+}
+
 // Guards against a caller who has others' requests refused by naming their
 // part in requests that crash targets by something else.
 TEST_F(PartQuarantineTest, CrashesOfOneOrganisationRefuseNobodyElse) {
