Quarantine of parts: others' requests are tried, also with all parts the same

What callers would see: if one organisation's requests crash engines and name two parts of another's, the other's requests with both are refused. Cause: of parts that nothing tells apart a request with both is no trial; that was decided before whose crashes speak against them. Change: whose crashes they are is asked first. Measured: CrashesOfOneOrganisationRefuseNoOthersWithSameParts fails before.

--- a/src/request/quarantine_parts.cc
+++ b/src/request/quarantine_parts.cc
@@ -35,6 +35,17 @@
   return last;
 }
 
+// Crashes of one organisation's requests may have a cause that only these have,
+// whatever part they name.
+bool IsOfOthers(const QuarantineMark& mark, const RunIdentity& identity) {
+  std::set<std::uint32_t> organisations;
+  for (const Evidence& it : mark.evidence) {
+    organisations.insert(it.organisation);
+  }
+  return organisations.size() == 1 && *organisations.begin() != 0 &&
+         *organisations.begin() != identity.organisation;
+}
+
 // Whether there were so many answers on the part after its last crash.
 bool HasAnsweredSince(const QuarantineMark& mark, int answers) {
   return !mark.evidence.empty() &&
@@ -309,23 +320,17 @@
     const auto mark = marks_.find(it);
     return mark != marks_.end() && mark->second.quarantined && IsTied(it, now);
   };
+  const QuarantineMark& mark = marks_.at(part);
+  if (IsOfOthers(mark, identity)) {
+    return true;
+  }
   if (is_tied(part)) {
     // With two of them it would tell nothing.
     return std::ranges::count_if(identity.parts, is_tied) == 1;
   }
   // Most of what has it was harmless until now.
-  if (IsCommon(part) &&
-      Strength(part, marks_.at(part), now) <= options_.common_part_crashes) {
-    return true;
-  }
-  // Crashes of one organisation's requests may have a cause that only these
-  // have, whatever part they name.
-  std::set<std::uint32_t> organisations;
-  for (const Evidence& it : marks_.at(part).evidence) {
-    organisations.insert(it.organisation);
-  }
-  return organisations.size() == 1 && *organisations.begin() != 0 &&
-         *organisations.begin() != identity.organisation;
+  return IsCommon(part) &&
+         Strength(part, mark, now) <= options_.common_part_crashes;
 }
 
 std::optional<QuarantineDenial> Quarantine::CheckTrial(ContentHash part,
--- a/tests/request/part_quarantine_test.cc
+++ b/tests/request/part_quarantine_test.cc
@@ -241,6 +241,21 @@
   EXPECT_TRUE(first && second);
 }
 
+// Also if the requests of both share all parts, so that nothing tells these
+// apart.
+TEST_F(PartQuarantineTest,
+       CrashesOfOneOrganisationRefuseNoOthersWithSameParts) {
+  ASSERT_EQ(CrashTargets({kFirst, kOther}, 10, kAttacker), 2);
+  EXPECT_TRUE(IsRefused({kFirst, kOther}, kAttacker));
+  const auto trial = Start({kFirst, kOther}, kVictim);
+  ASSERT_TRUE(trial);
+  Answer(*trial);
+  now_ += FleetQuarantineOptions().verdict_delay;
+  const auto first = Start({kFirst, kOther}, kVictim);
+  const auto second = Start({kFirst, kOther}, kVictim);
+  EXPECT_TRUE(first && second);
+}
+
 // But a part that is the cause costs one more target, not two for each
 // organisation.
 TEST_F(PartQuarantineTest, CrashesOfTwoOrganisationsRefuseAll) {
