Quarantine: no suspect joins a rerun that is to decide alone

What callers would see: a request that crashes its targets costs one more. Cause: a suspect of two crashes is rerun at a target without other suspects, but a suspect of one crash could be started beside it later; the crash of both told nothing. Change: a target that reruns such a suspect takes no other one meanwhile.

--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -243,6 +243,11 @@
   std::optional<QuarantineDenial> CheckTrial(ContentHash part,
                                              base::Time now) const;
   void Extend(ContentHash part, base::Time now, Outbox* outbox);
+  // Whether only a rerun without other suspects at the target can tell whether
+  // the content is the cause of its crashes.
+  bool MustRunAlone(const QuarantineMark& mark) const;
+  // Whether the target runs such a suspect by itself.
+  bool HasLoneSuspect(const base::TargetId& target, base::Time now) const;
   bool HasSuspect(const base::TargetId& target,
                   ContentHash content,
                   base::Time now) const;
--- a/src/request/quarantine_suspects.cc
+++ b/src/request/quarantine_suspects.cc
@@ -33,18 +33,38 @@
   if (CrashedRecently(target, now)) {
     return QuarantineDenial::kTargetCrashedLately;
   }
-  const QuarantineMark& mark = marks_.at(content);
+  if (MustRunAlone(marks_.at(content)) ? HasSuspect(target, content, now)
+                                       : HasLoneSuspect(target, now)) {
+    return QuarantineDenial::kTargetHasSuspect;
+  }
+  return std::nullopt;
+}
+
+bool Quarantine::MustRunAlone(const QuarantineMark& mark) const {
   const EvidenceCount count = CountEvidence(mark, false);
   // Crashes during answers are weak evidence: many streams are broken by each
   // crash, and few targets have no suspect then.
   const std::size_t weight = count.all - (count.at_start == 0 ? 1 : 0);
-  const bool must_be_alone =
-      mark.on_probation || options_.lone_rerun_after <= 1 ||
-      (count.all > 0 && weight >= options_.lone_rerun_after);
-  if (must_be_alone && HasSuspect(target, content, now)) {
-    return QuarantineDenial::kTargetHasSuspect;
-  }
-  return std::nullopt;
+  return mark.on_probation || options_.lone_rerun_after <= 1 ||
+         (count.all > 0 && weight >= options_.lone_rerun_after);
+}
+
+bool Quarantine::HasLoneSuspect(const base::TargetId& target,
+                                base::Time now) const {
+  const auto is_lone = [this](const auto& it) {
+    return !it.second.is_part && it.second.is_suspect() &&
+           MustRunAlone(it.second);
+  };
+  const bool here = std::ranges::any_of(runs_, [&](const auto& it) {
+    const auto mark = marks_.find(it.second.identity.content);
+    return it.second.target == target && it.second.alone &&
+           mark != marks_.end() && is_lone(*mark);
+  });
+  return here || std::ranges::any_of(marks_, [&](const auto& it) {
+           return it.second.rerun_target == target &&
+                  it.second.owner != self_ && it.second.owned_until > now &&
+                  is_lone(it);
+         });
 }
 
 void Quarantine::MarkNotAlone(const base::TargetId& target,
--- a/tests/request/fleet_quarantine_test.cc
+++ b/tests/request/fleet_quarantine_test.cc
@@ -199,6 +199,23 @@
   EXPECT_EQ(quarantine_.Count(later + seconds(6)).suspects, 0u);
 }
 
+// Guards against a request that crashes one target more: a rerun that is to
+// decide, beside which another suspect was started, decides nothing.
+TEST_F(FleetQuarantineUnitTest, NoSuspectJoinsALoneRerun) {
+  ASSERT_TRUE(Start(1, "t1", "a1", kNow));
+  ASSERT_TRUE(Start(1, "t2", "a2", kNow));
+  ASSERT_TRUE(Start(2, "t2", "b1", kNow));
+  Crash("t1", {"a1"}, kNow);
+  Crash("t2", {"a2", "b1"}, kNow);
+  ASSERT_TRUE(Start(1, "t3", "a3", kNow));
+  EXPECT_FALSE(Start(2, "t3", "b2", kNow));
+  EXPECT_EQ(denial_, QuarantineDenial::kTargetHasSuspect);
+  EXPECT_TRUE(Start(2, "t4", "b3", kNow));
+  EXPECT_TRUE(Start(3, "t3", "c1", kNow));
+  Crash("t3", {"a3", "c1"}, kNow);
+  EXPECT_TRUE(IsQuarantined(1, kNow));
+}
+
 // The crashes of quarantined content that ran through other instances do not
 // release it.
 TEST_F(FleetQuarantineUnitTest, CrashesSeenBesidePoisonDoNotReleaseIt) {
