--- a/bench/quarantine/part_fleets.cc
+++ b/bench/quarantine/part_fleets.cc
@@ -1,11 +1,12 @@
-// Runs many drawn fleets with parts of prompts that crash their engines, and
-// prints those that exceed a bound, and the distribution of all.
+// Runs simulated fleets with parts of prompts that crash their engines, one for
+// each seed, and prints those that exceed a bound, and the means of all.
 //
 //   part_fleets [--fleets N] [--seed N] [--instances N] [--engines N]
 //               [--parts N] [--contents N] [--rate R] [--others R] [--mass N]
 //               [--vary]
 #include <algorithm>
 #include <atomic>
+#include <cinttypes>
 #include <cstdint>
 #include <cstdio>
 #include <exception>
@@ -65,10 +66,10 @@
     const bool is_late = it.most_sent_late > kMostSentLate;
     const bool is_begun = it.least_begun_ratio < kLeastBegun;
     if (is_lost || is_late || is_begun) {
-      std::printf("seed %llu: %d engines, %d late, begun %.2f, %d refused\n",
-                  static_cast<unsigned long long>(settings.seed + i),
-                  it.most_engines_lost, it.most_sent_late, it.least_begun_ratio,
-                  it.harmless_refused);
+      std::printf("seed %" PRIu64
+                  ": %d engines, %d late, begun %.2f, %d refused\n",
+                  settings.seed + i, it.most_engines_lost, it.most_sent_late,
+                  it.least_begun_ratio, it.harmless_refused);
     }
     lost += is_lost ? 1 : 0;
     late += is_late ? 1 : 0;
--- a/src/request/quarantine_parts.cc
+++ b/src/request/quarantine_parts.cc
@@ -211,7 +211,7 @@
       return false;
     }
     // A content is quarantined for a crash that it caused alone: runs of other
-    // contents did not. That does not explain more crashes than it has.
+    // contents did not. It explains no more crashes than it was in.
     const bool is_cause = !mark.is_part && mark.quarantined &&
                           evidence.content != 0 &&
                           evidence.content != ContentTag(other);
