Quarantine: one check for a rerun at another instance

Cause: read over the change: HasLoneSuspect wrote again how HasSuspect finds that another instance reruns a content at the target. Change: one function says so. Behaviour is the same.

--- a/src/request/quarantine_suspects.cc
+++ b/src/request/quarantine_suspects.cc
@@ -6,6 +6,19 @@
 
 namespace lynxglade::request {
 
+namespace {
+
+// Whether another instance than `self` reruns the content at the target.
+bool IsRerunElsewhere(const QuarantineMark& mark,
+                      const base::TargetId& target,
+                      const base::InstanceId& self,
+                      base::Time now) {
+  return mark.rerun_target == target && mark.owner != self &&
+         mark.owned_until > now;
+}
+
+}  // namespace
+
 std::optional<QuarantineDenial> Quarantine::CheckSuspect(ContentHash content,
                                                          base::Time now) const {
   const QuarantineMark& mark = marks_.at(content);
@@ -61,8 +74,7 @@
            mark != marks_.end() && is_lone(*mark);
   });
   return here || std::ranges::any_of(marks_, [&](const auto& it) {
-           return it.second.rerun_target == target &&
-                  it.second.owner != self_ && it.second.owned_until > now &&
+           return IsRerunElsewhere(it.second, target, self_, now) &&
                   is_lone(it);
          });
 }
@@ -92,9 +104,8 @@
            (mark != marks_.end() && mark->second.is_suspect());
   });
   return here || std::ranges::any_of(marks_, [&](const auto& it) {
-           const QuarantineMark& mark = it.second;
-           return it.first != content && mark.rerun_target == target &&
-                  mark.owner != self_ && mark.owned_until > now;
+           return it.first != content &&
+                  IsRerunElsewhere(it.second, target, self_, now);
          });
 }
 
