Fuzzing: the quarantine compiles with clang 14 again

The renewal of leases is a function of its own now, RenewRerunLeases, without a change of behaviour.

--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -291,6 +291,8 @@
                   const base::TargetId& target,
                   base::Time now,
                   Outbox* outbox);
+  // Renews the leases that expire soon of the reruns that the attempt performs.
+  void RenewRerunLeases(const Run& run, base::Time now, Outbox* outbox);
   // Claims the rerun for attempts that started before the content became a
   // suspect.
   void ClaimRunningAttempts(ContentHash content,
--- a/src/request/quarantine_marks.cc
+++ b/src/request/quarantine_marks.cc
@@ -70,19 +70,8 @@
     });
   }
   std::erase_if(crashes_, [](const auto& it) { return it.second.empty(); });
-  // Renew the leases of reruns in progress.
   for (auto& [attempt, run] : runs_) {
-    const auto renew = [&](ContentHash key) {
-      const auto it = marks_.find(key);
-      if (it != marks_.end() && it->second.owner == self_ &&
-          it->second.owned_until < now + options_.rerun_lease / 2) {
-        ClaimRerun(key, run.target, now, outbox);
-      }
-    };
-    if (run.suspect) {
-      renew(run.identity.content);
-    }
-    std::ranges::for_each(run.trials, renew);
+    RenewRerunLeases(run, now, outbox);
     if (HasSettled(run, now)) {
       CountAnswer(run, now, outbox);
     }
--- a/src/request/quarantine_suspects.cc
+++ b/src/request/quarantine_suspects.cc
@@ -186,6 +186,22 @@
   PublishChange(content, now, outbox);
 }
 
+void Quarantine::RenewRerunLeases(const Run& run,
+                                  base::Time now,
+                                  Outbox* outbox) {
+  const auto renew = [&](ContentHash key) {
+    const auto it = marks_.find(key);
+    if (it != marks_.end() && it->second.owner == self_ &&
+        it->second.owned_until < now + options_.rerun_lease / 2) {
+      ClaimRerun(key, run.target, now, outbox);
+    }
+  };
+  if (run.suspect) {
+    renew(run.identity.content);
+  }
+  std::ranges::for_each(run.trials, renew);
+}
+
 void Quarantine::ClaimRunningAttempts(ContentHash content,
                                       base::Time now,
                                       Outbox* outbox) {
