--- a/bench/sizes/size_fleet.cc
+++ b/bench/sizes/size_fleet.cc
@@ -183,9 +183,9 @@
         base::FromFineMillis(
             instance.errors.Factor(kService, job->priority, now_) *
             expected_ms)};
-    const bool hopeless =
-        ExceedsCallerTimeout(forecast, kFirstByteTimeout,
-                             LatencyAdmissionOptions(), standing.wait_fraction);
+    const bool hopeless = ExceedsCallerTimeout(forecast, kFirstByteTimeout,
+                                               LatencyAdmissionOptions(),
+                                               standing.capacity_fraction);
     const bool admitted =
         !hopeless &&
         instance.answers.Admit(DecodeView(instance, decode), kind.name,
--- a/src/request/passthrough/latency_admission.cc
+++ b/src/request/passthrough/latency_admission.cc
@@ -12,10 +12,10 @@
 bool ExceedsCallerTimeout(const LatencyForecast& forecast,
                           base::Duration time_left,
                           const LatencyAdmissionOptions& options,
-                          double wait_fraction) noexcept {
+                          double capacity_fraction) noexcept {
   return forecast.expected > time_left ||
          forecast.wait >
-             wait_fraction * options.max_wait_per_time_left * time_left;
+             capacity_fraction * options.max_wait_per_time_left * time_left;
 }
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/latency_admission.h
+++ b/src/request/passthrough/latency_admission.h
@@ -44,12 +44,12 @@
                          const LatencyAdmissionOptions& options) noexcept;
 
 // Whether to reject the prompt; `time_left`: how long its caller waits for the
-// first byte. `wait_fraction`: part of the longest wait that it may have
+// first byte. `capacity_fraction`: part of the longest wait that it may have
 // (served_shares.h).
 bool ExceedsCallerTimeout(const LatencyForecast& forecast,
                           base::Duration time_left,
                           const LatencyAdmissionOptions& options,
-                          double wait_fraction = 1) noexcept;
+                          double capacity_fraction = 1) noexcept;
 
 }  // namespace lynxglade::request::passthrough
 
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -340,7 +340,6 @@
        {"late", late_},
        {"size", ToString(standing_.size)},
        {"capacity_fraction", standing_.capacity_fraction},
-       {"wait_fraction", standing_.wait_fraction},
        {"deviations", standing_.deviations},
        {"route_share", standing_.route_share},
        {"guaranteed", standing_.guaranteed},
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -226,7 +226,7 @@
   const auto expected = std::chrono::duration_cast<base::Duration>(
       forecast_factor_ * pick.expected);
   if (ExceedsCallerTimeout({pick.wait, expected}, time_limit,
-                           options_.admission, standing_.wait_fraction)) {
+                           options_.admission, standing_.capacity_fraction)) {
     return EndReason::kWaitTooLong;
   }
   if (pick.prefill_engine && !WillBePermitted()) {
--- a/src/request/passthrough/served_shares.cc
+++ b/src/request/passthrough/served_shares.cc
@@ -71,8 +71,6 @@
   if (guarantee <= 0) {
     FindYield(service, name, all, standing);
   }
-  standing.wait_fraction = std::min(standing.capacity_fraction,
-                                    1 - options_.max_withheld * standing.yield);
   return standing;
 }
 
--- a/src/request/passthrough/served_shares.h
+++ b/src/request/passthrough/served_shares.h
@@ -6,9 +6,8 @@
 //
 // Kinds: a route that is served much less often than all requests has a part of
 // its requests treated as most urgent, by chance, so that no subject or caller
-// of it is left out. Other routes of its service give way: they accept a
-// shorter wait for a prefill, and where its answers need emptier engines than
-// theirs they fill engines less.
+// of it is left out. Other routes of its service give way where its answers
+// need emptier engines than theirs.
 //
 // Sizes: each route's requests are classed by size. While a class of larger
 // requests is served less often than its share, pressure rises: smaller ones
@@ -88,8 +87,7 @@
   // route.
   double size_aim = 0.9;
   // At full pressure, the part of a capacity that is withheld from the smaller
-  // classes; and of the longest wait, from routes that give way to one that is
-  // guaranteed wholly, so that they don't take what its own classes leave.
+  // classes.
   double max_withheld = 0.4;
   // How large an answer an engine must have time for, in standard deviations
   // above the mean of the logarithms of its route's sizes: without pressure,
@@ -123,12 +121,8 @@
 // How a request stands against others.
 struct ShareStanding {
   SizeClass size = SizeClass::kTypical;
-  // Part of an engine's capacity that it may use.
+  // Part of a capacity that it may use.
   double capacity_fraction = 1;
-  // Part of the longest wait for a prefill that it may have: less than
-  // `capacity_fraction` if its route gives way. Once there are more prompts
-  // than engines can prefill, only those that may wait longest are admitted.
-  double wait_fraction = 1;
   // Of the route; see ServedSharesOptions.
   double deviations = 2;
   // It is treated as most urgent, as its route is served too rarely.
