Simulated sizes: cancel requests in the queue of prompts when their callers leave

Cause: an engine of the simulation dropped a request whose caller had left only when it came to it. Relays close the connection and engines drop the request.

--- a/bench/sizes/size_fleet.cc
+++ b/bench/sizes/size_fleet.cc
@@ -242,18 +242,31 @@
     engine.alone = engine.queue.size() == 1;
   }
 
+  // Requests whose callers have left are cancelled, wherever they wait.
+  void Cancel(PrefillEngine& engine) {
+    const auto has_left = [this](const JobHandle& it) {
+      return now_ - it->arrived > kFirstByteTimeout;
+    };
+    if (engine.queue.empty()) {
+      return;
+    }
+    const bool begins_next = has_left(engine.queue.front());
+    for (const JobHandle& it : engine.queue) {
+      if (has_left(it)) {
+        End(it, false);
+      }
+    }
+    std::erase_if(engine.queue, has_left);
+    if (begins_next && !engine.queue.empty()) {
+      BeginPrefill(engine);
+    }
+  }
+
   void Prefill(PrefillEngine& engine) {
+    Cancel(engine);
     double ms = base::ToFineMillis(kTick);
     while (!engine.queue.empty() && ms > 0) {
       const JobHandle job = engine.queue.front();
-      if (now_ - job->arrived > kFirstByteTimeout) {
-        End(job, false);
-        engine.queue.pop_front();
-        if (!engine.queue.empty()) {
-          BeginPrefill(engine);
-        }
-        continue;
-      }
       const double used = std::min(ms, engine.ms_left);
       engine.ms_left -= used;
       ms -= used;
