Simulated sizes: one check for requests that have ended

Cause: Cancel() of repeated the first-byte timeout of HasEnded() and went through the queue twice. It calls HasEnded() now, once; behaviour stays, as all timeouts are at least that long.

--- a/bench/quarantine/part_fleets.cc
+++ b/bench/quarantine/part_fleets.cc
@@ -3,7 +3,7 @@
 //
 //   part_fleets [--fleets N] [--seed N] [--instances N] [--engines N]
 //               [--parts N] [--contents N] [--rate R] [--others R] [--mass N]
-//               [--vary]
+//               [--threads N] [--vary]
 #include <algorithm>
 #include <atomic>
 #include <cinttypes>
--- a/bench/sizes/size_fleet.cc
+++ b/bench/sizes/size_fleet.cc
@@ -244,20 +244,13 @@
 
   // Requests whose callers have left are cancelled, wherever they wait.
   void Cancel(PrefillEngine& engine) {
-    const auto has_left = [this](const JobHandle& it) {
-      return now_ - it->arrived > kFirstByteTimeout;
-    };
     if (engine.queue.empty()) {
       return;
     }
-    const bool begins_next = has_left(engine.queue.front());
-    for (const JobHandle& it : engine.queue) {
-      if (has_left(it)) {
-        End(it, false);
-      }
-    }
-    std::erase_if(engine.queue, has_left);
-    if (begins_next && !engine.queue.empty()) {
+    const JobHandle first = engine.queue.front();
+    std::erase_if(engine.queue,
+                  [this](const JobHandle& it) { return HasEnded(it); });
+    if (!engine.queue.empty() && engine.queue.front() != first) {
       BeginPrefill(engine);
     }
   }
