Review: requests reach a target that left after a silent watch

The watch of the store is noticed as dead only by its time-out of 4 s when fewer than 8 instances run, and the time-out then counts as an outage of the store, after which missing targets are kept for 2 s more.

--- /dev/null
+++ b/review/stand_ins/instance.cc
@@ -0,0 +1,113 @@
+#include "review/stand_ins/instance.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace lynxglade::review {
+
+namespace {
+
+constexpr char kProgram[] = "target/src/main/lynxgladed";
+
+std::string Address(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+}  // namespace
+
+Instance::Instance(InstanceSettings settings)
+    : settings_(std::move(settings)),
+      port_(FreePort()),
+      health_port_(FreePort()),
+      peer_port_(FreePort()) {}
+
+Instance::~Instance() {
+  Kill();
+}
+
+void Instance::Start() {
+  std::vector<std::string> words{
+      kProgram,          "entry",
+      "--instance-id",   settings_.name,
+      "--zone",          settings_.zone,
+      "--listen",        Address(port_),
+      "--health-listen", Address(health_port_),
+      "--peer-listen",   Address(peer_port_),
+      "--store",         Address(settings_.store_port)};
+  // The bounds of a small deployment.
+  std::vector<std::string> variables{
+      "LYNXGLADE_LINK_MBPS=1000",  "LYNXGLADE_STOP_GRACE=8",
+      "LYNXGLADE_RETRY_RATIO=0.2", "LYNXGLADE_RETRY_ALLOWANCE=52",
+      "LYNXGLADE_RETRY_WINDOW=10", "LYNXGLADE_HOLDER_GAP_MS=3000"};
+  const auto pointers = [](std::vector<std::string>& texts) {
+    std::vector<char*> it;
+    std::ranges::transform(texts, std::back_inserter(it),
+                           [](std::string& text) { return text.data(); });
+    it.push_back(nullptr);
+    return it;
+  };
+  const auto argv = pointers(words);
+  const auto envp = pointers(variables);
+  const int out = ::open(settings_.log.c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  pid_ = ::fork();
+  if (pid_ == 0) {
+    // Also if the case is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::dup2(out, STDOUT_FILENO);
+    ::execve(kProgram, argv.data(), envp.data());
+    ::_exit(127);
+  }
+  ::close(out);
+}
+
+void Instance::Send(int signal) const {
+  if (pid_ > 0) {
+    ::kill(pid_, signal);
+  }
+}
+
+void Instance::Kill() {
+  Send(SIGKILL);
+  if (pid_ > 0) {
+    ::waitpid(std::exchange(pid_, -1), nullptr, 0);
+  }
+}
+
+bool Instance::running() {
+  if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
+    pid_ = -1;
+  }
+  return pid_ > 0;
+}
+
+bool Instance::Ready() const {
+  const Socket socket = Connect(health_port_);
+  Message answer;
+  return socket.is_open() &&
+         SendAll(socket, "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n") &&
+         MessageReader(socket).Read(&answer, Clock::now() + Millis(500),
+                                    /*until_close=*/false) == ReadEnd::kWhole &&
+         answer.start.find(" 200") != std::string::npos;
+}
+
+bool AwaitReady(const std::vector<const Instance*>& instances, Millis bound) {
+  const auto until = Clock::now() + bound;
+  while (!std::ranges::all_of(instances,
+                              [](const Instance* it) { return it->Ready(); })) {
+    if (Clock::now() >= until) {
+      return false;
+    }
+    std::this_thread::sleep_for(Millis(50));
+  }
+  return true;
+}
+
+}  // namespace lynxglade::review
