Review: no crash is confirmed once the other instances are lost

TargetConnector::Reach() takes a refusal of connections for no answer if no other instance says anything, and the keys of lost instances stay for 20 s: the quarantine forgets each crash, and the request reaches target after target.

--- a/review/stand_ins/callers.h
+++ b/review/stand_ins/callers.h
@@ -17,6 +17,7 @@
 struct CallerSettings {
   std::string host = "portal.example";
   std::string path = "/receipts/1";
+  std::string body = "{}";
   Millis timeout{1000};
   // From one request of a caller to its next one.
   Millis period{100};
--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -87,7 +87,7 @@
 
 bool Deployment::Start(const std::string& configuration) {
   for (const auto& it : targets_) {
-    store_.Put(it->Key(), it->Entry());
+    it->Register(store_);
   }
   store_.Put("op/config", configuration);
   std::vector<const Instance*> instances;
--- a/review/stand_ins/http_server.cc
+++ b/review/stand_ins/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -53,6 +54,16 @@
   }
 }
 
+void HttpServer::GoDark() {
+  constexpr int kFillers = 4;
+  dark_ = true;
+  SetSilent(true);
+  ::listen(listener_.fd(), 0);
+  for (int i = 0; i < kFillers; ++i) {
+    fillers_.push_back(BeginConnect(port_));
+  }
+}
+
 void HttpServer::End() {
   if (ended_.exchange(true)) {
     return;
@@ -67,6 +78,11 @@
 
 void HttpServer::Accept() {
   while (!ended_) {
+    pollfd waiting{listener_.fd(), POLLIN, 0};
+    if (dark_ || ::poll(&waiting, 1, static_cast<int>(kPoll.count())) <= 0) {
+      std::this_thread::sleep_for(dark_ ? kPoll : Millis(0));
+      continue;
+    }
     Socket socket(::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
     const std::lock_guard lock(mutex_);
     if (!socket.is_open() || ended_) {
--- a/review/stand_ins/http_server.h
+++ b/review/stand_ins/http_server.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "review/stand_ins/sockets.h"
 
@@ -35,6 +36,9 @@
   // The same for connections that are opened from now on until it is called
   // with false.
   void SetSilent(bool silent);
+  // Like a machine without power: open connections go silent, and new ones get
+  // no answer.
+  void GoDark();
   // Resets all connections and refuses new ones, like a process that ends.
   void End();
 
@@ -54,9 +58,12 @@
   const std::uint16_t port_;
   std::atomic<bool> ended_ = false;
   std::atomic<bool> silent_ = false;
+  std::atomic<bool> dark_ = false;
   std::mutex mutex_;
   std::list<std::unique_ptr<Connection>> connections_;
   std::thread acceptor_;
+  // Fill the queue of the listener while it is dark.
+  std::vector<Socket> fillers_;
 };
 
 // An answer with a body of known length.
--- a/review/stand_ins/sockets.cc
+++ b/review/stand_ins/sockets.cc
@@ -12,6 +12,7 @@
 #include <cctype>
 #include <cerrno>
 #include <cstdlib>
+#include <tuple>
 #include <utility>
 
 namespace lynxglade::review {
@@ -96,6 +97,15 @@
   return socket;
 }
 
+Socket BeginConnect(std::uint16_t port) {
+  Socket socket(
+      ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  const sockaddr_in address = Loopback(port);
+  std::ignore = ::connect(
+      socket.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  return socket;
+}
+
 bool SendAll(const Socket& socket, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t n =
--- a/review/stand_ins/sockets.h
+++ b/review/stand_ins/sockets.h
@@ -41,6 +41,8 @@
 std::uint16_t FreePort();
 // Not open if the peer refuses.
 Socket Connect(std::uint16_t port);
+// Does not wait for an answer.
+Socket BeginConnect(std::uint16_t port);
 bool SendAll(const Socket& socket, std::string_view bytes);
 
 // Header names in lower case.
