--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -61,18 +61,19 @@
 }
 
 Deployment::Deployment(const CaseArguments& arguments,
-                       const std::vector<TargetSettings>& targets)
+                       const std::vector<TargetSettings>& targets,
+                       std::size_t instances)
     : record_(arguments.record) {
   for (TargetSettings it : targets) {
     it.zone = kZones.at(targets_.size() % kZones.size());
     targets_.push_back(std::make_unique<Target>(std::move(it), record_));
   }
-  for (std::size_t i = 0; i < instance_count(); ++i) {
+  for (std::size_t i = 0; i < instances; ++i) {
     const std::string name = "entry-" + std::to_string(i);
     store_links_.push_back(&store_.OpenPort());
     instances_.push_back(std::make_unique<Instance>(
         InstanceSettings{.name = name,
-                         .zone = kZones.at(i),
+                         .zone = kZones.at(i % kZones.size()),
                          .store_port = store_links_.back()->port(),
                          .log = arguments.folder + '/' + name}));
   }
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -46,9 +46,10 @@
 
 class Deployment {
  public:
-  // One instance a zone, and the targets.
+  // The instances and the targets are spread over the zones.
   Deployment(const CaseArguments& arguments,
-             const std::vector<TargetSettings>& targets);
+             const std::vector<TargetSettings>& targets,
+             std::size_t instances = 3);
   ~Deployment();
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
@@ -66,7 +67,7 @@
   // The store's side of the instance's link to it.
   HttpServer& store_link(std::size_t i) { return *store_links_.at(i); }
   std::vector<std::uint16_t> ports() const;
-  static constexpr std::size_t instance_count() { return 3; }
+  std::size_t instance_count() const noexcept { return instances_.size(); }
 
  private:
   void Beat(const Target& cold);
--- a/review/stand_ins/http_server.cc
+++ b/review/stand_ins/http_server.cc
@@ -97,6 +97,11 @@
   }
 }
 
+std::optional<std::string> HttpServer::Handle(const Message& request) {
+  const auto answer = busy_ ? std::optional<std::string>() : handler_(request);
+  return busy_ ? Answer(429, {}, {}) : answer;
+}
+
 void HttpServer::Serve(Connection& connection) {
   MessageReader reader(connection.socket);
   while (!ended_) {
@@ -109,7 +114,7 @@
                     /*until_close=*/false) != ReadEnd::kWhole) {
       break;
     }
-    const auto answer = connection.silent ? std::string() : handler_(request);
+    const auto answer = connection.silent ? std::string() : Handle(request);
     if (!connection.silent &&
         (!answer || !SendAll(connection.socket, *answer))) {
       break;
--- a/review/stand_ins/http_server.h
+++ b/review/stand_ins/http_server.h
@@ -36,6 +36,8 @@
   // The same for connections that are opened from now on until it is called
   // with false.
   void SetSilent(bool silent);
+  // While busy, it answers each request with 429 and does nothing else.
+  void SetBusy(bool busy) { busy_ = busy; }
   // Like a machine without power: open connections go silent, and new ones get
   // no answer.
   void GoDark();
@@ -50,6 +52,7 @@
     std::thread thread;
   };
 
+  std::optional<std::string> Handle(const Message& request);
   void Accept();
   void Serve(Connection& connection);
 
@@ -59,6 +62,7 @@
   std::atomic<bool> ended_ = false;
   std::atomic<bool> silent_ = false;
   std::atomic<bool> dark_ = false;
+  std::atomic<bool> busy_ = false;
   std::mutex mutex_;
   std::list<std::unique_ptr<Connection>> connections_;
   std::thread acceptor_;
--- a/review/stand_ins/instance.cc
+++ b/review/stand_ins/instance.cc
@@ -88,14 +88,25 @@
   return pid_ > 0;
 }
 
-bool Instance::Ready() const {
+Message Instance::Get(const std::string& path) const {
   const Socket socket = Connect(health_port_);
   Message answer;
-  return socket.is_open() &&
-         SendAll(socket, "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n") &&
-         MessageReader(socket).Read(&answer, Clock::now() + Millis(500),
-                                    /*until_close=*/false) == ReadEnd::kWhole &&
-         answer.start.find(" 200") != std::string::npos;
+  if (!socket.is_open() ||
+      !SendAll(socket, "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n") ||
+      MessageReader(socket).Read(&answer, Clock::now() + Millis(500),
+                                 /*until_close=*/false) != ReadEnd::kWhole) {
+    return {};
+  }
+  return answer;
+}
+
+bool Instance::Ready() const {
+  return Get("/readyz").start.find(" 200") != std::string::npos;
+}
+
+bool Instance::Shows(const std::string& line) const {
+  return ('\n' + Get("/metrics").body).find('\n' + line + '\n') !=
+         std::string::npos;
 }
 
 bool AwaitReady(const std::vector<const Instance*>& instances, Millis bound) {
--- a/review/stand_ins/instance.h
+++ b/review/stand_ins/instance.h
@@ -35,10 +35,15 @@
   void Kill();
   bool running();
   bool Ready() const;
+  // Whether its metrics page has the line.
+  bool Shows(const std::string& line) const;
   std::uint16_t port() const noexcept { return port_; }
   pid_t pid() const noexcept { return pid_; }
 
  private:
+  // Asks at the health address.
+  Message Get(const std::string& path) const;
+
   const InstanceSettings settings_;
   const std::uint16_t port_;
   const std::uint16_t health_port_;
--- a/review/stand_ins/store.cc
+++ b/review/stand_ins/store.cc
@@ -62,6 +62,13 @@
   Erase(key);
 }
 
+void Store::DropHistory() {
+  const std::lock_guard lock(mutex_);
+  history_.clear();
+  history_after_ = revision_;
+  changed_.notify_all();
+}
+
 std::size_t Store::CountKeys(const std::string& prefix) {
   const std::lock_guard lock(mutex_);
   ExpireLeases();
@@ -164,6 +171,9 @@
   Json events = Json::array();
   while (true) {
     ExpireLeases();
+    if (after < history_after_) {
+      return JsonAnswer(410, Json::object());
+    }
     for (const Change& it : history_) {
       if (it.revision > after && it.key.starts_with(prefix)) {
         events.push_back(it.item ? Row(it.key, *it.item)
--- a/review/stand_ins/store.h
+++ b/review/stand_ins/store.h
@@ -31,6 +31,8 @@
   HttpServer& OpenPort();
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  // Watches from an earlier revision are told that it is gone.
+  void DropHistory();
   std::size_t CountKeys(const std::string& prefix);
 
  private:
@@ -69,6 +71,8 @@
   std::int64_t revision_ = 1;
   std::map<std::string, Item> items_;
   std::vector<Change> history_;
+  // The history goes back to this revision.
+  std::int64_t history_after_ = 0;
   std::int64_t next_lease_ = 1;
   std::map<std::int64_t, Lease> leases_;
   // Declared last: its threads use the other members.
