--- a/review/stand_ins/sockets.cc
+++ b/review/stand_ins/sockets.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cctype>
 #include <cerrno>
 #include <cstdlib>
@@ -60,7 +61,7 @@
   Close();
 }
 
-Socket Listen(std::uint16_t port) {
+Socket TryListen(std::uint16_t port) {
   Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   const int on = 1;
   ::setsockopt(socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -68,6 +69,14 @@
   if (::bind(socket.fd(), reinterpret_cast<const sockaddr*>(&address),
              sizeof address) != 0 ||
       ::listen(socket.fd(), 512) != 0) {
+    socket.Close();
+  }
+  return socket;
+}
+
+Socket Listen(std::uint16_t port) {
+  Socket socket = TryListen(port);
+  if (!socket.is_open()) {
     std::abort();
   }
   return socket;
@@ -80,8 +89,19 @@
   return ntohs(address.sin_port);
 }
 
+// Below the ports that the kernel gives to connections, and apart from those of
+// a case that runs at the same time.
 std::uint16_t FreePort() {
-  return PortOf(Listen(0));
+  constexpr int kFirst = 12'000;
+  constexpr int kCount = 16'000;
+  constexpr int kPerProcess = 64;
+  static std::atomic<int> next = ::getpid() * kPerProcess;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    if (TryListen(port).is_open()) {
+      return port;
+    }
+  }
 }
 
 Socket Connect(std::uint16_t port) {
--- a/review/stand_ins/sockets.h
+++ b/review/stand_ins/sockets.h
@@ -36,6 +36,8 @@
 
 // Listens on `port` of 127.0.0.1, or on a free one if it is 0.
 Socket Listen(std::uint16_t port);
+// Not open if the port is in use.
+Socket TryListen(std::uint16_t port);
 std::uint16_t PortOf(const Socket& listener);
 // A port that was free at the time of the call.
 std::uint16_t FreePort();
--- a/review/stand_ins/target.h
+++ b/review/stand_ins/target.h
@@ -1,6 +1,6 @@
 // A plain target: it works on each request for a fixed time, and records what
 // it runs. A request whose body is kCrashingBody ends it; it is back after some
-// seconds, at the same address and under a new id.
+// seconds, at the same address and under a new id. It does not tell its load.
 #ifndef LYNXGLADE_REVIEW_STAND_INS_TARGET_H_
 #define LYNXGLADE_REVIEW_STAND_INS_TARGET_H_
 
