--- a/review/stand_ins/instance.cc
+++ b/review/stand_ins/instance.cc
@@ -68,26 +68,13 @@
   ::close(out);
 }
 
-void Instance::Send(int signal) const {
-  if (pid_ > 0) {
-    ::kill(pid_, signal);
-  }
-}
-
 void Instance::Kill() {
-  Send(SIGKILL);
   if (pid_ > 0) {
+    ::kill(pid_, SIGKILL);
     ::waitpid(std::exchange(pid_, -1), nullptr, 0);
   }
 }
 
-bool Instance::running() {
-  if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
-    pid_ = -1;
-  }
-  return pid_ > 0;
-}
-
 Message Instance::Get(const std::string& path) const {
   const Socket socket = Connect(health_port_);
   Message answer;
--- a/review/stand_ins/instance.h
+++ b/review/stand_ins/instance.h
@@ -30,15 +30,12 @@
   Instance& operator=(const Instance&) = delete;
 
   void Start();
-  void Send(int signal) const;
   // Kills the process and waits for its end.
   void Kill();
-  bool running();
   bool Ready() const;
   // Whether its metrics page has the line.
   bool Shows(const std::string& line) const;
   std::uint16_t port() const noexcept { return port_; }
-  pid_t pid() const noexcept { return pid_; }
 
  private:
   // Asks at the health address.
--- a/review/stand_ins/store.cc
+++ b/review/stand_ins/store.cc
@@ -69,13 +69,6 @@
   changed_.notify_all();
 }
 
-std::size_t Store::CountKeys(const std::string& prefix) {
-  const std::lock_guard lock(mutex_);
-  ExpireLeases();
-  return static_cast<std::size_t>(std::ranges::count_if(
-      items_, [&](const auto& it) { return it.first.starts_with(prefix); }));
-}
-
 void Store::Write(const std::string& key,
                   std::string value,
                   std::int64_t lease) {
--- a/review/stand_ins/store.h
+++ b/review/stand_ins/store.h
@@ -33,7 +33,6 @@
   void Remove(const std::string& key);
   // Watches from an earlier revision are told that it is gone.
   void DropHistory();
-  std::size_t CountKeys(const std::string& prefix);
 
  private:
   using Json = nlohmann::json;
