Review: memory of requests that are being served is not limited

Cause: bodies count against max_buffered_bytes only while they are read, and each attempt copies them. A burst of uploads of the largest size that the configuration allows fills the memory of the machine; the platform ends the process, and requests that targets were running are lost.

In it: case 1, with callers that may have names of their own and the resident memory of an instance in the stand-ins.

--- a/review/stand_ins/callers.cc
+++ b/review/stand_ins/callers.cc
@@ -91,12 +91,13 @@
   for (int i = 0; !stopped_; ++i) {
     std::this_thread::sleep_until(next);
     next = std::max(next + settings_.period, Clock::now());
+    CallerAttempt attempt;
+    attempt.kept = connection != nullptr;
     if (!connection) {
       connection = std::make_unique<Connection>(port);
     }
-    CallerAttempt attempt;
-    attempt.id = std::to_string(port) + '-' + std::to_string(caller) + '-' +
-                 std::to_string(i);
+    attempt.id = settings_.name + '-' + std::to_string(port) + '-' +
+                 std::to_string(caller) + '-' + std::to_string(i);
     attempt.port = port;
     if (!Exchange(settings_, *connection, &attempt, record_)) {
       connection.reset();
--- a/review/stand_ins/callers.h
+++ b/review/stand_ins/callers.h
@@ -19,6 +19,8 @@
   std::string path = "/receipts/1";
   std::string body = "{}";
   Millis timeout{1000};
+  // What the ids of its requests begin with.
+  std::string name = "caller";
   // From one request of a caller to its next one.
   Millis period{100};
 };
@@ -27,6 +29,8 @@
 struct CallerAttempt {
   std::string id;
   std::uint16_t port = 0;
+  // Whether its connection had carried a request before.
+  bool kept = false;
   double sent = 0;
   double ended = 0;
   // 0: no whole answer.
--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -114,6 +114,11 @@
   }
 }
 
+void Deployment::SetStoreDown(bool down) {
+  std::ranges::for_each(store_links_,
+                        [down](HttpServer* it) { it->SetDown(down); });
+}
+
 std::vector<std::uint16_t> Deployment::ports() const {
   std::vector<std::uint16_t> ports;
   std::ranges::transform(instances_, std::back_inserter(ports),
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -60,6 +60,9 @@
   // heartbeat.
   void BeginHeartbeats(const Target& cold);
 
+  // While the store is down, it answers no call that arrives; see HttpServer.
+  void SetStoreDown(bool down);
+
   Record& record() noexcept { return record_; }
   Store& store() noexcept { return store_; }
   Target& target(std::size_t i) { return *targets_.at(i); }
--- a/review/stand_ins/http_server.cc
+++ b/review/stand_ins/http_server.cc
@@ -114,6 +114,10 @@
                     /*until_close=*/false) != ReadEnd::kWhole) {
       break;
     }
+    if (down_) {
+      connection.silent = true;
+      continue;
+    }
     const auto answer = connection.silent ? std::string() : Handle(request);
     if (!connection.silent &&
         (!answer || !SendAll(connection.socket, *answer))) {
--- a/review/stand_ins/http_server.h
+++ b/review/stand_ins/http_server.h
@@ -36,6 +36,10 @@
   // The same for connections that are opened from now on until it is called
   // with false.
   void SetSilent(bool silent);
+  // While down, it answers no request that arrives, and nothing more is sent on
+  // the connections of these, also afterwards. Requests that it has keep
+  // waiting.
+  void SetDown(bool down) { down_ = down; }
   // While busy, it answers each request with 429 and does nothing else.
   void SetBusy(bool busy) { busy_ = busy; }
   // Like a machine without power: open connections go silent, and new ones get
@@ -63,6 +67,7 @@
   std::atomic<bool> silent_ = false;
   std::atomic<bool> dark_ = false;
   std::atomic<bool> busy_ = false;
+  std::atomic<bool> down_ = false;
   std::mutex mutex_;
   std::list<std::unique_ptr<Connection>> connections_;
   std::thread acceptor_;
--- a/review/stand_ins/instance.cc
+++ b/review/stand_ins/instance.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <fstream>
 #include <thread>
 #include <utility>
 
@@ -75,6 +76,14 @@
   }
 }
 
+std::size_t Instance::ResidentBytes() const {
+  std::ifstream pages("/proc/" + std::to_string(pid_) + "/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  pages >> total >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 Message Instance::Get(const std::string& path) const {
   const Socket socket = Connect(health_port_);
   Message answer;
--- a/review/stand_ins/instance.h
+++ b/review/stand_ins/instance.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -32,6 +33,8 @@
   void Start();
   // Kills the process and waits for its end.
   void Kill();
+  // Resident memory of the process in bytes; 0 if it does not run.
+  std::size_t ResidentBytes() const;
   bool Ready() const;
   // Whether its metrics page has the line.
   bool Shows(const std::string& line) const;
