--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,5 +1,7 @@
-// A route is moved to another service just after a short outage of the store.
-// Fails if machines that are in touch let the old service run requests.
+// The store turns a third of nine machines away, the one that watches it for
+// the others among them, and drops its history after a change of the
+// configuration. Fails if the other machines let the old service run requests.
+#include <algorithm>
 #include <cstdio>
 #include <map>
 #include <string>
@@ -10,23 +12,57 @@
 namespace lynxglade::review {
 namespace {
 
-constexpr int kCallersPerInstance = 4;
-constexpr double kOutage = 1;
+constexpr std::size_t kInstances = 9;
+constexpr std::size_t kTurnedAway = 3;
+constexpr int kCallersPerInstance = 3;
+constexpr double kTurnedAwayFor = 9;
+
+// The machines by index, the one that watches the store for the others first.
+// Empty if none does.
+std::vector<std::size_t> PrimaryFirst(Deployment& deployment) {
+  std::vector<std::size_t> order;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    order.push_back(i);
+  }
+  const auto primary = std::ranges::find_if(order, [&](std::size_t i) {
+    return deployment.instance(i).Shows(
+        R"(lynxglade_watch_role{role="primary"} 1)");
+  });
+  if (primary == order.end()) {
+    return {};
+  }
+  std::iter_swap(order.begin(), primary);
+  return order;
+}
+
+struct Times {
+  double dropped = 0;
+  double moved = 0;
+  double left = 0;
+};
 
 int Judge(Deployment& deployment,
           const std::vector<CallerAttempt>& attempts,
-          double stable_at,
-          double moved_at) {
+          const Times& times) {
   std::map<std::string, CallerAttempt> by_id;
   for (const CallerAttempt& it : attempts) {
     by_id[it.id] = it;
   }
   int stale = 0;
+  int late = 0;
+  int lost = 0;
   for (const std::size_t old : {0, 1}) {
     for (const TargetRun& run : deployment.target(old).Runs()) {
       const CallerAttempt& attempt = by_id[run.id];
-      if (attempt.sent > moved_at + kConfigApply && attempt.sent > stable_at) {
-        ++stale;
+      if (attempt.sent <= times.dropped + kStableWindow) {
+        continue;
+      }
+      const bool is_stale = attempt.sent > times.moved + kConfigApply;
+      const bool is_late = old == 0 && run.began > times.left + kDrain;
+      stale += is_stale ? 1 : 0;
+      late += is_late ? 1 : 0;
+      lost += is_late && attempt.status != 200 ? 1 : 0;
+      if (is_stale || is_late) {
         deployment.record().Write("run by the old service: " + run.id +
                                   ", answered " +
                                   std::to_string(attempt.status));
@@ -36,49 +72,72 @@
   const std::string summary =
       std::to_string(attempts.size()) + " requests; " + std::to_string(stale) +
       " were run by the old service later than the configuration had to be "
-      "applied";
+      "applied, " +
+      std::to_string(late) +
+      " of them by a target later than the drain time after it left, of "
+      "which " +
+      std::to_string(lost) + " got no success";
   deployment.record().Write(summary);
   std::puts(summary.c_str());
   return stale > 0 ? kBroken : kHeld;
 }
 
 int Run(const CaseArguments& arguments) {
-  Deployment deployment(arguments, {{.id = "t-0", .service = "portal"},
-                                    {.id = "t-1", .service = "portal"},
-                                    {.id = "t-2", .service = "archive"},
-                                    {.id = "t-3", .service = "archive"}});
-  const auto configure = [](int version, const std::string& service) {
-    return Configuration(version, {ReceiptsRoute(service)},
-                         {"portal", "archive"});
-  };
-  if (!deployment.Start(configure(3, "portal"))) {
+  Deployment deployment(arguments,
+                        {{.id = "t-0", .service = "portal"},
+                         {.id = "t-1", .service = "portal"},
+                         {.id = "t-2", .service = "archive"},
+                         {.id = "t-3", .service = "archive"}},
+                        kInstances);
+  if (!deployment.Start(
+          Configuration(3, {ReceiptsRoute("portal")}, {"portal", "archive"}))) {
     return kCannotRun;
   }
   Record& record = deployment.record();
-  Callers callers({}, deployment.ports(), kCallersPerInstance, record);
   Sleep(5);
-  // After a change each instance pauses for 0.8 s before it watches the store
-  // again.
-  deployment.store().Put("op/config", configure(7, "portal"));
-  record.Write("the store has accepted a configuration with the same route");
-  Sleep(0.1);
-  if (arguments.trouble) {
-    record.Write("the store is down");
-    deployment.SetStoreDown(true);
+  const std::vector<std::size_t> order = PrimaryFirst(deployment);
+  if (order.empty()) {
+    std::puts("no machine watches the store for the others");
+    return kCannotRun;
+  }
+  std::vector<std::uint16_t> ports;
+  for (std::size_t i = kTurnedAway; i < kInstances; ++i) {
+    ports.push_back(deployment.instance(order[i]).port());
   }
-  Sleep(kOutage);
+  Callers callers({}, ports, kCallersPerInstance, record);
+  Sleep(5);
+  const auto set_turned_away = [&](bool away) {
+    for (std::size_t i = 0; i < kTurnedAway && arguments.trouble; ++i) {
+      deployment.store_link(order[i]).SetBusy(away);
+    }
+  };
+  Times times;
+  record.Write("the store turns a third of the machines away");
+  set_turned_away(true);
+  Sleep(0.3);
+  deployment.store().Put(
+      "op/config",
+      Configuration(7, {ReceiptsRoute("archive")}, {"portal", "archive"}));
+  times.moved = record.Now();
+  record.Write("the store has accepted the new configuration");
   if (arguments.trouble) {
-    record.Write("the store is back");
-    deployment.SetStoreDown(false);
+    deployment.store().DropHistory();
+    record.Write("the store has dropped its history");
   }
-  const double stable_at = record.Now() + kStableWindow;
-  Sleep(0.1);
-  deployment.store().Put("op/config", configure(12, "archive"));
-  const double moved_at = record.Now();
-  record.Write("the store has accepted that the route moves");
-  Sleep(8);
+  times.dropped = record.Now();
+  Sleep(3.2);
+  Target& leaving = deployment.target(0);
+  deployment.store().Remove(leaving.Key());
+  times.left = record.Now();
+  record.Write("the store has accepted that the target t-0 leaves");
+  Sleep(kDrain + 0.8);
+  leaving.End();
+  Sleep(kTurnedAwayFor - 6.3);
+  set_turned_away(false);
+  record.Write("the store serves all machines");
+  Sleep(3);
   callers.Stop();
-  return Judge(deployment, callers.Attempts(), stable_at, moved_at);
+  return Judge(deployment, callers.Attempts(), times);
 }
 
 }  // namespace
