--- a/review/stand_ins/instance.cc
+++ b/review/stand_ins/instance.cc
@@ -76,6 +76,13 @@
   }
 }
 
+int Instance::Terminate() {
+  int status = 0;
+  ::kill(pid_, SIGTERM);
+  ::waitpid(std::exchange(pid_, -1), &status, 0);
+  return WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+}
+
 bool Instance::HasEnded() {
   if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
     pid_ = -1;
--- a/review/stand_ins/instance.h
+++ b/review/stand_ins/instance.h
@@ -33,6 +33,9 @@
   void Start();
   // Kills the process and waits for its end.
   void Kill();
+  // Sends SIGTERM and waits for the end of the process. Returns the signal that
+  // ended it, or 0 if it exited.
+  int Terminate();
   // Whether the process has ended by itself. Then it may be started again.
   bool HasEnded();
   // Resident memory of the process in bytes; 0 if it does not run.
