Header fields have any size; the limit of the reader alone decides

Cause: Beast keeps fields in basic_fields, whose sizes have 16 bits, and which throws beyond them, from inside an operation of the event loop. Trailers of 66,000 bytes did it with any limit, and smaller ones reached the target as headers.

HeaderFields takes its place in all messages, and MessageParser that of Beast's parser, which throws nothing and leaves trailers out. A header within the limit is served: a configuration with a higher limit that is refused would never come into force.

--- a/src/connection/event/caller_reply.cc
+++ b/src/connection/event/caller_reply.cc
@@ -26,8 +26,9 @@
       close_(std::move(close)) {}
 
 template <typename Body>
-void CallerReply::FillHead(http::response<Body>& message, AnswerHead head) {
-  static_cast<http::fields&>(message.base()) = std::move(head.fields);
+void CallerReply::FillHead(http::response<Body, HeaderFields>& message,
+                           AnswerHead head) {
+  static_cast<HeaderFields&>(message.base()) = std::move(head.fields);
   message.version(http_version_);
   message.result(head.status);
   message.reason(head.reason);
@@ -36,7 +37,7 @@
 }
 
 Awaitable<bool> CallerReply::SendWhole(AnswerHead head, std::string_view body) {
-  http::response<http::span_body<const char>> message;
+  http::response<http::span_body<const char>, HeaderFields> message;
   FillHead(message, std::move(head));
   message.content_length(body.size());
   if (!head_only_) {
@@ -62,8 +63,7 @@
   }
   message_->body().data = nullptr;
   message_->body().more = true;
-  serializer_ =
-      std::make_unique<http::response_serializer<http::buffer_body>>(*message_);
+  serializer_ = std::make_unique<Serializer>(*message_);
 }
 
 Awaitable<bool> CallerReply::SendPiece(std::string_view bytes) {
@@ -94,8 +94,8 @@
 
 Awaitable<Tcp::socket*> CallerReply::SwitchProtocols(
     std::string_view protocol) {
-  http::response<http::empty_body> message(http::status::switching_protocols,
-                                           http_version_);
+  http::response<http::empty_body, HeaderFields> message(
+      http::status::switching_protocols, http_version_);
   message.set(http::field::connection, "Upgrade");
   message.set(http::field::upgrade,
               boost::beast::string_view(protocol.data(), protocol.size()));
--- a/src/connection/event/caller_reply.h
+++ b/src/connection/event/caller_reply.h
@@ -20,7 +20,7 @@
 struct AnswerHead {
   unsigned status = 0;
   std::string reason;
-  http::fields fields;
+  HeaderFields fields;
 };
 
 // Not thread-safe: runs on the event loop. Serves one request.
@@ -67,10 +67,11 @@
   bool whole() const noexcept { return whole_; }
 
  private:
-  using Message = http::response<http::buffer_body>;
+  using Message = http::response<http::buffer_body, HeaderFields>;
+  using Serializer = http::response_serializer<http::buffer_body, HeaderFields>;
 
   template <typename Body>
-  void FillHead(http::response<Body>& message, AnswerHead head);
+  void FillHead(http::response<Body, HeaderFields>& message, AnswerHead head);
 
   Tcp::socket& socket_;
   const unsigned http_version_;
@@ -78,7 +79,7 @@
   const std::function<bool()> close_;
   std::function<void()> on_disconnect_;
   std::unique_ptr<Message> message_;
-  std::unique_ptr<http::response_serializer<http::buffer_body>> serializer_;
+  std::unique_ptr<Serializer> serializer_;
   bool closes_ = false;
   bool whole_ = false;
   bool disconnected_ = false;
--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -12,12 +12,12 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "connection/event/caller_faults.h"
+#include "connection/event/message_parser.h"
 #include "connection/event/sleep.h"
 #include "connection/event/socket_probe.h"
 
@@ -38,7 +38,7 @@
 // trailers ever need.
 constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
 
-using BodyParser = http::request_parser<http::string_body>;
+using BodyParser = RequestParser<http::string_body>;
 
 }  // namespace
 
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -16,11 +16,11 @@
 #include <string_view>
 
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "connection/event/body_framing.h"
 #include "connection/event/channel_pool.h"
 #include "connection/event/http_types.h"
+#include "connection/event/message_parser.h"
 
 namespace lynxglade::connection::event {
 
@@ -114,7 +114,7 @@
                            const std::weak_ptr<Sending>& sending,
                            const std::shared_ptr<Channel>& channel,
                            base::Duration waited);
-  using Parser = http::response_parser<http::buffer_body>;
+  using Parser = ResponseParser<http::buffer_body>;
 
   void Send(OutgoingRequest request);
   Awaitable<bool> ReadHead(const AnswerFilter& is_answer);
@@ -129,7 +129,6 @@
   std::shared_ptr<Channel> channel_;
   std::shared_ptr<Sending> sending_;
   std::unique_ptr<Parser> parser_;
-  // A copy, as the parser adds trailers to its own.
   ResponseHead head_;
   std::array<char, 8192> piece_{};
   ExchangeState state_ = ExchangeState::kNotSent;
--- a/src/connection/event/hop_headers.cc
+++ b/src/connection/event/hop_headers.cc
@@ -9,7 +9,7 @@
 
 namespace lynxglade::connection::event {
 
-void EraseHopHeaders(http::fields& fields) {
+void EraseHopHeaders(HeaderFields& fields) {
   constexpr std::array kHopHeaders{
       http::field::connection,
       http::field::keep_alive,
--- a/src/connection/event/hop_headers.h
+++ b/src/connection/event/hop_headers.h
@@ -8,7 +8,7 @@
 
 // Removes the hop-by-hop headers of RFC 9110, the headers named in Connection,
 // those that frame the body, and Expect.
-void EraseHopHeaders(http::fields& fields);
+void EraseHopHeaders(HeaderFields& fields);
 
 }  // namespace lynxglade::connection::event
 
--- a/src/connection/event/http_types.h
+++ b/src/connection/event/http_types.h
@@ -12,11 +12,12 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 
+#include "connection/event/header_fields.h"
+
 namespace lynxglade::connection::event {
 
 namespace asio = boost::asio;
@@ -27,9 +28,9 @@
 using Awaitable = asio::awaitable<T>;
 
 // A request to a target or to the platform.
-using OutgoingRequest = http::request<http::string_body>;
-using ResponseHead = http::response_header<>;
-using RequestHead = http::request_header<>;
+using OutgoingRequest = http::request<http::string_body, HeaderFields>;
+using ResponseHead = http::response_header<HeaderFields>;
+using RequestHead = http::request_header<HeaderFields>;
 
 // Converts Boost's string view to the standard one.
 inline std::string_view View(boost::beast::string_view text) noexcept {
--- a/src/connection/event/tunnel.cc
+++ b/src/connection/event/tunnel.cc
@@ -13,12 +13,12 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "base/time.h"
 #include "connection/event/connect.h"
+#include "connection/event/message_parser.h"
 #include "connection/event/socket_probe.h"
 
 namespace lynxglade::connection::event {
@@ -204,7 +204,7 @@
   });
   const OutgoingRequest request = MakeTunnelRequest(target_id);
   boost::beast::flat_buffer buf;
-  http::response_parser<http::empty_body> parser;
+  ResponseParser<http::empty_body> parser;
   parser.header_limit(kMaxReplyBytes);
   parser.skip(true);
   ErrorCode ec;
