An exception ends the task that it leaves, never the process

Cause: nothing caught what a handler of the event loop throws.

All tasks are begun in connection/event/tasks.h: an exception is logged, owners are told, permanent tasks are begun again with a backoff, and the loop goes on after a handler that throws. A failed request is answered 502 or reset, and what it holds is released. Tasks end before what they use when the process stops.

--- a/src/connection/event/caller_reply.cc
+++ b/src/connection/event/caller_reply.cc
@@ -32,7 +32,8 @@
   message.version(http_version_);
   message.result(head.status);
   message.reason(head.reason);
-  closes_ = close_();
+  begun_ = true;
+  closes_ = must_close_ || close_();
   message.keep_alive(!closes_);
 }
 
--- a/src/connection/event/caller_reply.h
+++ b/src/connection/event/caller_reply.h
@@ -58,7 +58,11 @@
   // Called by the server when the caller has closed its connection.
   void MarkDisconnected();
 
-  bool begun() const noexcept { return serializer_ != nullptr; }
+  // The connection closes after this answer, whatever the hook says. To be
+  // called before the head is built.
+  void CloseAfter() noexcept { must_close_ = true; }
+  // Part of the answer may have been sent.
+  bool begun() const noexcept { return begun_; }
   bool disconnected() const noexcept { return disconnected_; }
   // Whether the connection may serve another request.
   bool reusable() const noexcept {
@@ -80,6 +84,8 @@
   std::function<void()> on_disconnect_;
   std::unique_ptr<Message> message_;
   std::unique_ptr<Serializer> serializer_;
+  bool begun_ = false;
+  bool must_close_ = false;
   bool closes_ = false;
   bool whole_ = false;
   bool disconnected_ = false;
--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <optional>
 #include <string_view>
 #include <tuple>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -16,10 +15,12 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "base/scope_exit.h"
 #include "connection/event/caller_faults.h"
 #include "connection/event/message_parser.h"
 #include "connection/event/sleep.h"
 #include "connection/event/socket_probe.h"
+#include "connection/event/tasks.h"
 
 namespace lynxglade::connection::event {
 
@@ -87,10 +88,11 @@
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
-  Awaitable<void> Run();
+  static Awaitable<void> Run(std::shared_ptr<Session> self);
   void CloseIfIdle() noexcept;
 
  private:
+  Awaitable<void> ServeRequests();
   Awaitable<std::shared_ptr<CallerRequest>> Read();
   Awaitable<bool> AwaitFirstByte(const CallerServerLimits& bounds);
   Awaitable<bool> ReadHead(const CallerServerLimits& bounds,
@@ -99,6 +101,7 @@
                            BodyParser& parser);
   Awaitable<void> SendContinue(const RequestHead& head);
   Awaitable<bool> Serve(std::shared_ptr<CallerRequest> request);
+  Awaitable<void> AnswerFailure(CallerReply& reply);
   Awaitable<void> AnswerFault();
   void Arm(base::Duration wait, ReadFault fault);
   void Disarm();
@@ -122,8 +125,13 @@
   bool is_new_ = true;
 };
 
-Awaitable<void> CallerServer::Session::Run() {
-  const auto self = shared_from_this();
+Awaitable<void> CallerServer::Session::Run(std::shared_ptr<Session> self) {
+  // Unless it was closed in order.
+  const base::ScopeExit reset([&self] { ResetSocket(self->socket_); });
+  co_await self->ServeRequests();
+}
+
+Awaitable<void> CallerServer::Session::ServeRequests() {
   ErrorCode ec;
   caller_ = socket_.remote_endpoint(ec).address().to_string();
   TuneSocket(socket_, kCallerUserTimeout);
@@ -217,6 +225,8 @@
   }
   co_await SendContinue(parser.get());
   std::size_t counted = 0;
+  const base::ScopeExit read(
+      [&counted, shared = shared_] { shared->buffered -= counted; });
   bool ok = true;
   while (ok && !parser.is_done()) {
     Arm(bounds.idle_timeout, ReadFault::kSlow);
@@ -234,7 +244,6 @@
       ok = false;
     }
   }
-  shared_->buffered -= counted;
   co_return ok;
 }
 
@@ -258,12 +267,29 @@
                                     });
   WatchForClose(reply);
   ++shared_->busy;
-  co_await shared_->handler(std::move(request), *reply);
-  --shared_->busy;
+  const base::ScopeExit served([shared = shared_] { --shared->busy; });
+  std::exception_ptr failure;
+  try {
+    co_await shared_->handler(std::move(request), *reply);
+  } catch (const std::exception&) {
+    failure = std::current_exception();
+  }
+  LogFailure("request", failure);
+  if (failure && !reply->begun()) {
+    co_await AnswerFailure(*reply);
+  }
   if (reply->begun() && !reply->whole()) {
     reply->Abort();
   }
-  co_return reply->reusable();
+  co_return reply->reusable() && !failure;
+}
+
+// The request may have run.
+Awaitable<void> CallerServer::Session::AnswerFailure(CallerReply& reply) {
+  AnswerHead head;
+  head.status = static_cast<unsigned>(http::status::bad_gateway);
+  reply.CloseAfter();
+  co_await reply.SendWhole(std::move(head), {});
 }
 
 // Detects a close by the caller while no read is pending. Pipelined bytes end
@@ -372,7 +398,7 @@
   if (failed()) {
     return false;
   }
-  asio::co_spawn(shared_->loop, Accept(), asio::detached);
+  SpawnPermanent(shared_->loop, "accept", [this] { return Accept(); });
   return true;
 }
 
@@ -407,9 +433,8 @@
         .Add();
     return;
   }
-  auto session = std::make_shared<Session>(shared_, std::move(socket));
-  asio::co_spawn(
-      shared_->loop, [session] { return session->Run(); }, asio::detached);
+  const auto session = std::make_shared<Session>(shared_, std::move(socket));
+  Spawn(shared_->loop, "caller_connection", Session::Run(session));
 }
 
 void CallerServer::BeginDrain() noexcept {
--- a/src/connection/event/loop_lag.cc
+++ b/src/connection/event/loop_lag.cc
@@ -3,10 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "connection/event/sleep.h"
+#include "connection/event/tasks.h"
 
 namespace lynxglade::connection::event {
 
@@ -20,7 +18,7 @@
     : loop_(loop), clock_(std::move(clock)) {}
 
 void LoopLag::Start() {
-  asio::co_spawn(loop_, Measure(), asio::detached);
+  SpawnPermanent(loop_, "loop_lag", [this] { return Measure(); });
 }
 
 Awaitable<void> LoopLag::Measure() {
--- a/src/connection/event/tunnel.cc
+++ b/src/connection/event/tunnel.cc
@@ -6,8 +6,6 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -20,6 +18,7 @@
 #include "connection/event/connect.h"
 #include "connection/event/message_parser.h"
 #include "connection/event/socket_probe.h"
+#include "connection/event/tasks.h"
 
 namespace lynxglade::connection::event {
 
@@ -72,6 +71,13 @@
     ResetSocket(far);
   }
 
+  // Nothing more is read from `near`.
+  void End() {
+    ended = true;
+    watch.cancel();
+    near_ended.cancel();
+  }
+
   Tcp::socket& near;
   Tcp::socket& far;
   const TunnelOptions options;
@@ -79,7 +85,7 @@
   asio::steady_timer watch;
   bool watching = false;
   base::Time last_write{};
-  // Cancelled once nothing more is read from `near`.
+  // Cancelled by End().
   asio::steady_timer near_ended;
   bool ended = false;
 };
@@ -126,9 +132,6 @@
       }
     }
   }
-  tunnel->ended = true;
-  tunnel->watch.cancel();
-  tunnel->near_ended.cancel();
 }
 
 // The asker learns of a close by the target only after its last byte.
@@ -231,7 +234,7 @@
                           TunnelOptions options) {
   SetResetOnClose(near, true);
   const auto tunnel = std::make_shared<Tunnel>(loop, near, far, options);
-  asio::co_spawn(loop, CopyToFar(tunnel), asio::detached);
+  Spawn(loop, "tunnel", CopyToFar(tunnel), [tunnel] { tunnel->End(); });
   co_await CopyToNear(tunnel);
   while (!tunnel->ended) {
     ErrorCode ec;
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -14,6 +14,7 @@
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
 #include "connection/event/loop_lag.h"
+#include "connection/event/tasks.h"
 #include "main/entry_daemon.h"
 #include "main/entry_duties.h"
 #include "main/entry_peers.h"
@@ -54,7 +55,6 @@
   connection::event::Awaitable<void> RunMaintenance();
   connection::event::Awaitable<void> WaitForStop();
   connection::event::Awaitable<void> Drain();
-  void Spawn(connection::event::Awaitable<void> task);
   request::passthrough::RelayDependencies MakeRelayDependencies();
   request::passthrough::SendLimitsHooks LimitHooks();
   // Calls to engines, which count against the limits that these name.
@@ -78,7 +78,7 @@
   const process::EntrySettings settings;
   const base::Clock clock = base::BootClock::now;
   const base::RandomSource random = base::SystemRandom();
-  connection::event::asio::io_context loop{1};
+  connection::event::EventLoop loop;
   base::Metrics metrics;
   connection::event::LoopLag loop_lag{loop, clock};
   // Direct connections, to the platform and to other instances; also those of
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -5,15 +5,13 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/random.h"
 #include "connection/event/caller_server.h"
 #include "connection/event/channel_pool.h"
 #include "connection/event/sleep.h"
+#include "connection/event/tasks.h"
 #include "main/details/entry_daemon_details.h"
 #include "main/exit_status.h"
 #include "main/tcp_endpoint.h"
@@ -31,8 +29,10 @@
 using connection::event::CallerServerLimits;
 using connection::event::ErrorCode;
 using connection::event::Into;
+using connection::event::RunLoop;
 using connection::event::SleepFor;
-namespace asio = connection::event::asio;
+using connection::event::Spawn;
+using connection::event::SpawnPermanent;
 
 constexpr base::Duration kMaintenancePeriod = std::chrono::milliseconds(250);
 // After SIGTERM, before idle connections are closed. Allows for a load balancer
@@ -229,8 +229,8 @@
   if (duties) {
     duties->Stop();
   }
-  Spawn(authority.Leave());
-  Spawn(presence.Leave());
+  Spawn(loop, "leave_orders", authority.Leave());
+  Spawn(loop, "leave_instances", presence.Leave());
   while (clock() < deadline) {
     const bool balancer_noticed = clock() - start >= kBalancerNoticeTime;
     if (balancer_noticed) {
@@ -248,16 +248,14 @@
       {{"busy", callers.busy()}, {"ms", base::ToMillis(clock() - start)}});
 }
 
-void EntryDaemon::Details::Spawn(Awaitable<void> task) {
-  asio::co_spawn(loop, std::move(task), asio::detached);
-}
-
 EntryDaemon::EntryDaemon(const process::EntrySettings& settings)
     : details_(std::make_unique<Details>(settings)) {
   details_->AddGauges();
 }
 
-EntryDaemon::~EntryDaemon() = default;
+EntryDaemon::~EntryDaemon() {
+  details_->loop.EndTasks();
+}
 
 bool EntryDaemon::Start(std::string* reason) {
   if (!details_->callers.Start(reason)) {
@@ -275,19 +273,22 @@
   if (details_->duties) {
     details_->duties->Start();
   }
-  details_->Spawn(details_->store_follower.Run());
-  details_->Spawn(details_->presence.Run());
-  details_->Spawn(details_->spending_mark.Run());
-  details_->Spawn(details_->authority.Run());
-  details_->Spawn(details_->stage_orders.Run());
-  details_->loop_lag.Start();
-  details_->Spawn(details_->RunMaintenance());
-  details_->Spawn(details_->WaitForStop());
+  Details& it = *details_;
+  SpawnPermanent(it.loop, "store", [&it] { return it.store_follower.Run(); });
+  SpawnPermanent(it.loop, "presence", [&it] { return it.presence.Run(); });
+  SpawnPermanent(it.loop, "spending_mark",
+                 [&it] { return it.spending_mark.Run(); });
+  SpawnPermanent(it.loop, "authority", [&it] { return it.authority.Run(); });
+  SpawnPermanent(it.loop, "stage_orders",
+                 [&it] { return it.stage_orders.Run(); });
+  it.loop_lag.Start();
+  SpawnPermanent(it.loop, "maintenance", [&it] { return it.RunMaintenance(); });
+  SpawnPermanent(it.loop, "stop", [&it] { return it.WaitForStop(); });
   return true;
 }
 
 void EntryDaemon::Run() {
-  details_->loop.run();
+  RunLoop(details_->loop);
 }
 
 int RunEntryDaemon(int argc, const char* const* argv) {
--- a/src/main/entry_duties.cc
+++ b/src/main/entry_duties.cc
@@ -1,9 +1,7 @@
 #include "main/entry_duties.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "base/random.h"
+#include "connection/event/tasks.h"
 #include "main/tcp_endpoint.h"
 #include "platform/duty_calls.h"
 
@@ -11,7 +9,7 @@
 
 namespace {
 
-namespace asio = connection::event::asio;
+using connection::event::SpawnPermanent;
 using process::usage::OriginId;
 using process::usage::WallMillis;
 
@@ -67,10 +65,11 @@
 void EntryDuties::Start() {
   if (reports_usage_) {
     sharing_.Start();
-    asio::co_spawn(loop_, reporter_.Run(), asio::detached);
+    SpawnPermanent(loop_, "usage_reports", [this] { return reporter_.Run(); });
   }
   if (orders_engines_) {
-    asio::co_spawn(loop_, capacity_.Run(), asio::detached);
+    SpawnPermanent(loop_, "capacity_orders",
+                   [this] { return capacity_.Run(); });
   }
 }
 
--- a/src/process/peers/peer_datagrams.cc
+++ b/src/process/peers/peer_datagrams.cc
@@ -6,10 +6,9 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "connection/event/sleep.h"
+#include "connection/event/tasks.h"
 
 namespace lynxglade::process::peers {
 
@@ -19,6 +18,7 @@
 using connection::event::ErrorCode;
 using connection::event::Into;
 using connection::event::SleepFor;
+using connection::event::SpawnPermanent;
 namespace asio = connection::event::asio;
 
 }  // namespace
@@ -50,7 +50,7 @@
     *reason = ec.message();
     return false;
   }
-  asio::co_spawn(loop_, ReceiveLoop(), asio::detached);
+  SpawnPermanent(loop_, "peer_datagrams", [this] { return ReceiveLoop(); });
   return true;
 }
 
@@ -67,8 +67,9 @@
 
 void PeerDatagrams::CallPeriodically(base::Duration period,
                                      std::function<void()> callback) {
-  asio::co_spawn(loop_, PeriodicLoop(period, std::move(callback)),
-                 asio::detached);
+  SpawnPermanent(loop_, "peer_period", [this, period, callback] {
+    return PeriodicLoop(period, callback);
+  });
 }
 
 Awaitable<void> PeerDatagrams::PeriodicLoop(base::Duration period,
--- a/src/process/peers/quarantine_records.cc
+++ b/src/process/peers/quarantine_records.cc
@@ -3,13 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "base/bounded_json.h"
 #include "base/log.h"
 #include "connection/event/sleep.h"
+#include "connection/event/tasks.h"
 
 namespace lynxglade::process::peers {
 
@@ -76,7 +75,8 @@
   }
   waiting_.push_back(content);
   if (!std::exchange(writing_, true)) {
-    asio::co_spawn(loop_, WriteAll(), asio::detached);
+    connection::event::Spawn(loop_, "quarantine_records", WriteAll(),
+                             [this] { writing_ = false; });
   }
 }
 
@@ -95,7 +95,6 @@
     Log(written ? LogLevel::kInfo : LogLevel::kWarning, "quarantine_record",
         {{"content", ToHex(content)}, {"written", written}});
   }
-  writing_ = false;
 }
 
 // True as well if there is nothing to write any more.
--- a/src/process/peers/quarantine_sharing.cc
+++ b/src/process/peers/quarantine_sharing.cc
@@ -6,10 +6,8 @@
 #include <tuple>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "connection/event/sleep.h"
+#include "connection/event/tasks.h"
 
 namespace lynxglade::process::peers {
 
@@ -112,16 +110,14 @@
 
 void QuarantineSharing::Arm(base::Duration delay) {
   if (!std::exchange(armed_, true)) {
-    asio::co_spawn(loop_, FlushLater(delay), asio::detached);
+    connection::event::Spawn(loop_, "quarantine_marks",
+                             connection::event::SleepFor(loop_, delay), [this] {
+                               armed_ = false;
+                               Flush();
+                             });
   }
 }
 
-Awaitable<void> QuarantineSharing::FlushLater(base::Duration delay) {
-  co_await connection::event::SleepFor(loop_, delay);
-  armed_ = false;
-  Flush();
-}
-
 void QuarantineSharing::Flush() {
   const auto peers = OtherPeers();
   if (peers.empty()) {
--- a/src/process/peers/quarantine_sharing.h
+++ b/src/process/peers/quarantine_sharing.h
@@ -80,7 +80,6 @@
   };
 
   void Arm(base::Duration delay);
-  connection::event::Awaitable<void> FlushLater(base::Duration delay);
   void Flush();
   // Most important first.
   std::vector<DecodedMark> PendingMarks() const;
--- a/src/process/peers/target_connector.cc
+++ b/src/process/peers/target_connector.cc
@@ -5,13 +5,11 @@
 #include <string>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "base/log.h"
 #include "connection/event/connect.h"
 #include "connection/event/sleep.h"
 #include "connection/event/socket_probe.h"
+#include "connection/event/tasks.h"
 #include "connection/event/tunnel.h"
 #include "request/passthrough/engine_address.h"
 
@@ -26,6 +24,7 @@
 using connection::event::Into;
 using connection::event::OpenTunnel;
 using connection::event::SleepFor;
+using connection::event::Spawn;
 using connection::event::Tcp;
 using connection::event::TunnelReply;
 using request::passthrough::EndpointOf;
@@ -115,7 +114,10 @@
     EngineHandle target) {
   const auto race = std::make_shared<Race>(loop_, target, clock_());
   race->waiting = channel;
-  asio::co_spawn(loop_, ConnectDirectly(race), asio::detached);
+  Spawn(loop_, "connection", ConnectDirectly(race), [this, race] {
+    race->direct_end = race->direct_end.value_or(ConnectEnd::kNoAnswer);
+    Conclude(*race);
+  });
   bool asked = false;
   channel->opening.expires_after(options_.head_start);
   while (!race->decided() && !channel->abandoned) {
@@ -125,7 +127,11 @@
         race->direct_end && race->direct_end != ConnectEnd::kConnected;
     if (!asked && !channel->abandoned && (!ec || direct_failed)) {
       asked = true;
-      asio::co_spawn(loop_, ConnectThroughOther(race), asio::detached);
+      Spawn(loop_, "connection_through_other", ConnectThroughOther(race),
+            [this, race] {
+              race->other = std::move(race->other).value_or(ThroughOther());
+              Conclude(*race);
+            });
     }
     channel->opening.expires_at(asio::steady_timer::time_point::max());
   }
@@ -180,7 +186,6 @@
   if (race->direct_end == ConnectEnd::kConnected) {
     paths_.OnOwnConnection(race->target->entry);
   }
-  Conclude(*race);
 }
 
 Awaitable<void> TargetConnector::ConnectThroughOther(
@@ -189,7 +194,6 @@
   ThroughOther other =
       co_await AskOthers(race->target, left, options_.min_unreached);
   race->other = std::move(other);
-  Conclude(*race);
 }
 
 void TargetConnector::Conclude(const Race& race) {
@@ -327,7 +331,8 @@
 void TargetConnector::Check(const EngineHandle& target) {
   if (checking_.size() < options_.max_probes &&
       checking_.insert(target->entry.id).second) {
-    asio::co_spawn(loop_, RunCheck(target), asio::detached);
+    Spawn(loop_, "path_check", RunCheck(target),
+          [this, target] { checking_.erase(target->entry.id); });
   }
 }
 
@@ -335,9 +340,9 @@
   const base::Time began = clock_();
   const TargetPath before = paths_.PathTo(target->entry, began);
   const auto socket = std::make_shared<Socket>(loop_);
-  const ConnectEnd end =
+  const ConnectEnd own =
       co_await ConnectTo(target, socket, options_.check_timeout);
-  if (end == ConnectEnd::kConnected) {
+  if (own == ConnectEnd::kConnected) {
     paths_.OnOwnConnection(target->entry);
     LogPath(*target, before, TargetPath::kOwn, clock_() - began);
   } else if (before == TargetPath::kThroughOthers) {
@@ -348,12 +353,11 @@
         target, options_.connect_timeout, options_.min_unreached);
     RecordFailure(target, other.end, began);
   }
-  checking_.erase(target->entry.id);
 }
 
 void TargetConnector::StartProbes() {
   if (!std::exchange(probing_, true)) {
-    asio::co_spawn(loop_, RunProbes(), asio::detached);
+    Spawn(loop_, "path_probes", RunProbes(), [this] { probing_ = false; });
   }
 }
 
@@ -366,7 +370,6 @@
       }
     }
   }
-  probing_ = false;
 }
 
 bool TargetConnector::IsTrusted(const Channel& channel) const {
--- a/src/request/passthrough/crash_checks.cc
+++ b/src/request/passthrough/crash_checks.cc
@@ -4,12 +4,10 @@
 #include <string>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "base/log.h"
 #include "connection/event/sleep.h"
 #include "connection/event/socket_probe.h"
+#include "connection/event/tasks.h"
 #include "request/passthrough/engine_address.h"
 
 namespace lynxglade::request::passthrough {
@@ -43,8 +41,10 @@
       reach_(std::move(reach)) {}
 
 void CrashChecks::Start(const EngineHandle& engine) {
-  if (running_.insert(QuarantineTarget(*engine)).second) {
-    asio::co_spawn(loop_, Check(engine), asio::detached);
+  const base::TargetId target = QuarantineTarget(*engine);
+  if (running_.insert(target).second) {
+    connection::event::Spawn(loop_, "crash_check", Check(engine),
+                             [this, target] { running_.erase(target); });
   }
 }
 
@@ -66,7 +66,6 @@
       break;
     }
   }
-  running_.erase(target);
   metrics_
       .GetCounter("lynxglade_crash_checks_total",
                   {{"finding", std::string(ToString(finding))}})
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -8,6 +8,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/scope_exit.h"
 #include "connection/event/sleep.h"
 #include "request/passthrough/part_hashes.h"
 
@@ -193,13 +194,7 @@
     if (!paid) {
       break;
     }
-    const int arrivals_before = arrivals_;
-    end = co_await Attempt(pick);
-    if (arrivals_ > arrivals_before) {
-      deps_.retry_budget.Charge(service_, *paid);
-    } else {
-      deps_.retry_budget.Release(service_, *paid, deps_.clock());
-    }
+    end = co_await AttemptPaid(pick, *paid);
     LogAttempt(pick, end);
     if (end == AttemptEnd::kFinished || !MayRetry(end)) {
       break;
@@ -211,6 +206,18 @@
   co_await ReleaseKvSource();
 }
 
+Awaitable<AttemptEnd> RelayRun::AttemptPaid(const EnginePick& pick,
+                                            ReservedArrivals paid) {
+  const base::ScopeExit settle([this, &paid, before = arrivals_] {
+    if (arrivals_ > before) {
+      deps_.retry_budget.Charge(service_, paid);
+    } else {
+      deps_.retry_budget.Release(service_, paid, deps_.clock());
+    }
+  });
+  co_return co_await Attempt(pick);
+}
+
 EnginePick RelayRun::PickFirst() {
   EnginePick pick = Pick();
   if (late_ || standing_.guaranteed ||
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -146,6 +146,9 @@
   Awaitable<std::optional<ReservedArrivals>> ReserveRetry(
       const EnginePick& pick,
       AttemptEnd after);
+  // Makes an attempt and settles what was reserved for it.
+  Awaitable<AttemptEnd> AttemptPaid(const EnginePick& pick,
+                                    ReservedArrivals paid);
   Awaitable<AttemptEnd> Attempt(EnginePick pick);
   // Sends the prompt to its prefill engine and sets source_; false on failure.
   // Charges the shared retry budget if the arrival counts.
