A view that is older than two seconds denies no request

Cause: what the configuration in force does not know was denied, however old the view. It is now rejected with 503 and Retry-After until the store has answered; the bound is the time within which a new version must apply.

RelayTest.AnOldViewOfTheStoreDeniesNothing: 404 before (the hook was not looked at), 503 now.

--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -84,6 +84,9 @@
   // once.
   base::Duration retry_after = std::chrono::milliseconds(300);
   double retry_after_of_time_left = 0.1;
+  // With an older view of the store, a request that the configuration does not
+  // allow is not denied: a newer one may allow it.
+  base::Duration max_view_age = std::chrono::milliseconds(2000);
   // For callers that state no timeout; a shorter timeout of the route applies.
   base::Duration default_timeout = std::chrono::seconds(30);
 };
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -38,6 +38,7 @@
 constexpr std::array kRefusals{
     Refusal{EndReason::kStopping, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoConfiguration, 503, "Service Unavailable", true},
+    Refusal{EndReason::kStaleConfiguration, 503, "Service Unavailable", true},
     Refusal{EndReason::kNoRoute, 404, "Not Found", false},
     Refusal{EndReason::kMissingKey, 401, "Unauthorized", false},
     Refusal{EndReason::kUnknownKey, 401, "Unauthorized", false},
@@ -100,6 +101,8 @@
       return "stopping";
     case EndReason::kNoConfiguration:
       return "no_configuration";
+    case EndReason::kStaleConfiguration:
+      return "stale_configuration";
     case EndReason::kNoRoute:
       return "no_route";
     case EndReason::kMissingKey:
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -56,7 +56,7 @@
 
 Awaitable<void> RelayRun::Run() {
   if (const auto reason = Admit()) {
-    co_await Refuse(*reason);
+    co_await Refuse(UnlessStale(*reason));
     LogEnd();
     co_return;
   }
@@ -117,6 +117,15 @@
   return CheckQuarantine();
 }
 
+EndReason RelayRun::UnlessStale(EndReason reason) const {
+  const bool denies = reason == EndReason::kNoRoute ||
+                      reason == EndReason::kMissingKey ||
+                      reason == EndReason::kUnknownKey;
+  return denies && deps_.view_age() > options_.max_view_age
+             ? EndReason::kStaleConfiguration
+             : reason;
+}
+
 RunIdentity RelayRun::Identity() const {
   const auto& head = request_->head;
   const std::string_view organisation =
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -27,6 +27,8 @@
 enum class EndReason {
   kStopping,
   kNoConfiguration,
+  // The configuration does not allow the request, and may be out of date.
+  kStaleConfiguration,
   kNoRoute,
   // The route requires an API key: none, or more than one, was sent.
   kMissingKey,
@@ -91,6 +93,9 @@
   // Finds route, service and deadline; returns a reason if the request is
   // refused.
   std::optional<EndReason> Admit();
+  // The same reason, unless it is one of a configuration that may be out of
+  // date.
+  EndReason UnlessStale(EndReason reason) const;
   // Finds the organisation that holds the caller's key.
   std::optional<EndReason> Authenticate();
   void SetDeadline(std::optional<base::Duration> timeout);
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -150,7 +150,7 @@
           .routes = [this] { return routes_; },
           .accepts = [this] { return accepts_; },
           .instances = [] { return 1; },
-          .view_age = [] { return base::Duration(0); },
+          .view_age = [this] { return view_age_; },
           .on_run = [this](
                         const base::OrganisationId& organisation,
                         base::Time) { runs_.push_back(organisation.str()); }},
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -136,6 +136,7 @@
   std::vector<std::string> runs_;
   request::passthrough::RelayOptions options_;
   bool accepts_ = true;
+  base::Duration view_age_{};
   std::shared_ptr<const request::passthrough::RouteTable> routes_ =
       MakeRoutes();
   std::vector<std::unique_ptr<connection::ScriptedServer>> targets_;
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -46,6 +46,22 @@
   EXPECT_LE(left, 5000);
 }
 
+// Guards against DENIED: after an outage of the store, instances with an old
+// configuration denied what a newer one allowed.
+TEST_F(RelayTest, AnOldViewOfTheStoreDeniesNothing) {
+  AddTarget(Ok);
+  view_age_ = std::chrono::milliseconds(2001);
+  const std::string answer = Call(Request("/nowhere/x"));
+  EXPECT_TRUE(IsStatus(answer, "503")) << answer;
+  EXPECT_NE(answer.find("Retry-After: 0."), std::string::npos);
+  EXPECT_TRUE(IsStatus(Call(Request("/safe/x")), "200"));
+  thread_->Do([this] {
+    view_age_ = std::chrono::milliseconds(2000);
+    return true;
+  });
+  EXPECT_TRUE(IsStatus(Call(Request("/nowhere/x")), "404"));
+}
+
 TEST_F(RelayTest, RejectsRequestsThatItCannotRoute) {
   AddTarget(Ok);
   EXPECT_TRUE(IsStatus(Call(Request("/nowhere/x")), "404"));
