What a short outage of the store leaves missing was removed, not expired

Cause: entries that the listing after an outage lacks are kept for two seconds, as targets whose entries expired write them again. No entry expires before it has missed three heartbeats, so after a shorter silence what is missing was removed, and the store's acknowledgement of that counts. The silence is that since the last answer; it is compared with 1.75 intervals of the heartbeat, which the platform states.

--- a/bench/knowledge/knowledge_fleet.cc
+++ b/bench/knowledge/knowledge_fleet.cc
@@ -163,7 +163,7 @@
                         listed_at = Now();
                       },
                   .on_change = [this](const StoreItem& it) { Apply(it); },
-                  .on_recovered = [] {}},
+                  .on_recovered = [](base::Duration) {}},
                  Now,
                  base::SystemRandom(),
                  metrics) {}
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -86,7 +86,9 @@
   connection::event::ChannelPool channels{loop, clock};
   platform::StoreClient store;
 
-  EntryViews views{clock, metrics};
+  EntryViews views{clock,
+                   metrics,
+                   {.target_heartbeat = settings.target_heartbeat}};
   request::passthrough::TargetPaths paths;
   process::peers::TargetConnector connector;
   // Connections for requests, some of which lead through other instances.
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -191,7 +191,7 @@
               duties->OnChange(it);
             }
           },
-      .on_recovered = [] {},
+      .on_recovered = [](base::Duration) {},
   };
 }
 
--- a/src/main/entry_views.cc
+++ b/src/main/entry_views.cc
@@ -19,6 +19,9 @@
 // Time for targets to write their entries again that expired during an outage
 // of the store.
 constexpr base::Duration kEntryGrace = std::chrono::milliseconds(2000);
+// Heartbeats for which an entry outlives the last answer of the store before an
+// outage: it expires after three, and the last one may be more than one old.
+constexpr double kMinHeartbeatsLeft = 1.75;
 
 std::optional<EngineEntry> ParseEntry(const StoreItem& item,
                                       platform::DocumentFault* fault) {
@@ -31,8 +34,13 @@
 
 }  // namespace
 
-EntryViews::EntryViews(base::Clock clock, base::Metrics& metrics)
-    : clock_(std::move(clock)), metrics_(metrics), engines_(kEntryGrace) {}
+EntryViews::EntryViews(base::Clock clock,
+                       base::Metrics& metrics,
+                       EntryViewsOptions options)
+    : clock_(std::move(clock)),
+      metrics_(metrics),
+      options_(options),
+      engines_(kEntryGrace) {}
 
 process::store::PrefixFollowerHooks EntryViews::ConfigurationHooks() {
   return {
@@ -42,7 +50,7 @@
                 items, [this](const StoreItem& it) { OnConfiguration(it); });
           },
       .on_change = [this](const StoreItem& it) { OnConfiguration(it); },
-      .on_recovered = [] {},
+      .on_recovered = [](base::Duration) {},
   };
 }
 
@@ -51,7 +59,13 @@
       .on_list =
           [this](const std::vector<StoreItem>& items) { OnTargetList(items); },
       .on_change = [this](const StoreItem& it) { OnTarget(it); },
-      .on_recovered = [this] { engines_.OnStoreRecovered(clock_()); },
+      .on_recovered =
+          [this](base::Duration silence) {
+            // What a shorter outage leaves missing was removed.
+            if (silence >= kMinHeartbeatsLeft * options_.target_heartbeat) {
+              engines_.OnStoreRecovered(clock_());
+            }
+          },
   };
 }
 
--- a/src/main/entry_views.h
+++ b/src/main/entry_views.h
@@ -24,11 +24,18 @@
 struct DocumentFault;
 }
 
+struct EntryViewsOptions {
+  // Interval at which targets write their entries.
+  base::Duration target_heartbeat = std::chrono::milliseconds(1200);
+};
+
 // Not thread-safe: runs on the event loop. Must outlive the followers that use
 // its hooks.
 class EntryViews {
  public:
-  EntryViews(base::Clock clock, base::Metrics& metrics);
+  EntryViews(base::Clock clock,
+             base::Metrics& metrics,
+             EntryViewsOptions options = {});
   EntryViews(const EntryViews&) = delete;
   EntryViews& operator=(const EntryViews&) = delete;
 
@@ -62,6 +69,7 @@
 
   const base::Clock clock_;
   base::Metrics& metrics_;
+  const EntryViewsOptions options_;
   std::shared_ptr<const request::passthrough::RouteTable> routes_;
   request::passthrough::EngineTable engines_;
   bool targets_listed_ = false;
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -147,6 +147,9 @@
        "order; more than the platform's minimum gap between two holders",
        IntegerParser<std::chrono::milliseconds>(
            &EntrySettings::order_takeover_delay, 1, 600'000)},
+      {"target-heartbeat-ms", "1200", false,
+       "interval at which targets write their entries to the store",
+       MillisParser(&EntrySettings::target_heartbeat, 0, kMaxMillis)},
       {"holder-gap-ms", "3000", false,
        "the platform's minimum gap, in milliseconds, between calls of two "
        "holders of the duties",
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -42,6 +42,9 @@
   base::Duration order_takeover_delay = std::chrono::milliseconds(4500);
   // The platform's minimum gap between calls of two holders of the duties.
   base::Duration holder_gap = std::chrono::seconds(3);
+  // Interval at which targets write their entries to the store. An entry
+  // expires after three intervals without a write.
+  base::Duration target_heartbeat = std::chrono::milliseconds(1200);
   // Calls to the platform that one instance at a time makes; without the
   // address none are made.
   std::optional<Endpoint> duty_calls;
--- a/src/process/store/prefix_follower.cc
+++ b/src/process/store/prefix_follower.cc
@@ -60,9 +60,10 @@
       }
     }
   };
-  hooks.on_recovered = [shared] {
-    std::ranges::for_each(
-        *shared, [](const PrefixHandler& it) { it.hooks.on_recovered(); });
+  hooks.on_recovered = [shared](base::Duration silence) {
+    for (const PrefixHandler& handler : *shared) {
+      handler.hooks.on_recovered(silence);
+    }
   };
   return hooks;
 }
@@ -105,8 +106,10 @@
     co_return false;
   }
   if (std::exchange(unavailable_, false)) {
-    Log(LogLevel::kInfo, "store_returned", {{"prefix", options_.prefix}});
-    hooks_.on_recovered();
+    const base::Duration silence = Age().value_or(base::Duration::max());
+    Log(LogLevel::kInfo, "store_returned",
+        {{"prefix", options_.prefix}, {"silence_ms", base::ToMillis(silence)}});
+    hooks_.on_recovered(silence);
   }
   consecutive_failures_ = 0;
   last_response_ = clock_() - listed->age;
--- a/src/process/store/prefix_follower.h
+++ b/src/process/store/prefix_follower.h
@@ -39,8 +39,8 @@
   // One change; called in revision order.
   std::function<void(const StoreItem&)> on_change;
   // The store responds again after an outage (a closed watch connection alone
-  // is none); called before on_list.
-  std::function<void()> on_recovered;
+  // is none); called before on_list, with the time since the last response.
+  std::function<void(base::Duration silence)> on_recovered;
 };
 
 // Hooks for the keys under one prefix.
--- a/tests/main/entry_views_test.cc
+++ b/tests/main/entry_views_test.cc
@@ -184,6 +184,33 @@
   std::map<std::string, bool> targets_;
 };
 
+// Guards against DRAIN: a target that left beside a short outage of the store
+// got requests for two seconds more, as if its entry had expired in it.
+TEST(EntryViews, AShortOutageExpiresNoEntry) {
+  base::Time now = base::Time() + std::chrono::hours(1);
+  base::Metrics metrics;
+  EntryViews views([&now] { return now; }, metrics);
+  const auto hooks = views.TargetHooks();
+  const auto entry = [](const std::string& id) {
+    process::store::StoreItem item;
+    item.key = "servers/" + id;
+    item.value = Entry(false);
+    return item;
+  };
+  const auto list_after = [&](base::Duration silence) {
+    hooks.on_list({entry("a"), entry("b")});
+    hooks.on_recovered(silence);
+    hooks.on_list({entry("a")});
+    return views.engines().size();
+  };
+  // Three heartbeats of 1.2 s, less one that may have passed and some delay.
+  EXPECT_EQ(list_after(milliseconds(2099)), 1U);
+  EXPECT_EQ(list_after(milliseconds(2100)), 2U);
+  now += kEntryGrace;
+  views.engines().Expire(now);
+  EXPECT_EQ(views.engines().size(), 1U);
+}
+
 // A configuration in force is never replaced by an older one, and the views
 // match the store once it works again.
 RC_GTEST_PROP(EntryViews, ConvergeToTheStore, ()) {
--- a/tests/process/entry_settings_test.cc
+++ b/tests/process/entry_settings_test.cc
@@ -71,15 +71,16 @@
 
 TEST(EntrySettings, ReadsTheDuties) {
   SettingsFault fault;
-  const auto settings =
-      Parse(With({"--duties=usage,scaling", "--duty-calls=10.0.0.1:80",
-                  "--holder-gap-ms=3000.5", "--usage-window=5",
-                  "--usage-due=10.0", "--usage-tolerance=0.05"}),
-            &fault);
+  const auto settings = Parse(
+      With({"--duties=usage,scaling", "--duty-calls=10.0.0.1:80",
+            "--holder-gap-ms=3000.5", "--target-heartbeat-ms=1500",
+            "--usage-window=5", "--usage-due=10.0", "--usage-tolerance=0.05"}),
+      &fault);
   ASSERT_TRUE(settings);
   EXPECT_EQ(settings->duties, (std::set<std::string>{"scaling", "usage"}));
   EXPECT_EQ(settings->duty_calls->port, 80);
   EXPECT_EQ(settings->holder_gap, std::chrono::microseconds(3'000'500));
+  EXPECT_EQ(settings->target_heartbeat, std::chrono::milliseconds(1500));
   EXPECT_EQ(settings->usage_window, std::chrono::seconds(5));
   EXPECT_EQ(settings->usage_due, std::chrono::seconds(10));
   EXPECT_FALSE(Parse(With({"--duties=usage,,scaling"}), &fault));
--- a/tests/process/peers/watch_sharing_test.cc
+++ b/tests/process/peers/watch_sharing_test.cc
@@ -106,7 +106,7 @@
                  },
              .on_change =
                  [this](const store::StoreItem& it) { ApplyChange(it); },
-             .on_recovered = [] {}},
+             .on_recovered = [](base::Duration) {}},
             [&now] { return now; },
             base::SeededRandom(1),
             metrics) {}
--- a/tests/process/store/prefix_follower_test.cc
+++ b/tests/process/store/prefix_follower_test.cc
@@ -41,7 +41,7 @@
                      seen_[item.key] = item.value;
                    }
                  },
-             .on_recovered = [this] { ++returned_; }},
+             .on_recovered = [this](base::Duration) { ++returned_; }},
             base::BootClock::now,
             base::SeededRandom(1),
             metrics_) {}
@@ -128,7 +128,7 @@
              [&seen, prefix](const StoreItem& it) {
                seen.push_back(prefix + "change" + it.key);
              },
-         .on_recovered = [&returned] { ++returned; }}};
+         .on_recovered = [&returned](base::Duration) { ++returned; }}};
   };
   const auto hooks = DispatchByPrefix({part("a/"), part("b/")});
   const auto item = [](const std::string& key) {
@@ -139,7 +139,7 @@
   hooks.on_list({item("a/1"), item("c/1"), item("a/2")});
   hooks.on_change(item("b/3"));
   hooks.on_change(item("c/3"));
-  hooks.on_recovered();
+  hooks.on_recovered(base::Duration(0));
   EXPECT_EQ(seen,
             (std::vector<std::string>{"a/list2", "b/list0", "b/changeb/3"}));
   EXPECT_EQ(returned, 2);
