A watch that an outage of the store swallowed is known as lost in 1.25 s

Cause: a watch that the store never received looks like one without changes, for 3 s of wait and 1 s of timeout. Each keeps its own bound, the sum breaks the three seconds after which instances must be right.

--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -28,6 +28,7 @@
 #include "process/peers/watch_sharing.h"
 #include "process/stages/stage_orders.h"
 #include "process/store/prefix_follower.h"
+#include "process/store/watch_guard.h"
 #include "request/passthrough/crash_checks.h"
 #include "request/passthrough/peer_avoidance.h"
 #include "request/passthrough/peer_prefills.h"
@@ -115,6 +116,8 @@
   process::peers::QuarantineRecords quarantine_records;
   process::peers::InstancePresence presence;
   process::peers::SpendingMark spending_mark;
+  // Calls that only follow the store.
+  process::store::WatchGuard watch_guard;
   // Source of the store follower: the store, or another instance that watches
   // it.
   process::peers::WatchSharing watches;
--- a/src/process/store/prefix_follower.cc
+++ b/src/process/store/prefix_follower.cc
@@ -86,10 +86,12 @@
 Awaitable<void> PrefixFollower::Run() {
   while (true) {
     const bool listed = co_await List();
+    bool waited = false;
     if (listed) {
-      co_await Watch();
+      const StoreFault fault = co_await Watch();
+      waited = fault == StoreFault::kTimeout;
     }
-    if (consecutive_failures_ > 0) {
+    if (consecutive_failures_ > 0 && !waited) {
       co_await BackOff();
     }
   }
@@ -118,19 +120,19 @@
   co_return true;
 }
 
-Awaitable<void> PrefixFollower::Watch() {
+Awaitable<StoreFault> PrefixFollower::Watch() {
   if (!std::exchange(watched_, true)) {
     co_await SleepFor(loop_, options_.batch_delay());
   }
   while (true) {
     StoreFault fault{};
     const auto changes = co_await source_.Watch(options_.prefix, revision_,
-                                                options_.watch_timeout, &fault);
+                                                WatchTimeout(), &fault);
     if (!changes) {
       RecordFault("watch", fault);
       unavailable_ = unavailable_ || fault == StoreFault::kTimeout ||
                      fault == StoreFault::kBusy;
-      co_return;
+      co_return fault;
     }
     last_response_ = clock_() - changes->age;
     revision_ = std::max(revision_, changes->revision);
@@ -141,6 +143,11 @@
   }
 }
 
+base::Duration PrefixFollower::WatchTimeout() const {
+  const base::Duration age = Age().value_or(base::Duration::zero());
+  return std::max(options_.max_age - age, options_.min_watch_timeout);
+}
+
 Awaitable<void> PrefixFollower::BackOff() {
   constexpr int kMaxDoublings = 6;
   const int doublings = std::min(consecutive_failures_ - 1, kMaxDoublings);
--- a/src/process/store/prefix_follower.h
+++ b/src/process/store/prefix_follower.h
@@ -18,9 +18,13 @@
 
 struct PrefixFollowerOptions {
   std::string prefix;
-  // Long-poll wait of a watch. Longer means fewer calls to the store, and later
-  // detection of a dead connection.
-  base::Duration watch_timeout = std::chrono::milliseconds(3000);
+  // Time from one response of the store to the end of the next watch's wait.
+  // Longer means fewer calls to the store, and later detection of a watch that
+  // an outage swallowed: changes must be known within three seconds of its end,
+  // at every instance.
+  base::Duration max_age = std::chrono::milliseconds(1000);
+  // Shortest wait of a watch, after `batch_delay`.
+  base::Duration min_watch_timeout = std::chrono::milliseconds(200);
   // Delay after changes, and after the first listing, before the next watch, so
   // that further changes arrive in one response. Limits the calls when many
   // targets change, or many instances start, at once. Required.
@@ -28,7 +32,7 @@
   // Bounds of the exponential backoff while the store fails; random jitter of
   // up to the same amount is added. Short, as changes must be known within
   // three seconds of the end of an outage, two of which pass until entries that
-  // expired meanwhile are written again.
+  // expired meanwhile are written again. A watch that timed out has waited.
   base::Duration min_retry_delay = std::chrono::milliseconds(100);
   base::Duration max_retry_delay = std::chrono::milliseconds(250);
 };
@@ -77,8 +81,10 @@
  private:
   // Lists the prefix; returns false if the store failed.
   connection::event::Awaitable<bool> List();
-  // Watches until a call fails.
-  connection::event::Awaitable<void> Watch();
+  // Watches until a call fails; returns why.
+  connection::event::Awaitable<StoreFault> Watch();
+  // Long-poll wait of a watch that is sent now.
+  base::Duration WatchTimeout() const;
   connection::event::Awaitable<void> BackOff();
   void RecordFault(const char* call, StoreFault fault);
 
--- a/tests/system/scripted_store.cc
+++ b/tests/system/scripted_store.cc
@@ -78,6 +78,27 @@
   return values_.contains(key);
 }
 
+void ScriptedStore::SwallowNextWatch() {
+  const std::lock_guard lock(mutex_);
+  swallow_next_ = true;
+  swallowed_at_.reset();
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+ScriptedStore::SwallowedAt() {
+  const std::lock_guard lock(mutex_);
+  return swallowed_at_;
+}
+
+bool ScriptedStore::Swallows() {
+  const std::lock_guard lock(mutex_);
+  if (!std::exchange(swallow_next_, false)) {
+    return false;
+  }
+  swallowed_at_ = std::chrono::steady_clock::now();
+  return true;
+}
+
 void ScriptedStore::Note(const std::string& key, bool deleted) {
   revisions_[key] = ++revision_;
   history_.push_back({revision_, key, deleted});
@@ -98,6 +119,9 @@
     return Http(200, Range(prefix).dump());
   }
   if (target.starts_with("/kv-watch")) {
+    if (Swallows()) {
+      return {"", ScriptedServer::Then::kHang};
+    }
     return Http(200,
                 Watch(prefix, std::stoll(Parameter(target, "after"))).dump());
   }
--- a/tests/system/scripted_store.h
+++ b/tests/system/scripted_store.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,12 +31,18 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   bool Has(const std::string& key);
+  // The next watch gets no answer, as one that an outage has swallowed.
+  void SwallowNextWatch();
+  // When that watch came; nothing before.
+  std::optional<std::chrono::steady_clock::time_point> SwallowedAt();
   // Answers one request of the protocol.
   connection::ScriptedServer::Reply Answer(const std::string& request);
 
  private:
   using Reply = connection::ScriptedServer::Reply;
 
+  // Whether the watch that comes now is to be swallowed.
+  bool Swallows();
   nlohmann::json Range(const std::string& prefix);
   nlohmann::json Watch(const std::string& prefix, std::int64_t after);
   Reply Key(const std::string& key);
@@ -65,6 +72,8 @@
   std::map<std::string, std::string> values_;
   std::map<std::string, std::int64_t> revisions_;
   std::vector<Change> history_;
+  bool swallow_next_ = false;
+  std::optional<std::chrono::steady_clock::time_point> swallowed_at_;
   std::int64_t next_lease_ = 1;
   std::map<std::int64_t, GrantedLease> leases_;
   // The lease that a key is bound to.
