--- a/src/process/peers/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 #include "base/hash.h"
@@ -329,6 +330,9 @@
     base::Duration wait,
     store::StoreFault* fault) {
   auto changes = co_await store_.Watch(std::string(), after, wait, fault);
+  if (!changes && *fault == store::StoreFault::kHistoryGone) {
+    history_gone_at_ = after;
+  }
   if (changes) {
     replica_.Apply(after, *changes);
     returned_ = std::max(returned_, changes->revision);
@@ -390,11 +394,6 @@
   query.snapshot_start = base::Revision(0);
   auto read = co_await QueryRelays(
       RelaysToQuery(relays, /*with_backed_off=*/true), query, fault);
-  // Nothing that is known may go back.
-  if (read && read->items.revision < std::max(returned_, instances_seen_at_)) {
-    *fault = RelayFault::kNotWatching;
-    co_return std::nullopt;
-  }
   if (!read) {
     co_return std::nullopt;
   }
@@ -405,6 +404,7 @@
     replica_.Clear();
     UseLevels(std::move(read->levels).value_or(SamplingLevels()));
   }
+  RecordListing(read->items, !query.everything && levels_.digest() != 0);
   returned_ = read->items.revision;
   OnStoreRead(read->items.age);
   co_return std::move(read->items);
@@ -416,6 +416,7 @@
   auto listed = co_await store_.List(std::string(), freshness, fault);
   if (listed) {
     relay_wait_began_.reset();
+    RecordListing(*listed, /*is_sample=*/false);
     replica_.Reset(*listed);
     returned_ = std::max(returned_, listed->revision);
     OnStoreRead(base::Duration::zero());
@@ -423,6 +424,24 @@
   co_return listed;
 }
 
+bool WatchSharing::IsNewEnough(base::Revision listed) const {
+  return listed >= std::max(returned_, instances_seen_at_) &&
+         (!history_gone_at_ || listed > *history_gone_at_);
+}
+
+void WatchSharing::RecordListing(const store::StoreItems& listed,
+                                 bool is_sample) {
+  history_gone_at_.reset();
+  listed_bytes_.reset();
+  if (!is_sample) {
+    listed_bytes_ = std::accumulate(
+        listed.items.begin(), listed.items.end(), std::size_t{0},
+        [](std::size_t n, const store::StoreItem& it) {
+          return n + it.key.size() + it.value.size();
+        });
+  }
+}
+
 Awaitable<void> WatchSharing::ListInstanceKeys(store::Freshness freshness) {
   const std::string zone_prefix =
       options_.instances_prefix + options_.selection.zone.str() + '/';
@@ -455,6 +474,9 @@
       n < options_.many_instances) {
     return false;
   }
+  if (listed_bytes_ && n * *listed_bytes_ <= options_.max_listed_bytes) {
+    return false;
+  }
   const base::Time now = clock_();
   relay_wait_began_ = relay_wait_began_.value_or(now);
   return now - *relay_wait_began_ < options_.max_relay_wait ||
@@ -474,6 +496,10 @@
   query.placements = hooks_.take_placements();
   for (const InstancePeer& relay : relays) {
     auto read = co_await ReadPages(relay, query, fault);
+    if (read && query.snapshot_start && !IsNewEnough(read->items.revision)) {
+      read.reset();
+      *fault = RelayFault::kNotWatching;
+    }
     if (read) {
       backoffs_.erase(relay.instance);
       co_return read;
@@ -499,6 +525,11 @@
     if (!answer) {
       co_return query.snapshot_start ? std::nullopt : std::move(read);
     }
+    if (page == 0 && query.snapshot_start && history_gone_at_ &&
+        answer->snapshot_start <= *history_gone_at_) {
+      *fault = RelayFault::kNotWatching;
+      co_return std::nullopt;
+    }
     if (!read) {
       read.emplace();
     }
--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -68,6 +68,9 @@
   std::size_t many_instances = 64;
   base::Duration max_relay_wait = std::chrono::milliseconds(3000);
   double store_tries_percent = 20;
+  // An instance that has listed before does so at the store at once if the
+  // listings of all that share are no larger than this together.
+  std::size_t max_listed_bytes = std::size_t{32} * 1024 * 1024;
 };
 
 // Why a relay did not return changes.
@@ -187,6 +190,9 @@
       Role role,
       std::vector<base::InstanceId> relays,
       RelayFault* fault);
+  // Whether a listing at this revision is of use: newer than a watch that
+  // failed as its history was gone, and not older than what is known.
+  bool IsNewEnough(base::Revision listed) const;
   Result<store::StoreItems> WatchStore(base::Revision after,
                                        base::Duration wait,
                                        store::StoreFault* fault);
@@ -200,9 +206,11 @@
   bool SharesByZone() const;
   // The relays; empty while the instances are not known well enough.
   std::vector<base::InstanceId> Relays() const;
-  // Whether a starting instance should ask the relays again instead of listing
-  // the store.
+  // Whether an instance should ask the relays again instead of listing the
+  // store.
   bool ShouldAwaitRelay(Role role, RelayFault fault);
+  // Takes the size of a complete listing; unknown if it is of a sample.
+  void RecordListing(const store::StoreItems& listed, bool is_sample);
   // Takes the age of a store read and wakes the queries that wait.
   void OnStoreRead(base::Duration age);
   // Waits until the store was read, or for this time.
@@ -237,6 +245,11 @@
   std::deque<request::passthrough::SamplingLevels> recent_levels_;
   // The newest revision that was returned by a list or watch of all keys.
   base::Revision returned_;
+  // The revision of a watch that failed as its history was gone; a listing that
+  // is not newer would lead to the same watch.
+  std::optional<base::Revision> history_gone_at_;
+  // Bytes of the last complete listing.
+  std::optional<std::size_t> listed_bytes_;
   // Whether the other instances are known: when many start at once, the first
   // listing shows few of them.
   bool instances_known_ = false;
--- a/tests/process/peers/watch_sharing_test.cc
+++ b/tests/process/peers/watch_sharing_test.cc
@@ -67,6 +67,41 @@
   return options;
 }
 
+// The store as one instance sees it, which may reject it.
+class StoreLink : public store::ChangeSource {
+ public:
+  explicit StoreLink(store::FakeStorePort& store) : store_(store) {}
+
+  void Reject(bool rejects) { rejects_ = rejects; }
+
+  Result<store::StoreItems> List(std::string prefix,
+                                 store::Freshness freshness,
+                                 store::StoreFault* fault) override {
+    if (rejects_) {
+      co_return Rejected(fault);
+    }
+    co_return co_await store_.List(std::move(prefix), freshness, fault);
+  }
+  Result<store::StoreItems> Watch(std::string prefix,
+                                  base::Revision after,
+                                  base::Duration wait,
+                                  store::StoreFault* fault) override {
+    if (rejects_) {
+      co_return Rejected(fault);
+    }
+    co_return co_await store_.Watch(std::move(prefix), after, wait, fault);
+  }
+
+ private:
+  static std::optional<store::StoreItems> Rejected(store::StoreFault* fault) {
+    *fault = store::StoreFault::kBusy;
+    return std::nullopt;
+  }
+
+  store::FakeStorePort& store_;
+  bool rejects_ = false;
+};
+
 // One instance: a follower of the store through WatchSharing.
 struct Instance {
   Instance(asio::io_context& loop,
@@ -75,9 +110,10 @@
            const std::vector<InstancePeer>& peers,
            QueryRelay query,
            const base::Time& now)
-      : watches(
+      : link(store),
+        watches(
             loop,
-            store,
+            link,
             OptionsOf(std::move(name)),
             {.peers = [&peers]() -> const std::vector<InstancePeer>& {
                return peers;
@@ -144,6 +180,7 @@
   std::map<std::string, std::string> seen;
   base::Revision last;
   bool in_order = true;
+  StoreLink link;
   WatchSharing watches;
   store::PrefixFollower follower;
 };
@@ -207,6 +244,12 @@
     };
   }
 
+  Instance& At(const base::InstanceId& instance) {
+    const auto it =
+        std::ranges::find(peers_, instance, &InstancePeer::instance);
+    return *zone_[it - peers_.begin()];
+  }
+
   bool IsRelay(const Instance& instance) const {
     const auto at = std::ranges::find_if(
         zone_, [&](const auto& it) { return it.get() == &instance; });
@@ -442,6 +485,33 @@
   EXPECT_FALSE(answer->changes.items.empty());
 }
 
+// Guards against CONFIG: while the store rejected the primary and had dropped
+// its history, the others listed the primary's old snapshot in a circle.
+class HistoryGoneTest : public WatchSharingTest,
+                        public testing::WithParamInterface<int> {};
+
+TEST_P(HistoryGoneTest, AListingIsNewerThanTheWatchThatFailed) {
+  StartZone(GetParam());
+  Instance& primary = At(Relays()[0]);
+  primary.link.Reject(true);
+  store_.CloseWatches();
+  store::RunReady(loop_);
+  // The primary is stale, its snapshot is not.
+  now_ += std::chrono::milliseconds(1800);
+  store_.Write("k", "new");
+  store_.Compact();
+  store::RunUntil(loop_, [&] {
+    return std::ranges::all_of(zone_, [&](const auto& it) {
+      return it.get() == &primary || Sees(*it);
+    });
+  });
+  EXPECT_FALSE(Sees(primary));
+}
+
+INSTANTIATE_TEST_SUITE_P(Instances,
+                         HistoryGoneTest,
+                         testing::Values(9, 30, 100));
+
 TEST_F(WatchSharingTest, TooLargeChangesComeFromTheStore) {
   StartZone(10);
   store_.Write("big", std::string(2 * kMaxRelayedBytes + 1, 'x'));
