Waits at relays end with the age of the view, not one after the other

Cause: each wait keeps a bound of its own; changes have two seconds in all. Relays are asked now only until the view is 1.8 s old, with what is left as wait and timeout, 0.25 s at least, and then the store.

--- a/bench/knowledge/knowledge_fleet.cc
+++ b/bench/knowledge/knowledge_fleet.cc
@@ -277,7 +277,7 @@
 
 process::peers::QueryRelay KnowledgeFleet::MakeQuery(Instance& asker) {
   return [this, &asker](
-             InstancePeer relay, ChangesQuery query,
+             InstancePeer relay, ChangesQuery query, base::Duration /*timeout*/,
              RelayFault* fault) -> Awaitable<std::optional<ChangesAnswer>> {
     ++asker.cost.relay_queries;
     Instance& serving = *by_id_.at(relay.instance);
--- a/src/process/peers/change_relay.cc
+++ b/src/process/peers/change_relay.cc
@@ -22,8 +22,6 @@
 namespace asio = connection::event::asio;
 namespace http = connection::event::http;
 
-// Added to the wait for the round trip and a busy relay.
-constexpr base::Duration kResponseMargin = std::chrono::milliseconds(400);
 constexpr std::size_t kMaxResponseBytes = std::size_t{512} * 1024;
 constexpr unsigned kHttp11 = 11;
 
@@ -60,18 +58,16 @@
 QueryRelay MakeQueryRelay(asio::io_context& loop,
                           connection::event::ChannelPool& channels) {
   return [&loop, &channels](
-             InstancePeer relay, ChangesQuery query,
+             InstancePeer relay, ChangesQuery query, base::Duration timeout,
              RelayFault* fault) -> Awaitable<std::optional<ChangesAnswer>> {
     const Tcp::endpoint endpoint(relay.endpoint.address(),
                                  relay.endpoint.port());
     OutgoingRequest request(http::verb::get, EncodeQuery(query), kHttp11);
     request.set(http::field::host, endpoint.address().to_string());
     ExchangeState end{};
-    const auto response =
-        co_await Call(loop, channels, endpoint, std::move(request),
-                      {.timeout = query.wait + kResponseMargin,
-                       .max_answer_bytes = kMaxResponseBytes},
-                      &end);
+    const auto response = co_await Call(
+        loop, channels, endpoint, std::move(request),
+        {.timeout = timeout, .max_answer_bytes = kMaxResponseBytes}, &end);
     if (!response) {
       // Other pooled connections to the relay may be dead as well.
       channels.CloseIdleTo(endpoint);
--- a/src/process/peers/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -107,9 +107,10 @@
     const base::Time now = clock_();
     if (now >= ServableUntil(query) || !replica_.complete()) {
       // A relay that starts together with the asker is ready soon. Without the
-      // wait hundreds of askers would take the time that it needs for that.
-      const bool starting =
-          query.snapshot_start && CurrentRole() != Role::kFollower;
+      // wait hundreds of askers would take the time that it needs for that. One
+      // that the store does not serve is not.
+      const bool starting = query.snapshot_start && !store_fails_ &&
+                            CurrentRole() != Role::kFollower;
       if (!starting || now >= end) {
         *fault = RelayFault::kNotWatching;
         co_return std::nullopt;
@@ -330,7 +331,10 @@
     base::Duration wait,
     store::StoreFault* fault) {
   auto changes = co_await store_.Watch(std::string(), after, wait, fault);
-  if (!changes && *fault == store::StoreFault::kHistoryGone) {
+  const bool history_gone =
+      !changes && *fault == store::StoreFault::kHistoryGone;
+  store_fails_ = !changes && !history_gone;
+  if (history_gone) {
     history_gone_at_ = after;
   }
   if (changes) {
@@ -414,6 +418,7 @@
     store::Freshness freshness,
     store::StoreFault* fault) {
   auto listed = co_await store_.List(std::string(), freshness, fault);
+  store_fails_ = !listed;
   if (listed) {
     relay_wait_began_.reset();
     RecordListing(*listed, /*is_sample=*/false);
@@ -494,8 +499,16 @@
     RelayFault* fault) {
   *fault = RelayFault::kNotWatching;
   query.placements = hooks_.take_placements();
+  const base::Duration most_wait = query.wait;
   for (const InstancePeer& relay : relays) {
-    auto read = co_await ReadPages(relay, query, fault);
+    const base::Duration left = TimeForRelays(query.snapshot_start.has_value());
+    query.wait = std::min(
+        std::max(left - options_.response_margin, options_.min_relay_wait),
+        most_wait);
+    const base::Duration timeout =
+        std::max(std::min(query.wait + options_.response_margin, left),
+                 options_.min_response_time);
+    auto read = co_await ReadPages(relay, query, timeout, fault);
     if (read && query.snapshot_start && !IsNewEnough(read->items.revision)) {
       read.reset();
       *fault = RelayFault::kNotWatching;
@@ -518,10 +531,11 @@
 Awaitable<std::optional<WatchSharing::RelayRead>> WatchSharing::ReadPages(
     InstancePeer relay,
     ChangesQuery query,
+    base::Duration timeout,
     RelayFault* fault) {
   std::optional<RelayRead> read;
   for (int page = 0; page < kMaxPages; ++page) {
-    auto answer = co_await hooks_.query_relay(relay, query, fault);
+    auto answer = co_await hooks_.query_relay(relay, query, timeout, fault);
     if (!answer) {
       co_return query.snapshot_start ? std::nullopt : std::move(read);
     }
@@ -559,6 +573,19 @@
   co_return read;
 }
 
+// Many instances may ask for a snapshot at once, and a relay answers them one
+// after another.
+base::Duration WatchSharing::TimeForRelays(bool for_snapshot) const {
+  const base::Duration most = options_.watch_timeout + options_.response_margin;
+  const bool is_crowded =
+      for_snapshot && SharingGroup(hooks_.peers(), options_.selection).size() >=
+                          options_.many_instances;
+  if (!last_store_read_ || is_crowded) {
+    return most;
+  }
+  return std::min(most, *last_store_read_ + options_.max_view_age - clock_());
+}
+
 // A relay that has nothing to tell yet is asked again soon by an instance that
 // starts; it is most likely starting, too.
 void WatchSharing::RecordRelayFault(const InstancePeer& relay,
--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -54,6 +54,15 @@
   // changes must take effect within three seconds at every instance that
   // reaches the store.
   base::Duration max_staleness = std::chrono::milliseconds(1700);
+  // The relays are asked for changes only until the view is this old, and then
+  // the store: a relay that is lost, and one that the store rejects, must not
+  // add up. Less than the time within which changes must take effect.
+  base::Duration max_view_age = std::chrono::milliseconds(1800);
+  // Added to a query's wait for the round trip and a busy relay.
+  base::Duration response_margin = std::chrono::milliseconds(400);
+  // Shortest wait at a relay, and time that one gets for a response.
+  base::Duration min_relay_wait = std::chrono::milliseconds(100);
+  base::Duration min_response_time = std::chrono::milliseconds(250);
   // The same for a page of a snapshot; less than the store's history reaches
   // back.
   base::Duration max_snapshot_staleness = std::chrono::seconds(10);
@@ -92,9 +101,14 @@
 std::string_view ToString(RelayFault fault) noexcept;
 
 // Queries a relay for changes; the relay waits for the first. Returns nullopt
-// and sets `*fault` on failure.
-using QueryRelay = std::function<connection::event::Awaitable<std::optional<
-    ChangesAnswer>>(InstancePeer relay, ChangesQuery query, RelayFault* fault)>;
+// and sets `*fault` on failure. `timeout`: for the response, the relay's wait
+// included.
+using QueryRelay =
+    std::function<connection::event::Awaitable<std::optional<ChangesAnswer>>(
+        InstancePeer relay,
+        ChangesQuery query,
+        base::Duration timeout,
+        RelayFault* fault)>;
 
 struct WatchSharingHooks {
   std::function<const std::vector<InstancePeer>&()> peers;
@@ -173,13 +187,22 @@
       const std::vector<base::InstanceId>& relays,
       bool with_backed_off) const;
   // Reads from the first relay that answers; nullopt, with `*fault` set, if
-  // none does.
+  // none does. The query's wait and its timeout are no longer than the age of
+  // the view allows.
   connection::event::Awaitable<std::optional<RelayRead>> QueryRelays(
       std::vector<InstancePeer> relays,
       ChangesQuery query,
       RelayFault* fault);
-  connection::event::Awaitable<std::optional<RelayRead>>
-  ReadPages(InstancePeer relay, ChangesQuery query, RelayFault* fault);
+  connection::event::Awaitable<std::optional<RelayRead>> ReadPages(
+      InstancePeer relay,
+      ChangesQuery query,
+      base::Duration timeout,
+      RelayFault* fault);
+  // How long the relays may still be asked; `for_snapshot`: for a listing.
+  base::Duration TimeForRelays(bool for_snapshot) const;
+  // Whether a listing at this revision is of use: newer than a watch that
+  // failed as its history was gone, and not older than what is known.
+  bool IsNewEnough(base::Revision listed) const;
   // Watches through relays. nullopt if none answered.
   connection::event::Awaitable<std::optional<store::StoreItems>> WatchRelays(
       Role role,
@@ -190,9 +213,6 @@
       Role role,
       std::vector<base::InstanceId> relays,
       RelayFault* fault);
-  // Whether a listing at this revision is of use: newer than a watch that
-  // failed as its history was gone, and not older than what is known.
-  bool IsNewEnough(base::Revision listed) const;
   Result<store::StoreItems> WatchStore(base::Revision after,
                                        base::Duration wait,
                                        store::StoreFault* fault);
@@ -248,6 +268,8 @@
   // The revision of a watch that failed as its history was gone; a listing that
   // is not newer would lead to the same watch.
   std::optional<base::Revision> history_gone_at_;
+  // The last call to the store failed.
+  bool store_fails_ = false;
   // Bytes of the last complete listing.
   std::optional<std::size_t> listed_bytes_;
   // Whether the other instances are known: when many start at once, the first
--- a/tests/process/peers/watch_sharing_test.cc
+++ b/tests/process/peers/watch_sharing_test.cc
@@ -217,9 +217,10 @@
 
   QueryRelay MakeFakeQuery() {
     return [this](
-               InstancePeer relay, ChangesQuery query,
+               InstancePeer relay, ChangesQuery query, base::Duration timeout,
                RelayFault* fault) -> Awaitable<std::optional<ChangesAnswer>> {
       ++queries_[relay.instance];
+      timeouts_.push_back(timeout);
       const auto silent = faults_.find(relay.instance);
       if (silent != faults_.end()) {
         *fault = silent->second;
@@ -301,6 +302,7 @@
   std::vector<std::unique_ptr<Instance>> zone_;
   std::map<base::InstanceId, RelayFault> faults_;
   std::map<base::InstanceId, int> queries_;
+  std::vector<base::Duration> timeouts_;
   std::size_t relayed_bytes_ = 0;
 };
 
@@ -512,6 +514,60 @@
                          HistoryGoneTest,
                          testing::Values(9, 30, 100));
 
+// Guards against CONFIG: an instance that listed again waited for a second at
+// each relay that the store rejected.
+TEST_F(WatchSharingTest, ARelayThatTheStoreRejectsAnswersListingsAtOnce) {
+  StartZone(10);
+  Instance& relay = At(Relays()[0]);
+  relay.link.Reject(true);
+  store_.CloseWatches();
+  store::RunReady(loop_);
+  now_ += std::chrono::seconds(11);
+  ChangesQuery query;
+  query.after = base::Revision(-1);
+  query.snapshot_start = base::Revision(0);
+  query.wait = std::chrono::hours(1);
+  std::optional<ChangesAnswer> answer;
+  std::optional<RelayFault> fault;
+  asio::co_spawn(
+      loop_,
+      [&]() -> Awaitable<void> {
+        RelayFault it{};
+        answer = co_await relay.watches.ServeChanges(query, &it);
+        fault = it;
+      },
+      asio::detached);
+  store::RunReady(loop_);
+  EXPECT_EQ(fault, RelayFault::kNotWatching);
+  EXPECT_FALSE(answer);
+}
+
+// Guards against CONFIG: a relay that the store rejects and one that is lost
+// were waited for one after the other, for longer than changes may take.
+TEST_F(WatchSharingTest, RelaysAreAskedNoLongerThanTheViewMayAge) {
+  constexpr auto kMost = std::chrono::milliseconds(2000);
+  StartZone(10);
+  const WatchSharingOptions options;
+  for (const int age_ms : {0, 900, 1700, 1800}) {
+    const base::Duration age = std::chrono::milliseconds(age_ms);
+    now_ += std::chrono::seconds(20);
+    store_.Write("k", std::to_string(age_ms));
+    faults_.clear();
+    ExpectAllSee();
+    for (const base::InstanceId& it : Relays()) {
+      faults_[it] = RelayFault::kUnreachable;
+    }
+    now_ += age;
+    timeouts_.clear();
+    store_.CloseWatches();
+    store_.Write("l", std::to_string(age_ms));
+    ExpectAllSee();
+    for (const base::Duration it : timeouts_) {
+      EXPECT_LE(age + it, kMost + options.min_response_time);
+    }
+  }
+}
+
 TEST_F(WatchSharingTest, TooLargeChangesComeFromTheStore) {
   StartZone(10);
   store_.Write("big", std::string(2 * kMaxRelayedBytes + 1, 'x'));
@@ -620,7 +676,8 @@
           ChangesQuery changes_query;
           changes_query.after = base::Revision(after);
           changes_query.wait = std::chrono::milliseconds(50);
-          changes = co_await query(peer, changes_query, fault);
+          changes = co_await query(peer, changes_query,
+                                   std::chrono::milliseconds(450), fault);
           done = true;
         },
         asio::detached);
@@ -672,7 +729,8 @@
       [&]() -> Awaitable<void> {
         ChangesQuery changes_query;
         changes_query.wait = std::chrono::milliseconds(50);
-        co_await query(peer, changes_query, &fault);
+        co_await query(peer, changes_query, std::chrono::milliseconds(450),
+                       &fault);
         done = true;
       },
       asio::detached);
