The last instance confirms crashes by its own word where neighbours answer

Cause: a refused connection counts as a crash only if another instance finds the same, as the refusal may come from a cut of the own way. Lost instances, whose keys stay in the store for 20 s, say nothing, and that was taken for "not known". Where no other instance says anything the own refusal counts now if this instance reaches neighbours of the target: a cut hits a zone, a service or all, never one target. The same is asked of an instance that is alone, which took any refusal for a crash.

--- a/src/process/peers/target_connector.h
+++ b/src/process/peers/target_connector.h
@@ -42,6 +42,9 @@
   // Bounds a direct connection that only finds out whether the way is cut: more
   // than several round trips between zones.
   base::Duration check_timeout = std::chrono::milliseconds(150);
+  // Targets to which it is tried, one after the other, whether this instance
+  // reaches its neighbours.
+  std::size_t max_neighbours = 3;
   // How often it is checked which probes are due.
   base::Duration probe_period = std::chrono::milliseconds(100);
   // Probes at a time.
@@ -72,7 +75,9 @@
   connection::event::ChannelPoolHooks PoolHooks();
   // Whether the target accepts connections: of this instance or, where its own
   // way may be cut, of another. A refusal is the word of as many instances as
-  // can be asked, since those that are cut off as well may not know it yet.
+  // can be asked, since those that are cut off as well may not know it yet. If
+  // none says anything, as they may be lost, this instance's own word counts
+  // where it reaches the target's neighbours.
   connection::event::Awaitable<connection::event::ConnectEnd> Reach(
       request::passthrough::EngineHandle target);
 
@@ -123,6 +128,13 @@
   Awaitable<ThroughOther> AskOthers(EngineHandle target,
                                     base::Duration timeout,
                                     std::size_t min_unreached);
+  // Whether what this instance finds at the target is not due to a cut of its
+  // own way: it reaches others in the target's group or, if there are none,
+  // others of its zone and of its service.
+  Awaitable<bool> ReachesNeighbours(EngineHandle target);
+  // Whether one of a few of these targets accepts a direct connection; true if
+  // there are none.
+  Awaitable<bool> ReachesOneOf(std::vector<EngineHandle> targets);
   // Finds out anew how the target is reached, unless that is being done.
   void Check(const EngineHandle& target);
   Awaitable<void> RunCheck(EngineHandle target);
@@ -147,6 +159,7 @@
   const TargetConnectorOptions options_;
   const TargetConnectorHooks hooks_;
   const base::Clock clock_;
+  const base::RandomSource random_;
   base::Metrics& metrics_;
   TunnelChoice choice_;
   std::set<base::TargetId> checking_;
--- a/src/request/passthrough/engine_table.cc
+++ b/src/request/passthrough/engine_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <numeric>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -255,6 +256,12 @@
   return found;
 }
 
+std::vector<EngineHandle> EngineTable::All() const {
+  std::vector<EngineHandle> all;
+  std::ranges::copy(std::views::values(engines_), std::back_inserter(all));
+  return all;
+}
+
 void EngineTable::ForEach(
     const std::function<void(const Engine&)>& visit) const {
   for (const auto& [id, engine] : engines_) {
--- a/src/request/passthrough/engine_table.h
+++ b/src/request/passthrough/engine_table.h
@@ -184,6 +184,8 @@
   // All known targets of a service.
   std::vector<EngineHandle> AllOfService(
       const base::ServiceName& service) const;
+  // All known targets.
+  std::vector<EngineHandle> All() const;
   // Visits the targets of all services.
   void ForEach(const std::function<void(const Engine&)>& visit) const;
   std::size_t size() const noexcept { return engines_.size(); }
--- a/tests/process/peers/target_connector_test.cc
+++ b/tests/process/peers/target_connector_test.cc
@@ -2,6 +2,7 @@
 // the one that is asked, on loopback.
 #include "process/peers/target_connector.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -295,6 +296,97 @@
   }
 }
 
+// Guards against BUDGET: while the keys of lost instances were in the store, no
+// crash was confirmed, and a request crashed target after target.
+class LostInstancesTest : public TargetConnectorTest {
+ protected:
+  // All other instances refuse connections, or do not answer them.
+  void LoseOthers(bool refuse) {
+    InstancePeer lost = peers_.front();
+    peers_ = {peers_.back()};
+    for (int i = 0; i < 8; ++i) {
+      lost.instance = base::InstanceId("lost" + std::to_string(i));
+      lost.endpoint.port(refuse ? ClosedPort(loop_)
+                                : silent_.local_endpoint().port());
+      peers_.push_back(lost);
+    }
+  }
+  // Where the target really is.
+  void Place(int n,
+             const std::string& service,
+             const std::string& zone,
+             bool reached) {
+    EngineEntry entry =
+        Target(n, reached ? listener_.local_endpoint().port() : RefusingPort());
+    entry.service = base::ServiceName(service);
+    entry.zone = base::ZoneId(zone);
+    targets_.Put(entry, {});
+  }
+  ConnectEnd Reach(int n) {
+    std::optional<ConnectEnd> end;
+    const auto reach = [&]() -> Awaitable<void> {
+      end = co_await connector_.Reach(Find(n));
+    };
+    asio::co_spawn(loop_, reach(), asio::detached);
+    RunUntil([&] { return end.has_value(); });
+    return *end;
+  }
+
+  // A port of its own where nothing listens.
+  std::uint16_t RefusingPort() {
+    closed_.emplace_back(loop_, Loopback());
+    return closed_.back().local_endpoint().port();
+  }
+
+  // Accepts connections and says nothing.
+  Tcp::acceptor silent_{loop_, Loopback()};
+  std::deque<Tcp::socket> closed_;
+};
+
+TEST_F(LostInstancesTest, OwnRefusalCountsWhereNeighboursAreReached) {
+  for (const bool refuse : {true, false}) {
+    LoseOthers(refuse);
+    Place(1, "s", "a", true);
+    EXPECT_EQ(Reach(0), ConnectEnd::kRefused);
+  }
+}
+
+// Guards against sound contents that are quarantined for a cut: an instance
+// that its targets refuse cannot tell it from crashes.
+TEST_F(LostInstancesTest, OwnRefusalIsNoCrashWhereNeighboursRefuse) {
+  LoseOthers(/*refuse=*/true);
+  EXPECT_EQ(Reach(0), ConnectEnd::kNoAnswer);
+  Place(3, "other", "a", true);
+  Place(4, "s", "b", true);
+  EXPECT_EQ(Reach(0), ConnectEnd::kNoAnswer);
+}
+
+TEST_F(LostInstancesTest, ATargetWithoutNeighboursIsJudgedByZoneAndService) {
+  LoseOthers(/*refuse=*/true);
+  Place(1, "s", "b", true);
+  Place(2, "other", "a", true);
+  EXPECT_EQ(Reach(0), ConnectEnd::kRefused);
+  Place(1, "s", "b", false);
+  EXPECT_EQ(Reach(0), ConnectEnd::kNoAnswer);
+  Place(1, "s", "b", true);
+  Place(2, "other", "a", false);
+  EXPECT_EQ(Reach(0), ConnectEnd::kNoAnswer);
+}
+
+TEST_F(LostInstancesTest, AnInstanceThatWasAlwaysAloneIsJudgedAlike) {
+  peers_ = {peers_.back()};
+  EXPECT_EQ(Reach(0), ConnectEnd::kNoAnswer);
+  Place(1, "s", "a", true);
+  EXPECT_EQ(Reach(0), ConnectEnd::kRefused);
+}
+
+TEST_F(LostInstancesTest, TheOnlyTargetThereIsMayHaveCrashed) {
+  LoseOthers(/*refuse=*/true);
+  targets_.RemoveInvalid(base::TargetId("t1"));
+  targets_.RemoveInvalid(base::TargetId("t2"));
+  EXPECT_EQ(Reach(0), ConnectEnd::kRefused);
+}
+
 // Tunnels are not used longer than the cut lasts, nor through an instance that
 // leaves.
 TEST_F(TargetConnectorTest, TunnelsAreNotReusedThroughAnInstanceThatLeaves) {
--- a/tests/system/entry_crashes_test.cc
+++ b/tests/system/entry_crashes_test.cc
@@ -151,6 +151,21 @@
   EXPECT_LE(Crashed(), 2);
 }
 
+// Guards against BUDGET: the other instances are lost, and their keys stay in
+// the store for a while, in which no crash was confirmed.
+TEST_F(EntryCrashesTest, TheLastInstanceConfirmsCrashesAlone) {
+  for (int i = 1; i < kEntries; ++i) {
+    entries_[static_cast<std::size_t>(i)]->process().Kill();
+  }
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "lost" + std::to_string(i);
+    EXPECT_FALSE(IsStatus(entries_[0]->Post("/a/x", id, kCrashingBody), "200"));
+    EXPECT_TRUE(
+        IsStatus(entries_[0]->Post("/a/x", "fine" + id, "harmless"), "200"));
+  }
+  EXPECT_LE(Crashed(), 3);
+}
+
 // Guards against BUDGET: requests that share one part of their prompts and
 // nothing else crash their engines; sound ones share the other parts with them.
 TEST_F(EntryCrashesTest, RequestsThatShareACrashingPartCrashAtMostThree) {
