A planned stop answers what it ends

Seen by operators of a similar system: requests that came late in the grace of a planned stop were cut at its end with no answer (LOST).

Cause here: the event loop stopped with whatever ran on it. Now what is at work 0.6 s before the end of the grace is answered 504, what has not run or is still arriving 503, and a stream that has begun is reset. From the moment at which new requests are rejected no attempt begins either, and a request after SIGTERM whose service takes longer than is left is rejected at once. Answers to requests that were not read whole are no longer lost to a reset by their unread bytes.

--- a/src/connection/event/caller_faults.cc
+++ b/src/connection/event/caller_faults.cc
@@ -19,6 +19,7 @@
     FaultAnswer{ReadFault::kBodyTooLarge, 413, "body_too_large"},
     FaultAnswer{ReadFault::kMemory, 503, "memory"},
     FaultAnswer{ReadFault::kOverloaded, 0, "overloaded"},
+    FaultAnswer{ReadFault::kStopping, 503, "stopping"},
 };
 
 }  // namespace
--- a/src/connection/event/caller_faults.h
+++ b/src/connection/event/caller_faults.h
@@ -16,6 +16,8 @@
   kBodyTooLarge,
   kMemory,
   kOverloaded,
+  // The process is about to end.
+  kStopping,
 };
 
 struct FaultAnswer {
--- a/src/connection/event/caller_server.cc
+++ b/src/connection/event/caller_server.cc
@@ -8,6 +8,7 @@
 #include <tuple>
 #include <utility>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -32,6 +33,11 @@
 // descriptors.
 constexpr base::Duration kAcceptPause = std::chrono::milliseconds(50);
 
+// How long, and up to how many bytes, what a caller still sends is read after
+// the last answer.
+constexpr base::Duration kLingerTime = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxLingerBytes = std::size_t{1024} * 1024;
+
 // Connections that are accepted before other handlers run.
 constexpr int kMaxAcceptedAtOnce = 64;
 
@@ -90,6 +96,7 @@
 
   static Awaitable<void> Run(std::shared_ptr<Session> self);
   void CloseIfIdle() noexcept;
+  void EndRead() noexcept;
 
  private:
   Awaitable<void> ServeRequests();
@@ -102,7 +109,11 @@
   Awaitable<void> SendContinue(const RequestHead& head);
   Awaitable<bool> Serve(std::shared_ptr<CallerRequest> request);
   Awaitable<void> AnswerFailure(CallerReply& reply);
-  Awaitable<void> AnswerFault();
+  // Returns whether there is an answer.
+  Awaitable<bool> AnswerFault();
+  // Reads what the caller still sends, for a while: a connection that is closed
+  // with unread bytes is reset, and its last answer may not arrive.
+  Awaitable<void> Linger();
   void Arm(base::Duration wait, ReadFault fault);
   void Disarm();
   void Fault(const ErrorCode& ec);
@@ -121,6 +132,7 @@
   // Keeps a timer handler that is already queued from cancelling a later wait.
   int timer_generation_ = 0;
   bool idle_ = true;
+  bool reading_ = false;
   // Nothing has been read from it.
   bool is_new_ = true;
 };
@@ -138,11 +150,17 @@
   while (socket_.is_open()) {
     const std::shared_ptr<CallerRequest> request = co_await Read();
     if (!request) {
-      co_await AnswerFault();
+      const bool answered = co_await AnswerFault();
+      if (answered) {
+        co_await Linger();
+      }
       break;
     }
     const bool again = co_await Serve(request);
     if (!again) {
+      if (shared_->draining && HasInput(socket_)) {
+        co_await Linger();
+      }
       break;
     }
   }
@@ -151,6 +169,8 @@
 
 Awaitable<std::shared_ptr<CallerRequest>> CallerServer::Session::Read() {
   const CallerServerLimits bounds = shared_->bounds();
+  reading_ = true;
+  const base::ScopeExit end([this] { reading_ = false; });
   const bool begun = co_await AwaitFirstByte(bounds);
   if (!begun) {
     co_return nullptr;
@@ -309,13 +329,13 @@
                      });
 }
 
-Awaitable<void> CallerServer::Session::AnswerFault() {
+Awaitable<bool> CallerServer::Session::AnswerFault() {
   const FaultAnswer& answer = AnswerTo(fault_);
   shared_->metrics
       .GetCounter("lynxglade_unread_requests_total", {{"reason", answer.name}})
       .Add();
   if (answer.status == 0) {
-    co_return;
+    co_return false;
   }
   http::response<http::empty_body> message;
   message.version(11);
@@ -324,6 +344,19 @@
   message.keep_alive(false);
   ErrorCode ec;
   co_await http::async_write(socket_, message, Into(ec));
+  co_return !ec;
+}
+
+Awaitable<void> CallerServer::Session::Linger() {
+  std::array<char, 4096> buf{};
+  ErrorCode ec;
+  std::ignore = socket_.shutdown(Tcp::socket::shutdown_send, ec);
+  Arm(kLingerTime, ReadFault::kClosed);
+  std::size_t read = 0;
+  while (!ec && !timed_out_ && read < kMaxLingerBytes) {
+    read += co_await socket_.async_read_some(asio::buffer(buf), Into(ec));
+  }
+  Disarm();
 }
 
 void CallerServer::Session::Arm(base::Duration wait, ReadFault fault) {
@@ -348,6 +381,13 @@
   fault_ = timed_out_ ? *timed_out_ : FaultOf(ec);
 }
 
+void CallerServer::Session::EndRead() noexcept {
+  if (reading_) {
+    timed_out_ = idle_ ? ReadFault::kIdle : ReadFault::kStopping;
+    CancelWaits(socket_);
+  }
+}
+
 void CallerServer::Session::CloseIfIdle() noexcept {
   if (!idle_) {
     return;
@@ -446,6 +486,15 @@
                         [](Session* it) { it->CloseIfIdle(); });
 }
 
+void CallerServer::EndReads() {
+  std::ranges::for_each(shared_->sessions, [](Session* it) { it->EndRead(); });
+}
+
+void CallerServer::StopAccepting() noexcept {
+  ErrorCode ec;
+  std::ignore = acceptor_.close(ec);
+}
+
 std::size_t CallerServer::connections() const noexcept {
   return shared_->sessions.size();
 }
--- a/src/connection/event/caller_server.h
+++ b/src/connection/event/caller_server.h
@@ -79,6 +79,11 @@
   void BeginDrain() noexcept;
   // Closes idle connections. Connections with a request are not affected.
   void CloseIdle();
+  // Closes idle connections, and rejects requests that are still being read.
+  // Requests in the handler are not affected.
+  void EndReads();
+  // Accepts no further connections.
+  void StopAccepting() noexcept;
 
   std::size_t connections() const noexcept;
   // Requests in the handler.
--- a/src/main/details/entry_daemon_details.h
+++ b/src/main/details/entry_daemon_details.h
@@ -141,6 +141,8 @@
   // New requests are rejected, as they might not finish before the process
   // exits.
   bool rejecting = false;
+  // When all requests are ended; nothing unless the process is stopping.
+  std::optional<base::Time> stop_at;
 };
 
 }  // namespace lynxglade
--- a/src/main/entry_daemon.cc
+++ b/src/main/entry_daemon.cc
@@ -38,8 +38,10 @@
 // After SIGTERM, before idle connections are closed. Allows for a load balancer
 // that checks health once a second and removes an instance after two failures.
 constexpr base::Duration kBalancerNoticeTime = std::chrono::milliseconds(2500);
-// Part of the stop grace period reserved for the exit of the process.
+// Part of the stop grace period reserved for the exit of the process, and for
+// the answers to the requests that are ended before it.
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(300);
+constexpr base::Duration kAnswerMargin = std::chrono::milliseconds(300);
 constexpr base::Duration kDrainPollPeriod = std::chrono::milliseconds(50);
 // Bound on the time from the confirmation of the authority to the arrival of a
 // call: validity of the confirmation and timeout of the call.
@@ -218,14 +220,16 @@
 }
 
 // Readiness is withdrawn at once, but requests are accepted until the load
-// balancer has had time to notice. Returns once all connections are closed, or
-// at the end of the grace period.
+// balancer has had time to notice. What is still served near the end of the
+// grace period is answered then. Returns once all connections are closed, or at
+// the end of the grace period.
 Awaitable<void> EntryDaemon::Details::Drain() {
   Log(LogLevel::kInfo, "stop_begun", {{"busy", callers.busy()}});
   stopping = true;
   callers.BeginDrain();
   const base::Time start = clock();
   const base::Time deadline = start + settings.stop_grace - kExitMargin;
+  stop_at = deadline - kAnswerMargin;
   stage_orders.Stop();
   if (duties) {
     duties->Stop();
@@ -234,13 +238,18 @@
   Spawn(loop, "leave_instances", presence.Leave());
   while (clock() < deadline) {
     const bool balancer_noticed = clock() - start >= kBalancerNoticeTime;
-    if (balancer_noticed) {
+    if (clock() >= *stop_at) {
+      rejecting = true;
+      callers.StopAccepting();
+      relay.EndAll();
+      callers.EndReads();
+    } else if (balancer_noticed) {
       // A load balancer with too few other instances still sends requests here.
       rejecting = true;
       callers.CloseIdle();
     }
     const bool tunnels_open = peers && peers->tunnels().open() > 0;
-    if (balancer_noticed && callers.connections() == 0 && !tunnels_open) {
+    if (rejecting && callers.connections() == 0 && !tunnels_open) {
       break;
     }
     co_await SleepFor(loop, kDrainPollPeriod);
--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -219,6 +219,12 @@
       .protocol = platform::MakeTargetProtocol(),
       .routes = [this] { return views.routes(); },
       .accepts = [this] { return !rejecting; },
+      .time_to_stop =
+          [this] {
+            return stop_at ? std::optional(std::max(*stop_at - clock(),
+                                                    base::Duration::zero()))
+                           : std::nullopt;
+          },
       .instances = [this] { return presence.Count(); },
       .view_age = [this] { return ViewAge(); },
       .on_placed =
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -11,6 +11,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "base/metrics.h"
@@ -116,6 +118,9 @@
   std::function<std::shared_ptr<const RouteTable>()> routes;
   // False once this instance is stopping and could not finish a new request.
   std::function<bool()> accepts;
+  // Until this instance ends all requests; nothing unless it is stopping. May
+  // be empty.
+  std::function<std::optional<base::Duration>()> time_to_stop;
   // Number of instances that may be up, including this one.
   std::function<int()> instances;
   // Age of the view of the targets.
@@ -128,6 +133,8 @@
   std::function<void(const base::OrganisationId&, base::Time began)> on_run;
 };
 
+class RelayRun;
+
 // Not thread-safe: used on the event loop only.
 class Relay {
  public:
@@ -139,10 +146,14 @@
   connection::event::Awaitable<void> Serve(
       std::shared_ptr<connection::event::CallerRequest> request,
       connection::event::CallerReply& reply);
+  // Ends all requests that are being served: each is answered at once, as far
+  // as no answer has begun.
+  void EndAll();
 
  private:
   RelayDependencies deps_;
   const RelayOptions options_;
+  std::set<RelayRun*> runs_;
 };
 
 }  // namespace lynxglade::request::passthrough
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -63,6 +63,10 @@
 Awaitable<AttemptEnd> RelayRun::SendRequest(const EnginePick& pick) {
   const EngineHandle target = pick.runner;
   const auto endpoint = EndpointOf(*target);
+  // It may have waited meanwhile. One whose prompt has been prefilled goes on.
+  if (!deps_.accepts() && !source_) {
+    co_return AttemptEnd::kNotRun;
+  }
   // Another request may have used the share since the target was picked.
   if (!deps_.limits.MaySend(*target, deps_.clock())) {
     co_return AttemptEnd::kNotRun;
--- a/src/request/passthrough/relay_prefill.cc
+++ b/src/request/passthrough/relay_prefill.cc
@@ -97,7 +97,7 @@
 
 Awaitable<bool> RelayRun::SendPrefill(const EnginePick& pick, bool* may_count) {
   // The prefill may have waited for budget.
-  if (CheckQuarantine()) {
+  if (!deps_.accepts() || CheckQuarantine()) {
     co_return false;
   }
   const auto endpoint = EndpointOf(*pick.prefill_engine);
--- a/src/request/passthrough/relay_run.cc
+++ b/src/request/passthrough/relay_run.cc
@@ -73,6 +73,14 @@
   LogEnd();
 }
 
+void RelayRun::End() {
+  ended_ = true;
+  expired_ = true;
+  if (current_) {
+    current_->Cancel();
+  }
+}
+
 std::optional<EndReason> RelayRun::Admit() {
   if (!deps_.accepts()) {
     return EndReason::kStopping;
@@ -113,6 +121,9 @@
     return EndReason::kNoService;
   }
   service_ = *service;
+  if (OutlastsStop()) {
+    return EndReason::kStopping;
+  }
   identity_ = Identity();
   return CheckQuarantine();
 }
@@ -155,6 +166,18 @@
     wait = std::min(wait, route_->timeout);
   }
   deadline_ = request_->arrived + wait;
+  if (const auto left = TimeToStop()) {
+    deadline_ = std::min(deadline_, deps_.clock() + *left);
+  }
+}
+
+std::optional<base::Duration> RelayRun::TimeToStop() const {
+  return deps_.time_to_stop ? deps_.time_to_stop() : std::nullopt;
+}
+
+bool RelayRun::OutlastsStop() const {
+  const auto left = TimeToStop();
+  return left && *left < deps_.run_times.Average(service_);
 }
 
 void RelayRun::StartTimer() {
@@ -385,7 +408,7 @@
 }
 
 bool RelayRun::MayRetry(AttemptEnd end) const {
-  if (end == AttemptEnd::kStopped || IsStopped() ||
+  if (end == AttemptEnd::kStopped || IsStopped() || !deps_.accepts() ||
       TimeLeft() < options_.min_time_left) {
     return false;
   }
@@ -427,6 +450,10 @@
                              : EndReason::kUnknownOutcome);
     co_return;
   }
+  if (ended_ || !deps_.accepts()) {
+    co_await Refuse(EndReason::kStopping);
+    co_return;
+  }
   if (denial_) {
     co_await Refuse(DenialReason());
     co_return;
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -82,6 +82,8 @@
   RelayRun& operator=(const RelayRun&) = delete;
 
   connection::event::Awaitable<void> Run();
+  // Ends the request at once, as the process is about to.
+  void End();
 
  private:
   template <typename T>
@@ -99,6 +101,10 @@
   // Finds the organisation that holds the caller's key.
   std::optional<EndReason> Authenticate();
   void SetDeadline(std::optional<base::Duration> timeout);
+  // Whether this instance is stopping, and the request would most likely be at
+  // work when it ends.
+  bool OutlastsStop() const;
+  std::optional<base::Duration> TimeToStop() const;
   // What identifies the request to any instance, when it is sent again with
   // another id, or one with a part of its prompt.
   RunIdentity Identity() const;
@@ -269,6 +275,8 @@
   ShareStanding standing_;
   base::Time deadline_{};
   bool expired_ = false;
+  // Ended by End().
+  bool ended_ = false;
   // Will miss its latency target and has a lower priority.
   bool late_ = false;
   bool run_recorded_ = false;
--- a/src/request/passthrough/run_times.h
+++ b/src/request/passthrough/run_times.h
@@ -30,16 +30,21 @@
     }
   }
 
+  // Average time; zero while nothing is known.
+  base::Duration Average(const base::ServiceName& service) const {
+    const auto it = averages_.find(service);
+    return it == averages_.end()
+               ? base::Duration::zero()
+               : base::Duration(static_cast<base::Duration::rep>(it->second));
+  }
+
   // The estimate, not before `sent`; `sent` while nothing is known.
   base::Time Began(const base::ServiceName& service,
                    base::Time sent,
                    base::Time answered) const {
-    const auto it = averages_.find(service);
-    return it == averages_.end()
-               ? sent
-               : std::max(sent, answered - base::Duration(
-                                               static_cast<base::Duration::rep>(
-                                                   it->second)));
+    return averages_.contains(service)
+               ? std::max(sent, answered - Average(service))
+               : sent;
   }
 
  private:
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -149,6 +149,7 @@
           .protocol = MakeTargetProtocol(),
           .routes = [this] { return routes_; },
           .accepts = [this] { return accepts_; },
+          .time_to_stop = [this] { return time_to_stop_; },
           .instances = [] { return 1; },
           .view_age = [this] { return view_age_; },
           .on_run = [this](
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -137,6 +137,7 @@
   request::passthrough::RelayOptions options_;
   bool accepts_ = true;
   base::Duration view_age_{};
+  std::optional<base::Duration> time_to_stop_;
   std::shared_ptr<const request::passthrough::RouteTable> routes_ =
       MakeRoutes();
   std::vector<std::unique_ptr<connection::ScriptedServer>> targets_;
