--- a/src/connection/event/header_fields.cc
+++ b/src/connection/event/header_fields.cc
@@ -123,6 +123,10 @@
   return RangeOf(fields_, IsNamed(name));
 }
 
+void HeaderFields::insert(StringView name, StringView value) {
+  insert(boost::beast::http::string_to_field(name), name, value);
+}
+
 void HeaderFields::insert(FieldName name,
                           StringView name_string,
                           StringView value) {
--- a/src/connection/event/header_fields.h
+++ b/src/connection/event/header_fields.h
@@ -65,7 +65,8 @@
   std::pair<const_iterator, const_iterator> equal_range(FieldName name) const;
   std::pair<const_iterator, const_iterator> equal_range(StringView name) const;
 
-  // Adds a field beside those of the same name.
+  // Add a field beside those of the same name.
+  void insert(StringView name, StringView value);
   void insert(FieldName name, StringView name_string, StringView value);
   // Replaces all fields of the name.
   void set(FieldName name, StringView value);
