--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -54,9 +54,10 @@
   // changes must take effect within three seconds at every instance that
   // reaches the store.
   base::Duration max_staleness = std::chrono::milliseconds(1700);
-  // The relays are asked for changes only until the view is this old, and then
-  // the store: a relay that is lost, and one that the store rejects, must not
-  // add up. Less than the time within which changes must take effect.
+  // A relay is waited for only until the view is this old, and no second one is
+  // asked then, nor any for a listing, but the store: a relay that is lost, and
+  // one that the store rejects, must not add up. Less than the time within
+  // which changes must take effect.
   base::Duration max_view_age = std::chrono::milliseconds(1800);
   // Added to a query's wait for the round trip and a busy relay.
   base::Duration response_margin = std::chrono::milliseconds(400);
--- a/src/process/store/store_items.h
+++ b/src/process/store/store_items.h
@@ -2,6 +2,8 @@
 #ifndef LYNXGLADE_PROCESS_STORE_STORE_ITEMS_H_
 #define LYNXGLADE_PROCESS_STORE_STORE_ITEMS_H_
 
+#include <cstddef>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,14 @@
   base::Duration age{};
 };
 
+// Bytes of the keys and values.
+inline std::size_t BytesOf(const std::vector<StoreItem>& items) {
+  return std::accumulate(items.begin(), items.end(), std::size_t{0},
+                         [](std::size_t n, const StoreItem& it) {
+                           return n + it.key.size() + it.value.size();
+                         });
+}
+
 }  // namespace lynxglade::process::store
 
 #endif  // LYNXGLADE_PROCESS_STORE_STORE_ITEMS_H_
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -1,7 +1,8 @@
 // One request in the relay; implementation detail of relay.h. The flow is in
-// relay_run.cc, attempts at targets in relay_attempt.cc, what these reserve of
-// the retry budget in relay_budget.cc, what they add to the estimates in
-// relay_records.cc, refusals and logs in relay_report.cc.
+// relay_run.cc, the choice of targets in relay_pick.cc, attempts at them in
+// relay_attempt.cc, what these reserve of the retry budget in relay_budget.cc,
+// what they add to the estimates in relay_records.cc, refusals and logs in
+// relay_report.cc.
 #ifndef LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_RUN_H_
 #define LYNXGLADE_REQUEST_PASSTHROUGH_RELAY_RUN_H_
 
@@ -89,6 +90,8 @@
   template <typename T>
   using Awaitable = connection::event::Awaitable<T>;
   using Exchange = connection::event::Exchange;
+  // Failed separate prefills after which the runner prefills the prompt itself.
+  static constexpr int kMaxFailedPrefills = 1;
   // Limit for answers that are not forwarded.
   static constexpr std::size_t kMaxInternalAnswerBytes = std::size_t{64} * 1024;
 
