Requests that outlive the relay do not reach into it

Found by reading: where the loop ends after the relay, as in tests, a request that is destroyed with it would have left the relay's set after its end.

--- a/src/request/passthrough/relay.cc
+++ b/src/request/passthrough/relay.cc
@@ -15,16 +15,16 @@
     std::shared_ptr<connection::event::CallerRequest> request,
     connection::event::CallerReply& reply) {
   RelayRun run(deps_, options_, std::move(request), reply);
-  runs_.insert(&run);
-  const base::ScopeExit end([this, &run] { runs_.erase(&run); });
+  runs_->insert(&run);
+  const base::ScopeExit end([runs = runs_, &run] { runs->erase(&run); });
   co_await run.Run();
 }
 
 // A request may end, and leave the set, while it is told to.
 void Relay::EndAll() {
-  const std::vector<RelayRun*> runs(runs_.begin(), runs_.end());
+  const std::vector<RelayRun*> runs(runs_->begin(), runs_->end());
   for (RelayRun* it : runs) {
-    if (runs_.contains(it)) {
+    if (runs_->contains(it)) {
       it->End();
     }
   }
--- a/src/request/passthrough/relay.h
+++ b/src/request/passthrough/relay.h
@@ -153,7 +153,9 @@
  private:
   RelayDependencies deps_;
   const RelayOptions options_;
-  std::set<RelayRun*> runs_;
+  // Shared with the requests, which may end after the relay.
+  std::shared_ptr<std::set<RelayRun*>> runs_ =
+      std::make_shared<std::set<RelayRun*>>();
 };
 
 }  // namespace lynxglade::request::passthrough
