--- a/review/stand_ins_2/daemon.cc
+++ b/review/stand_ins_2/daemon.cc
@@ -44,7 +44,7 @@
   Kill();
 }
 
-bool Daemon::Start() {
+void Daemon::Launch() {
   std::vector<std::string> words{
       kProgram,          "entry",
       "--instance-id",   settings_.name,
@@ -72,6 +72,10 @@
     ::execve(kProgram, argv.data(), envp.data());
     ::_exit(127);
   }
+}
+
+bool Daemon::Start() {
+  Launch();
   const auto end = Clock::now() + kReadyTimeout;
   while (Clock::now() < end) {
     if (IsReady()) {
@@ -114,6 +118,14 @@
   return answer && answer->Status() == 200;
 }
 
+bool Daemon::Shows(const std::string& line) const {
+  Socket socket = Connect(health_port_);
+  socket.Send("GET /metrics HTTP/1.1\r\nHost: platform\r\n\r\n");
+  socket.SetReadTimeout(Millis(1000));
+  const auto answer = socket.ReadMessage();
+  return answer && answer->body.find(line + '\n') != std::string::npos;
+}
+
 std::size_t Daemon::ResidentBytes() const {
   std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
   std::size_t total = 0;
--- a/review/stand_ins_2/daemon.h
+++ b/review/stand_ins_2/daemon.h
@@ -29,12 +29,16 @@
 
   // Starts the process; false if it is not ready within ten seconds.
   bool Start();
+  // Starts the process and does not wait.
+  void Launch();
   void Signal(int number) const;
   // Kills the process and waits for its end.
   void Kill();
   // Whether the process has ended; its exit status as by waitpid() in `status`.
   bool HasEnded(int* status);
   bool IsReady() const;
+  // Whether its metrics page has the line.
+  bool Shows(const std::string& line) const;
   // Resident memory.
   std::size_t ResidentBytes() const;
   int port() const noexcept { return port_; }
--- a/review/stand_ins_2/store.cc
+++ b/review/stand_ins_2/store.cc
@@ -51,7 +51,24 @@
 
 }  // namespace
 
-Store::Store() : listener_([this](Socket it) { Serve(std::move(it)); }) {}
+Store::Store()
+    : listener_([this](Socket it) { Serve(std::move(it), nullptr); }) {}
+
+StoreLink& Store::OpenLink() {
+  links_.push_back(std::make_unique<StoreLink>());
+  StoreLink& link = *links_.back();
+  link_listeners_.push_back(std::make_unique<Listener>(
+      [this, &link](Socket it) { Serve(std::move(it), &link); }));
+  link.port = link_listeners_.back()->port();
+  return link;
+}
+
+void Store::DropHistory() {
+  const std::lock_guard lock(mutex_);
+  dropped_ = revision_;
+  history_.clear();
+  changed_.notify_all();
+}
 
 std::int64_t Store::Put(const std::string& key, const nlohmann::json& value) {
   const std::lock_guard lock(mutex_);
@@ -71,9 +88,16 @@
   return it == items_.end() ? std::string() : it->second.value;
 }
 
-void Store::Serve(Socket socket) {
+void Store::Serve(Socket socket, const StoreLink* link) {
   while (const auto request = socket.ReadMessage()) {
-    if (!socket.Send(Handle(*request))) {
+    const auto rejects = [link] { return link && link->busy; };
+    const std::string rejection = Reply(429, Json::object());
+    std::string answer = rejects() ? rejection : Handle(*request);
+    // A watch that was waiting is rejected as well.
+    if (rejects()) {
+      answer = rejection;
+    }
+    if (!socket.Send(answer)) {
       return;
     }
   }
@@ -143,11 +167,16 @@
   std::unique_lock lock(mutex_);
   while (true) {
     ExpireLeases();
+    if (after < dropped_) {
+      return Reply(410, Json::object());
+    }
     Json events = Json::array();
     for (const Change& it : history_) {
+      if (it.revision <= after) {
+        continue;
+      }
       const std::string key = it.event["key"];
-      if (it.revision > after &&
-          (prefix == query.end() || key.starts_with(prefix->second))) {
+      if (prefix == query.end() || key.starts_with(prefix->second)) {
         events.push_back(it.event);
       }
     }
--- a/review/stand_ins_2/store.h
+++ b/review/stand_ins_2/store.h
@@ -3,9 +3,11 @@
 #ifndef LYNXGLADE_REVIEW_STAND_INS_2_STORE_H_
 #define LYNXGLADE_REVIEW_STAND_INS_2_STORE_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -17,6 +19,13 @@
 
 namespace lynxglade::review {
 
+// One machine's link to the store.
+struct StoreLink {
+  int port = 0;
+  // The store rejects the machine's calls.
+  std::atomic<bool> busy = false;
+};
+
 // Thread-safe.
 class Store {
  public:
@@ -25,6 +34,10 @@
   Store& operator=(const Store&) = delete;
 
   int port() const noexcept { return listener_.port(); }
+  // A port of its own for one machine. Lives as long as the process.
+  StoreLink& OpenLink();
+  // Watches from an earlier revision are told that it is gone.
+  void DropHistory();
   // Writes of the operator and the engines. The revision is the ack.
   std::int64_t Put(const std::string& key, const nlohmann::json& value);
   std::int64_t Remove(const std::string& key);
@@ -49,7 +62,7 @@
     Clock::time_point end{};
   };
 
-  void Serve(Socket socket);
+  void Serve(Socket socket, const StoreLink* link);
   std::string Handle(const Message& request);
   std::string Range(const std::map<std::string, std::string>& query);
   std::string Watch(const std::map<std::string, std::string>& query);
@@ -70,6 +83,10 @@
   std::map<std::string, Item> items_;
   std::map<std::int64_t, Lease> leases_;
   std::vector<Change> history_;
+  // Changes up to this revision are gone.
+  std::int64_t dropped_ = 0;
+  std::vector<std::unique_ptr<StoreLink>> links_;
+  std::vector<std::unique_ptr<Listener>> link_listeners_;
   Listener listener_;
 };
 
--- a/review/stand_ins_2/wire.cc
+++ b/review/stand_ins_2/wire.cc
@@ -252,11 +252,10 @@
   }).detach();
 }
 
+// The socket stays bound, so that nobody else gets the port; as it does not
+// listen, a process that reuses addresses can.
 int FreePort() {
-  const int fd = Bind(0);
-  const int port = PortOf(fd);
-  ::close(fd);
-  return port;
+  return PortOf(Bind(0));
 }
 
 std::string Answer(int status, std::string_view fields, std::string_view body) {
--- a/review/stand_ins_2/wire.h
+++ b/review/stand_ins_2/wire.h
@@ -81,7 +81,7 @@
   int port_ = 0;
 };
 
-// A port that was free at the time of the call.
+// A port that is kept free for a process of this test.
 int FreePort();
 
 // Text of an answer with a length.
