Instances list the store in turns, and stand in for relays that cannot serve

Cause: an instance that has to list waited for its relays, and the whole group together went to the store with one try in five, whatever the age of the view. The same if the relays are frozen or killed.

Change: ListingTurns bounds the listings at the store by its link's rate, as a sum over all groups, and each rank has a turn; those whose turn comes first list when they are asked and serve the others until a relay serves again.

--- a/src/main/entry_daemon_hooks.cc
+++ b/src/main/entry_daemon_hooks.cc
@@ -118,13 +118,13 @@
 
 process::peers::WatchSharingOptions EntryDaemon::Details::SharingOptions()
     const {
-  return {
-      .selection = {.instance = settings.instance,
-                    .zone = settings.zone,
-                    .link_mbps = static_cast<int>(settings.link_mbps)},
-      .instances_prefix = kInstanceKeysPrefix,
-      // Orders for engines are planned from the number of all engines.
-      .follows_everything = settings.duties.contains(process::kScalingDuty)};
+  return {.selection = {.instance = settings.instance,
+                        .zone = settings.zone,
+                        .link_mbps = static_cast<int>(settings.link_mbps)},
+          .instances_prefix = kInstanceKeysPrefix,
+          // Orders for engines are planned from the number of all engines.
+          .follows_everything = settings.duties.contains(process::kScalingDuty),
+          .turns = {.store_link_mbps = settings.store_link_mbps}};
 }
 
 process::peers::WatchSharingHooks EntryDaemon::Details::SharingHooks() {
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -133,6 +133,11 @@
        "rate of this instance's link in Mbit/s, 0 if unknown; instances with "
        "faster links relay changes of the store to the others",
        NumberParser(&EntrySettings::link_mbps, 0, kMaxLinkMbps)},
+      {"store-link-mbps", "1000", false,
+       "rate of the store's link in Mbit/s; instances that no relay serves "
+       "list "
+       "the store in turns, so that they do not exceed it",
+       NumberParser(&EntrySettings::store_link_mbps, 1, kMaxLinkMbps)},
       {"log-level", "info", false, "debug, info, warning or error",
        LogLevelParser(&EntrySettings::log_level)},
       {"max-connections", "1500", false,
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -34,6 +34,9 @@
   // Rate of this instance's link, in Mbit/s; 0 if unknown. Instances with
   // faster links relay for the others.
   double link_mbps = 0;
+  // Rate of the store's link, in Mbit/s. Bounds how many instances list the
+  // store at once.
+  double store_link_mbps = 1000;
   base::LogLevel log_level = base::LogLevel::kInfo;
   std::size_t max_connections = 1500;
   // Maximum time from SIGTERM to exit.
--- a/src/process/peers/relay_selection.cc
+++ b/src/process/peers/relay_selection.cc
@@ -9,6 +9,26 @@
 
 namespace lynxglade::process::peers {
 
+namespace {
+
+// The least first.
+auto RankOf(const InstancePeer& instance) {
+  return std::tuple(-instance.link_mbps, base::Hash64(instance.instance.str()),
+                    instance.instance);
+}
+
+std::ptrdiff_t RelayCount(std::size_t group_size,
+                          const RelaySelectionOptions& options) {
+  if (group_size == 0) {
+    return 0;
+  }
+  return static_cast<std::ptrdiff_t>(
+      std::min(group_size,
+               options.min_relays + group_size / options.instances_per_relay));
+}
+
+}  // namespace
+
 std::vector<InstancePeer> SharingGroup(const std::vector<InstancePeer>& peers,
                                        const RelaySelectionOptions& options) {
   std::vector<InstancePeer> all;
@@ -39,22 +59,21 @@
     const std::vector<InstancePeer>& peers,
     const RelaySelectionOptions& options) {
   auto group = SharingGroup(peers, options);
-  const std::size_t n = std::min(
-      group.size(),
-      group.empty()
-          ? 0
-          : options.min_relays + group.size() / options.instances_per_relay);
-  std::ranges::partial_sort(
-      group, group.begin() + static_cast<std::ptrdiff_t>(n), {},
-      [](const InstancePeer& it) {
-        return std::tuple(-it.link_mbps, base::Hash64(it.instance.str()),
-                          it.instance);
-      });
+  const auto end = group.begin() + RelayCount(group.size(), options);
+  std::ranges::partial_sort(group, end, {}, RankOf);
   std::vector<base::InstanceId> relays;
-  std::transform(group.begin(), group.begin() + static_cast<std::ptrdiff_t>(n),
-                 std::back_inserter(relays),
+  std::transform(group.begin(), end, std::back_inserter(relays),
                  [](const InstancePeer& it) { return it.instance; });
   return relays;
 }
 
+std::vector<InstancePeer> RankWithoutRelays(
+    const std::vector<InstancePeer>& peers,
+    const RelaySelectionOptions& options) {
+  auto group = SharingGroup(peers, options);
+  std::ranges::sort(group, {}, RankOf);
+  group.erase(group.begin(), group.begin() + RelayCount(group.size(), options));
+  return group;
+}
+
 }  // namespace lynxglade::process::peers
--- a/src/process/peers/relay_selection.h
+++ b/src/process/peers/relay_selection.h
@@ -38,6 +38,12 @@
     const std::vector<InstancePeer>& peers,
     const RelaySelectionOptions& options);
 
+// The instances of the group that are no relays, those first that would become
+// relays next. All instances with the same peers rank them alike.
+std::vector<InstancePeer> RankWithoutRelays(
+    const std::vector<InstancePeer>& peers,
+    const RelaySelectionOptions& options);
+
 }  // namespace lynxglade::process::peers
 
 #endif  // LYNXGLADE_PROCESS_PEERS_RELAY_SELECTION_H_
--- a/src/process/peers/store_replica.cc
+++ b/src/process/peers/store_replica.cc
@@ -101,6 +101,16 @@
   }
 }
 
+std::vector<store::StoreItem> StoreReplica::ExistingItems() const {
+  std::vector<store::StoreItem> existing;
+  for (const auto& [position, record] : records_) {
+    if (!record.item.deleted) {
+      existing.push_back(record.item);
+    }
+  }
+  return existing;
+}
+
 std::optional<ReplicaPage> StoreReplica::After(base::Revision after,
                                                const SamplingLevels* sample,
                                                std::size_t max_bytes) const {
--- a/src/process/peers/store_replica.h
+++ b/src/process/peers/store_replica.h
@@ -80,6 +80,9 @@
     return group_sizes_;
   }
 
+  // The newest item of each key that exists.
+  std::vector<store::StoreItem> ExistingItems() const;
+
   // Returns the items above a revision, one a key, until their values exceed
   // `max_bytes`; items of one revision stay together. Targets outside of
   // `sample` are left out; all items are included if it is null. Returns
--- a/src/process/peers/watch_sharing.cc
+++ b/src/process/peers/watch_sharing.cc
@@ -6,7 +6,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
-#include "connection/event/sleep.h"
+#include "connection/event/tasks.h"
 
 namespace lynxglade::process::peers {
 
@@ -17,30 +17,11 @@
 using connection::event::Awaitable;
 using connection::event::ErrorCode;
 using connection::event::Into;
-using connection::event::SleepFor;
 using request::passthrough::SamplingLevels;
 namespace asio = connection::event::asio;
 
 // Levels that a relay remembers, to tell whether an asker lacks targets.
 constexpr std::size_t kRecentLevels = 64;
-// The newest item of each key, without the deleted ones. A key that changes
-// while a snapshot is read is on several of its pages.
-std::vector<store::StoreItem> ExistingItems(
-    std::vector<store::StoreItem> items) {
-  std::map<std::string, store::StoreItem> by_key;
-  for (store::StoreItem& it : items) {
-    std::string key = it.key;
-    by_key.insert_or_assign(std::move(key), std::move(it));
-  }
-  items.clear();
-  for (auto& [key, item] : by_key) {
-    if (!item.deleted) {
-      items.push_back(std::move(item));
-    }
-  }
-  return items;
-}
-
 }  // namespace
 
 std::string_view ToString(RelayFault fault) noexcept {
@@ -89,7 +70,8 @@
       clock_(std::move(clock)),
       random_(std::move(random)),
       metrics_(metrics),
-      replica_(hooks_.classify) {}
+      replica_(hooks_.classify),
+      listing_bytes_(options_.assumed_listing_bytes) {}
 
 // --- Serving other instances
 
@@ -99,14 +81,18 @@
   demand_.Add(query.placements, clock_());
   const base::Time end = clock_() + query.wait;
   const auto read_before = last_store_read_;
+  if (query.snapshot_start) {
+    StandIn();
+  }
   while (true) {
     const base::Time now = clock_();
     if (now >= ServableUntil(query) || !replica_.complete()) {
       // A relay that starts together with the asker is ready soon. Without the
       // wait hundreds of askers would take the time that it needs for that. One
       // that the store does not serve is not.
-      const bool starting = query.snapshot_start && !store_fails_ &&
-                            CurrentRole() != Role::kFollower;
+      const bool starting =
+          query.snapshot_start && !store_fails_ &&
+          (CurrentRole() != Role::kFollower || IsStandingIn());
       if (!starting || now >= end) {
         *fault = RelayFault::kNotWatching;
         co_return std::nullopt;
@@ -147,6 +133,40 @@
   }
 }
 
+// The asker is served by no relay. Where all may list at once it does so
+// itself. The store is listed at once: a watch that is under way would go on
+// for up to `watch_timeout`.
+void WatchSharing::StandIn() {
+  if (CurrentRole() != Role::kFollower || Turns().AtOnce()) {
+    return;
+  }
+  if (!IsStandingIn()) {
+    Log(LogLevel::kInfo, "stands_in_for_relays",
+        {{"complete", replica_.complete()}, {"store_fails", store_fails_}});
+  }
+  const base::Time now = clock_();
+  stand_in_until_ = now + options_.stand_in_time;
+  const bool serves = replica_.complete() && now < FreshUntil();
+  if (!serves && !lists_store_ && now >= next_fill_) {
+    next_fill_ = now + options_.watch_timeout;
+    connection::event::Spawn(loop_, "stand_in", FillReplica());
+  }
+}
+
+Awaitable<void> WatchSharing::FillReplica() {
+  store::StoreFault fault{};
+  co_await ListStore(store::Freshness::kCurrent, &fault);
+}
+
+bool WatchSharing::IsStandingIn() const {
+  return clock_() < stand_in_until_;
+}
+
+bool WatchSharing::NeedsEverything(Role role) const {
+  return role != Role::kFollower || options_.follows_everything ||
+         IsStandingIn();
+}
+
 Awaitable<void> WatchSharing::WaitForRead(base::Duration time) {
   asio::steady_timer timer(loop_, time);
   waiting_timers_.insert(&timer);
@@ -228,25 +248,6 @@
        {"instances", hooks_.peers().size()}});
 }
 
-std::vector<InstancePeer> WatchSharing::RelaysToQuery(
-    const std::vector<base::InstanceId>& relays,
-    bool with_backed_off) const {
-  const base::Time now = clock_();
-  std::vector<InstancePeer> peers;
-  std::ranges::copy_if(
-      hooks_.peers(), std::back_inserter(peers), [&](const InstancePeer& it) {
-        const auto backoff = backoffs_.find(it.instance);
-        return std::ranges::find(relays, it.instance) != relays.end() &&
-               it.instance != options_.selection.instance &&
-               (with_backed_off || backoff == backoffs_.end() ||
-                backoff->second.until <= now);
-      });
-  std::ranges::sort(peers, {}, [this](const InstancePeer& it) {
-    return base::HashPair(options_.selection.instance.str(), it.instance.str());
-  });
-  return peers;
-}
-
 // --- Watching
 
 WatchSharing::Result<store::StoreItems> WatchSharing::Watch(
@@ -266,9 +267,7 @@
   const auto relays = Relays();
   const Role role = RoleAmong(relays);
   LogRole(role, relays);
-  const bool needs_everything =
-      role != Role::kFollower || options_.follows_everything;
-  if (needs_everything && !replica_.listed()) {
+  if (NeedsEverything(role) && (!replica_.listed() || knows_sample_only_)) {
     *fault = store::StoreFault::kHistoryGone;
     co_return std::nullopt;
   }
@@ -303,10 +302,10 @@
   ChangesQuery query;
   query.after = after;
   query.wait = options_.watch_timeout;
-  query.everything = role == Role::kSecondary || options_.follows_everything;
+  query.everything = NeedsEverything(role);
   query.levels_digest = levels_.digest();
   auto read = co_await QueryRelays(
-      RelaysToQuery(relays, /*with_backed_off=*/false), query, fault);
+      RelaysToQuery(relays, /*for_snapshot=*/false), query, fault);
   if (!read) {
     co_return std::nullopt;
   }
@@ -314,6 +313,10 @@
     replica_.Apply(after, read->items);
   } else {
     replica_.Clear();
+    knows_sample_only_ = true;
+  }
+  if (role == Role::kFollower) {
+    store_fails_ = false;
   }
   OnStoreRead(read->items.age);
   if (read->levels) {
@@ -341,146 +344,6 @@
   co_return changes;
 }
 
-// --- Listing
-
-WatchSharing::Result<store::StoreItems> WatchSharing::List(
-    std::string prefix,
-    store::Freshness freshness,
-    store::StoreFault* fault) {
-  if (!prefix.empty()) {
-    co_return co_await store_.List(std::move(prefix), freshness, fault);
-  }
-  if (std::exchange(first_listing_, false)) {
-    co_await ListInstanceKeys(store::Freshness::kMayBeStale);
-  }
-  const auto relays = instances_known_ || SharesByZone()
-                          ? SelectRelays(hooks_.peers(), options_.selection)
-                          : std::vector<base::InstanceId>();
-  const Role role = RoleAmong(relays);
-  if (role == Role::kSecondary || role == Role::kFollower) {
-    RelayFault relay_fault{};
-    auto listed = co_await ListFromRelays(role, relays, &relay_fault);
-    if (listed) {
-      relay_wait_began_.reset();
-      instances_known_ = true;
-      co_return listed;
-    }
-    if (ShouldAwaitRelay(role, relay_fault)) {
-      co_await SleepFor(
-          loop_, std::chrono::duration_cast<base::Duration>(
-                     options_.watch_timeout * base::UniformReal(random_)));
-      *fault = store::StoreFault::kBusy;
-      co_return std::nullopt;
-    }
-  }
-  // Others wait for a relay, which would have to list again if the history
-  // after a listing that lags were gone.
-  const bool relays_others = role == Role::kPrimary || role == Role::kSecondary;
-  co_return co_await ListStore(
-      relays_others ? store::Freshness::kCurrent : freshness, fault);
-}
-
-Awaitable<std::optional<store::StoreItems>> WatchSharing::ListFromRelays(
-    Role role,
-    std::vector<base::InstanceId> relays,
-    RelayFault* fault) {
-  if (role == Role::kSecondary) {
-    relays.resize(1);
-  }
-  ChangesQuery query;
-  query.after = base::Revision(-1);
-  query.wait = options_.watch_timeout;
-  query.everything = role == Role::kSecondary || options_.follows_everything;
-  query.snapshot_start = base::Revision(0);
-  auto read = co_await QueryRelays(
-      RelaysToQuery(relays, /*with_backed_off=*/true), query, fault);
-  if (!read) {
-    co_return std::nullopt;
-  }
-  read->items.items = ExistingItems(std::move(read->items.items));
-  if (query.everything) {
-    replica_.Reset(read->items);
-  } else {
-    replica_.Clear();
-    UseLevels(std::move(read->levels).value_or(SamplingLevels()));
-  }
-  RecordListing(read->items, !query.everything && levels_.digest() != 0);
-  returned_ = read->items.revision;
-  OnStoreRead(read->items.age);
-  co_return std::move(read->items);
-}
-
-WatchSharing::Result<store::StoreItems> WatchSharing::ListStore(
-    store::Freshness freshness,
-    store::StoreFault* fault) {
-  auto listed = co_await store_.List(std::string(), freshness, fault);
-  store_fails_ = !listed;
-  if (listed) {
-    relay_wait_began_.reset();
-    RecordListing(*listed, /*is_sample=*/false);
-    replica_.Reset(*listed);
-    returned_ = std::max(returned_, listed->revision);
-    OnStoreRead(base::Duration::zero());
-  }
-  co_return listed;
-}
-
-bool WatchSharing::IsNewEnough(base::Revision listed) const {
-  return listed >= std::max(returned_, instances_seen_at_) &&
-         (!history_gone_at_ || listed > *history_gone_at_);
-}
-
-void WatchSharing::RecordListing(const store::StoreItems& listed,
-                                 bool is_sample) {
-  history_gone_at_.reset();
-  listed_bytes_.reset();
-  if (!is_sample) {
-    listed_bytes_ = store::BytesOf(listed.items);
-  }
-}
-
-Awaitable<void> WatchSharing::ListInstanceKeys(store::Freshness freshness) {
-  const std::string zone_prefix =
-      options_.instances_prefix + options_.selection.zone.str() + '/';
-  for (const std::string& prefix : {zone_prefix, options_.instances_prefix}) {
-    store::StoreFault fault{};
-    const auto listed = co_await store_.List(prefix, freshness, &fault);
-    if (!listed) {
-      Log(LogLevel::kInfo, "instances_not_listed",
-          {{"prefix", prefix}, {"fault", ToString(fault)}});
-      co_return;
-    }
-    // Older keys are known, or were deleted since this listing was made.
-    auto added = listed->items;
-    std::erase_if(added, [this](const store::StoreItem& it) {
-      return it.revision <= returned_;
-    });
-    hooks_.on_instance_keys(added);
-    for (const store::StoreItem& it : listed->items) {
-      instances_seen_at_ = std::max(instances_seen_at_, it.revision);
-    }
-    if (!SharingGroup(hooks_.peers(), options_.selection).empty()) {
-      co_return;
-    }
-  }
-}
-
-bool WatchSharing::ShouldAwaitRelay(Role role, RelayFault fault) {
-  const std::size_t n = SharingGroup(hooks_.peers(), options_.selection).size();
-  if (fault == RelayFault::kAskStore || role != Role::kFollower ||
-      n < options_.many_instances) {
-    return false;
-  }
-  if (listed_bytes_ && n * *listed_bytes_ <= options_.max_listed_bytes) {
-    return false;
-  }
-  const base::Time now = clock_();
-  relay_wait_began_ = relay_wait_began_.value_or(now);
-  return now - *relay_wait_began_ < options_.max_relay_wait ||
-         100 * base::UniformReal(random_) * static_cast<double>(n) >
-             options_.store_tries_percent;
-}
-
 // --- The sample of targets
 
 void WatchSharing::UpdateLevels() {
--- a/src/process/peers/watch_sharing.h
+++ b/src/process/peers/watch_sharing.h
@@ -29,6 +29,7 @@
 #include "base/units.h"
 #include "process/peers/change_messages.h"
 #include "process/peers/instance_presence.h"
+#include "process/peers/listing_turns.h"
 #include "process/peers/relay_selection.h"
 #include "process/peers/store_replica.h"
 #include "process/store/store_port.h"
@@ -71,16 +72,13 @@
   // failure, up to the maximum.
   base::Duration relay_backoff = std::chrono::milliseconds(2000);
   base::Duration max_relay_backoff = std::chrono::milliseconds(8000);
-  // With as many instances that share, a starting instance waits this long for
-  // a relay before it lists the store: hundreds of listings at once would
-  // saturate the store's link. After that so many of the group's tries in a
-  // hundred are made at the store.
-  std::size_t many_instances = 64;
-  base::Duration max_relay_wait = std::chrono::milliseconds(3000);
-  double store_tries_percent = 20;
-  // An instance that has listed before does so at the store at once if the
-  // listings of all that share are no larger than this together.
-  std::size_t max_listed_bytes = std::size_t{32} * 1024 * 1024;
+  // Listings at the store while no relay serves this instance.
+  ListingTurnsOptions turns;
+  // Taken for the bytes of a listing until one was received.
+  std::size_t assumed_listing_bytes = std::size_t{256} * 1024;
+  // How long an instance follows all entries after it was asked to stand in for
+  // the relays.
+  base::Duration stand_in_time = std::chrono::seconds(10);
 };
 
 // Why a relay did not return changes.
@@ -173,6 +171,16 @@
   struct Backoff {
     base::Time until{};
     base::Duration delay{};
+    // It did not answer at all.
+    bool silent = false;
+  };
+  // How long a relay is waited for.
+  struct RelayTimes {
+    // Of the relay for a change.
+    base::Duration wait{};
+    // For the first response, `wait` included, and for further pages.
+    base::Duration first_page{};
+    base::Duration page{};
   };
   // Outcome of a query of several relays, each until no page is left.
   struct RelayRead {
@@ -181,12 +189,21 @@
   };
 
   Role RoleAmong(const std::vector<base::InstanceId>& relays) const;
+  // Whether this instance receives the entries of all targets.
+  bool NeedsEverything(Role role) const;
+  // Follows all entries for a while if this instance is no relay and listings
+  // are made in turns.
+  void StandIn();
+  connection::event::Awaitable<void> FillReplica();
+  // All items, if they were read for others and are new enough.
+  std::optional<store::StoreItems> OwnListing() const;
+  bool IsStandingIn() const;
   // The relays to query, in an order that depends on this instance, which
-  // spreads the instances over them. Leaves out those that are backed off,
-  // unless `with_backed_off`.
+  // spreads the instances over them. Leaves out those that are backed off; for
+  // a snapshot only those of them that did not answer.
   std::vector<InstancePeer> RelaysToQuery(
       const std::vector<base::InstanceId>& relays,
-      bool with_backed_off) const;
+      bool for_snapshot) const;
   // Reads from the first relay that answers; nullopt, with `*fault` set, if
   // none does. The query's wait and its timeout are no longer than the age of
   // the view allows.
@@ -197,10 +214,12 @@
   connection::event::Awaitable<std::optional<RelayRead>> ReadPages(
       InstancePeer relay,
       ChangesQuery query,
-      base::Duration timeout,
+      RelayTimes times,
       RelayFault* fault);
-  // How long the relays may still be asked; `for_snapshot`: for a listing.
-  base::Duration TimeForRelays(bool for_snapshot) const;
+  // How long a relay may be asked now; nothing if the time for relays is over.
+  // The wait of a query for a snapshot is the least that its relays get.
+  std::optional<RelayTimes> TimesForRelay(const ChangesQuery& query,
+                                          bool must_ask) const;
   // Whether a listing at this revision is of use: newer than a watch that
   // failed as its history was gone, and not older than what is known.
   bool IsNewEnough(base::Revision listed) const;
@@ -210,9 +229,14 @@
       std::vector<base::InstanceId> relays,
       base::Revision after,
       RelayFault* fault);
+  // Lists from the relays or, if none serves this instance, from those that
+  // stand in for them. nullopt if its turn to list the store has come.
+  connection::event::Awaitable<std::optional<store::StoreItems>> ListFromOthers(
+      store::Freshness* freshness);
   connection::event::Awaitable<std::optional<store::StoreItems>> ListFromRelays(
       Role role,
-      std::vector<base::InstanceId> relays,
+      std::vector<InstancePeer> relays,
+      base::Duration min_wait,
       RelayFault* fault);
   Result<store::StoreItems> WatchStore(base::Revision after,
                                        base::Duration wait,
@@ -227,11 +251,25 @@
   bool SharesByZone() const;
   // The relays; empty while the instances are not known well enough.
   std::vector<base::InstanceId> Relays() const;
-  // Whether an instance should ask the relays again instead of listing the
-  // store.
-  bool ShouldAwaitRelay(Role role, RelayFault fault);
-  // Takes the size of a complete listing; unknown if it is of a sample.
-  void RecordListing(const store::StoreItems& listed, bool is_sample);
+  // The relays while instances list; also before all instances are known.
+  std::vector<base::InstanceId> RelaysForListing() const;
+  // Notes that no relay serves a listing.
+  void BeginRelayWait(RelayFault fault);
+  // The turns of the instances that are no relays.
+  ListingTurns Turns() const;
+  // This instance's turn, from the first failure to list from a relay on.
+  base::Duration OwnTurn() const;
+  // How many instances, in the order of their ranks, are asked to stand in.
+  std::size_t StandInCount() const;
+  // Time until this instance may list the store; zero or less if it may.
+  base::Duration TimeToTurn() const;
+  // Instances whose turn has come, in random order, but for those that lately
+  // could not serve.
+  std::vector<InstancePeer> StandIns();
+  // Estimates the bytes of a complete listing from a listing of the sample that
+  // `levels` describe.
+  void RecordListing(const store::StoreItems& listed,
+                     const request::passthrough::SamplingLevels& levels);
   // Takes the age of a store read and wakes the queries that wait.
   void OnStoreRead(base::Duration age);
   // Waits until the store was read, or for this time.
@@ -271,8 +309,8 @@
   std::optional<base::Revision> history_gone_at_;
   // The last call to the store failed.
   bool store_fails_ = false;
-  // Bytes of the last complete listing.
-  std::optional<std::size_t> listed_bytes_;
+  // Bytes of a complete listing, as far as known.
+  std::size_t listing_bytes_;
   // Whether the other instances are known: when many start at once, the first
   // listing shows few of them.
   bool instances_known_ = false;
@@ -282,6 +320,16 @@
   base::Revision instances_seen_at_;
   // First failure to list from a relay since the last listing.
   std::optional<base::Time> relay_wait_began_;
+  // Until when instances that could not stand in for the relays are not asked.
+  std::map<base::InstanceId, base::Time> not_standing_in_;
+  // All entries are followed until then.
+  base::Time stand_in_until_{};
+  // What was listed and watched lacks the targets that are not in use.
+  bool knows_sample_only_ = false;
+  // A listing of the store is under way.
+  bool lists_store_ = false;
+  // No listing for others is begun before.
+  base::Time next_fill_{};
   // When the store was last read: by this instance or, at a secondary, by the
   // primary.
   std::optional<base::Time> last_store_read_;
--- a/src/process/peers/watch_sharing_relays.cc
+++ b/src/process/peers/watch_sharing_relays.cc
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "process/peers/watch_sharing.h"
 
@@ -17,9 +18,32 @@
 // have.
 constexpr int kMaxPages = 1000;
 constexpr std::size_t kMaxReadBytes = std::size_t{64} * 1024 * 1024;
+// For how many steps of the turns an instance that did not serve a snapshot is
+// not asked to stand in.
+constexpr int kStandInPauseSteps = 2;
 
 }  // namespace
 
+std::vector<InstancePeer> WatchSharing::RelaysToQuery(
+    const std::vector<base::InstanceId>& relays,
+    bool for_snapshot) const {
+  const base::Time now = clock_();
+  std::vector<InstancePeer> peers;
+  std::ranges::copy_if(
+      hooks_.peers(), std::back_inserter(peers), [&](const InstancePeer& it) {
+        const auto backoff = backoffs_.find(it.instance);
+        const bool backed_off = backoff != backoffs_.end() &&
+                                backoff->second.until > now &&
+                                (!for_snapshot || backoff->second.silent);
+        return std::ranges::find(relays, it.instance) != relays.end() &&
+               it.instance != options_.selection.instance && !backed_off;
+      });
+  std::ranges::sort(peers, {}, [this](const InstancePeer& it) {
+    return base::HashPair(options_.selection.instance.str(), it.instance.str());
+  });
+  return peers;
+}
+
 // After a timeout the store is queried at once: a second relay's timeout would
 // delay changes beyond the bound within which they must take effect.
 Awaitable<std::optional<WatchSharing::RelayRead>> WatchSharing::QueryRelays(
@@ -28,22 +52,17 @@
     RelayFault* fault) {
   *fault = RelayFault::kNotWatching;
   query.placements = hooks_.take_placements();
-  const base::Duration most_wait = query.wait;
+  const ChangesQuery asked = query;
   bool is_first = true;
   for (const InstancePeer& relay : relays) {
-    const base::Duration left = TimeForRelays(query.snapshot_start.has_value());
     const bool must_ask =
         std::exchange(is_first, false) && !query.snapshot_start;
-    if (left < options_.min_response_time && !must_ask) {
+    const auto times = TimesForRelay(asked, must_ask);
+    if (!times) {
       break;
     }
-    query.wait = std::min(
-        std::max(left - options_.response_margin, options_.min_relay_wait),
-        most_wait);
-    const base::Duration timeout =
-        std::max(std::min(query.wait + options_.response_margin, left),
-                 options_.min_response_time);
-    auto read = co_await ReadPages(relay, query, timeout, fault);
+    query.wait = times->wait;
+    auto read = co_await ReadPages(relay, query, *times, fault);
     if (read && query.snapshot_start && !IsNewEnough(read->items.revision)) {
       read.reset();
       *fault = RelayFault::kNotWatching;
@@ -66,12 +85,13 @@
 Awaitable<std::optional<WatchSharing::RelayRead>> WatchSharing::ReadPages(
     InstancePeer relay,
     ChangesQuery query,
-    base::Duration timeout,
+    RelayTimes times,
     RelayFault* fault) {
   std::optional<RelayRead> read;
   std::size_t bytes = 0;
   for (int page = 0; page < kMaxPages; ++page) {
-    auto answer = co_await hooks_.query_relay(relay, query, timeout, fault);
+    auto answer = co_await hooks_.query_relay(
+        relay, query, page == 0 ? times.first_page : times.page, fault);
     if (!answer) {
       co_return query.snapshot_start ? std::nullopt : std::move(read);
     }
@@ -114,17 +134,34 @@
   co_return read;
 }
 
-// Many instances may ask for a snapshot at once, and a relay answers them one
-// after another.
-base::Duration WatchSharing::TimeForRelays(bool for_snapshot) const {
+// Where instances list in turns, many may ask for a snapshot at once, and a
+// relay answers them one after another. It has to begin soon, unless the asker
+// starts, which the relay may do as well.
+std::optional<WatchSharing::RelayTimes> WatchSharing::TimesForRelay(
+    const ChangesQuery& query,
+    bool must_ask) const {
   const base::Duration most = options_.watch_timeout + options_.response_margin;
-  const bool is_crowded =
-      for_snapshot && SharingGroup(hooks_.peers(), options_.selection).size() >=
-                          options_.many_instances;
-  if (!last_store_read_ || is_crowded) {
-    return most;
+  const bool in_turns = query.snapshot_start && !Turns().AtOnce();
+  base::Duration left = most;
+  if (last_store_read_) {
+    left = std::min(most, *last_store_read_ + options_.max_view_age - clock_());
+  } else if (in_turns && relay_wait_began_) {
+    left = base::Duration::zero();
   }
-  return std::min(most, *last_store_read_ + options_.max_view_age - clock_());
+  if (in_turns) {
+    left = std::max(left, query.wait + options_.response_margin);
+  } else if (left < options_.min_response_time && !must_ask) {
+    return std::nullopt;
+  }
+  RelayTimes times;
+  times.wait = std::min(
+      std::max(left - options_.response_margin, options_.min_relay_wait),
+      options_.watch_timeout);
+  times.first_page =
+      std::max(std::min(times.wait + options_.response_margin, left),
+               options_.min_response_time);
+  times.page = in_turns ? most : times.first_page;
+  return times;
 }
 
 // A relay that has nothing to tell yet is asked again soon by an instance that
@@ -136,6 +173,10 @@
       .GetCounter("lynxglade_relay_faults_total",
                   {{"fault", std::string(ToString(fault))}})
       .Add();
+  if (query.snapshot_start) {
+    not_standing_in_[relay.instance] =
+        clock_() + kStandInPauseSteps * Turns().step();
+  }
   if (fault == RelayFault::kAskStore || fault == RelayFault::kResync ||
       (fault == RelayFault::kNotWatching && query.snapshot_start)) {
     return;
@@ -144,6 +185,8 @@
   backoff.delay = std::clamp(2 * backoff.delay, options_.relay_backoff,
                              options_.max_relay_backoff);
   backoff.until = clock_() + backoff.delay;
+  backoff.silent =
+      fault == RelayFault::kTimeout || fault == RelayFault::kUnreachable;
   base::Log(base::LogLevel::kInfo, "relay_avoided",
             {{"relay", relay.instance.str()},
              {"fault", ToString(fault)},
