A reset during an upload is no end of the answer

Cause: the kernel reports a reset once. The request's write took it, and the read that followed saw an orderly end.

Change: InputEnd decides by the write's error (ECONNRESET before, EPIPE after the peer's close), and by the socket's state while a write is under way. An answer whose end came first stays whole. attempt lines have answer_fault.

--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -3,11 +3,14 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "base/whole_number.h"
+#include "connection/event/input_end.h"
 #include "connection/event/socket_probe.h"
 
 namespace lynxglade::connection::event {
@@ -41,11 +44,13 @@
 
 // Shared with the write operation, which may outlive the exchange.
 struct Exchange::Sending {
-  explicit Sending(OutgoingRequest it) : request(std::move(it)) {}
+  Sending(OutgoingRequest it, const Tcp::socket::executor_type& executor)
+      : request(std::move(it)), input_end(executor) {}
 
   OutgoingRequest request;
   bool written = false;
   bool unacknowledged = false;
+  InputEnd input_end;
   // Null until the request is sent.
   std::unique_ptr<asio::steady_timer> watch;
 };
@@ -93,11 +98,15 @@
 // arrive first.
 void Exchange::Send(OutgoingRequest request) {
   state_ = ExchangeState::kBroken;
-  sending_ = std::make_shared<Sending>(std::move(request));
-  http::async_write(
-      channel_->socket, sending_->request,
-      [sending = sending_, channel = channel_](
-          const ErrorCode& ec, std::size_t) { sending->written = !ec; });
+  sending_ = std::make_shared<Sending>(std::move(request),
+                                       channel_->socket.get_executor());
+  sending_->input_end.OnWriteBegun();
+  http::async_write(channel_->socket, sending_->request,
+                    [sending = sending_, channel = channel_](
+                        const ErrorCode& ec, std::size_t) {
+                      sending->written = !ec;
+                      sending->input_end.OnWriteEnded(ec);
+                    });
 }
 
 void Exchange::WatchSending() {
@@ -155,11 +164,12 @@
     const auto channel = channel_;
     co_await http::async_read_header(channel->socket, channel->buffer, *parser_,
                                      Into(ec));
+    const unsigned status = parser_->get().result_int();
     if (ec) {
-      Fail();
+      Fail(ec.message());
       co_return false;
     }
-    if (parser_->get().result_int() < kFirstFinalStatus) {
+    if (status < kFirstFinalStatus) {
       if (++informational > options_.max_informational_answers) {
         break;
       }
@@ -175,7 +185,7 @@
       break;
     }
   }
-  Fail();
+  Fail("no answer to this request");
   co_return false;
 }
 
@@ -219,27 +229,40 @@
     co_await http::async_read_some(channel->socket, channel->buffer, *parser_,
                                    Into(ec));
     if (ec && ec != http::error::need_buffer) {
-      Fail();
+      Fail(ec.message());
       co_return std::string_view();
     }
     const std::size_t n = piece_.size() - parser_->get().body().size;
     if (n > 0) {
-      if (parser_->is_done()) {
+      if (parser_->is_done() && !parser_->need_eof()) {
         Finish();
       }
       co_return std::string_view(piece_.data(), n);
     }
   }
-  Finish();
+  co_await EndBody();
   co_return std::string_view();
 }
 
+Awaitable<void> Exchange::EndBody() {
+  if (parser_->need_eof()) {
+    const auto channel = channel_;
+    const auto sending = sending_;
+    const bool orderly = co_await sending->input_end.IsOrderly(channel->socket);
+    if (!orderly) {
+      Fail("reset before the end");
+      co_return;
+    }
+  }
+  Finish();
+}
+
 Awaitable<std::string> Exchange::ReadRest(std::size_t max_bytes) {
   std::string body;
   while (state_ == ExchangeState::kHead) {
     body.append(co_await ReadSome());
     if (body.size() > max_bytes) {
-      Fail();
+      Fail("body too large");
     }
   }
   co_return body;
@@ -267,10 +290,14 @@
   channel_.reset();
 }
 
-void Exchange::Fail() {
+// The first fault is the cause of those that follow.
+void Exchange::Fail(std::string fault) {
   if (state_ == ExchangeState::kCancelled) {
     return;
   }
+  if (fault_.empty()) {
+    fault_ = std::move(fault);
+  }
   state_ = ExchangeState::kBroken;
   if (channel_) {
     ResetSocket(channel_->socket);
--- a/src/connection/event/exchange.h
+++ b/src/connection/event/exchange.h
@@ -103,6 +103,9 @@
   // kWhole.
   const ResponseHead& head() const noexcept { return head_; }
   BodyFraming framing() const;
+  // Why there is no whole answer, in a few words; empty if there is one, and
+  // after Cancel().
+  const std::string& fault() const noexcept { return fault_; }
 
  private:
   struct Sending;
@@ -121,8 +124,10 @@
   Awaitable<bool> SkipBody();
   bool IsOurs(const AnswerFilter& is_answer, int skipped) const;
   void MakeParser();
+  // Ends the reading of a complete body, unless only a reset ended it.
+  Awaitable<void> EndBody();
   void Finish();
-  void Fail();
+  void Fail(std::string fault);
 
   ChannelPool& pool_;
   const ExchangeOptions options_;
@@ -133,6 +138,7 @@
   std::array<char, 8192> piece_{};
   ExchangeState state_ = ExchangeState::kNotSent;
   std::optional<ConnectEnd> connect_end_;
+  std::string fault_;
   base::InstanceId via_;
   // The answer being read belongs to another request.
   bool skipping_ = false;
--- a/src/connection/event/socket_probe.cc
+++ b/src/connection/event/socket_probe.cc
@@ -51,6 +51,14 @@
   return Peek(socket) == Input::kEnd;
 }
 
+bool HasPeerClosedItsSide(Tcp::socket& socket) noexcept {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                      &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 int UnacknowledgedBytes(Tcp::socket& socket) noexcept {
   int queued = 0;
   int unsent = 0;
--- a/src/connection/event/socket_probe.h
+++ b/src/connection/event/socket_probe.h
@@ -13,6 +13,10 @@
 // Whether the peer has closed the connection and no unread bytes are left.
 bool PeerClosed(Tcp::socket& socket) noexcept;
 
+// Whether the peer has closed its side, and the connection is still there in
+// the other direction: it was not reset.
+bool HasPeerClosedItsSide(Tcp::socket& socket) noexcept;
+
 // Bytes sent but not acknowledged by the peer; 0 if unknown. Bytes not yet sent
 // because the peer's receive window is full do not count.
 int UnacknowledgedBytes(Tcp::socket& socket) noexcept;
--- a/src/request/passthrough/relay_attempt.cc
+++ b/src/request/passthrough/relay_attempt.cc
@@ -120,6 +120,7 @@
   answer_.framing = exchange.framing();
   answer_.end = answer.end();
   answer_.held_bytes = answer.held_bytes();
+  answer_.fault = exchange.fault();
   answer_.connection = ConnectionName(exchange);
   answer_.via = exchange.via();
   answer_.unacknowledged = exchange.unacknowledged();
--- a/src/request/passthrough/relay_report.cc
+++ b/src/request/passthrough/relay_report.cc
@@ -269,6 +269,7 @@
        {"unacknowledged", answer_.unacknowledged},
        {"framing", ToString(answer_.framing)},
        {"answer_end", ToString(answer_.end)},
+       {"answer_fault", answer_.fault},
        {"held_bytes", static_cast<std::int64_t>(answer_.held_bytes)},
        {"prompt_read_ms", MillisOrNone(prefilled_at_)},
        {"first_bytes_ms", MillisOrNone(first_bytes_at_)},
--- a/src/request/passthrough/relay_run.h
+++ b/src/request/passthrough/relay_run.h
@@ -342,6 +342,8 @@
         connection::event::BodyFraming::kNone;
     AnswerEnd end = AnswerEnd::kOpen;
     std::size_t held_bytes = 0;
+    // What was wrong with it; empty if nothing.
+    std::string fault;
     // How the connection to the target was made.
     std::string_view connection = "none";
     // The instance through which it leads; empty if it is direct.
