A tunnel passes on an answer that its target ended before a reset

A target that answers, closes its side and resets the rest of an upload ended the tunnel at once, and what was still on the way to the asker was lost: a broken answer, or a retry, in place of a whole one.

Cause: any failed write to the target reset both sides.

Change: EPIPE, which a write gets after the peer's close, only ends the writing; what the asker still sends is read and dropped, as a connection that is closed with unread bytes is reset. The end of the target's input goes through InputEnd, so that a reset stays one.

--- a/src/connection/event/tunnel.cc
+++ b/src/connection/event/tunnel.cc
@@ -16,6 +16,7 @@
 
 #include "base/time.h"
 #include "connection/event/connect.h"
+#include "connection/event/input_end.h"
 #include "connection/event/message_parser.h"
 #include "connection/event/socket_probe.h"
 #include "connection/event/tasks.h"
@@ -64,7 +65,12 @@
 // The two directions of a tunnel.
 struct Tunnel {
   Tunnel(asio::io_context& l, Tcp::socket& n, Tcp::socket& f, TunnelOptions o)
-      : near(n), far(f), options(o), watch(l), near_ended(l) {}
+      : near(n),
+        far(f),
+        options(o),
+        watch(l),
+        near_ended(l),
+        far_input(f.get_executor()) {}
 
   void ResetBoth() {
     ResetSocket(near);
@@ -88,6 +94,7 @@
   // Cancelled by End().
   asio::steady_timer near_ended;
   bool ended = false;
+  InputEnd far_input;
 };
 
 void WatchFar(const std::shared_ptr<Tunnel>& tunnel, base::Duration wait) {
@@ -110,9 +117,13 @@
   });
 }
 
+// A target that has closed its side may still have sent an answer that is on
+// the way. It takes no more bytes, but what the asker sends is read: the answer
+// would be lost with a connection that is closed before.
 Awaitable<void> CopyToFar(std::shared_ptr<Tunnel> tunnel) {
   std::array<char, kPieceBytes> buf{};
   ErrorCode ec;
+  bool far_takes = true;
   while (!ec) {
     const std::size_t n =
         co_await tunnel->near.async_read_some(asio::buffer(buf), Into(ec));
@@ -120,14 +131,19 @@
       CloseSocket(tunnel->far);
     } else if (ec) {
       ResetSocket(tunnel->far);
-    } else {
+    } else if (far_takes) {
       tunnel->last_write = base::BootClock::now();
       if (!tunnel->watching) {
         WatchFar(tunnel, tunnel->options.acknowledge_timeout);
       }
+      tunnel->far_input.OnWriteBegun();
       co_await asio::async_write(tunnel->far, asio::buffer(buf.data(), n),
                                  Into(ec));
-      if (ec) {
+      tunnel->far_input.OnWriteEnded(ec);
+      if (ec == asio::error::broken_pipe) {
+        far_takes = false;
+        ec = {};
+      } else if (ec) {
         tunnel->ResetBoth();
       }
     }
@@ -141,7 +157,11 @@
   while (!ec) {
     const std::size_t n =
         co_await tunnel->far.async_read_some(asio::buffer(buf), Into(ec));
+    bool orderly = false;
     if (ec == asio::error::eof) {
+      orderly = co_await tunnel->far_input.IsOrderly(tunnel->far);
+    }
+    if (orderly) {
       SetResetOnClose(tunnel->near, false);
       ErrorCode ignored;
       std::ignore = tunnel->near.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/tests/connection/event/tunnel_test.cc
+++ b/tests/connection/event/tunnel_test.cc
@@ -20,6 +20,12 @@
 namespace lynxglade::connection::event {
 namespace {
 
+// More than fits into the buffers of both sockets.
+constexpr std::size_t kUploadBytes = std::size_t{16} * 1024 * 1024;
+// Fits into a receive buffer, but not into a small send buffer.
+constexpr std::size_t kAnswerBytes = std::size_t{48} * 1024;
+constexpr int kSmallBuffer = 4096;
+
 // An asker, the process in between and a target, all on one loop.
 class TunnelTest : public testing::Test {
  protected:
@@ -151,6 +157,50 @@
   RunUntil([this] { return ended_; });
 }
 
+// Guards against MIXED: the reset is told to the write of the request, and the
+// read that follows sees an end.
+TEST_F(TunnelTest, ResetWhileTheRequestIsWrittenIsAReset) {
+  OpenWithTarget();
+  const std::string request(kUploadBytes, 'x');
+  std::optional<ErrorCode> written;
+  asio::async_write(*asker_, asio::buffer(request),
+                    [&](const ErrorCode& ec, std::size_t) { written = ec; });
+  Write(*target_, "HTTP/1.1 200 OK\r\n\r\nbo");
+  RunUntil([this] { return asker_->available() > 0; });
+  ResetSocket(*target_);
+  RunUntil([&] { return written.has_value(); });
+  EXPECT_EQ(*written, asio::error::connection_reset);
+  RunUntil([this] { return ended_; });
+}
+
+// Guards against the loss of an answer that its target ended before it reset
+// the connection, as it does not read the rest of the request.
+TEST_F(TunnelTest, AnAnswerThatEndedBeforeTheResetArrivesWhole) {
+  asker_->open(Tcp::v4());
+  asker_->set_option(asio::socket_base::receive_buffer_size(kSmallBuffer));
+  OpenWithTarget();
+  RunUntil([this] { return near_ != nullptr; });
+  // The process in between holds most of the answer.
+  near_->set_option(asio::socket_base::send_buffer_size(kSmallBuffer));
+  const std::string request(kUploadBytes, 'x');
+  asio::async_write(*asker_, asio::buffer(request),
+                    [](const ErrorCode&, std::size_t) {});
+  const std::string answer(kAnswerBytes, 'y');
+  asio::async_write(*target_, asio::buffer(answer),
+                    [this](const ErrorCode&, std::size_t) {
+                      ErrorCode ec;
+                      target_->shutdown(Tcp::socket::shutdown_send, ec);
+                    });
+  RunUntil([this] { return HasPeerClosedItsSide(*far_); });
+  ResetSocket(*target_);
+  loop_.poll();
+  std::string got;
+  EXPECT_EQ(ReadAll(*asker_, &got), asio::error::eof);
+  EXPECT_EQ(got, answer);
+  CloseSocket(*asker_);
+  RunUntil([this] { return ended_; });
+}
+
 // The same if the process in between ends.
 TEST_F(TunnelTest, EndOfTheProcessInBetweenIsAReset) {
   OpenWithTarget();
