Answers in a transfer coding other than chunked are refused

Callers saw: nothing reported; found with the table of framings. An answer coded as gzip, or gzip and chunked, reached the caller in that coding, and without the header that says so; on HTTP/1.0 codings do not exist.

Cause: the parser looks at the last coding only, and the header is not passed on.

Change: the rule that requests had holds for answers, too. A test shows that requests with malformed heads get 400, as they did.

--- a/src/connection/event/caller_faults.cc
+++ b/src/connection/event/caller_faults.cc
@@ -44,13 +44,9 @@
 }
 
 bool HasUnambiguousLength(const RequestHead& head) {
-  const auto coding = head.find(http::field::transfer_encoding);
-  if (coding == head.end()) {
-    return head.count(http::field::content_length) <= 1;
-  }
-  return head.count(http::field::transfer_encoding) == 1 &&
-         head.count(http::field::content_length) == 0 &&
-         boost::beast::iequals(coding->value(), "chunked");
+  const bool coded = head.count(http::field::transfer_encoding) > 0;
+  return HasKnownCoding(head) &&
+         head.count(http::field::content_length) <= (coded ? 0 : 1);
 }
 
 }  // namespace lynxglade::connection::event
--- a/src/connection/event/exchange.cc
+++ b/src/connection/event/exchange.cc
@@ -20,6 +20,7 @@
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
+constexpr unsigned kHttp11 = 11;
 constexpr std::int64_t kMaxIdleSeconds = std::int64_t{24} * 3600;
 // Bodies are streamed, so their size is not limited here. (This version of
 // Beast treats boost::none as a limit of zero.)
@@ -31,6 +32,14 @@
          status != static_cast<unsigned>(http::status::switching_protocols);
 }
 
+// HTTP/1.0 has no transfer codings.
+bool HasReadableBody(const ResponseParser<http::buffer_body>& parser) {
+  const auto& head = parser.get().base();
+  return HasKnownCoding(head) &&
+         (head.version() >= kHttp11 ||
+          head.count(http::field::transfer_encoding) == 0);
+}
+
 // Parses the idle timeout in a Keep-Alive header, such as "timeout=5".
 std::optional<base::Duration> IdleLimitOf(const ResponseHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -177,6 +186,10 @@
       Fail(ec ? ec.message() : "status " + std::to_string(status));
       co_return false;
     }
+    if (!HasReadableBody(*parser_)) {
+      Fail("transfer coding");
+      co_return false;
+    }
     if (status < kFirstFinalStatus) {
       if (++informational > options_.max_informational_answers) {
         break;
--- a/src/connection/event/header_fields.cc
+++ b/src/connection/event/header_fields.cc
@@ -225,6 +225,13 @@
   }
 }
 
+bool HasKnownCoding(const HeaderFields& fields) {
+  const auto coding = fields.find(FieldName::transfer_encoding);
+  return coding == fields.end() ||
+         (fields.count(FieldName::transfer_encoding) == 1 &&
+          iequals(coding->value(), "chunked"));
+}
+
 HeaderFields::writer::writer(const HeaderFields& fields,
                              unsigned version,
                              http::verb method) {
--- a/src/connection/event/header_fields.h
+++ b/src/connection/event/header_fields.h
@@ -103,6 +103,10 @@
   std::string target_or_reason_;
 };
 
+// Whether the fields name no transfer coding, or `chunked` alone and once: any
+// other would have to be decoded before the body is passed on.
+bool HasKnownCoding(const HeaderFields& fields);
+
 class HeaderFields::writer {
  public:
   using const_buffers_type = boost::asio::const_buffer;
--- a/tests/connection/event/answer_heads_test.cc
+++ b/tests/connection/event/answer_heads_test.cc
@@ -73,6 +73,9 @@
 INSTANTIATE_TEST_SUITE_P(Lines,
                          RefusedAnswersTest,
                          testing::ValuesIn(tests::RefusedLines()));
+INSTANTIATE_TEST_SUITE_P(Framings,
+                         RefusedAnswersTest,
+                         testing::ValuesIn(tests::RefusedFramings()));
 INSTANTIATE_TEST_SUITE_P(StartLines,
                          RefusedAnswersTest,
                          testing::ValuesIn(tests::RefusedStartLines()));
--- a/tests/connection/event/caller_server_test.cc
+++ b/tests/connection/event/caller_server_test.cc
@@ -245,5 +245,37 @@
   EXPECT_EQ(client.ReadToEnd(), "");
 }
 
+// What is no request by RFC 9110 and 9112 is refused, and never served.
+TEST_F(CallerServerTest, RefusesMalformedHeads) {
+  using namespace std::string_literals;  // NOLINT
+  for (const std::string& line :
+       {"X Y: 1"s,
+        "X\tY: 1"s,
+        "X\x01Y: 1"s,
+        "X\x7fY: 1"s,
+        "X\0Y: 1"s,
+        "X : 1"s,
+        "X"s,
+        ": 1"s,
+        "X: a\x01"s,
+        "X: a\0b"s,
+        "X: a\rb"s,
+        "Content-Length: +2"s,
+        "Content-Length: -2"s,
+        "Content-Length: 0x2"s,
+        "Content-Length: 2\r\nContent-Length: 3"s,
+        "Content-Length: 2, 3"s,
+        "Content-Length: 2\r\nTransfer-Encoding: chunked"s,
+        "Transfer-Encoding: gzip"s,
+        "Transfer-Encoding: gzip, chunked"s,
+        "Transfer-Encoding: chunked, chunked"s}) {
+    EXPECT_EQ(Status("POST /a HTTP/1.1\r\nHost: h\r\n" + line + "\r\n\r\nok"),
+              "HTTP/1.1 400")
+        << line;
+  }
+  thread_.reset();
+  EXPECT_TRUE(bodies_.empty());
+}
+
 }  // namespace
 }  // namespace lynxglade::connection::event
