The heads of targets' answers are checked line by line

In the daemon of the project's own interface.

Cause: the HTTP library reads heads leniently.

Change: AnswerHead, a reader of its own, sees each line first; the connection breaks at one that is not valid. Codings are compared without case.

--- a/src/connection/target_client_exchange.cc
+++ b/src/connection/target_client_exchange.cc
@@ -1,6 +1,7 @@
 #include "connection/target_client_exchange.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -45,6 +46,12 @@
   return c >= 'A' && c <= 'Z';
 }
 
+// Names of codings are compared without case.
+bool IsChunked(std::string_view coding) noexcept {
+  return std::ranges::equal(coding, std::string_view("chunked"), {},
+                            [](unsigned char c) { return std::tolower(c); });
+}
+
 // Statuses whose answers never have a body.
 bool HasNoBody(int status) noexcept {
   return status == 204 || status == 304;
@@ -207,7 +214,7 @@
   content_type_ = head.get_header_value("Content-Type");
   retry_after_ = head.get_header_value("Retry-After");
   report_.load_json = head.get_header_value("X-Engine-Load");
-  chunked_ = head.get_header_value("Transfer-Encoding") == "chunked";
+  chunked_ = IsChunked(head.get_header_value("Transfer-Encoding"));
   length_known_ =
       head.has_header("Content-Length") || HasNoBody(status_) || chunked_;
   const std::string echo = head.get_header_value("X-Attempt-Id");
--- a/src/connection/target_connection.cc
+++ b/src/connection/target_connection.cc
@@ -8,7 +8,11 @@
 #include <cerrno>
 #include <chrono>
 #include <cstddef>
+#include <string>
 #include <string_view>
+#include <utility>
+
+#include "connection/answer_head.h"
 
 namespace lynxglade::connection {
 
@@ -63,7 +67,7 @@
       }
     }
     const std::size_t n = std::min(size, end_ - begin_);
-    if (!CountLineByte(size, buf_.at(begin_))) {
+    if (!CheckLineByte(size, buf_.at(begin_))) {
       return -1;
     }
     std::copy_n(buf_.data() + begin_, n, ptr);
@@ -105,16 +109,23 @@
   }
 
   // The library reads lines byte by byte, and bodies in larger pieces. Returns
-  // whether the line, and the head, are within their bounds.
-  bool CountLineByte(std::size_t size, char byte) {
+  // whether the line is within its bound, and the head is a valid one.
+  bool CheckLineByte(std::size_t size, char byte) {
     if (size > 1) {
       line_bytes_ = 0;
       return true;
     }
-    in_head_ = in_head_ && !(byte == '\n' && line_bytes_ <= 1);
-    head_bytes_ += in_head_ ? 1 : 0;
     line_bytes_ = byte == '\n' ? 0 : line_bytes_ + 1;
-    return std::max(head_bytes_, line_bytes_) <= kMaxHeadBytes;
+    if (head_.complete()) {
+      return line_bytes_ <= kMaxHeadBytes;
+    }
+    ++head_bytes_;
+    line_ += byte;
+    if (byte != '\n') {
+      return head_bytes_ <= kMaxHeadBytes;
+    }
+    return head_bytes_ <= kMaxHeadBytes &&
+           head_.Take(std::exchange(line_, std::string()));
   }
 
   void Remember(std::string_view bytes) {
@@ -128,7 +139,9 @@
   const milliseconds read_timeout_;
   const milliseconds write_timeout_;
   std::string* const last_bytes_;
-  bool in_head_ = true;
+  AnswerHead head_;
+  // The part of the head's line that was read.
+  std::string line_;
   std::size_t head_bytes_ = 0;
   std::size_t line_bytes_ = 0;
   std::array<char, 4096> buf_{};
--- a/tests/connection/framed_answers.h
+++ b/tests/connection/framed_answers.h
@@ -48,6 +48,7 @@
   return {
       WithFraming("Content-Length: +2", "ok"),
       WithFraming("Content-Length: -2", "ok"),
+      WithFraming("Content-Length: -0", ""),
       WithFraming("Content-Length: 2x", "ok"),
       WithFraming("Content-Length: 0x2", "ok"),
       WithFraming("Content-Length: ", "ok"),
